--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission of requests: shares, priorities, classes, queues and deadlines.
--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,9 @@
+//! Identifiers, sizes, rates, result codes and settings shared by every package.
+
+pub mod clock;
+pub mod codes;
+pub mod ids;
+pub mod ini;
+pub mod prelude;
+pub mod rates;
+pub mod sizes;
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry process that accepts requests from callers.
--- /dev/null
+++ b/crates/fescuewalk/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder until the process is wired.
+
+fn main() {}
--- /dev/null
+++ b/crates/lists/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' two lists: parsing, checking, editing and spreading them.
--- /dev/null
+++ b/crates/once/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of requests that are not idempotent.
--- /dev/null
+++ b/crates/platform/src/memory.rs
@@ -0,0 +1,231 @@
+//! An in-memory Object API and VM list with settable faults, for stand-ins and tests.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use async_trait::async_trait;
+use base::prelude::*;
+use bytes::Bytes;
+use tokio::{sync::Notify, time};
+
+use crate::{
+    object::{
+        MAX_OBJECT_BYTES, ObjectChange, ObjectKey, ObjectStore, ObjectVersion, Result, StoreError,
+        StoredObject, WriteCondition,
+    },
+    vms::{VmEntry, VmList},
+};
+
+/// Changes kept for watches; a watch from before the oldest gets the whole prefix.
+const KEPT_CHANGES: usize = 65_536;
+
+/// How the store misbehaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StoreFault {
+    /// Every call fails with [`StoreError::Unavailable`].
+    pub down: bool,
+    /// Every call takes this much longer.
+    pub delay: Duration,
+    /// This many further writes take effect but lose their answer.
+    pub lost_answers: u32,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    objects: BTreeMap<ObjectKey, StoredObject>,
+    changes: Vec<ObjectChange>,
+    dropped: ObjectVersion,
+    version: ObjectVersion,
+    vms: Vec<VmEntry>,
+    fault: StoreFault,
+    reads: u64,
+    writes: u64,
+}
+
+impl StoreState {
+    fn record(&mut self, change: ObjectChange) {
+        self.changes.push(change);
+        if self.changes.len() > KEPT_CHANGES {
+            let oldest = self.changes.remove(0);
+            self.dropped = oldest.version();
+        }
+    }
+
+    fn next_version(&mut self) -> ObjectVersion {
+        self.version.0 += 1;
+        self.version
+    }
+
+    fn condition_holds(&self, key: &ObjectKey, condition: WriteCondition) -> bool {
+        let current = self.objects.get(key).map(|object| object.version);
+        match condition {
+            WriteCondition::Absent => current.is_none(),
+            WriteCondition::Version(version) => current == Some(version),
+        }
+    }
+
+    fn changes_since(&self, prefix: &str, since: ObjectVersion) -> Vec<ObjectChange> {
+        if since < self.dropped {
+            let all = self.objects.values().filter(|o| o.key.as_str().starts_with(prefix));
+            return all.cloned().map(ObjectChange::Written).collect();
+        }
+        let start = self.changes.partition_point(|change| change.version() <= since);
+        let matches = |change: &&ObjectChange| match change {
+            ObjectChange::Written(object) => object.key.as_str().starts_with(prefix),
+            ObjectChange::Deleted { key, .. } => key.as_str().starts_with(prefix),
+        };
+        self.changes[start..].iter().filter(matches).cloned().collect()
+    }
+
+    fn answer<T>(&mut self, value: T) -> Result<T> {
+        if self.fault.lost_answers > 0 {
+            self.fault.lost_answers -= 1;
+            return Err(StoreError::AnswerLost);
+        }
+        Ok(value)
+    }
+}
+
+/// Calls counted by the store itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreCalls {
+    /// Reads, lists and watches.
+    pub reads: u64,
+    /// Writes and deletes that reached the store.
+    pub writes: u64,
+}
+
+/// The store; clones share their contents.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryStore {
+    state: Arc<Mutex<StoreState>>,
+    changed: Arc<Notify>,
+}
+
+impl MemoryStore {
+    /// An empty store without faults.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Replaces the faults.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.lock().fault = fault;
+    }
+
+    /// Replaces the VM list.
+    pub fn set_vms(&self, vms: Vec<VmEntry>) {
+        self.lock().vms = vms;
+    }
+
+    /// Calls counted so far.
+    pub fn calls(&self) -> StoreCalls {
+        let state = self.lock();
+        StoreCalls { reads: state.reads, writes: state.writes }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreState> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    async fn enter(&self, is_write: bool) -> Result<()> {
+        let fault = self.lock().fault;
+        if !fault.delay.is_zero() {
+            time::sleep(fault.delay).await;
+        }
+        let mut state = self.lock();
+        if state.fault.down {
+            return Err(StoreError::Unavailable);
+        }
+        match is_write {
+            true => state.writes += 1,
+            false => state.reads += 1,
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl ObjectStore for MemoryStore {
+    async fn get(&self, key: &ObjectKey) -> Result<Option<StoredObject>> {
+        self.enter(false).await?;
+        Ok(self.lock().objects.get(key).cloned())
+    }
+
+    async fn put(
+        &self,
+        key: &ObjectKey,
+        body: Bytes,
+        condition: WriteCondition,
+    ) -> Result<ObjectVersion> {
+        self.enter(true).await?;
+        if body.len() > MAX_OBJECT_BYTES {
+            return Err(StoreError::BodyTooLarge);
+        }
+        let mut state = self.lock();
+        if !state.condition_holds(key, condition) {
+            return Err(StoreError::ConditionFailed);
+        }
+        let version = state.next_version();
+        let object = StoredObject { key: key.clone(), version, body };
+        state.objects.insert(key.clone(), object.clone());
+        state.record(ObjectChange::Written(object));
+        self.changed.notify_waiters();
+        state.answer(version)
+    }
+
+    async fn delete(&self, key: &ObjectKey, version: ObjectVersion) -> Result<()> {
+        self.enter(true).await?;
+        let mut state = self.lock();
+        if !state.condition_holds(key, WriteCondition::Version(version)) {
+            return Err(StoreError::ConditionFailed);
+        }
+        state.objects.remove(key);
+        let version = state.next_version();
+        state.record(ObjectChange::Deleted { key: key.clone(), version });
+        self.changed.notify_waiters();
+        state.answer(())
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<StoredObject>> {
+        self.enter(false).await?;
+        let state = self.lock();
+        let matching = state.objects.values().filter(|o| o.key.as_str().starts_with(prefix));
+        Ok(matching.cloned().collect())
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        since: ObjectVersion,
+        wait: Duration,
+    ) -> Result<Vec<ObjectChange>> {
+        self.enter(false).await?;
+        let deadline = Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let changes = self.lock().changes_since(prefix, since);
+            if !changes.is_empty() {
+                return Ok(changes);
+            }
+            if time::timeout_at(deadline, changed).await.is_err() {
+                return Ok(Vec::new());
+            }
+            if self.lock().fault.down {
+                return Err(StoreError::Unavailable);
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl VmList for MemoryStore {
+    async fn vms(&self) -> Result<Vec<VmEntry>> {
+        self.enter(false).await?;
+        Ok(self.lock().vms.clone())
+    }
+}
--- /dev/null
+++ b/crates/report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Reports for operators: the account of an edit and the burn of service levels.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of owner and backend server, hedges, retries and quarantine.
--- /dev/null
+++ b/crates/side/src/lib.rs
@@ -0,0 +1,1 @@
+//! The side process that runs beside each backend server.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages and framing between the processes of the system.
