Reach the platform over HTTP, and serve it from a stand-in

The entry and side processes need the Object API and the VM list over the network. PlatformClient speaks it through hyper-util's client; the stand-in serves the same paths with viz over MemoryStore.

Weighed: taking 503 as "nothing was written". A gateway answers 503 as well when it lost the answer of a write, so a server error on a write counts as uncertain unless the answer carries x-object-not-written. Bodies in lists and watches travel as Base64 in JSON: hexadecimal would double a claim segment, and a binary list would need a parser of our own.

A connection that a fault drops ends without an answer, as a crash would.

--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,14 @@
+//! The platform over HTTP: paths, messages and the client.
+
+mod answers;
+mod client;
+pub mod messages;
+mod paths;
+
+pub use self::{
+    answers::{
+        NOT_WRITTEN_HEADER, read_changes, read_failure, read_objects, read_version, read_vms,
+    },
+    client::{ClientSettings, PlatformClient},
+    paths::{WatchQuery, key_of_path, list_path, object_path, watch_path},
+};
--- /dev/null
+++ b/crates/platform/src/http/client.rs
@@ -0,0 +1,212 @@
+//! HTTP client of the Object API and the VM list.
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_trait::async_trait;
+use base::prelude::ByteSize;
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, header, request::Builder};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, Error, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use tokio::time;
+
+use super::{
+    answers::{read_changes, read_failure, read_objects, read_version, read_vms},
+    paths::{list_path, object_path, watch_path},
+};
+use crate::{
+    object::{
+        MAX_OBJECT_BYTES, ObjectChange, ObjectKey, ObjectStore, ObjectVersion, Result, StoreError,
+        StoredObject, WriteCondition,
+    },
+    vms::{VmEntry, VmList},
+};
+
+/// Time after which an unused connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Connections kept open while unused.
+const MAX_IDLE_CONNECTIONS: usize = 8;
+
+/// Where the platform is and how long to wait for it.
+#[derive(Debug, Clone)]
+pub struct ClientSettings {
+    /// Address of the platform's service.
+    pub address: SocketAddr,
+    /// Longest wait for a connection.
+    pub connect_timeout: Duration,
+    /// Longest wait for a whole answer; a watch may take its own wait on top.
+    pub call_timeout: Duration,
+    /// Largest answer read.
+    pub max_answer: ByteSize,
+}
+
+impl ClientSettings {
+    /// Settings for the platform at `address` with the usual limits.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            connect_timeout: Duration::from_secs(1),
+            call_timeout: Duration::from_secs(3),
+            max_answer: ByteSize::mib(16),
+        }
+    }
+}
+
+/// The platform over HTTP.
+#[derive(Debug, Clone)]
+pub struct PlatformClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    settings: ClientSettings,
+}
+
+/// A whole answer.
+struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl Answer {
+    fn failure(&self, is_write: bool) -> StoreError {
+        read_failure(self.status, &self.headers, is_write)
+    }
+
+    fn expect_ok(self, is_write: bool) -> Result<Self> {
+        match self.status.is_success() {
+            true => Ok(self),
+            false => Err(self.failure(is_write)),
+        }
+    }
+}
+
+impl PlatformClient {
+    /// A client that connects at the first call.
+    pub fn new(settings: ClientSettings) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(settings.connect_timeout));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+            .pool_timer(TokioTimer::new())
+            .build(connector);
+        Self { client, settings }
+    }
+
+    fn request(&self, method: Method, path: &str) -> Builder {
+        let uri = format!("http://{}{path}", self.settings.address);
+        Request::builder().method(method).uri(uri)
+    }
+
+    async fn call(&self, builder: Builder, body: Bytes, wait: Duration) -> Result<Answer> {
+        let request = builder.body(Full::new(body)).map_err(|_| StoreError::Unavailable)?;
+        let answer = async {
+            let response =
+                self.client.request(request).await.map_err(|error| sending_failure(&error))?;
+            self.read(response).await
+        };
+        let deadline = wait.saturating_add(self.settings.call_timeout);
+        time::timeout(deadline, answer).await.unwrap_or(Err(StoreError::AnswerLost))
+    }
+
+    async fn read(&self, response: Response<Incoming>) -> Result<Answer> {
+        let (parts, body) = response.into_parts();
+        let limit = usize::try_from(self.settings.max_answer.0).unwrap_or(usize::MAX);
+        let collected = Limited::new(body, limit).collect().await;
+        let body = collected.map_err(|error| match error.is::<LengthLimitError>() {
+            true => StoreError::BadAnswer,
+            false => StoreError::AnswerLost,
+        })?;
+        Ok(Answer { status: parts.status, headers: parts.headers, body: body.to_bytes() })
+    }
+
+    async fn read_path(&self, path: &str, wait: Duration) -> Result<Bytes> {
+        let request = self.request(Method::GET, path);
+        let answer = self.call(request, Bytes::new(), wait).await?;
+        Ok(answer.expect_ok(false)?.body)
+    }
+}
+
+fn sending_failure(error: &Error) -> StoreError {
+    match error.is_connect() {
+        true => StoreError::Unavailable,
+        false => StoreError::AnswerLost,
+    }
+}
+
+fn version_tag(version: ObjectVersion) -> String {
+    format!("\"{version}\"")
+}
+
+#[async_trait]
+impl ObjectStore for PlatformClient {
+    async fn get(&self, key: &ObjectKey) -> Result<Option<StoredObject>> {
+        let request = self.request(Method::GET, &object_path(key));
+        let answer = self.call(request, Bytes::new(), Duration::ZERO).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        let answer = answer.expect_ok(false)?;
+        let version = read_version(&answer.headers)?;
+        Ok(Some(StoredObject { key: key.clone(), version, body: answer.body }))
+    }
+
+    async fn put(
+        &self,
+        key: &ObjectKey,
+        body: Bytes,
+        condition: WriteCondition,
+    ) -> Result<ObjectVersion> {
+        if body.len() > MAX_OBJECT_BYTES {
+            return Err(StoreError::BodyTooLarge);
+        }
+        let request = self.request(Method::PUT, &object_path(key));
+        let request = match condition {
+            WriteCondition::Absent => request.header(header::IF_NONE_MATCH, "*"),
+            WriteCondition::Version(version) => {
+                request.header(header::IF_MATCH, version_tag(version))
+            }
+        };
+        let answer = self.call(request, body, Duration::ZERO).await?.expect_ok(true)?;
+        read_version(&answer.headers)
+    }
+
+    async fn delete(&self, key: &ObjectKey, version: ObjectVersion) -> Result<()> {
+        let request = self
+            .request(Method::DELETE, &object_path(key))
+            .header(header::IF_MATCH, version_tag(version));
+        let answer = self.call(request, Bytes::new(), Duration::ZERO).await?;
+        match answer.status {
+            StatusCode::NOT_FOUND => Err(StoreError::ConditionFailed),
+            _ => answer.expect_ok(true).map(drop),
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<StoredObject>> {
+        let body = self.read_path(&list_path(prefix), Duration::ZERO).await?;
+        read_objects(&body, prefix)
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        since: ObjectVersion,
+        wait: Duration,
+    ) -> Result<Vec<ObjectChange>> {
+        let body = self.read_path(&watch_path(prefix, since, wait), wait).await?;
+        read_changes(&body, prefix)
+    }
+}
+
+#[async_trait]
+impl VmList for PlatformClient {
+    async fn vms(&self) -> Result<Vec<VmEntry>> {
+        let body = self.read_path("/vms", Duration::ZERO).await?;
+        read_vms(&body)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http/messages.rs
@@ -0,0 +1,66 @@
+//! JSON messages of the Object API.
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::object::{
+    MAX_OBJECT_BYTES, ObjectChange, ObjectKey, ObjectVersion, Result, StoreError, StoredObject,
+};
+
+/// An object or its deletion, as listed or reported by a watch.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObjectMessage {
+    /// Name of the object.
+    pub key: ObjectKey,
+    /// Version of the object or of its deletion.
+    pub version: ObjectVersion,
+    /// Contents in Base64; absent for a deletion.
+    pub body: Option<String>,
+}
+
+/// Answer to a list or watch.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObjectsMessage {
+    /// Objects in the order of their names, or changes in the order of their versions.
+    pub objects: Vec<ObjectMessage>,
+}
+
+impl From<StoredObject> for ObjectMessage {
+    fn from(object: StoredObject) -> Self {
+        let body = BASE64_STANDARD.encode(&object.body);
+        Self { key: object.key, version: object.version, body: Some(body) }
+    }
+}
+
+impl From<ObjectChange> for ObjectMessage {
+    fn from(change: ObjectChange) -> Self {
+        match change {
+            ObjectChange::Written(object) => object.into(),
+            ObjectChange::Deleted { key, version } => Self { key, version, body: None },
+        }
+    }
+}
+
+impl ObjectMessage {
+    /// The change told by this message.
+    pub fn into_change(self) -> Result<ObjectChange> {
+        let Some(text) = self.body else {
+            return Ok(ObjectChange::Deleted { key: self.key, version: self.version });
+        };
+        let body = BASE64_STANDARD.decode(text).map_err(|_| StoreError::BadAnswer)?;
+        if body.len() > MAX_OBJECT_BYTES {
+            return Err(StoreError::BadAnswer);
+        }
+        let object = StoredObject { key: self.key, version: self.version, body: Bytes::from(body) };
+        Ok(ObjectChange::Written(object))
+    }
+
+    /// The object held by this message; a deletion is a bad answer.
+    pub fn into_object(self) -> Result<StoredObject> {
+        match self.into_change()? {
+            ObjectChange::Written(object) => Ok(object),
+            ObjectChange::Deleted { .. } => Err(StoreError::BadAnswer),
+        }
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,11 +1,13 @@
 //! The platform's Object API and VM list: the traits, an HTTP client and an in-memory store.
 
 pub mod budget;
+pub mod http;
 pub mod memory;
 pub mod object;
 pub mod vms;
 
 pub use crate::{
+    http::{ClientSettings, PlatformClient},
     memory::{MemoryStore, StoreFault},
     object::{
         ObjectChange, ObjectKey, ObjectStore, ObjectVersion, StoreError, StoredObject,
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,226 @@
+//! The platform's Object API and VM list over HTTP.
+//!
+//! | Call | Meaning |
+//! |---|---|
+//! | `GET/PUT/DELETE /objects/<key>` | one object, with `ETag`, `If-Match`, `If-None-Match: *` |
+//! | `GET /objects?prefix=` | list |
+//! | `GET /watch?prefix=&since=&wait_ms=` | long poll |
+//! | `GET /vms`, `PUT /admin/vms` | VM list, and its replacement |
+//! | `PUT /admin/fault`, `GET /admin/calls` | faults, and calls counted |
+
+use ::platform::{
+    MemoryStore, ObjectStore, ObjectVersion, StoreError, StoreFault, VmEntry, VmList,
+    WriteCondition,
+    http::{
+        NOT_WRITTEN_HEADER, WatchQuery, key_of_path,
+        messages::{ObjectMessage, ObjectsMessage},
+    },
+};
+use base::prelude::*;
+use http::{HeaderValue, StatusCode, header};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use viz::{Request, RequestExt, Response, Router};
+
+use crate::server::{
+    ConnectionBreaker, Result, ServerHandle, drop_connection, empty_answer, error_answer,
+    json_answer, read_body, read_json, serve_router, state_of,
+};
+
+/// Longest wait of a watch.
+const MAX_WATCH_WAIT: Duration = Duration::from_secs(60);
+
+/// What the platform serves at its start.
+#[derive(Debug, Clone, Default)]
+pub struct PlatformOptions {
+    /// Store served; clones share their contents.
+    pub store: MemoryStore,
+    /// VM list at the start.
+    pub vms: Vec<VmEntry>,
+}
+
+/// Faults as set by `PUT /admin/fault`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformFault {
+    /// Every call is refused.
+    pub down: bool,
+    /// Every call takes this much longer, in milliseconds.
+    pub delay_ms: u64,
+    /// This many further writes take effect but lose their answer.
+    pub lost_answers: u32,
+}
+
+/// Calls counted, as told by `GET /admin/calls`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlatformCalls {
+    /// Reads, lists and watches.
+    pub reads: u64,
+    /// Writes and deletes.
+    pub writes: u64,
+}
+
+/// Serves the platform on `listener`.
+pub fn serve(listener: TcpListener, options: PlatformOptions) -> Result<ServerHandle<MemoryStore>> {
+    options.store.set_vms(options.vms);
+    let router = Router::new()
+        .get("/objects", list)
+        .get("/objects/*", get)
+        .put("/objects/*", put)
+        .delete("/objects/*", delete)
+        .get("/watch", watch)
+        .get("/vms", vms)
+        .put("/admin/vms", set_vms)
+        .put("/admin/fault", set_fault)
+        .get("/admin/calls", calls);
+    serve_router(listener, router, options.store, ConnectionBreaker::default())
+}
+
+#[derive(Debug, Deserialize)]
+struct ListQuery {
+    #[serde(default)]
+    prefix: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct WatchParams {
+    #[serde(default)]
+    prefix: String,
+    since: u64,
+    wait_ms: u64,
+}
+
+impl From<WatchParams> for WatchQuery {
+    fn from(params: WatchParams) -> Self {
+        let since = ObjectVersion(params.since);
+        Self { prefix: params.prefix, since, wait_ms: params.wait_ms }
+    }
+}
+
+async fn failure(request: &Request, error: StoreError) -> viz::Result<Response> {
+    let status = match error {
+        StoreError::ConditionFailed => StatusCode::PRECONDITION_FAILED,
+        StoreError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        StoreError::AnswerLost | StoreError::BadAnswer => return drop_connection(request).await,
+        StoreError::Unavailable | StoreError::BudgetSpent => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut response = empty_answer(status);
+    response.headers_mut().insert(NOT_WRITTEN_HEADER, HeaderValue::from_static("1"));
+    Ok(response)
+}
+
+fn tagged(mut response: Response, version: ObjectVersion) -> Response {
+    let tag = HeaderValue::from_str(&format!("\"{version}\"")).expect("digits are valid");
+    response.headers_mut().insert(header::ETAG, tag);
+    response
+}
+
+fn key_of(request: &Request) -> viz::Result<::platform::ObjectKey> {
+    key_of_path(request.path())
+        .ok_or_else(|| error_answer(StatusCode::BAD_REQUEST, "the path names no object"))
+}
+
+fn version_of(request: &Request) -> Option<ObjectVersion> {
+    let tag = request.headers().get(header::IF_MATCH)?.to_str().ok()?;
+    tag.strip_prefix('"')?.strip_suffix('"')?.parse().ok().map(ObjectVersion)
+}
+
+fn condition_of(request: &Request) -> viz::Result<WriteCondition> {
+    let absent = request.headers().get(header::IF_NONE_MATCH).is_some_and(|tag| tag == "*");
+    if absent {
+        return Ok(WriteCondition::Absent);
+    }
+    version_of(request)
+        .map(WriteCondition::Version)
+        .ok_or_else(|| error_answer(StatusCode::PRECONDITION_REQUIRED, "a condition is needed"))
+}
+
+async fn get(request: Request) -> viz::Result<Response> {
+    let store = state_of::<MemoryStore>(&request);
+    match store.get(&key_of(&request)?).await {
+        Ok(Some(object)) => {
+            let response = Response::new(http_body_util::Full::new(object.body).into());
+            Ok(tagged(response, object.version))
+        }
+        Ok(None) => Ok(empty_answer(StatusCode::NOT_FOUND)),
+        Err(error) => failure(&request, error).await,
+    }
+}
+
+async fn put(mut request: Request) -> viz::Result<Response> {
+    let store = state_of::<MemoryStore>(&request);
+    let key = key_of(&request)?;
+    let condition = condition_of(&request)?;
+    let body = read_body(&mut request).await?;
+    match store.put(&key, body, condition).await {
+        Ok(version) => Ok(tagged(empty_answer(StatusCode::OK), version)),
+        Err(error) => failure(&request, error).await,
+    }
+}
+
+async fn delete(request: Request) -> viz::Result<Response> {
+    let store = state_of::<MemoryStore>(&request);
+    let key = key_of(&request)?;
+    let version = version_of(&request)
+        .ok_or_else(|| error_answer(StatusCode::PRECONDITION_REQUIRED, "a version is needed"))?;
+    match store.delete(&key, version).await {
+        Ok(()) => Ok(empty_answer(StatusCode::NO_CONTENT)),
+        Err(error) => failure(&request, error).await,
+    }
+}
+
+async fn list(request: Request) -> viz::Result<Response> {
+    let store = state_of::<MemoryStore>(&request);
+    let query = request.query::<ListQuery>()?;
+    match store.list(&query.prefix).await {
+        Ok(objects) => {
+            let objects = objects.into_iter().map(ObjectMessage::from).collect();
+            Ok(json_answer(StatusCode::OK, &ObjectsMessage { objects }))
+        }
+        Err(error) => failure(&request, error).await,
+    }
+}
+
+async fn watch(request: Request) -> viz::Result<Response> {
+    let store = state_of::<MemoryStore>(&request);
+    let query = WatchQuery::from(request.query::<WatchParams>()?);
+    let wait = Duration::from_millis(query.wait_ms).min(MAX_WATCH_WAIT);
+    match store.watch(&query.prefix, query.since, wait).await {
+        Ok(changes) => {
+            let objects = changes.into_iter().map(ObjectMessage::from).collect();
+            Ok(json_answer(StatusCode::OK, &ObjectsMessage { objects }))
+        }
+        Err(error) => failure(&request, error).await,
+    }
+}
+
+async fn vms(request: Request) -> viz::Result<Response> {
+    let store = state_of::<MemoryStore>(&request);
+    match store.vms().await {
+        Ok(vms) => Ok(json_answer(StatusCode::OK, &vms)),
+        Err(error) => failure(&request, error).await,
+    }
+}
+
+async fn set_vms(mut request: Request) -> viz::Result<Response> {
+    let store = state_of::<MemoryStore>(&request);
+    store.set_vms(read_json(&mut request).await?);
+    Ok(empty_answer(StatusCode::NO_CONTENT))
+}
+
+async fn set_fault(mut request: Request) -> viz::Result<Response> {
+    let store = state_of::<MemoryStore>(&request);
+    let fault = read_json::<PlatformFault>(&mut request).await?;
+    store.set_fault(StoreFault {
+        down: fault.down,
+        delay: Duration::from_millis(fault.delay_ms),
+        lost_answers: fault.lost_answers,
+    });
+    Ok(empty_answer(StatusCode::NO_CONTENT))
+}
+
+async fn calls(request: Request) -> viz::Result<Response> {
+    let counted = state_of::<MemoryStore>(&request).calls();
+    let calls = PlatformCalls { reads: counted.reads, writes: counted.writes };
+    Ok(json_answer(StatusCode::OK, &calls))
+}
--- /dev/null
+++ b/crates/standin/tests/platform.rs
@@ -0,0 +1,210 @@
+//! The platform's stand-in and the HTTP client keep the promises of the Object API together.
+
+use std::time::Duration;
+
+use base::prelude::ByteSize;
+use bytes::Bytes;
+use platform::{
+    ClientSettings, MemoryStore, ObjectChange, ObjectKey, ObjectStore, PlatformClient, StoreError,
+    StoreFault, VmEntry, VmList, VmState, WriteCondition, vms::VmRole,
+};
+use rstest::rstest;
+use standin::{
+    platform::{PlatformOptions, serve},
+    server::ServerHandle,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+const UNCONDITIONAL_PUT: &[u8] =
+    b"PUT /objects/a HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\nconnection: close\r\n\r\na";
+
+async fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.unwrap()
+}
+
+async fn started() -> (ServerHandle<MemoryStore>, PlatformClient) {
+    let server = serve(listener().await, PlatformOptions::default()).unwrap();
+    let client = PlatformClient::new(ClientSettings::new(server.address));
+    (server, client)
+}
+
+fn key() -> ObjectKey {
+    ObjectKey::new("placement/llama-7b@a b/ü")
+}
+
+fn fault(down: bool, lost_answers: u32) -> StoreFault {
+    StoreFault { down, lost_answers, ..StoreFault::default() }
+}
+
+/// Answers every connection with `answer` and closes it.
+async fn garbage_server(answer: &'static [u8]) -> PlatformClient {
+    let listener = listener().await;
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 1024];
+            let _bytes = stream.read(&mut request).await.unwrap();
+            stream.write_all(answer).await.unwrap();
+        }
+    });
+    let settings = ClientSettings { max_answer: ByteSize(64), ..ClientSettings::new(address) };
+    PlatformClient::new(settings)
+}
+
+#[tokio::test]
+async fn an_object_is_created_read_replaced_and_deleted() {
+    let (_server, client) = started().await;
+
+    let created = client.put(&key(), Bytes::from("a"), WriteCondition::Absent).await.unwrap();
+    let again = client.put(&key(), Bytes::from("b"), WriteCondition::Absent).await;
+    let second = client.put(&key(), Bytes::from("b"), WriteCondition::Version(created)).await;
+    let stale = client.put(&key(), Bytes::from("c"), WriteCondition::Version(created)).await;
+    let read = client.get(&key()).await.unwrap().unwrap();
+    client.delete(&key(), read.version).await.unwrap();
+
+    assert_eq!(again, Err(StoreError::ConditionFailed));
+    assert_eq!(second, Ok(read.version));
+    assert_eq!(stale, Err(StoreError::ConditionFailed));
+    assert_eq!(read.body, Bytes::from("b"));
+    assert_eq!(client.get(&key()).await, Ok(None));
+    assert_eq!(client.delete(&key(), read.version).await, Err(StoreError::ConditionFailed));
+}
+
+#[tokio::test]
+async fn a_list_and_a_watch_see_what_was_written() {
+    let (_server, client) = started().await;
+    let version = client.put(&key(), Bytes::from("a"), WriteCondition::Absent).await.unwrap();
+    let watcher = client.clone();
+    let watch = tokio::spawn(async move {
+        watcher.watch("placement/", version, Duration::from_secs(20)).await.unwrap()
+    });
+
+    client.delete(&key(), version).await.unwrap();
+    client.put(&ObjectKey::new("other"), Bytes::new(), WriteCondition::Absent).await.unwrap();
+
+    let changes = watch.await.unwrap();
+    let deleted = ObjectChange::Deleted { key: key(), version: changes[0].version() };
+    assert_eq!(changes, vec![deleted]);
+    let listed = client.list("o").await.unwrap();
+    assert_eq!(listed.len(), 1);
+    assert_eq!(listed[0].key, ObjectKey::new("other"));
+    let none = client.watch("x", version, Duration::from_millis(10)).await;
+    assert_eq!(none, Ok(Vec::new()));
+}
+
+#[tokio::test]
+async fn a_platform_that_is_down_refuses_and_writes_nothing() {
+    let (server, client) = started().await;
+    server.state.set_fault(fault(true, 0));
+
+    let put = client.put(&key(), Bytes::from("a"), WriteCondition::Absent).await;
+    let listed = client.vms().await;
+
+    assert_eq!(put, Err(StoreError::Unavailable));
+    assert_eq!(listed, Err(StoreError::Unavailable));
+    server.state.set_fault(StoreFault::default());
+    assert_eq!(client.get(&key()).await, Ok(None));
+}
+
+#[tokio::test]
+async fn an_answer_lost_after_the_write_is_uncertain() {
+    let (server, client) = started().await;
+    server.state.set_fault(fault(false, 1));
+
+    let put = client.put(&key(), Bytes::from("a"), WriteCondition::Absent).await;
+
+    assert_eq!(put, Err(StoreError::AnswerLost));
+    assert_eq!(client.get(&key()).await.unwrap().unwrap().body, Bytes::from("a"));
+}
+
+#[tokio::test]
+async fn a_slow_platform_runs_into_the_timeout_and_stays_uncertain() {
+    let (server, _) = started().await;
+    let call_timeout = Duration::from_millis(50);
+    let settings = ClientSettings { call_timeout, ..ClientSettings::new(server.address) };
+    let client = PlatformClient::new(settings);
+    let delay = Duration::from_millis(500);
+    server.state.set_fault(StoreFault { delay, ..StoreFault::default() });
+
+    let put = client.put(&key(), Bytes::from("a"), WriteCondition::Absent).await;
+
+    assert_eq!(put, Err(StoreError::AnswerLost));
+}
+
+#[tokio::test]
+async fn a_refused_connection_means_that_nothing_was_sent() {
+    let address = listener().await.local_addr().unwrap();
+    let client = PlatformClient::new(ClientSettings::new(address));
+
+    let put = client.put(&key(), Bytes::from("a"), WriteCondition::Absent).await;
+
+    assert_eq!(put, Err(StoreError::Unavailable));
+}
+
+#[tokio::test]
+async fn the_vm_list_is_served_as_set() {
+    let (server, client) = started().await;
+    let entry = VmEntry {
+        id: "vm-1".parse().unwrap(),
+        role: VmRole::Backend,
+        service: Some("rosnatka".parse().unwrap()),
+        zone: "cz-central-a".parse().unwrap(),
+        address: "127.0.0.1:7000".parse().unwrap(),
+        state: VmState::Leaving,
+    };
+
+    server.state.set_vms(vec![entry.clone()]);
+
+    assert_eq!(client.vms().await, Ok(vec![entry]));
+}
+
+#[rstest]
+#[case(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi", StoreError::BadAnswer)]
+#[case(b"HTTP/1.1 200 OK\r\netag: 7\r\ncontent-length: 2\r\n\r\nhi", StoreError::BadAnswer)]
+#[case(b"HTTP/1.1 200 OK\r\netag: \"7\"\r\ncontent-length: 9\r\n\r\nhi", StoreError::AnswerLost)]
+#[case(b"HTTP/1.1 302 Found\r\ncontent-length: 0\r\n\r\n", StoreError::BadAnswer)]
+#[case(b"HTTP/1.1 502 Bad Gateway\r\ncontent-length: 0\r\n\r\n", StoreError::AnswerLost)]
+#[case(b"HTTP/1.1 200 OK\r\netag: \"7\"\r\ncontent-length: 100\r\n\r\n", StoreError::AnswerLost)]
+#[case(b"\x00\x01garbage\r\n\r\n", StoreError::AnswerLost)]
+#[case(b"", StoreError::AnswerLost)]
+#[tokio::test]
+async fn a_garbled_answer_to_a_write_is_uncertain(
+    #[case] answer: &'static [u8],
+    #[case] expected: StoreError,
+) {
+    let client = garbage_server(answer).await;
+
+    let put = client.put(&key(), Bytes::from("a"), WriteCondition::Absent).await;
+
+    assert_eq!(put, Err(expected.clone()));
+    assert!(expected.is_uncertain());
+}
+
+#[tokio::test]
+async fn an_answer_over_the_bound_is_bad() {
+    let (server, client) = started().await;
+    let body = Bytes::from(vec![b'a'; 200]);
+    client.put(&key(), body, WriteCondition::Absent).await.unwrap();
+    let settings =
+        ClientSettings { max_answer: ByteSize(64), ..ClientSettings::new(server.address) };
+
+    let read = PlatformClient::new(settings).get(&key()).await;
+
+    assert_eq!(read, Err(StoreError::BadAnswer));
+}
+
+#[tokio::test]
+async fn a_write_without_condition_is_refused() {
+    let (server, client) = started().await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+
+    stream.write_all(UNCONDITIONAL_PUT).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+
+    assert!(answer.starts_with("HTTP/1.1 428"), "{answer}");
+    assert_eq!(client.list("").await, Ok(Vec::new()));
+}
