Two lists with whole checks, edited by conditional updates

Need: operators drive the system by two lists; an edit must be accepted whole or not at all, and a racing or lost one must never be applied twice.

Weighed: both texts in one object (a megabyte is too small for 9,400 adapters and their plans), one object per section (an edit of two sections would not be one update), and parts under a head. The parts are written first under names that are never used again, and one conditional update of the head accepts them. Content-addressed names for parts were ruled out: an edit that brings back former contents could lose them to the cleaning after the edit before. A record of each edit (who, what, when) is written before the head and chained to the one before, so records of refused edits never count.

A lost answer is read back. If the head is unchanged, it is rewritten in place first, so that the lost write can no longer take effect afterwards.

--- a/crates/lists/src/lib.rs
+++ b/crates/lists/src/lib.rs
@@ -1,1 +1,26 @@
 //! The operators' two lists: parsing, checking, editing and spreading them.
+
+pub mod check;
+pub mod entries;
+pub mod image;
+pub mod names;
+pub mod plans;
+pub mod rights;
+pub mod section;
+pub mod set;
+pub mod store;
+
+pub use crate::{
+    check::check_lists,
+    entries::{
+        AvailabilityTarget, ClassObjective, HttpMethod, ObjectiveSet, ReplicaCount,
+        RequestPriority, ServiceKind, SlotCount, WorkClass, YesNo,
+    },
+    image::{ImageDigest, ListDelta, ListImage},
+    names::{NamePattern, NameSet},
+    plans::CustomerEntry,
+    rights::{AdapterEntry, ModelEntry, PlanEntry, ServiceEntry},
+    section::{SectionKind, SectionName},
+    set::{CallerRights, ListSet, RequestTarget},
+    store::{LoadedLists, load_lists, read_lists},
+};
--- /dev/null
+++ b/crates/lists/src/store/history.rs
@@ -0,0 +1,100 @@
+//! The chain of accepted edits.
+
+use std::collections::HashMap;
+
+use base::prelude::*;
+use platform::{ObjectKey, ObjectStore};
+use snafu::ResultExt;
+
+use crate::store::{
+    Result, StoreCallSnafu,
+    objects::{EditRecord, HeadObject, StoredRecord, bad_object, decode_object, history_prefix},
+};
+
+/// Reads one record.
+///
+/// # Errors
+///
+/// Fails if the store does not answer or has no such record.
+pub async fn edit_record(store: &dyn ObjectStore, name: &str) -> Result<EditRecord> {
+    let key = ObjectKey::new(name);
+    let object = store.get(&key).await.context(StoreCallSnafu { key: key.clone() })?;
+    let object = object.ok_or_else(|| bad_object(&key, "no such record"))?;
+    whole_record(store, &key, decode_object(&key, &object.body)?).await
+}
+
+async fn whole_record(
+    store: &dyn ObjectStore,
+    key: &ObjectKey,
+    stored: StoredRecord,
+) -> Result<EditRecord> {
+    let parts = match stored {
+        StoredRecord::Inline(record) => return Ok(*record),
+        StoredRecord::Parts(parts) => parts,
+    };
+    let mut body = Vec::new();
+    for name in parts {
+        let part_key = ObjectKey::new(name);
+        let object = store.get(&part_key).await;
+        let object = object.context(StoreCallSnafu { key: part_key.clone() })?;
+        let object = object.ok_or_else(|| bad_object(&part_key, "no such part"))?;
+        body.extend_from_slice(&object.body);
+    }
+    decode_object(key, &body)
+}
+
+/// The accepted edits that led from `after` to the version of `head`, oldest first.
+///
+/// Records of refused edits lie beside those of accepted ones; only the chain that starts at the
+/// head counts. Reads one record a version for short chains and a hundred at once for long ones.
+///
+/// # Errors
+///
+/// Fails if the store does not answer or the chain is broken.
+pub async fn edits_between(
+    store: &dyn ObjectStore,
+    head: &HeadObject,
+    after: ListVersion,
+) -> Result<Vec<EditRecord>> {
+    let mut edits = Vec::new();
+    let mut listed: HashMap<String, EditRecord> = HashMap::new();
+    let mut listed_prefix = String::from("none");
+    let mut name = head.edit.clone();
+    let mut version = head.version;
+    let is_long = version.0.saturating_sub(after.0) > SHORT_CHAIN;
+    while version > after && !name.is_empty() {
+        let is_new_block = !name.starts_with(&listed_prefix);
+        if is_long && is_new_block {
+            listed_prefix = history_prefix(version);
+            listed = list_records(store, version).await?;
+        }
+        let record = match listed.remove(&name) {
+            Some(record) => record,
+            None => edit_record(store, &name).await?,
+        };
+        name.clone_from(&record.previous);
+        version = ListVersion(record.version.0.saturating_sub(1));
+        edits.push(record);
+    }
+    edits.reverse();
+    Ok(edits)
+}
+
+/// Longest chain that is read record by record.
+const SHORT_CHAIN: u64 = 8;
+
+async fn list_records(
+    store: &dyn ObjectStore,
+    version: ListVersion,
+) -> Result<HashMap<String, EditRecord>> {
+    let prefix = history_prefix(version);
+    let key = ObjectKey::new(&prefix);
+    let objects = store.list(&prefix).await.context(StoreCallSnafu { key })?;
+    let mut records = HashMap::new();
+    for object in objects {
+        if let StoredRecord::Inline(record) = decode_object(&object.key, &object.body)? {
+            records.insert(object.key.as_str().to_owned(), *record);
+        }
+    }
+    Ok(records)
+}
--- /dev/null
+++ b/crates/lists/src/store/read.rs
@@ -0,0 +1,131 @@
+//! Reading of the lists in force.
+
+use base::ini::IniFile;
+use platform::{ObjectKey, ObjectStore, ObjectVersion};
+use snafu::ResultExt;
+
+use crate::{
+    check::{PLANS_FILE, RIGHTS_FILE},
+    image::ListImage,
+    set::ListSet,
+    store::{
+        FaultyListsSnafu, ListError, Result, StoreCallSnafu,
+        objects::{HeadObject, ListTexts, TextPart, bad_object, decode_object, head_key},
+    },
+};
+
+/// Times a read starts over because a part vanished.
+const READ_ATTEMPTS: usize = 8;
+
+/// The lists as read from the store.
+#[derive(Debug, Clone)]
+pub struct LoadedLists {
+    /// Version of the head object, for the next conditional update; `None` if there is no head.
+    pub head_version: Option<ObjectVersion>,
+    /// The head; version zero if there is none.
+    pub head: HeadObject,
+    /// Both texts.
+    pub texts: ListTexts,
+    /// The objects that hold them.
+    pub parts: Vec<TextPart>,
+    /// Their sections.
+    pub image: ListImage,
+}
+
+impl LoadedLists {
+    /// The set used by requests.
+    ///
+    /// # Errors
+    ///
+    /// Lists the faults of the texts.
+    pub fn list_set(&self) -> Result<ListSet> {
+        ListSet::from_image(self.head.version, &self.image).context(FaultyListsSnafu)
+    }
+}
+
+/// Reads the lists in force; `None` if no edit was ever accepted.
+///
+/// # Errors
+///
+/// Fails if the store does not answer or the lists in it have faults.
+pub async fn load_lists(store: &dyn ObjectStore) -> Result<Option<ListSet>> {
+    let lists = read_lists(store).await?;
+    if lists.head_version.is_none() {
+        return Ok(None);
+    }
+    lists.list_set().map(Some)
+}
+
+/// Reads the head only; `None` if there is none.
+pub async fn read_head(store: &dyn ObjectStore) -> Result<Option<(ObjectVersion, HeadObject)>> {
+    let key = head_key();
+    let object = store.get(&key).await.context(StoreCallSnafu { key: key.clone() })?;
+    let Some(object) = object else { return Ok(None) };
+    Ok(Some((object.version, decode_object(&key, &object.body)?)))
+}
+
+/// Reads both texts and their image at one version.
+///
+/// # Errors
+///
+/// Fails if the store does not answer or the lists in it have faults.
+pub async fn read_lists(store: &dyn ObjectStore) -> Result<LoadedLists> {
+    for _ in 0..READ_ATTEMPTS {
+        let Some((version, head)) = read_head(store).await? else { return empty_lists() };
+        let plans = read_parts(store, &head.plans).await?;
+        let rights = read_parts(store, &head.rights).await?;
+        if let (Some(plans), Some(rights)) = (plans, rights) {
+            return joined_lists(version, head, plans, rights);
+        }
+    }
+    Err(ListError::MovingLists)
+}
+
+fn joined_lists(
+    version: ObjectVersion,
+    head: HeadObject,
+    plans: Vec<TextPart>,
+    rights: Vec<TextPart>,
+) -> Result<LoadedLists> {
+    let texts = ListTexts { plans: join_parts(&plans), rights: join_parts(&rights) };
+    let image = read_image(&texts)?;
+    if image.digest() != head.digest {
+        return Err(bad_object(&head_key(), "the checksum differs from the parts"));
+    }
+    let parts = plans.into_iter().chain(rights).collect();
+    Ok(LoadedLists { head_version: Some(version), head, texts, parts, image })
+}
+
+fn join_parts(parts: &[TextPart]) -> String {
+    parts.iter().map(|part| part.text.as_str()).collect()
+}
+
+fn read_image(texts: &ListTexts) -> Result<ListImage> {
+    let plans = IniFile::parse(PLANS_FILE, &texts.plans).context(FaultyListsSnafu)?;
+    let rights = IniFile::parse(RIGHTS_FILE, &texts.rights).context(FaultyListsSnafu)?;
+    let image = ListImage::from_files(&plans, &rights);
+    image.map_err(|error| bad_object(&head_key(), &error.to_string()))
+}
+
+fn empty_lists() -> Result<LoadedLists> {
+    Ok(LoadedLists {
+        head_version: None,
+        head: HeadObject::default(),
+        texts: ListTexts::default(),
+        parts: Vec::new(),
+        image: ListImage::default(),
+    })
+}
+
+async fn read_parts(store: &dyn ObjectStore, names: &[String]) -> Result<Option<Vec<TextPart>>> {
+    let mut parts = Vec::new();
+    for name in names {
+        let key = ObjectKey::new(name);
+        let object = store.get(&key).await.context(StoreCallSnafu { key: key.clone() })?;
+        let Some(object) = object else { return Ok(None) };
+        let text = String::from_utf8(object.body.to_vec());
+        let text = text.map_err(|error| bad_object(&key, &error.to_string()))?;
+        parts.push(TextPart { name: name.clone(), text });
+    }
+    Ok(Some(parts))
+}
