Whole path in separate processes, kept thin

Need: a caller's request has to reach a cold model end to end before any duty is widened.

Change: the wire package (mutual proof of the fleet's secret, one envelope for all messages, heartbeats and a silence limit), the entry process (admission against the lists, ask and grant at the owner found by rendezvous, slots in the Object API by conditional update, hand-over and answer), the side process (the only giver of orders, memory reserved before a load and freed by the engine's listing, tombstones for cancelled requests, drain) and the commands entry, standin, status and try.

Found on the way: a backend server's concurrency is shared by the models of several owners, so owners grant credits that the side process then refuses. An entry that did not yet know the fleet called itself ready and refused at once; it is ready only once the VM list shows it, and an owner that cannot be reached is asked again while time is left.

--- a/crates/base/src/ini.rs
+++ b/crates/base/src/ini.rs
@@ -208,3 +208,63 @@
         parsed
     }
 }
+
+/// Reads a whole settings file section by section and remembers every fault.
+#[derive(Debug)]
+pub struct SettingsReader {
+    file: IniFile,
+    taken: Vec<String>,
+    faults: Vec<FileFault>,
+}
+
+impl SettingsReader {
+    /// Starts reading `text`; `name` appears in faults.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text is not an INI file.
+    pub fn new(name: &str, text: &str) -> Result<Self> {
+        let file = IniFile::parse(name, text)?;
+        Ok(Self { file, taken: Vec::new(), faults: Vec::new() })
+    }
+
+    /// Reads the section called `name`; a missing one reads as empty.
+    pub fn section<T>(&mut self, name: &str, read: impl FnOnce(&mut SectionReader<'_>) -> T) -> T {
+        self.taken.push(name.to_owned());
+        let empty = IniSection { name: name.to_owned(), line: 0, entries: Vec::new() };
+        let found = self.file.sections.iter().find(|section| section.name == name);
+        let mut reader = SectionReader::new(&self.file.name, found.unwrap_or(&empty));
+        let value = read(&mut reader);
+        self.faults.extend(reader.finish());
+        value
+    }
+
+    /// Ends the file: sections that nobody read, and sections given twice, are faults.
+    ///
+    /// # Errors
+    ///
+    /// Lists all faults of the file.
+    pub fn finish<T>(mut self, settings: Option<T>) -> Result<T> {
+        let sections = &self.file.sections;
+        for (index, section) in sections.iter().enumerate() {
+            let is_known = self.taken.contains(&section.name);
+            let is_repeated = sections[..index].iter().any(|earlier| earlier.name == section.name);
+            let expected = match (is_known, is_repeated) {
+                (false, _) => "no such section here",
+                (true, true) => "the section only once",
+                (true, false) => continue,
+            };
+            self.faults.push(FileFault {
+                file: self.file.name.clone(),
+                line: section.line,
+                section: section.name.clone(),
+                key: String::new(),
+                expected: expected.to_owned(),
+            });
+        }
+        match settings {
+            Some(settings) if self.faults.is_empty() => Ok(settings),
+            _ => Err(FileFaults { faults: self.faults }),
+        }
+    }
+}
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod codes;
 pub mod ids;
 pub mod ini;
+pub mod logging;
 pub mod prelude;
 pub mod rates;
 pub mod sizes;
--- a/crates/base/tests/ini.rs
+++ b/crates/base/tests/ini.rs
@@ -60,3 +60,15 @@
         })
         .unwrap();
 }
+
+#[test]
+fn unknown_and_repeated_sections_are_faults() {
+    let text = "[a]\nshare = 3\n[b]\n[a]\n";
+    let mut reader = base::ini::SettingsReader::new("test.ini", text).unwrap();
+
+    let share = reader.section("a", |section| section.required::<ShareWeight>("share", "a share"));
+    let faults = reader.finish(share).unwrap_err().faults;
+
+    let lines: Vec<_> = faults.iter().map(|fault| fault.line).collect();
+    assert_eq!(lines, [3, 4]);
+}
--- /dev/null
+++ b/crates/entry/src/inbox.rs
@@ -0,0 +1,66 @@
+//! Delivers messages of peers to the part that waits for them.
+
+use std::sync::Arc;
+
+use tokio::sync::mpsc;
+use wire::Message;
+
+use crate::{
+    asks::AskTable,
+    owner::{AskReplyPath, OwnerEvent},
+    peers::PeerHandle,
+    runs::RunTable,
+};
+
+/// Where messages go; cloning is cheap.
+#[derive(Debug, Clone)]
+pub struct PeerInbox {
+    /// Asks of this process that wait for an owner.
+    pub asks: Arc<AskTable>,
+    /// Requests handed over to side processes.
+    pub runs: Arc<RunTable>,
+    /// The owner's duty of this process.
+    pub owner: mpsc::Sender<OwnerEvent>,
+}
+
+impl PeerInbox {
+    /// Delivers one message; a message for nobody is dropped.
+    pub async fn deliver(&self, handle: &PeerHandle, message: Message) {
+        match message {
+            Message::Grant(grant) => self.asks.grant(grant),
+            Message::AskRefusal(refusal) => self.asks.refuse(refusal),
+            Message::RunRefusal(_)
+            | Message::AnswerHead(_)
+            | Message::AnswerChunk(_)
+            | Message::AnswerEnd(_)
+            | Message::CancelAck(_) => self.runs.deliver(&handle.peer, message),
+            Message::Ask(ask) => {
+                let reply = AskReplyPath::Peer(handle.sender.clone());
+                self.tell_owner(OwnerEvent::Ask { ask, reply }).await;
+            }
+            Message::CreditReturn(returned) => {
+                self.tell_owner(OwnerEvent::CreditReturn(returned)).await;
+            }
+            Message::OrderOutcome(outcome) => {
+                let peer = handle.peer.clone();
+                self.tell_owner(OwnerEvent::OrderOutcome { peer, outcome }).await;
+            }
+            Message::BackendReport(report) => {
+                let peer = handle.peer.clone();
+                self.tell_owner(OwnerEvent::BackendReport { peer, report }).await;
+            }
+            other => log::warn!("peers: a message has no place here: {other:?}"),
+        }
+    }
+
+    /// Tells everybody that the connection has ended.
+    pub async fn lose(&self, handle: &PeerHandle) {
+        self.asks.lose(&handle.peer);
+        self.runs.lose(&handle.peer);
+        self.tell_owner(OwnerEvent::PeerLost(handle.peer.clone())).await;
+    }
+
+    async fn tell_owner(&self, event: OwnerEvent) {
+        let _ = self.owner.send(event).await;
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,26 @@
 //! The entry process that accepts requests from callers.
+//!
+//! Any entry serves any caller. Each is also the owner of some models and services: the one place
+//! where their replicas are known and their waiting requests are put in order.
+
+pub mod answers;
+pub mod asks;
+pub mod calls;
+pub mod claims;
+pub mod fleet;
+pub mod inbox;
+pub mod list_watch;
+pub mod metrics;
+pub mod owner;
+pub mod peers;
+pub mod process;
+pub mod refusals;
+pub mod requests;
+pub mod runs;
+pub mod server;
+pub mod settings;
+
+pub use crate::{
+    process::{EntryHandle, StartError},
+    settings::EntrySettings,
+};
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,118 @@
+//! Counters of the entry process, in Prometheus text format.
+
+use base::prelude::*;
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder, core::Collector,
+};
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BUCKETS: [f64; 14] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.71, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0];
+
+/// All counters of one process.
+#[derive(Debug, Clone)]
+pub struct EntryMetrics {
+    registry: Registry,
+    /// Requests that ended, by customer, class and result code.
+    pub requests: IntCounterVec,
+    /// Time to the first byte of the answer, in seconds, by customer and class.
+    pub first_byte: HistogramVec,
+    /// Time from admission to the grant, in seconds, by whether a load was waited for.
+    pub grant_wait: HistogramVec,
+    /// Attempts beyond the first.
+    pub retries: IntCounter,
+    /// Requests in flight.
+    pub in_flight: IntGauge,
+    /// Version of the lists in force.
+    pub list_version: IntGauge,
+    /// Calls to the platform, by kind.
+    pub platform_calls: IntCounterVec,
+    /// Connections from peers that were refused.
+    pub refused_peers: IntCounter,
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    IntCounterVec::new(Opts::new(name, help), labels).expect("the name is valid")
+}
+
+fn histograms(name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+    HistogramVec::new(options, labels).expect("the name is valid")
+}
+
+impl EntryMetrics {
+    /// Fresh counters.
+    pub fn new() -> Self {
+        let metrics = Self {
+            registry: Registry::new(),
+            requests: counters(
+                "fescuewalk_requests_total",
+                "Requests by result code.",
+                &["customer", "class", "code"],
+            ),
+            first_byte: histograms(
+                "fescuewalk_first_byte_seconds",
+                "Time to the first byte of the answer.",
+                &["customer", "class"],
+            ),
+            grant_wait: histograms(
+                "fescuewalk_grant_wait_seconds",
+                "Time from admission to the grant.",
+                &["cold"],
+            ),
+            retries: IntCounter::new("fescuewalk_retries_total", "Attempts beyond the first.")
+                .expect("the name is valid"),
+            in_flight: IntGauge::new("fescuewalk_in_flight", "Requests in flight.")
+                .expect("the name is valid"),
+            list_version: IntGauge::new("fescuewalk_list_version", "Version of the lists.")
+                .expect("the name is valid"),
+            platform_calls: counters(
+                "fescuewalk_platform_calls_total",
+                "Calls to the platform.",
+                &["kind"],
+            ),
+            refused_peers: IntCounter::new("fescuewalk_refused_peers_total", "Peers refused.")
+                .expect("the name is valid"),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&self) {
+        let collectors: [Box<dyn Collector>; 8] = [
+            Box::new(self.requests.clone()),
+            Box::new(self.first_byte.clone()),
+            Box::new(self.grant_wait.clone()),
+            Box::new(self.retries.clone()),
+            Box::new(self.in_flight.clone()),
+            Box::new(self.list_version.clone()),
+            Box::new(self.platform_calls.clone()),
+            Box::new(self.refused_peers.clone()),
+        ];
+        for collector in collectors {
+            self.registry.register(collector).expect("each name is registered once");
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn count(&self, customer: &str, class: &str, code: ResultCode) {
+        let number = code.number().to_string();
+        self.requests.with_label_values(&[customer, class, &number]).inc();
+    }
+
+    /// All counters as text.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .expect("writing to memory succeeds");
+        String::from_utf8(text).expect("the encoder writes UTF-8")
+    }
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,96 @@
+//! Connections to other entries and to side processes.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
+
+use tokio::{net::TcpListener, sync::Mutex as AsyncMutex};
+use wire::{
+    FleetSecret, LinkOptions, LinkReceiver, LinkSender, PeerIdentity, PeerLink, link::Result,
+};
+
+use crate::{inbox::PeerInbox, metrics::EntryMetrics};
+
+/// An open connection as others use it.
+#[derive(Debug, Clone)]
+pub struct PeerHandle {
+    /// Who is at the other end.
+    pub peer: PeerIdentity,
+    /// Sends to it.
+    pub sender: LinkSender,
+}
+
+type LinkCell = Arc<AsyncMutex<Option<PeerHandle>>>;
+
+/// Opens at most one connection to each address.
+#[derive(Debug)]
+pub struct PeerPool {
+    secret: FleetSecret,
+    identity: PeerIdentity,
+    links: Mutex<HashMap<SocketAddr, LinkCell>>,
+    inbox: PeerInbox,
+}
+
+impl PeerPool {
+    /// A pool without connections; messages that arrive go to `inbox`.
+    pub fn new(secret: FleetSecret, identity: PeerIdentity, inbox: PeerInbox) -> Self {
+        Self { secret, identity, links: Mutex::default(), inbox }
+    }
+
+    /// The connection to `address`, opened if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer does not answer in time or does not show the secret.
+    pub async fn link(&self, address: SocketAddr) -> Result<PeerHandle> {
+        let cell = {
+            let mut links = self.links.lock().expect("no holder panics");
+            Arc::clone(links.entry(address).or_default())
+        };
+        let mut open = cell.lock().await;
+        if let Some(handle) = open.as_ref().filter(|handle| !handle.sender.is_closed()) {
+            return Ok(handle.clone());
+        }
+        let link =
+            PeerLink::dial(address, &self.secret, &self.identity, LinkOptions::default()).await?;
+        let handle = PeerHandle { peer: link.peer, sender: link.sender };
+        tokio::spawn(receive(link.receiver, handle.clone(), self.inbox.clone()));
+        *open = Some(handle.clone());
+        Ok(handle)
+    }
+
+    /// Accepts connections of other entries until the listener fails.
+    pub async fn accept(self: Arc<Self>, listener: TcpListener, metrics: EntryMetrics) {
+        while let Ok((stream, address)) = listener.accept().await {
+            let pool = Arc::clone(&self);
+            let metrics = metrics.clone();
+            tokio::spawn(async move {
+                let options = LinkOptions::default();
+                match PeerLink::accept(stream, &pool.secret, &pool.identity, options).await {
+                    Ok(link) => {
+                        let handle = PeerHandle { peer: link.peer, sender: link.sender };
+                        receive(link.receiver, handle, pool.inbox.clone()).await;
+                    }
+                    Err(error) => {
+                        metrics.refused_peers.inc();
+                        log::warn!("peers: {address} refused: {error}");
+                    }
+                }
+            });
+        }
+    }
+}
+
+async fn receive(mut receiver: LinkReceiver, handle: PeerHandle, inbox: PeerInbox) {
+    let error = loop {
+        match receiver.next().await {
+            Ok(message) => inbox.deliver(&handle, message).await,
+            Err(error) => break error,
+        }
+    };
+    log::debug!("peers: {} left: {error}", handle.peer.vm);
+    drop(receiver);
+    inbox.lose(&handle).await;
+}
--- /dev/null
+++ b/crates/entry/src/process.rs
@@ -0,0 +1,205 @@
+//! Start and planned stop of the entry process.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use base::prelude::*;
+use lists::ListSet;
+use platform::{
+    ObjectStore, VmList,
+    budget::BudgetedStore,
+    http::{ClientSettings, PlatformClient},
+};
+use snafu::{ResultExt, Snafu};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+    time,
+};
+use wire::{PeerIdentity, PeerRole};
+
+use crate::{
+    asks::AskTable,
+    claims::ClaimKeeper,
+    fleet::{self, FleetView},
+    inbox::PeerInbox,
+    list_watch,
+    metrics::EntryMetrics,
+    owner::{EVENT_QUEUE, OwnerContext, OwnerDuty, OwnerEvent},
+    peers::PeerPool,
+    runs::RunTable,
+    server,
+    settings::EntrySettings,
+};
+
+/// Time between looks at whether all requests have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// The process could not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address is taken.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// Address wanted.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// Result of starting.
+pub type Result<T, E = StartError> = std::result::Result<T, E>;
+
+/// Everything the tasks of the process share.
+pub struct EntryState {
+    /// Settings.
+    pub settings: EntrySettings,
+    /// This life of the process.
+    pub identity: PeerIdentity,
+    /// Counters.
+    pub metrics: EntryMetrics,
+    /// The lists in force; none before the first were read.
+    pub lists: watch::Receiver<Option<ListSet>>,
+    /// The fleet.
+    pub fleet: watch::Receiver<Arc<FleetView>>,
+    /// Connections to peers.
+    pub peers: Arc<PeerPool>,
+    /// Asks that wait.
+    pub asks: Arc<AskTable>,
+    /// Requests handed over.
+    pub runs: Arc<RunTable>,
+    /// The owner's duty.
+    pub owner: mpsc::Sender<OwnerEvent>,
+    /// Claims of idempotency keys.
+    pub claims: ClaimKeeper,
+    /// Counted calls to the platform.
+    pub store: Arc<BudgetedStore<PlatformClient>>,
+    /// Whether a planned stop has begun.
+    pub is_draining: watch::Sender<bool>,
+}
+
+/// Whether requests can be served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Readiness {
+    /// They can.
+    Ready,
+    /// A planned stop has begun.
+    Draining,
+    /// The lists have not arrived yet.
+    NoLists,
+    /// The VM list does not show this process yet.
+    NotListed,
+}
+
+impl EntryState {
+    /// Whether requests can be served now.
+    pub fn readiness(&self) -> Readiness {
+        if *self.is_draining.borrow() {
+            return Readiness::Draining;
+        }
+        if self.lists.borrow().is_none() {
+            return Readiness::NoLists;
+        }
+        if self.fleet.borrow().vm(&self.identity.vm).is_none() {
+            return Readiness::NotListed;
+        }
+        Readiness::Ready
+    }
+}
+
+/// A running entry process.
+pub struct EntryHandle {
+    state: Arc<EntryState>,
+    peer_address: SocketAddr,
+    http_address: SocketAddr,
+}
+
+impl EntryHandle {
+    /// Starts all tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is taken.
+    pub async fn start(settings: EntrySettings) -> Result<Self> {
+        let peers = listen(settings.process.peer_address).await?;
+        let callers = listen(settings.process.http_address).await?;
+        let peer_address = peers.local_addr().unwrap_or(settings.process.peer_address);
+        let http_address = callers.local_addr().unwrap_or(settings.process.http_address);
+        let state = start_tasks(settings);
+        let metrics = state.metrics.clone();
+        tokio::spawn(Arc::clone(&state.peers).accept(peers, metrics));
+        tokio::spawn(server::serve(callers, Arc::clone(&state)));
+        log::info!("process: entry {} listens on {http_address}", state.identity.vm);
+        Ok(Self { state, peer_address, http_address })
+    }
+
+    /// Where peers connect.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Where callers connect.
+    pub fn http_address(&self) -> SocketAddr {
+        self.http_address
+    }
+
+    /// Whether requests can be served.
+    pub fn is_ready(&self) -> bool {
+        self.state.readiness() == Readiness::Ready
+    }
+
+    /// Refuses new requests, waits for those in flight, then ends.
+    pub async fn stop(&self) {
+        log::info!("process: draining {} requests", self.state.metrics.in_flight.get());
+        self.state.is_draining.send_replace(true);
+        let limit = Instant::now() + self.state.settings.limits.drain.0;
+        while self.state.metrics.in_flight.get() > 0 && Instant::now() < limit {
+            time::sleep(DRAIN_POLL).await;
+        }
+        time::sleep(DRAIN_POLL).await;
+        log::info!("process: stopped");
+    }
+}
+
+fn start_tasks(settings: EntrySettings) -> Arc<EntryState> {
+    let identity = settings.process.identity(PeerRole::Entry, ProcessIncarnation::random());
+    let client = PlatformClient::new(ClientSettings::new(settings.platform.address));
+    let store = Arc::new(BudgetedStore::new(client.clone(), settings.platform.limits));
+    let (lists_sender, lists) = watch::channel(None);
+    let (fleet_sender, fleet) = watch::channel(Arc::new(FleetView::default()));
+    let (owner, owner_events) = mpsc::channel(EVENT_QUEUE);
+    let asks = Arc::new(AskTable::default());
+    let runs = Arc::new(RunTable::default());
+    let inbox = PeerInbox { asks: asks.clone(), runs: runs.clone(), owner: owner.clone() };
+    let secret = settings.process.secret.clone();
+    let peers = Arc::new(PeerPool::new(secret, identity.clone(), inbox));
+    let objects: Arc<dyn ObjectStore> = store.clone();
+    let vms: Arc<dyn VmList> = Arc::new(client);
+    let context = OwnerContext {
+        lists: lists.clone(),
+        fleet: fleet.clone(),
+        peers: peers.clone(),
+        events: owner.clone(),
+    };
+    tokio::spawn(OwnerDuty::new(context, objects.clone()).run(owner_events));
+    tokio::spawn(list_watch::follow(objects.clone(), lists_sender));
+    tokio::spawn(fleet::follow(vms, settings.platform.vm_poll.0, fleet_sender));
+    Arc::new(EntryState {
+        settings,
+        identity,
+        metrics: EntryMetrics::new(),
+        lists,
+        fleet,
+        peers,
+        asks,
+        runs,
+        owner,
+        claims: ClaimKeeper::new(objects),
+        store,
+        is_draining: watch::Sender::new(false),
+    })
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,272 @@
+//! The HTTP interface for callers and operators.
+
+use std::{convert::Infallible, sync::Arc};
+
+use base::prelude::*;
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::{BodyExt, Full, Limited};
+use tokio::{net::TcpListener, sync::mpsc};
+use viz::{
+    Body, Request, RequestExt, Response, ResponseExt, Router, StatusCode,
+    header::{HeaderName, HeaderValue},
+    types::State,
+};
+
+use crate::{
+    answers::{AnswerPart, CallAnswer, HeadParts},
+    calls::{CallHead, CallerCall},
+    owner::OwnerEvent,
+    process::{EntryState, Readiness},
+    refusals::CallRefusal,
+    requests::RequestDriver,
+};
+
+/// Header that names a request to its caller.
+const REQUEST_HEADER: &str = "x-request-id";
+/// Prefix of calls to plain services.
+const SERVICES_PREFIX: &str = "/services/";
+
+type HttpResult = viz::Result<Response>;
+
+/// Serves until the process ends.
+pub async fn serve(listener: TcpListener, state: Arc<EntryState>) {
+    let router = Router::new()
+        .post("/v1/chat/completions", chat)
+        .get("/v1/models", models)
+        .any("/services/*", service)
+        .get("/metrics", metrics)
+        .get("/healthz", healthz)
+        .get("/readyz", readyz)
+        .get("/status", status)
+        .with(State::new(state));
+    if let Err(error) = viz::serve(listener, router).await {
+        log::error!("server: the HTTP listener failed: {error}");
+    }
+}
+
+/// Counts a request from its arrival to the end of its answer.
+struct FlightGuard {
+    state: Arc<EntryState>,
+}
+
+impl FlightGuard {
+    fn new(state: &Arc<EntryState>) -> Self {
+        state.metrics.in_flight.inc();
+        Self { state: Arc::clone(state) }
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.state.metrics.in_flight.dec();
+    }
+}
+
+async fn state_of(request: &mut Request) -> viz::Result<Arc<EntryState>> {
+    let State(state) = request.extract::<State<Arc<EntryState>>>().await?;
+    Ok(state)
+}
+
+async fn chat(mut request: Request) -> HttpResult {
+    let state = state_of(&mut request).await?;
+    Ok(handle(state, request, CallKind::Chat).await)
+}
+
+async fn service(mut request: Request) -> HttpResult {
+    let state = state_of(&mut request).await?;
+    Ok(handle(state, request, CallKind::Service).await)
+}
+
+/// Which interface a caller uses.
+#[derive(Clone, Copy)]
+enum CallKind {
+    Chat,
+    Service,
+}
+
+async fn handle(state: Arc<EntryState>, request: Request, kind: CallKind) -> Response {
+    let flight = FlightGuard::new(&state);
+    let started = Instant::now();
+    let call = match read_call(&state, request, kind, started).await {
+        Ok(call) => call,
+        Err(code) => {
+            state.metrics.count("", "", code);
+            return with_id(CallRefusal::from(code).response(RequestId::random()), None);
+        }
+    };
+    let id = call.id;
+    let customer = call.rights.customer.id.to_string();
+    let class = call.target.class().to_string();
+    let served = RequestDriver::new(Arc::clone(&state), call).serve().await;
+    match served {
+        Ok(answer) => {
+            let elapsed = started.elapsed().as_secs_f64();
+            let first_byte = &state.metrics.first_byte;
+            first_byte.with_label_values(&[&customer, &class]).observe(elapsed);
+            state.metrics.count(&customer, &class, ResultCode::Success);
+            with_id(respond(answer, id, flight), Some(id))
+        }
+        Err(refusal) => {
+            log::info!("requests: {id} of {customer} refused: {}", refusal.code);
+            state.metrics.count(&customer, &class, refusal.code);
+            with_id(refusal.response(id), Some(id))
+        }
+    }
+}
+
+async fn read_call(
+    state: &EntryState,
+    request: Request,
+    kind: CallKind,
+    now: Instant,
+) -> Result<CallerCall, ResultCode> {
+    if *state.is_draining.borrow() {
+        return Err(ResultCode::ProcessStopping);
+    }
+    let lists = state.lists.borrow().clone().ok_or(ResultCode::ListsMissing)?;
+    let (parts, body) = request.into_parts();
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    let head = CallHead { method: parts.method, path, headers: parts.headers };
+    crate::calls::caller(&lists, &head.headers)?;
+    let body = read_body(body, state.settings.limits.body).await?;
+    match kind {
+        CallKind::Chat => CallerCall::chat(&lists, &head, body, now),
+        CallKind::Service => {
+            let rest = head.path.strip_prefix(SERVICES_PREFIX).unwrap_or_default();
+            let name = rest.split(['/', '?']).next().unwrap_or_default().to_owned();
+            CallerCall::service(&lists, &name, &head, body, now)
+        }
+    }
+}
+
+async fn read_body(body: Body, limit: ByteSize) -> Result<Bytes, ResultCode> {
+    let collected = Limited::new(body, limit.0 as usize).collect().await;
+    match collected {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(ResultCode::BodyTooLarge)
+        }
+        Err(_) => Err(ResultCode::MalformedRequest),
+    }
+}
+
+fn respond(answer: CallAnswer, id: RequestId, flight: FlightGuard) -> Response {
+    match answer {
+        CallAnswer::Whole { head, body } => {
+            let mut response = Response::new(Full::from(body).into());
+            set_head(&mut response, &head);
+            response
+        }
+        CallAnswer::Stream { head, parts } => {
+            let open = OpenStream { id, parts, _flight: flight };
+            let body = stream::unfold(Some(open), next_part);
+            let mut response = Response::new(Body::from_stream(body));
+            set_head(&mut response, &head);
+            response
+        }
+    }
+}
+
+/// A streamed answer that has not ended.
+struct OpenStream {
+    id: RequestId,
+    parts: mpsc::Receiver<AnswerPart>,
+    _flight: FlightGuard,
+}
+
+type StreamItem = Result<Bytes, Infallible>;
+
+/// The next bytes for the caller. An answer that is cut ends with an event that says so and
+/// without the event that marks a whole answer.
+async fn next_part(state: Option<OpenStream>) -> Option<(StreamItem, Option<OpenStream>)> {
+    let mut open = state?;
+    let part = open.parts.recv().await.unwrap_or(AnswerPart::Cut(ResultCode::AnswerCut));
+    match part {
+        AnswerPart::Data(data) => Some((Ok(data), Some(open))),
+        AnswerPart::End => None,
+        AnswerPart::Cut(code) => {
+            let mut event = b"data: ".to_vec();
+            event.extend(CallRefusal::from(code).body(open.id));
+            event.extend(b"\n\n");
+            Some((Ok(Bytes::from(event)), None))
+        }
+    }
+}
+
+fn set_head(response: &mut Response, head: &HeadParts) {
+    *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for field in &head.headers {
+        let name = HeaderName::from_bytes(field.name.as_bytes());
+        let value = HeaderValue::from_bytes(&field.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().insert(name, value);
+        }
+    }
+}
+
+fn with_id(mut response: Response, id: Option<RequestId>) -> Response {
+    let value = id.and_then(|id| HeaderValue::from_str(&id.to_string()).ok());
+    if let Some(value) = value {
+        response.headers_mut().insert(REQUEST_HEADER, value);
+    }
+    response
+}
+
+async fn models(mut request: Request) -> HttpResult {
+    let state = state_of(&mut request).await?;
+    let lists = state.lists.borrow().clone();
+    let permitted = lists.ok_or(ResultCode::ListsMissing).and_then(|lists| {
+        let rights = crate::calls::caller(&lists, request.headers())?;
+        let names: Vec<String> = lists
+            .models()
+            .map(|model| model.id.to_string())
+            .chain(lists.adapters().map(|adapter| adapter.id.to_string()))
+            .filter(|name| lists.target(&rights, name).is_ok())
+            .collect();
+        Ok(names)
+    });
+    match permitted {
+        Ok(mut names) => {
+            names.sort();
+            let data: Vec<_> = names
+                .into_iter()
+                .map(|id| serde_json::json!({ "id": id, "object": "model" }))
+                .collect();
+            Ok(Response::json(serde_json::json!({ "object": "list", "data": data }))?)
+        }
+        Err(code) => Ok(CallRefusal::from(code).response(RequestId::random())),
+    }
+}
+
+async fn metrics(mut request: Request) -> HttpResult {
+    let state = state_of(&mut request).await?;
+    let version = state.lists.borrow().as_ref().map_or(0, |lists| lists.version().0);
+    state.metrics.list_version.set(version as i64);
+    Ok(Response::text(state.metrics.render()))
+}
+
+async fn healthz(_: Request) -> HttpResult {
+    Ok(Response::text("ok\n"))
+}
+
+async fn readyz(mut request: Request) -> HttpResult {
+    let state = state_of(&mut request).await?;
+    let text = match state.readiness() {
+        Readiness::Ready => return Ok(Response::text("ready\n")),
+        Readiness::Draining => "draining\n",
+        Readiness::NoLists => "no lists yet\n",
+        Readiness::NotListed => "not in the VM list yet\n",
+    };
+    let mut response = Response::text(text);
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    Ok(response)
+}
+
+async fn status(mut request: Request) -> HttpResult {
+    let state = state_of(&mut request).await?;
+    let (reply, replied) = tokio::sync::oneshot::channel();
+    let _ = state.owner.send(OwnerEvent::Describe(reply)).await;
+    let reports = replied.await.unwrap_or_default();
+    Ok(Response::json(reports)?)
+}
--- a/crates/fescuewalk/src/main.rs
+++ b/crates/fescuewalk/src/main.rs
@@ -1,3 +1,46 @@
-//! Placeholder until the process is wired.
+//! `fescuewalk`: the entry process and the operators' commands.
 
-fn main() {}
+mod cmd;
+mod config;
+mod error;
+mod local_fleet;
+mod signals;
+
+use std::process::ExitCode;
+
+use clap::{ArgMatches, Command};
+
+use crate::error::CliResult;
+
+fn command() -> Command {
+    Command::new("fescuewalk")
+        .about("Serves rarely used language models and adapters.")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(cmd::entry::command())
+        .subcommand(cmd::standin::command())
+        .subcommand(cmd::status::command())
+        .subcommand(cmd::r#try::command())
+}
+
+fn run(matches: &ArgMatches) -> CliResult<()> {
+    match matches.subcommand() {
+        Some(("entry", args)) => cmd::entry::run(args),
+        Some(("standin", args)) => cmd::standin::run(args),
+        Some(("status", args)) => cmd::status::run(args),
+        Some(("try", args)) => cmd::r#try::run(args),
+        _ => unreachable!("a subcommand is required"),
+    }
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    match run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("fescuewalk: {error}");
+            error.exit_code()
+        }
+    }
+}
--- /dev/null
+++ b/crates/side/src/admin.rs
@@ -0,0 +1,47 @@
+//! `/metrics`, `/healthz` and `/readyz`.
+
+use std::sync::Arc;
+
+use tokio::net::TcpListener;
+use viz::{Request, RequestExt, Response, ResponseExt, Router, StatusCode, types::State};
+
+use crate::{drain::DrainStage, process::SideState};
+
+type AdminState = State<Arc<SideState>>;
+
+/// Serves until the process ends.
+pub async fn serve(listener: TcpListener, state: Arc<SideState>) {
+    let router = Router::new()
+        .get("/metrics", metrics)
+        .get("/healthz", healthz)
+        .get("/readyz", readyz)
+        .with(State::new(state));
+    if let Err(error) = viz::serve(listener, router).await {
+        log::error!("admin: the HTTP listener failed: {error}");
+    }
+}
+
+async fn state_of(request: &mut Request) -> viz::Result<Arc<SideState>> {
+    let State(state) = request.extract::<AdminState>().await?;
+    Ok(state)
+}
+
+async fn metrics(mut request: Request) -> viz::Result<Response> {
+    let state = state_of(&mut request).await?;
+    state.metrics.reserved.set(i64::try_from(state.loads.reserved().0).unwrap_or(i64::MAX));
+    Ok(Response::text(state.metrics.render()))
+}
+
+async fn healthz(_: Request) -> viz::Result<Response> {
+    Ok(Response::text("ok\n"))
+}
+
+async fn readyz(mut request: Request) -> viz::Result<Response> {
+    let state = state_of(&mut request).await?;
+    if state.drain.stage() == DrainStage::Serving {
+        return Ok(Response::text("ready\n"));
+    }
+    let mut response = Response::text("draining\n");
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    Ok(response)
+}
--- /dev/null
+++ b/crates/side/src/backend.rs
@@ -0,0 +1,237 @@
+//! HTTP client of the backend server beside this process.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use base::prelude::*;
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode, Uri, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu, ensure};
+use tokio::time;
+use wire::run::RunRequest;
+
+/// Largest answer of the engine's administration, in bytes.
+const MAX_ADMIN_BYTES: usize = 1 << 20;
+/// Time for an answer of the engine's administration other than a load.
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for connecting to the backend server, which stands on the same VM.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A call to the backend server failed.
+#[derive(Debug, Snafu)]
+pub enum BackendError {
+    /// No connection could be opened; nothing was sent.
+    #[snafu(display("the backend server does not accept connections"))]
+    NotSent,
+    /// The connection failed after the call may have been sent.
+    #[snafu(display("the connection to the backend server was lost"))]
+    Lost,
+    /// The call cannot be expressed in HTTP; nothing was sent.
+    #[snafu(display("the call is not valid HTTP: {source}"))]
+    Invalid {
+        /// Cause.
+        source: http::Error,
+    },
+    /// The backend server answered with an error.
+    #[snafu(display("the backend server answered {status}"))]
+    Failed {
+        /// Status of the answer.
+        status: StatusCode,
+    },
+    /// The answer could not be read.
+    #[snafu(display("the backend server's answer could not be read"))]
+    BadAnswer,
+}
+
+impl BackendError {
+    /// Whether the backend server cannot have received the call.
+    pub fn is_not_sent(&self) -> bool {
+        matches!(self, BackendError::NotSent | BackendError::Invalid { .. })
+    }
+}
+
+/// Result of a call.
+pub type Result<T, E = BackendError> = std::result::Result<T, E>;
+
+/// Order to load or unload, as the engine reads it.
+#[derive(Debug, Clone, Serialize)]
+struct EngineOrder {
+    model: String,
+    bytes: u64,
+    fencing: u64,
+}
+
+/// Stage of a model in the engine's listing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ListedStage {
+    /// Being loaded.
+    Loading,
+    /// Loaded.
+    Loaded,
+    /// Being unloaded.
+    Unloading,
+}
+
+/// One model or adapter as the engine lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct ListedModel {
+    /// Model.
+    pub model: String,
+    /// Adapter on the model, if the entry is about one.
+    #[serde(default)]
+    pub adapter: Option<String>,
+    /// Stage.
+    pub state: ListedStage,
+    /// Memory taken, in bytes.
+    pub bytes: u64,
+}
+
+/// Where the checkpoint of a model is cached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum CacheTier {
+    /// In memory.
+    Memory,
+    /// On the engine's disk.
+    Disk,
+    /// Only in the weight store.
+    Remote,
+}
+
+/// What the engine holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+pub struct EngineListing {
+    /// Models and adapters in any stage.
+    pub models: Vec<ListedModel>,
+    /// Models whose checkpoints are cached.
+    #[serde(default)]
+    pub cached: BTreeMap<String, CacheTier>,
+}
+
+/// Calls the backend server.
+#[derive(Debug, Clone)]
+pub struct BackendClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+}
+
+impl BackendClient {
+    /// A client of the backend server at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(Duration::from_secs(30))
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client, address }
+    }
+
+    /// Hands a request of a caller over and returns the head of the answer with its body.
+    ///
+    /// # Errors
+    ///
+    /// [`BackendError::is_not_sent`] tells whether the request cannot have run.
+    pub async fn run(&self, request_id: RequestId, run: &RunRequest) -> Result<Response<Incoming>> {
+        let method = Method::from_bytes(run.method.as_bytes());
+        let method = method.map_err(http::Error::from).context(InvalidSnafu)?;
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(self.uri(&run.path)?)
+            .header("x-request-id", request_id.to_string());
+        for field in &run.headers {
+            builder = builder.header(field.name.as_str(), field.value.as_slice());
+        }
+        let call = builder.body(Full::new(run.body.clone())).context(InvalidSnafu)?;
+        self.send(call).await
+    }
+
+    /// Tells the engine to stop working on a request; best effort.
+    pub async fn cancel(&self, request_id: RequestId) {
+        let body = serde_json::json!({ "request_id": request_id.to_string() });
+        let _ = time::timeout(ADMIN_TIMEOUT, self.post("/v1/cancel", &body)).await;
+    }
+
+    /// Orders a load and waits until it has ended.
+    ///
+    /// # Errors
+    ///
+    /// After [`BackendError::Lost`] the engine may still be loading.
+    pub async fn load(
+        &self,
+        model: &ModelId,
+        fencing: FencingNumber,
+        memory: ByteSize,
+    ) -> Result<()> {
+        let order = EngineOrder { model: model.to_string(), bytes: memory.0, fencing: fencing.0 };
+        self.post("/admin/load", &order).await.map(drop)
+    }
+
+    /// Orders an unload and waits until it has ended.
+    ///
+    /// # Errors
+    ///
+    /// After [`BackendError::Lost`] the engine may still hold the model.
+    pub async fn unload(&self, model: &ModelId, fencing: FencingNumber) -> Result<()> {
+        let order = EngineOrder { model: model.to_string(), bytes: 0, fencing: fencing.0 };
+        self.post("/admin/unload", &order).await.map(drop)
+    }
+
+    /// Asks the engine what it holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the engine does not answer in time or answers something else.
+    pub async fn list(&self) -> Result<EngineListing> {
+        let call =
+            Request::get(self.uri("/admin/list")?).body(Full::default()).context(InvalidSnafu)?;
+        let exchange = async {
+            let answer = self.send(call).await?;
+            read_admin(answer).await
+        };
+        let body = time::timeout(ADMIN_TIMEOUT, exchange).await.unwrap_or(LostSnafu.fail())?;
+        serde_json::from_slice(&body).map_err(|_| BackendError::BadAnswer)
+    }
+
+    async fn post<T: Serialize>(&self, path: &str, body: &T) -> Result<Bytes> {
+        let body = serde_json::to_vec(body).map_err(|_| BackendError::BadAnswer)?;
+        let call = Request::post(self.uri(path)?)
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .context(InvalidSnafu)?;
+        let answer = self.send(call).await?;
+        read_admin(answer).await
+    }
+
+    async fn send(&self, call: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+        self.client.request(call).await.map_err(|error| match error.is_connect() {
+            true => BackendError::NotSent,
+            false => BackendError::Lost,
+        })
+    }
+
+    fn uri(&self, path: &str) -> Result<Uri> {
+        Uri::builder()
+            .scheme("http")
+            .authority(self.address.to_string())
+            .path_and_query(path)
+            .build()
+            .context(InvalidSnafu)
+    }
+}
+
+async fn read_admin(answer: Response<Incoming>) -> Result<Bytes> {
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), MAX_ADMIN_BYTES).collect().await;
+    let bytes = body.map_err(|_| BackendError::Lost)?.to_bytes();
+    ensure!(status.is_success(), FailedSnafu { status });
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/side/src/metrics.rs
@@ -0,0 +1,68 @@
+//! Counters of the side process, in Prometheus text format.
+
+use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// All counters of one process.
+#[derive(Debug, Clone)]
+pub struct SideMetrics {
+    registry: Registry,
+    /// Requests by result code.
+    pub requests: IntCounterVec,
+    /// Loads that ended, by result code.
+    pub loads: IntCounterVec,
+    /// Requests in flight at the backend server.
+    pub in_flight: IntGauge,
+    /// Memory reserved, in bytes.
+    pub reserved: IntGauge,
+    /// Connections from peers that were refused.
+    pub refused_peers: IntCounter,
+}
+
+impl SideMetrics {
+    /// Fresh counters.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let requests = IntCounterVec::new(
+            Opts::new("fescuewalk_side_requests_total", "Requests by result code."),
+            &["code"],
+        )
+        .expect("the name is valid");
+        let loads = IntCounterVec::new(
+            Opts::new("fescuewalk_side_loads_total", "Loads by result code."),
+            &["code"],
+        )
+        .expect("the name is valid");
+        let in_flight = IntGauge::new("fescuewalk_side_in_flight", "Requests in flight.")
+            .expect("the name is valid");
+        let reserved = IntGauge::new("fescuewalk_side_reserved_bytes", "Memory reserved.")
+            .expect("the name is valid");
+        let refused_peers =
+            IntCounter::new("fescuewalk_side_refused_peers_total", "Peers refused.")
+                .expect("the name is valid");
+        for collector in [
+            Box::new(requests.clone()) as Box<dyn prometheus::core::Collector>,
+            Box::new(loads.clone()),
+            Box::new(in_flight.clone()),
+            Box::new(reserved.clone()),
+            Box::new(refused_peers.clone()),
+        ] {
+            registry.register(collector).expect("each name is registered once");
+        }
+        Self { registry, requests, loads, in_flight, reserved, refused_peers }
+    }
+
+    /// All counters as text.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .expect("writing to memory succeeds");
+        String::from_utf8(text).expect("the encoder writes UTF-8")
+    }
+}
+
+impl Default for SideMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/side/src/process.rs
@@ -0,0 +1,230 @@
+//! Start, peers and planned stop of the side process.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use base::prelude::*;
+use snafu::{ResultExt, Snafu};
+use tokio::{net::TcpListener, time};
+use wire::{
+    LinkOptions, LinkSender, Message, PeerIdentity, PeerLink, PeerRole, load::BackendReport,
+};
+
+use crate::{
+    admin,
+    backend::{BackendClient, BackendError, ListedStage},
+    drain::{DrainStage, DrainSwitch},
+    loads::{self, LoadBook},
+    metrics::SideMetrics,
+    requests::{self, RequestTable},
+    settings::{BackendKind, SideSettings},
+};
+
+/// Time between looks at whether all work has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// The process could not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address is taken; for the peer address, another side process may be running.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// Address wanted.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// Result of starting.
+pub type Result<T, E = StartError> = std::result::Result<T, E>;
+
+/// Everything the tasks of the process share.
+#[derive(Debug)]
+pub struct SideState {
+    /// Settings.
+    pub settings: SideSettings,
+    /// This life of the process.
+    pub identity: PeerIdentity,
+    /// Counters.
+    pub metrics: SideMetrics,
+    /// The backend server.
+    pub backend: BackendClient,
+    /// Models at the engine.
+    pub loads: LoadBook,
+    /// Requests from entries.
+    pub requests: RequestTable,
+    /// Planned stop.
+    pub drain: DrainSwitch,
+}
+
+/// A running side process.
+#[derive(Debug)]
+pub struct SideHandle {
+    state: Arc<SideState>,
+    peer_address: SocketAddr,
+    http_address: SocketAddr,
+}
+
+impl SideHandle {
+    /// Starts all tasks; the exclusive bind of the peer address keeps a second one out.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is taken.
+    pub async fn start(settings: SideSettings) -> Result<Self> {
+        let peers = listen(settings.process.peer_address).await?;
+        let admins = listen(settings.process.http_address).await?;
+        let peer_address = settings.process.peer_address;
+        let incarnation = ProcessIncarnation::random();
+        let state = Arc::new(SideState {
+            identity: settings.process.identity(PeerRole::Side, incarnation),
+            metrics: SideMetrics::new(),
+            backend: BackendClient::new(settings.backend.address),
+            loads: LoadBook::default(),
+            requests: RequestTable::default(),
+            drain: DrainSwitch::new(),
+            settings,
+        });
+        adopt_engine(&state).await;
+        let http_address = admins.local_addr().unwrap_or(state.settings.process.http_address);
+        let peer_address = peers.local_addr().unwrap_or(peer_address);
+        tokio::spawn(admin::serve(admins, Arc::clone(&state)));
+        tokio::spawn(accept_peers(peers, Arc::clone(&state)));
+        log::info!("process: side process {} listens on {peer_address}", state.identity.vm);
+        Ok(Self { state, peer_address, http_address })
+    }
+
+    /// Where peers connect.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Where metrics and health checks connect.
+    pub fn http_address(&self) -> SocketAddr {
+        self.http_address
+    }
+
+    /// Refuses new work, waits for work in flight, then ends.
+    pub async fn stop(&self) {
+        log::info!("process: draining {} requests", self.state.requests.in_flight());
+        self.state.drain.advance(DrainStage::Draining);
+        let limit = Instant::now() + self.state.settings.drain_limit.0;
+        while self.state.requests.in_flight() > 0 && Instant::now() < limit {
+            time::sleep(DRAIN_POLL).await;
+        }
+        self.state.drain.advance(DrainStage::Stopped);
+        time::sleep(DRAIN_POLL).await;
+        log::info!("process: stopped");
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
+/// Lists the engine before the first order is taken.
+async fn adopt_engine(state: &Arc<SideState>) {
+    if state.settings.backend.kind == BackendKind::Plain {
+        return;
+    }
+    loop {
+        match state.backend.list().await {
+            Ok(listing) => {
+                for held in listing.models {
+                    let Ok(model) = held.model.parse() else { continue };
+                    let is_loaded = held.state == ListedStage::Loaded;
+                    state.loads.adopt(model, ByteSize(held.bytes), is_loaded);
+                }
+                return;
+            }
+            Err(BackendError::BadAnswer) => log::error!("process: the engine's listing is garbage"),
+            Err(error) => log::warn!("process: waiting for the engine: {error}"),
+        }
+        time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
+async fn accept_peers(listener: TcpListener, state: Arc<SideState>) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = state.drain.reached(DrainStage::Stopped) => return,
+        };
+        let Ok((stream, address)) = accepted else { continue };
+        let state = Arc::clone(&state);
+        tokio::spawn(async move {
+            let secret = &state.settings.process.secret;
+            let options = LinkOptions::default();
+            match PeerLink::accept(stream, secret, &state.identity, options).await {
+                Ok(link) => serve_peer(state, link).await,
+                Err(error) => {
+                    state.metrics.refused_peers.inc();
+                    log::warn!("peers: {address} refused: {error}");
+                }
+            }
+        });
+    }
+}
+
+async fn serve_peer(state: Arc<SideState>, mut link: PeerLink) {
+    log::debug!("peers: {} connected", link.peer.vm);
+    loop {
+        match link.receiver.next().await {
+            Ok(message) => handle(&state, &link.sender, message),
+            Err(error) => {
+                log::debug!("peers: {} left: {error}", link.peer.vm);
+                return;
+            }
+        }
+    }
+}
+
+fn handle(state: &Arc<SideState>, sender: &LinkSender, message: Message) {
+    let state = Arc::clone(state);
+    let sender = sender.clone();
+    match message {
+        Message::RunRequest(run) => {
+            tokio::spawn(requests::run(state, sender, run));
+        }
+        Message::RunCancel(cancel) => {
+            tokio::spawn(requests::cancel(state, sender, cancel));
+        }
+        Message::LoadOrder(order) => {
+            tokio::spawn(async move {
+                let outcome = loads::load(Arc::clone(&state), order).await;
+                let _ = sender.send(Message::OrderOutcome(outcome)).await;
+            });
+        }
+        Message::UnloadOrder(order) => {
+            tokio::spawn(async move {
+                let outcome = loads::unload(Arc::clone(&state), order).await;
+                let _ = sender.send(Message::OrderOutcome(outcome)).await;
+            });
+        }
+        Message::ReportSubscription(_) => {
+            tokio::spawn(send_reports(state, sender));
+        }
+        other => log::warn!("peers: a message has no place here: {other:?}"),
+    }
+}
+
+/// Reports until the subscriber's connection ends.
+async fn send_reports(state: Arc<SideState>, sender: LinkSender) {
+    loop {
+        if sender.send(Message::BackendReport(report(&state))).await.is_err() {
+            return;
+        }
+        time::sleep(state.settings.report_interval.0).await;
+    }
+}
+
+fn report(state: &SideState) -> BackendReport {
+    BackendReport {
+        models: state.loads.models(),
+        memory: state.settings.backend.memory.0,
+        reserved: state.loads.reserved().0,
+        is_draining: state.drain.stage() != DrainStage::Serving,
+        concurrency: state.settings.backend.concurrency,
+        cached: Vec::new(),
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod platform;
 pub mod server;
 pub mod service;
+pub mod verify;
 pub mod weights;
