Emulate weight store, model engine and plain service, and send scripted load

Tests need something outside the system that tells what was really executed, loaded and crashed. Each stand-in is a module with serve(listener, options), typed options, faults and records; an answer is a function of its request, so that cut and crossed answers show. The load tool sends a script and judges every answer.

Weighed: mocks of the traits (can't lose an answer after execution, can't be killed) and one server for all roles (its options are the union of theirs).

Left out: prefix caches with cache events and export of KV caches.

--- a/crates/base/src/codes.rs
+++ b/crates/base/src/codes.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 /// Whether a refused request can have been executed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum RunState {
     /// No backend server executed any part of the request.
     NotRun,
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,165 @@
+//! A model engine that batches continuously, loads models on order and fails on request.
+//!
+//! | Call | Meaning |
+//! |---|---|
+//! | `POST /v1/chat/completions` | plain or streamed answer of a loaded model or adapter |
+//! | `POST /v1/cancel` | cancels a request by its id |
+//! | `POST /admin/load`, `POST /admin/unload` | orders, answered when carried out |
+//! | `GET /admin/list` | models, caches and memory |
+//! | `GET /admin/load_report` | running and waiting requests, late by a settable lag |
+//! | `PUT /admin/fault`, `GET /admin/records` | faults, and what was executed |
+
+mod batch;
+mod chat;
+mod crash;
+pub mod messages;
+mod models;
+mod options;
+mod orders;
+mod records;
+mod reports;
+
+use std::sync::{
+    Arc, Mutex, MutexGuard,
+    atomic::{AtomicU64, Ordering},
+};
+
+use base::prelude::*;
+use http::StatusCode;
+use tokio::{net::TcpListener, sync::watch};
+use viz::{Handler, Next, Request, RequestExt, Response, Router};
+
+use self::{batch::BatchQueue, models::ModelTable};
+pub use self::{
+    messages::{
+        CancelOrder, CancelState, ChatMessage, ChatRequest, EngineListing, LoadOrder, LoadReport,
+        ModelKey, ModelListing, ModelState, UnloadOrder,
+    },
+    options::{CacheTier, EngineFault, EngineOptions},
+    records::{CrashRecord, EngineRecords, ExecutionEnd, ExecutionRecord, OrderKind, OrderRecord},
+};
+use crate::server::{
+    ConnectionBreaker, Result, ServerHandle, drop_connection, empty_answer, json_answer, read_json,
+    serve_router, state_of,
+};
+
+#[derive(Debug)]
+struct EngineState {
+    fault: EngineFault,
+    table: ModelTable,
+    records: EngineRecords,
+    back_at: Option<Instant>,
+}
+
+/// The engine; clones share their state.
+#[derive(Debug, Clone)]
+pub struct EngineServer {
+    options: Arc<EngineOptions>,
+    state: Arc<Mutex<EngineState>>,
+    batch: BatchQueue,
+    breaker: ConnectionBreaker,
+    lives: Arc<AtomicU64>,
+    changes: watch::Sender<u64>,
+    reports: reports::ReportHistory,
+}
+
+impl EngineServer {
+    fn new(options: EngineOptions) -> Self {
+        let table = ModelTable::new(options.memory, options.cached.clone());
+        let state = EngineState {
+            fault: EngineFault::default(),
+            table,
+            records: EngineRecords::default(),
+            back_at: None,
+        };
+        Self {
+            batch: BatchQueue::new(options.batch_size),
+            options: Arc::new(options),
+            state: Arc::new(Mutex::new(state)),
+            breaker: ConnectionBreaker::default(),
+            lives: Arc::default(),
+            changes: watch::Sender::new(0),
+            reports: reports::ReportHistory::default(),
+        }
+    }
+
+    /// What the engine executed so far.
+    pub fn records(&self) -> EngineRecords {
+        self.lock().records.clone()
+    }
+
+    /// Replaces the faults.
+    pub fn set_fault(&self, fault: EngineFault) {
+        self.lock().fault = fault;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    /// Number of crashes so far; work of an earlier life must end.
+    fn life(&self) -> u64 {
+        self.lives.load(Ordering::SeqCst)
+    }
+
+    fn slowed(&self, span: Duration) -> Duration {
+        span.mul_f64(self.lock().fault.slow_factor.max(1.0))
+    }
+
+    /// Wakes those that wait for a model to change its state.
+    fn notify(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    fn is_down(&self) -> bool {
+        let state = self.lock();
+        state.fault.down || state.back_at.is_some_and(|back_at| Instant::now() < back_at)
+    }
+}
+
+/// Serves the engine on `listener`.
+pub fn serve(listener: TcpListener, options: EngineOptions) -> Result<ServerHandle<EngineServer>> {
+    let server = EngineServer::new(options);
+    let router = Router::new()
+        .post("/v1/chat/completions", chat::complete)
+        .post("/v1/cancel", chat::cancel)
+        .post("/admin/load", orders::load)
+        .post("/admin/unload", orders::unload)
+        .get("/admin/list", reports::list)
+        .get("/admin/load_report", reports::load_report)
+        .with_handler(refuse_while_down)
+        .put("/admin/fault", set_fault)
+        .get("/admin/records", records);
+    let breaker = server.breaker.clone();
+    let mut handle = serve_router(listener, router, server.clone(), breaker)?;
+    handle.attach(tokio::spawn(batch::run_batches(server.clone())));
+    handle.attach(tokio::spawn(reports::sample(server)));
+    Ok(handle)
+}
+
+/// Drops the connection while the engine is down or restarts after a crash.
+async fn refuse_while_down<H>((request, handler): Next<Request, H>) -> viz::Result<Response>
+where
+    H: Handler<Request, Output = viz::Result<Response>>,
+{
+    let server = state_of::<EngineServer>(&request);
+    match server.is_down() {
+        true => drop_connection(&request).await,
+        false => handler.call(request).await,
+    }
+}
+
+async fn set_fault(mut request: Request) -> viz::Result<Response> {
+    let server = state_of::<EngineServer>(&request);
+    server.set_fault(read_json(&mut request).await?);
+    Ok(empty_answer(StatusCode::NO_CONTENT))
+}
+
+async fn records(request: Request) -> viz::Result<Response> {
+    let server = state_of::<EngineServer>(&request);
+    Ok(json_answer(StatusCode::OK, &server.records()))
+}
+
+fn header_text(request: &Request, name: &str) -> Option<String> {
+    request.header::<_, String>(name)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,4 +1,10 @@
-//! Small emulators of the platform, model engines, weight store and plain services.
+//! Small emulators of the platform, model engines, weight store and plain services, and a tool
+//! that sends scripted requests and verifies their answers.
 
+pub mod answers;
+pub mod engine;
+pub mod load;
 pub mod platform;
 pub mod server;
+pub mod service;
+pub mod weights;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -69,9 +69,15 @@
     pub state: S,
     breaker: ConnectionBreaker,
     task: JoinHandle<()>,
+    background: Vec<JoinHandle<()>>,
 }
 
 impl<S> ServerHandle<S> {
+    /// Ends `task` together with the server.
+    pub fn attach(&mut self, task: JoinHandle<()>) {
+        self.background.push(task);
+    }
+
     /// Waits until the server ends, which it does only when aborted.
     pub async fn wait(mut self) {
         let _ended = (&mut self.task).await;
@@ -81,6 +87,7 @@
 impl<S> Drop for ServerHandle<S> {
     fn drop(&mut self) {
         self.task.abort();
+        self.background.iter().for_each(JoinHandle::abort);
         self.breaker.drop_all();
     }
 }
@@ -99,7 +106,7 @@
     let router = router.with(viz::types::State::new(state.clone()));
     let tree = Arc::new(Tree::from(router));
     let task = tokio::spawn(accept(listener, tree, breaker.clone()));
-    Ok(ServerHandle { address, state, breaker, task })
+    Ok(ServerHandle { address, state, breaker, task, background: Vec::new() })
 }
 
 async fn accept(listener: TcpListener, tree: Arc<Tree>, breaker: ConnectionBreaker) {
@@ -121,7 +128,6 @@
     let responder = Responder::new(tree, Some(token.clone()));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .half_close(true)
         .serve_connection(TokioIo::new(stream), responder);
     tokio::select! {
         ended = connection => {
--- /dev/null
+++ b/crates/standin/tests/engine.rs
@@ -0,0 +1,328 @@
+//! The engine's stand-in answers, loads and fails as told, and its records tell the truth.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use base::prelude::ByteSize;
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use serde::{Serialize, de::DeserializeOwned};
+use serde_json::{Value, json};
+use standin::{
+    engine::{
+        CacheTier, EngineFault, EngineListing, EngineOptions, EngineRecords, EngineServer,
+        ExecutionEnd, LoadReport, ModelState, serve,
+    },
+    load::{CallKind, CallScript, CallVerdict, ChatCall, LoadOptions, RunSummary, run_script},
+    server::ServerHandle,
+    weights::{self, WeightOptions},
+};
+use tokio::{net::TcpListener, time};
+
+const MODEL: &str = "llama-7b";
+
+async fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.unwrap()
+}
+
+fn options() -> EngineOptions {
+    EngineOptions {
+        memory: ByteSize(100),
+        token_time: Duration::from_millis(1),
+        memory_load: Duration::from_millis(5),
+        disk_load: Duration::from_millis(50),
+        report_lag: Duration::from_millis(150),
+        restart_time: Duration::from_millis(100),
+        ..EngineOptions::default()
+    }
+}
+
+async fn started(options: EngineOptions) -> ServerHandle<EngineServer> {
+    serve(listener().await, options).unwrap()
+}
+
+async fn call(address: SocketAddr, method: Method, path: &str, body: &impl Serialize) -> Answer {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header("x-request-id", "r1")
+        .body(Full::from(serde_json::to_vec(body).unwrap()))
+        .unwrap();
+    let response = client.request(request).await.ok()?;
+    let status = response.status();
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    Some((status, body))
+}
+
+type Answer = Option<(StatusCode, Bytes)>;
+
+fn status(answer: &Answer) -> Option<StatusCode> {
+    answer.as_ref().map(|(status, _)| *status)
+}
+
+async fn order(address: SocketAddr, path: &str, model: &str, bytes: u64, fencing: u64) -> Answer {
+    let order = json!({ "model": model, "bytes": bytes, "fencing": fencing });
+    call(address, Method::POST, path, &order).await
+}
+
+async fn load(server: &ServerHandle<EngineServer>, model: &str) {
+    let answer = order(server.address, "/admin/load", model, 40, 1).await;
+    assert_eq!(status(&answer), Some(StatusCode::OK));
+}
+
+async fn read<T: DeserializeOwned>(server: &ServerHandle<EngineServer>, path: &str) -> T {
+    let (_, body) = call(server.address, Method::GET, path, &Value::Null).await.unwrap();
+    serde_json::from_slice(&body).unwrap()
+}
+
+fn chats(count: u32, tokens: u32, is_stream: bool) -> CallScript {
+    let chat = ChatCall { model: MODEL.to_owned(), prompt: "draft".to_owned(), tokens, is_stream };
+    let mut script = CallScript::default();
+    script.burst(Duration::ZERO, Duration::ZERO, count, "secret", &chat);
+    script
+}
+
+async fn verdicts(server: &ServerHandle<EngineServer>, script: &CallScript) -> Vec<CallVerdict> {
+    let entries = vec![server.address];
+    let options = LoadOptions { entries, timeout: Duration::from_secs(5) };
+    let outcomes = run_script(&options, script).await;
+    outcomes.into_iter().map(|outcome| outcome.verdict).collect()
+}
+
+#[tokio::test]
+async fn plain_and_streamed_answers_of_a_batch_are_whole() {
+    let server = started(options()).await;
+    load(&server, MODEL).await;
+    let mut script = chats(10, 12, false);
+    script.calls.extend(chats(10, 12, true).calls);
+
+    let entries = vec![server.address];
+    let load = LoadOptions { entries, timeout: Duration::from_secs(5) };
+    let summary = RunSummary::of(&run_script(&load, &script).await);
+
+    assert_eq!(summary.count(CallVerdict::Whole), 20, "{summary}");
+    let records = server.state.records();
+    assert_eq!(records.executions.len(), 20);
+    assert!(records.executions.iter().all(|e| e.end == Some(ExecutionEnd::Finished)));
+}
+
+#[tokio::test]
+async fn a_request_for_a_model_that_is_not_loaded_is_not_executed() {
+    let server = started(options()).await;
+
+    let verdicts = verdicts(&server, &chats(1, 4, false)).await;
+
+    assert_eq!(verdicts, vec![CallVerdict::Unreadable]);
+    assert!(server.state.records().executions.is_empty());
+}
+
+#[tokio::test]
+async fn an_old_fencing_number_is_refused_only_where_it_is_checked() {
+    let checking = started(options()).await;
+    let ignoring = started(EngineOptions { checks_fencing: false, ..options() }).await;
+    order(checking.address, "/admin/load", MODEL, 40, 5).await;
+    order(ignoring.address, "/admin/load", MODEL, 40, 5).await;
+
+    let refused = order(checking.address, "/admin/unload", MODEL, 40, 4).await;
+    let accepted = order(ignoring.address, "/admin/unload", MODEL, 40, 4).await;
+
+    assert_eq!(status(&refused), Some(StatusCode::CONFLICT));
+    assert_eq!(status(&accepted), Some(StatusCode::OK));
+    assert_eq!(read::<EngineListing>(&checking, "/admin/list").await.models.len(), 1);
+    assert_eq!(read::<EngineListing>(&ignoring, "/admin/list").await.models.len(), 0);
+}
+
+#[tokio::test]
+async fn memory_beyond_the_limit_is_recorded_or_refused() {
+    let recording = started(options()).await;
+    let refusing = started(EngineOptions { refuses_overcommit: true, ..options() }).await;
+
+    for server in [&recording, &refusing] {
+        for model in ["a", "b", "c"] {
+            order(server.address, "/admin/load", model, 40, 1).await;
+        }
+    }
+
+    let recorded = recording.state.records();
+    assert_eq!((recorded.peak_bytes, recorded.overcommits), (120, 1));
+    let refused = refusing.state.records();
+    assert_eq!((refused.peak_bytes, refused.overcommits), (80, 0));
+    assert_eq!(refused.orders.iter().filter(|order| order.accepted).count(), 2);
+}
+
+#[tokio::test]
+async fn a_remote_checkpoint_is_fetched_once_and_then_cached() {
+    let store = weights::serve(listener().await, WeightOptions::default()).unwrap();
+    let cached = BTreeMap::from([("near".to_owned(), CacheTier::Disk)]);
+    let weights = Some(store.address);
+    let server = started(EngineOptions { weights, cached, ..options() }).await;
+
+    load(&server, "near").await;
+    load(&server, MODEL).await;
+    order(server.address, "/admin/unload", MODEL, 40, 1).await;
+    load(&server, MODEL).await;
+
+    let transfers = store.state.records().transfers;
+    assert_eq!(transfers.len(), 1);
+    assert_eq!(transfers[0].model, MODEL);
+}
+
+#[tokio::test]
+async fn a_load_goes_on_when_its_orderer_is_gone() {
+    let server = started(options()).await;
+    let given_up = order(server.address, "/admin/load", MODEL, 40, 1);
+
+    let given_up = time::timeout(Duration::from_millis(10), given_up).await;
+
+    assert!(given_up.is_err());
+    let listing = read::<EngineListing>(&server, "/admin/list").await;
+    assert_eq!(listing.models[0].state, ModelState::Loading);
+    load(&server, MODEL).await;
+    assert_eq!(server.state.records().orders.len(), 1);
+}
+
+#[tokio::test]
+async fn a_load_that_may_not_outlive_its_order_frees_its_memory() {
+    let server = started(EngineOptions { loads_outlive_orders: false, ..options() }).await;
+    let given_up = order(server.address, "/admin/load", MODEL, 40, 1);
+
+    let given_up = time::timeout(Duration::from_millis(10), given_up).await;
+    time::sleep(Duration::from_millis(20)).await;
+
+    assert!(given_up.is_err());
+    assert_eq!(read::<EngineListing>(&server, "/admin/list").await.used_bytes, 0);
+}
+
+#[tokio::test]
+async fn a_fatal_request_crashes_the_engine_and_is_recorded() {
+    let server = started(options()).await;
+    load(&server, MODEL).await;
+    let crash_marker = Some("poison".to_owned());
+    server.state.set_fault(EngineFault { crash_marker, ..EngineFault::default() });
+    let bystanders = chats(3, 1000, true);
+    let mut script = bystanders.clone();
+    let fatal = ChatCall {
+        model: MODEL.to_owned(),
+        prompt: "poison".to_owned(),
+        tokens: 4,
+        is_stream: false,
+    };
+    script.push(Duration::from_millis(100), "secret", CallKind::Chat(fatal));
+
+    let verdicts = verdicts(&server, &script).await;
+
+    assert_eq!(verdicts[..3], [CallVerdict::Cut; 3]);
+    assert_eq!(verdicts[3], CallVerdict::Lost);
+    let records = server.state.records();
+    assert_eq!(records.crashes.len(), 1);
+    assert_eq!(records.crashes[0].in_flight.len(), 4);
+    time::sleep(Duration::from_millis(150)).await;
+    let listing = read::<EngineListing>(&server, "/admin/list").await;
+    assert_eq!((listing.life, listing.models.len()), (1, 0));
+}
+
+#[tokio::test]
+async fn an_engine_restarting_after_a_crash_drops_connections_but_keeps_its_records() {
+    let server = started(options()).await;
+    server.state.crash("r1");
+
+    let listed = call(server.address, Method::GET, "/admin/list", &Value::Null).await;
+    let records = read::<EngineRecords>(&server, "/admin/records").await;
+
+    assert_eq!(listed, None);
+    assert_eq!(records.crashes.len(), 1);
+}
+
+#[tokio::test]
+async fn cut_and_lost_answers_are_seen_as_such() {
+    let server = started(options()).await;
+    load(&server, MODEL).await;
+
+    server.state.set_fault(EngineFault { cut_answers: 2, ..EngineFault::default() });
+    let cut_plain = verdicts(&server, &chats(1, 8, false)).await;
+    let cut_stream = verdicts(&server, &chats(1, 8, true)).await;
+    server.state.set_fault(EngineFault { lost_answers: 1, ..EngineFault::default() });
+    let lost = verdicts(&server, &chats(1, 8, false)).await;
+
+    assert_eq!(cut_plain, vec![CallVerdict::Cut]);
+    assert_eq!(cut_stream, vec![CallVerdict::Cut]);
+    assert_eq!(lost, vec![CallVerdict::Lost]);
+    assert_eq!(server.state.records().executions.len(), 3);
+}
+
+#[tokio::test]
+async fn a_cancel_tells_whether_the_request_was_running() {
+    let server = started(EngineOptions { batch_size: 1, ..options() }).await;
+    load(&server, MODEL).await;
+    let address = server.address;
+    let body = |text: &str| {
+        json!({
+            "model": MODEL,
+            "messages": [{ "role": "user", "content": text }],
+            "max_tokens": 1000,
+        })
+    };
+    let long = body("long");
+    let running =
+        tokio::spawn(
+            async move { call(address, Method::POST, "/v1/chat/completions", &long).await },
+        );
+    time::sleep(Duration::from_millis(50)).await;
+    let order = json!({ "request_id": "r1" });
+
+    let cancelled = call(address, Method::POST, "/v1/cancel", &order).await.unwrap();
+    let again = call(address, Method::POST, "/v1/cancel", &order).await.unwrap();
+
+    assert_eq!(cancelled.1, Bytes::from("{\"state\":\"running\"}"));
+    assert_eq!(again.1, Bytes::from("{\"state\":\"unknown\"}"));
+    assert_eq!(status(&running.await.unwrap()), Some(StatusCode::INTERNAL_SERVER_ERROR));
+    assert_eq!(server.state.records().executions[0].end, Some(ExecutionEnd::Cancelled));
+}
+
+#[tokio::test]
+async fn a_model_unloaded_under_a_request_cuts_it_and_the_records_tell() {
+    let server = started(options()).await;
+    load(&server, MODEL).await;
+    let address = server.address;
+    let unload = tokio::spawn(async move {
+        time::sleep(Duration::from_millis(50)).await;
+        order(address, "/admin/unload", MODEL, 40, 1).await
+    });
+
+    let verdicts = verdicts(&server, &chats(1, 1000, true)).await;
+
+    assert_eq!(verdicts, vec![CallVerdict::Cut]);
+    assert_eq!(status(&unload.await.unwrap()), Some(StatusCode::OK));
+    assert_eq!(server.state.records().executions[0].end, Some(ExecutionEnd::Unloaded));
+}
+
+#[tokio::test]
+async fn the_load_report_lags() {
+    let server = started(options()).await;
+    load(&server, MODEL).await;
+
+    let early = read::<LoadReport>(&server, "/admin/load_report").await;
+    time::sleep(Duration::from_millis(300)).await;
+    let late = read::<LoadReport>(&server, "/admin/load_report").await;
+
+    assert_eq!(early.used_bytes, 0);
+    assert_eq!(late.used_bytes, 40);
+}
+
+#[tokio::test]
+async fn an_adapter_is_served_under_its_own_name() {
+    let server = started(options()).await;
+    load(&server, MODEL).await;
+    let order = json!({ "model": MODEL, "adapter": "grants", "bytes": 1, "fencing": 1 });
+
+    let loaded = call(server.address, Method::POST, "/admin/load", &order).await;
+    let mut script = chats(1, 4, false);
+    if let CallKind::Chat(chat) = &mut script.calls[0].kind {
+        chat.model = "grants".to_owned();
+    }
+
+    assert_eq!(status(&loaded), Some(StatusCode::OK));
+    assert_eq!(verdicts(&server, &script).await, vec![CallVerdict::Whole]);
+}
