Tell broken answers from cut ones, and crash without a clean end

A caller can tell an answer whose connection broke from one that ended as if it were whole; only the second misleads it, so the load tool now counts them apart. That showed a fault in the engine's stand-in: on a crash it ended its streams before it dropped the connections, and the connection's task could write a regular end.

Now connections are dropped first, and the drop is looked at before the answer.

Refusals are read with the field name that the entry process uses, state.

--- a/crates/standin/src/engine/crash.rs
+++ b/crates/standin/src/engine/crash.rs
@@ -20,6 +20,8 @@
     /// Loses models and requests, drops all connections and stays away for the restart time.
     pub fn crash(&self, request_id: &str) {
         self.lives.fetch_add(1, Ordering::SeqCst);
+        // Before anything else, so that no stream ends as if it were whole.
+        self.breaker.drop_all();
         let mut in_flight = self.end_all();
         in_flight.push(request_id.to_owned());
         {
@@ -31,6 +33,5 @@
             state.records.crashes.push(crash);
         }
         self.notify();
-        self.breaker.drop_all();
     }
 }
--- a/crates/standin/src/load/client.rs
+++ b/crates/standin/src/load/client.rs
@@ -97,7 +97,7 @@
     if !answer.is_ended {
         return match answer.body.is_empty() {
             true => CallVerdict::Lost,
-            false => CallVerdict::Cut,
+            false => CallVerdict::Broken,
         };
     }
     match kind {
--- a/crates/standin/src/load/summary.rs
+++ b/crates/standin/src/load/summary.rs
@@ -96,8 +96,13 @@
 
     /// Number of requests that got neither their whole answer nor a readable refusal.
     pub fn broken(&self) -> u64 {
-        let broken =
-            [CallVerdict::Cut, CallVerdict::Crossed, CallVerdict::Lost, CallVerdict::Unreadable];
+        let broken = [
+            CallVerdict::Cut,
+            CallVerdict::Broken,
+            CallVerdict::Crossed,
+            CallVerdict::Lost,
+            CallVerdict::Unreadable,
+        ];
         broken.into_iter().map(|verdict| self.count(verdict)).sum()
     }
 }
--- a/crates/standin/src/load/verdict.rs
+++ b/crates/standin/src/load/verdict.rs
@@ -23,8 +23,10 @@
         /// Whether the request can have been executed, as told to the caller.
         run: RunState,
     },
-    /// The answer ended early without telling so.
+    /// The answer ended early as if it were whole.
     Cut,
+    /// The connection broke within the answer, so that the caller can tell that it is not whole.
+    Broken,
     /// A whole answer came, but not the one to this request.
     Crossed,
     /// Neither an answer nor a refusal came.
@@ -39,6 +41,7 @@
             CallVerdict::Whole => f.write_str("whole"),
             CallVerdict::Refused { code, run } => write!(f, "refused {code}, {run}"),
             CallVerdict::Cut => f.write_str("cut"),
+            CallVerdict::Broken => f.write_str("broken"),
             CallVerdict::Crossed => f.write_str("crossed"),
             CallVerdict::Lost => f.write_str("lost"),
             CallVerdict::Unreadable => f.write_str("unreadable"),
@@ -54,7 +57,7 @@
     let error = message.get("error").unwrap_or(message);
     let number = error.get("code")?.as_u64()?;
     let code = ResultCode::from_number(u32::try_from(number).ok()?)?;
-    let run = run_state(error.get("run")?.as_str()?)?;
+    let run = run_state(error.get("state")?.as_str()?)?;
     Some(CallVerdict::Refused { code, run })
 }
 
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -130,12 +130,13 @@
         .timer(TokioTimer::new())
         .serve_connection(TokioIo::new(stream), responder);
     tokio::select! {
+        biased;
+        () = token.0.cancelled() => {}
         ended = connection => {
             if let Err(error) = ended {
                 log::debug!("standin: connection ended: {error}");
             }
         }
-        () = token.0.cancelled() => {}
     }
 }
 
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -213,7 +213,7 @@
 
     let verdicts = verdicts(&server, &script).await;
 
-    assert_eq!(verdicts[..3], [CallVerdict::Cut; 3]);
+    assert_eq!(verdicts[..3], [CallVerdict::Broken; 3]);
     assert_eq!(verdicts[3], CallVerdict::Lost);
     let records = server.state.records();
     assert_eq!(records.crashes.len(), 1);
--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -56,7 +56,7 @@
     script
 }
 
-const REFUSAL: &str = "{\"error\":{\"code\":2001,\"run\":\"may have run\"}}";
+const REFUSAL: &str = "{\"error\":{\"code\":2001,\"state\":\"may have run\"}}";
 
 fn lost_backend() -> CallVerdict {
     CallVerdict::Refused { code: ResultCode::BackendLost, run: RunState::MayHaveRun }
@@ -89,7 +89,7 @@
 
 #[rstest]
 #[case(REFUSAL, lost_backend())]
-#[case("{\"code\":2001,\"run\":\"may have run\"}", lost_backend())]
+#[case("{\"code\":2001,\"state\":\"may have run\"}", lost_backend())]
 #[case("{\"code\":2001}", CallVerdict::Unreadable)]
 #[case("oops", CallVerdict::Unreadable)]
 fn refusals_are_read(#[case] body: &str, #[case] expected: CallVerdict) {
