--- /dev/null
+++ b/crates/once/src/ledger.rs
@@ -0,0 +1,409 @@
+//! The side process's ledger of runs: the last gate before the model engine.
+//!
+//! Each request id is handed to the engine at most once in the life of a side process. A refusal
+//! as not run is remembered, so that no later copy of the order can make it untrue. Memory is
+//! bounded by epochs: an order names the epoch it was granted in, and once records of an epoch
+//! are forgotten all orders of that epoch are refused. No decision rests on how late a frame is.
+
+mod limits;
+mod record;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::prelude::*;
+use bytes::Bytes;
+
+pub use self::limits::{LedgerGuards, LedgerLimits};
+use self::record::{RunPhase, RunRecord};
+use crate::{
+    fingerprint::RequestFingerprint,
+    run::{
+        CancelOrder, CrashReport, CrashedRun, DrainCause, EngineEnd, LinkId, RunAction, RunEpoch,
+        RunEvent, RunGrant, RunIsolation, RunOrder, SendState,
+    },
+};
+
+/// The ledger.
+#[derive(Debug)]
+pub struct RunLedger {
+    incarnation: ProcessIncarnation,
+    limits: LedgerLimits,
+    guards: LedgerGuards,
+    records: BTreeMap<RequestId, RunRecord>,
+    active: BTreeSet<RequestId>,
+    epoch: RunEpoch,
+    floor: RunEpoch,
+    epoch_started: Instant,
+    epoch_records: usize,
+    engine_up: bool,
+    crashes: u64,
+    drain: Option<DrainCause>,
+    drain_ended: bool,
+}
+
+impl RunLedger {
+    /// An empty ledger of a process that starts now.
+    pub fn new(incarnation: ProcessIncarnation, limits: LedgerLimits, now: Instant) -> Self {
+        Self::with_guards(incarnation, limits, LedgerGuards::default(), now)
+    }
+
+    /// A ledger with some checks off, for tests.
+    pub fn with_guards(
+        incarnation: ProcessIncarnation,
+        limits: LedgerLimits,
+        guards: LedgerGuards,
+        now: Instant,
+    ) -> Self {
+        Self {
+            incarnation,
+            limits,
+            guards,
+            records: BTreeMap::new(),
+            active: BTreeSet::new(),
+            epoch: RunEpoch(0),
+            floor: RunEpoch(0),
+            epoch_started: now,
+            epoch_records: 0,
+            engine_up: true,
+            crashes: 0,
+            drain: None,
+            drain_ended: false,
+        }
+    }
+
+    /// The life and epoch that orders must name.
+    pub fn grant(&self) -> RunGrant {
+        RunGrant { incarnation: self.incarnation, epoch: self.epoch }
+    }
+
+    /// Runs waiting for or at the engine.
+    pub fn active_runs(&self) -> usize {
+        self.active.len()
+    }
+
+    /// Requests remembered.
+    pub fn record_count(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Why the process leaves, once it knows.
+    pub fn drain_cause(&self) -> Option<DrainCause> {
+        self.drain
+    }
+
+    /// Takes one event and returns what to do, in order.
+    pub fn handle(&mut self, event: RunEvent, now: Instant) -> Vec<RunAction> {
+        let mut actions = match event {
+            RunEvent::Order(order) => self.order(&order, now),
+            RunEvent::Cancel(cancel) => self.cancel(&cancel, now),
+            RunEvent::HandOverFailed { id, sent } => self.hand_over_failed(id, sent),
+            RunEvent::Chunk { id, body } => self.chunk(id, body),
+            RunEvent::End { id, end } => self.end(id, end),
+            RunEvent::EngineCrashed => self.engine_crashed(),
+            RunEvent::EngineReady => self.engine_ready(),
+            RunEvent::LinkLost(link) => self.link_lost(link),
+            RunEvent::Drain(cause) => self.start_drain(cause),
+            RunEvent::Tick => self.tick(now),
+        };
+        actions.extend(self.start_waiting());
+        actions.extend(self.end_drain());
+        actions
+    }
+
+    fn order(&mut self, order: &RunOrder, now: Instant) -> Vec<RunAction> {
+        let refuse = |code| vec![RunAction::Refuse { id: order.id, link: order.link, code }];
+        if self.guards.incarnation && order.grant.incarnation != self.incarnation {
+            return refuse(ResultCode::NoReplica);
+        }
+        if self.guards.repeats
+            && let Some(record) = self.records.get(&order.id)
+        {
+            return match record.phase {
+                RunPhase::NotRun(code) => refuse(code),
+                _ if record.is_active() && record.link == order.link => Vec::new(),
+                _ => refuse(ResultCode::BackendLost),
+            };
+        }
+        if self.guards.epochs && !self.remembers(order.grant.epoch) {
+            return refuse(ResultCode::BackendLost);
+        }
+        match self.refusal(order, now) {
+            Some(code) => {
+                if self.guards.tombstones {
+                    self.remember(order, RunPhase::NotRun(code), now);
+                }
+                refuse(code)
+            }
+            None if order.isolation == RunIsolation::Alone && self.guards.isolation => {
+                self.remember(order, RunPhase::Waiting, now);
+                Vec::new()
+            }
+            None => {
+                self.remember(order, RunPhase::Running { offset: 0 }, now);
+                vec![RunAction::HandOver { id: order.id }]
+            }
+        }
+    }
+
+    fn refusal(&self, order: &RunOrder, now: Instant) -> Option<ResultCode> {
+        if self.guards.drain && self.drain.is_some() {
+            return Some(ResultCode::ProcessStopping);
+        }
+        if order.deadline <= now {
+            return Some(ResultCode::DeadlinePassed);
+        }
+        let full = self.active.len() >= self.limits.max_runs;
+        let reserved = self.guards.isolation && self.has_lone_run();
+        (full || reserved || !self.engine_up).then_some(ResultCode::NoReplica)
+    }
+
+    fn has_lone_run(&self) -> bool {
+        self.active.iter().any(|id| self.records[id].isolation == RunIsolation::Alone)
+    }
+
+    fn remembers(&self, epoch: RunEpoch) -> bool {
+        (self.floor..=self.epoch).contains(&epoch)
+    }
+
+    fn remember(&mut self, order: &RunOrder, phase: RunPhase, now: Instant) {
+        let record = RunRecord {
+            epoch: order.grant.epoch,
+            link: order.link,
+            fingerprint: order.fingerprint,
+            deadline: order.deadline,
+            isolation: order.isolation,
+            phase,
+        };
+        self.insert(order.id, record, now);
+    }
+
+    fn insert(&mut self, id: RequestId, record: RunRecord, now: Instant) {
+        if record.is_active() {
+            self.active.insert(id);
+        }
+        self.records.insert(id, record);
+        self.epoch_records += 1;
+        if self.epoch_records >= self.limits.epoch_records {
+            self.advance_epoch(now);
+        }
+    }
+
+    fn cancel(&mut self, cancel: &CancelOrder, now: Instant) -> Vec<RunAction> {
+        let (id, link) = (cancel.id, cancel.link);
+        let ack = |state| RunAction::AckCancel { id, link, state };
+        if cancel.grant.incarnation != self.incarnation {
+            return vec![ack(RunState::MayHaveRun)];
+        }
+        let Some(record) = self.records.get(&id) else {
+            return vec![ack(self.bar(cancel, now))];
+        };
+        match record.phase {
+            RunPhase::Waiting => {
+                self.settle(id, RunPhase::NotRun(ResultCode::CallerCancelled));
+                vec![ack(RunState::NotRun)]
+            }
+            RunPhase::Running { .. } => {
+                vec![self.cancel_at_engine(id), ack(RunState::MayHaveRun)]
+            }
+            RunPhase::Cancelling | RunPhase::Ended => vec![ack(RunState::MayHaveRun)],
+            RunPhase::NotRun(_) => vec![ack(RunState::NotRun)],
+        }
+    }
+
+    /// Bars an unknown request from running later.
+    fn bar(&mut self, cancel: &CancelOrder, now: Instant) -> RunState {
+        if !self.remembers(cancel.grant.epoch) {
+            return RunState::MayHaveRun;
+        }
+        if self.guards.tombstones {
+            let record = RunRecord {
+                epoch: cancel.grant.epoch,
+                link: cancel.link,
+                fingerprint: RequestFingerprint([0; 32]),
+                deadline: now,
+                isolation: RunIsolation::Shared,
+                phase: RunPhase::NotRun(ResultCode::CallerCancelled),
+            };
+            self.insert(cancel.id, record, now);
+        }
+        RunState::NotRun
+    }
+
+    fn settle(&mut self, id: RequestId, phase: RunPhase) {
+        if self.active.remove(&id)
+            && let Some(record) = self.records.get_mut(&id)
+        {
+            record.phase = phase;
+        }
+    }
+
+    fn hand_over_failed(&mut self, id: RequestId, sent: SendState) -> Vec<RunAction> {
+        let Some(record) = self.records.get(&id).filter(|record| record.at_engine()) else {
+            return Vec::new();
+        };
+        let (link, wanted) = (record.link, record.phase != RunPhase::Cancelling);
+        let (phase, code) = match sent {
+            SendState::NothingSent => {
+                (RunPhase::NotRun(ResultCode::NoReplica), ResultCode::NoReplica)
+            }
+            SendState::PartlySent => (RunPhase::Ended, ResultCode::BackendLost),
+        };
+        self.settle(id, phase);
+        wanted.then_some(RunAction::Refuse { id, link, code }).into_iter().collect()
+    }
+
+    fn chunk(&mut self, id: RequestId, body: Bytes) -> Vec<RunAction> {
+        let Some(record) = self.records.get_mut(&id) else { return Vec::new() };
+        let RunPhase::Running { offset } = &mut record.phase else { return Vec::new() };
+        let start = *offset;
+        *offset += body.len() as u64;
+        vec![RunAction::Forward { id, link: record.link, offset: start, body }]
+    }
+
+    fn end(&mut self, id: RequestId, end: EngineEnd) -> Vec<RunAction> {
+        let Some(record) = self.records.get(&id).filter(|record| record.at_engine()) else {
+            return Vec::new();
+        };
+        let (link, phase) = (record.link, record.phase);
+        self.settle(id, RunPhase::Ended);
+        match (phase, end) {
+            (RunPhase::Running { offset }, EngineEnd::Complete) => {
+                vec![RunAction::Finish { id, link, length: offset }]
+            }
+            (RunPhase::Running { .. }, EngineEnd::Failed | EngineEnd::Cancelled) => {
+                vec![RunAction::Refuse { id, link, code: ResultCode::BackendFailed }]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn engine_crashed(&mut self) -> Vec<RunAction> {
+        self.engine_up = false;
+        self.crashes += 1;
+        let mut runs = Vec::new();
+        let mut refusals = Vec::new();
+        for id in std::mem::take(&mut self.active) {
+            let Some(record) = self.records.get_mut(&id) else { continue };
+            let link = record.link;
+            let (code, phase) = match record.phase {
+                RunPhase::Waiting => {
+                    (ResultCode::NoReplica, RunPhase::NotRun(ResultCode::NoReplica))
+                }
+                _ => (ResultCode::BackendLost, RunPhase::Ended),
+            };
+            if record.at_engine() {
+                runs.push(CrashedRun { id, link, fingerprint: record.fingerprint });
+            }
+            if record.phase != RunPhase::Cancelling {
+                refusals.push(RunAction::Refuse { id, link, code });
+            }
+            record.phase = phase;
+        }
+        let incarnation = self.incarnation;
+        let report = CrashReport { incarnation, crash: self.crashes, runs };
+        let mut actions = vec![RunAction::ReportCrash(report)];
+        actions.extend(refusals);
+        actions
+    }
+
+    fn engine_ready(&mut self) -> Vec<RunAction> {
+        self.engine_up = true;
+        Vec::new()
+    }
+
+    fn link_lost(&mut self, link: LinkId) -> Vec<RunAction> {
+        let mut actions = Vec::new();
+        for id in self.active_ids(|record| record.link == link) {
+            match self.records[&id].phase {
+                RunPhase::Waiting => {
+                    self.settle(id, RunPhase::NotRun(ResultCode::CallerCancelled));
+                }
+                RunPhase::Running { .. } => actions.push(self.cancel_at_engine(id)),
+                _ => {}
+            }
+        }
+        actions
+    }
+
+    fn start_drain(&mut self, cause: DrainCause) -> Vec<RunAction> {
+        self.drain.get_or_insert(cause);
+        if !self.guards.drain {
+            return Vec::new();
+        }
+        self.refuse_waiting(ResultCode::ProcessStopping, |_| true)
+    }
+
+    fn tick(&mut self, now: Instant) -> Vec<RunAction> {
+        if now >= self.epoch_started + self.limits.epoch_span {
+            self.advance_epoch(now);
+        }
+        let late = |record: &RunRecord| record.deadline <= now;
+        let mut actions = self.refuse_waiting(ResultCode::DeadlinePassed, late);
+        let running = |record: &RunRecord| matches!(record.phase, RunPhase::Running { .. });
+        for id in self.active_ids(|record| late(record) && running(record)) {
+            let link = self.records[&id].link;
+            actions.push(self.cancel_at_engine(id));
+            actions.push(RunAction::Refuse { id, link, code: ResultCode::AnswerTimeout });
+        }
+        actions
+    }
+
+    fn active_ids(&self, wanted: impl Fn(&RunRecord) -> bool) -> Vec<RequestId> {
+        self.active.iter().copied().filter(|id| wanted(&self.records[id])).collect()
+    }
+
+    fn cancel_at_engine(&mut self, id: RequestId) -> RunAction {
+        if let Some(record) = self.records.get_mut(&id) {
+            record.phase = RunPhase::Cancelling;
+        }
+        RunAction::CancelAtEngine { id }
+    }
+
+    fn refuse_waiting(
+        &mut self,
+        code: ResultCode,
+        refused: impl Fn(&RunRecord) -> bool,
+    ) -> Vec<RunAction> {
+        let waiting = |record: &RunRecord| record.phase == RunPhase::Waiting;
+        let ids = self.active_ids(|record| waiting(record) && refused(record));
+        let mut actions = Vec::new();
+        for id in ids {
+            self.settle(id, RunPhase::NotRun(code));
+            let link = self.records[&id].link;
+            actions.push(RunAction::Refuse { id, link, code });
+        }
+        actions
+    }
+
+    fn advance_epoch(&mut self, now: Instant) {
+        self.epoch.0 += 1;
+        self.epoch_started = now;
+        self.epoch_records = 0;
+        self.floor = RunEpoch(self.epoch.0.saturating_sub(self.limits.kept_epochs));
+        let floor = self.floor;
+        self.records.retain(|_, record| record.is_active() || record.epoch >= floor);
+    }
+
+    /// Hands a waiting suspect over once nothing else is at the engine.
+    fn start_waiting(&mut self) -> Vec<RunAction> {
+        if self.active.len() != 1 || !self.engine_up {
+            return Vec::new();
+        }
+        let id = *self.active.first().expect("one run is active");
+        match self.records.get_mut(&id) {
+            Some(record) if record.phase == RunPhase::Waiting => {
+                record.phase = RunPhase::Running { offset: 0 };
+                vec![RunAction::HandOver { id }]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn end_drain(&mut self) -> Vec<RunAction> {
+        if self.drain.is_none() || self.drain_ended || !self.active.is_empty() {
+            return Vec::new();
+        }
+        self.drain_ended = true;
+        vec![RunAction::DrainEnded]
+    }
+}
--- /dev/null
+++ b/crates/once/tests/ledger_histories.rs
@@ -0,0 +1,248 @@
+//! The run ledger under random histories with duplicate, late and crossed frames, crashes,
+//! restarts and drains; each guard is shown to be needed.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::prelude::*;
+use bytes::Bytes;
+use once::{
+    CancelOrder, DrainCause, EngineEnd, LedgerGuards, LedgerLimits, LinkId, RequestFingerprint,
+    RunAction, RunEvent, RunIsolation, RunLedger, RunOrder, SendState,
+};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use tokio::time;
+
+const HISTORIES: u64 = 300;
+const STEPS: usize = 400;
+const REQUESTS: u128 = 40;
+
+/// What truly happened, and the frames that may come again.
+struct HistoryCheck {
+    rng: ChaCha8Rng,
+    guards: LedgerGuards,
+    ledger: RunLedger,
+    sent: Vec<RunEvent>,
+    drafts: BTreeMap<RequestId, RunOrder>,
+    lone: BTreeSet<RequestId>,
+    at_engine: BTreeSet<RequestId>,
+    ran: BTreeSet<RequestId>,
+    promised: BTreeSet<RequestId>,
+    ended: BTreeSet<RequestId>,
+    drained: bool,
+}
+
+fn new_ledger(guards: LedgerGuards, incarnation: u64) -> RunLedger {
+    let limits = LedgerLimits {
+        max_runs: 6,
+        epoch_span: Duration::from_secs(10),
+        epoch_records: 50,
+        kept_epochs: 2,
+    };
+    RunLedger::with_guards(ProcessIncarnation(incarnation), limits, guards, Instant::now())
+}
+
+impl HistoryCheck {
+    fn new(seed: u64, guards: LedgerGuards) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            guards,
+            ledger: new_ledger(guards, 1),
+            sent: Vec::new(),
+            drafts: BTreeMap::new(),
+            lone: BTreeSet::new(),
+            at_engine: BTreeSet::new(),
+            ran: BTreeSet::new(),
+            promised: BTreeSet::new(),
+            ended: BTreeSet::new(),
+            drained: false,
+        }
+    }
+
+    fn id(&mut self) -> RequestId {
+        RequestId(self.rng.random_range(0..REQUESTS))
+    }
+
+    /// The one order of a request, drawn when it is first spoken of.
+    fn draft(&mut self) -> RunOrder {
+        let id = self.id();
+        if let Some(order) = self.drafts.get(&id) {
+            return order.clone();
+        }
+        let alone = self.rng.random_ratio(1, 10);
+        if alone {
+            self.lone.insert(id);
+        }
+        let order = RunOrder {
+            id,
+            grant: self.ledger.grant(),
+            link: LinkId(self.rng.random_range(0..3)),
+            fingerprint: RequestFingerprint([0; 32]),
+            deadline: Instant::now() + Duration::from_secs(self.rng.random_range(0..30)),
+            isolation: if alone { RunIsolation::Alone } else { RunIsolation::Shared },
+        };
+        self.drafts.insert(id, order.clone());
+        order
+    }
+
+    /// A cancel, often of an order that has not been sent yet.
+    fn cancel(&mut self) -> RunEvent {
+        let RunOrder { id, grant, link, .. } = self.draft();
+        RunEvent::Cancel(CancelOrder { id, grant, link })
+    }
+
+    fn engine_event(&mut self) -> RunEvent {
+        let id = self.id();
+        match self.rng.random_range(0..8) {
+            0..4 => RunEvent::Chunk { id, body: Bytes::from("ab") },
+            4..6 => RunEvent::End { id, end: EngineEnd::Complete },
+            6 => RunEvent::End { id, end: EngineEnd::Failed },
+            _ => RunEvent::HandOverFailed { id, sent: SendState::PartlySent },
+        }
+    }
+
+    fn next_event(&mut self) -> Option<RunEvent> {
+        let event = match self.rng.random_range(0..100) {
+            0..30 => RunEvent::Order(self.draft()),
+            30..45 => self.cancel(),
+            45..60 => self.repeat()?,
+            60..90 => self.engine_event(),
+            90..92 => RunEvent::EngineCrashed,
+            92..95 => RunEvent::EngineReady,
+            95 => RunEvent::LinkLost(LinkId(self.rng.random_range(0..3))),
+            96 if self.rng.random_ratio(1, 3) => RunEvent::Drain(DrainCause::Signal),
+            _ => RunEvent::Tick,
+        };
+        Some(event)
+    }
+
+    fn repeat(&mut self) -> Option<RunEvent> {
+        if self.sent.is_empty() {
+            return None;
+        }
+        let index = self.rng.next_u64() as usize % self.sent.len();
+        let mut event = self.sent[index].clone();
+        if let RunEvent::Order(order) = &mut event {
+            order.link = LinkId(self.rng.random_range(0..3));
+        }
+        Some(event)
+    }
+
+    fn restart(&mut self, incarnation: u64) {
+        self.ledger = new_ledger(self.guards, incarnation);
+        self.at_engine.clear();
+        self.drained = false;
+    }
+
+    async fn run(&mut self) -> Result<(), String> {
+        for step in 0..STEPS {
+            time::advance(Duration::from_millis(self.rng.random_range(0..1_000))).await;
+            if self.rng.random_ratio(1, 150) {
+                self.restart(step as u64 + 2);
+            }
+            let Some(event) = self.next_event() else { continue };
+            let own = self.is_own(&event);
+            if matches!(event, RunEvent::Order(_) | RunEvent::Cancel(_)) {
+                self.sent.push(event.clone());
+            }
+            self.note(&event);
+            for action in self.ledger.handle(event, Instant::now()) {
+                self.check(&action, own)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn is_own(&self, event: &RunEvent) -> bool {
+        match event {
+            RunEvent::Order(order) => order.grant.incarnation == self.ledger.grant().incarnation,
+            _ => true,
+        }
+    }
+
+    fn note(&mut self, event: &RunEvent) {
+        match event {
+            RunEvent::End { id, .. } | RunEvent::HandOverFailed { id, .. } => {
+                self.at_engine.remove(id);
+            }
+            RunEvent::EngineCrashed => self.at_engine.clear(),
+            RunEvent::Drain(_) => self.drained = true,
+            _ => {}
+        }
+    }
+
+    fn check(&mut self, action: &RunAction, own: bool) -> Result<(), String> {
+        match action {
+            RunAction::HandOver { id } => self.check_hand_over(*id),
+            RunAction::AckCancel { id, state: RunState::NotRun, .. } => self.check_promise(*id),
+            RunAction::Refuse { id, code, .. } if code.run_state() == RunState::NotRun && own => {
+                self.check_promise(*id)
+            }
+            RunAction::Finish { id, .. } if !self.ended.insert(*id) => {
+                Err(format!("{id} ended twice"))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn check_hand_over(&mut self, id: RequestId) -> Result<(), String> {
+        let lone = self.lone.contains(&id) || self.at_engine.iter().any(|r| self.lone.contains(r));
+        if lone && !self.at_engine.is_empty() {
+            return Err(format!("{id} shares the engine with a suspect"));
+        }
+        self.at_engine.insert(id);
+        if self.drained {
+            return Err(format!("{id} was started by a leaver"));
+        }
+        if self.promised.contains(&id) {
+            return Err(format!("{id} ran after its refusal as not run"));
+        }
+        if !self.ran.insert(id) {
+            return Err(format!("{id} ran twice"));
+        }
+        Ok(())
+    }
+
+    fn check_promise(&mut self, id: RequestId) -> Result<(), String> {
+        self.promised.insert(id);
+        match self.ran.contains(&id) {
+            true => Err(format!("{id} was refused as not run after it ran")),
+            false => Ok(()),
+        }
+    }
+}
+
+async fn first_violation(guards: LedgerGuards) -> Option<String> {
+    for seed in 0..HISTORIES {
+        if let Err(violation) = HistoryCheck::new(seed, guards).run().await {
+            return Some(violation);
+        }
+    }
+    None
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_history_breaks_a_promise() {
+    let violation = first_violation(LedgerGuards::default()).await;
+
+    assert_eq!(violation, None);
+}
+
+fn all() -> LedgerGuards {
+    LedgerGuards::default()
+}
+
+#[rstest]
+#[case::incarnation(LedgerGuards { incarnation: false, ..all() }, "ran")]
+#[case::repeats(LedgerGuards { repeats: false, ..all() }, "ran")]
+#[case::tombstones(LedgerGuards { tombstones: false, ..all() }, "ran after its refusal")]
+#[case::epochs(LedgerGuards { epochs: false, ..all() }, "ran")]
+#[case::drain(LedgerGuards { drain: false, ..all() }, "was started by a leaver")]
+#[case::isolation(LedgerGuards { isolation: false, ..all() }, "shares the engine")]
+#[tokio::test(start_paused = true)]
+async fn each_guard_is_needed(#[case] guards: LedgerGuards, #[case] fault: &str) {
+    let violation = first_violation(guards).await.expect("the check finds the fault");
+
+    assert!(violation.contains(fault), "{violation}");
+}
