Memory ledger: the side process's last gate before its engine

Need: a backend server's memory must never be overcommitted and a slot that was given up must leave nothing loaded, also when answers are lost, the engine or the side process dies, or an owner's order arrives late.

Weighed: freeing on the engine's answer (memory comes back later than the answer); a waiting time after a restart (safety on a clock); trusting any listing (one requested before the latest change shows the past). The ledger reserves before the order, frees only by a listing requested after the latest change, and counts the load calls whose fate is unknown. A successor keeps room for what its predecessors may have in flight. An engine that enforces fencing settles this by a higher fencing number; the others only by a listing that shows the load, or by their restart.

Price: where engines ignore fencing, room of an unplanned restart stays kept until a listing or engine restart.

--- /dev/null
+++ b/crates/loading/src/ledger/orders.rs
@@ -0,0 +1,196 @@
+//! Orders of owners: load, unload, release.
+
+use base::prelude::*;
+
+use super::{LedgerEntry, MAX_WAITING, MemoryLedger, TargetPhase};
+use crate::orders::{
+    DenyReason, FenceCheck, LedgerAction, LoadOrder, LoadTarget, OrderOutcome, UnloadOrder,
+    UnloadPurpose,
+};
+
+impl MemoryLedger {
+    pub(super) fn order_load(&mut self, order: LoadOrder, now: Instant) {
+        let id = order.id;
+        if let Err(reason) = self.check_load(&order, now) {
+            return self.deny(id, reason);
+        }
+        let target = order.target;
+        let entry = self
+            .entries
+            .entry(target.clone())
+            .or_insert_with(|| LedgerEntry::new(order.size, TargetPhase::Waiting, now));
+        entry.worth = order.worth;
+        entry.fence = entry.fence.max(order.fence);
+        if !entry.loads.contains(&id) {
+            entry.loads.push(id);
+        }
+        match entry.phase {
+            TargetPhase::Loaded => self.confirm_loads(&target),
+            TargetPhase::Unsure => entry.phase = TargetPhase::Queued,
+            TargetPhase::Waiting if !self.waiting.contains(&target) => {
+                self.waiting.push_back(target);
+            }
+            _ => {}
+        }
+    }
+
+    fn check_load(&mut self, order: &LoadOrder, now: Instant) -> Result<(), DenyReason> {
+        if !self.is_ready() {
+            return Err(DenyReason::NotReady);
+        }
+        if self.is_draining {
+            return Err(DenyReason::Draining);
+        }
+        if self.guards.check_fences {
+            self.book.accept(order.target.model(), order.holder, order.fence)?;
+        }
+        if order.target.is_adapter() && !self.is_serving(&order.target.base()) {
+            return Err(DenyReason::BaseMissing);
+        }
+        self.check_phase(order)?;
+        let allows = |backoff: &crate::RetryBackoff| backoff.allows(now);
+        if !self.backoffs.get(&order.target).is_none_or(allows) {
+            return Err(DenyReason::BackingOff);
+        }
+        Ok(())
+    }
+
+    fn check_phase(&self, order: &LoadOrder) -> Result<(), DenyReason> {
+        match self.entries.get(&order.target) {
+            Some(entry) if entry.is_leaving => Err(DenyReason::Unloading),
+            Some(entry) if entry.needs_evidence() => Err(DenyReason::NotReady),
+            Some(entry) if entry.size < order.size => Err(DenyReason::NoRoom),
+            Some(entry) if entry.doubts > 0 && self.is_over() => Err(DenyReason::NoRoom),
+            Some(_) => Ok(()),
+            None if self.waiting.len() >= MAX_WAITING => Err(DenyReason::QueueFull),
+            None => Ok(()),
+        }
+    }
+
+    fn is_serving(&self, target: &LoadTarget) -> bool {
+        self.entries.get(target).is_some_and(LedgerEntry::is_serving)
+    }
+
+    pub(super) fn order_unload(&mut self, order: &UnloadOrder) {
+        if let Err(reason) = self.check_unload(order) {
+            return self.deny(order.id, reason);
+        }
+        let Some(entry) = self.entries.get_mut(&order.target) else {
+            return self.actions.push(LedgerAction::Confirm(order.id, OrderOutcome::Unloaded));
+        };
+        entry.fence = entry.fence.max(order.fence);
+        if !entry.unloads.contains(&order.id) {
+            entry.unloads.push(order.id);
+        }
+        self.start_leaving(&order.target);
+    }
+
+    fn check_unload(&mut self, order: &UnloadOrder) -> Result<(), DenyReason> {
+        if !self.is_ready() {
+            return Err(DenyReason::NotReady);
+        }
+        if !self.guards.check_fences {
+            return Ok(());
+        }
+        let model = order.target.model();
+        match order.purpose {
+            UnloadPurpose::Idle => self.book.accept(model, order.holder, order.fence),
+            UnloadPurpose::Release => self.book.close(model, order.holder, order.fence),
+        }
+    }
+
+    /// Marks a target and its adapters as leaving and begins to unload them.
+    pub(super) fn start_leaving(&mut self, target: &LoadTarget) {
+        let Some(entry) = self.entries.get_mut(target) else { return };
+        entry.is_leaving = true;
+        for adapter in self.adapters_of(target) {
+            self.start_leaving(&adapter);
+        }
+        self.continue_unload(target);
+    }
+
+    /// Takes the next step of an unload, if one is due.
+    pub(super) fn continue_unload(&mut self, target: &LoadTarget) {
+        let has_adapters = !self.adapters_of(target).is_empty();
+        let can_bar = self.settings.fence_check == FenceCheck::Enforced;
+        let Some(entry) = self.entries.get_mut(target).filter(|entry| entry.is_leaving) else {
+            return;
+        };
+        match entry.phase {
+            TargetPhase::Waiting | TargetPhase::Queued => self.cancel_load(target),
+            TargetPhase::Loading(_) | TargetPhase::Unloading(Some(_)) => {}
+            TargetPhase::Loaded => {
+                let is_busy = self.guards.spare_busy && entry.requests > 0;
+                if !is_busy && !has_adapters {
+                    self.send_unload(target);
+                }
+            }
+            TargetPhase::Unsure if entry.doubts > 0 && can_bar => self.send_unload(target),
+            TargetPhase::Unsure if entry.doubts > 0 => self.deny_unloads(target),
+            TargetPhase::Unsure | TargetPhase::Unloading(None) => self.request_listing(),
+        }
+    }
+
+    fn cancel_load(&mut self, target: &LoadTarget) {
+        self.waiting.retain(|waiting| waiting != target);
+        self.deny_loads(target, DenyReason::Unloading);
+        match self.entries.get_mut(target) {
+            Some(entry) if entry.doubts > 0 => {
+                entry.phase = TargetPhase::Unsure;
+                self.continue_unload(target);
+            }
+            _ => self.remove_gone(target),
+        }
+    }
+
+    /// The target cannot be proved gone; the orders to unload it are denied.
+    pub(super) fn deny_unloads(&mut self, target: &LoadTarget) {
+        let Some(entry) = self.entries.get_mut(target) else { return };
+        entry.is_leaving = false;
+        for order in std::mem::take(&mut entry.unloads) {
+            self.deny(order, DenyReason::LoadUncertain);
+        }
+    }
+
+    /// Drops a target that takes no memory and confirms the orders to unload it.
+    pub(super) fn remove_gone(&mut self, target: &LoadTarget) {
+        let Some(entry) = self.entries.remove(target) else { return };
+        for order in entry.loads {
+            self.deny(order, DenyReason::Unloading);
+        }
+        for order in entry.unloads {
+            self.actions.push(LedgerAction::Confirm(order, OrderOutcome::Unloaded));
+        }
+        if target.is_adapter() {
+            self.continue_unload(&target.base());
+        }
+    }
+
+    pub(super) fn send_load(&mut self, target: &LoadTarget) {
+        let attempt = self.draw_attempt();
+        let fresh_from = self.next_listing;
+        let Some(entry) = self.entries.get_mut(target) else { return };
+        entry.phase = TargetPhase::Loading(attempt);
+        entry.fresh_from = fresh_from;
+        entry.sent_fence = entry.fence;
+        let fence = entry.fence;
+        self.actions.push(LedgerAction::LoadAtEngine { attempt, target: target.clone(), fence });
+    }
+
+    pub(super) fn send_unload(&mut self, target: &LoadTarget) {
+        let attempt = self.draw_attempt();
+        let fresh_from = self.next_listing;
+        let Some(entry) = self.entries.get_mut(target) else { return };
+        entry.phase = TargetPhase::Unloading(Some(attempt));
+        entry.fresh_from = fresh_from;
+        entry.sent_fence = entry.fence;
+        let fence = entry.fence;
+        self.actions.push(LedgerAction::UnloadAtEngine { attempt, target: target.clone(), fence });
+    }
+
+    pub(super) fn adapters_of(&self, target: &LoadTarget) -> Vec<LoadTarget> {
+        let LoadTarget::Model(model) = target else { return Vec::new() };
+        let is_rider = |other: &&LoadTarget| other.is_adapter() && other.model() == model;
+        self.entries.keys().filter(is_rider).cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/loading/src/ledger/predecessor.rs
@@ -0,0 +1,86 @@
+//! Room for loads that earlier processes on the VM may still have in flight.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+
+use super::{LedgerEntry, MAX_ADAPTERS_IN_FLIGHT, MemoryLedger, TargetPhase};
+use crate::orders::{InheritedSlot, ListingNumber, LoadTarget};
+
+/// Memory for adapters, kept until no earlier process's adapter load can happen any more.
+#[derive(Debug, Default)]
+pub(super) struct PredecessorRoom {
+    size: ByteSize,
+    models: BTreeMap<ModelId, FencingNumber>,
+    fresh_from: ListingNumber,
+}
+
+impl PredecessorRoom {
+    /// Keeps `size` for each earlier process and for orders up to the slots' fencing numbers.
+    pub fn new(
+        size: ByteSize,
+        models: BTreeMap<ModelId, FencingNumber>,
+        fresh_from: ListingNumber,
+    ) -> Self {
+        Self { size, models, fresh_from }
+    }
+
+    /// Memory still kept.
+    pub fn size(&self) -> ByteSize {
+        match self.models.is_empty() {
+            true => ByteSize::default(),
+            false => self.size,
+        }
+    }
+
+    /// The engine performed a call and will refuse older ones for `model`.
+    pub fn settle(&mut self, model: &ModelId, fence: FencingNumber) {
+        if self.models.get(model).is_some_and(|older| fence > *older) {
+            self.models.remove(model);
+        }
+    }
+
+    /// The engine that earlier processes talked to has ended.
+    pub fn clear(&mut self) {
+        self.models.clear();
+    }
+
+    /// Whether the listing `last` was requested after the earlier processes ended.
+    pub fn is_before(&self, last: Option<ListingNumber>) -> bool {
+        Some(self.fresh_from) <= last
+    }
+}
+
+impl MemoryLedger {
+    pub(super) fn inherit(&mut self, slots: Vec<InheritedSlot>, now: Instant) {
+        self.is_inherited = true;
+        if self.guards.keep_doubtful {
+            self.predecessor = self.room_for_adapters(&slots);
+        }
+        for slot in slots {
+            self.inherit_slot(slot, now);
+        }
+        self.request_listing();
+    }
+
+    fn room_for_adapters(&self, slots: &[InheritedSlot]) -> PredecessorRoom {
+        let processes = slots.iter().map(|slot| u64::from(slot.unsettled)).max().unwrap_or(0);
+        let loads = processes * MAX_ADAPTERS_IN_FLIGHT as u64;
+        let size = ByteSize(self.settings.largest_adapter.0.saturating_mul(loads));
+        let models = slots.iter().map(|slot| (slot.model.clone(), slot.fence)).collect();
+        PredecessorRoom::new(size, models, self.next_listing)
+    }
+
+    fn inherit_slot(&mut self, slot: InheritedSlot, now: Instant) {
+        if slot.unsettled == 0 || !self.guards.keep_doubtful {
+            return;
+        }
+        let entry = self
+            .entries
+            .entry(LoadTarget::Model(slot.model))
+            .or_insert_with(|| LedgerEntry::new(slot.size, TargetPhase::Unsure, now));
+        entry.doubts += slot.unsettled;
+        entry.doubt_fence = entry.doubt_fence.max(slot.fence);
+        entry.fresh_from = self.next_listing;
+    }
+}
--- /dev/null
+++ b/crates/loading/src/ledger/room.rs
@@ -0,0 +1,139 @@
+//! Room for waiting loads: eviction and the adapters' limit.
+
+use std::mem;
+
+use base::prelude::*;
+
+use super::{LedgerEntry, MAX_ADAPTERS_IN_FLIGHT, MemoryLedger, TargetPhase};
+use crate::orders::{DenyReason, KeepWorth, LoadTarget};
+
+impl MemoryLedger {
+    /// Reserves memory for waiting loads, in order of arrival, and sends what may be sent.
+    pub(super) fn fill_room(&mut self, now: Instant) {
+        for target in mem::take(&mut self.waiting) {
+            self.try_reserve(target, now);
+        }
+        self.send_queued();
+    }
+
+    fn try_reserve(&mut self, target: LoadTarget, now: Instant) {
+        let Some(entry) = self.entries.get(&target) else { return };
+        let (size, worth) = (entry.size, entry.worth);
+        if self.waiting.is_empty() && self.free() >= size {
+            return self.reserve(&target, now);
+        }
+        if self.make_room(&target, size, worth) {
+            self.waiting.push_back(target);
+        } else {
+            self.deny_loads(&target, DenyReason::NoRoom);
+            self.entries.remove(&target);
+        }
+    }
+
+    fn reserve(&mut self, target: &LoadTarget, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(target) {
+            entry.phase = TargetPhase::Queued;
+            entry.last_used = now;
+        }
+    }
+
+    /// Whether the targets that may be in memory exceed it together.
+    pub(super) fn is_over(&self) -> bool {
+        self.reserved() > self.settings.capacity
+    }
+
+    fn free(&self) -> ByteSize {
+        self.settings.capacity.minus(self.reserved())
+    }
+
+    /// Memory that is on its way to be freed.
+    fn leaving(&self) -> ByteSize {
+        let is_going = |entry: &&LedgerEntry| {
+            self.is_counted(entry)
+                && entry.doubts == 0
+                && (entry.is_leaving || entry.needs_evidence())
+        };
+        self.entries
+            .values()
+            .filter(is_going)
+            .map(|entry| entry.size)
+            .fold(ByteSize::default(), ByteSize::plus)
+    }
+
+    /// Memory asked for by waiting loads ahead.
+    fn claimed(&self) -> ByteSize {
+        let ahead = self.waiting.iter().filter_map(|target| self.entries.get(target));
+        ahead.map(|entry| entry.size).fold(ByteSize::default(), ByteSize::plus)
+    }
+
+    /// Begins evictions until `size` will fit; evicts nothing if it cannot fit.
+    fn make_room(&mut self, target: &LoadTarget, size: ByteSize, worth: KeepWorth) -> bool {
+        let needed = size.plus(self.claimed());
+        let mut coming = self.free().plus(self.leaving());
+        let mut victims = Vec::new();
+        for (victim, freed) in self.candidates(target, worth) {
+            if coming >= needed {
+                break;
+            }
+            coming = coming.plus(freed);
+            victims.push(victim);
+        }
+        if coming < needed {
+            return false;
+        }
+        for victim in victims {
+            self.start_leaving(&victim);
+        }
+        true
+    }
+
+    /// Idle targets of no more worth under a standing slot, the least worth first.
+    fn candidates(&self, target: &LoadTarget, worth: KeepWorth) -> Vec<(LoadTarget, ByteSize)> {
+        let base = target.base();
+        let mut found: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(other, entry)| entry.worth <= worth && *other != target && **other != base)
+            .filter(|(other, entry)| self.can_evict(other, entry))
+            .collect();
+        found.sort_by_key(|(_, entry)| (entry.worth, entry.last_used));
+        found.into_iter().map(|(other, entry)| (other.clone(), entry.size)).collect()
+    }
+
+    fn can_evict(&self, target: &LoadTarget, entry: &LedgerEntry) -> bool {
+        let is_idle = entry.requests == 0 || !self.guards.spare_busy;
+        let has_slot = self.book.held(target.model()).is_some();
+        let is_settled = entry.is_serving() && entry.doubts == 0;
+        is_idle && has_slot && is_settled && !self.has_loading_adapter(target)
+    }
+
+    fn has_loading_adapter(&self, target: &LoadTarget) -> bool {
+        let is_serving = |adapter| self.entries.get(adapter).is_some_and(LedgerEntry::is_serving);
+        !self.adapters_of(target).iter().all(is_serving)
+    }
+
+    fn send_queued(&mut self) {
+        let is_sent = |(target, entry): &(&LoadTarget, &LedgerEntry)| {
+            target.is_adapter() && matches!(entry.phase, TargetPhase::Loading(_))
+        };
+        let in_flight = self.entries.iter().filter(is_sent).count();
+        let mut slots = MAX_ADAPTERS_IN_FLIGHT.saturating_sub(in_flight);
+        for target in self.queued() {
+            if !target.is_adapter() {
+                self.send_load(&target);
+            } else if slots > 0 {
+                slots -= 1;
+                self.send_load(&target);
+            }
+        }
+    }
+
+    /// Queued targets, the longest waiting first.
+    fn queued(&self) -> Vec<LoadTarget> {
+        let is_queued =
+            |(_, entry): &(&LoadTarget, &LedgerEntry)| entry.phase == TargetPhase::Queued;
+        let mut found: Vec<_> = self.entries.iter().filter(is_queued).collect();
+        found.sort_by_key(|(_, entry)| entry.last_used);
+        found.into_iter().map(|(target, _)| target.clone()).collect()
+    }
+}
