Refusals name the run state as state

Cause: the stand-ins' reader of refusals and the entry had each changed the name of the field; the test of refusals over processes showed it. The reader's name stays.

--- a/crates/entry/src/refusals.rs
+++ b/crates/entry/src/refusals.rs
@@ -27,7 +27,7 @@
 struct RefusalError {
     code: u32,
     message: &'static str,
-    run: String,
+    state: String,
     request: String,
 }
 
@@ -38,7 +38,7 @@
             error: RefusalError {
                 code: self.code.number(),
                 message: self.code.text(),
-                run: self.state.to_string(),
+                state: self.state.to_string(),
                 request: id.to_string(),
             },
         };
