--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -123,7 +123,10 @@
             state.records.calls.push(call);
             (state.records.calls.len() - 1, state.fault.slow_factor.max(1.0))
         };
-        time::sleep(self.options.call_time.mul_f64(slow_factor)).await;
+        let call_time = self.options.call_time.mul_f64(slow_factor);
+        if !call_time.is_zero() {
+            time::sleep(call_time).await;
+        }
         self.lock().records.calls[index].finished = true;
     }
 
