Claims of idempotency keys by group commit

Need: a request that is not idempotent and shows a key runs at most once, whichever entry process owns the key, at a cost in store writes that does not grow with the requests.

Weighed: one object per key (a write per request; kept as NaiveClaims for comparison), a lease per shard (safe only by clocks), a head object replaced by conditional updates (rewrites all claims), compaction of the log (not needed while claims live an hour). Chosen: create-if-absent segments, the sequence number being the fence, and a base object that is moved before old segments are deleted. Without the base a former owner that wakes up can create a number that was deleted and believe its commit; it therefore reads the base after each commit. Keys must tell when they were minted (version 7 UUID or leading seconds), as a key whose claim was deleted could otherwise run again.

Found by the histories and mended: a late copy of a claim of a released request took the key again once another request had used it (all released requests of a key are now remembered); a former owner called a released key a duplicate (a duplicate is now told only after the end of the log was seen).

Seen failing: with each of the six guards off the histories find a key that runs twice, or one refused as not run that stays held.

--- /dev/null
+++ b/crates/once/src/answers.rs
@@ -0,0 +1,65 @@
+//! Answers kept for callers that repeat a request with its key.
+
+use std::collections::{HashMap, VecDeque};
+
+use base::prelude::*;
+use bytes::Bytes;
+
+use crate::{fingerprint::RequestFingerprint, key::KeyDigest};
+
+/// Memory counted for each answer besides its length, in bytes.
+const ANSWER_OVERHEAD: u64 = 96;
+
+#[derive(Debug)]
+struct KeptAnswer {
+    fingerprint: RequestFingerprint,
+    body: Bytes,
+}
+
+/// A cache bounded in bytes that drops its oldest answers first.
+#[derive(Debug)]
+pub struct AnswerCache {
+    limit: ByteSize,
+    used: ByteSize,
+    answers: HashMap<KeyDigest, KeptAnswer>,
+    order: VecDeque<KeyDigest>,
+}
+
+impl AnswerCache {
+    /// An empty cache of at most `limit` bytes of answers.
+    pub fn new(limit: ByteSize) -> Self {
+        let (answers, order) = (HashMap::new(), VecDeque::new());
+        Self { limit, used: ByteSize(0), answers, order }
+    }
+
+    /// Keeps an answer; the first one of a key stays, and one larger than the cache is not kept.
+    pub fn keep(&mut self, digest: KeyDigest, fingerprint: RequestFingerprint, body: Bytes) {
+        let size = answer_size(&body);
+        if size > self.limit || self.answers.contains_key(&digest) {
+            return;
+        }
+        self.used = self.used.plus(size);
+        self.answers.insert(digest, KeptAnswer { fingerprint, body });
+        self.order.push_back(digest);
+        while self.used > self.limit {
+            let Some(oldest) = self.order.pop_front() else { break };
+            self.drop_answer(oldest);
+        }
+    }
+
+    /// The answer of a key, if it is still held and was given to the same request.
+    pub fn get(&self, digest: KeyDigest, fingerprint: RequestFingerprint) -> Option<Bytes> {
+        let answer = self.answers.get(&digest)?;
+        (answer.fingerprint == fingerprint).then(|| answer.body.clone())
+    }
+
+    fn drop_answer(&mut self, digest: KeyDigest) {
+        if let Some(answer) = self.answers.remove(&digest) {
+            self.used = self.used.minus(answer_size(&answer.body));
+        }
+    }
+}
+
+fn answer_size(body: &Bytes) -> ByteSize {
+    ByteSize(body.len() as u64 + ANSWER_OVERHEAD)
+}
--- /dev/null
+++ b/crates/once/src/key.rs
@@ -0,0 +1,136 @@
+//! Idempotency keys, their mint times and the shards that hold their claims.
+
+use std::fmt;
+
+use base::prelude::*;
+use sha2::{Digest, Sha256};
+use snafu::{OptionExt, Snafu};
+
+/// Shards of claims in a region.
+pub const SHARD_COUNT: u16 = 16;
+
+/// Length of a key's digest, in bytes.
+pub const DIGEST_BYTES: usize = 16;
+
+const UUID_BYTES: usize = 36;
+const SECONDS_DIGITS: usize = 10;
+
+/// A key does not say when it was minted.
+#[derive(Debug, Snafu, Clone, PartialEq, Eq)]
+#[snafu(display(
+    "the idempotency key is neither a version 7 UUID nor starts with its time in seconds"
+))]
+pub struct KeyError;
+
+/// Result of reading a key.
+pub type Result<T, E = KeyError> = std::result::Result<T, E>;
+
+/// Time at which a caller minted a key, in milliseconds since the Unix epoch.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MintTime(pub u64);
+
+impl MintTime {
+    /// The mint time that lies `age` before `now`, the time since the Unix epoch.
+    pub fn before(now: Duration, age: Duration) -> Self {
+        Self(u64::try_from(now.saturating_sub(age).as_millis()).unwrap_or(u64::MAX))
+    }
+
+    /// Reads the time out of a key: a version 7 UUID, or ten digits of seconds and a separator.
+    ///
+    /// # Errors
+    ///
+    /// Keys of any other form are refused, as their age could not be told.
+    pub fn of_key(key: &IdempotencyKey) -> Result<Self> {
+        let text = key.as_str();
+        uuid_time(text).or_else(|| seconds_time(text)).context(KeySnafu)
+    }
+}
+
+impl fmt::Display for MintTime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+fn uuid_time(text: &str) -> Option<MintTime> {
+    let parts = text.split('-').collect::<Vec<_>>();
+    let lengths = parts.iter().map(|part| part.len()).collect::<Vec<_>>();
+    let is_hex = parts.iter().all(|part| part.bytes().all(|b| b.is_ascii_hexdigit()));
+    if text.len() != UUID_BYTES || lengths != [8, 4, 4, 4, 12] || !is_hex {
+        return None;
+    }
+    if !parts[2].starts_with('7') {
+        return None;
+    }
+    u64::from_str_radix(&[parts[0], parts[1]].concat(), 16).ok().map(MintTime)
+}
+
+fn seconds_time(text: &str) -> Option<MintTime> {
+    let digits = text.get(..SECONDS_DIGITS)?;
+    let separator = text.as_bytes().get(SECONDS_DIGITS)?;
+    if !digits.bytes().all(|b| b.is_ascii_digit()) || separator.is_ascii_alphanumeric() {
+        return None;
+    }
+    digits.parse::<u64>().ok().map(|seconds| MintTime(seconds * 1_000))
+}
+
+/// Digest of a customer and a key, under which the claim is kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KeyDigest(pub [u8; DIGEST_BYTES]);
+
+impl KeyDigest {
+    /// The shard that holds the claim.
+    pub fn shard(self) -> ShardId {
+        ShardId(u16::from_be_bytes([self.0[0], self.0[1]]) % SHARD_COUNT)
+    }
+}
+
+impl fmt::Display for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+/// A customer's key as the shards know it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ClaimKey {
+    /// Digest of customer and key.
+    pub digest: KeyDigest,
+    /// When the caller minted the key.
+    pub minted: MintTime,
+}
+
+impl ClaimKey {
+    /// The key `key` of `customer`.
+    ///
+    /// # Errors
+    ///
+    /// See [`MintTime::of_key`].
+    pub fn new(customer: &CustomerId, key: &IdempotencyKey) -> Result<Self> {
+        let minted = MintTime::of_key(key)?;
+        let mut hash = Sha256::new();
+        hash.update((customer.as_str().len() as u64).to_be_bytes());
+        hash.update(customer.as_str());
+        hash.update(key.as_str());
+        let mut digest = [0; DIGEST_BYTES];
+        digest.copy_from_slice(&hash.finalize()[..DIGEST_BYTES]);
+        Ok(Self { digest: KeyDigest(digest), minted })
+    }
+}
+
+/// One of the region's shards of claims.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ShardId(pub u16);
+
+impl ShardId {
+    /// Every shard of a region.
+    pub fn all() -> impl Iterator<Item = ShardId> {
+        (0..SHARD_COUNT).map(ShardId)
+    }
+}
+
+impl fmt::Display for ShardId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -1,19 +1,39 @@
 //! At-most-once execution of requests that are not idempotent.
 //!
 //! [`RunLedger`] is the side process's gate before its model engine; [`AttemptRecord`] is the
-//! entry process's account of the deliveries of one request.
+//! entry process's account of the deliveries of one request. [`ClaimShard`] keeps the claims of
+//! idempotency keys in the platform's store.
 
+pub mod answers;
 pub mod attempt;
+pub mod claim;
 pub mod fingerprint;
+pub mod keeper;
+pub mod key;
 pub mod ledger;
+pub mod naive;
+pub mod owner;
 pub mod run;
+pub mod segment;
+pub mod shard;
+pub mod table;
 
 pub use crate::{
     attempt::{AttemptRecord, DeliveryState},
+    claim::{
+        CallTicket, ClaimCall, ClaimReply, ReadOutcome, SegmentNumber, ShardAction, ShardEvent,
+        ShardImage, ShardTime, StoredBase, StoredSegment, WriteOutcome,
+    },
     fingerprint::RequestFingerprint,
+    keeper::{ClaimAsk, ClaimKeeper},
+    key::{ClaimKey, KeyDigest, MintTime, ShardId},
     ledger::{LedgerGuards, LedgerLimits, RunLedger},
+    naive::NaiveClaims,
+    owner::shard_owner,
     run::{
         CancelOrder, CrashReport, CrashedRun, DrainCause, EngineEnd, LinkId, RunAction, RunEpoch,
         RunEvent, RunGrant, RunIsolation, RunOrder, SendState,
     },
+    segment::{ClaimRecord, ClaimSegment, RecordKind, ShardBase},
+    shard::{ClaimShard, ShardGuards, ShardLimits},
 };
--- /dev/null
+++ b/crates/once/src/segment.rs
@@ -0,0 +1,190 @@
+//! Bodies of the objects in which a shard of claims is kept.
+
+use base::prelude::*;
+use bytes::Bytes;
+use platform::object::MAX_OBJECT_BYTES;
+use prost::Message;
+use snafu::{ResultExt, Snafu, ensure};
+
+use crate::key::{DIGEST_BYTES, KeyDigest, MintTime};
+
+/// Most records in a segment; leaves room below the platform's largest object.
+pub const MAX_SEGMENT_RECORDS: usize = MAX_OBJECT_BYTES / MAX_RECORD_BYTES;
+
+const MAX_RECORD_BYTES: usize = 64;
+const FORMAT: u32 = 1;
+
+/// An object under `claims/` could not be read.
+#[derive(Debug, Snafu)]
+pub enum SegmentError {
+    /// The body is no message.
+    #[snafu(display("the body cannot be decoded"))]
+    Undecodable {
+        /// What the codec says.
+        source: prost::DecodeError,
+    },
+    /// The body is of a format that this version does not know.
+    #[snafu(display("the body has the unknown format {format}"))]
+    UnknownFormat {
+        /// Format found.
+        format: u32,
+    },
+    /// A record's field has the wrong length or value.
+    #[snafu(display("record {index} is malformed"))]
+    MalformedRecord {
+        /// Position of the record, from zero.
+        index: usize,
+    },
+}
+
+/// Result of reading a body.
+pub type Result<T, E = SegmentError> = std::result::Result<T, E>;
+
+/// What a record says about a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RecordKind {
+    /// The request holds the key.
+    Claim,
+    /// The request does not hold the key and never will.
+    Release,
+}
+
+/// One entry of a shard's log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClaimRecord {
+    /// The key.
+    pub digest: KeyDigest,
+    /// When the key was minted.
+    pub minted: MintTime,
+    /// The request.
+    pub request: RequestId,
+    /// What is said.
+    pub kind: RecordKind,
+}
+
+/// Claims and releases written together.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimSegment {
+    /// Process that wrote the segment.
+    pub writer: ProcessIncarnation,
+    /// Number of the segment among those of its writer.
+    pub nonce: u64,
+    /// The records, in their order.
+    pub records: Vec<ClaimRecord>,
+}
+
+/// Where a shard's log starts and which keys are expired.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ShardBase {
+    /// Segments below this number are dead.
+    pub first: u64,
+    /// Keys minted before are refused.
+    pub floor: MintTime,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RecordBody {
+    #[prost(bytes = "bytes", tag = "1")]
+    digest: Bytes,
+    #[prost(uint64, tag = "2")]
+    minted_ms: u64,
+    #[prost(bytes = "bytes", tag = "3")]
+    request: Bytes,
+    #[prost(bool, tag = "4")]
+    released: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct SegmentBody {
+    #[prost(uint32, tag = "1")]
+    format: u32,
+    #[prost(fixed64, tag = "2")]
+    writer: u64,
+    #[prost(uint64, tag = "3")]
+    nonce: u64,
+    #[prost(message, repeated, tag = "4")]
+    records: Vec<RecordBody>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct BaseBody {
+    #[prost(uint32, tag = "1")]
+    format: u32,
+    #[prost(uint64, tag = "2")]
+    first: u64,
+    #[prost(uint64, tag = "3")]
+    floor_ms: u64,
+}
+
+impl ClaimSegment {
+    /// The body to store.
+    pub fn encode(&self) -> Bytes {
+        let records = self.records.iter().map(encode_record).collect();
+        let (writer, nonce) = (self.writer.0, self.nonce);
+        SegmentBody { format: FORMAT, writer, nonce, records }.encode_to_vec().into()
+    }
+
+    /// Reads a stored body.
+    ///
+    /// # Errors
+    ///
+    /// Fails on any body that [`ClaimSegment::encode`] cannot have made.
+    pub fn decode(body: Bytes) -> Result<Self> {
+        let body = SegmentBody::decode(body).context(UndecodableSnafu)?;
+        ensure!(body.format == FORMAT, UnknownFormatSnafu { format: body.format });
+        let records = body.records.iter().enumerate();
+        let records = records.map(|(index, record)| decode_record(index, record));
+        Ok(Self {
+            writer: ProcessIncarnation(body.writer),
+            nonce: body.nonce,
+            records: records.collect::<Result<_>>()?,
+        })
+    }
+
+    /// The latest mint time in the segment.
+    pub fn latest_mint(&self) -> MintTime {
+        self.records.iter().map(|record| record.minted).max().unwrap_or_default()
+    }
+}
+
+impl ShardBase {
+    /// The body to store.
+    pub fn encode(&self) -> Bytes {
+        let body = BaseBody { format: FORMAT, first: self.first, floor_ms: self.floor.0 };
+        body.encode_to_vec().into()
+    }
+
+    /// Reads a stored body.
+    ///
+    /// # Errors
+    ///
+    /// Fails on any body that [`ShardBase::encode`] cannot have made.
+    pub fn decode(body: Bytes) -> Result<Self> {
+        let body = BaseBody::decode(body).context(UndecodableSnafu)?;
+        ensure!(body.format == FORMAT, UnknownFormatSnafu { format: body.format });
+        Ok(Self { first: body.first, floor: MintTime(body.floor_ms) })
+    }
+}
+
+fn encode_record(record: &ClaimRecord) -> RecordBody {
+    RecordBody {
+        digest: Bytes::copy_from_slice(&record.digest.0),
+        minted_ms: record.minted.0,
+        request: Bytes::copy_from_slice(&record.request.0.to_be_bytes()),
+        released: record.kind == RecordKind::Release,
+    }
+}
+
+fn decode_record(index: usize, body: &RecordBody) -> Result<ClaimRecord> {
+    let digest = <[u8; DIGEST_BYTES]>::try_from(body.digest.as_ref());
+    let request = <[u8; 16]>::try_from(body.request.as_ref());
+    let (Ok(digest), Ok(request)) = (digest, request) else {
+        return MalformedRecordSnafu { index }.fail();
+    };
+    Ok(ClaimRecord {
+        digest: KeyDigest(digest),
+        minted: MintTime(body.minted_ms),
+        request: RequestId(u128::from_be_bytes(request)),
+        kind: if body.released { RecordKind::Release } else { RecordKind::Claim },
+    })
+}
--- /dev/null
+++ b/crates/once/src/shard.rs
@@ -0,0 +1,484 @@
+//! A shard of claims: the decisions of the entry process that owns it.
+//!
+//! Claims and releases are written together as the next segment of the shard's log. A segment is
+//! created only if its number is free, so that each commit is ordered after everything its writer
+//! has seen; a former owner that wakes up loses the race, reads what it missed and decides anew.
+//! After each commit the base is read: a writer that lags behind deleted segments finds its
+//! own number below the base, and its segment void. No lease or clock is needed for safety; two
+//! owners at once cost conflicts and break nothing.
+
+mod batch;
+mod limits;
+
+use std::collections::{HashSet, VecDeque};
+
+use self::batch::{CommitBatch, PendingCall};
+pub use self::limits::{ShardGuards, ShardLimits};
+use crate::{
+    answers::AnswerCache,
+    claim::{
+        CallTicket, ClaimCall, ClaimReply, ReadOutcome, ShardAction, ShardEvent, ShardImage,
+        ShardTime, StoredBase, WriteOutcome,
+    },
+    key::MintTime,
+    segment::{MAX_SEGMENT_RECORDS, RecordKind},
+    table::{ClaimTable, KeyState},
+};
+use base::prelude::*;
+
+#[derive(Debug)]
+enum ShardPhase {
+    /// The store must be read, not before this time.
+    Unknown(Instant),
+    Recovering,
+    Idle,
+    Writing(CommitBatch),
+    Reading(CommitBatch),
+    Confirming(CommitBatch),
+    /// A step of a commit failed and is tried again at this time.
+    Paused(CommitBatch, CommitStep, Instant),
+    /// The base is being written.
+    Expiring,
+    /// The base is being read after its write failed.
+    Refreshing,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CommitStep {
+    Write,
+    Read,
+    Confirm,
+}
+
+/// A shard of claims.
+#[derive(Debug)]
+pub struct ClaimShard {
+    writer: ProcessIncarnation,
+    limits: ShardLimits,
+    guards: ShardGuards,
+    phase: ShardPhase,
+    table: ClaimTable,
+    queue: VecDeque<PendingCall>,
+    answers: AnswerCache,
+    nonce: u64,
+    next_write: Instant,
+    next_expiry: Instant,
+    /// No unanswered call has an earlier deadline.
+    next_deadline: Option<Instant>,
+}
+
+impl ClaimShard {
+    /// A shard that has yet to be read from the store.
+    pub fn new(writer: ProcessIncarnation, limits: ShardLimits, now: Instant) -> Self {
+        Self::with_guards(writer, limits, ShardGuards::default(), now)
+    }
+
+    /// A shard with some checks off, for tests.
+    pub fn with_guards(
+        writer: ProcessIncarnation,
+        limits: ShardLimits,
+        guards: ShardGuards,
+        now: Instant,
+    ) -> Self {
+        Self {
+            writer,
+            limits,
+            guards,
+            phase: ShardPhase::Unknown(now),
+            table: ClaimTable::default(),
+            queue: VecDeque::new(),
+            answers: AnswerCache::new(limits.kept_answers),
+            nonce: 0,
+            next_write: now,
+            next_expiry: now + limits.expiry_span,
+            next_deadline: None,
+        }
+    }
+
+    /// The durable claims known.
+    pub fn table(&self) -> &ClaimTable {
+        &self.table
+    }
+
+    /// When the next tick is due.
+    pub fn wake_at(&self) -> Instant {
+        let step = match &self.phase {
+            ShardPhase::Unknown(at) | ShardPhase::Paused(_, _, at) => Some(*at),
+            ShardPhase::Idle if !self.queue.is_empty() => Some(self.next_write),
+            _ => None,
+        };
+        let times = [step, self.next_deadline].into_iter().flatten();
+        times.fold(self.next_expiry, Instant::min)
+    }
+
+    /// Takes one event and returns what to do, in order.
+    pub fn handle(&mut self, event: ShardEvent, time: ShardTime) -> Vec<ShardAction> {
+        let mut actions = match event {
+            ShardEvent::Call(call) => self.call(call, time),
+            ShardEvent::Answered { key, fingerprint, answer } => {
+                self.answers.keep(key.digest, fingerprint, answer);
+                Vec::new()
+            }
+            ShardEvent::Recovered(image) => self.recovered(image.as_ref(), time),
+            ShardEvent::SegmentWritten(outcome) => self.segment_written(outcome, time),
+            ShardEvent::SegmentRead(outcome) => self.segment_read(outcome, time),
+            ShardEvent::BaseRead(base) => self.base_read(base, time),
+            ShardEvent::BaseWritten(outcome) => self.base_written(outcome),
+            ShardEvent::Tick => Vec::new(),
+        };
+        actions.extend(self.expire_calls(time.now));
+        actions.extend(self.proceed(time));
+        actions
+    }
+
+    fn call(&mut self, call: ClaimCall, time: ShardTime) -> Vec<ShardAction> {
+        if let Some(reply) = self.early_reply(&call, time) {
+            return vec![send(call.ticket, reply)];
+        }
+        if self.queue.len() >= self.limits.queued_calls {
+            return vec![send(call.ticket, unserved(&call, ResultCode::QueueFull))];
+        }
+        if !self.guards.durable_release && call.kind == RecordKind::Release {
+            self.queue.push_back(PendingCall { answered: true, ..PendingCall::new(call) });
+            return vec![send(call.ticket, ClaimReply::Released)];
+        }
+        self.queue.push_back(PendingCall::new(call));
+        let earliest = self.next_deadline.map_or(call.deadline, |at| at.min(call.deadline));
+        self.next_deadline = Some(earliest);
+        Vec::new()
+    }
+
+    fn early_reply(&self, call: &ClaimCall, time: ShardTime) -> Option<ClaimReply> {
+        if call.kind == RecordKind::Claim {
+            let oldest = MintTime::before(time.unix, self.limits.claim_life);
+            let newest = MintTime::before(time.unix + self.limits.mint_skew, Duration::ZERO);
+            if self.guards.expiry && call.key.minted < oldest {
+                return Some(ClaimReply::Refused(ResultCode::KeyExpired));
+            }
+            if call.key.minted > newest {
+                return Some(ClaimReply::Refused(ResultCode::MalformedRequest));
+            }
+        }
+        match self.phase {
+            ShardPhase::Unknown(_) | ShardPhase::Recovering => None,
+            _ => self.known_reply(call),
+        }
+    }
+
+    /// The reply that no later record of the log can change, if there is one.
+    fn known_reply(&self, call: &ClaimCall) -> Option<ClaimReply> {
+        match call.kind {
+            RecordKind::Claim => self.known_claim(call),
+            RecordKind::Release => self.known_release(call),
+        }
+    }
+
+    fn known_claim(&self, call: &ClaimCall) -> Option<ClaimReply> {
+        if self.table.is_released(call.key, call.request) {
+            return Some(ClaimReply::Refused(ResultCode::CallerCancelled));
+        }
+        if self.guards.expiry && self.table.is_expired(call.key) {
+            return Some(ClaimReply::Refused(ResultCode::KeyExpired));
+        }
+        match self.table.state(call.key) {
+            KeyState::Held(holder) if holder == call.request => Some(ClaimReply::Granted),
+            KeyState::Held(_) => {
+                let answer = self.answers.get(call.key.digest, call.fingerprint);
+                answer.map(ClaimReply::Kept)
+            }
+            KeyState::Free => None,
+        }
+    }
+
+    fn known_release(&self, call: &ClaimCall) -> Option<ClaimReply> {
+        let expired = self.table.is_expired(call.key);
+        let released = self.table.is_released(call.key, call.request);
+        (expired || released).then_some(ClaimReply::Released)
+    }
+
+    /// Whether another request holds the key, as far as this process has read the log.
+    fn is_duplicate(&self, call: &ClaimCall) -> bool {
+        let state = self.table.state(call.key);
+        call.kind == RecordKind::Claim
+            && matches!(state, KeyState::Held(holder) if holder != call.request)
+    }
+
+    fn recovered(&mut self, image: Option<&ShardImage>, time: ShardTime) -> Vec<ShardAction> {
+        let Some(image) = image else {
+            self.phase = ShardPhase::Unknown(time.now + self.limits.retry_pause);
+            return self.refuse_queue(ResultCode::StoreUnavailable);
+        };
+        self.table = ClaimTable::replay(image);
+        if !self.guards.replay {
+            let segments = image.segments.iter().map(|stored| {
+                let mut stored = stored.clone();
+                stored.segment.records.clear();
+                stored
+            });
+            let (segments, base) = (segments.collect(), image.base);
+            self.table = ClaimTable::replay(&ShardImage { segments, base });
+        }
+        self.phase = ShardPhase::Idle;
+        self.delete_dead(image.base)
+    }
+
+    fn segment_written(&mut self, outcome: WriteOutcome, time: ShardTime) -> Vec<ShardAction> {
+        let ShardPhase::Writing(mut batch) = self.take_phase() else { return Vec::new() };
+        match outcome {
+            WriteOutcome::Written(version) => {
+                batch.version = version;
+                self.confirm(batch)
+            }
+            WriteOutcome::ConditionFailed if !self.guards.fence => self.confirm(batch),
+            WriteOutcome::Uncertain if !self.guards.read_back => self.confirm(batch),
+            WriteOutcome::ConditionFailed => {
+                batch.taken = true;
+                self.read_back(batch)
+            }
+            WriteOutcome::Uncertain => {
+                batch.in_doubt = true;
+                self.read_back(batch)
+            }
+            WriteOutcome::NotWritten if batch.in_doubt => {
+                self.pause(batch, CommitStep::Write, time)
+            }
+            WriteOutcome::NotWritten => {
+                self.phase = ShardPhase::Idle;
+                batch.refuse(ResultCode::StoreUnavailable)
+            }
+        }
+    }
+
+    fn segment_read(&mut self, outcome: ReadOutcome, time: ShardTime) -> Vec<ShardAction> {
+        let ShardPhase::Reading(mut batch) = self.take_phase() else { return Vec::new() };
+        match outcome {
+            ReadOutcome::Failed => self.pause(batch, CommitStep::Read, time),
+            ReadOutcome::Found(stored) if batch.is_own(self.writer, &stored) => {
+                batch.version = stored.version;
+                self.confirm(batch)
+            }
+            ReadOutcome::Found(stored) => {
+                self.table.apply(&stored);
+                self.phase = ShardPhase::Idle;
+                self.requeue(batch);
+                Vec::new()
+            }
+            ReadOutcome::Absent if batch.taken => {
+                self.phase = ShardPhase::Unknown(time.now);
+                self.requeue(batch);
+                Vec::new()
+            }
+            ReadOutcome::Absent if batch.is_probe() => self.confirm(batch),
+            ReadOutcome::Absent => self.pause(batch, CommitStep::Write, time),
+        }
+    }
+
+    fn base_read(&mut self, base: Option<StoredBase>, time: ShardTime) -> Vec<ShardAction> {
+        match (self.take_phase(), base) {
+            (ShardPhase::Confirming(batch), Some(base)) => self.commit(batch, base, time),
+            (ShardPhase::Confirming(batch), None) => self.pause(batch, CommitStep::Confirm, time),
+            (ShardPhase::Refreshing, Some(base)) => self.refresh(base, time),
+            _ => Vec::new(),
+        }
+    }
+
+    fn refresh(&mut self, base: StoredBase, time: ShardTime) -> Vec<ShardAction> {
+        if base.base.first > self.table.next().0 {
+            self.phase = ShardPhase::Unknown(time.now);
+            return Vec::new();
+        }
+        self.delete_dead(base)
+    }
+
+    fn commit(
+        &mut self,
+        batch: CommitBatch,
+        base: StoredBase,
+        time: ShardTime,
+    ) -> Vec<ShardAction> {
+        if self.guards.base && base.base.first > batch.number.0 {
+            self.phase = ShardPhase::Unknown(time.now);
+            self.requeue(batch);
+            return Vec::new();
+        }
+        if !batch.is_probe() {
+            self.table.apply(&batch.stored());
+        }
+        let mut actions = self.delete_dead(base);
+        for pending in batch.calls.into_iter().rev().filter(|pending| !pending.answered) {
+            match self.current_reply(&pending.call) {
+                Some(reply) => actions.push(send(pending.call.ticket, reply)),
+                None => self.queue.push_front(pending),
+            }
+        }
+        actions
+    }
+
+    /// The reply of a process that has just read the log to its end.
+    fn current_reply(&self, call: &ClaimCall) -> Option<ClaimReply> {
+        let duplicate = ClaimReply::Refused(ResultCode::DuplicateKey);
+        self.known_reply(call).or_else(|| self.is_duplicate(call).then_some(duplicate))
+    }
+
+    fn base_written(&mut self, outcome: WriteOutcome) -> Vec<ShardAction> {
+        if !matches!(self.take_phase(), ShardPhase::Expiring) {
+            return Vec::new();
+        }
+        if outcome == WriteOutcome::NotWritten {
+            return Vec::new();
+        }
+        self.phase = ShardPhase::Refreshing;
+        vec![ShardAction::ReadBase]
+    }
+
+    fn confirm(&mut self, batch: CommitBatch) -> Vec<ShardAction> {
+        self.phase = ShardPhase::Confirming(batch);
+        vec![ShardAction::ReadBase]
+    }
+
+    fn read_back(&mut self, batch: CommitBatch) -> Vec<ShardAction> {
+        let number = batch.number;
+        self.phase = ShardPhase::Reading(batch);
+        vec![ShardAction::ReadSegment { number }]
+    }
+
+    fn pause(&mut self, batch: CommitBatch, step: CommitStep, time: ShardTime) -> Vec<ShardAction> {
+        self.phase = ShardPhase::Paused(batch, step, time.now + self.limits.retry_pause);
+        Vec::new()
+    }
+
+    fn requeue(&mut self, batch: CommitBatch) {
+        for pending in batch.calls.into_iter().rev().filter(|pending| !pending.answered) {
+            self.queue.push_front(pending);
+        }
+    }
+
+    fn delete_dead(&mut self, base: StoredBase) -> Vec<ShardAction> {
+        let dead = self.table.adopt(base).into_iter();
+        dead.map(|(number, version)| ShardAction::DeleteSegment { number, version }).collect()
+    }
+
+    /// Takes the phase out for a step; the shard is idle unless the step sets another one.
+    fn take_phase(&mut self) -> ShardPhase {
+        std::mem::replace(&mut self.phase, ShardPhase::Idle)
+    }
+
+    fn batch_mut(&mut self) -> Option<&mut CommitBatch> {
+        match &mut self.phase {
+            ShardPhase::Writing(batch)
+            | ShardPhase::Reading(batch)
+            | ShardPhase::Confirming(batch)
+            | ShardPhase::Paused(batch, _, _) => Some(batch),
+            _ => None,
+        }
+    }
+
+    /// Answers calls whose deadline has passed.
+    fn expire_calls(&mut self, now: Instant) -> Vec<ShardAction> {
+        if self.next_deadline.is_none_or(|at| now < at) {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        self.queue.retain(|pending| {
+            let late = pending.call.deadline <= now;
+            if late && !pending.answered {
+                let reply = unserved(&pending.call, ResultCode::DeadlinePassed);
+                actions.push(send(pending.call.ticket, reply));
+            }
+            !late
+        });
+        if let Some(batch) = self.batch_mut() {
+            actions.extend(batch.expire(now));
+        }
+        let calls = self.batch_mut().map(|batch| batch.calls.clone()).unwrap_or_default();
+        let waiting = self.queue.iter().chain(&calls).filter(|pending| !pending.answered);
+        self.next_deadline = waiting.map(|pending| pending.call.deadline).min();
+        actions
+    }
+
+    fn refuse_queue(&mut self, code: ResultCode) -> Vec<ShardAction> {
+        let calls = std::mem::take(&mut self.queue).into_iter();
+        let calls = calls.filter(|pending| !pending.answered);
+        calls.map(|pending| send(pending.call.ticket, unserved(&pending.call, code))).collect()
+    }
+
+    /// Takes the next step if one is due.
+    fn proceed(&mut self, time: ShardTime) -> Vec<ShardAction> {
+        match self.take_phase() {
+            ShardPhase::Unknown(at) if at <= time.now => {
+                self.phase = ShardPhase::Recovering;
+                vec![ShardAction::Recover]
+            }
+            ShardPhase::Paused(batch, step, at) if at <= time.now => match step {
+                CommitStep::Write => self.write(batch),
+                CommitStep::Read => self.read_back(batch),
+                CommitStep::Confirm => self.confirm(batch),
+            },
+            ShardPhase::Idle if self.next_expiry <= time.now => self.expire(time),
+            ShardPhase::Idle if self.next_write <= time.now => self.start_batch(time),
+            phase => {
+                self.phase = phase;
+                Vec::new()
+            }
+        }
+    }
+
+    fn expire(&mut self, time: ShardTime) -> Vec<ShardAction> {
+        self.next_expiry = time.now + self.limits.expiry_span;
+        let floor = MintTime::before(time.unix, self.limits.claim_life);
+        let Some(base) = self.table.expire(floor) else { return self.start_batch(time) };
+        self.phase = ShardPhase::Expiring;
+        vec![ShardAction::WriteBase { base, condition: self.table.base().unchanged() }]
+    }
+
+    fn start_batch(&mut self, time: ShardTime) -> Vec<ShardAction> {
+        let mut actions = Vec::new();
+        let mut digests = HashSet::new();
+        let mut calls = Vec::new();
+        let mut left = VecDeque::new();
+        while let Some(pending) = self.queue.pop_front() {
+            if let Some(reply) = self.known_reply(&pending.call) {
+                actions.push(send(pending.call.ticket, reply));
+            } else if self.is_duplicate(&pending.call) {
+                calls.push(PendingCall { check: true, ..pending });
+            } else if calls.len() < MAX_SEGMENT_RECORDS && digests.insert(pending.call.key.digest) {
+                calls.push(PendingCall { check: false, ..pending });
+            } else {
+                left.push_back(pending);
+            }
+        }
+        self.queue = left;
+        if !calls.is_empty() {
+            actions.extend(self.start_commit(calls, time));
+        }
+        actions
+    }
+
+    fn start_commit(&mut self, calls: Vec<PendingCall>, time: ShardTime) -> Vec<ShardAction> {
+        self.nonce += 1;
+        let batch = CommitBatch::new(self.writer, self.nonce, self.table.next(), calls);
+        if batch.is_probe() {
+            return self.read_back(batch);
+        }
+        self.next_write = time.now + self.limits.write_gap;
+        self.write(batch)
+    }
+
+    fn write(&mut self, batch: CommitBatch) -> Vec<ShardAction> {
+        let (number, body) = (batch.number, batch.body());
+        self.phase = ShardPhase::Writing(batch);
+        vec![ShardAction::WriteSegment { number, body }]
+    }
+}
+
+/// The reply to a call of which nothing was written.
+fn unserved(call: &ClaimCall, code: ResultCode) -> ClaimReply {
+    match call.kind {
+        RecordKind::Claim => ClaimReply::Refused(code),
+        RecordKind::Release => ClaimReply::Unconfirmed,
+    }
+}
+
+fn send(ticket: CallTicket, reply: ClaimReply) -> ShardAction {
+    ShardAction::Reply { ticket, reply }
+}
--- /dev/null
+++ b/crates/once/src/shard/limits.rs
@@ -0,0 +1,66 @@
+//! Bounds and checks of a shard of claims.
+
+use base::prelude::*;
+
+/// Bounds of a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ShardLimits {
+    /// How long after its minting a key may be used.
+    pub claim_life: Duration,
+    /// How far in the future a key may be minted by its caller's clock.
+    pub mint_skew: Duration,
+    /// Least time between the starts of two segment writes.
+    pub write_gap: Duration,
+    /// Time before a failed step is tried again.
+    pub retry_pause: Duration,
+    /// Time between two looks for expired segments.
+    pub expiry_span: Duration,
+    /// Most calls that wait for a segment.
+    pub queued_calls: usize,
+    /// Memory for kept answers.
+    pub kept_answers: ByteSize,
+}
+
+impl Default for ShardLimits {
+    fn default() -> Self {
+        Self {
+            claim_life: Duration::from_secs(3_600),
+            mint_skew: Duration::from_secs(300),
+            write_gap: Duration::from_millis(500),
+            retry_pause: Duration::from_millis(250),
+            expiry_span: Duration::from_secs(60),
+            queued_calls: 8_192,
+            kept_answers: ByteSize::mib(8),
+        }
+    }
+}
+
+/// Checks of a shard; tests turn single ones off to see their faults found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ShardGuards {
+    /// A segment's number that is taken fails the commit.
+    pub fence: bool,
+    /// A segment below the base is void.
+    pub base: bool,
+    /// A write whose answer was lost is read back.
+    pub read_back: bool,
+    /// A new owner replays the log.
+    pub replay: bool,
+    /// Expired keys are refused.
+    pub expiry: bool,
+    /// A release is confirmed only once it is durable.
+    pub durable_release: bool,
+}
+
+impl Default for ShardGuards {
+    fn default() -> Self {
+        Self {
+            fence: true,
+            base: true,
+            read_back: true,
+            replay: true,
+            expiry: true,
+            durable_release: true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/once/src/table.rs
@@ -0,0 +1,144 @@
+//! The durable claims of a shard, as replayed from its log.
+
+use std::collections::{BTreeMap, HashMap};
+
+use base::prelude::*;
+use platform::ObjectVersion;
+
+use crate::{
+    claim::{SegmentNumber, ShardImage, StoredBase, StoredSegment},
+    key::{ClaimKey, KeyDigest, MintTime},
+    segment::{ClaimRecord, ClaimSegment, RecordKind, ShardBase},
+};
+
+/// Who holds a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeyState {
+    /// Nobody does.
+    Free,
+    /// The request does.
+    Held(RequestId),
+}
+
+#[derive(Debug)]
+struct ClaimEntry {
+    minted: MintTime,
+    holder: Option<RequestId>,
+    /// Requests that gave the key up for good; late copies of their claims are refused.
+    released: Vec<RequestId>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct SegmentEntry {
+    version: ObjectVersion,
+    latest_mint: MintTime,
+}
+
+/// The claims of a shard and the segments that hold them.
+#[derive(Debug, Default)]
+pub struct ClaimTable {
+    claims: HashMap<KeyDigest, ClaimEntry>,
+    segments: BTreeMap<SegmentNumber, SegmentEntry>,
+    next: SegmentNumber,
+    base: StoredBase,
+}
+
+impl ClaimTable {
+    /// Replays a shard as read from the store; segments below the base are dead.
+    pub fn replay(image: &ShardImage) -> Self {
+        let mut table = Self { base: image.base, ..Self::default() };
+        table.next = SegmentNumber(image.base.base.first);
+        for stored in &image.segments {
+            table.index(stored);
+            if stored.number.0 >= image.base.base.first {
+                table.apply(stored);
+            }
+        }
+        table
+    }
+
+    /// Number that the next segment must have.
+    pub fn next(&self) -> SegmentNumber {
+        self.next
+    }
+
+    /// The base last read.
+    pub fn base(&self) -> StoredBase {
+        self.base
+    }
+
+    /// Keys remembered.
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    /// Whether `key` is too old.
+    pub fn is_expired(&self, key: ClaimKey) -> bool {
+        key.minted < self.base.base.floor
+    }
+
+    /// Who holds `key`.
+    pub fn state(&self, key: ClaimKey) -> KeyState {
+        let holder = self.claims.get(&key.digest).and_then(|entry| entry.holder);
+        holder.map_or(KeyState::Free, KeyState::Held)
+    }
+
+    /// Whether `request` gave `key` up for good.
+    pub fn is_released(&self, key: ClaimKey, request: RequestId) -> bool {
+        let entry = self.claims.get(&key.digest);
+        entry.is_some_and(|entry| entry.released.contains(&request))
+    }
+
+    /// Takes in the next segment of the log.
+    pub fn apply(&mut self, stored: &StoredSegment) {
+        self.index(stored);
+        self.next = SegmentNumber(stored.number.0 + 1);
+        for record in &stored.segment.records {
+            self.apply_record(record);
+        }
+    }
+
+    /// Takes in a base and returns the segments that are dead by it.
+    pub fn adopt(&mut self, base: StoredBase) -> Vec<(SegmentNumber, ObjectVersion)> {
+        if base.base.floor > self.base.base.floor {
+            self.claims.retain(|_, entry| entry.minted >= base.base.floor);
+        }
+        self.base = base;
+        let live = self.segments.split_off(&SegmentNumber(base.base.first));
+        let dead = std::mem::replace(&mut self.segments, live);
+        dead.into_iter().map(|(number, entry)| (number, entry.version)).collect()
+    }
+
+    /// The base that follows when keys minted before `floor` expire, if it lets segments die.
+    pub fn expire(&self, floor: MintTime) -> Option<ShardBase> {
+        let old = self.base.base;
+        let floor = floor.max(old.floor);
+        let live = self.segments.iter().find(|(_, entry)| entry.latest_mint >= floor);
+        let first = live.map_or(self.next, |(number, _)| *number).0;
+        (first > old.first).then_some(ShardBase { first, floor })
+    }
+
+    fn index(&mut self, stored: &StoredSegment) {
+        let latest_mint = ClaimSegment::latest_mint(&stored.segment);
+        let entry = SegmentEntry { version: stored.version, latest_mint };
+        self.segments.insert(stored.number, entry);
+    }
+
+    fn apply_record(&mut self, record: &ClaimRecord) {
+        let (minted, request) = (record.minted, record.request);
+        let fresh = ClaimEntry { minted, holder: None, released: Vec::new() };
+        let entry = self.claims.entry(record.digest).or_insert(fresh);
+        match record.kind {
+            RecordKind::Claim => entry.holder = Some(request),
+            RecordKind::Release => {
+                entry.holder = entry.holder.filter(|holder| *holder != request);
+                entry.released.push(request);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/once/tests/bytes.rs
@@ -0,0 +1,100 @@
+//! Whatever is read from bytes or text is read back as written, and garbage is refused.
+
+use base::prelude::*;
+use bytes::Bytes;
+use once::{
+    ClaimKey, ClaimRecord, ClaimSegment, KeyDigest, MintTime, RecordKind, RequestFingerprint,
+    ShardBase,
+};
+use proptest::{collection::vec, prelude::*, test_runner::TestRunner};
+use rstest::rstest;
+
+fn record() -> impl Strategy<Value = ClaimRecord> {
+    let parts = (any::<[u8; 16]>(), any::<u64>(), any::<u128>(), any::<bool>());
+    parts.prop_map(|(digest, minted, request, released)| ClaimRecord {
+        digest: KeyDigest(digest),
+        minted: MintTime(minted),
+        request: RequestId(request),
+        kind: if released { RecordKind::Release } else { RecordKind::Claim },
+    })
+}
+
+fn segment() -> impl Strategy<Value = ClaimSegment> {
+    let parts = (any::<u64>(), any::<u64>(), vec(record(), 0..20));
+    parts.prop_map(|(writer, nonce, records)| ClaimSegment {
+        writer: ProcessIncarnation(writer),
+        nonce,
+        records,
+    })
+}
+
+#[test]
+fn a_segment_is_read_as_written_and_never_when_cut() {
+    let strategy = (segment(), any::<prop::sample::Index>());
+
+    TestRunner::deterministic()
+        .run(&strategy, |(segment, cut)| {
+            let body = segment.encode();
+            prop_assert_eq!(&ClaimSegment::decode(body.clone()).unwrap(), &segment);
+            let cut = body.slice(..cut.index(body.len()));
+            let read = ClaimSegment::decode(cut);
+            prop_assert!(read.map_or(true, |read| read != segment || segment.records.is_empty()));
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn garbage_is_refused_without_a_panic() {
+    TestRunner::deterministic()
+        .run(&(vec(any::<u8>(), 0..300), ".{0,60}"), |(bytes, text)| {
+            let _ = ClaimSegment::decode(Bytes::from(bytes.clone()));
+            let _ = ShardBase::decode(Bytes::from(bytes));
+            let _ = text.parse::<RequestFingerprint>();
+            if let Ok(key) = IdempotencyKey::new(text) {
+                let _ = MintTime::of_key(&key);
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn the_largest_segment_fits_an_object() {
+    let record = ClaimRecord {
+        digest: KeyDigest([255; 16]),
+        minted: MintTime(u64::MAX),
+        request: RequestId(u128::MAX),
+        kind: RecordKind::Release,
+    };
+    let records = vec![record; once::segment::MAX_SEGMENT_RECORDS];
+
+    let body = ClaimSegment { writer: ProcessIncarnation(u64::MAX), nonce: u64::MAX, records };
+
+    assert!(body.encode().len() <= platform::object::MAX_OBJECT_BYTES);
+}
+
+#[rstest]
+#[case::uuid("018f3a5c-0000-7abc-8def-0123456789ab", Some(0x018f_3a5c_0000))]
+#[case::seconds("1764829410-order-7", Some(1_764_829_410_000))]
+#[case::random_uuid("018f3a5c-0000-4abc-8def-0123456789ab", None)]
+#[case::no_separator("17648294101", None)]
+#[case::opaque("order-7", None)]
+fn a_key_tells_its_mint_time(#[case] text: &str, #[case] expected: Option<u64>) {
+    let customer = CustomerId::new("toy-library").unwrap();
+    let key = IdempotencyKey::new(text).unwrap();
+
+    let minted = ClaimKey::new(&customer, &key).map(|key| key.minted.0).ok();
+
+    assert_eq!(minted, expected);
+}
+
+#[test]
+fn customers_do_not_share_keys() {
+    let key = IdempotencyKey::new("1764829410-order-7").unwrap();
+    let customers = ["a", "b"].map(|name| CustomerId::new(name).unwrap());
+
+    let [first, second] = customers.map(|customer| ClaimKey::new(&customer, &key).unwrap());
+
+    assert_ne!(first.digest, second.digest);
+}
