Quarantine of requests that crash engines

Need: a request that crashes each engine that runs it, sent again by its caller, must not go through the fleet; the requests beside it must not suffer.

Weighed: memory of each entry process only (the caller's next try meets another entry), a mark at any third crash (one more server lost). Chosen: one object per request, written with its first crash, so that the verdict outlives entries; a suspect runs alone, which tells the crasher from those beside it. While the store is down an entry acts on its own marks and saves them later.

--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`RunLedger`] is the side process's gate before its model engine; [`AttemptRecord`] is the
 //! entry process's account of the deliveries of one request. [`ClaimShard`] keeps the claims of
-//! idempotency keys in the platform's store.
+//! idempotency keys in the platform's store. [`CrashQuarantine`] bars requests that crash engines.
 
 pub mod answers;
 pub mod attempt;
@@ -13,6 +13,7 @@
 pub mod ledger;
 pub mod naive;
 pub mod owner;
+pub mod quarantine;
 pub mod run;
 pub mod segment;
 pub mod shard;
@@ -30,6 +31,11 @@
     ledger::{LedgerGuards, LedgerLimits, RunLedger},
     naive::NaiveClaims,
     owner::shard_owner,
+    quarantine::{
+        CrashQuarantine, QuarantineAction, QuarantineEvent, QuarantineLimits, StoredRecord,
+        keeper::QuarantineKeeper,
+        record::{CrashMark, CrashNote, CrashRecord, CrashVerdict},
+    },
     run::{
         CancelOrder, CrashReport, CrashedRun, DrainCause, EngineEnd, LinkId, RunAction, RunEpoch,
         RunEvent, RunGrant, RunIsolation, RunOrder, SendState,
--- /dev/null
+++ b/crates/once/src/quarantine/keeper.rs
@@ -0,0 +1,193 @@
+//! Driver that runs a quarantine against the Object API.
+
+use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicBool, Ordering},
+};
+
+use base::{clock, prelude::*};
+use platform::{ObjectChange, ObjectStore, ObjectVersion, StoreError};
+use tokio::{sync::mpsc, time};
+
+use super::{
+    CrashQuarantine, QuarantineAction, QuarantineEvent, QuarantineLimits, StoredRecord,
+    operate::{self, QUARANTINE_PREFIX},
+    record::{CrashNote, CrashRecord, CrashVerdict},
+};
+use crate::{claim::WriteOutcome, fingerprint::RequestFingerprint};
+
+/// Longest wait of one watch.
+const WATCH_WAIT: Duration = Duration::from_secs(60);
+
+/// Time between two readings of all records, which find deletions that a watch missed.
+const RELOAD_SPAN: Duration = Duration::from_secs(600);
+
+/// Time between two ticks.
+const TICK_SPAN: Duration = Duration::from_secs(10);
+
+/// Time before a failed watch is tried again.
+const RETRY_PAUSE: Duration = Duration::from_secs(2);
+
+/// An entry process's view of the quarantine; clones share it.
+#[derive(Debug, Clone)]
+pub struct QuarantineKeeper {
+    quarantine: Arc<Mutex<CrashQuarantine>>,
+    is_cleaner: Arc<AtomicBool>,
+    events: mpsc::UnboundedSender<QuarantineEvent>,
+}
+
+impl QuarantineKeeper {
+    /// Starts the tasks that keep a quarantine; they end with the runtime.
+    pub fn start<S: ObjectStore + 'static>(store: Arc<S>, limits: QuarantineLimits) -> Self {
+        let quarantine = Arc::new(Mutex::new(CrashQuarantine::new(limits)));
+        let is_cleaner = Arc::new(AtomicBool::new(false));
+        let (events, received) = mpsc::unbounded_channel();
+        let keeper = Self { quarantine, is_cleaner, events };
+        tokio::spawn(keeper.clone().run(store.clone(), received));
+        tokio::spawn(keeper.clone().watch(store));
+        keeper
+    }
+
+    /// Whether a request may run now.
+    pub fn verdict(&self, fingerprint: RequestFingerprint) -> CrashVerdict {
+        let quarantine = self.quarantine.lock().expect("no holder panics");
+        quarantine.verdict(fingerprint, clock::since_epoch())
+    }
+
+    /// Notes a request that was in flight at a crash.
+    pub fn crashed(&self, note: CrashNote) {
+        log::warn!("quarantine: {} was in flight at a crash", note.fingerprint);
+        self.send(QuarantineEvent::Crashed(note));
+    }
+
+    /// Notes that a suspect ran alone and ended well.
+    pub fn ended_well(&self, fingerprint: RequestFingerprint) {
+        self.send(QuarantineEvent::EndedWell(fingerprint));
+    }
+
+    /// Makes this process the cleaner of forgotten records, or no longer.
+    pub fn set_cleaner(&self, is_cleaner: bool) {
+        self.is_cleaner.store(is_cleaner, Ordering::Relaxed);
+    }
+
+    fn send(&self, event: QuarantineEvent) {
+        // The receiver lives as long as the runtime.
+        let _ = self.events.send(event);
+    }
+
+    async fn run<S: ObjectStore + 'static>(
+        self,
+        store: Arc<S>,
+        mut received: mpsc::UnboundedReceiver<QuarantineEvent>,
+    ) {
+        let mut ticks = time::interval(TICK_SPAN);
+        loop {
+            let event = tokio::select! {
+                Some(event) = received.recv() => event,
+                _ = ticks.tick() => {
+                    let is_cleaner = self.is_cleaner.load(Ordering::Relaxed);
+                    QuarantineEvent::Tick { is_cleaner }
+                }
+            };
+            for action in self.handle(event) {
+                let (store, events) = (store.clone(), self.events.clone());
+                tokio::spawn(async move {
+                    if let Some(event) = perform(store.as_ref(), action).await {
+                        let _ = events.send(event);
+                    }
+                });
+            }
+        }
+    }
+
+    fn handle(&self, event: QuarantineEvent) -> Vec<QuarantineAction> {
+        let mut quarantine = self.quarantine.lock().expect("no holder panics");
+        quarantine.handle(event, clock::since_epoch())
+    }
+
+    async fn watch<S: ObjectStore>(self, store: Arc<S>) {
+        loop {
+            if let Err(error) = self.follow(store.as_ref()).await {
+                log::warn!("quarantine: records cannot be followed: {error}");
+            }
+            time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Reads all records, and then their changes until the next reading is due.
+    async fn follow(&self, store: &dyn ObjectStore) -> operate::Result<()> {
+        let reload = Instant::now() + RELOAD_SPAN;
+        let records = operate::list_records(store).await?;
+        let mut since = records.iter().map(|stored| stored.version).max().unwrap_or_default();
+        self.send(QuarantineEvent::Loaded(records));
+        while Instant::now() < reload {
+            let wait = WATCH_WAIT.min(reload - Instant::now());
+            for change in store.watch(QUARANTINE_PREFIX, since, wait).await? {
+                since = since.max(change.version());
+                if let Some(event) = change_event(change) {
+                    self.send(event);
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn change_event(change: ObjectChange) -> Option<QuarantineEvent> {
+    match change {
+        ObjectChange::Deleted { key, version } => {
+            let fingerprint = operate::fingerprint_of(&key)?;
+            Some(QuarantineEvent::Deleted { fingerprint, version: Some(version) })
+        }
+        ObjectChange::Written(object) => {
+            let fingerprint = operate::fingerprint_of(&object.key)?;
+            written_event(fingerprint, object.version, CrashRecord::decode(object.body))
+        }
+    }
+}
+
+fn written_event(
+    fingerprint: RequestFingerprint,
+    version: ObjectVersion,
+    record: super::record::Result<CrashRecord>,
+) -> Option<QuarantineEvent> {
+    match record {
+        Ok(record) => Some(QuarantineEvent::Written(StoredRecord { fingerprint, version, record })),
+        Err(error) => {
+            log::error!("quarantine: the record of {fingerprint} is malformed: {error}");
+            None
+        }
+    }
+}
+
+async fn perform(store: &dyn ObjectStore, action: QuarantineAction) -> Option<QuarantineEvent> {
+    match action {
+        QuarantineAction::Write { fingerprint, record, condition } => {
+            let key = operate::record_key(fingerprint);
+            let outcome = outcome_of(store.put(&key, record.encode(), condition).await);
+            Some(QuarantineEvent::Stored { fingerprint, outcome })
+        }
+        QuarantineAction::Delete { fingerprint, version } => {
+            let deleted = store.delete(&operate::record_key(fingerprint), version).await;
+            let outcome = outcome_of(deleted.map(|()| version));
+            Some(QuarantineEvent::Stored { fingerprint, outcome })
+        }
+        QuarantineAction::Read { fingerprint } => {
+            match store.get(&operate::record_key(fingerprint)).await.ok()? {
+                None => Some(QuarantineEvent::Deleted { fingerprint, version: None }),
+                Some(object) => {
+                    written_event(fingerprint, object.version, CrashRecord::decode(object.body))
+                }
+            }
+        }
+    }
+}
+
+fn outcome_of(result: Result<ObjectVersion, StoreError>) -> WriteOutcome {
+    match result {
+        Ok(version) => WriteOutcome::Written(version),
+        Err(StoreError::ConditionFailed) => WriteOutcome::ConditionFailed,
+        Err(error) if error.is_uncertain() => WriteOutcome::Uncertain,
+        Err(_) => WriteOutcome::NotWritten,
+    }
+}
--- /dev/null
+++ b/crates/once/src/quarantine/operate.rs
@@ -0,0 +1,75 @@
+//! What operators do with the quarantine.
+
+use platform::{ObjectKey, ObjectStore, StoreError};
+use snafu::{ResultExt, Snafu};
+
+use super::{
+    StoredRecord,
+    record::{CrashRecord, RecordError},
+};
+use crate::fingerprint::RequestFingerprint;
+
+/// Prefix of the objects that hold crash records.
+pub const QUARANTINE_PREFIX: &str = "quarantine/";
+
+/// An operator's call failed.
+#[derive(Debug, Snafu)]
+pub enum OperateError {
+    /// The store failed.
+    #[snafu(display("the store failed: {source}"), context(false))]
+    Store {
+        /// Its error.
+        source: StoreError,
+    },
+    /// An object is malformed.
+    #[snafu(display("{key} is malformed: {source}"))]
+    MalformedRecord {
+        /// Name of the object.
+        key: ObjectKey,
+        /// What is wrong.
+        source: RecordError,
+    },
+}
+
+/// Result of an operator's call.
+pub type Result<T, E = OperateError> = std::result::Result<T, E>;
+
+/// Name of the object of a request.
+pub fn record_key(fingerprint: RequestFingerprint) -> ObjectKey {
+    ObjectKey::new(format!("{QUARANTINE_PREFIX}{fingerprint}"))
+}
+
+/// The request whose object has this name.
+pub fn fingerprint_of(key: &ObjectKey) -> Option<RequestFingerprint> {
+    key.as_str().strip_prefix(QUARANTINE_PREFIX)?.parse().ok()
+}
+
+/// All crash records of the store; objects with other names are passed over.
+///
+/// # Errors
+///
+/// Fails if the store does, or if a record is malformed.
+pub async fn list_records(store: &dyn ObjectStore) -> Result<Vec<StoredRecord>> {
+    let mut records = Vec::new();
+    for object in store.list(QUARANTINE_PREFIX).await? {
+        let Some(fingerprint) = fingerprint_of(&object.key) else { continue };
+        let record = CrashRecord::decode(object.body);
+        let record = record.context(MalformedRecordSnafu { key: object.key })?;
+        records.push(StoredRecord { fingerprint, version: object.version, record });
+    }
+    Ok(records)
+}
+
+/// Deletes the crash record of a request; false if there is none.
+///
+/// # Errors
+///
+/// Fails if the store does; with [`StoreError::ConditionFailed`] if the request was in flight at
+/// another crash meanwhile, and with [`StoreError::AnswerLost`] if the record may be gone.
+pub async fn lift_record(store: &dyn ObjectStore, fingerprint: RequestFingerprint) -> Result<bool> {
+    let key = record_key(fingerprint);
+    let Some(object) = store.get(&key).await? else { return Ok(false) };
+    store.delete(&key, object.version).await?;
+    log::info!("quarantine: lifted {fingerprint}");
+    Ok(true)
+}
