Run ledger keeps attempts, and the engine's failures keep their codes

Need: an entry may try a request again at the same side process once an earlier attempt was acknowledged as not run, so the ledger's key is the attempt and no longer the request. The delivery record follows.

--- a/crates/once/src/attempt.rs
+++ b/crates/once/src/attempt.rs
@@ -3,9 +3,9 @@
 //! A request may be refused as not run only if every delivery of it was acknowledged as not run
 //! by the side process it went to; whatever stays unacknowledged may have run.
 
-use base::prelude::*;
+use std::collections::BTreeMap;
 
-use crate::run::RunGrant;
+use base::prelude::*;
 
 /// What is known of one delivery.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -18,88 +18,54 @@
     MayHaveRun,
 }
 
-#[derive(Debug, Clone)]
-struct RunDelivery {
-    server: VmId,
-    grant: RunGrant,
-    state: DeliveryState,
-}
-
-/// All deliveries of one request.
+/// All deliveries of one request, by the number of the attempt.
 #[derive(Debug, Clone, Default)]
 pub struct AttemptRecord {
-    repeatable: bool,
-    deliveries: Vec<RunDelivery>,
+    is_repeatable: bool,
+    deliveries: BTreeMap<u32, DeliveryState>,
 }
 
 impl AttemptRecord {
     /// The record of a request that was not delivered yet.
-    pub fn new(repeatable: bool) -> Self {
-        Self { repeatable, deliveries: Vec::new() }
+    pub fn new(is_repeatable: bool) -> Self {
+        Self { is_repeatable, deliveries: BTreeMap::new() }
     }
 
     /// Whether the request may be delivered (again).
     pub fn may_deliver(&self) -> bool {
-        self.repeatable || self.run_state() == RunState::NotRun
+        self.is_repeatable || self.run_state() == RunState::NotRun
     }
 
     /// Notes a delivery just before it is sent; false if it must not be sent.
-    ///
-    /// No request is sent twice to the same life of a side process.
-    pub fn deliver(&mut self, server: &VmId, grant: RunGrant) -> bool {
-        let known = self.deliveries.iter().any(|delivery| delivery.is_to(server, grant));
-        if known || !self.may_deliver() {
+    pub fn deliver(&mut self, attempt: u32) -> bool {
+        if self.deliveries.contains_key(&attempt) || !self.may_deliver() {
             return false;
         }
-        let (server, state) = (server.clone(), DeliveryState::Sent);
-        self.deliveries.push(RunDelivery { server, grant, state });
+        self.deliveries.insert(attempt, DeliveryState::Sent);
         true
     }
 
     /// Notes the word of a side process about a delivery; the first word stands.
-    pub fn settle(&mut self, server: &VmId, grant: RunGrant, state: RunState) {
-        let mut deliveries = self.deliveries.iter_mut();
-        let delivery = deliveries.find(|delivery| delivery.is_to(server, grant));
-        if let Some(delivery) = delivery
-            && delivery.state == DeliveryState::Sent
-        {
-            delivery.state = match state {
+    pub fn settle(&mut self, attempt: u32, state: RunState) {
+        let delivery = self.deliveries.get_mut(&attempt);
+        if let Some(delivery) = delivery.filter(|delivery| **delivery == DeliveryState::Sent) {
+            *delivery = match state {
                 RunState::NotRun => DeliveryState::NotRun,
                 RunState::MayHaveRun => DeliveryState::MayHaveRun,
             };
         }
     }
 
-    /// Deliveries on which no word has come back.
-    pub fn unsettled(&self) -> usize {
-        self.deliveries.iter().filter(|delivery| delivery.state == DeliveryState::Sent).count()
+    /// Deliveries that were not acknowledged as not run.
+    pub fn possible_runs(&self) -> usize {
+        self.deliveries.values().filter(|delivery| **delivery != DeliveryState::NotRun).count()
     }
 
     /// What may truthfully be said of the request as a whole.
     pub fn run_state(&self) -> RunState {
-        let not_run = |delivery: &RunDelivery| delivery.state == DeliveryState::NotRun;
-        match self.deliveries.iter().all(not_run) {
-            true => RunState::NotRun,
-            false => RunState::MayHaveRun,
+        match self.possible_runs() {
+            0 => RunState::NotRun,
+            _ => RunState::MayHaveRun,
         }
     }
-
-    /// The code to refuse with when `code` is the reason; never says not run untruthfully.
-    pub fn refusal(&self, code: ResultCode) -> ResultCode {
-        if code.run_state() == RunState::MayHaveRun || self.run_state() == RunState::NotRun {
-            return code;
-        }
-        match code {
-            ResultCode::DeadlinePassed | ResultCode::DeadlineUnmeetable => {
-                ResultCode::AnswerTimeout
-            }
-            _ => ResultCode::BackendLost,
-        }
-    }
-}
-
-impl RunDelivery {
-    fn is_to(&self, server: &VmId, grant: RunGrant) -> bool {
-        self.server == *server && self.grant.incarnation == grant.incarnation
-    }
 }
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -1,6 +1,6 @@
 //! The side process's ledger of runs: the last gate before the model engine.
 //!
-//! Each request id is handed to the engine at most once in the life of a side process. A refusal
+//! Each attempt is handed to the engine at most once in the life of a side process. A refusal
 //! as not run is remembered, so that no later copy of the order can make it untrue. Memory is
 //! bounded by epochs: an order names the epoch it was granted in, and once records of an epoch
 //! are forgotten all orders of that epoch are refused. No decision rests on how late a frame is.
@@ -19,7 +19,7 @@
     fingerprint::RequestFingerprint,
     run::{
         CancelOrder, CrashReport, CrashedRun, DrainCause, EngineEnd, LinkId, RunAction, RunEpoch,
-        RunEvent, RunGrant, RunIsolation, RunOrder, SendState,
+        RunEvent, RunGrant, RunId, RunIsolation, RunOrder, SendState,
     },
 };
 
@@ -29,8 +29,8 @@
     incarnation: ProcessIncarnation,
     limits: LedgerLimits,
     guards: LedgerGuards,
-    records: BTreeMap<RequestId, RunRecord>,
-    active: BTreeSet<RequestId>,
+    records: BTreeMap<RunId, RunRecord>,
+    active: BTreeSet<RunId>,
     epoch: RunEpoch,
     floor: RunEpoch,
     epoch_started: Instant,
@@ -81,6 +81,16 @@
         self.active.len()
     }
 
+    /// Whether a run waits for or is at the engine.
+    pub fn is_active(&self, id: RunId) -> bool {
+        self.active.contains(&id)
+    }
+
+    /// Whether the engine is thought to take calls.
+    pub fn is_engine_up(&self) -> bool {
+        self.engine_up
+    }
+
     /// Requests remembered.
     pub fn record_count(&self) -> usize {
         self.records.len()
@@ -177,7 +187,7 @@
         self.insert(order.id, record, now);
     }
 
-    fn insert(&mut self, id: RequestId, record: RunRecord, now: Instant) {
+    fn insert(&mut self, id: RunId, record: RunRecord, now: Instant) {
         if record.is_active() {
             self.active.insert(id);
         }
@@ -229,7 +239,7 @@
         RunState::NotRun
     }
 
-    fn settle(&mut self, id: RequestId, phase: RunPhase) {
+    fn settle(&mut self, id: RunId, phase: RunPhase) {
         if self.active.remove(&id)
             && let Some(record) = self.records.get_mut(&id)
         {
@@ -237,22 +247,20 @@
         }
     }
 
-    fn hand_over_failed(&mut self, id: RequestId, sent: SendState) -> Vec<RunAction> {
+    fn hand_over_failed(&mut self, id: RunId, sent: SendState) -> Vec<RunAction> {
         let Some(record) = self.records.get(&id).filter(|record| record.at_engine()) else {
             return Vec::new();
         };
         let (link, wanted) = (record.link, record.phase != RunPhase::Cancelling);
         let (phase, code) = match sent {
-            SendState::NothingSent => {
-                (RunPhase::NotRun(ResultCode::NoReplica), ResultCode::NoReplica)
-            }
+            SendState::NotTaken => (RunPhase::NotRun(ResultCode::NoReplica), ResultCode::NoReplica),
             SendState::PartlySent => (RunPhase::Ended, ResultCode::BackendLost),
         };
         self.settle(id, phase);
         wanted.then_some(RunAction::Refuse { id, link, code }).into_iter().collect()
     }
 
-    fn chunk(&mut self, id: RequestId, body: Bytes) -> Vec<RunAction> {
+    fn chunk(&mut self, id: RunId, body: Bytes) -> Vec<RunAction> {
         let Some(record) = self.records.get_mut(&id) else { return Vec::new() };
         let RunPhase::Running { offset } = &mut record.phase else { return Vec::new() };
         let start = *offset;
@@ -260,7 +268,7 @@
         vec![RunAction::Forward { id, link: record.link, offset: start, body }]
     }
 
-    fn end(&mut self, id: RequestId, end: EngineEnd) -> Vec<RunAction> {
+    fn end(&mut self, id: RunId, end: EngineEnd) -> Vec<RunAction> {
         let Some(record) = self.records.get(&id).filter(|record| record.at_engine()) else {
             return Vec::new();
         };
@@ -270,7 +278,12 @@
             (RunPhase::Running { offset }, EngineEnd::Complete) => {
                 vec![RunAction::Finish { id, link, length: offset }]
             }
-            (RunPhase::Running { .. }, EngineEnd::Failed | EngineEnd::Cancelled) => {
+            (RunPhase::Running { .. }, EngineEnd::Failed(code))
+                if code.run_state() == RunState::MayHaveRun =>
+            {
+                vec![RunAction::Refuse { id, link, code }]
+            }
+            (RunPhase::Running { .. }, EngineEnd::Failed(_) | EngineEnd::Cancelled) => {
                 vec![RunAction::Refuse { id, link, code: ResultCode::BackendFailed }]
             }
             _ => Vec::new(),
@@ -348,11 +361,11 @@
         actions
     }
 
-    fn active_ids(&self, wanted: impl Fn(&RunRecord) -> bool) -> Vec<RequestId> {
+    fn active_ids(&self, wanted: impl Fn(&RunRecord) -> bool) -> Vec<RunId> {
         self.active.iter().copied().filter(|id| wanted(&self.records[id])).collect()
     }
 
-    fn cancel_at_engine(&mut self, id: RequestId) -> RunAction {
+    fn cancel_at_engine(&mut self, id: RunId) -> RunAction {
         if let Some(record) = self.records.get_mut(&id) {
             record.phase = RunPhase::Cancelling;
         }
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -38,7 +38,7 @@
     },
     run::{
         CancelOrder, CrashReport, CrashedRun, DrainCause, EngineEnd, LinkId, RunAction, RunEpoch,
-        RunEvent, RunGrant, RunIsolation, RunOrder, SendState,
+        RunEvent, RunGrant, RunId, RunIsolation, RunOrder, SendState,
     },
     segment::{ClaimRecord, ClaimSegment, RecordKind, ShardBase},
     shard::{ClaimShard, ShardGuards, ShardLimits},
--- a/crates/once/src/run.rs
+++ b/crates/once/src/run.rs
@@ -20,6 +20,21 @@
     }
 }
 
+/// One attempt at one request; each is delivered to one life of one side process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RunId {
+    /// The request.
+    pub request: RequestId,
+    /// Number of the attempt.
+    pub attempt: u32,
+}
+
+impl fmt::Display for RunId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.request, self.attempt)
+    }
+}
+
 /// The life and epoch of the side process that an order is meant for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct RunGrant {
@@ -51,8 +66,8 @@
 /// An order to run one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunOrder {
-    /// The request.
-    pub id: RequestId,
+    /// The attempt.
+    pub id: RunId,
     /// Life and epoch the order is meant for.
     pub grant: RunGrant,
     /// Connection the order came by.
@@ -68,8 +83,8 @@
 /// An order to stop one request, or never to start it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CancelOrder {
-    /// The request.
-    pub id: RequestId,
+    /// The attempt.
+    pub id: RunId,
     /// The grant of the order that is cancelled.
     pub grant: RunGrant,
     /// Connection the order came by.
@@ -79,9 +94,9 @@
 /// How far a failed hand-over got.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendState {
-    /// No byte of the request was sent to the engine.
-    NothingSent,
-    /// Some of the request was sent.
+    /// The engine took no part of the request.
+    NotTaken,
+    /// The engine may have taken some of it.
     PartlySent,
 }
 
@@ -90,8 +105,8 @@
 pub enum EngineEnd {
     /// The engine sent the whole answer.
     Complete,
-    /// The engine reported a failure or cut its answer.
-    Failed,
+    /// The engine failed or cut its answer; the code says how.
+    Failed(ResultCode),
     /// The engine confirmed a cancel.
     Cancelled,
 }
@@ -116,22 +131,22 @@
     Cancel(CancelOrder),
     /// The driver could not hand a run over.
     HandOverFailed {
-        /// The request.
-        id: RequestId,
+        /// The attempt.
+        id: RunId,
         /// How far it got.
         sent: SendState,
     },
     /// The engine sent a part of an answer.
     Chunk {
-        /// The request.
-        id: RequestId,
+        /// The attempt.
+        id: RunId,
         /// The part.
         body: Bytes,
     },
     /// The engine ended a run.
     End {
-        /// The request.
-        id: RequestId,
+        /// The attempt.
+        id: RunId,
         /// How it ended.
         end: EngineEnd,
     },
@@ -152,13 +167,13 @@
 pub enum RunAction {
     /// Send the request to the engine.
     HandOver {
-        /// The request.
-        id: RequestId,
+        /// The attempt.
+        id: RunId,
     },
     /// Tell the entry process that the request has ended without its whole answer.
     Refuse {
-        /// The request.
-        id: RequestId,
+        /// The attempt.
+        id: RunId,
         /// Connection to answer by.
         link: LinkId,
         /// Reason; its run state speaks for this incarnation of this side process.
@@ -166,13 +181,13 @@
     },
     /// Cancel the request at the engine.
     CancelAtEngine {
-        /// The request.
-        id: RequestId,
+        /// The attempt.
+        id: RunId,
     },
     /// Answer a cancel.
     AckCancel {
-        /// The request.
-        id: RequestId,
+        /// The attempt.
+        id: RunId,
         /// Connection to answer by.
         link: LinkId,
         /// Whether this side process can have run the request.
@@ -180,8 +195,8 @@
     },
     /// Send a part of the answer.
     Forward {
-        /// The request.
-        id: RequestId,
+        /// The attempt.
+        id: RunId,
         /// Connection to answer by.
         link: LinkId,
         /// Bytes of the answer before this part.
@@ -191,8 +206,8 @@
     },
     /// Send the explicit end of a whole answer.
     Finish {
-        /// The request.
-        id: RequestId,
+        /// The attempt.
+        id: RunId,
         /// Connection to answer by.
         link: LinkId,
         /// Length of the answer, in bytes.
@@ -207,8 +222,8 @@
 /// A run in flight at a crash.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashedRun {
-    /// The request.
-    pub id: RequestId,
+    /// The attempt.
+    pub id: RunId,
     /// Connection it came by.
     pub link: LinkId,
     /// Its fingerprint.
