--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -1,67 +1,276 @@
-//! Claims of idempotency keys: one object for each key, created only if absent.
+//! Claims of idempotency keys: calls to the owner of a key, here or at another entry.
+
+mod calls;
 
 use std::sync::Arc;
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::{ObjectKey, ObjectStore, ObjectVersion, StoreError, WriteCondition};
+use once::{
+    ClaimAsk, ClaimExchange, ClaimKeeper, ClaimKey, ClaimReply, ExchangeCall, KeyDigest,
+    ObjectClaims, RecordKind, RequestFingerprint, ShardId, ShardLimits, shard_ranking,
+};
+use platform::{budget::BudgetedStore, http::PlatformClient};
+use tokio::{
+    sync::{mpsc, watch},
+    time,
+};
+use wire::{Message, PeerIdentity};
 
-/// A claim that this process holds.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HeldClaim {
-    key: ObjectKey,
-    version: ObjectVersion,
+use self::calls::CallTable;
+use crate::{
+    fleet::FleetView,
+    peers::{PeerHandle, PeerPool},
+};
+
+/// The platform's store as this process uses it.
+pub type PlatformStore = BudgetedStore<PlatformClient>;
+
+/// Messages about claims that may wait.
+pub const MESSAGE_QUEUE: usize = 1024;
+
+/// Time that a release may take, also after its request's deadline.
+const RELEASE_LIMIT: Duration = Duration::from_secs(1);
+/// Largest answer kept for callers that repeat a request.
+const LARGEST_KEPT: ByteSize = ByteSize(64 << 10);
+/// Time between looks at which shards this process owns.
+const OWNER_SPAN: Duration = Duration::from_secs(5);
+
+/// What peers send about claims.
+#[derive(Debug)]
+pub enum ClaimMessage {
+    /// A message, with the connection to answer by.
+    Received(PeerHandle, Bytes),
+    /// A connection has ended.
+    Lost(PeerIdentity),
 }
 
-/// Result of claiming.
-pub type Result<T, E = ResultCode> = std::result::Result<T, E>;
+/// A request that wants to hold a key.
+#[derive(Debug, Clone)]
+pub struct KeyedRequest {
+    /// The customer.
+    pub customer: CustomerId,
+    /// The key as the caller showed it.
+    pub key: IdempotencyKey,
+    /// The request.
+    pub id: RequestId,
+    /// Its fingerprint.
+    pub fingerprint: RequestFingerprint,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+}
 
-/// Claims keys in the Object API.
-#[derive(Clone)]
-pub struct ClaimKeeper {
-    store: Arc<dyn ObjectStore>,
+/// What became of a claim.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimOutcome {
+    /// The request holds the key.
+    Held,
+    /// The same request was answered before; this is its answer.
+    Kept(Bytes),
+    /// The request may not run.
+    Refused(ResultCode),
+}
+
+/// Claims and releases keys wherever their owner is.
+pub struct ClaimDesk {
+    me: VmId,
+    keeper: ClaimKeeper<PlatformStore>,
+    objects: ObjectClaims<PlatformStore>,
+    calls: CallTable,
+    peers: Arc<PeerPool>,
+    fleet: watch::Receiver<Arc<FleetView>>,
 }
 
-impl ClaimKeeper {
-    /// A keeper of claims in `store`.
-    pub fn new(store: Arc<dyn ObjectStore>) -> Self {
-        Self { store }
+impl ClaimDesk {
+    /// A desk of the process `me`, whose claims are kept under the name of `region`.
+    pub fn new(
+        me: &PeerIdentity,
+        region: &RegionName,
+        store: &Arc<PlatformStore>,
+        peers: Arc<PeerPool>,
+        fleet: watch::Receiver<Arc<FleetView>>,
+    ) -> Self {
+        let (store, limits) = (Arc::clone(store), ShardLimits::default());
+        let keeper = ClaimKeeper::new(Arc::clone(&store), region, me.incarnation, limits);
+        let (calls, objects) = (CallTable::default(), ObjectClaims::new(store));
+        Self { me: me.vm.clone(), keeper, objects, calls, peers, fleet }
+    }
+
+    /// Claims the key of a request; a refusal as not run leaves the key free.
+    pub async fn claim(&self, request: &KeyedRequest) -> ClaimOutcome {
+        let reply = match ClaimKey::new(&request.customer, &request.key) {
+            Ok(key) => self.claim_timed(ask(key, request)).await,
+            Err(_) => self.objects.claim(digest(request), request.id).await,
+        };
+        match reply {
+            ClaimReply::Granted => ClaimOutcome::Held,
+            ClaimReply::Kept(answer) => ClaimOutcome::Kept(answer),
+            ClaimReply::Refused(code) => ClaimOutcome::Refused(code),
+            ClaimReply::Released | ClaimReply::Unconfirmed => {
+                ClaimOutcome::Refused(ResultCode::ClaimUncertain)
+            }
+        }
+    }
+
+    /// Releases the key of a request that did not run; `true` once the key may be used again.
+    pub async fn release(&self, request: &KeyedRequest) -> bool {
+        let reply = match ClaimKey::new(&request.customer, &request.key) {
+            Ok(key) => self.release_timed(ask(key, request)).await,
+            Err(_) => self.objects.release(digest(request), request.id).await,
+        };
+        reply == ClaimReply::Released
+    }
+
+    /// Keeps the answer of a request that holds its key, if it is small.
+    pub async fn answered(&self, request: &KeyedRequest, answer: Bytes) {
+        let Ok(key) = ClaimKey::new(&request.customer, &request.key) else { return };
+        if answer.len() as u64 > LARGEST_KEPT.0 {
+            return;
+        }
+        let fingerprint = request.fingerprint;
+        let Some(owner) = self.ranking(key.digest.shard()).into_iter().next() else { return };
+        if owner == self.me {
+            return self.keeper.answered(key, fingerprint, answer).await;
+        }
+        let message = ClaimExchange::Answered { key, fingerprint, answer };
+        if let Some(handle) = self.link(&owner).await {
+            handle.sender.offer(Message::ClaimExchange(message.encode()));
+        }
+    }
+
+    async fn claim_timed(&self, ask: ClaimAsk) -> ClaimReply {
+        let (reply, in_doubt) = self.call(RecordKind::Claim, ask).await;
+        let reply = reply.unwrap_or(ClaimReply::Refused(ResultCode::OwnerUnreachable));
+        let ClaimReply::Refused(code) = reply else { return reply };
+        let is_uncertain =
+            code == ResultCode::ClaimUncertain || in_doubt && code.run_state() == RunState::NotRun;
+        if !is_uncertain {
+            return ClaimReply::Refused(code);
+        }
+        match self.release_timed(ask).await {
+            ClaimReply::Released => ClaimReply::Refused(ResultCode::StoreUnavailable),
+            _ => ClaimReply::Refused(ResultCode::ClaimUncertain),
+        }
+    }
+
+    async fn release_timed(&self, ask: ClaimAsk) -> ClaimReply {
+        let deadline = Instant::now() + RELEASE_LIMIT;
+        let (reply, _) = self.call(RecordKind::Release, ClaimAsk { deadline, ..ask }).await;
+        reply.unwrap_or(ClaimReply::Unconfirmed)
+    }
+
+    /// Asks the owners in their order until one replies, and tells whether another may have acted.
+    async fn call(&self, kind: RecordKind, ask: ClaimAsk) -> (Option<ClaimReply>, bool) {
+        let mut in_doubt = false;
+        for owner in self.ranking(ask.key.digest.shard()) {
+            if owner == self.me {
+                let reply = match kind {
+                    RecordKind::Claim => self.keeper.claim(ask).await,
+                    RecordKind::Release => self.keeper.release(ask).await,
+                };
+                return (Some(reply), in_doubt);
+            }
+            let Some(handle) = self.link(&owner).await else { continue };
+            let (serial, replied) = self.calls.wait(&handle.peer);
+            let call = ExchangeCall {
+                serial,
+                kind,
+                key: ask.key,
+                request: ask.request,
+                fingerprint: ask.fingerprint,
+                budget: ask.deadline.saturating_duration_since(Instant::now()),
+            };
+            let message = Message::ClaimExchange(ClaimExchange::Call(call).encode());
+            if handle.sender.send(message).await.is_err() {
+                continue;
+            }
+            match time::timeout_at(ask.deadline, replied).await {
+                Ok(Ok(reply)) => return (Some(reply), in_doubt),
+                Ok(Err(_)) => in_doubt = true,
+                Err(_) => return (Some(ClaimReply::Refused(ResultCode::ClaimUncertain)), true),
+            }
+        }
+        (None, in_doubt)
+    }
+
+    fn ranking(&self, shard: ShardId) -> Vec<VmId> {
+        let entries = self.fleet.borrow().entries();
+        shard_ranking(shard, &entries).into_iter().cloned().collect()
+    }
+
+    async fn link(&self, owner: &VmId) -> Option<PeerHandle> {
+        let address = self.fleet.borrow().address(owner)?;
+        self.peers.link(address).await.ok()
+    }
+
+    async fn receive(self: Arc<Self>, handle: PeerHandle, bytes: Bytes) {
+        match ClaimExchange::decode(bytes) {
+            Ok(ClaimExchange::Call(call)) => {
+                let serial = call.serial;
+                let reply = self.serve(call).await;
+                let message = ClaimExchange::Reply { serial, reply };
+                handle.sender.offer(Message::ClaimExchange(message.encode()));
+            }
+            Ok(ClaimExchange::Reply { serial, reply }) => self.calls.answer(serial, reply),
+            Ok(ClaimExchange::Answered { key, fingerprint, answer }) => {
+                self.keeper.answered(key, fingerprint, answer).await;
+            }
+            Err(error) => log::warn!("claims: {} sent garbage: {error}", handle.peer.vm),
+        }
     }
 
-    /// Claims `key` of `customer` for request `id`.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the key was claimed before or the store does not tell.
-    pub async fn claim(
-        &self,
-        customer: &CustomerId,
-        key: &IdempotencyKey,
-        id: RequestId,
-    ) -> Result<HeldClaim> {
-        let name = KeyHash::of_key(&format!("{customer}\n{key}"));
-        let key = ObjectKey::new(format!("claims/keys/{name}"));
-        let body = Bytes::from(id.to_string());
-        match self.store.put(&key, body.clone(), WriteCondition::Absent).await {
-            Ok(version) => Ok(HeldClaim { key, version }),
-            Err(StoreError::ConditionFailed) => Err(ResultCode::DuplicateKey),
-            Err(error) if error.is_uncertain() => self.read_back(key, &body).await,
-            Err(_) => Err(ResultCode::StoreUnavailable),
+    async fn serve(&self, call: ExchangeCall) -> ClaimReply {
+        let ask = ClaimAsk {
+            key: call.key,
+            request: call.request,
+            fingerprint: call.fingerprint,
+            deadline: Instant::now() + call.budget.min(LONGEST_BUDGET),
+        };
+        match call.kind {
+            RecordKind::Claim => self.keeper.claim(ask).await,
+            RecordKind::Release => self.keeper.release(ask).await,
         }
     }
 
-    async fn read_back(&self, key: ObjectKey, body: &Bytes) -> Result<HeldClaim> {
-        match self.store.get(&key).await {
-            Ok(Some(object)) if object.body == *body => {
-                Ok(HeldClaim { key, version: object.version })
+    /// Whether this process is the first owner of `shard`.
+    fn owns(&self, shard: ShardId) -> bool {
+        self.ranking(shard).first() == Some(&self.me)
+    }
+}
+
+/// Longest time that a call of another entry may wait here.
+const LONGEST_BUDGET: Duration = Duration::from_secs(600);
+
+/// Handles messages of peers until all senders are gone.
+pub async fn receive(desk: Arc<ClaimDesk>, mut messages: mpsc::Receiver<ClaimMessage>) {
+    while let Some(message) = messages.recv().await {
+        match message {
+            ClaimMessage::Received(handle, bytes) => {
+                tokio::spawn(Arc::clone(&desk).receive(handle, bytes));
             }
-            Ok(Some(_)) => Err(ResultCode::DuplicateKey),
-            Ok(None) | Err(_) => Err(ResultCode::ClaimUncertain),
+            ClaimMessage::Lost(peer) => desk.calls.lose(&peer),
         }
     }
+}
+
+/// Gives up shards that other entries own, and tells whether this process is the one that cleans.
+pub async fn follow_owners(desk: Arc<ClaimDesk>, set_cleaner: impl Fn(bool)) {
+    loop {
+        time::sleep(OWNER_SPAN).await;
+        desk.keeper.keep_only(|shard| desk.owns(shard));
+        set_cleaner(desk.owns(ShardId(0)));
+    }
+}
 
-    /// Releases a claim; `true` once the key may be used again.
-    pub async fn release(&self, claim: &HeldClaim) -> bool {
-        self.store.delete(&claim.key, claim.version).await.is_ok()
+fn ask(key: ClaimKey, request: &KeyedRequest) -> ClaimAsk {
+    ClaimAsk {
+        key,
+        request: request.id,
+        fingerprint: request.fingerprint,
+        deadline: request.deadline,
     }
 }
+
+fn digest(request: &KeyedRequest) -> KeyDigest {
+    KeyDigest::of_key(&request.customer, &request.key)
+}
--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -1,12 +1,13 @@
 //! Delivers messages of peers to the part that waits for them.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use tokio::sync::mpsc;
 use wire::Message;
 
 use crate::{
     asks::AskTable,
+    claims::ClaimMessage,
     owner::{AskReplyPath, OwnerEvent},
     peers::PeerHandle,
     runs::RunTable,
@@ -21,6 +22,8 @@
     pub runs: Arc<RunTable>,
     /// The owner's duty of this process.
     pub owner: mpsc::Sender<OwnerEvent>,
+    /// Claims of idempotency keys.
+    pub claims: mpsc::Sender<ClaimMessage>,
 }
 
 impl PeerInbox {
@@ -34,6 +37,13 @@
             | Message::AnswerChunk(_)
             | Message::AnswerEnd(_)
             | Message::CancelAck(_) => self.runs.deliver(&handle.peer, message),
+            Message::ClaimExchange(bytes) => {
+                // The desk lives as long as the process.
+                let _ = self.claims.send(ClaimMessage::Received(handle.clone(), bytes)).await;
+            }
+            Message::EpochNotice(notice) => {
+                handle.epoch.store(notice.epoch, Ordering::Relaxed);
+            }
             Message::Ask(ask) => {
                 let reply = AskReplyPath::Peer(handle.sender.clone());
                 self.tell_owner(OwnerEvent::Ask { ask, reply }).await;
@@ -57,6 +67,7 @@
     pub async fn lose(&self, handle: &PeerHandle) {
         self.asks.lose(&handle.peer);
         self.runs.lose(&handle.peer);
+        let _ = self.claims.send(ClaimMessage::Lost(handle.peer.clone())).await;
         self.tell_owner(OwnerEvent::PeerLost(handle.peer.clone())).await;
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod claims;
 pub mod fleet;
 pub mod inbox;
+pub mod keyed;
 pub mod list_watch;
 pub mod metrics;
 pub mod owner;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::AtomicU64},
 };
 
 use tokio::{net::TcpListener, sync::Mutex as AsyncMutex};
@@ -20,6 +20,14 @@
     pub peer: PeerIdentity,
     /// Sends to it.
     pub sender: LinkSender,
+    /// Epoch that a side process last announced; zero before.
+    pub epoch: Arc<AtomicU64>,
+}
+
+impl PeerHandle {
+    fn new(peer: PeerIdentity, sender: LinkSender) -> Self {
+        Self { peer, sender, epoch: Arc::default() }
+    }
 }
 
 type LinkCell = Arc<AsyncMutex<Option<PeerHandle>>>;
@@ -55,7 +63,7 @@
         }
         let link =
             PeerLink::dial(address, &self.secret, &self.identity, LinkOptions::default()).await?;
-        let handle = PeerHandle { peer: link.peer, sender: link.sender };
+        let handle = PeerHandle::new(link.peer, link.sender);
         tokio::spawn(receive(link.receiver, handle.clone(), self.inbox.clone()));
         *open = Some(handle.clone());
         Ok(handle)
@@ -70,7 +78,7 @@
                 let options = LinkOptions::default();
                 match PeerLink::accept(stream, &pool.secret, &pool.identity, options).await {
                     Ok(link) => {
-                        let handle = PeerHandle { peer: link.peer, sender: link.sender };
+                        let handle = PeerHandle::new(link.peer, link.sender);
                         receive(link.receiver, handle, pool.inbox.clone()).await;
                     }
                     Err(error) => {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use lists::ListSet;
+use once::{QuarantineKeeper, QuarantineLimits};
 use platform::{
     ObjectStore, VmList,
     budget::BudgetedStore,
@@ -19,7 +20,7 @@
 
 use crate::{
     asks::AskTable,
-    claims::ClaimKeeper,
+    claims::{self, ClaimDesk, PlatformStore},
     fleet::{self, FleetView},
     inbox::PeerInbox,
     list_watch,
@@ -71,9 +72,11 @@
     /// The owner's duty.
     pub owner: mpsc::Sender<OwnerEvent>,
     /// Claims of idempotency keys.
-    pub claims: ClaimKeeper,
+    pub claims: Arc<ClaimDesk>,
+    /// Requests that crash backend servers.
+    pub quarantine: QuarantineKeeper,
     /// Counted calls to the platform.
-    pub store: Arc<BudgetedStore<PlatformClient>>,
+    pub store: Arc<PlatformStore>,
     /// Whether a planned stop has begun.
     pub is_draining: watch::Sender<bool>,
 }
@@ -170,7 +173,13 @@
     let (owner, owner_events) = mpsc::channel(EVENT_QUEUE);
     let asks = Arc::new(AskTable::default());
     let runs = Arc::new(RunTable::default());
-    let inbox = PeerInbox { asks: asks.clone(), runs: runs.clone(), owner: owner.clone() };
+    let (claim_sender, claim_messages) = mpsc::channel(claims::MESSAGE_QUEUE);
+    let inbox = PeerInbox {
+        asks: asks.clone(),
+        runs: runs.clone(),
+        owner: owner.clone(),
+        claims: claim_sender,
+    };
     let secret = settings.process.secret.clone();
     let peers = Arc::new(PeerPool::new(secret, identity.clone(), inbox));
     let objects: Arc<dyn ObjectStore> = store.clone();
@@ -184,6 +193,13 @@
     tokio::spawn(OwnerDuty::new(context, objects.clone()).run(owner_events));
     tokio::spawn(list_watch::follow(objects.clone(), lists_sender));
     tokio::spawn(fleet::follow(vms, settings.platform.vm_poll.0, fleet_sender));
+    let region = &settings.process.region;
+    let desk = ClaimDesk::new(&identity, region, &store, Arc::clone(&peers), fleet.clone());
+    let desk = Arc::new(desk);
+    let quarantine = QuarantineKeeper::start(Arc::clone(&store), QuarantineLimits::default());
+    let cleaner = quarantine.clone();
+    tokio::spawn(claims::receive(Arc::clone(&desk), claim_messages));
+    tokio::spawn(claims::follow_owners(Arc::clone(&desk), move |is| cleaner.set_cleaner(is)));
     Arc::new(EntryState {
         settings,
         identity,
@@ -194,7 +210,8 @@
         asks,
         runs,
         owner,
-        claims: ClaimKeeper::new(objects),
+        claims: desk,
+        quarantine,
         store,
         is_draining: watch::Sender::new(false),
     })
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -1,21 +1,24 @@
 //! The life of one request: claim, ask, hand-over, answer.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use base::prelude::*;
 use bytes::BytesMut;
+use once::{AttemptRecord, CrashMark, CrashNote, CrashVerdict, RequestFingerprint};
 use routing::rendezvous::{OwnerCount, OwnerKey, OwnerRanking};
 use tokio::{sync::mpsc, time};
 use wire::{
     LinkSender, Message, PeerIdentity,
     ask::{Ask, CreditReturn, Grant},
-    run::{RunCancel, RunRequest},
+    run::{AnswerEnd, RunCancel, RunRequest},
 };
 
 use crate::{
     answers::{AnswerPart, CallAnswer, HeadParts, PART_QUEUE},
     asks::{AskReply, AttemptId},
     calls::{AnswerMode, CallTarget, CallerCall, RepeatRule},
+    claims::{ClaimOutcome, KeyedRequest},
+    keyed,
     owner::{AskReplyPath, OwnerEvent},
     peers::PeerHandle,
     process::EntryState,
@@ -24,7 +27,7 @@
 };
 
 /// Attempts that may have run before a repeatable request is given up.
-const MAX_RUNS: u32 = 3;
+const MAX_RUNS: usize = 3;
 /// First pause after a backend server refused although its owner granted a credit.
 const FIRST_PAUSE: Duration = Duration::from_millis(10);
 /// Longest such pause.
@@ -49,12 +52,19 @@
     state: Arc<EntryState>,
     call: Arc<CallerCall>,
     tried: Vec<String>,
+    fingerprint: RequestFingerprint,
+    record: AttemptRecord,
 }
 
 impl RequestDriver {
     /// A driver for `call`.
     pub fn new(state: Arc<EntryState>, call: CallerCall) -> Self {
-        Self { state, call: Arc::new(call), tried: Vec::new() }
+        let target = call.ask_target();
+        let name = [target.service, target.model, target.adapter].join("/");
+        let customer = &call.rights.customer.id;
+        let fingerprint = RequestFingerprint::of_request(customer, &name, &call.body);
+        let record = AttemptRecord::new(call.repeat == RepeatRule::Repeatable);
+        Self { state, call: Arc::new(call), tried: Vec::new(), fingerprint, record }
     }
 
     /// Serves the request: one answer or one refusal.
@@ -63,38 +73,77 @@
     ///
     /// The refusal tells whether any part can have been executed.
     pub async fn serve(mut self) -> Result<CallAnswer> {
-        let Some(key) = self.call.key.clone() else { return self.attempt_all().await };
-        let claims = self.state.claims.clone();
-        let customer = self.call.rights.customer.id.clone();
-        let claim = claims.claim(&customer, &key, self.call.id).await?;
+        if self.verdict() == CrashVerdict::Quarantined {
+            return Err(ResultCode::RequestQuarantined.into());
+        }
+        let Some(keyed) = self.keyed() else { return self.attempt_all().await };
+        if self.call.rights.customer.home_region != self.state.settings.process.region {
+            return Err(ResultCode::RegionUnreachable.into());
+        }
+        let claims = Arc::clone(&self.state.claims);
+        match claims.claim(&keyed).await {
+            ClaimOutcome::Held => {}
+            ClaimOutcome::Kept(bytes) => {
+                return keyed::decode(bytes).ok_or(ResultCode::DuplicateKey.into());
+            }
+            ClaimOutcome::Refused(code) => return Err(code.into()),
+        }
         let served = self.attempt_all().await;
-        let Err(refusal) = &served else { return served };
-        if refusal.state == RunState::NotRun && !claims.release(&claim).await {
-            return Err(ResultCode::ClaimUncertain.into());
+        match &served {
+            Ok(answer) => {
+                if let Some(bytes) = keyed::encode(answer) {
+                    claims.answered(&keyed, bytes).await;
+                }
+            }
+            Err(refusal) if refusal.state == RunState::NotRun => {
+                if !claims.release(&keyed).await {
+                    return Err(ResultCode::ClaimUncertain.into());
+                }
+            }
+            Err(_) => {}
         }
         served
     }
 
+    fn keyed(&self) -> Option<KeyedRequest> {
+        Some(KeyedRequest {
+            customer: self.call.rights.customer.id.clone(),
+            key: self.call.key.clone()?,
+            id: self.call.id,
+            fingerprint: self.fingerprint,
+            deadline: self.call.deadline,
+        })
+    }
+
+    fn verdict(&self) -> CrashVerdict {
+        self.state.quarantine.verdict(self.fingerprint)
+    }
+
     async fn attempt_all(&mut self) -> Result<CallAnswer> {
-        let mut runs = 0;
         let mut pause = FIRST_PAUSE;
         let mut attempt = 0;
         loop {
             attempt += 1;
             let code = match self.attempt(attempt).await {
                 Ok(AttemptEnd::Answered(answer)) => return Ok(answer),
-                Ok(AttemptEnd::NotRun(code)) => code,
+                Ok(AttemptEnd::NotRun(code)) => {
+                    self.record.settle(attempt, RunState::NotRun);
+                    code
+                }
                 Ok(AttemptEnd::MayHaveRun(code)) => {
-                    runs += 1;
-                    if self.call.repeat == RepeatRule::AtMostOnce || runs >= MAX_RUNS {
-                        return Err(code.into());
-                    }
+                    self.record.settle(attempt, RunState::MayHaveRun);
                     code
                 }
-                Err(refusal) => return Err(after_runs(refusal, runs)),
+                Err(refusal) => return Err(self.truthful(refusal)),
             };
+            if !self.record.may_deliver() || self.record.possible_runs() >= MAX_RUNS {
+                return Err(self.truthful(code.into()));
+            }
+            if self.verdict() == CrashVerdict::Quarantined {
+                return Err(self.truthful(ResultCode::RequestQuarantined.into()));
+            }
             if self.time_left() <= pause + REFUSAL_MARGIN {
-                return Err(after_runs(code.into(), runs));
+                return Err(self.truthful(code.into()));
             }
             self.state.metrics.retries.inc();
             time::sleep(pause).await;
@@ -121,6 +170,9 @@
         if side.peer.incarnation.0 != credit.grant.incarnation {
             return Ok(AttemptEnd::NotRun(ResultCode::NoReplica));
         }
+        if !self.record.deliver(attempt) {
+            return Ok(AttemptEnd::NotRun(ResultCode::NoReplica));
+        }
         Ok(self.hand_over(id, &side, credit).await)
     }
 
@@ -166,6 +218,8 @@
 
     async fn hand_over(&self, id: AttemptId, side: &PeerHandle, credit: HeldCredit) -> AttemptEnd {
         let target = self.call.ask_target();
+        let is_alone = self.verdict() == CrashVerdict::Suspect;
+        let epoch = side.epoch.load(Ordering::Relaxed);
         let run = RunRequest {
             request: id.request_bytes(),
             attempt: id.attempt,
@@ -178,10 +232,15 @@
             adapter: target.adapter,
             budget_ms: self.time_left().as_millis() as u64,
             priority: u32::from(self.call.rights.priority().0),
-            fingerprint: String::new(),
+            fingerprint: self.fingerprint.to_string(),
             adapter_memory: self.call.target.adapter_memory().0,
+            epoch,
+            is_alone,
         };
-        let mut handed = HandedRun::listen(Arc::clone(&self.state), id, side, credit);
+        let suspect =
+            RunSuspect { call: Arc::clone(&self.call), fingerprint: self.fingerprint, is_alone };
+        let mut handed = HandedRun::listen(Arc::clone(&self.state), id, side, credit, suspect);
+        handed.epoch = epoch;
         if side.sender.send(Message::RunRequest(run)).await.is_err() {
             handed.is_open = false;
             return AttemptEnd::NotRun(ResultCode::NoReplica);
@@ -254,16 +313,37 @@
         AttemptEnd::Answered(CallAnswer::Stream { head, parts })
     }
 
+    /// The refusal with what may be said of all attempts together.
+    fn truthful(&self, refusal: CallRefusal) -> CallRefusal {
+        match self.record.run_state() {
+            RunState::NotRun => refusal,
+            RunState::MayHaveRun => CallRefusal { state: RunState::MayHaveRun, ..refusal },
+        }
+    }
+
     fn time_left(&self) -> Duration {
         self.call.deadline.saturating_duration_since(Instant::now())
     }
 }
 
-/// The refusal after the last attempt: earlier attempts may have run although it did not.
-fn after_runs(refusal: CallRefusal, runs: u32) -> CallRefusal {
-    match runs {
-        0 => refusal,
-        _ => CallRefusal { state: RunState::MayHaveRun, ..refusal },
+/// What is told to the quarantine at the end of a run.
+struct RunSuspect {
+    call: Arc<CallerCall>,
+    fingerprint: RequestFingerprint,
+    is_alone: bool,
+}
+
+impl RunSuspect {
+    fn note(&self, end: &AnswerEnd) -> CrashNote {
+        let target = self.call.ask_target();
+        let model = if target.model.is_empty() { target.service } else { target.model };
+        let incarnation = ProcessIncarnation(end.incarnation);
+        CrashNote {
+            fingerprint: self.fingerprint,
+            customer: self.call.rights.customer.id.to_string(),
+            model,
+            mark: CrashMark { incarnation, crash: end.crash },
+        }
     }
 }
 
@@ -376,6 +456,8 @@
     side: PeerHandle,
     credit: HeldCredit,
     events: mpsc::UnboundedReceiver<RunEvent>,
+    suspect: RunSuspect,
+    epoch: u64,
     offset: u64,
     is_open: bool,
 }
@@ -386,10 +468,12 @@
         id: AttemptId,
         side: &PeerHandle,
         credit: HeldCredit,
+        suspect: RunSuspect,
     ) -> Self {
         let peer: &PeerIdentity = &side.peer;
         let events = state.runs.listen(id, peer);
-        Self { state, id, side: side.clone(), credit, events, offset: 0, is_open: true }
+        let side = side.clone();
+        Self { state, id, side, credit, events, suspect, epoch: 0, offset: 0, is_open: true }
     }
 
     async fn next(&mut self) -> RunEvent {
@@ -398,9 +482,21 @@
             self.is_open = false;
             self.credit.has_failed = true;
         }
+        if let RunEvent::End(end) = &event {
+            self.tell_quarantine(end);
+        }
         event
     }
 
+    fn tell_quarantine(&self, end: &AnswerEnd) {
+        let quarantine = &self.state.quarantine;
+        if end.crash > 0 {
+            quarantine.crashed(self.suspect.note(end));
+        } else if self.suspect.is_alone && end.code == ResultCode::Success.number() {
+            quarantine.ended_well(self.suspect.fingerprint);
+        }
+    }
+
     /// The next part of the body; anything out of place cuts the answer.
     async fn next_part(&mut self) -> AnswerPart {
         match self.next().await {
@@ -430,6 +526,9 @@
             Ok(RunEvent::CancelAck { may_have_run: false }) => {
                 AttemptEnd::NotRun(ResultCode::DeadlinePassed)
             }
+            Ok(RunEvent::Refused(code)) if code.run_state() == RunState::NotRun => {
+                AttemptEnd::NotRun(code)
+            }
             _ => AttemptEnd::MayHaveRun(ResultCode::AnswerTimeout),
         }
     }
@@ -439,7 +538,8 @@
         let cancel = RunCancel {
             request: self.id.request_bytes(),
             attempt: self.id.attempt,
-            budget_ms: self.credit.ask.budget_ms,
+            incarnation: self.side.peer.incarnation.0,
+            epoch: self.epoch,
         };
         self.side.sender.offer(Message::RunCancel(cancel));
     }
--- /dev/null
+++ b/crates/once/src/exchange.rs
@@ -0,0 +1,243 @@
+//! Messages about claims between entry processes.
+
+use base::prelude::*;
+use bytes::Bytes;
+use prost::{Message, Oneof};
+use snafu::{OptionExt, ResultExt, Snafu};
+
+use crate::{
+    claim::ClaimReply,
+    fingerprint::RequestFingerprint,
+    key::{ClaimKey, DIGEST_BYTES, KeyDigest, MintTime},
+    segment::RecordKind,
+};
+
+/// A message could not be read.
+#[derive(Debug, Snafu)]
+pub enum ExchangeError {
+    /// The bytes are no message.
+    #[snafu(display("the message cannot be decoded"))]
+    Undecodable {
+        /// What the codec says.
+        source: prost::DecodeError,
+    },
+    /// A field is missing or has the wrong length or value.
+    #[snafu(display("the message's {field} is malformed"))]
+    MalformedField {
+        /// Name of the field.
+        field: &'static str,
+    },
+}
+
+/// Result of reading a message.
+pub type Result<T, E = ExchangeError> = std::result::Result<T, E>;
+
+/// A request's call to the owner of its key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ExchangeCall {
+    /// Number for the reply, unique at the sender.
+    pub serial: u64,
+    /// Whether the key is claimed or released.
+    pub kind: RecordKind,
+    /// The key.
+    pub key: ClaimKey,
+    /// The request.
+    pub request: RequestId,
+    /// Fingerprint of the request.
+    pub fingerprint: RequestFingerprint,
+    /// How long the sender waits.
+    pub budget: Duration,
+}
+
+/// A message about claims.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimExchange {
+    /// To the owner of a key.
+    Call(ExchangeCall),
+    /// From the owner of a key.
+    Reply {
+        /// Number of the call.
+        serial: u64,
+        /// The reply.
+        reply: ClaimReply,
+    },
+    /// To the owner of a key: the answer that the request which holds it was given.
+    Answered {
+        /// The key.
+        key: ClaimKey,
+        /// Fingerprint of the request.
+        fingerprint: RequestFingerprint,
+        /// The answer.
+        answer: Bytes,
+    },
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct KeyBody {
+    #[prost(bytes = "vec", tag = "1")]
+    digest: Vec<u8>,
+    #[prost(uint64, tag = "2")]
+    minted_ms: u64,
+    #[prost(bytes = "vec", tag = "3")]
+    fingerprint: Vec<u8>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct CallBody {
+    #[prost(uint64, tag = "1")]
+    serial: u64,
+    #[prost(bool, tag = "2")]
+    is_release: bool,
+    #[prost(message, required, tag = "3")]
+    key: KeyBody,
+    #[prost(bytes = "vec", tag = "4")]
+    request: Vec<u8>,
+    #[prost(uint64, tag = "5")]
+    budget_ms: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct ReplyBody {
+    #[prost(uint64, tag = "1")]
+    serial: u64,
+    #[prost(oneof = "OutcomeBody", tags = "2, 3, 4, 5, 6")]
+    outcome: Option<OutcomeBody>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+enum OutcomeBody {
+    #[prost(bool, tag = "2")]
+    Granted(bool),
+    #[prost(bytes = "bytes", tag = "3")]
+    Kept(Bytes),
+    #[prost(uint32, tag = "4")]
+    Refused(u32),
+    #[prost(bool, tag = "5")]
+    Released(bool),
+    #[prost(bool, tag = "6")]
+    Unconfirmed(bool),
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct AnsweredBody {
+    #[prost(message, required, tag = "1")]
+    key: KeyBody,
+    #[prost(bytes = "bytes", tag = "2")]
+    answer: Bytes,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct ExchangeBody {
+    #[prost(oneof = "ExchangeKind", tags = "1, 2, 3")]
+    kind: Option<ExchangeKind>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+enum ExchangeKind {
+    #[prost(message, tag = "1")]
+    Call(CallBody),
+    #[prost(message, tag = "2")]
+    Reply(ReplyBody),
+    #[prost(message, tag = "3")]
+    Answered(AnsweredBody),
+}
+
+impl ClaimExchange {
+    /// The message as bytes.
+    pub fn encode(&self) -> Bytes {
+        let kind = match self {
+            ClaimExchange::Call(call) => ExchangeKind::Call(CallBody {
+                serial: call.serial,
+                is_release: call.kind == RecordKind::Release,
+                key: key_body(call.key, call.fingerprint),
+                request: call.request.0.to_be_bytes().to_vec(),
+                budget_ms: u64::try_from(call.budget.as_millis()).unwrap_or(u64::MAX),
+            }),
+            ClaimExchange::Reply { serial, reply } => {
+                let outcome = Some(outcome_body(reply));
+                ExchangeKind::Reply(ReplyBody { serial: *serial, outcome })
+            }
+            ClaimExchange::Answered { key, fingerprint, answer } => {
+                let (key, answer) = (key_body(*key, *fingerprint), answer.clone());
+                ExchangeKind::Answered(AnsweredBody { key, answer })
+            }
+        };
+        ExchangeBody { kind: Some(kind) }.encode_to_vec().into()
+    }
+
+    /// Reads a message.
+    ///
+    /// # Errors
+    ///
+    /// Fails on bytes that [`ClaimExchange::encode`] cannot have made.
+    pub fn decode(bytes: Bytes) -> Result<Self> {
+        let body = ExchangeBody::decode(bytes).context(UndecodableSnafu)?;
+        match body.kind.context(MalformedFieldSnafu { field: "kind" })? {
+            ExchangeKind::Call(call) => read_call(&call),
+            ExchangeKind::Reply(reply) => {
+                let outcome = reply.outcome.context(MalformedFieldSnafu { field: "outcome" })?;
+                let (serial, reply) = (reply.serial, read_outcome(outcome)?);
+                Ok(ClaimExchange::Reply { serial, reply })
+            }
+            ExchangeKind::Answered(answered) => {
+                let (key, fingerprint) = read_key(&answered.key)?;
+                let answer = answered.answer;
+                Ok(ClaimExchange::Answered { key, fingerprint, answer })
+            }
+        }
+    }
+}
+
+fn key_body(key: ClaimKey, fingerprint: RequestFingerprint) -> KeyBody {
+    KeyBody {
+        digest: key.digest.0.to_vec(),
+        minted_ms: key.minted.0,
+        fingerprint: fingerprint.0.to_vec(),
+    }
+}
+
+fn outcome_body(reply: &ClaimReply) -> OutcomeBody {
+    match reply {
+        ClaimReply::Granted => OutcomeBody::Granted(true),
+        ClaimReply::Kept(answer) => OutcomeBody::Kept(answer.clone()),
+        ClaimReply::Refused(code) => OutcomeBody::Refused(code.number()),
+        ClaimReply::Released => OutcomeBody::Released(true),
+        ClaimReply::Unconfirmed => OutcomeBody::Unconfirmed(true),
+    }
+}
+
+fn read_call(body: &CallBody) -> Result<ClaimExchange> {
+    let (key, fingerprint) = read_key(&body.key)?;
+    let request = <[u8; 16]>::try_from(body.request.as_slice()).ok();
+    let request = request.context(MalformedFieldSnafu { field: "request" })?;
+    Ok(ClaimExchange::Call(ExchangeCall {
+        serial: body.serial,
+        kind: if body.is_release { RecordKind::Release } else { RecordKind::Claim },
+        key,
+        request: RequestId(u128::from_be_bytes(request)),
+        fingerprint,
+        budget: Duration::from_millis(body.budget_ms),
+    }))
+}
+
+fn read_key(body: &KeyBody) -> Result<(ClaimKey, RequestFingerprint)> {
+    let digest = <[u8; DIGEST_BYTES]>::try_from(body.digest.as_slice()).ok();
+    let digest = digest.context(MalformedFieldSnafu { field: "digest" })?;
+    let fingerprint = <[u8; 32]>::try_from(body.fingerprint.as_slice()).ok();
+    let fingerprint = fingerprint.context(MalformedFieldSnafu { field: "fingerprint" })?;
+    let key = ClaimKey { digest: KeyDigest(digest), minted: MintTime(body.minted_ms) };
+    Ok((key, RequestFingerprint(fingerprint)))
+}
+
+fn read_outcome(body: OutcomeBody) -> Result<ClaimReply> {
+    Ok(match body {
+        OutcomeBody::Granted(_) => ClaimReply::Granted,
+        OutcomeBody::Kept(answer) => ClaimReply::Kept(answer),
+        OutcomeBody::Refused(number) => {
+            let code = ResultCode::from_number(number);
+            ClaimReply::Refused(code.context(MalformedFieldSnafu { field: "code" })?)
+        }
+        OutcomeBody::Released(_) => ClaimReply::Released,
+        OutcomeBody::Unconfirmed(_) => ClaimReply::Unconfirmed,
+    })
+}
--- a/crates/once/src/key.rs
+++ b/crates/once/src/key.rs
@@ -79,6 +79,17 @@
 pub struct KeyDigest(pub [u8; DIGEST_BYTES]);
 
 impl KeyDigest {
+    /// Digest of the key `key` of `customer`.
+    pub fn of_key(customer: &CustomerId, key: &IdempotencyKey) -> Self {
+        let mut hash = Sha256::new();
+        hash.update((customer.as_str().len() as u64).to_be_bytes());
+        hash.update(customer.as_str());
+        hash.update(key.as_str());
+        let mut digest = [0; DIGEST_BYTES];
+        digest.copy_from_slice(&hash.finalize()[..DIGEST_BYTES]);
+        Self(digest)
+    }
+
     /// The shard that holds the claim.
     pub fn shard(self) -> ShardId {
         ShardId(u16::from_be_bytes([self.0[0], self.0[1]]) % SHARD_COUNT)
@@ -108,13 +119,7 @@
     /// See [`MintTime::of_key`].
     pub fn new(customer: &CustomerId, key: &IdempotencyKey) -> Result<Self> {
         let minted = MintTime::of_key(key)?;
-        let mut hash = Sha256::new();
-        hash.update((customer.as_str().len() as u64).to_be_bytes());
-        hash.update(customer.as_str());
-        hash.update(key.as_str());
-        let mut digest = [0; DIGEST_BYTES];
-        digest.copy_from_slice(&hash.finalize()[..DIGEST_BYTES]);
-        Ok(Self { digest: KeyDigest(digest), minted })
+        Ok(Self { digest: KeyDigest::of_key(customer, key), minted })
     }
 }
 
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -7,11 +7,12 @@
 pub mod answers;
 pub mod attempt;
 pub mod claim;
+pub mod exchange;
 pub mod fingerprint;
 pub mod keeper;
 pub mod key;
 pub mod ledger;
-pub mod naive;
+pub mod object_claims;
 pub mod owner;
 pub mod quarantine;
 pub mod run;
@@ -25,12 +26,13 @@
         CallTicket, ClaimCall, ClaimReply, ReadOutcome, SegmentNumber, ShardAction, ShardEvent,
         ShardImage, ShardTime, StoredBase, StoredSegment, WriteOutcome,
     },
+    exchange::{ClaimExchange, ExchangeCall},
     fingerprint::RequestFingerprint,
     keeper::{ClaimAsk, ClaimKeeper},
     key::{ClaimKey, KeyDigest, MintTime, ShardId},
     ledger::{LedgerGuards, LedgerLimits, RunLedger},
-    naive::NaiveClaims,
-    owner::shard_owner,
+    object_claims::ObjectClaims,
+    owner::shard_ranking,
     quarantine::{
         CrashQuarantine, QuarantineAction, QuarantineEvent, QuarantineLimits, StoredRecord,
         keeper::QuarantineKeeper,
--- a/crates/once/src/naive.rs
+++ b/crates/once/src/object_claims.rs
@@ -1,4 +1,8 @@
-//! The naive way to keep claims: one object for each key, created only if it is absent.
+//! Claims kept in one object for each key, created only if it is absent.
+//!
+//! This is the naive way, against which [`crate::ClaimShard`] is tested and measured. It also
+//! serves keys that do not tell when they were minted: their claims cannot expire safely, and are
+//! kept until an operator deletes them.
 
 use std::sync::Arc;
 
@@ -6,34 +10,34 @@
 use bytes::Bytes;
 use platform::{ObjectKey, ObjectStore, StoreError, StoredObject, WriteCondition};
 
-use crate::{claim::ClaimReply, key::ClaimKey};
+use crate::{claim::ClaimReply, key::KeyDigest};
 
-/// Claims that cost a write of the store each; the yardstick for [`crate::ClaimShard`].
+/// Claims that cost a write of the store each.
 #[derive(Debug)]
-pub struct NaiveClaims<S> {
+pub struct ObjectClaims<S> {
     store: Arc<S>,
 }
 
-impl<S: ObjectStore> NaiveClaims<S> {
+impl<S: ObjectStore> ObjectClaims<S> {
     /// Claims kept in `store`.
     pub fn new(store: Arc<S>) -> Self {
         Self { store }
     }
 
-    /// Claims `key` for `request`.
-    pub async fn claim(&self, key: ClaimKey, request: RequestId) -> ClaimReply {
+    /// Claims the key for `request`.
+    pub async fn claim(&self, digest: KeyDigest, request: RequestId) -> ClaimReply {
         let body = Bytes::from(request.to_string());
-        match self.store.put(&object_key(key), body, WriteCondition::Absent).await {
+        match self.store.put(&object_key(digest), body, WriteCondition::Absent).await {
             Ok(_) => ClaimReply::Granted,
-            Err(StoreError::ConditionFailed) => self.holder_reply(key, request).await,
-            Err(error) if error.is_uncertain() => self.holder_reply(key, request).await,
+            Err(StoreError::ConditionFailed) => self.holder_reply(digest, request).await,
+            Err(error) if error.is_uncertain() => self.holder_reply(digest, request).await,
             Err(_) => ClaimReply::Refused(ResultCode::StoreUnavailable),
         }
     }
 
-    /// Releases `key`, which `request` holds.
-    pub async fn release(&self, key: ClaimKey, request: RequestId) -> ClaimReply {
-        let holder = match self.holder(key).await {
+    /// Releases the key, which `request` holds.
+    pub async fn release(&self, digest: KeyDigest, request: RequestId) -> ClaimReply {
+        let holder = match self.holder(digest).await {
             Ok(holder) => holder,
             Err(_) => return ClaimReply::Unconfirmed,
         };
@@ -46,21 +50,21 @@
         }
     }
 
-    async fn holder_reply(&self, key: ClaimKey, request: RequestId) -> ClaimReply {
-        match self.holder(key).await {
+    async fn holder_reply(&self, digest: KeyDigest, request: RequestId) -> ClaimReply {
+        match self.holder(digest).await {
             Ok(Some(object)) if is_held_by(&object, request) => ClaimReply::Granted,
             Ok(Some(_)) => ClaimReply::Refused(ResultCode::DuplicateKey),
             Ok(None) | Err(_) => ClaimReply::Refused(ResultCode::ClaimUncertain),
         }
     }
 
-    async fn holder(&self, key: ClaimKey) -> Result<Option<StoredObject>, StoreError> {
-        self.store.get(&object_key(key)).await
+    async fn holder(&self, digest: KeyDigest) -> Result<Option<StoredObject>, StoreError> {
+        self.store.get(&object_key(digest)).await
     }
 }
 
-fn object_key(key: ClaimKey) -> ObjectKey {
-    ObjectKey::new(format!("naive-claims/{}", key.digest))
+fn object_key(digest: KeyDigest) -> ObjectKey {
+    ObjectKey::new(format!("claims/keys/{digest}"))
 }
 
 fn is_held_by(object: &StoredObject, request: RequestId) -> bool {
--- a/crates/once/src/owner.rs
+++ b/crates/once/src/owner.rs
@@ -1,15 +1,19 @@
 //! Choice of the entry process that owns a shard of claims.
 
+use std::cmp::Reverse;
+
 use base::prelude::*;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::key::ShardId;
 
-/// The owner of `shard` among the live `entries`, by rendezvous hashing.
+/// The live `entries` in the order in which they own `shard`, by rendezvous hashing.
 ///
 /// It only chooses who does the work: two processes that choose differently are both safe.
-pub fn shard_owner(shard: ShardId, entries: &[VmId]) -> Option<&VmId> {
-    entries.iter().max_by_key(|entry| (weight(shard, entry), *entry))
+pub fn shard_ranking(shard: ShardId, entries: &[VmId]) -> Vec<&VmId> {
+    let mut ranking = entries.iter().collect::<Vec<_>>();
+    ranking.sort_by_cached_key(|entry| Reverse((weight(shard, entry), (*entry).clone())));
+    ranking
 }
 
 fn weight(shard: ShardId, entry: &VmId) -> u64 {
--- a/crates/once/src/quarantine/keeper.rs
+++ b/crates/once/src/quarantine/keeper.rs
@@ -33,7 +33,7 @@
 pub struct QuarantineKeeper {
     quarantine: Arc<Mutex<CrashQuarantine>>,
     is_cleaner: Arc<AtomicBool>,
-    events: mpsc::UnboundedSender<QuarantineEvent>,
+    actions: mpsc::UnboundedSender<QuarantineAction>,
 }
 
 impl QuarantineKeeper {
@@ -41,8 +41,8 @@
     pub fn start<S: ObjectStore + 'static>(store: Arc<S>, limits: QuarantineLimits) -> Self {
         let quarantine = Arc::new(Mutex::new(CrashQuarantine::new(limits)));
         let is_cleaner = Arc::new(AtomicBool::new(false));
-        let (events, received) = mpsc::unbounded_channel();
-        let keeper = Self { quarantine, is_cleaner, events };
+        let (actions, received) = mpsc::unbounded_channel();
+        let keeper = Self { quarantine, is_cleaner, actions };
         tokio::spawn(keeper.clone().run(store.clone(), received));
         tokio::spawn(keeper.clone().watch(store));
         keeper
@@ -54,15 +54,15 @@
         quarantine.verdict(fingerprint, clock::since_epoch())
     }
 
-    /// Notes a request that was in flight at a crash.
+    /// Notes a request that was in flight at a crash; the verdict changes at once.
     pub fn crashed(&self, note: CrashNote) {
         log::warn!("quarantine: {} was in flight at a crash", note.fingerprint);
-        self.send(QuarantineEvent::Crashed(note));
+        self.handle(QuarantineEvent::Crashed(note));
     }
 
     /// Notes that a suspect ran alone and ended well.
     pub fn ended_well(&self, fingerprint: RequestFingerprint) {
-        self.send(QuarantineEvent::EndedWell(fingerprint));
+        self.handle(QuarantineEvent::EndedWell(fingerprint));
     }
 
     /// Makes this process the cleaner of forgotten records, or no longer.
@@ -70,39 +70,38 @@
         self.is_cleaner.store(is_cleaner, Ordering::Relaxed);
     }
 
-    fn send(&self, event: QuarantineEvent) {
-        // The receiver lives as long as the runtime.
-        let _ = self.events.send(event);
+    fn handle(&self, event: QuarantineEvent) {
+        let mut quarantine = self.quarantine.lock().expect("no holder panics");
+        for action in quarantine.handle(event, clock::since_epoch()) {
+            // The receiver lives as long as the runtime.
+            let _ = self.actions.send(action);
+        }
     }
 
     async fn run<S: ObjectStore + 'static>(
         self,
         store: Arc<S>,
-        mut received: mpsc::UnboundedReceiver<QuarantineEvent>,
+        mut received: mpsc::UnboundedReceiver<QuarantineAction>,
     ) {
         let mut ticks = time::interval(TICK_SPAN);
         loop {
-            let event = tokio::select! {
-                Some(event) = received.recv() => event,
+            tokio::select! {
+                Some(action) = received.recv() => self.start_call(&store, action),
                 _ = ticks.tick() => {
                     let is_cleaner = self.is_cleaner.load(Ordering::Relaxed);
-                    QuarantineEvent::Tick { is_cleaner }
+                    self.handle(QuarantineEvent::Tick { is_cleaner });
                 }
-            };
-            for action in self.handle(event) {
-                let (store, events) = (store.clone(), self.events.clone());
-                tokio::spawn(async move {
-                    if let Some(event) = perform(store.as_ref(), action).await {
-                        let _ = events.send(event);
-                    }
-                });
             }
         }
     }
 
-    fn handle(&self, event: QuarantineEvent) -> Vec<QuarantineAction> {
-        let mut quarantine = self.quarantine.lock().expect("no holder panics");
-        quarantine.handle(event, clock::since_epoch())
+    fn start_call<S: ObjectStore + 'static>(&self, store: &Arc<S>, action: QuarantineAction) {
+        let (store, keeper) = (Arc::clone(store), self.clone());
+        tokio::spawn(async move {
+            if let Some(event) = perform(store.as_ref(), action).await {
+                keeper.handle(event);
+            }
+        });
     }
 
     async fn watch<S: ObjectStore>(self, store: Arc<S>) {
@@ -119,13 +118,13 @@
         let reload = Instant::now() + RELOAD_SPAN;
         let records = operate::list_records(store).await?;
         let mut since = records.iter().map(|stored| stored.version).max().unwrap_or_default();
-        self.send(QuarantineEvent::Loaded(records));
+        self.handle(QuarantineEvent::Loaded(records));
         while Instant::now() < reload {
             let wait = WATCH_WAIT.min(reload - Instant::now());
             for change in store.watch(QUARANTINE_PREFIX, since, wait).await? {
                 since = since.max(change.version());
                 if let Some(event) = change_event(change) {
-                    self.send(event);
+                    self.handle(event);
                 }
             }
         }
--- a/crates/once/tests/bytes.rs
+++ b/crates/once/tests/bytes.rs
@@ -3,8 +3,8 @@
 use base::prelude::*;
 use bytes::Bytes;
 use once::{
-    ClaimKey, ClaimRecord, ClaimSegment, KeyDigest, MintTime, RecordKind, RequestFingerprint,
-    ShardBase,
+    ClaimExchange, ClaimKey, ClaimRecord, ClaimReply, ClaimSegment, ExchangeCall, KeyDigest,
+    MintTime, RecordKind, RequestFingerprint, ShardBase,
 };
 use proptest::{collection::vec, prelude::*, test_runner::TestRunner};
 use rstest::rstest;
@@ -49,7 +49,10 @@
     TestRunner::deterministic()
         .run(&(vec(any::<u8>(), 0..300), ".{0,60}"), |(bytes, text)| {
             let _ = ClaimSegment::decode(Bytes::from(bytes.clone()));
-            let _ = ShardBase::decode(Bytes::from(bytes));
+            let _ = ShardBase::decode(Bytes::from(bytes.clone()));
+            if let Ok(message) = ClaimExchange::decode(Bytes::from(bytes)) {
+                prop_assert_eq!(&ClaimExchange::decode(message.encode()).unwrap(), &message);
+            }
             let _ = text.parse::<RequestFingerprint>();
             if let Ok(key) = IdempotencyKey::new(text) {
                 let _ = MintTime::of_key(&key);
@@ -59,6 +62,43 @@
         .unwrap();
 }
 
+fn reply() -> impl Strategy<Value = ClaimReply> {
+    prop_oneof![
+        Just(ClaimReply::Granted),
+        vec(any::<u8>(), 0..40).prop_map(|body| ClaimReply::Kept(Bytes::from(body))),
+        prop::sample::select(ResultCode::ALL).prop_map(ClaimReply::Refused),
+        Just(ClaimReply::Released),
+        Just(ClaimReply::Unconfirmed),
+    ]
+}
+
+#[test]
+fn messages_between_entries_are_read_as_written() {
+    TestRunner::deterministic()
+        .run(&(record(), any::<u64>(), reply()), |(record, number, reply)| {
+            let key = ClaimKey { digest: record.digest, minted: record.minted };
+            let fingerprint = RequestFingerprint([7; 32]);
+            let call = ExchangeCall {
+                serial: number,
+                kind: record.kind,
+                key,
+                request: record.request,
+                fingerprint,
+                budget: Duration::from_millis(number),
+            };
+            let answer = Bytes::from("answer");
+            for message in [
+                ClaimExchange::Call(call),
+                ClaimExchange::Reply { serial: number, reply },
+                ClaimExchange::Answered { key, fingerprint, answer },
+            ] {
+                prop_assert_eq!(&ClaimExchange::decode(message.encode()).unwrap(), &message);
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
 #[test]
 fn the_largest_segment_fits_an_object() {
     let record = ClaimRecord {
--- a/crates/once/tests/keeper.rs
+++ b/crates/once/tests/keeper.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use once::{
-    ClaimAsk, ClaimKeeper, ClaimKey, ClaimReply, KeyDigest, MintTime, NaiveClaims,
-    RequestFingerprint, ShardId, ShardLimits, shard_owner,
+    ClaimAsk, ClaimKeeper, ClaimKey, ClaimReply, KeyDigest, MintTime, ObjectClaims,
+    RequestFingerprint, ShardId, ShardLimits, shard_ranking,
 };
 use platform::{MemoryStore, ObjectStore, StoreFault};
 use rand::{RngExt, SeedableRng};
@@ -46,7 +46,7 @@
     for seed in 0..30 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let store = MemoryStore::new();
-        let naive = NaiveClaims::new(Arc::new(MemoryStore::new()));
+        let naive = ObjectClaims::new(Arc::new(MemoryStore::new()));
         let mut keepers = [keeper(&store), keeper(&store)];
 
         let mut holders = BTreeMap::new();
@@ -63,7 +63,7 @@
             });
 
             let reply = keepers[owner].claim(ask(number, request)).await;
-            let expected = naive.claim(key(number), RequestId(request)).await;
+            let expected = naive.claim(key(number).digest, RequestId(request)).await;
 
             assert_eq!(reply, expected, "seed {seed}, request {request}");
             if reply == ClaimReply::Granted {
@@ -73,7 +73,7 @@
                 && let Some(holder) = holders.remove(&number)
             {
                 let reply = keepers[owner].release(ask(number, holder)).await;
-                let expected = naive.release(key(number), RequestId(holder)).await;
+                let expected = naive.release(key(number).digest, RequestId(holder)).await;
                 assert_eq!(reply, expected, "seed {seed}, release of {holder}");
             }
         }
@@ -165,9 +165,8 @@
     let entries = (0..5).map(|n| VmId::new(format!("entry-{n}")).unwrap()).collect::<Vec<_>>();
 
     for shard in ShardId::all() {
-        let owner = shard_owner(shard, &entries).unwrap();
-        let left = entries.iter().filter(|entry| *entry == owner || *entry != &entries[0]);
-        let left = left.cloned().collect::<Vec<_>>();
-        assert_eq!(shard_owner(shard, &left), Some(owner));
+        let ranking = shard_ranking(shard, &entries);
+        let left = entries.iter().filter(|entry| *entry != ranking[1]).cloned();
+        assert_eq!(shard_ranking(shard, &left.collect::<Vec<_>>())[0], ranking[0]);
     }
 }
--- a/crates/side/src/backend.rs
+++ b/crates/side/src/backend.rs
@@ -13,9 +13,11 @@
 };
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
-use tokio::time;
+use tokio::{net::TcpStream, time};
 use wire::run::RunRequest;
 
+use crate::settings::BackendKind;
+
 /// Largest answer of the engine's administration, in bytes.
 const MAX_ADMIN_BYTES: usize = 1 << 20;
 /// Time for an answer of the engine's administration other than a load.
@@ -201,6 +203,24 @@
         serde_json::from_slice(&body).map_err(|_| BackendError::BadAnswer)
     }
 
+    /// Asks the backend server whether it stands, and an engine for the models it holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not answer in time.
+    pub async fn probe(&self, kind: BackendKind) -> Result<Option<EngineListing>> {
+        match kind {
+            BackendKind::Engine => self.list().await.map(Some),
+            BackendKind::Plain => {
+                let connect = TcpStream::connect(self.address);
+                let connected = time::timeout(CONNECT_TIMEOUT, connect).await;
+                let is_open = matches!(connected, Ok(Ok(_)));
+                ensure!(is_open, NotSentSnafu);
+                Ok(None)
+            }
+        }
+    }
+
     async fn post<T: Serialize>(&self, path: &str, body: &T) -> Result<Bytes> {
         let body = serde_json::to_vec(body).map_err(|_| BackendError::BadAnswer)?;
         let call = Request::post(self.uri(path)?)
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -4,8 +4,10 @@
 //! drain and admission.
 
 pub mod admin;
+pub mod answer;
 pub mod backend;
 pub mod drain;
+pub mod engine_watch;
 pub mod loads;
 pub mod metrics;
 pub mod process;
--- a/crates/side/src/loads.rs
+++ b/crates/side/src/loads.rs
@@ -8,7 +8,10 @@
 use base::prelude::*;
 use wire::load::{HeldModel, LoadOrder, OrderOutcome, UnloadOrder};
 
-use crate::{backend::ListedStage, process::SideState};
+use crate::{
+    backend::{EngineListing, ListedStage},
+    process::SideState,
+};
 
 /// Where a model stands at the engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,6 +47,14 @@
         self.lock().insert(model, entry);
     }
 
+    /// Gives up loaded models that the engine's listing lacks after a restart.
+    pub fn restarted(&self, listing: &Option<EngineListing>) {
+        let Some(listing) = listing else { return };
+        let is_listed =
+            |model: &ModelId| listing.models.iter().any(|listed| listed.model == model.as_str());
+        self.lock().retain(|model, entry| entry.stage != HeldStage::Loaded || is_listed(model));
+    }
+
     /// Memory reserved for all models.
     pub fn reserved(&self) -> ByteSize {
         self.lock().values().fold(ByteSize(0), |sum, entry| sum.plus(entry.memory))
--- a/crates/side/src/process.rs
+++ b/crates/side/src/process.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use base::prelude::*;
+use once::{DrainCause, LinkId, RunEvent};
 use snafu::{ResultExt, Snafu};
 use tokio::{net::TcpListener, time};
 use wire::{
@@ -13,14 +14,15 @@
     admin,
     backend::{BackendClient, BackendError, ListedStage},
     drain::{DrainStage, DrainSwitch},
+    engine_watch::EngineWatch,
     loads::{self, LoadBook},
     metrics::SideMetrics,
     requests::{self, RequestTable},
     settings::{BackendKind, SideSettings},
 };
 
-/// Time between looks at whether all work has ended.
-const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Time for the last messages to leave the process.
+const LAST_WORDS: Duration = Duration::from_millis(20);
 
 /// The process could not start.
 #[derive(Debug, Snafu)]
@@ -53,6 +55,8 @@
     pub loads: LoadBook,
     /// Requests from entries.
     pub requests: RequestTable,
+    /// Looks for crashes of the backend server.
+    pub engine_watch: EngineWatch,
     /// Planned stop.
     pub drain: DrainSwitch,
 }
@@ -81,7 +85,8 @@
             metrics: SideMetrics::new(),
             backend: BackendClient::new(settings.backend.address),
             loads: LoadBook::default(),
-            requests: RequestTable::default(),
+            requests: RequestTable::new(incarnation, settings.backend.concurrency),
+            engine_watch: EngineWatch::default(),
             drain: DrainSwitch::new(),
             settings,
         });
@@ -90,6 +95,7 @@
         let peer_address = peers.local_addr().unwrap_or(peer_address);
         tokio::spawn(admin::serve(admins, Arc::clone(&state)));
         tokio::spawn(accept_peers(peers, Arc::clone(&state)));
+        tokio::spawn(requests::tick(Arc::clone(&state)));
         log::info!("process: side process {} listens on {peer_address}", state.identity.vm);
         Ok(Self { state, peer_address, http_address })
     }
@@ -108,12 +114,13 @@
     pub async fn stop(&self) {
         log::info!("process: draining {} requests", self.state.requests.in_flight());
         self.state.drain.advance(DrainStage::Draining);
-        let limit = Instant::now() + self.state.settings.drain_limit.0;
-        while self.state.requests.in_flight() > 0 && Instant::now() < limit {
-            time::sleep(DRAIN_POLL).await;
+        requests::tell(&self.state, RunEvent::Drain(DrainCause::Signal)).await;
+        let ended = self.state.drain.reached(DrainStage::Stopped);
+        if time::timeout(self.state.settings.drain_limit.0, ended).await.is_err() {
+            log::warn!("process: requests were in flight at the end of the drain limit");
+            self.state.drain.advance(DrainStage::Stopped);
         }
-        self.state.drain.advance(DrainStage::Stopped);
-        time::sleep(DRAIN_POLL).await;
+        time::sleep(LAST_WORDS).await;
         log::info!("process: stopped");
     }
 }
@@ -168,26 +175,26 @@
 
 async fn serve_peer(state: Arc<SideState>, mut link: PeerLink) {
     log::debug!("peers: {} connected", link.peer.vm);
-    loop {
+    let id = state.requests.connect(link.sender.clone());
+    let error = loop {
         match link.receiver.next().await {
-            Ok(message) => handle(&state, &link.sender, message),
-            Err(error) => {
-                log::debug!("peers: {} left: {error}", link.peer.vm);
-                return;
-            }
+            Ok(message) => handle(&state, id, &link.sender, message).await,
+            Err(error) => break error,
         }
-    }
+    };
+    log::debug!("peers: {} left: {error}", link.peer.vm);
+    requests::tell(&state, RunEvent::LinkLost(id)).await;
 }
 
-fn handle(state: &Arc<SideState>, sender: &LinkSender, message: Message) {
+async fn handle(state: &Arc<SideState>, link: LinkId, sender: &LinkSender, message: Message) {
     let state = Arc::clone(state);
     let sender = sender.clone();
     match message {
         Message::RunRequest(run) => {
-            tokio::spawn(requests::run(state, sender, run));
+            requests::run(&state, link, run).await;
         }
         Message::RunCancel(cancel) => {
-            tokio::spawn(requests::cancel(state, sender, cancel));
+            requests::cancel(&state, link, cancel).await;
         }
         Message::LoadOrder(order) => {
             tokio::spawn(async move {
--- a/crates/side/src/requests.rs
+++ b/crates/side/src/requests.rs
@@ -1,273 +1,315 @@
-//! Requests handed over by entries.
+//! Requests handed over by entries: the driver of the run ledger.
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, MutexGuard},
 };
 
 use base::prelude::*;
-use http::StatusCode;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use once::{
+    CancelOrder, CrashReport, LedgerLimits, LinkId, RequestFingerprint, RunAction, RunEpoch,
+    RunEvent, RunGrant, RunId, RunIsolation, RunLedger, RunOrder,
+};
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use wire::{
     LinkSender, Message,
-    run::{
-        AnswerChunk, AnswerEnd, AnswerHead, CancelAck, HeaderField, RunCancel, RunRefusal,
-        RunRequest,
-    },
+    run::{AnswerChunk, AnswerEnd, CancelAck, EpochNotice, RunCancel, RunRefusal, RunRequest},
 };
 
-use crate::{drain::DrainStage, process::SideState};
+use crate::{answer, drain::DrainStage, process::SideState};
 
-/// Headers of an answer that are passed on.
-const PASSED_HEADERS: [&str; 3] = ["content-type", "location", "retry-after"];
+/// Time between looks at deadlines and epochs.
+const TICK: Duration = Duration::from_millis(50);
+/// Epochs between two announcements to connected entries.
+const NOTICE_EPOCHS: u64 = 6;
 
-/// One attempt of one request.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct RunKey {
-    request: Vec<u8>,
-    attempt: u32,
+/// A request that waits for or is at the backend server.
+#[derive(Debug, Clone)]
+pub struct ActiveRun {
+    /// The attempt.
+    pub id: RunId,
+    /// Connection to the entry.
+    pub sender: LinkSender,
+    /// The request.
+    pub run: Arc<RunRequest>,
+    /// Withdraws it from the backend server.
+    pub token: CancellationToken,
 }
 
-/// What is remembered of an attempt.
-#[derive(Debug, Clone)]
-enum RunEntry {
-    /// The backend server has it; the token withdraws it.
-    InFlight(CancellationToken),
-    /// It was withdrawn before it arrived; a late original is refused until then.
-    Tombstone(Instant),
-    /// It has ended; a repetition is refused until then.
-    Ended(Instant),
+#[derive(Debug)]
+struct EntryLink {
+    sender: LinkSender,
+    /// Epoch in which the connection was accepted, for orders sent before the first notice.
+    accepted: RunEpoch,
+}
+
+#[derive(Debug)]
+struct TableState {
+    ledger: RunLedger,
+    links: HashMap<LinkId, EntryLink>,
+    runs: HashMap<RunId, ActiveRun>,
+    last_link: LinkId,
+    announced: RunEpoch,
+}
+
+/// What is left to do once the table is unlocked.
+#[derive(Debug)]
+enum RunStep {
+    Start(ActiveRun),
+    Withdraw(ActiveRun),
+    Send { sender: LinkSender, message: Message, code: Option<ResultCode> },
+    Stop,
 }
 
-/// All attempts known to this process.
-#[derive(Debug, Default)]
+/// All requests known to this process.
+#[derive(Debug)]
 pub struct RequestTable {
-    runs: Mutex<HashMap<RunKey, RunEntry>>,
+    incarnation: ProcessIncarnation,
+    state: Mutex<TableState>,
 }
 
 impl RequestTable {
-    /// Number of requests at the backend server.
+    /// An empty table of a process that runs at most `concurrency` requests at once.
+    pub fn new(incarnation: ProcessIncarnation, concurrency: u32) -> Self {
+        let limits = LedgerLimits { max_runs: concurrency as usize, ..LedgerLimits::default() };
+        let state = TableState {
+            ledger: RunLedger::new(incarnation, limits, Instant::now()),
+            links: HashMap::new(),
+            runs: HashMap::new(),
+            last_link: LinkId(0),
+            announced: RunEpoch(0),
+        };
+        Self { incarnation, state: Mutex::new(state) }
+    }
+
+    /// Number of requests that wait for or are at the backend server.
     pub fn in_flight(&self) -> usize {
-        let runs = self.runs.lock().expect("no holder panics");
-        runs.values().filter(|entry| matches!(entry, RunEntry::InFlight(_))).count()
+        self.lock().ledger.active_runs()
     }
 
-    fn begin(&self, key: &RunKey, limit: u32) -> Result<CancellationToken, ResultCode> {
-        let mut runs = self.runs.lock().expect("no holder panics");
-        let now = Instant::now();
-        runs.retain(|_, entry| match entry {
-            RunEntry::InFlight(_) => true,
-            RunEntry::Tombstone(until) | RunEntry::Ended(until) => *until > now,
-        });
-        match runs.get(key) {
-            Some(RunEntry::Tombstone(_)) => return Err(ResultCode::CallerCancelled),
-            Some(_) => return Err(ResultCode::DuplicateKey),
-            None => {}
-        }
-        let busy = runs.values().filter(|entry| matches!(entry, RunEntry::InFlight(_))).count();
-        if busy >= limit as usize {
-            return Err(ResultCode::NoReplica);
-        }
-        let token = CancellationToken::new();
-        runs.insert(key.clone(), RunEntry::InFlight(token.clone()));
-        Ok(token)
+    /// Whether the backend server is thought to take calls.
+    pub fn is_engine_up(&self) -> bool {
+        self.lock().ledger.is_engine_up()
     }
 
-    fn end(&self, key: &RunKey, kept_until: Instant) {
-        let mut runs = self.runs.lock().expect("no holder panics");
-        runs.insert(key.clone(), RunEntry::Ended(kept_until));
+    /// Whether an answer of the attempt is still wanted.
+    pub fn is_wanted(&self, id: RunId) -> bool {
+        let state = self.lock();
+        state.runs.get(&id).is_some_and(|run| !run.token.is_cancelled())
     }
 
-    /// Withdraws an attempt and tells whether the backend server may have run it.
-    fn cancel(&self, key: &RunKey, kept_until: Instant) -> bool {
-        let mut runs = self.runs.lock().expect("no holder panics");
-        match runs.get(key) {
-            Some(RunEntry::InFlight(token)) => {
-                token.cancel();
-                true
-            }
-            Some(RunEntry::Ended(_)) => true,
-            Some(RunEntry::Tombstone(_)) | None => {
-                runs.insert(key.clone(), RunEntry::Tombstone(kept_until));
-                false
-            }
-        }
+    /// Takes a connection in and tells the entry the epoch.
+    pub fn connect(&self, sender: LinkSender) -> LinkId {
+        let mut state = self.lock();
+        state.last_link.0 += 1;
+        let link = state.last_link;
+        let accepted = state.ledger.grant().epoch;
+        sender.offer(Message::EpochNotice(EpochNotice { epoch: accepted.0 }));
+        state.links.insert(link, EntryLink { sender, accepted });
+        link
     }
-}
 
-/// Time for which ended and withdrawn attempts are remembered beyond their own time.
-const MEMORY_MARGIN: Duration = Duration::from_secs(60);
+    fn lock(&self) -> MutexGuard<'_, TableState> {
+        self.state.lock().expect("no holder panics")
+    }
 
-/// Handles a withdrawal and acknowledges it.
-pub async fn cancel(state: Arc<SideState>, link: LinkSender, cancel: RunCancel) {
-    let key = RunKey { request: cancel.request.clone(), attempt: cancel.attempt };
-    let kept_until = Instant::now() + Duration::from_millis(cancel.budget_ms) + MEMORY_MARGIN;
-    let may_have_run = state.requests.cancel(&key, kept_until);
-    let ack = CancelAck { request: cancel.request, attempt: cancel.attempt, may_have_run };
-    let _ = link.send(Message::CancelAck(ack)).await;
-}
+    fn order(&self, link: LinkId, run: RunRequest) -> Option<Vec<RunStep>> {
+        let id = run_id(&run.request, run.attempt)?;
+        let mut state = self.lock();
+        let sender = state.links.get(&link)?.sender.clone();
+        let order = RunOrder {
+            id,
+            grant: state.grant(link, run.incarnation, run.epoch),
+            link,
+            fingerprint: run.fingerprint.parse().unwrap_or(RequestFingerprint([0; 32])),
+            deadline: Instant::now() + Duration::from_millis(run.budget_ms),
+            isolation: if run.is_alone { RunIsolation::Alone } else { RunIsolation::Shared },
+        };
+        let token = CancellationToken::new();
+        let active = ActiveRun { id, sender, run: Arc::new(run), token };
+        state.runs.entry(id).or_insert(active);
+        Some(self.apply(&mut state, RunEvent::Order(order)))
+    }
+
+    fn handle(&self, event: RunEvent) -> Vec<RunStep> {
+        let mut state = self.lock();
+        if let RunEvent::LinkLost(link) = event {
+            state.links.remove(&link);
+        }
+        self.apply(&mut state, event)
+    }
 
-/// Hands a request to the backend server and sends its answer, or refuses it.
-pub async fn run(state: Arc<SideState>, link: LinkSender, run: RunRequest) {
-    let key = RunKey { request: run.request.clone(), attempt: run.attempt };
-    let code = match admit(&state, &key, &run) {
-        Ok(token) => {
-            let model = run.model.parse::<ModelId>().ok();
-            let budget = Duration::from_millis(run.budget_ms);
-            state.metrics.in_flight.inc();
-            let code = Answer::new(&state, &link, &run).forward(token, budget).await;
-            state.metrics.in_flight.dec();
-            if let Some(model) = &model {
-                state.loads.end_request(model);
+    fn apply(&self, state: &mut TableState, event: RunEvent) -> Vec<RunStep> {
+        let actions = state.ledger.handle(event, Instant::now());
+        let mut crash = 0;
+        let mut steps = Vec::new();
+        for action in actions {
+            if let RunAction::ReportCrash(report) = &action {
+                crash = report.crash;
+                log_crash(report);
             }
-            state.requests.end(&key, Instant::now() + budget + MEMORY_MARGIN);
-            code
+            steps.extend(self.step(state, action, crash));
         }
-        Err(code) => {
-            refuse(&link, &run, code).await;
-            code
+        let TableState { ledger, runs, .. } = state;
+        if runs.len() > ledger.active_runs() {
+            runs.retain(|id, _| ledger.is_active(*id));
         }
-    };
-    state.metrics.requests.with_label_values(&[&code.number().to_string()]).inc();
-}
+        steps
+    }
 
-fn admit(
-    state: &SideState,
-    key: &RunKey,
-    run: &RunRequest,
-) -> Result<CancellationToken, ResultCode> {
-    if run.incarnation != state.identity.incarnation.0 {
-        return Err(ResultCode::NoReplica);
+    fn step(&self, state: &TableState, action: RunAction, crash: u64) -> Option<RunStep> {
+        let (link, message, code) = match action {
+            RunAction::HandOver { id } => {
+                return state.runs.get(&id).cloned().map(RunStep::Start);
+            }
+            RunAction::CancelAtEngine { id } => {
+                return state.runs.get(&id).cloned().map(RunStep::Withdraw);
+            }
+            RunAction::DrainEnded => return Some(RunStep::Stop),
+            RunAction::ReportCrash(_) => return None,
+            RunAction::Refuse { id, link, code } => {
+                (link, self.refusal(id, code, crash), Some(code))
+            }
+            RunAction::AckCancel { id, link, state } => (link, cancel_ack(id, state), None),
+            RunAction::Forward { id, link, offset, body } => {
+                (link, self.chunk(id, offset, body), None)
+            }
+            RunAction::Finish { id, link, length } => {
+                (link, self.end(id, length, ResultCode::Success, 0), Some(ResultCode::Success))
+            }
+        };
+        let sender = state.links.get(&link)?.sender.clone();
+        Some(RunStep::Send { sender, message, code })
     }
-    if state.drain.stage() != DrainStage::Serving {
-        return Err(ResultCode::ProcessStopping);
+
+    /// Work that may have run ends; work that did not is refused.
+    fn refusal(&self, id: RunId, code: ResultCode, crash: u64) -> Message {
+        match code.run_state() {
+            RunState::NotRun => Message::RunRefusal(RunRefusal {
+                request: request_bytes(id),
+                attempt: id.attempt,
+                code: code.number(),
+            }),
+            RunState::MayHaveRun => self.end(id, 0, code, crash),
+        }
     }
-    if run.model.is_empty() {
-        return state.requests.begin(key, state.settings.backend.concurrency);
+
+    fn chunk(&self, id: RunId, offset: u64, data: bytes::Bytes) -> Message {
+        Message::AnswerChunk(AnswerChunk {
+            request: request_bytes(id),
+            attempt: id.attempt,
+            incarnation: self.incarnation.0,
+            offset,
+            data,
+        })
     }
-    let model = run.model.parse::<ModelId>().map_err(|_| ResultCode::MalformedRequest)?;
-    if !state.loads.start_request(&model) {
-        return Err(ResultCode::NoReplica);
+
+    fn end(&self, id: RunId, length: u64, code: ResultCode, crash: u64) -> Message {
+        Message::AnswerEnd(AnswerEnd {
+            request: request_bytes(id),
+            attempt: id.attempt,
+            incarnation: self.incarnation.0,
+            length,
+            code: code.number(),
+            crash,
+        })
     }
-    let begun = state.requests.begin(key, state.settings.backend.concurrency);
-    if begun.is_err() {
-        state.loads.end_request(&model);
+
+    fn announce(&self) {
+        let mut state = self.lock();
+        let epoch = state.ledger.grant().epoch;
+        if epoch.0 < state.announced.0 + NOTICE_EPOCHS {
+            return;
+        }
+        state.announced = epoch;
+        for link in state.links.values() {
+            link.sender.offer(Message::EpochNotice(EpochNotice { epoch: epoch.0 }));
+        }
     }
-    begun
 }
 
-async fn refuse(link: &LinkSender, run: &RunRequest, code: ResultCode) {
-    let refusal =
-        RunRefusal { request: run.request.clone(), attempt: run.attempt, code: code.number() };
-    let _ = link.send(Message::RunRefusal(refusal)).await;
+impl TableState {
+    fn grant(&self, link: LinkId, incarnation: u64, epoch: u64) -> RunGrant {
+        let accepted = self.links.get(&link).map(|link| link.accepted).unwrap_or_default();
+        let epoch = if epoch == 0 { accepted } else { RunEpoch(epoch) };
+        RunGrant { incarnation: ProcessIncarnation(incarnation), epoch }
+    }
 }
 
-/// One answer on its way from the backend server to the entry.
-struct Answer<'a> {
-    state: &'a SideState,
-    link: &'a LinkSender,
-    run: &'a RunRequest,
-    offset: u64,
+/// Takes an entry's order to run a request.
+pub async fn run(state: &Arc<SideState>, link: LinkId, run: RunRequest) {
+    match state.requests.order(link, run) {
+        Some(steps) => perform(state, steps).await,
+        None => log::warn!("requests: an order cannot be read"),
+    }
 }
 
-impl<'a> Answer<'a> {
-    fn new(state: &'a SideState, link: &'a LinkSender, run: &'a RunRequest) -> Self {
-        Self { state, link, run, offset: 0 }
-    }
+/// Takes an entry's order to withdraw a request.
+pub async fn cancel(state: &Arc<SideState>, link: LinkId, cancel: RunCancel) {
+    let Some(id) = run_id(&cancel.request, cancel.attempt) else {
+        log::warn!("requests: a withdrawal cannot be read");
+        return;
+    };
+    let grant = state.requests.lock().grant(link, cancel.incarnation, cancel.epoch);
+    tell(state, RunEvent::Cancel(CancelOrder { id, grant, link })).await;
+}
 
-    async fn forward(mut self, token: CancellationToken, budget: Duration) -> ResultCode {
-        let request_id = request_id(&self.run.request);
-        let state = self.state;
-        let ended = tokio::select! {
-            ended = time::timeout(budget, self.pass(request_id)) => ended,
-            () = token.cancelled() => Ok(ResultCode::CallerCancelled),
-            () = state.drain.reached(DrainStage::Stopped) => Ok(ResultCode::BackendLost),
-        };
-        let code = ended.unwrap_or(ResultCode::AnswerTimeout);
-        if code != ResultCode::Success && code != ResultCode::NoReplica {
-            self.state.backend.cancel(request_id).await;
-        }
-        if code == ResultCode::NoReplica {
-            refuse(self.link, self.run, code).await;
-        } else {
-            self.finish(code).await;
-        }
-        code
-    }
+/// Tells the ledger of an event and does what it asks for.
+pub async fn tell(state: &Arc<SideState>, event: RunEvent) {
+    let steps = state.requests.handle(event);
+    perform(state, steps).await;
+}
 
-    async fn pass(&mut self, request_id: RequestId) -> ResultCode {
-        let answer = match self.state.backend.run(request_id, self.run).await {
-            Ok(answer) => answer,
-            Err(error) if error.is_not_sent() => return ResultCode::NoReplica,
-            Err(error) => {
-                log::warn!("requests: {request_id} lost: {error}");
-                return ResultCode::BackendLost;
+async fn perform(state: &Arc<SideState>, steps: Vec<RunStep>) {
+    for step in steps {
+        match step {
+            RunStep::Start(run) => answer::start(Arc::clone(state), run),
+            RunStep::Withdraw(run) => run.token.cancel(),
+            RunStep::Stop => state.drain.advance(DrainStage::Stopped),
+            RunStep::Send { sender, message, code } => {
+                if let Some(code) = code {
+                    let number = code.number().to_string();
+                    state.metrics.requests.with_label_values(&[&number]).inc();
+                }
+                // An entry that is gone needs no word.
+                let _ = sender.send(message).await;
             }
-        };
-        let (head, body) = answer.into_parts();
-        if !self.run.model.is_empty() && head.status == StatusCode::NOT_FOUND {
-            log::warn!("requests: the engine does not hold {}", self.run.model);
-            return ResultCode::NoReplica;
-        }
-        let head = AnswerHead {
-            request: self.run.request.clone(),
-            attempt: self.run.attempt,
-            incarnation: self.state.identity.incarnation.0,
-            status: u32::from(head.status.as_u16()),
-            headers: passed_headers(&head.headers),
-        };
-        if self.link.send(Message::AnswerHead(head)).await.is_err() {
-            return ResultCode::CallerCancelled;
         }
-        self.pass_body(body).await
     }
+    state.metrics.in_flight.set(state.requests.in_flight() as i64);
+}
 
-    async fn pass_body(&mut self, mut body: Incoming) -> ResultCode {
-        while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else { return ResultCode::AnswerCut };
-            let Ok(data) = frame.into_data() else { continue };
-            let length = data.len() as u64;
-            let chunk = AnswerChunk {
-                request: self.run.request.clone(),
-                attempt: self.run.attempt,
-                incarnation: self.state.identity.incarnation.0,
-                offset: self.offset,
-                data,
-            };
-            self.offset += length;
-            if self.link.send(Message::AnswerChunk(chunk)).await.is_err() {
-                return ResultCode::CallerCancelled;
-            }
-        }
-        ResultCode::Success
+/// Looks at deadlines and epochs until the process ends.
+pub async fn tick(state: Arc<SideState>) {
+    let mut ticks = time::interval(TICK);
+    loop {
+        ticks.tick().await;
+        tell(&state, RunEvent::Tick).await;
+        state.requests.announce();
     }
+}
 
-    async fn finish(&self, code: ResultCode) {
-        let end = AnswerEnd {
-            request: self.run.request.clone(),
-            attempt: self.run.attempt,
-            incarnation: self.state.identity.incarnation.0,
-            length: self.offset,
-            code: code.number(),
-        };
-        let _ = self.link.send(Message::AnswerEnd(end)).await;
+fn log_crash(report: &CrashReport) {
+    log::error!("requests: the engine crashed with {} requests in flight", report.runs.len());
+    for run in &report.runs {
+        log::warn!("requests: {} with fingerprint {} was in flight", run.id, run.fingerprint);
     }
 }
 
-fn passed_headers(headers: &http::HeaderMap) -> Vec<HeaderField> {
-    let field = |name: &&str| {
-        let value = headers.get(*name)?;
-        Some(HeaderField { name: (*name).to_owned(), value: value.as_bytes().to_vec() })
-    };
-    PASSED_HEADERS.iter().filter_map(field).collect()
+fn cancel_ack(id: RunId, state: RunState) -> Message {
+    Message::CancelAck(CancelAck {
+        request: request_bytes(id),
+        attempt: id.attempt,
+        may_have_run: state == RunState::MayHaveRun,
+    })
+}
+
+fn run_id(request: &[u8], attempt: u32) -> Option<RunId> {
+    let bytes = <[u8; 16]>::try_from(request).ok()?;
+    Some(RunId { request: RequestId(u128::from_be_bytes(bytes)), attempt })
 }
 
-fn request_id(bytes: &[u8]) -> RequestId {
-    let mut number = [0; 16];
-    let length = bytes.len().min(number.len());
-    number[..length].copy_from_slice(&bytes[..length]);
-    RequestId(u128::from_be_bytes(number))
+fn request_bytes(id: RunId) -> Vec<u8> {
+    id.request.0.to_be_bytes().to_vec()
 }
--- a/crates/wire/src/envelope.rs
+++ b/crates/wire/src/envelope.rs
@@ -5,7 +5,10 @@
 use crate::{
     ask::{Ask, AskRefusal, CreditReturn, Grant},
     load::{BackendReport, LoadOrder, OrderOutcome, ReportSubscription, UnloadOrder},
-    run::{AnswerChunk, AnswerEnd, AnswerHead, CancelAck, RunCancel, RunRefusal, RunRequest},
+    run::{
+        AnswerChunk, AnswerEnd, AnswerHead, CancelAck, EpochNotice, RunCancel, RunRefusal,
+        RunRequest,
+    },
 };
 
 /// A message with the version of the lists that its sender has.
@@ -17,7 +20,7 @@
     /// The message; absent in a heartbeat.
     #[prost(
         oneof = "Message",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
     )]
     pub message: Option<Message>,
 }
@@ -79,6 +82,9 @@
     /// A message of the idempotency claims, encoded by that package.
     #[prost(bytes = "bytes", tag = "19")]
     ClaimExchange(bytes::Bytes),
+    /// Side process to entry.
+    #[prost(message, tag = "20")]
+    EpochNotice(EpochNotice),
 }
 
 impl From<Message> for Envelope {
--- a/crates/wire/src/run.rs
+++ b/crates/wire/src/run.rs
@@ -55,6 +55,12 @@
     /// Memory that the adapter takes beside the model, in bytes.
     #[prost(uint64, tag = "13")]
     pub adapter_memory: u64,
+    /// Epoch that the side process last announced; zero if none was heard of.
+    #[prost(uint64, tag = "14")]
+    pub epoch: u64,
+    /// Whether the request is suspected of crashing engines and must run alone.
+    #[prost(bool, tag = "15")]
+    pub is_alone: bool,
 }
 
 /// The side process did not hand the request to its backend server.
@@ -129,6 +135,17 @@
     /// Result code: success, or why the answer ended early.
     #[prost(uint32, tag = "5")]
     pub code: u32,
+    /// Number of the engine's crash that ended the answer, from one; zero for any other end.
+    #[prost(uint64, tag = "6")]
+    pub crash: u64,
+}
+
+/// The side process announces its epoch, which orders must name.
+#[derive(Clone, PartialEq, Message)]
+pub struct EpochNotice {
+    /// Epoch.
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
 }
 
 /// The entry withdraws a request.
@@ -140,9 +157,12 @@
     /// Attempt withdrawn.
     #[prost(uint32, tag = "2")]
     pub attempt: u32,
-    /// Time for which a late original must be refused, in milliseconds.
+    /// Life of the side process that the request was meant for.
     #[prost(uint64, tag = "3")]
-    pub budget_ms: u64,
+    pub incarnation: u64,
+    /// Epoch that the request named.
+    #[prost(uint64, tag = "4")]
+    pub epoch: u64,
 }
 
 /// The side process tells what became of a withdrawn request.
