--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -1,19 +1,47 @@
 //! At-most-once execution of requests that are not idempotent.
 //!
 //! [`RunLedger`] is the side process's gate before its model engine; [`AttemptRecord`] is the
-//! entry process's account of the deliveries of one request.
+//! entry process's account of the deliveries of one request. [`ClaimShard`] keeps the claims of
+//! idempotency keys in the platform's store. [`CrashQuarantine`] bars requests that crash engines.
 
+pub mod answers;
 pub mod attempt;
+pub mod claim;
+pub mod exchange;
 pub mod fingerprint;
+pub mod keeper;
+pub mod key;
 pub mod ledger;
+pub mod object_claims;
+pub mod owner;
+pub mod quarantine;
 pub mod run;
+pub mod segment;
+pub mod shard;
+pub mod table;
 
 pub use crate::{
     attempt::{AttemptRecord, DeliveryState},
+    claim::{
+        CallTicket, ClaimCall, ClaimReply, ReadOutcome, SegmentNumber, ShardAction, ShardEvent,
+        ShardImage, ShardTime, StoredBase, StoredSegment, WriteOutcome,
+    },
+    exchange::{ClaimExchange, ExchangeCall},
     fingerprint::RequestFingerprint,
+    keeper::{ClaimAsk, ClaimKeeper},
+    key::{ClaimKey, KeyDigest, MintTime, ShardId},
     ledger::{LedgerGuards, LedgerLimits, RunLedger},
+    object_claims::ObjectClaims,
+    owner::shard_ranking,
+    quarantine::{
+        CrashQuarantine, QuarantineAction, QuarantineEvent, QuarantineLimits, StoredRecord,
+        keeper::QuarantineKeeper,
+        record::{CrashMark, CrashNote, CrashRecord, CrashVerdict},
+    },
     run::{
         CancelOrder, CrashReport, CrashedRun, DrainCause, EngineEnd, LinkId, RunAction, RunEpoch,
-        RunEvent, RunGrant, RunIsolation, RunOrder, SendState,
+        RunEvent, RunGrant, RunId, RunIsolation, RunOrder, SendState,
     },
+    segment::{ClaimRecord, ClaimSegment, RecordKind, ShardBase},
+    shard::{ClaimShard, ShardGuards, ShardLimits},
 };
