Admission queue with shares, classes, bounds and deadlines

Need: at the crest of a swing a first-in first-out queue answers requests whose callers have left, lets one customer starve the others and puts counter lookups behind long batches. Weighed: start-time fair queueing (smoother, but a virtual clock per ring) and deficit round robin (chosen, needs only the quantum); preempting long work (left to the engine's cancel and resume) and a limit on its slots (chosen). Change: AdmissionQueue, a state machine of offer, finish, release, cancel, resize and expire; deficit round robin within a priority, strict priority between them with a bounded part for urgent requests, queues bounded by customer and in total, half of the slots kept from long work, refusal at once when the expected wait passes the deadline and before the deadline otherwise. Seen failing with each safeguard off: a quiet customer behind a flood, a queue past its bound, lookups behind reports, a late refusal, a silent deadline, a request of low priority that never ran; the tests keep these as assertions. First try of ageing gave every eighth grant to the urgent request and missed its moment; it now counts the grants since the last one.

--- /dev/null
+++ b/crates/admission/src/policy.rs
@@ -0,0 +1,83 @@
+//! Limits of admission.
+
+use base::prelude::*;
+
+use crate::request::{RequestSize, WorkClass};
+
+/// Limits of one queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdmissionPolicy {
+    /// Largest size of a short request.
+    pub short_limit: RequestSize,
+    /// Share of all slots that long requests may hold, in percent.
+    pub long_percent: u32,
+    /// Most waiting requests of one customer in one class.
+    pub customer_limit: usize,
+    /// Most waiting requests of all customers.
+    pub total_limit: usize,
+    /// Service time of short requests assumed before any was observed.
+    pub short_service: Duration,
+    /// Service time of long requests assumed before any was observed.
+    pub long_service: Duration,
+    /// Least number of grants by priority between two that go to an urgent request out of turn.
+    pub aged_interval: u32,
+}
+
+impl Default for AdmissionPolicy {
+    fn default() -> Self {
+        Self {
+            short_limit: RequestSize(512),
+            long_percent: 50,
+            customer_limit: 256,
+            total_limit: 4096,
+            short_service: Duration::from_millis(500),
+            long_service: Duration::from_secs(10),
+            aged_interval: 8,
+        }
+    }
+}
+
+impl AdmissionPolicy {
+    /// Class of a request of this size.
+    pub fn class_of(&self, size: RequestSize) -> WorkClass {
+        if size <= self.short_limit { WorkClass::Short } else { WorkClass::Long }
+    }
+
+    /// Service time assumed for `class` before any was observed.
+    pub fn initial_service(&self, class: WorkClass) -> Duration {
+        match class {
+            WorkClass::Short => self.short_service,
+            WorkClass::Long => self.long_service,
+        }
+    }
+}
+
+/// The safeguards of a queue; all are on except in tests that show what each prevents.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdmissionGuards {
+    /// Customers of one priority share by weight; otherwise requests go by arrival.
+    pub fair_shares: bool,
+    /// Long requests are limited to their part of the slots.
+    pub short_reserve: bool,
+    /// A request whose expected wait is too long is refused when it is offered.
+    pub early_refusal: bool,
+    /// A waiting request is refused while there is still time to tell its caller.
+    pub timely_expiry: bool,
+    /// Queues are bounded.
+    pub bounded_queues: bool,
+    /// Urgent requests of low priority get a part of the grants.
+    pub ageing: bool,
+}
+
+impl Default for AdmissionGuards {
+    fn default() -> Self {
+        Self {
+            fair_shares: true,
+            short_reserve: true,
+            early_refusal: true,
+            timely_expiry: true,
+            bounded_queues: true,
+            ageing: true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/queue.rs
@@ -0,0 +1,351 @@
+//! The queue that the owner of a model or service admits requests from.
+
+use std::collections::{BTreeSet, HashMap};
+
+use base::prelude::*;
+
+use crate::{
+    class::ClassQueue,
+    estimate::ServiceEstimate,
+    fair::WaitingRequest,
+    policy::{AdmissionGuards, AdmissionPolicy},
+    request::{AdmissionRequest, RequestSize, SlotCount, WorkClass},
+    slots::SlotLedger,
+};
+
+/// A request is urgent when its latest start is closer than this many mean service times.
+const URGENT_SERVICES: u32 = 2;
+
+/// What happens to a queue.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AdmissionEvent {
+    /// A request asks to be admitted; one that is known already is left as it is.
+    Offer(AdmissionRequest),
+    /// A granted request has ended; its service time is observed.
+    Finish(RequestId),
+    /// A granted request gives its slot back without a service time worth observing.
+    Release(RequestId),
+    /// The caller has gone; the request is forgotten, waiting or granted.
+    Cancel(RequestId),
+    /// The number of slots of the usable replicas has changed.
+    Resize(SlotCount),
+    /// The first replica is expected to be ready then, or nothing is known of one.
+    ExpectReady(Option<Instant>),
+    /// Time has passed.
+    Expire,
+}
+
+/// What the queue has decided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AdmissionAction {
+    /// The request may run.
+    Grant {
+        /// The request.
+        id: RequestId,
+        /// Its class, which decides the replica's slots it may use.
+        class: WorkClass,
+    },
+    /// The request was not admitted and did not run.
+    Refuse {
+        /// The request.
+        id: RequestId,
+        /// Why; always a code whose run state is `not run`.
+        code: ResultCode,
+    },
+}
+
+/// Requests that wait and run, for metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct QueueCounts {
+    /// Waiting short requests.
+    pub short_waiting: usize,
+    /// Waiting long requests.
+    pub long_waiting: usize,
+    /// Running short requests.
+    pub short_running: u32,
+    /// Running long requests.
+    pub long_running: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct ExpiryKey {
+    latest_start: Instant,
+    id: RequestId,
+}
+
+#[derive(Debug, Clone)]
+struct WaitingEntry {
+    request: AdmissionRequest,
+    latest_start: Instant,
+}
+
+/// Waiting and granted requests of one model or service.
+#[derive(Debug)]
+pub struct AdmissionQueue {
+    policy: AdmissionPolicy,
+    guards: AdmissionGuards,
+    short: ClassQueue,
+    long: ClassQueue,
+    waiting: HashMap<RequestId, WaitingEntry>,
+    expiries: BTreeSet<ExpiryKey>,
+    slots: SlotLedger,
+    estimate: ServiceEstimate,
+    expected_ready: Option<Instant>,
+    grants_since_aged: u32,
+}
+
+impl AdmissionQueue {
+    /// An empty queue without slots.
+    pub fn new(policy: AdmissionPolicy) -> Self {
+        Self::with_guards(policy, AdmissionGuards::default())
+    }
+
+    /// An empty queue with some safeguards off, to show what they prevent.
+    pub fn with_guards(policy: AdmissionPolicy, guards: AdmissionGuards) -> Self {
+        Self {
+            policy,
+            guards,
+            short: ClassQueue::new(policy.short_limit),
+            long: ClassQueue::new(RequestSize(policy.short_limit.0.saturating_mul(8))),
+            waiting: HashMap::new(),
+            expiries: BTreeSet::new(),
+            slots: SlotLedger::new(),
+            estimate: ServiceEstimate::new(&policy),
+            expected_ready: None,
+            grants_since_aged: policy.aged_interval,
+        }
+    }
+
+    /// Applies one event and returns the decisions that follow from it.
+    pub fn handle(&mut self, event: AdmissionEvent, now: Instant) -> Vec<AdmissionAction> {
+        let mut actions = Vec::new();
+        match event {
+            AdmissionEvent::Offer(request) => self.offer(request, now, &mut actions),
+            AdmissionEvent::Finish(id) => self.finish(id, now),
+            AdmissionEvent::Release(id) => drop(self.slots.stop(id)),
+            AdmissionEvent::Cancel(id) => self.cancel(id),
+            AdmissionEvent::Resize(total) => self.resize(total),
+            AdmissionEvent::ExpectReady(ready) => self.expected_ready = ready,
+            AdmissionEvent::Expire => {}
+        }
+        self.expire(now, &mut actions);
+        self.dispatch(now, &mut actions);
+        actions
+    }
+
+    /// When [`AdmissionEvent::Expire`] is due next.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        let first = self.expiries.first().filter(|_| self.guards.timely_expiry)?;
+        Some(first.latest_start)
+    }
+
+    /// Requests that wait and run.
+    pub fn counts(&self) -> QueueCounts {
+        QueueCounts {
+            short_waiting: self.short.len(),
+            long_waiting: self.long.len(),
+            short_running: self.slots.running(WorkClass::Short),
+            long_running: self.slots.running(WorkClass::Long),
+        }
+    }
+
+    /// Mean service time of `class` as observed.
+    pub fn mean_service(&self, class: WorkClass) -> Duration {
+        self.estimate.mean(class)
+    }
+
+    /// How long a new request like `request` is expected to wait for a slot.
+    pub fn expected_wait(&self, request: &AdmissionRequest, now: Instant) -> Duration {
+        let class = self.policy.class_of(request.size);
+        let queue = self.class(class);
+        if self.slots.total() == SlotCount(0) {
+            let ready = self.expected_ready.unwrap_or(now);
+            return ready.saturating_duration_since(now);
+        }
+        if self.slots.has_free(class) && queue.len() == 0 {
+            return Duration::ZERO;
+        }
+        let other_waits = match class {
+            WorkClass::Short => self.long.len() > 0,
+            WorkClass::Long => self.short.len() > 0,
+        };
+        let turns = queue.ahead_of(request) + 1;
+        let slots = self.slots.serving(class, other_waits);
+        self.estimate.mean(class).mul_f64(turns as f64 / f64::from(slots))
+    }
+
+    fn offer(
+        &mut self,
+        request: AdmissionRequest,
+        now: Instant,
+        actions: &mut Vec<AdmissionAction>,
+    ) {
+        let id = request.id;
+        if self.waiting.contains_key(&id) || self.slots.holds(id) {
+            return;
+        }
+        match self.check(&request, now) {
+            Err(code) => actions.push(AdmissionAction::Refuse { id, code }),
+            Ok(()) => {
+                self.enqueue(request, now);
+                self.trim(actions);
+            }
+        }
+    }
+
+    fn check(&self, request: &AdmissionRequest, now: Instant) -> Result<(), ResultCode> {
+        let class = self.policy.class_of(request.size);
+        let queued = self.class(class).customer_len(&request.customer);
+        if self.guards.bounded_queues && queued >= self.policy.customer_limit {
+            return Err(ResultCode::QueueFull);
+        }
+        if !self.guards.early_refusal {
+            return Ok(());
+        }
+        if request.deadline <= now {
+            return Err(ResultCode::DeadlineUnmeetable);
+        }
+        if self.slots.has_free(class) && self.class(class).len() == 0 {
+            return Ok(());
+        }
+        let needed = self.expected_wait(request, now) + self.estimate.mean(class);
+        if now + needed > request.deadline {
+            return Err(ResultCode::DeadlineUnmeetable);
+        }
+        Ok(())
+    }
+
+    fn enqueue(&mut self, request: AdmissionRequest, now: Instant) {
+        let class = self.policy.class_of(request.size);
+        let service = self.estimate.mean(class);
+        let can_start = self.slots.has_free(class) && self.class(class).len() == 0;
+        let start = request.deadline.checked_sub(service).unwrap_or(now);
+        let latest_start = if can_start { request.deadline } else { start };
+        let entry = WaitingEntry { request: request.clone(), latest_start };
+        self.expiries.insert(ExpiryKey { latest_start, id: request.id });
+        self.waiting.insert(request.id, entry);
+        let waiting = WaitingRequest { request, offered: now, latest_start };
+        self.class_mut(class).push(waiting);
+    }
+
+    /// Refuses the newest request of the longest queue while all queues hold too much.
+    fn trim(&mut self, actions: &mut Vec<AdmissionAction>) {
+        while self.guards.bounded_queues && self.waiting.len() > self.policy.total_limit {
+            let short = self.short.longest();
+            let long = self.long.longest();
+            let longest = short.into_iter().chain(long);
+            let Some(longest) = longest.max_by(|a, b| a.weighted_len.total_cmp(&b.weighted_len))
+            else {
+                return;
+            };
+            let id = longest.newest.id;
+            self.forget(id);
+            actions.push(AdmissionAction::Refuse { id, code: ResultCode::QueueFull });
+        }
+    }
+
+    fn finish(&mut self, id: RequestId, now: Instant) {
+        if let Some(running) = self.slots.stop(id) {
+            let served = now.saturating_duration_since(running.granted);
+            self.estimate.observe(running.class, served);
+        }
+    }
+
+    fn cancel(&mut self, id: RequestId) {
+        self.slots.stop(id);
+        self.forget(id);
+    }
+
+    fn resize(&mut self, total: SlotCount) {
+        let percent = if self.guards.short_reserve { self.policy.long_percent } else { 100 };
+        self.slots.resize(total, percent);
+    }
+
+    fn expire(&mut self, now: Instant, actions: &mut Vec<AdmissionAction>) {
+        while self.guards.timely_expiry {
+            let Some(due) = self.expiries.first().copied() else { return };
+            if due.latest_start > now {
+                return;
+            }
+            let id = due.id;
+            self.forget(id);
+            actions.push(AdmissionAction::Refuse { id, code: ResultCode::DeadlinePassed });
+        }
+    }
+
+    fn dispatch(&mut self, now: Instant, actions: &mut Vec<AdmissionAction>) {
+        while let Some(waiting) = self.next(now) {
+            let request = &waiting.request;
+            let class = self.policy.class_of(request.size);
+            let key = ExpiryKey { latest_start: waiting.latest_start, id: request.id };
+            self.waiting.remove(&request.id);
+            self.expiries.remove(&key);
+            self.slots.start(request.id, class, now);
+            self.grants_since_aged = self.grants_since_aged.saturating_add(1);
+            actions.push(AdmissionAction::Grant { id: request.id, class });
+        }
+    }
+
+    fn next(&mut self, now: Instant) -> Option<WaitingRequest> {
+        if let Some(urgent) = self.aged(now) {
+            self.grants_since_aged = 0;
+            let class = self.policy.class_of(urgent.size);
+            return self.class_mut(class).take(&urgent);
+        }
+        let class = self.next_class()?;
+        let fair = self.guards.fair_shares;
+        self.class_mut(class).pop(fair)
+    }
+
+    /// The request closest to its latest start, if a grant out of turn is due to it.
+    fn aged(&self, now: Instant) -> Option<AdmissionRequest> {
+        let is_turn = self.grants_since_aged >= self.policy.aged_interval;
+        if !self.guards.ageing || !is_turn {
+            return None;
+        }
+        let first = self.expiries.first()?;
+        let request = &self.waiting[&first.id].request;
+        let class = self.policy.class_of(request.size);
+        let margin = self.estimate.mean(class) * URGENT_SERVICES;
+        let is_urgent = first.latest_start.saturating_duration_since(now) <= margin;
+        let outranked = self.class(class).best_rank() < Some(request.priority);
+        let may_run = self.slots.has_free(class);
+        (is_urgent && outranked && may_run).then(|| request.clone())
+    }
+
+    fn next_class(&self) -> Option<WorkClass> {
+        let short = self.short.best_rank().filter(|_| self.slots.has_free(WorkClass::Short));
+        let long = self.long.best_rank().filter(|_| self.slots.has_free(WorkClass::Long));
+        match (short, long) {
+            (None, None) => None,
+            (Some(_), None) => Some(WorkClass::Short),
+            (None, Some(_)) => Some(WorkClass::Long),
+            (Some(short), Some(long)) if long < short => Some(WorkClass::Long),
+            (Some(short), Some(long)) if long == short && self.slots.is_long_below_floor() => {
+                Some(WorkClass::Long)
+            }
+            (Some(_), Some(_)) => Some(WorkClass::Short),
+        }
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        let Some(entry) = self.waiting.remove(&id) else { return };
+        let class = self.policy.class_of(entry.request.size);
+        self.class_mut(class).remove(&entry.request);
+        self.expiries.remove(&ExpiryKey { latest_start: entry.latest_start, id });
+    }
+
+    fn class(&self, class: WorkClass) -> &ClassQueue {
+        match class {
+            WorkClass::Short => &self.short,
+            WorkClass::Long => &self.long,
+        }
+    }
+
+    fn class_mut(&mut self, class: WorkClass) -> &mut ClassQueue {
+        match class {
+            WorkClass::Short => &mut self.short,
+            WorkClass::Long => &mut self.long,
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/history.rs
@@ -0,0 +1,225 @@
+//! Invariants of the queue on random histories, and each safeguard shown to matter.
+
+mod replay;
+
+use admission::{AdmissionGuards, AdmissionQueue};
+use base::prelude::*;
+use replay::{
+    Arrival, EndKind, FifoQueue, LONG_PERCENT, ReplayQueue, ReplayRecord, history, long, policy,
+    replay, short,
+};
+
+const SEEDS: std::ops::Range<u64> = 0..40;
+const SLOTS: u32 = 6;
+
+fn guarded() -> ReplayQueue {
+    ReplayQueue::guarded(AdmissionGuards::default())
+}
+
+/// Answers and refusals that came after the deadline, except answers granted in time.
+fn late_refusals(record: &ReplayRecord, arrivals: &[Arrival]) -> usize {
+    let late = |ending: &&replay::Ending| {
+        let refused = matches!(ending.kind, EndKind::Refused(_) | EndKind::Forgotten);
+        refused && ending.after > arrivals[ending.id].budget
+    };
+    record.endings.iter().filter(late).count()
+}
+
+fn worst_wait(record: &ReplayRecord, arrivals: &[Arrival], customer: &str) -> Duration {
+    let waits = arrivals.iter().enumerate().filter(|(_, a)| a.customer == customer);
+    let wait = |(id, a): (usize, &Arrival)| {
+        record.granted.get(&id).map_or(a.budget, |at| at.saturating_sub(a.at))
+    };
+    waits.map(wait).max().unwrap()
+}
+
+#[test]
+fn every_request_ends_once_and_in_time() {
+    for seed in SEEDS {
+        let arrivals = history(seed);
+
+        let record = replay(guarded(), SLOTS, &arrivals);
+
+        assert_eq!(record.endings.len(), arrivals.len(), "seed {seed}");
+        assert_eq!(late_refusals(&record, &arrivals), 0, "seed {seed}");
+        for ending in &record.endings {
+            assert_ne!(ending.kind, EndKind::Forgotten, "seed {seed}");
+            if let EndKind::Refused(code) = ending.kind {
+                assert_eq!(code.run_state(), RunState::NotRun, "seed {seed}");
+                assert!(!record.granted.contains_key(&ending.id), "seed {seed}");
+            }
+        }
+    }
+}
+
+#[test]
+fn slots_and_queues_stay_within_their_limits() {
+    for seed in SEEDS {
+        let record = replay(guarded(), SLOTS, &history(seed));
+
+        assert!(record.peak_running <= SLOTS as usize, "seed {seed}");
+        assert!(record.peak_long <= (SLOTS * LONG_PERCENT / 100) as usize, "seed {seed}");
+        assert!(record.peak_waiting <= policy().total_limit, "seed {seed}");
+    }
+}
+
+#[test]
+fn more_requests_are_answered_in_time_than_by_fifo() {
+    let mut sums = [0, 0];
+    for seed in SEEDS {
+        let arrivals = history(seed);
+
+        sums[0] += replay(guarded(), SLOTS, &arrivals).good(&arrivals);
+        sums[1] +=
+            replay(ReplayQueue::Fifo(FifoQueue::default()), SLOTS, &arrivals).good(&arrivals);
+    }
+
+    assert!(sums[0] > sums[1], "{sums:?}");
+}
+
+fn flood() -> Vec<Arrival> {
+    let flood = (0..300).map(|_| short(0, "flooder"));
+    let others = (1..20).map(|i| short(i * 200, "quiet"));
+    let mut arrivals: Vec<Arrival> = flood.chain(others).collect();
+    arrivals.iter_mut().for_each(|arrival| arrival.budget = Duration::from_secs(20));
+    arrivals
+}
+
+#[test]
+fn a_flooding_customer_does_not_starve_another() {
+    let arrivals = flood();
+
+    let fair = replay(guarded(), 2, &arrivals);
+    let guards = AdmissionGuards { fair_shares: false, ..AdmissionGuards::default() };
+    let unfair = replay(ReplayQueue::guarded(guards), 2, &arrivals);
+
+    assert!(worst_wait(&fair, &arrivals, "quiet") <= Duration::from_millis(400));
+    assert!(worst_wait(&unfair, &arrivals, "quiet") > Duration::from_millis(1000));
+}
+
+#[test]
+fn a_flood_is_bounded_by_its_own_queue() {
+    let arrivals = flood();
+
+    let bounded = replay(guarded(), 2, &arrivals);
+    let guards = AdmissionGuards { bounded_queues: false, ..AdmissionGuards::default() };
+    let unbounded = replay(ReplayQueue::guarded(guards), 2, &arrivals);
+
+    let full = EndKind::Refused(ResultCode::QueueFull);
+    assert_eq!(bounded.ending(299).kind, full);
+    assert!(bounded.peak_waiting <= 100);
+    assert!(unbounded.peak_waiting > 150);
+}
+
+#[test]
+fn customers_are_served_by_their_shares() {
+    let mut arrivals = Vec::new();
+    for _ in 0..40 {
+        arrivals.push(Arrival { share: 3, ..short(0, "large") });
+        arrivals.push(Arrival { share: 1, ..short(0, "small") });
+    }
+
+    let record = replay(guarded(), 1, &arrivals);
+
+    let early = |customer: &str| {
+        let granted = record.granted.iter().filter(|(_, at)| **at < Duration::from_millis(1600));
+        granted.filter(|(id, _)| arrivals[**id].customer == customer).count()
+    };
+    assert!((11..=13).contains(&early("large")), "{}", early("large"));
+    assert!((3..=5).contains(&early("small")), "{}", early("small"));
+}
+
+#[test]
+fn short_work_is_not_behind_long_work() {
+    let reports = (0..30).map(|_| long(0, "reports"));
+    let lookups = (1..50).map(|i| short(i * 100, "counter"));
+    let arrivals: Vec<Arrival> = reports.chain(lookups).collect();
+
+    let reserved = replay(guarded(), 4, &arrivals);
+    let guards = AdmissionGuards { short_reserve: false, ..AdmissionGuards::default() };
+    let shared = replay(ReplayQueue::guarded(guards), 4, &arrivals);
+
+    assert_eq!(worst_wait(&reserved, &arrivals, "counter"), Duration::ZERO);
+    assert!(worst_wait(&shared, &arrivals, "counter") >= Duration::from_secs(1));
+}
+
+#[test]
+fn a_request_that_cannot_be_answered_in_time_is_refused_at_once() {
+    let mut arrivals: Vec<Arrival> = (0..30).map(|_| short(0, "ada")).collect();
+    arrivals.push(Arrival { budget: Duration::from_millis(500), ..short(1, "ada") });
+
+    let early = replay(guarded(), 1, &arrivals).ending(30);
+    let guards = AdmissionGuards { early_refusal: false, ..AdmissionGuards::default() };
+    let late = replay(ReplayQueue::guarded(guards), 1, &arrivals).ending(30);
+
+    assert_eq!(early.kind, EndKind::Refused(ResultCode::DeadlineUnmeetable));
+    assert_eq!(early.after, Duration::ZERO);
+    assert_eq!(late.kind, EndKind::Refused(ResultCode::DeadlinePassed));
+    assert!(late.after >= Duration::from_millis(300));
+}
+
+#[test]
+fn a_waiting_request_is_refused_while_its_caller_still_waits() {
+    let hog = Arrival { service: Duration::from_secs(30), ..short(0, "ada") };
+    let arrivals = [hog, short(1, "ben")];
+
+    let timely = replay(guarded(), 1, &arrivals).ending(1);
+    let guards = AdmissionGuards { timely_expiry: false, ..AdmissionGuards::default() };
+    let silent = replay(ReplayQueue::guarded(guards), 1, &arrivals);
+
+    assert_eq!(timely.kind, EndKind::Refused(ResultCode::DeadlinePassed));
+    assert!(timely.after < arrivals[1].budget);
+    assert!(silent.ending(1).after > arrivals[1].budget);
+}
+
+#[test]
+fn the_higher_priority_goes_first_and_the_lower_is_not_forgotten() {
+    let stream = (0..200).map(|i| Arrival { priority: 0, ..short(i * 90, "reports") });
+    let mut arrivals: Vec<Arrival> = stream.collect();
+    arrivals.push(Arrival { priority: 2, ..short(500, "notes") });
+
+    let aged = replay(guarded(), 1, &arrivals).ending(200);
+    let guards =
+        AdmissionGuards { ageing: false, early_refusal: false, ..AdmissionGuards::default() };
+    let strict = replay(ReplayQueue::guarded(guards), 1, &arrivals).ending(200);
+
+    assert_eq!(aged.kind, EndKind::Answered);
+    assert_eq!(strict.kind, EndKind::Refused(ResultCode::DeadlinePassed));
+}
+
+#[test]
+fn an_offer_repeated_is_admitted_once() {
+    let start = Instant::now();
+    let mut queue = AdmissionQueue::new(policy());
+    let request = replay::request(0, &short(0, "ada"), start);
+    let offer = admission::AdmissionEvent::Offer(request);
+    queue.handle(admission::AdmissionEvent::Resize(admission::SlotCount(1)), start);
+
+    let first = queue.handle(offer.clone(), start);
+    let again = queue.handle(offer, start);
+
+    assert_eq!(first.len(), 1);
+    assert_eq!(again, []);
+    assert_eq!(queue.counts().short_running, 1);
+}
+
+#[test]
+fn a_cold_model_refuses_what_cannot_wait_for_its_load() {
+    let start = Instant::now();
+    let mut queue = AdmissionQueue::new(policy());
+    let ready = start + Duration::from_secs(10);
+    let soon = replay::request(0, &short(0, "ada"), start);
+    let patient = Arrival { budget: Duration::from_secs(30), ..short(0, "ada") };
+    let patient = replay::request(1, &patient, start);
+    queue.handle(admission::AdmissionEvent::ExpectReady(Some(ready)), start);
+
+    let refused = queue.handle(admission::AdmissionEvent::Offer(soon), start);
+    let queued = queue.handle(admission::AdmissionEvent::Offer(patient), start);
+    let resize = admission::AdmissionEvent::Resize(admission::SlotCount(1));
+    let granted = queue.handle(resize, ready);
+
+    let code = ResultCode::DeadlineUnmeetable;
+    assert_eq!(refused, [admission::AdmissionAction::Refuse { id: RequestId(0), code }]);
+    assert_eq!(queued, []);
+    assert_eq!(granted.len(), 1);
+}
--- /dev/null
+++ b/crates/admission/tests/replay/mod.rs
@@ -0,0 +1,306 @@
+//! Replays a history of arrivals through a queue in virtual time and records how each ends.
+
+#![allow(dead_code, reason = "each test file uses a part of the replay")]
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use admission::{
+    AdmissionAction, AdmissionEvent, AdmissionGuards, AdmissionPolicy, AdmissionQueue,
+    AdmissionRequest, PriorityRank, RequestSize, SlotCount, WorkClass,
+};
+use base::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// One request of a history.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub at: Duration,
+    pub customer: &'static str,
+    pub share: u32,
+    pub priority: u8,
+    pub size: u32,
+    pub service: Duration,
+    pub budget: Duration,
+    pub gone_after: Option<Duration>,
+}
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndKind {
+    Answered,
+    Refused(ResultCode),
+    Cancelled,
+    Forgotten,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub struct Ending {
+    pub id: usize,
+    pub after: Duration,
+    pub kind: EndKind,
+}
+
+/// All that a replay has seen.
+#[derive(Debug, Default)]
+pub struct ReplayRecord {
+    pub endings: Vec<Ending>,
+    pub granted: HashMap<usize, Duration>,
+    pub peak_running: usize,
+    pub peak_long: usize,
+    pub peak_waiting: usize,
+}
+
+impl ReplayRecord {
+    pub fn ending(&self, id: usize) -> Ending {
+        *self.endings.iter().find(|ending| ending.id == id).expect("the request has ended")
+    }
+
+    /// Requests answered by their deadline.
+    pub fn good(&self, arrivals: &[Arrival]) -> usize {
+        let good = |e: &&Ending| e.kind == EndKind::Answered && e.after <= arrivals[e.id].budget;
+        self.endings.iter().filter(good).count()
+    }
+}
+
+/// The queue under test or the naive one.
+pub enum ReplayQueue {
+    Admission(Box<AdmissionQueue>),
+    Fifo(FifoQueue),
+}
+
+/// First in, first out; no classes, no limits, no refusals.
+#[derive(Default)]
+pub struct FifoQueue {
+    slots: u32,
+    waiting: VecDeque<RequestId>,
+    running: BTreeSet<RequestId>,
+}
+
+impl FifoQueue {
+    fn handle(&mut self, event: AdmissionEvent) -> Vec<AdmissionAction> {
+        match event {
+            AdmissionEvent::Offer(request) => self.waiting.push_back(request.id),
+            AdmissionEvent::Finish(id) | AdmissionEvent::Release(id) => {
+                self.running.remove(&id);
+            }
+            AdmissionEvent::Cancel(id) => {
+                self.running.remove(&id);
+                self.waiting.retain(|waiting| *waiting != id);
+            }
+            AdmissionEvent::Resize(slots) => self.slots = slots.0,
+            AdmissionEvent::ExpectReady(_) | AdmissionEvent::Expire => {}
+        }
+        let mut actions = Vec::new();
+        while self.running.len() < self.slots as usize {
+            let Some(id) = self.waiting.pop_front() else { break };
+            self.running.insert(id);
+            actions.push(AdmissionAction::Grant { id, class: WorkClass::Short });
+        }
+        actions
+    }
+}
+
+impl ReplayQueue {
+    pub fn guarded(guards: AdmissionGuards) -> Self {
+        Self::Admission(Box::new(AdmissionQueue::with_guards(policy(), guards)))
+    }
+
+    fn handle(&mut self, event: AdmissionEvent, now: Instant) -> Vec<AdmissionAction> {
+        match self {
+            ReplayQueue::Admission(queue) => queue.handle(event, now),
+            ReplayQueue::Fifo(queue) => queue.handle(event),
+        }
+    }
+
+    fn next_expiry(&self) -> Option<Instant> {
+        match self {
+            ReplayQueue::Admission(queue) => queue.next_expiry(),
+            ReplayQueue::Fifo(_) => None,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum ReplayStep {
+    Finish(usize),
+    Leave(usize),
+    Arrive(usize),
+}
+
+pub const SHORT_LIMIT: u32 = 100;
+pub const CUSTOMER_LIMIT: usize = 40;
+pub const LONG_PERCENT: u32 = 50;
+
+pub fn policy() -> AdmissionPolicy {
+    AdmissionPolicy {
+        short_limit: RequestSize(SHORT_LIMIT),
+        long_percent: LONG_PERCENT,
+        customer_limit: CUSTOMER_LIMIT,
+        total_limit: 100,
+        short_service: Duration::from_millis(100),
+        long_service: Duration::from_secs(3),
+        aged_interval: 8,
+    }
+}
+
+pub fn request(id: usize, arrival: &Arrival, start: Instant) -> AdmissionRequest {
+    AdmissionRequest {
+        id: RequestId(id as u128),
+        customer: CustomerId::new(arrival.customer).unwrap(),
+        share: ShareWeight(arrival.share),
+        priority: PriorityRank(arrival.priority),
+        size: RequestSize(arrival.size),
+        deadline: start + arrival.at + arrival.budget,
+    }
+}
+
+struct Replay<'a> {
+    arrivals: &'a [Arrival],
+    start: Instant,
+    steps: BTreeSet<(Duration, ReplayStep)>,
+    open: BTreeSet<usize>,
+    running: BTreeMap<usize, WorkClass>,
+    record: ReplayRecord,
+}
+
+/// Runs `arrivals` through `queue` with `slots`, until nothing is left to happen.
+pub fn replay(mut queue: ReplayQueue, slots: u32, arrivals: &[Arrival]) -> ReplayRecord {
+    let start = Instant::now();
+    let steps = arrivals.iter().enumerate().map(|(id, a)| (a.at, ReplayStep::Arrive(id)));
+    let mut replay = Replay {
+        arrivals,
+        start,
+        steps: steps.collect(),
+        open: BTreeSet::new(),
+        running: BTreeMap::new(),
+        record: ReplayRecord::default(),
+    };
+    queue.handle(AdmissionEvent::Resize(SlotCount(slots)), start);
+    loop {
+        let expiry = queue.next_expiry().map(|due| due.saturating_duration_since(start));
+        let step = replay.steps.first().copied();
+        let actions = match (step, expiry) {
+            (None, None) => break,
+            (step, Some(due)) if step.is_none_or(|(at, _)| due < at) => {
+                let actions = queue.handle(AdmissionEvent::Expire, start + due);
+                replay.apply(actions, due);
+                continue;
+            }
+            (step, _) => step.expect("checked above"),
+        };
+        let (at, step) = actions;
+        replay.steps.pop_first();
+        let Some(event) = replay.event(at, step) else { continue };
+        let actions = queue.handle(event, start + at);
+        replay.apply(actions, at);
+    }
+    let left: Vec<usize> = replay.open.iter().copied().collect();
+    for id in left {
+        replay.end(id, Duration::MAX, EndKind::Forgotten);
+    }
+    replay.record
+}
+
+impl Replay<'_> {
+    fn event(&mut self, at: Duration, step: ReplayStep) -> Option<AdmissionEvent> {
+        match step {
+            ReplayStep::Arrive(id) => {
+                let arrival = &self.arrivals[id];
+                self.open.insert(id);
+                if let Some(after) = arrival.gone_after {
+                    self.steps.insert((at + after, ReplayStep::Leave(id)));
+                }
+                Some(AdmissionEvent::Offer(request(id, arrival, self.start)))
+            }
+            ReplayStep::Finish(id) => {
+                self.running.remove(&id)?;
+                self.end(id, at, EndKind::Answered);
+                Some(AdmissionEvent::Finish(RequestId(id as u128)))
+            }
+            ReplayStep::Leave(id) => {
+                if !self.open.contains(&id) {
+                    return None;
+                }
+                self.running.remove(&id);
+                self.end(id, at, EndKind::Cancelled);
+                Some(AdmissionEvent::Cancel(RequestId(id as u128)))
+            }
+        }
+    }
+
+    fn apply(&mut self, actions: Vec<AdmissionAction>, at: Duration) {
+        for action in actions {
+            match action {
+                AdmissionAction::Grant { id, .. } => self.start(id.0 as usize, at),
+                AdmissionAction::Refuse { id, code } => {
+                    let id = id.0 as usize;
+                    assert!(!self.running.contains_key(&id), "a granted request was refused");
+                    self.end(id, at, EndKind::Refused(code));
+                }
+            }
+        }
+        let long = self.running.values().filter(|class| **class == WorkClass::Long).count();
+        let record = &mut self.record;
+        record.peak_running = record.peak_running.max(self.running.len());
+        record.peak_long = record.peak_long.max(long);
+        record.peak_waiting = record.peak_waiting.max(self.open.len() - self.running.len());
+    }
+
+    fn start(&mut self, id: usize, at: Duration) {
+        assert!(self.open.contains(&id), "a grant for a request that is not open");
+        let arrival = &self.arrivals[id];
+        let long = arrival.size > SHORT_LIMIT;
+        let class = if long { WorkClass::Long } else { WorkClass::Short };
+        assert!(self.running.insert(id, class).is_none(), "a request was granted twice");
+        self.record.granted.insert(id, at);
+        self.steps.insert((at + arrival.service, ReplayStep::Finish(id)));
+    }
+
+    fn end(&mut self, id: usize, at: Duration, kind: EndKind) {
+        assert!(self.open.remove(&id), "a request ended twice");
+        let after = at.saturating_sub(self.arrivals[id].at);
+        self.record.endings.push(Ending { id, after, kind });
+    }
+}
+
+pub fn short(at_ms: u64, customer: &'static str) -> Arrival {
+    Arrival {
+        at: Duration::from_millis(at_ms),
+        customer,
+        share: 1,
+        priority: 1,
+        size: 50,
+        service: Duration::from_millis(100),
+        budget: Duration::from_secs(2),
+        gone_after: None,
+    }
+}
+
+pub fn long(at_ms: u64, customer: &'static str) -> Arrival {
+    let service = Duration::from_secs(3);
+    let budget = Duration::from_secs(60);
+    Arrival { size: 5000, service, budget, ..short(at_ms, customer) }
+}
+
+/// A random history with bursts, mixed classes, priorities, shares and callers who leave.
+pub fn history(seed: u64) -> Vec<Arrival> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut at = 0;
+    let mut arrivals = Vec::new();
+    for _ in 0..400 {
+        at += if rng.random_bool(0.7) { rng.random_range(0..8) } else { rng.random_range(0..90) };
+        let customer = ["ada", "ben", "cyd", "dora"][rng.random_range(0..4)];
+        let base = if rng.random_bool(0.12) { long(at, customer) } else { short(at, customer) };
+        let factor = rng.random_range(0.3..2.0);
+        arrivals.push(Arrival {
+            share: rng.random_range(1..5),
+            priority: rng.random_range(0..3),
+            service: base.service.mul_f64(factor),
+            budget: base.budget.mul_f64(rng.random_range(0.1..2.0)),
+            gone_after: rng.random_bool(0.05).then(|| Duration::from_millis(150)),
+            ..base
+        });
+    }
+    arrivals
+}
