Spread accepted lists down a tree of entries

Need: an accepted edit has to be in force at 2,600 entries and 10,000 side processes within 13 s, under 21 KB/s a node, and never revert; the store's watches and reads do not grow with the fleet.

Weighed: every node watches or polls the store (the naive version kept for the tests: 12,600 waiting calls, or full copies), gossip between random peers (no bound on who sends to whom, no place for acknowledgements), and a tree below two relays a zone, which is what is built. Places in the tree follow from a rendezvous rank over the zone's entries, so nobody hands them out. A node that hears no fresh news tries the nodes above its upper one, then the relays, then seldom the store.

A node takes a version only if it is newer, follows the one held and has the declared checksum. A starting node asks three others before its first lists go into force and serves none older than any it heard of.

Seen failing first: the first relay hung below the second and both counted each other, so acknowledgements echoed and never rose; the first relay has no upper node now, and nobody counts its own upper node below itself. With a check off, tests see nodes go back (newer_only), hold wrong lists (next_only and digest), and serve older lists after a restart in an outage (start_queries).

--- a/crates/lists/src/image.rs
+++ b/crates/lists/src/image.rs
@@ -103,14 +103,24 @@
         ListImage::default().delta_to(self)
     }
 
+    /// Checksum that the image would have after the changes of `delta`, each of another section.
+    pub fn digest_after(&self, delta: &ListDelta) -> ImageDigest {
+        delta.changes.iter().fold(self.digest, |digest, change| self.moved_digest(digest, change))
+    }
+
     fn set(&mut self, change: &SectionChange) {
-        let former = match &change.text {
+        self.digest = self.moved_digest(self.digest, change);
+        match &change.text {
             Some(text) => self.sections.insert(change.name.clone(), text.clone()),
             None => self.sections.remove(&change.name),
         };
-        let removed = former.map_or(0, |text| section_digest(&change.name, &text));
-        let added = change.text.as_ref().map_or(0, |text| section_digest(&change.name, text));
-        self.digest.0 = self.digest.0.wrapping_sub(removed).wrapping_add(added);
+    }
+
+    fn moved_digest(&self, digest: ImageDigest, change: &SectionChange) -> ImageDigest {
+        let name = &change.name;
+        let removed = self.sections.get(name).map_or(0, |text| section_digest(name, text));
+        let added = change.text.as_ref().map_or(0, |text| section_digest(name, text));
+        ImageDigest(digest.0.wrapping_sub(removed).wrapping_add(added))
     }
 }
 
--- a/crates/lists/src/lib.rs
+++ b/crates/lists/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod rights;
 pub mod section;
 pub mod set;
+pub mod spread;
 pub mod store;
 
 pub use crate::{
--- /dev/null
+++ b/crates/lists/src/spread.rs
@@ -0,0 +1,72 @@
+//! Spreading of accepted lists from the store to every process.
+//!
+//! Two entries of each availability zone, its relays, watch the store. All other processes hang
+//! below them in a tree and pull from their upper node whatever they lack. Every message carries
+//! the version that its sender has. Acknowledgements travel up the same connections.
+
+pub mod children;
+pub mod copy;
+pub mod message;
+pub mod node;
+pub mod roster;
+pub mod status;
+pub mod upper;
+
+use base::prelude::*;
+
+pub use self::{
+    copy::{CopyGuards, ListCopy},
+    message::{SpreadBody, SpreadFrame},
+    node::{NodeIdentity, SpreadAction, SpreadEvent, SpreadNode, StoreNews},
+    roster::{EntryRoster, NodeHash, RosterEntry},
+    status::StatusReport,
+};
+
+/// Intervals and limits of the spread.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SpreadSettings {
+    /// Entries that pull from one entry.
+    pub fan_out: usize,
+    /// Time between two heartbeats to the upper node.
+    pub beat_every: Duration,
+    /// Silence after which an upper or lower node counts as lost.
+    pub silent_after: Duration,
+    /// Age of the news from a relay after which another upper node is tried.
+    pub stale_after: Duration,
+    /// Time after which a node returns from a substitute to its proper upper node.
+    pub return_after: Duration,
+    /// Shortest time between two reads of the VM list by a relay.
+    pub vms_every: Duration,
+    /// Shortest time between two reads of the store by a node that hears from no relay.
+    pub fallback_every: Duration,
+    /// Shortest time between two writes of a zone's status.
+    pub status_every: Duration,
+    /// Time for which a starting node asks several nodes before it trusts the newest copy.
+    pub gather_for: Duration,
+    /// Nodes that a starting node asks.
+    pub start_queries: usize,
+}
+
+impl Default for SpreadSettings {
+    fn default() -> Self {
+        Self {
+            fan_out: 8,
+            beat_every: Duration::from_secs(1),
+            silent_after: Duration::from_millis(3_500),
+            stale_after: Duration::from_secs(5),
+            return_after: Duration::from_secs(30),
+            vms_every: Duration::from_secs(5),
+            fallback_every: Duration::from_secs(10),
+            status_every: Duration::from_secs(2),
+            gather_for: Duration::from_millis(1_500),
+            start_queries: 3,
+        }
+    }
+}
+
+/// Lower nodes that one node serves; more are sent elsewhere.
+pub const MAX_LOWER_NODES: usize = 96;
+/// Bytes of the VM list that a relay reads each second on average.
+pub const VM_LIST_RATE: u64 = 10 << 10;
+/// Bytes that one VM takes in the VM list.
+pub const VM_ENTRY_BYTES: u64 = 150;
--- /dev/null
+++ b/crates/lists/src/spread/children.rs
@@ -0,0 +1,175 @@
+//! The nodes that hang below one node, and what they acknowledged.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::prelude::*;
+
+use crate::spread::{
+    MAX_LOWER_NODES,
+    message::{BeatMessage, LackMessage},
+    roster::NodeHash,
+};
+
+/// Lacking nodes named in one heartbeat.
+const NAMED_LACKING: usize = 32;
+
+/// What a lower node reported last.
+#[derive(Debug, Clone)]
+struct ChildReport {
+    heard: Instant,
+    incarnation: ProcessIncarnation,
+    version: ListVersion,
+    acked: ListVersion,
+    members_digest: u64,
+    members: Vec<NodeHash>,
+    lacking: Vec<LackMessage>,
+    lacking_count: u32,
+}
+
+/// Acknowledgements of a node and of all nodes below it.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct SubtreeReport {
+    /// Lowest version that one of them has.
+    pub acked: ListVersion,
+    /// Some of the nodes that have not got the newest version.
+    pub lacking: Vec<NodeLack>,
+    /// Number of all such nodes.
+    pub lacking_count: u32,
+}
+
+/// A node that has not got the newest version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct NodeLack {
+    /// The node.
+    pub node: NodeHash,
+    /// Version that it has.
+    pub has: ListVersion,
+}
+
+/// The nodes below one node.
+#[derive(Debug, Default)]
+pub struct ChildTable {
+    children: BTreeMap<VmId, ChildReport>,
+    members: BTreeSet<NodeHash>,
+    members_digest: u64,
+}
+
+impl ChildTable {
+    /// A table that holds only the node itself.
+    pub fn new(own: NodeHash) -> Self {
+        let mut table = Self::default();
+        table.rebuild_members(own);
+        table
+    }
+
+    /// Records a heartbeat; `false` if there is no room for another lower node.
+    pub fn record(&mut self, own: NodeHash, child: &VmId, beat: BeatMessage, now: Instant) -> bool {
+        if !self.children.contains_key(child) && self.children.len() >= MAX_LOWER_NODES {
+            return false;
+        }
+        let former = self.children.remove(child);
+        let incarnation = ProcessIncarnation(beat.incarnation);
+        let former = former.filter(|report| report.incarnation == incarnation);
+        let (members, members_digest) = match former {
+            Some(report) if beat.members.is_empty() => (report.members, report.members_digest),
+            _ => (
+                hashes(&beat.members),
+                if beat.members.is_empty() { 0 } else { beat.members_digest },
+            ),
+        };
+        let is_changed = !members.iter().all(|member| self.members.contains(member))
+            || members_digest != beat.members_digest;
+        let report = ChildReport {
+            heard: now,
+            incarnation,
+            version: ListVersion(beat.version),
+            acked: ListVersion(beat.acked),
+            members_digest,
+            members,
+            lacking: beat.lacking,
+            lacking_count: beat.lacking_count,
+        };
+        self.children.insert(child.clone(), report);
+        if is_changed || !beat.members.is_empty() {
+            self.rebuild_members(own);
+        }
+        true
+    }
+
+    /// Forgets lower nodes that were not heard from since `deadline`.
+    pub fn drop_silent(&mut self, own: NodeHash, deadline: Instant) {
+        let before = self.children.len();
+        self.children.retain(|_, report| report.heard >= deadline);
+        if self.children.len() != before {
+            self.rebuild_members(own);
+        }
+    }
+
+    /// Names of the lower nodes.
+    pub fn names(&self) -> impl Iterator<Item = &VmId> {
+        self.children.keys()
+    }
+
+    /// Number of lower nodes.
+    pub fn len(&self) -> usize {
+        self.children.len()
+    }
+
+    /// Whether there are no lower nodes.
+    pub fn is_empty(&self) -> bool {
+        self.children.is_empty()
+    }
+
+    /// The node and all nodes below it.
+    pub fn members(&self) -> &BTreeSet<NodeHash> {
+        &self.members
+    }
+
+    /// Checksum of [`ChildTable::members`].
+    pub fn members_digest(&self) -> u64 {
+        self.members_digest
+    }
+
+    /// Checksum of the members that `child` reported last.
+    pub fn child_members_digest(&self, child: &VmId) -> u64 {
+        self.children.get(child).map_or(0, |report| report.members_digest)
+    }
+
+    /// Acknowledgements, seen from a node that has `version`.
+    ///
+    /// Nodes that have no lists at all serve nothing and do not lower the acknowledged version.
+    pub fn subtree(&self, version: ListVersion) -> SubtreeReport {
+        let mut report = SubtreeReport { acked: version, ..SubtreeReport::default() };
+        for (name, child) in &self.children {
+            if child.acked > ListVersion(0) {
+                report.acked = report.acked.min(child.acked);
+            }
+            if child.version < version {
+                let node = NodeHash::of(name);
+                report.lacking.push(NodeLack { node, has: child.version });
+                report.lacking_count += 1;
+            }
+            report.lacking_count += child.lacking_count;
+            report.lacking.extend(
+                child
+                    .lacking
+                    .iter()
+                    .map(|lack| NodeLack { node: NodeHash(lack.node), has: ListVersion(lack.has) }),
+            );
+        }
+        report.lacking.sort_by_key(|lack| (lack.has, lack.node));
+        report.lacking.truncate(NAMED_LACKING);
+        report
+    }
+
+    fn rebuild_members(&mut self, own: NodeHash) {
+        let below = self.children.values().flat_map(|report| report.members.iter().copied());
+        self.members = below.chain([own]).collect();
+        let hashes = self.members.iter().map(|member| member.0);
+        self.members_digest = hashes.fold(0, u64::wrapping_add);
+    }
+}
+
+fn hashes(members: &[u64]) -> Vec<NodeHash> {
+    members.iter().copied().map(NodeHash).collect()
+}
--- /dev/null
+++ b/crates/lists/src/spread/copy.rs
@@ -0,0 +1,301 @@
+//! The lists of one node: what it takes from others and what it gives to others.
+
+use std::collections::VecDeque;
+
+use base::{ini::FileFaults, prelude::*};
+use log::{info, warn};
+
+use crate::{
+    image::{ImageDigest, ListDelta, ListImage, SectionChange},
+    set::ListSet,
+    spread::message::{
+        CopyMessage, EditsMessage, PullMessage, SpreadBody, StepMessage, decode_changes,
+        encode_changes,
+    },
+};
+
+/// Edits kept for lower nodes.
+const KEPT_STEPS: usize = 128;
+/// Edits sent in one message.
+const STEPS_PER_MESSAGE: usize = 32;
+/// Sections of one piece of a full copy, in bytes.
+const PIECE_BYTES: usize = 128 << 10;
+/// Pieces of the largest full copy that is taken.
+const MAX_PIECES: u32 = 4_096;
+
+/// Checks that can be switched off one by one, to show that tests catch their absence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CopyGuards {
+    /// Refuse versions that are not newer than the one held.
+    pub newer_only: bool,
+    /// Refuse edits that do not follow the version held.
+    pub next_only: bool,
+    /// Refuse results whose checksum differs from the declared one.
+    pub digest: bool,
+}
+
+impl CopyGuards {
+    /// All checks on.
+    pub const ALL: CopyGuards = CopyGuards { newer_only: true, next_only: true, digest: true };
+}
+
+/// One edit as kept for lower nodes.
+#[derive(Debug, Clone)]
+pub struct EditStep {
+    /// Version to which the edit leads.
+    pub version: ListVersion,
+    /// Checksum of that version's image.
+    pub digest: ImageDigest,
+    /// Sections it changes.
+    pub delta: ListDelta,
+}
+
+#[derive(Debug)]
+struct CopyAssembly {
+    version: ListVersion,
+    digest: ImageDigest,
+    count: u32,
+    next: u32,
+    delta: ListDelta,
+}
+
+/// What became of lists offered by another node or the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TakeOutcome {
+    /// The node has a newer version now.
+    Taken,
+    /// Nothing new, or pieces are still missing.
+    Waiting,
+    /// The edits do not follow the version held; those between are needed.
+    Gap,
+    /// The lists do not fit what the node has; it needs a full copy.
+    Misfit,
+}
+
+/// The lists of one node.
+#[derive(Debug)]
+pub struct ListCopy {
+    set: Option<ListSet>,
+    version: ListVersion,
+    image: ListImage,
+    steps: VecDeque<EditStep>,
+    assembly: Option<CopyAssembly>,
+    guards: CopyGuards,
+}
+
+impl Default for ListCopy {
+    fn default() -> Self {
+        Self::with_guards(CopyGuards::ALL)
+    }
+}
+
+impl ListCopy {
+    /// An empty copy with some checks off; for tests of the checks.
+    pub fn with_guards(guards: CopyGuards) -> Self {
+        Self {
+            set: None,
+            version: ListVersion(0),
+            image: ListImage::default(),
+            steps: VecDeque::new(),
+            assembly: None,
+            guards,
+        }
+    }
+
+    /// Version held; zero if none.
+    pub fn version(&self) -> ListVersion {
+        self.version
+    }
+
+    /// Checksum of the image held.
+    pub fn digest(&self) -> ImageDigest {
+        self.image.digest()
+    }
+
+    /// The lists held, if any.
+    pub fn set(&self) -> Option<&ListSet> {
+        self.set.as_ref()
+    }
+
+    /// What to ask an upper node for.
+    pub fn pull(&self) -> PullMessage {
+        PullMessage { version: self.version.0, digest: self.digest().0 }
+    }
+
+    /// Takes edits that follow the version held; those already held are skipped.
+    pub fn take_steps(&mut self, steps: Vec<EditStep>) -> TakeOutcome {
+        let mut outcome = TakeOutcome::Waiting;
+        for step in steps {
+            if self.guards.newer_only && step.version <= self.version {
+                continue;
+            }
+            let follows = self.set.is_some() && step.version == self.version.next();
+            if self.guards.next_only && !follows {
+                return TakeOutcome::Gap;
+            }
+            if !self.take_step(step) {
+                return TakeOutcome::Misfit;
+            }
+            outcome = TakeOutcome::Taken;
+        }
+        outcome
+    }
+
+    /// Takes edits sent by an upper node.
+    pub fn take_edits(&mut self, message: EditsMessage) -> TakeOutcome {
+        let mut steps = Vec::with_capacity(message.steps.len());
+        for step in message.steps {
+            let Ok(delta) = decode_changes(step.changes) else { return TakeOutcome::Misfit };
+            let (version, digest) = (ListVersion(step.version), ImageDigest(step.digest));
+            steps.push(EditStep { version, digest, delta });
+        }
+        self.take_steps(steps)
+    }
+
+    /// Takes a piece of a full copy; pieces of one copy arrive in order.
+    pub fn take_piece(&mut self, piece: CopyMessage) -> TakeOutcome {
+        let version = ListVersion(piece.version);
+        if self.guards.newer_only && version <= self.version || piece.count > MAX_PIECES {
+            return TakeOutcome::Waiting;
+        }
+        let Ok(delta) = decode_changes(piece.changes) else { return TakeOutcome::Misfit };
+        if piece.index == 0 {
+            let digest = ImageDigest(piece.digest);
+            let count = piece.count;
+            let delta = ListDelta::default();
+            self.assembly = Some(CopyAssembly { version, digest, count, next: 0, delta });
+        }
+        let Some(assembly) = &mut self.assembly else { return TakeOutcome::Waiting };
+        if assembly.version != version || assembly.next != piece.index {
+            self.assembly = None;
+            return TakeOutcome::Waiting;
+        }
+        assembly.delta.changes.extend(delta.changes);
+        assembly.next += 1;
+        if assembly.next < assembly.count {
+            return TakeOutcome::Waiting;
+        }
+        let Some(assembly) = self.assembly.take() else { return TakeOutcome::Waiting };
+        let mut image = ListImage::default();
+        image.apply(&assembly.delta);
+        if self.guards.digest && image.digest() != assembly.digest {
+            return TakeOutcome::Misfit;
+        }
+        self.take_image(version, image)
+    }
+
+    /// Takes whole lists, as read from the store.
+    pub fn take_image(&mut self, version: ListVersion, image: ListImage) -> TakeOutcome {
+        if self.guards.newer_only && version <= self.version {
+            return TakeOutcome::Waiting;
+        }
+        match ListSet::from_image(version, &image) {
+            Ok(set) => {
+                self.image = image;
+                self.steps.clear();
+                self.install(set);
+                TakeOutcome::Taken
+            }
+            Err(faults) => {
+                log_faults(version, &faults);
+                TakeOutcome::Waiting
+            }
+        }
+    }
+
+    /// Messages that bring a lower node from what it has to what this node has.
+    pub fn answer(&self, pull: &PullMessage) -> Vec<SpreadBody> {
+        if self.set.is_none() || pull.version >= self.version.0 {
+            return Vec::new();
+        }
+        match self.steps_after(pull) {
+            Some(steps) => steps.map(SpreadBody::Edits).collect(),
+            None => self.pieces().into_iter().map(SpreadBody::Copy).collect(),
+        }
+    }
+
+    fn steps_after(&self, pull: &PullMessage) -> Option<impl Iterator<Item = EditsMessage>> {
+        let has = ListVersion(pull.version);
+        let start = self.steps.iter().position(|step| step.version == has)?;
+        if self.steps[start].digest.0 != pull.digest {
+            return None;
+        }
+        let missing: Vec<_> = self.steps.range(start + 1..).map(step_message).collect();
+        let chunks = missing.chunks(STEPS_PER_MESSAGE).map(<[_]>::to_vec).collect::<Vec<_>>();
+        Some(chunks.into_iter().map(|steps| EditsMessage { steps }))
+    }
+
+    fn pieces(&self) -> Vec<CopyMessage> {
+        let mut pieces: Vec<Vec<SectionChange>> = vec![Vec::new()];
+        let mut bytes = 0;
+        for (name, text) in self.image.sections() {
+            if bytes > PIECE_BYTES {
+                pieces.push(Vec::new());
+                bytes = 0;
+            }
+            bytes += name.name.len() + text.len();
+            let change = SectionChange { name: name.clone(), text: Some(text.clone()) };
+            pieces.last_mut().expect("there is a first piece").push(change);
+        }
+        let count = pieces.len() as u32;
+        let numbered = pieces.into_iter().zip(0..);
+        let message = |(changes, index): (Vec<SectionChange>, u32)| CopyMessage {
+            version: self.version.0,
+            digest: self.digest().0,
+            index,
+            count,
+            changes: encode_changes(&ListDelta { changes }),
+        };
+        numbered.map(message).collect()
+    }
+
+    fn take_step(&mut self, step: EditStep) -> bool {
+        if self.guards.digest && self.image.digest_after(&step.delta) != step.digest {
+            warn!("lists: edit {} does not fit the copy held", step.version);
+            return false;
+        }
+        let base = self.set.clone().unwrap_or_default();
+        match base.updated(step.version, &step.delta) {
+            Ok(set) => {
+                self.image.apply(&step.delta);
+                self.keep_step(step);
+                self.install(set);
+                true
+            }
+            Err(faults) => {
+                log_faults(step.version, &faults);
+                false
+            }
+        }
+    }
+
+    fn keep_step(&mut self, step: EditStep) {
+        self.steps.push_back(step);
+        if self.steps.len() > KEPT_STEPS {
+            self.steps.pop_front();
+        }
+    }
+
+    fn install(&mut self, set: ListSet) {
+        self.version = set.version();
+        self.set = Some(set);
+        if self.steps.is_empty() {
+            let digest = self.digest();
+            let delta = ListDelta::default();
+            self.steps.push_back(EditStep { version: self.version, digest, delta });
+        }
+        info!("lists: version {} in force here", self.version);
+    }
+}
+
+fn step_message(step: &EditStep) -> StepMessage {
+    StepMessage {
+        version: step.version.0,
+        digest: step.digest.0,
+        changes: encode_changes(&step.delta),
+    }
+}
+
+fn log_faults(version: ListVersion, faults: &FileFaults) {
+    warn!("lists: version {version} cannot be read here: {faults}");
+}
--- /dev/null
+++ b/crates/lists/src/spread/node/beats.rs
@@ -0,0 +1,134 @@
+//! Heartbeats, offers and acknowledgements.
+
+use base::prelude::*;
+
+use super::{SpreadAction, SpreadNode};
+use crate::spread::message::{BeatMessage, LackMessage, OfferMessage, SpreadBody};
+
+impl SpreadNode {
+    pub(super) fn beat_all(&mut self, actions: &mut Vec<SpreadAction>, now: Instant) {
+        if let Some(upper) = self.upper.current().cloned() {
+            self.beat(upper, false, actions);
+        }
+        if let Some(proper) = self.upper.probe(&self.settings, now) {
+            self.beat(proper, true, actions);
+        }
+        for peer in self.queried_peers() {
+            self.beat(peer, true, actions);
+        }
+    }
+
+    /// Nodes asked besides the upper one: other relays by a relay, some candidates by a starting
+    /// node.
+    pub(super) fn queried_peers(&self) -> Vec<VmId> {
+        let mut peers: Vec<VmId> = Vec::new();
+        if self.is_relay() {
+            peers.extend(self.other_relays.keys().cloned());
+            peers.extend(self.roster.relays().iter().map(|relay| relay.vm.clone()));
+        }
+        if !self.is_ready() {
+            peers.extend(self.upper.candidates().iter().take(self.settings.start_queries).cloned());
+        }
+        peers.sort();
+        peers.dedup();
+        peers.retain(|peer| *peer != self.identity.vm && !self.upper.is_current(peer));
+        peers
+    }
+
+    pub(super) fn beat(&mut self, to: VmId, is_query: bool, actions: &mut Vec<SpreadAction>) {
+        let subtree = self.children.subtree(self.version());
+        if !is_query {
+            self.acked_sent = subtree.acked;
+        }
+        let is_known = self.upper.known_members() == self.children.members_digest();
+        let members = match is_query || is_known {
+            true => Vec::new(),
+            false => self.children.members().iter().map(|member| member.0).collect(),
+        };
+        let lacking = subtree.lacking.iter();
+        let beat = BeatMessage {
+            incarnation: self.identity.incarnation.0,
+            version: self.version().0,
+            acked: subtree.acked.0,
+            roster_digest: self.roster.digest(),
+            members_digest: self.children.members_digest(),
+            members,
+            lacking: lacking.map(|l| LackMessage { node: l.node.0, has: l.has.0 }).collect(),
+            lacking_count: subtree.lacking_count,
+            is_query,
+        };
+        actions.push(SpreadAction::Send { to, body: SpreadBody::Beat(beat) });
+    }
+
+    pub(super) fn take_beat(
+        &mut self,
+        from: &VmId,
+        beat: BeatMessage,
+        actions: &mut Vec<SpreadAction>,
+        now: Instant,
+    ) {
+        if self.is_relay() && self.is_other_relay(from) {
+            self.pulse = Some(now);
+        }
+        let version = ListVersion(beat.version);
+        if beat.roster_digest != self.roster.digest() && !self.roster.is_empty() {
+            let body = SpreadBody::Roster(self.roster.to_message());
+            actions.push(SpreadAction::Send { to: from.clone(), body });
+        }
+        let is_only_asking = beat.is_query || self.upper.is_current(from);
+        if is_only_asking || self.children.record(self.own, from, beat, now) {
+            self.offer(from.clone(), actions, now);
+        }
+        self.pull_if_newer(from, version, actions, now);
+        self.acknowledge(actions);
+    }
+
+    pub(super) fn offer(&self, to: VmId, actions: &mut Vec<SpreadAction>, now: Instant) {
+        let offer = OfferMessage {
+            version: self.version().0,
+            age_millis: self.age(now).as_millis().min(u128::from(u32::MAX)) as u32,
+            roster_digest: self.roster.digest(),
+            members_digest: self.children.child_members_digest(&to),
+        };
+        actions.push(SpreadAction::Send { to, body: SpreadBody::Offer(offer) });
+    }
+
+    pub(super) fn take_offer(
+        &mut self,
+        from: &VmId,
+        offer: OfferMessage,
+        actions: &mut Vec<SpreadAction>,
+        now: Instant,
+    ) {
+        let pulse = now.checked_sub(Duration::from_millis(u64::from(offer.age_millis)));
+        let is_fresh = self.age(now) > Duration::from_millis(u64::from(offer.age_millis));
+        if self.is_relay() {
+            if self.is_other_relay(from) {
+                self.pulse = Some(now);
+            }
+        } else if is_fresh || self.pulse.is_none() {
+            self.pulse = pulse;
+        }
+        if self.upper.is_current(from) {
+            self.upper.heard(offer.members_digest, now);
+        } else if Duration::from_millis(u64::from(offer.age_millis)) < self.settings.stale_after {
+            self.upper.return_to(from, now);
+        }
+        self.pull_if_newer(from, ListVersion(offer.version), actions, now);
+    }
+
+    pub(super) fn is_other_relay(&self, peer: &VmId) -> bool {
+        self.other_relays.contains_key(peer)
+            || self.roster.relays().iter().any(|relay| relay.vm == *peer)
+    }
+
+    /// Sends a heartbeat at once if more can be acknowledged than before.
+    pub(super) fn acknowledge(&mut self, actions: &mut Vec<SpreadAction>) {
+        let acked = self.children.subtree(self.version()).acked;
+        let upper = self.upper.current().cloned();
+        match upper {
+            Some(upper) if acked > self.acked_sent => self.beat(upper, false, actions),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/lists/src/spread/node/members.rs
@@ -0,0 +1,67 @@
+//! Membership: the entries of the zone and the relays of the others.
+
+use std::{collections::HashMap, net::SocketAddr};
+
+use base::prelude::*;
+use platform::vms::VmEntry;
+
+use super::{SpreadAction, SpreadNode};
+use crate::spread::{
+    VM_ENTRY_BYTES, VM_LIST_RATE,
+    message::RosterMessage,
+    roster::{EntryRoster, NodeHash},
+};
+
+impl SpreadNode {
+    pub(super) fn take_roster(&mut self, from: &VmId, message: &RosterMessage, now: Instant) {
+        let is_own_reading = !self.zone_vms.is_empty() && self.is_relay();
+        let is_upper = self.upper.is_current(from) || !self.is_ready();
+        if is_own_reading || !is_upper {
+            return;
+        }
+        let roster = EntryRoster::from_message(&self.identity.zone, message);
+        if !roster.is_empty() {
+            self.roster = roster;
+            self.choose_uppers(now);
+        }
+    }
+
+    pub(super) fn take_vms(
+        &mut self,
+        vms: &[VmEntry],
+        actions: &mut Vec<SpreadAction>,
+        now: Instant,
+    ) {
+        let zone = self.identity.zone.clone();
+        let roster = EntryRoster::from_vms(&zone, vms);
+        if roster.is_empty() {
+            return;
+        }
+        self.roster = roster;
+        let in_zone = vms.iter().filter(|vm| vm.zone == zone);
+        self.zone_vms = in_zone.map(|vm| (NodeHash::of(&vm.id), vm.clone())).collect();
+        self.other_relays = other_relays(&zone, vms);
+        let pause = Duration::from_secs(vms.len() as u64 * VM_ENTRY_BYTES / VM_LIST_RATE);
+        self.timers.next_vms = now + pause.max(self.settings.vms_every);
+        self.choose_uppers(now);
+        self.watch_if_relay(actions);
+    }
+
+    pub(super) fn choose_uppers(&mut self, now: Instant) {
+        let uppers = self.roster.uppers(&self.identity.vm, self.settings.fan_out);
+        self.upper.replace(uppers, now);
+    }
+}
+
+fn other_relays(own_zone: &ZoneName, vms: &[VmEntry]) -> HashMap<VmId, SocketAddr> {
+    let mut zones: Vec<&ZoneName> = vms.iter().map(|vm| &vm.zone).collect();
+    zones.sort();
+    zones.dedup();
+    zones.retain(|zone| *zone != own_zone);
+    let mut relays = HashMap::new();
+    for zone in zones {
+        let roster = EntryRoster::from_vms(zone, vms);
+        relays.extend(roster.relays().iter().map(|relay| (relay.vm.clone(), relay.address)));
+    }
+    relays
+}
--- a/crates/lists/src/store/objects.rs
+++ b/crates/lists/src/store/objects.rs
@@ -130,7 +130,7 @@
 /// Lacking nodes that a status names.
 pub const MAX_LACKING: usize = 64;
 /// Recent versions whose times a status keeps.
-pub const KEPT_FORCE_TIMES: usize = 1_024;
+pub const KEPT_FORCE_TIMES: usize = 128;
 
 /// Key of the head.
 pub fn head_key() -> ObjectKey {
--- /dev/null
+++ b/crates/lists/tests/fleet/mod.rs
@@ -0,0 +1,446 @@
+//! A fleet of spread nodes in virtual time, with a store and a network that fail on demand.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+};
+
+use base::prelude::*;
+use lists::{
+    ImageDigest, ListImage, SectionKind, SectionName, check_lists,
+    image::SectionChange,
+    spread::{
+        CopyGuards, NodeIdentity, RosterEntry, SpreadAction, SpreadBody, SpreadEvent, SpreadNode,
+        SpreadSettings, StatusReport, StoreNews, copy::EditStep,
+    },
+};
+use platform::vms::{VmEntry, VmRole, VmState};
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{Rng, SeedableRng},
+};
+
+const TICK: Duration = Duration::from_millis(250);
+
+/// Seeds and sizes of a fleet.
+pub struct FleetPlan {
+    pub seed: u64,
+    pub zones: usize,
+    pub entries: usize,
+    pub sides: usize,
+    pub guards: CopyGuards,
+    pub settings: SpreadSettings,
+}
+
+impl FleetPlan {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            zones: 2,
+            entries: 7,
+            sides: 8,
+            guards: CopyGuards::ALL,
+            settings: small_settings(),
+        }
+    }
+}
+
+/// A small fan-out, so that small fleets have deep trees.
+fn small_settings() -> SpreadSettings {
+    SpreadSettings { fan_out: 3, ..SpreadSettings::default() }
+}
+
+/// Faults of the network, all at once.
+#[derive(Clone, Copy, Default)]
+pub struct NetFault {
+    /// Messages of a thousand that get lost.
+    pub loss: u64,
+    /// Longest delay of a message, so that later ones can overtake it.
+    pub delay: Duration,
+}
+
+struct FleetNode {
+    node: SpreadNode,
+    life: u64,
+    up: bool,
+    watching: bool,
+    installed: Vec<ListVersion>,
+}
+
+struct Due {
+    at: Instant,
+    order: u64,
+    to: VmId,
+    life: u64,
+    event: SpreadEvent,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// What went wrong in a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FleetFault {
+    /// A process took a version below one that it had.
+    WentBack(VmId),
+    /// A process holds something else than was accepted at that version.
+    WrongLists(VmId),
+    /// A process does not have the last accepted version at the end.
+    Behind(VmId, ListVersion),
+}
+
+/// The fleet.
+pub struct Fleet {
+    pub now: Instant,
+    pub net: NetFault,
+    pub store_down: bool,
+    /// Longest time the store takes for an answer.
+    pub store_delay: Duration,
+    pub faults: Vec<FleetFault>,
+    pub statuses: BTreeMap<ZoneName, StatusReport>,
+    /// Nodes that only reach each other.
+    pub cut: BTreeSet<VmId>,
+    /// Nodes that reach both sides of the cut.
+    pub open: BTreeSet<VmId>,
+    /// Bytes received and sent by each node.
+    pub traffic: BTreeMap<VmId, u64>,
+    /// VMs whose new process serves an older version than the former one.
+    pub reverted: BTreeSet<VmId>,
+    had: BTreeMap<VmId, ListVersion>,
+    nodes: BTreeMap<VmId, FleetNode>,
+    vms: Vec<VmEntry>,
+    accepted: Vec<(ListImage, EditStep)>,
+    queue: BinaryHeap<Reverse<Due>>,
+    order: u64,
+    rng: ChaCha8Rng,
+    guards: CopyGuards,
+    settings: SpreadSettings,
+    seed_vms: Vec<VmEntry>,
+    naive: BTreeMap<VmId, NaiveNode>,
+}
+
+/// The naive version of a node: it reads the store every now and then.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct NaiveNode {
+    version: ListVersion,
+    digest: ImageDigest,
+}
+
+impl Fleet {
+    pub fn new(plan: &FleetPlan) -> Self {
+        let mut fleet = Self {
+            now: Instant::now(),
+            net: NetFault { loss: 0, delay: Duration::from_millis(4) },
+            store_down: false,
+            store_delay: Duration::from_millis(30),
+            faults: Vec::new(),
+            statuses: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            open: BTreeSet::new(),
+            traffic: BTreeMap::new(),
+            reverted: BTreeSet::new(),
+            had: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            vms: fleet_vms(plan),
+            accepted: Vec::new(),
+            queue: BinaryHeap::new(),
+            order: 0,
+            rng: ChaCha8Rng::seed_from_u64(plan.seed),
+            guards: plan.guards,
+            settings: plan.settings,
+            seed_vms: Vec::new(),
+            naive: BTreeMap::new(),
+        };
+        fleet.seed_vms = fleet.vms.clone();
+        fleet.accept_first();
+        for vm in fleet.vms.clone() {
+            fleet.start(&vm.id);
+        }
+        fleet
+    }
+
+    pub fn random(&mut self, below: u64) -> u64 {
+        self.rng.next_u64() % below
+    }
+
+    pub fn names(&self) -> Vec<VmId> {
+        self.nodes.keys().cloned().collect()
+    }
+
+    pub fn node(&self, vm: &VmId) -> &SpreadNode {
+        &self.nodes[vm].node
+    }
+
+    /// Names of the relays of a zone by its real VM list.
+    pub fn relays(&self, zone: &str) -> Vec<VmId> {
+        let zone = ZoneName::new(zone).unwrap();
+        let roster = lists::spread::EntryRoster::from_vms(&zone, &self.vms);
+        roster.relays().iter().map(|relay| relay.vm.clone()).collect()
+    }
+
+    pub fn last(&self) -> ListVersion {
+        ListVersion(self.accepted.len() as u64)
+    }
+
+    /// Starts a process; a VM that runs one gets a new life.
+    pub fn start(&mut self, vm: &VmId) {
+        let entry = self.seed_vms.iter().find(|entry| entry.id == *vm).unwrap().clone();
+        let life = self.nodes.get(vm).map_or(1, |node| node.life + 1);
+        let identity = NodeIdentity {
+            vm: vm.clone(),
+            zone: entry.zone.clone(),
+            incarnation: ProcessIncarnation(life),
+        };
+        let seeds = self.seed_vms.iter().filter(|vm| vm.zone == entry.zone);
+        let seeds = seeds.filter(|vm| vm.role == VmRole::Entry).take(3);
+        let seeds = seeds.map(|vm| RosterEntry { vm: vm.id.clone(), address: vm.address });
+        let node = SpreadNode::with_guards(
+            identity,
+            self.settings,
+            seeds.collect(),
+            self.guards,
+            self.now,
+        );
+        let fresh = FleetNode { node, life, up: true, watching: false, installed: Vec::new() };
+        self.nodes.insert(vm.clone(), fresh);
+        let jitter = Duration::from_millis(self.random(250));
+        self.push(self.now + jitter, vm, SpreadEvent::Tick);
+    }
+
+    pub fn stop(&mut self, vm: &VmId) {
+        self.nodes.get_mut(vm).unwrap().up = false;
+    }
+
+    pub fn is_up(&self, vm: &VmId) -> bool {
+        self.nodes[vm].up
+    }
+
+    /// Takes a VM off the VM list, or puts it on again.
+    pub fn list_vm(&mut self, vm: &VmId, listed: bool) {
+        self.vms.retain(|entry| entry.id != *vm);
+        if listed {
+            self.vms.extend(self.seed_vms.iter().find(|entry| entry.id == *vm).cloned());
+        }
+    }
+
+    /// Accepts an edit of one section.
+    pub fn accept(&mut self) {
+        let replicas = self.last().0 % 13;
+        let name = SectionName::new(SectionKind::Model, format!("m-{}", self.random(5)));
+        let text = format!("service = s\nreplicas = {replicas}\nmemory = 1GiB\nclass = short\n");
+        let delta = lists::ListDelta { changes: vec![SectionChange { name, text: Some(text) }] };
+        let mut image = self.accepted.last().unwrap().0.clone();
+        image.apply(&delta);
+        let version = self.last().next();
+        let step = EditStep { version, digest: image.digest(), delta };
+        self.accepted.push((image, step));
+        self.wake_watchers();
+    }
+
+    /// Runs for `span` of virtual time.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.queue.peek().is_some_and(|due| due.0.at <= end) {
+            let Reverse(due) = self.queue.pop().unwrap();
+            self.now = due.at;
+            self.deliver(due);
+        }
+        self.now = end;
+        self.poll_naive();
+    }
+
+    fn poll_naive(&mut self) {
+        let newest = self.accepted.last().unwrap().1.clone();
+        let newest = NaiveNode { version: newest.version, digest: newest.digest };
+        for (vm, node) in &self.nodes {
+            if node.up && !self.store_down {
+                self.naive.insert(vm.clone(), newest);
+            }
+        }
+    }
+
+    /// Lists the processes that do not end where the naive version ends.
+    pub fn check_end(&mut self) {
+        for (vm, node) in self.nodes.iter().filter(|(_, node)| node.up) {
+            let held = NaiveNode { version: node.node.version(), digest: node.node.digest() };
+            if !node.node.is_ready() || self.naive.get(vm) != Some(&held) {
+                self.faults.push(FleetFault::Behind(vm.clone(), held.version));
+            }
+        }
+    }
+
+    /// Processes that run and have `version` in force.
+    pub fn count_at(&self, version: ListVersion) -> usize {
+        let at = |node: &&FleetNode| node.up && node.installed.last() == Some(&version);
+        self.nodes.values().filter(at).count()
+    }
+
+    /// Hands an event to a node at once.
+    pub fn inject(&mut self, to: &VmId, event: SpreadEvent) {
+        self.push(self.now, to, event);
+    }
+
+    fn accept_first(&mut self) {
+        let rights = "[service s]\nkind = engine\nreplicas = 12\nmemory = 8GiB\n\
+            [plan gold]\npriority = 1\nshare = 1\nmodels = *\n";
+        let image = check_lists("", rights).unwrap();
+        let step = EditStep {
+            version: ListVersion(1),
+            digest: image.digest(),
+            delta: ListImage::default().delta_to(&image),
+        };
+        self.accepted.push((image, step));
+    }
+
+    fn wake_watchers(&mut self) {
+        if self.store_down {
+            return;
+        }
+        let head = SpreadEvent::HeadSeen(self.last());
+        for vm in self.names() {
+            if self.nodes[&vm].watching {
+                let at = self.now + Duration::from_millis(1 + self.random(20));
+                self.push(at, &vm, head.clone());
+            }
+        }
+    }
+
+    fn deliver(&mut self, due: Due) {
+        let Due { to, life, event, .. } = due;
+        let node = self.nodes.get_mut(&to).unwrap();
+        if !node.up || node.life != life {
+            return;
+        }
+        let is_tick = matches!(event, SpreadEvent::Tick);
+        let actions = node.node.handle(event, self.now);
+        for action in actions {
+            self.act(&to, action);
+        }
+        if is_tick {
+            if self.nodes[&to].watching && !self.store_down && self.random(4) == 0 {
+                self.push(self.now, &to, SpreadEvent::HeadSeen(self.last()));
+            }
+            self.push(self.now + TICK, &to, SpreadEvent::Tick);
+        }
+    }
+
+    fn act(&mut self, from: &VmId, action: SpreadAction) {
+        match action {
+            SpreadAction::Send { to, body } => self.send(from, &to, body),
+            SpreadAction::WatchHead(watching) => {
+                self.nodes.get_mut(from).unwrap().watching = watching;
+            }
+            SpreadAction::ReadHead => {
+                self.answer(from, SpreadEvent::HeadSeen(self.last()));
+            }
+            SpreadAction::ReadVms => self.answer(from, SpreadEvent::VmsRead(self.vms.clone())),
+            SpreadAction::ReadLists { after } => {
+                let news = self.news_after(after);
+                self.answer(from, SpreadEvent::ListsRead(news));
+            }
+            SpreadAction::Install(set) => self.note_install(from, set.version()),
+            SpreadAction::WriteStatus(report) => {
+                let zone = self.nodes[from].node.identity().zone.clone();
+                self.statuses.insert(zone, report);
+            }
+        }
+    }
+
+    fn note_install(&mut self, vm: &VmId, version: ListVersion) {
+        let node = self.nodes.get_mut(vm).unwrap();
+        if node.installed.last().is_some_and(|last| *last >= version) {
+            self.faults.push(FleetFault::WentBack(vm.clone()));
+        }
+        node.installed.push(version);
+        if self.had.insert(vm.clone(), version).is_some_and(|had| had > version) {
+            self.reverted.insert(vm.clone());
+        }
+        let digest: ImageDigest = node.node.digest();
+        let accepted = version.0.checked_sub(1).and_then(|n| self.accepted.get(n as usize));
+        if accepted.is_none_or(|(image, _)| image.digest() != digest) {
+            self.faults.push(FleetFault::WrongLists(vm.clone()));
+        }
+    }
+
+    fn news_after(&self, after: ListVersion) -> StoreNews {
+        if after == ListVersion(0) {
+            let image = self.accepted.last().unwrap().0.clone();
+            return StoreNews::Whole { version: self.last(), image };
+        }
+        let steps = self.accepted.iter().skip(after.0 as usize).map(|(_, step)| step.clone());
+        StoreNews::Edits(steps.collect())
+    }
+
+    /// The store answers after a while; answers can overtake each other.
+    fn answer(&mut self, to: &VmId, event: SpreadEvent) {
+        if !self.store_down {
+            let millis = 2 + self.random(self.store_delay.as_millis() as u64);
+            let at = self.now + Duration::from_millis(millis);
+            self.push(at, to, event);
+        }
+    }
+
+    fn send(&mut self, from: &VmId, to: &VmId, body: SpreadBody) {
+        use prost::Message;
+        let frame = lists::spread::SpreadFrame { body: Some(body) };
+        let bytes = frame.encode_to_vec();
+        let body = lists::spread::SpreadFrame::decode(bytes.as_slice()).unwrap().body.unwrap();
+        let is_open = self.open.contains(from) || self.open.contains(to);
+        let is_same_side = self.cut.contains(from) == self.cut.contains(to);
+        let reachable = self.nodes.get(to).is_some_and(|node| node.up) && (is_open || is_same_side);
+        if !reachable {
+            let event = SpreadEvent::Disconnected { peer: to.clone() };
+            return self.push(self.now + Duration::from_millis(3), from, event);
+        }
+        for vm in [from, to] {
+            *self.traffic.entry(vm.clone()).or_default() += bytes.len() as u64 + 4;
+        }
+        if self.random(1_000) < self.net.loss {
+            return;
+        }
+        let delay = Duration::from_micros(500 + self.random(self.net.delay.as_micros() as u64 + 1));
+        let event = SpreadEvent::Received { from: from.clone(), body };
+        self.push(self.now + delay, to, event);
+    }
+
+    fn push(&mut self, at: Instant, to: &VmId, event: SpreadEvent) {
+        self.order += 1;
+        let life = self.nodes[to].life;
+        self.queue.push(Reverse(Due { at, order: self.order, to: to.clone(), life, event }));
+    }
+}
+
+fn fleet_vms(plan: &FleetPlan) -> Vec<VmEntry> {
+    let mut vms = Vec::new();
+    for zone in 0..plan.zones {
+        for (role, count) in [(VmRole::Entry, plan.entries), (VmRole::Backend, plan.sides)] {
+            for index in 0..count {
+                let kind = if role == VmRole::Entry { "entry" } else { "back" };
+                let port = 1_000 + vms.len();
+                vms.push(VmEntry {
+                    id: VmId::new(format!("{kind}-{zone}-{index}")).unwrap(),
+                    role,
+                    service: None,
+                    zone: ZoneName::new(format!("z{zone}")).unwrap(),
+                    address: format!("127.0.0.1:{port}").parse().unwrap(),
+                    state: VmState::Live,
+                });
+            }
+        }
+    }
+    vms
+}
