--- a/crates/fescuewalk/src/cmd.rs
+++ b/crates/fescuewalk/src/cmd.rs
@@ -1,6 +1,7 @@
 //! One module for each subcommand.
 
 pub mod entry;
+pub mod quarantine;
 pub mod standin;
 pub mod status;
 pub mod r#try;
--- a/crates/fescuewalk/src/main.rs
+++ b/crates/fescuewalk/src/main.rs
@@ -19,6 +19,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(cmd::entry::command())
+        .subcommand(cmd::quarantine::command())
         .subcommand(cmd::standin::command())
         .subcommand(cmd::status::command())
         .subcommand(cmd::r#try::command())
@@ -27,6 +28,7 @@
 fn run(matches: &ArgMatches) -> CliResult<()> {
     match matches.subcommand() {
         Some(("entry", args)) => cmd::entry::run(args),
+        Some(("quarantine", args)) => cmd::quarantine::run(args),
         Some(("standin", args)) => cmd::standin::run(args),
         Some(("status", args)) => cmd::status::run(args),
         Some(("try", args)) => cmd::r#try::run(args),
--- a/crates/once/src/quarantine.rs
+++ b/crates/once/src/quarantine.rs
@@ -176,7 +176,7 @@
 
     fn ended_well(&mut self, fingerprint: RequestFingerprint) -> Vec<QuarantineAction> {
         let Some(known) = self.records.get(&fingerprint) else { return Vec::new() };
-        if known.record.marks.len() >= record::QUARANTINE_CRASHES {
+        if known.record.is_quarantined() {
             return Vec::new();
         }
         match known.stored {
--- a/crates/once/src/quarantine/record.rs
+++ b/crates/once/src/quarantine/record.rs
@@ -8,7 +8,7 @@
 use crate::fingerprint::RequestFingerprint;
 
 /// Crashes at which a request must have been in flight to be quarantined.
-pub const QUARANTINE_CRASHES: usize = 2;
+const QUARANTINE_CRASHES: usize = 2;
 
 /// Most crashes recorded of one request.
 const MAX_MARKS: usize = 8;
@@ -80,9 +80,14 @@
         self.marks.len() > known
     }
 
+    /// Whether the request may not run at all.
+    pub fn is_quarantined(&self) -> bool {
+        self.marks.len() >= QUARANTINE_CRASHES
+    }
+
     /// What the crashes say; one alone is forgotten after `suspect_life`.
     pub fn verdict(&self, unix: Duration, suspect_life: Duration) -> CrashVerdict {
-        if self.marks.len() >= QUARANTINE_CRASHES {
+        if self.is_quarantined() {
             return CrashVerdict::Quarantined;
         }
         match self.latest + suspect_life > unix && !self.marks.is_empty() {
