--- a/crates/fescuewalk/tests/support/fleet.rs
+++ b/crates/fescuewalk/tests/support/fleet.rs
@@ -1,8 +1,15 @@
-//! A small fleet of separate processes with accepted lists.
+//! A small fleet of separate processes: two engines, one plain service, two entries.
 
 use std::{net::SocketAddr, time::Duration};
 
-use base::prelude::KeyHash;
+use base::prelude::{KeyHash, ListVersion};
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
 use lists::store::{EditOrder, EditOutcome, ListTexts, apply_edit};
 use platform::http::{ClientSettings, PlatformClient};
 
@@ -34,7 +41,6 @@
 /// All processes of a small fleet.
 pub struct Fleet {
     pub dir: WorkDir,
-    /// The platform, the weight store, two engines and a plain service.
     pub standins: Vec<Process>,
     pub sides: Vec<Process>,
     pub entries: Vec<Process>,
@@ -145,25 +151,23 @@
 
 async fn put_vms(platform: SocketAddr, vms: &[serde_json::Value]) {
     let body = serde_json::to_vec(vms).unwrap();
-    let request = http::Request::put(format!("http://{platform}/admin/vms"))
-        .body(http_body_util::Full::new(bytes::Bytes::from(body)))
+    let request = Request::put(format!("http://{platform}/admin/vms"))
+        .body(Full::new(Bytes::from(body)))
         .unwrap();
     let answer = client().request(request).await.unwrap();
     assert!(answer.status().is_success());
 }
 
-pub fn client() -> hyper_util::client::legacy::Client<
-    hyper_util::client::legacy::connect::HttpConnector,
-    http_body_util::Full<bytes::Bytes>,
-> {
-    hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new()).build_http()
+/// An HTTP client for one call or a few.
+pub fn client() -> Client<HttpConnector, Full<Bytes>> {
+    Client::builder(TokioExecutor::new()).build_http()
 }
 
 async fn accept_lists(platform: SocketAddr) {
     let store = PlatformClient::new(ClientSettings::new(platform));
     let order = EditOrder {
         texts: ListTexts { plans: plans(), rights: RIGHTS.to_owned() },
-        read_at: base::prelude::ListVersion(0),
+        read_at: ListVersion(0),
         operator: "tester".parse().unwrap(),
         note: "first lists".to_owned(),
     };
@@ -171,11 +175,10 @@
     assert!(matches!(outcome, EditOutcome::Accepted(_)));
 }
 
-pub async fn wait_until_ready(address: SocketAddr) {
+async fn wait_until_ready(address: SocketAddr) {
     for _ in 0..500 {
-        let request = http::Request::get(format!("http://{address}/readyz"))
-            .body(http_body_util::Full::default())
-            .unwrap();
+        let request =
+            Request::get(format!("http://{address}/readyz")).body(Full::default()).unwrap();
         let answer = client().request(request).await;
         if answer.is_ok_and(|answer| answer.status().is_success()) {
             return;
