Placement: decided counts and slots by conditional update

Need: no more replicas of a model may be loaded than were decided, with any number of owners, paused holders, lost answers and racing operators, and cold starts must go on while the platform's store is down.

Weighed: a lease for each model (a lapsed lease frees what its paused holder still has loaded); one write for each load (no cold start in an outage, and the store's rate bounds them). A slot is a standing permission instead: it needs no write to load, and it moves only by releasing, the holder's word and a conditional update. A lower count takes effect as slots are freed. Edits are idempotent and name what they replace, so that a lost answer is settled by reading back and applying them anew. A VM's slot is freed only by a list that was requested after the slot was known, and slots are granted only to VMs that a list had.

Conclusion: safety rests on conditional updates, side processes' words and the VM list; clocks only bound retries.

--- /dev/null
+++ b/crates/placement/src/driver.rs
@@ -0,0 +1,31 @@
+//! Performs an owner's actions at the platform.
+
+use base::prelude::*;
+use platform::{ObjectStore, VmList};
+
+use crate::{
+    object::PlacementObject,
+    owner::{OwnerAction, OwnerEvent},
+};
+
+/// Performs `action` of the owner of `model` and returns the event that answers it.
+///
+/// Releases and reports go to side processes and askers, not to the platform; they give `None`.
+pub async fn perform<P>(platform: &P, model: &ModelId, action: &OwnerAction) -> Option<OwnerEvent>
+where
+    P: ObjectStore + VmList + ?Sized,
+{
+    let key = PlacementObject::key(model);
+    match action {
+        OwnerAction::Read => Some(OwnerEvent::ReadAnswered(platform.get(&key).await)),
+        OwnerAction::Write(body, condition) => {
+            let answer = platform.put(&key, body.clone(), *condition).await;
+            Some(OwnerEvent::WriteAnswered(answer))
+        }
+        OwnerAction::ListVms => match platform.vms().await {
+            Ok(vms) => Some(OwnerEvent::VmsListed(vms.into_iter().map(|vm| vm.id).collect())),
+            Err(_) => Some(OwnerEvent::ListFailed),
+        },
+        OwnerAction::OrderRelease(..) | OwnerAction::Report(..) => None,
+    }
+}
--- /dev/null
+++ b/crates/placement/src/naive.rs
@@ -0,0 +1,56 @@
+//! The simplest correct placement, for comparison: one lock, one store write for each load.
+
+use base::prelude::*;
+
+/// Replicas of one model, decided under one lock; every change is one write.
+#[derive(Debug, Default)]
+pub struct NaivePlacement {
+    wanted: u32,
+    holders: Vec<VmId>,
+    writes: u64,
+}
+
+impl NaivePlacement {
+    /// A model without replicas.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Replaces the wanted count; the newest replicas above it go.
+    pub fn resize(&mut self, to: u32) {
+        self.writes += 1;
+        self.wanted = to;
+        self.holders.truncate(to as usize);
+    }
+
+    /// Loads the model at `vm` if the count allows it.
+    pub fn load(&mut self, vm: &VmId) -> bool {
+        if self.holders.contains(vm) {
+            return true;
+        }
+        if self.holders.len() >= self.wanted as usize {
+            return false;
+        }
+        self.writes += 1;
+        self.holders.push(vm.clone());
+        true
+    }
+
+    /// Unloads the model at `vm`.
+    pub fn unload(&mut self, vm: &VmId) {
+        if self.holders.contains(vm) {
+            self.writes += 1;
+            self.holders.retain(|holder| holder != vm);
+        }
+    }
+
+    /// VMs that hold the model, the oldest first.
+    pub fn holders(&self) -> &[VmId] {
+        &self.holders
+    }
+
+    /// Writes made so far.
+    pub fn writes(&self) -> u64 {
+        self.writes
+    }
+}
