Slots name the memory of their model

Need: a side process that starts beside a running engine keeps room for what its predecessors may have ordered, and has no lists from which to know sizes. Weighed: sizes by the lists (not at hand in an outage). The slot carries the size; it only grows, so that room is never underestimated.

--- a/crates/placement/src/edit.rs
+++ b/crates/placement/src/edit.rs
@@ -20,8 +20,8 @@
         /// Count asked for.
         to: u32,
     },
-    /// Give a slot to a side process.
-    Grant(SlotHolder),
+    /// Give a slot to a side process, for a model that takes this much memory.
+    Grant(SlotHolder, ByteSize),
     /// Take the slot of a VM back once its holder has unloaded.
     Release(VmId),
     /// The holder confirmed the release with this fencing number.
@@ -38,7 +38,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             PlacementEdit::Resize { from, to } => write!(f, "resize from {from} to {to}"),
-            PlacementEdit::Grant(holder) => write!(f, "grant to {holder}"),
+            PlacementEdit::Grant(holder, memory) => write!(f, "grant {memory} to {holder}"),
             PlacementEdit::Release(vm) => write!(f, "release at {vm}"),
             PlacementEdit::Free(vm, fence) => write!(f, "free {fence} at {vm}"),
             PlacementEdit::Rebind(holder) => write!(f, "rebind to {holder}"),
@@ -94,7 +94,7 @@
     pub fn apply(&mut self, edit: &PlacementEdit, guards: PlacementGuards) -> EditOutcome {
         match edit {
             PlacementEdit::Resize { from, to } => self.resize(*from, *to, guards),
-            PlacementEdit::Grant(holder) => self.grant(holder, guards),
+            PlacementEdit::Grant(holder, memory) => self.grant(holder, *memory, guards),
             PlacementEdit::Release(vm) => self.release(vm, guards),
             PlacementEdit::Free(vm, fence) => self.free(vm, *fence),
             PlacementEdit::Rebind(holder) => self.rebind(holder),
@@ -142,12 +142,17 @@
         self.decided = self.wanted.max(self.slot_count());
     }
 
-    fn grant(&mut self, holder: &SlotHolder, guards: PlacementGuards) -> EditOutcome {
+    fn grant(
+        &mut self,
+        holder: &SlotHolder,
+        memory: ByteSize,
+        guards: PlacementGuards,
+    ) -> EditOutcome {
         match self.slot(&holder.vm) {
             Some(slot) if !slot.is_held() => {
                 return EditOutcome::Refused(EditRefusal::StillReleasing);
             }
-            Some(slot) if slot.holder == *holder => return EditOutcome::Unchanged,
+            Some(slot) if slot.holder == *holder => return self.enlarge(&holder.vm, memory),
             Some(_) => return self.rebind(holder),
             None => {}
         }
@@ -156,10 +161,21 @@
         }
         let fence = self.draw_fence();
         let (holder, state) = (holder.clone(), SlotState::Held);
-        self.slots.push(PlacementSlot { holder, fence, state, unsettled: 0 });
+        self.slots.push(PlacementSlot { holder, fence, state, memory, unsettled: 0 });
         EditOutcome::Changed
     }
 
+    /// A slot's memory only grows, so that room for its load is never underestimated.
+    fn enlarge(&mut self, vm: &VmId, memory: ByteSize) -> EditOutcome {
+        match self.slot_mut(vm) {
+            Some(slot) if slot.memory < memory => {
+                slot.memory = memory;
+                EditOutcome::Changed
+            }
+            _ => EditOutcome::Unchanged,
+        }
+    }
+
     fn release(&mut self, vm: &VmId, guards: PlacementGuards) -> EditOutcome {
         if self.slot(vm).is_none_or(|slot| !slot.is_held()) {
             return EditOutcome::Unchanged;
--- a/crates/placement/src/object.rs
+++ b/crates/placement/src/object.rs
@@ -62,6 +62,8 @@
     pub fence: FencingNumber,
     /// Whether it may be used.
     pub state: SlotState,
+    /// Memory that the model takes.
+    pub memory: ByteSize,
     /// Earlier side processes on the VM whose load orders may still be in flight.
     pub unsettled: u32,
 }
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -173,7 +173,7 @@
             return self.report(edit, OwnerReport::QueueFull);
         }
         match &edit {
-            PlacementEdit::Grant(holder) if !self.vms.has(&holder.vm) => {
+            PlacementEdit::Grant(holder, _) if !self.vms.has(&holder.vm) => {
                 self.report(edit, OwnerReport::Refused(EditRefusal::VmUnknown));
             }
             _ => self.pending.push(edit),
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -350,7 +350,7 @@
     fn ask_grant(&mut self) {
         let vm = self.draw_side();
         let process = self.sides[&vm].process;
-        self.ask(PlacementEdit::Grant(SlotHolder { vm, process }));
+        self.ask(PlacementEdit::Grant(SlotHolder { vm, process }, ByteSize::gib(14)));
     }
 
     fn ask_release(&mut self) {
--- a/crates/placement/tests/owner_steps.rs
+++ b/crates/placement/tests/owner_steps.rs
@@ -23,6 +23,10 @@
     SlotHolder { vm: vm(number), process: ProcessIncarnation(number + 1) }
 }
 
+fn grant(number: u64) -> PlacementEdit {
+    PlacementEdit::Grant(holder(number), ByteSize::gib(14))
+}
+
 fn vms(numbers: &[u64]) -> BTreeSet<VmId> {
     numbers.iter().map(|number| vm(*number)).collect()
 }
@@ -106,11 +110,8 @@
     let mut fixture = fixture().await;
     fixture.resize(2).await;
 
-    let reports = [
-        fixture.ask(PlacementEdit::Grant(holder(0))).await,
-        fixture.ask(PlacementEdit::Grant(holder(1))).await,
-        fixture.ask(PlacementEdit::Grant(holder(2))).await,
-    ];
+    let reports =
+        [fixture.ask(grant(0)).await, fixture.ask(grant(1)).await, fixture.ask(grant(2)).await];
 
     let refused = OwnerReport::Refused(EditRefusal::NoSlot);
     assert_eq!(reports, [OwnerReport::Made, OwnerReport::Made, refused]);
@@ -120,13 +121,13 @@
 async fn a_slot_moves_only_after_the_confirmation() {
     let mut fixture = fixture().await;
     fixture.resize(1).await;
-    fixture.ask(PlacementEdit::Grant(holder(0))).await;
+    fixture.ask(grant(0)).await;
 
     fixture.ask(PlacementEdit::Release(vm(0))).await;
-    let early = fixture.ask(PlacementEdit::Grant(holder(1))).await;
+    let early = fixture.ask(grant(1)).await;
     let (released, fence) = fixture.releases.last().cloned().unwrap();
     fixture.feed(OwnerEvent::Unloaded(released, fence)).await;
-    let late = fixture.ask(PlacementEdit::Grant(holder(1))).await;
+    let late = fixture.ask(grant(1)).await;
 
     assert_eq!(early, OwnerReport::Refused(EditRefusal::NoSlot));
     assert_eq!(late, OwnerReport::Made);
@@ -137,8 +138,8 @@
 async fn a_lower_count_takes_effect_as_slots_are_freed() {
     let mut fixture = fixture().await;
     fixture.resize(2).await;
-    fixture.ask(PlacementEdit::Grant(holder(0))).await;
-    fixture.ask(PlacementEdit::Grant(holder(1))).await;
+    fixture.ask(grant(0)).await;
+    fixture.ask(grant(1)).await;
 
     fixture.resize(1).await;
     let before = fixture.stored().await.decided;
@@ -156,7 +157,7 @@
     fixture.resize(3).await;
     fixture.store.set_fault(StoreFault { lost_answers: 1, ..StoreFault::default() });
 
-    let report = fixture.ask(PlacementEdit::Grant(holder(0))).await;
+    let report = fixture.ask(grant(0)).await;
 
     assert_eq!(report, OwnerReport::Made);
     assert_eq!(fixture.stored().await.slots.len(), 1);
@@ -182,10 +183,10 @@
 async fn standing_slots_stay_usable_while_the_store_is_down() {
     let mut fixture = fixture().await;
     fixture.resize(2).await;
-    fixture.ask(PlacementEdit::Grant(holder(0))).await;
+    fixture.ask(grant(0)).await;
     fixture.store.set_fault(StoreFault { down: true, ..StoreFault::default() });
 
-    fixture.feed(OwnerEvent::Asked(PlacementEdit::Grant(holder(1)))).await;
+    fixture.feed(OwnerEvent::Asked(grant(1))).await;
     for _ in 0..600 {
         fixture.pass(Duration::from_secs(60)).await;
     }
@@ -201,7 +202,7 @@
 async fn a_slot_is_freed_when_the_list_no_longer_has_its_vm() {
     let mut fixture = fixture().await;
     fixture.resize(1).await;
-    fixture.ask(PlacementEdit::Grant(holder(0))).await;
+    fixture.ask(grant(0)).await;
 
     fixture.listed = vms(&[1, 2]);
     fixture.pass(Duration::from_secs(1)).await;
@@ -214,7 +215,7 @@
     let mut fixture = fixture().await;
     fixture.resize(1).await;
 
-    let report = fixture.ask(PlacementEdit::Grant(holder(77))).await;
+    let report = fixture.ask(grant(77)).await;
 
     assert_eq!(report, OwnerReport::Refused(EditRefusal::VmUnknown));
 }
@@ -226,7 +227,7 @@
     fixture.resize(1).await;
     fixture.is_list_held = true;
     fixture.feed(OwnerEvent::Tick).await;
-    fixture.ask(PlacementEdit::Grant(holder(0))).await;
+    fixture.ask(grant(0)).await;
 
     fixture.feed(OwnerEvent::VmsListed(vms(&[1, 2]))).await;
 
@@ -253,7 +254,7 @@
 async fn a_restarted_side_process_is_bound_with_a_higher_fencing_number() {
     let mut fixture = fixture().await;
     fixture.resize(1).await;
-    fixture.ask(PlacementEdit::Grant(holder(0))).await;
+    fixture.ask(grant(0)).await;
     let before = fixture.stored().await.slots[0].clone();
 
     let successor = SlotHolder { vm: vm(0), process: ProcessIncarnation(500) };
@@ -273,8 +274,7 @@
     let before = fixture.store.calls();
     let write = OwnerEvent::WriteAnswered(Err(StoreError::BudgetSpent));
 
-    let first =
-        fixture.owner.step(OwnerEvent::Asked(PlacementEdit::Grant(holder(0))), Instant::now());
+    let first = fixture.owner.step(OwnerEvent::Asked(grant(0)), Instant::now());
     let second = fixture.owner.step(write, Instant::now());
     let third = fixture.owner.step(OwnerEvent::Tick, Instant::now());
 
@@ -301,7 +301,7 @@
                 naive.resize(to);
             }
             1 => {
-                let report = fixture.ask(PlacementEdit::Grant(holder(number))).await;
+                let report = fixture.ask(grant(number)).await;
                 assert_eq!(report == OwnerReport::Made, naive.load(&vm(number)));
             }
             _ => {
@@ -327,7 +327,7 @@
     (0..4096).for_each(|number| {
         let vm = VmId::new(format!("vm-in-a-zone-with-a-long-name-{number}")).unwrap();
         let holder = SlotHolder { vm, process: ProcessIncarnation(u64::MAX) };
-        object.apply(&PlacementEdit::Grant(holder), guards);
+        object.apply(&PlacementEdit::Grant(holder, ByteSize::gib(80)), guards);
     });
 
     let body: Bytes = object.encode();
