--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -4,7 +4,10 @@
 //! One task holds all state. Calls to the store and to side processes run in tasks of their own
 //! and come back as events.
 
-mod placing;
+mod capacity;
+mod loads;
+mod report;
+mod slots;
 mod target;
 
 use std::{
@@ -14,7 +17,9 @@
 
 use base::prelude::*;
 use lists::ListSet;
-use platform::ObjectStore;
+use loading::{FlightEvent, GapHistogram};
+use placement::OwnerEvent as PlacementEvent;
+use platform::{ObjectStore, VmList};
 use routing::rendezvous::OwnerKey;
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -23,13 +28,11 @@
 use wire::{
     LinkSender, Message, PeerIdentity, PeerRole,
     ask::{Ask, AskRefusal, AskTarget, CreditReturn, Grant},
-    load::{BackendReport, LoadOrder, OrderOutcome, ReportSubscription},
+    load::{BackendReport, OrderOutcome, ReportSubscription},
 };
 
-use self::{
-    placing::{PlacedSlot, Placing},
-    target::{Replica, ReplicaStage, TargetState, WaitingAsk},
-};
+pub use self::report::{ReplicaReport, TargetReport};
+use self::target::{Replica, ReplicaStage, TargetState, WaitingAsk};
 use crate::{
     asks::{AskReply, AttemptId},
     fleet::FleetView,
@@ -40,8 +43,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Events that may wait for the owner's task.
 pub const EVENT_QUEUE: usize = 8192;
-/// Pause before a failed placement is read again.
-const PLACE_RETRY: Duration = Duration::from_secs(1);
+/// Pause before a side process that could not be reached is tried again.
+const REACH_RETRY: Duration = Duration::from_secs(1);
 
 /// Where the reply to an ask goes.
 #[derive(Debug)]
@@ -96,12 +99,21 @@
     },
     /// A connection has ended.
     PeerLost(PeerIdentity),
-    /// A placement was read or written.
-    Placed {
+    /// The platform answered a call for a placement.
+    Placement {
+        /// Model.
+        model: ModelId,
+        /// The answer.
+        event: PlacementEvent,
+    },
+    /// A VM that is to get a slot was reached, or could not be.
+    CandidateReached {
         /// Model.
         model: ModelId,
-        /// Its slots, or `None` if the store did not answer.
-        slots: Option<Vec<PlacedSlot>>,
+        /// The VM.
+        vm: VmId,
+        /// Its side process, or `None` if it could not be reached.
+        peer: Option<PeerIdentity>,
     },
     /// A side process was reached, or could not be.
     SideReached {
@@ -116,33 +128,11 @@
     Describe(oneshot::Sender<Vec<TargetReport>>),
 }
 
-/// What the owner knows of one model or service.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
-pub struct TargetReport {
-    /// Model or service.
-    pub target: String,
-    /// Decided number of replicas.
-    pub decided: u32,
-    /// Replicas with their stages.
-    pub replicas: Vec<ReplicaReport>,
-    /// Requests that wait.
-    pub waiting: usize,
-}
-
-/// What the owner knows of one replica.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
-pub struct ReplicaReport {
-    /// VM of the backend server.
-    pub vm: VmId,
-    /// Stage of the model there.
-    pub stage: String,
-    /// Credits granted and not returned.
-    pub outstanding: usize,
-}
-
 /// What the owner's task uses of the rest of the process.
 #[derive(Debug, Clone)]
 pub struct OwnerContext {
+    /// This process.
+    pub identity: PeerIdentity,
     /// The lists in force.
     pub lists: watch::Receiver<Option<ListSet>>,
     /// The fleet.
@@ -156,16 +146,33 @@
 /// State of the owner's task.
 pub struct OwnerDuty {
     context: OwnerContext,
-    placing: Placing,
+    store: Arc<dyn ObjectStore>,
+    vms: Arc<dyn VmList>,
     targets: BTreeMap<OwnerKey, TargetState>,
     keys: HashMap<AttemptId, OwnerKey>,
+    prior: GapHistogram,
+    adopted: Option<AdoptedState>,
+}
+
+/// Lists and fleet for which the models of this process were determined.
+#[derive(Debug)]
+struct AdoptedState {
+    list: ListVersion,
+    fleet: Arc<FleetView>,
 }
 
 impl OwnerDuty {
     /// A duty without targets.
-    pub fn new(context: OwnerContext, store: Arc<dyn ObjectStore>) -> Self {
-        let placing = Placing::new(store, context.events.clone(), Arc::clone(&context.peers));
-        Self { context, placing, targets: BTreeMap::new(), keys: HashMap::new() }
+    pub fn new(context: OwnerContext, store: Arc<dyn ObjectStore>, vms: Arc<dyn VmList>) -> Self {
+        Self {
+            context,
+            store,
+            vms,
+            targets: BTreeMap::new(),
+            keys: HashMap::new(),
+            prior: GapHistogram::default(),
+            adopted: None,
+        }
     }
 
     /// Handles events until all senders are gone.
@@ -185,11 +192,17 @@
     fn handle(&mut self, event: OwnerEvent, now: Instant) {
         match event {
             OwnerEvent::Ask { ask, reply } => self.ask(ask, reply, now),
-            OwnerEvent::CreditReturn(returned) => self.take_back(&returned),
+            OwnerEvent::CreditReturn(returned) => self.take_back(&returned, now),
             OwnerEvent::OrderOutcome { peer, outcome } => self.order_ended(&peer, &outcome, now),
-            OwnerEvent::BackendReport { peer, report } => self.report(&peer, &report),
+            OwnerEvent::BackendReport { peer, report } => self.report(&peer, &report, now),
             OwnerEvent::PeerLost(peer) => self.lose(&peer, now),
-            OwnerEvent::Placed { model, slots } => self.placed(&model, slots, now),
+            OwnerEvent::Placement { model, event } => {
+                self.feed_placement(&model, event, now);
+                self.pump(&OwnerKey::Model(model), now);
+            }
+            OwnerEvent::CandidateReached { model, vm, peer } => {
+                self.candidate_reached(&model, vm, peer.as_ref(), now);
+            }
             OwnerEvent::SideReached { key, vm, peer } => self.side_reached(&key, &vm, peer, now),
             OwnerEvent::Describe(reply) => {
                 let reports = self.targets.iter().map(|(key, target)| target.describe(key));
@@ -210,11 +223,13 @@
             return waiting.refuse(ResultCode::UnknownModel);
         };
         let target = self.targets.entry(key.clone()).or_default();
-        target.decided = decided;
+        if matches!(key, OwnerKey::Service(_)) {
+            target.decided = decided;
+        }
         target.queue.push_back(waiting);
         self.keys.insert(id, key.clone());
         self.place(&key, &lists, now);
-        self.pump(&key);
+        self.pump(&key, now);
     }
 
     /// Finds out which backend servers may serve the target.
@@ -233,33 +248,13 @@
                 self.reach(key);
             }
             OwnerKey::Model(model) => {
-                let is_due = target.place_again.is_none_or(|at| at <= now);
-                if !target.is_placing && is_due {
-                    let Some(entry) = lists.model(model) else { return };
-                    target.is_placing = true;
-                    self.placing.start(entry, &fleet);
+                if let Some(entry) = lists.model(model) {
+                    self.place_model(entry, lists.version(), now);
                 }
             }
         }
     }
 
-    fn placed(&mut self, model: &ModelId, slots: Option<Vec<PlacedSlot>>, now: Instant) {
-        let key = OwnerKey::Model(model.clone());
-        let fleet = Arc::clone(&self.context.fleet.borrow());
-        let Some(target) = self.targets.get_mut(&key) else { return };
-        target.is_placing = false;
-        target.place_again = Some(now + PLACE_RETRY);
-        let Some(slots) = slots else { return };
-        target.replicas.retain(|vm, _| slots.iter().any(|slot| slot.vm == *vm));
-        for slot in slots {
-            let Some(address) = fleet.address(&slot.vm) else { continue };
-            let replica =
-                target.replicas.entry(slot.vm.clone()).or_insert_with(|| Replica::new(address));
-            replica.slot = Some(slot);
-        }
-        self.reach(&key);
-    }
-
     /// Connects to side processes of the target that are not connected yet.
     fn reach(&mut self, key: &OwnerKey) {
         let Some(target) = self.targets.get_mut(key) else { return };
@@ -298,13 +293,17 @@
                     OwnerKey::Service(_) => ReplicaStage::Ready,
                     OwnerKey::Model(_) => ReplicaStage::Cold,
                 };
+                if let OwnerKey::Model(model) = key {
+                    self.see_holder(model, &peer, now);
+                    self.offer_slots(key, now);
+                }
             }
-            None => replica.stage = ReplicaStage::Failed { until: now + PLACE_RETRY },
+            None => replica.stage = ReplicaStage::Failed { until: now + REACH_RETRY },
         }
-        self.pump(key);
+        self.pump(key, now);
     }
 
-    fn report(&mut self, peer: &PeerIdentity, report: &BackendReport) {
+    fn report(&mut self, peer: &PeerIdentity, report: &BackendReport, now: Instant) {
         let mut changed = Vec::new();
         for (key, target) in &mut self.targets {
             let Some(replica) = target.replicas.get_mut(&peer.vm) else { continue };
@@ -313,48 +312,36 @@
             }
             replica.concurrency = report.concurrency as usize;
             replica.is_draining = report.is_draining;
-            if let OwnerKey::Model(model) = key {
-                let held = report.models.iter().find(|held| held.model == model.as_str());
-                replica.observe(held.map(|held| held.is_loaded));
-            }
             changed.push(key.clone());
         }
         for key in changed {
-            self.pump(&key);
+            self.observe_model(&key, peer, report, now);
+            self.pump(&key, now);
         }
     }
 
-    fn order_ended(&mut self, peer: &PeerIdentity, outcome: &OrderOutcome, now: Instant) {
-        let Ok(model) = outcome.model.parse::<ModelId>() else { return };
-        let key = OwnerKey::Model(model);
-        let Some(target) = self.targets.get_mut(&key) else { return };
-        let Some(replica) = target.replicas.get_mut(&peer.vm) else { return };
-        if replica.incarnation != peer.incarnation {
-            return;
-        }
-        replica.stage = match outcome.is_loaded {
-            true => ReplicaStage::Ready,
-            false => ReplicaStage::Failed { until: now + PLACE_RETRY },
-        };
-        self.pump(&key);
-    }
-
     fn lose(&mut self, peer: &PeerIdentity, now: Instant) {
         if peer.role != PeerRole::Side {
             return;
         }
-        for target in self.targets.values_mut() {
+        let mut lost = Vec::new();
+        for (key, target) in &mut self.targets {
             if let Some(replica) = target.replicas.get_mut(&peer.vm)
                 && replica.incarnation == peer.incarnation
             {
                 replica.outstanding.clear();
-                replica.stage = ReplicaStage::Failed { until: now + PLACE_RETRY };
-                target.place_again = None;
+                replica.pending = None;
+                replica.stage = ReplicaStage::Failed { until: now + REACH_RETRY };
+                lost.push(key.clone());
             }
         }
+        for key in lost {
+            self.feed_flight(&key, FlightEvent::Lost(peer.vm.clone()), now);
+            self.offer_slots(&key, now);
+        }
     }
 
-    fn take_back(&mut self, returned: &CreditReturn) {
+    fn take_back(&mut self, returned: &CreditReturn, now: Instant) {
         let Some(id) = AttemptId::from_wire(&returned.request, returned.attempt) else { return };
         let Some(key) = self.keys.remove(&id) else { return };
         let Some(target) = self.targets.get_mut(&key) else { return };
@@ -362,24 +349,43 @@
         for replica in target.replicas.values_mut() {
             replica.outstanding.remove(&id);
         }
-        self.pump(&key);
+        if let Some(capacity) = target.capacity.as_mut().filter(|_| returned.service_us > 0) {
+            capacity.note_service(Duration::from_micros(returned.service_us));
+        }
+        self.pump(&key, now);
     }
 
     fn tick(&mut self, now: Instant) {
         let lists = self.context.lists.borrow().clone();
+        if let Some(lists) = &lists {
+            self.follow_lists(lists, now);
+        }
         let keys: Vec<OwnerKey> = self.targets.keys().cloned().collect();
         for key in keys {
             self.expire(&key, now);
             let Some(target) = self.targets.get_mut(&key) else { continue };
             target.revive(now);
-            if target.queue.is_empty() {
+            let is_model = matches!(key, OwnerKey::Model(_));
+            if target.queue.is_empty() && !is_model {
                 continue;
             }
             if let Some(lists) = &lists {
                 self.place(&key, lists, now);
             }
             self.reach(&key);
-            self.pump(&key);
+            self.feed_flight(&key, FlightEvent::Tick, now);
+            self.pump(&key, now);
+        }
+    }
+
+    /// Takes up models again when the lists or the fleet have changed.
+    fn follow_lists(&mut self, lists: &ListSet, now: Instant) {
+        let (list, fleet) = (lists.version(), Arc::clone(&self.context.fleet.borrow()));
+        let is_same =
+            |adopted: &AdoptedState| adopted.list == list && Arc::ptr_eq(&adopted.fleet, &fleet);
+        if !self.adopted.as_ref().is_some_and(is_same) {
+            self.adopted = Some(AdoptedState { list, fleet });
+            self.adopt_models(lists, now);
         }
     }
 
@@ -392,35 +398,12 @@
     }
 
     /// Grants credits and orders loads as far as the replicas allow.
-    fn pump(&mut self, key: &OwnerKey) {
+    fn pump(&mut self, key: &OwnerKey, now: Instant) {
         let Some(target) = self.targets.get_mut(key) else { return };
         target.grant_waiting();
-        if target.queue.is_empty() {
-            return;
-        }
-        let OwnerKey::Model(model) = key else { return };
-        let lists = self.context.lists.borrow();
-        let Some(entry) = lists.as_ref().and_then(|lists| lists.model(model)) else { return };
-        let Some((vm, replica)) = target.next_load() else { return };
-        let Some(slot) = &replica.slot else { return };
-        if slot.incarnation != replica.incarnation {
-            target.place_again = None;
-            return;
+        if matches!(key, OwnerKey::Model(_)) {
+            self.balance(key, now);
         }
-        let order = LoadOrder {
-            model: model.to_string(),
-            fencing: slot.fencing.0,
-            memory: entry.memory.0,
-            incarnation: replica.incarnation.0,
-        };
-        replica.stage = ReplicaStage::Loading;
-        log::info!("owner: ordering {model} at {vm}");
-        let (peers, address) = (Arc::clone(&self.context.peers), replica.address);
-        tokio::spawn(async move {
-            if let Ok(handle) = peers.link(address).await {
-                let _ = handle.sender.send(Message::LoadOrder(order)).await;
-            }
-        });
     }
 }
 
--- /dev/null
+++ b/crates/entry/src/owner/loads.rs
@@ -0,0 +1,226 @@
+//! Loads and unloads of models under standing slots.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use loading::{CacheTier, DenyReason, FlightAction, FlightEvent, LoadCandidate, OrderId};
+use placement::{OwnerEvent as PlacementEvent, SlotHolder, SlotState};
+use routing::rendezvous::OwnerKey;
+use wire::{
+    Message, PeerIdentity,
+    load::{BackendReport, LoadOrder, OrderOutcome, UnloadOrder},
+};
+
+use super::{
+    OwnerDuty,
+    target::{PendingLoad, Replica, ReplicaStage},
+};
+
+impl OwnerDuty {
+    /// Orders loads and unloads as far as the demand asks for them.
+    pub(super) fn balance(&mut self, key: &OwnerKey, now: Instant) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        let demand = target.demand();
+        let Some(capacity) = target.capacity.as_mut() else { return };
+        let wanted = capacity.want(demand, &mut self.prior, now);
+        self.feed_flight(key, FlightEvent::Wanted(wanted), now);
+        if demand.waiting == 0 {
+            self.unload_surplus(key, wanted, now);
+        }
+    }
+
+    /// Feeds one event to the loads of a model and performs what follows.
+    pub(super) fn feed_flight(&mut self, key: &OwnerKey, event: FlightEvent, now: Instant) {
+        let Some(capacity) = self.capacity_of(key) else { return };
+        for action in capacity.flight.step(event, now) {
+            match action {
+                FlightAction::Order(order, slot) => self.order_load(key, order, &slot, now),
+                FlightAction::Ready(vm) => self.set_stage(key, &vm, ReplicaStage::Ready),
+                FlightAction::GiveUp(_) => {}
+            }
+        }
+    }
+
+    fn set_stage(&mut self, key: &OwnerKey, vm: &VmId, stage: ReplicaStage) {
+        let target = self.targets.get_mut(key);
+        if let Some(replica) = target.and_then(|target| target.replicas.get_mut(vm)) {
+            replica.stage = stage;
+        }
+    }
+
+    fn order_load(&mut self, key: &OwnerKey, order: OrderId, slot: &LoadCandidate, now: Instant) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        let Some(replica) = target.replicas.get_mut(&slot.vm) else { return };
+        replica.stage = ReplicaStage::Loading;
+        replica.pending = Some(PendingLoad { order, since: now });
+        log::info!("owner: ordering {key} at {}", slot.vm);
+        self.send_load(key, &slot.vm, now);
+    }
+
+    /// Orders the load under the slot of `vm`; where the model is loaded already, this makes the
+    /// slot known to the side process.
+    fn send_load(&mut self, key: &OwnerKey, vm: &VmId, now: Instant) {
+        let OwnerKey::Model(model) = key else { return };
+        let Some(target) = self.targets.get(key) else { return };
+        let Some(replica) = target.replicas.get(vm) else { return };
+        let (Some(slot), Some(capacity)) = (&replica.slot, &target.capacity) else { return };
+        let order = LoadOrder {
+            model: model.to_string(),
+            fencing: slot.fence.0,
+            memory: slot.memory.0,
+            incarnation: replica.incarnation.0,
+            worth: capacity.worth(&self.prior, now).0,
+        };
+        self.send(replica.address, Message::LoadOrder(order));
+    }
+
+    /// Unloads an idle replica that is not wanted any more; the slot stays.
+    fn unload_surplus(&mut self, key: &OwnerKey, wanted: u32, now: Instant) {
+        let OwnerKey::Model(model) = key else { return };
+        let Some(target) = self.targets.get_mut(key) else { return };
+        let Some(capacity) = &target.capacity else { return };
+        if capacity.flight.loaded_count() <= wanted {
+            return;
+        }
+        let is_idle = |replica: &&mut Replica| {
+            replica.stage == ReplicaStage::Ready && replica.outstanding.is_empty()
+        };
+        let Some(replica) = target.replicas.values_mut().rfind(is_idle) else { return };
+        let Some(slot) = &replica.slot else { return };
+        let order = UnloadOrder {
+            model: model.to_string(),
+            fencing: slot.fence.0,
+            is_release: false,
+            incarnation: replica.incarnation.0,
+        };
+        replica.stage = ReplicaStage::Unloading;
+        let (vm, address) = (slot.holder.vm.clone(), replica.address);
+        log::info!("owner: unloading {key} at {vm}, no request is expected");
+        self.send(address, Message::UnloadOrder(order));
+        self.feed_flight(key, FlightEvent::Lost(vm), now);
+    }
+
+    /// Takes a side process's report over.
+    pub(super) fn observe_model(
+        &mut self,
+        key: &OwnerKey,
+        peer: &PeerIdentity,
+        report: &BackendReport,
+        now: Instant,
+    ) {
+        let OwnerKey::Model(model) = key else { return };
+        let held = report.models.iter().find(|held| held.model == model.as_str());
+        let is_loaded = held.is_some_and(|held| held.is_loaded);
+        let Some(target) = self.targets.get_mut(key) else { return };
+        let Some(replica) = target.replicas.get_mut(&peer.vm) else { return };
+        replica.tier = tier_of(report, model);
+        replica.free_memory = ByteSize(report.memory).minus(ByteSize(report.reserved));
+        let stage = replica.stage;
+        if let Some(capacity) = target.capacity.as_mut() {
+            capacity.note_batch(report.concurrency);
+        }
+        self.offer_slots(key, now);
+        match stage {
+            ReplicaStage::Cold if is_loaded => {
+                self.feed_flight(key, FlightEvent::Found(peer.vm.clone()), now);
+                self.send_load(key, &peer.vm, now);
+            }
+            ReplicaStage::Ready if !is_loaded => {
+                self.set_stage(key, &peer.vm, ReplicaStage::Cold);
+                self.feed_flight(key, FlightEvent::Lost(peer.vm.clone()), now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes over what became of an order.
+    pub(super) fn order_ended(
+        &mut self,
+        peer: &PeerIdentity,
+        outcome: &OrderOutcome,
+        now: Instant,
+    ) {
+        let Ok(model) = outcome.model.parse::<ModelId>() else { return };
+        let key = OwnerKey::Model(model);
+        let target = self.targets.get_mut(&key);
+        let Some(replica) = target.and_then(|target| target.replicas.get_mut(&peer.vm)) else {
+            return;
+        };
+        if replica.incarnation != peer.incarnation {
+            return;
+        }
+        match outcome.is_load {
+            true => self.load_ended(&key, &peer.vm, outcome, now),
+            false => self.unload_ended(&key, peer, outcome, now),
+        }
+        self.pump(&key, now);
+    }
+
+    fn load_ended(&mut self, key: &OwnerKey, vm: &VmId, outcome: &OrderOutcome, now: Instant) {
+        let target = self.targets.get_mut(key);
+        let Some(replica) = target.and_then(|target| target.replicas.get_mut(vm)) else { return };
+        let Some(pending) = replica.pending.take() else { return };
+        if outcome.is_loaded {
+            if let Some(capacity) = self.capacity_of(key) {
+                capacity.note_load(now.saturating_duration_since(pending.since));
+            }
+            return self.feed_flight(key, FlightEvent::Confirmed(pending.order), now);
+        }
+        log::warn!("owner: {key} was not loaded at {vm}: code {}", outcome.code);
+        replica.stage = ReplicaStage::Cold;
+        let reason = reason_of(outcome.code);
+        self.feed_flight(key, FlightEvent::Denied(pending.order, reason), now);
+    }
+
+    fn unload_ended(
+        &mut self,
+        key: &OwnerKey,
+        peer: &PeerIdentity,
+        outcome: &OrderOutcome,
+        now: Instant,
+    ) {
+        let OwnerKey::Model(model) = key else { return };
+        let target = self.targets.get_mut(key);
+        let Some(replica) = target.and_then(|target| target.replicas.get_mut(&peer.vm)) else {
+            return;
+        };
+        if replica.stage == ReplicaStage::Unloading {
+            replica.stage = ReplicaStage::Cold;
+        }
+        let state = replica.slot.as_ref().map(|slot| slot.state);
+        let is_released = matches!(state, Some(SlotState::Releasing(_)));
+        let is_done = outcome.code == ResultCode::Success.number();
+        if is_released && is_done {
+            let holder = SlotHolder { vm: peer.vm.clone(), process: peer.incarnation };
+            let fence = FencingNumber(outcome.fencing);
+            self.feed_placement(model, PlacementEvent::Unloaded(holder, fence), now);
+        }
+    }
+
+    pub(super) fn send(&self, address: SocketAddr, message: Message) {
+        let peers = self.context.peers.clone();
+        tokio::spawn(async move {
+            if let Ok(handle) = peers.link(address).await {
+                let _ = handle.sender.send(message).await;
+            }
+        });
+    }
+}
+
+fn tier_of(report: &BackendReport, model: &ModelId) -> CacheTier {
+    let cached = report.cached.iter().find(|cached| cached.model == model.as_str());
+    match cached {
+        Some(cached) if cached.is_in_memory => CacheTier::Memory,
+        Some(_) => CacheTier::Disk,
+        None => CacheTier::Remote,
+    }
+}
+
+fn reason_of(code: u32) -> DenyReason {
+    match ResultCode::from_number(code) {
+        Some(ResultCode::LoadFailed) => DenyReason::LoadFailed,
+        Some(ResultCode::ProcessStopping) => DenyReason::Draining,
+        Some(ResultCode::QueueFull) => DenyReason::QueueFull,
+        _ => DenyReason::NoRoom,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/owner/slots.rs
@@ -0,0 +1,210 @@
+//! Placement of models: feeds the placement machines and performs their actions.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use lists::{ListSet, ModelEntry};
+use loading::{CacheTier, FlightEvent, LoadCandidate};
+use placement::{
+    OwnerAction as PlacementAction, OwnerEvent as PlacementEvent, OwnerReport, PlacementEdit,
+    PlacementSlot, SlotHolder, driver,
+};
+use platform::VmState;
+use routing::rendezvous::{OwnerCount, OwnerKey, OwnerRanking};
+use wire::{Message, PeerIdentity, load::UnloadOrder};
+
+use super::{
+    OwnerDuty, OwnerEvent,
+    capacity::ModelCapacity,
+    target::{Replica, ReplicaStage},
+};
+
+impl OwnerDuty {
+    /// Takes up the models that rendezvous hashing gives to this process.
+    pub(super) fn adopt_models(&mut self, lists: &ListSet, now: Instant) {
+        let fleet = Arc::clone(&self.context.fleet.borrow());
+        let entries = fleet.entries();
+        for entry in lists.models() {
+            let key = OwnerKey::Model(entry.id.clone());
+            let ranking = OwnerRanking::new(&key, &entries, OwnerCount(1));
+            if ranking.owners().first() == Some(&self.context.identity.vm) {
+                self.targets.entry(key).or_default();
+                self.place_model(entry, lists.version(), now);
+            }
+        }
+    }
+
+    /// Keeps the slots of a model as the lists and the fleet ask for.
+    pub(super) fn place_model(&mut self, entry: &ModelEntry, list: ListVersion, now: Instant) {
+        let key = OwnerKey::Model(entry.id.clone());
+        let process = self.context.identity.incarnation;
+        let Some(target) = self.targets.get_mut(&key) else { return };
+        let capacity = target
+            .capacity
+            .get_or_insert_with(|| ModelCapacity::new(entry.id.clone(), process, now));
+        if capacity.take_tick(now) {
+            self.feed_placement(&entry.id, PlacementEvent::Tick, now);
+        }
+        self.ask_edits(entry, list, now);
+        self.reach_candidates(entry, now);
+    }
+
+    fn ask_edits(&mut self, entry: &ModelEntry, list: ListVersion, now: Instant) {
+        let key = OwnerKey::Model(entry.id.clone());
+        let fleet = Arc::clone(&self.context.fleet.borrow());
+        let Some(capacity) = self.capacity_of(&key) else { return };
+        let mut edits = capacity.enlarge_due(entry.memory);
+        edits.extend(capacity.resize_due(entry, list));
+        let is_leaving = |slot: &&PlacementSlot| {
+            fleet.vm(&slot.holder.vm).is_some_and(|vm| vm.state == VmState::Leaving)
+        };
+        let leaving = capacity.placement.held_slots().filter(is_leaving);
+        edits.extend(leaving.map(|slot| PlacementEdit::Release(slot.holder.vm.clone())));
+        for edit in edits {
+            self.feed_placement(&entry.id, PlacementEvent::Asked(edit), now);
+        }
+    }
+
+    fn reach_candidates(&mut self, entry: &ModelEntry, now: Instant) {
+        let key = OwnerKey::Model(entry.id.clone());
+        let fleet = Arc::clone(&self.context.fleet.borrow());
+        let vms: Vec<VmId> = fleet.backends(&entry.service).map(|vm| vm.id.clone()).collect();
+        let ranking = OwnerRanking::new(&key, &vms, OwnerCount(vms.len().max(1)));
+        let Some(capacity) = self.capacity_of(&key) else { return };
+        for vm in capacity.reach_due(ranking.owners(), now) {
+            let Some(address) = fleet.address(&vm) else { continue };
+            let (context, model) = (self.context.clone(), entry.id.clone());
+            tokio::spawn(async move {
+                let peer = context.peers.link(address).await.ok().map(|handle| handle.peer);
+                let _ = context.events.send(OwnerEvent::CandidateReached { model, vm, peer }).await;
+            });
+        }
+    }
+
+    pub(super) fn candidate_reached(
+        &mut self,
+        model: &ModelId,
+        vm: VmId,
+        peer: Option<&PeerIdentity>,
+        now: Instant,
+    ) {
+        let memory = self.memory_of(model);
+        let Some(capacity) = self.capacity_of(&OwnerKey::Model(model.clone())) else { return };
+        let process = peer.filter(|peer| peer.vm == vm).map(|peer| peer.incarnation);
+        if let Some(edit) = capacity.reached(vm, process, memory, now) {
+            self.feed_placement(model, PlacementEvent::Asked(edit), now);
+        }
+    }
+
+    /// Tells the placement which process runs on a VM that may have a slot.
+    pub(super) fn see_holder(&mut self, model: &ModelId, peer: &PeerIdentity, now: Instant) {
+        let holder = SlotHolder { vm: peer.vm.clone(), process: peer.incarnation };
+        self.feed_placement(model, PlacementEvent::HolderSeen(holder), now);
+    }
+
+    /// Feeds one event to the placement of a model and performs what follows.
+    pub(super) fn feed_placement(&mut self, model: &ModelId, event: PlacementEvent, now: Instant) {
+        let key = OwnerKey::Model(model.clone());
+        let Some(capacity) = self.capacity_of(&key) else { return };
+        for action in capacity.placement.step(event, now) {
+            match action {
+                PlacementAction::OrderRelease(holder, fence) => {
+                    self.order_release(model, &holder, fence);
+                }
+                PlacementAction::Report(edit, report) => log_report(model, &edit, report),
+                call => self.call_platform(model, call),
+            }
+        }
+        self.take_slots(&key, now);
+    }
+
+    fn call_platform(&self, model: &ModelId, action: PlacementAction) {
+        let (store, vms) = (Arc::clone(&self.store), Arc::clone(&self.vms));
+        let (events, model) = (self.context.events.clone(), model.clone());
+        tokio::spawn(async move {
+            let event = driver::perform(store.as_ref(), vms.as_ref(), &model, &action).await;
+            if let Some(event) = event {
+                let _ = events.send(OwnerEvent::Placement { model, event }).await;
+            }
+        });
+    }
+
+    fn order_release(&self, model: &ModelId, holder: &SlotHolder, fence: FencingNumber) {
+        let address = self.context.fleet.borrow().address(&holder.vm);
+        let Some(address) = address else { return };
+        let order = UnloadOrder {
+            model: model.to_string(),
+            fencing: fence.0,
+            is_release: true,
+            incarnation: holder.process.0,
+        };
+        self.send(address, Message::UnloadOrder(order));
+    }
+
+    /// Takes over the slots of a placement that was read or written.
+    fn take_slots(&mut self, key: &OwnerKey, now: Instant) {
+        let fleet = Arc::clone(&self.context.fleet.borrow());
+        let Some(target) = self.targets.get_mut(key) else { return };
+        let object = target.capacity.as_ref().and_then(|capacity| capacity.placement.object());
+        let Some(object) = object.cloned() else { return };
+        target.decided = object.decided;
+        target.replicas.retain(|vm, _| object.slot(vm).is_some());
+        for slot in object.slots {
+            let Some(address) = fleet.address(&slot.holder.vm) else { continue };
+            let replica = target.replicas.entry(slot.holder.vm.clone());
+            replica.or_insert_with(|| Replica::new(address)).slot = Some(slot);
+        }
+        self.reach(key);
+        self.offer_slots(key, now);
+    }
+
+    /// Tells the flight which slots can be used now.
+    pub(super) fn offer_slots(&mut self, key: &OwnerKey, now: Instant) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        let candidates = target.replicas.iter().filter_map(|(vm, replica)| candidate(vm, replica));
+        let event = FlightEvent::Slots(candidates.collect());
+        self.feed_flight(key, event, now);
+    }
+
+    fn memory_of(&self, model: &ModelId) -> ByteSize {
+        let lists = self.context.lists.borrow();
+        let entry = lists.as_ref().and_then(|lists| lists.model(model));
+        entry.map(|entry| entry.memory).unwrap_or_default()
+    }
+
+    pub(super) fn capacity_of(&mut self, key: &OwnerKey) -> Option<&mut ModelCapacity> {
+        self.targets.get_mut(key)?.capacity.as_mut()
+    }
+}
+
+/// The replica as a place for a load, if its slot may be used and its process is the holder.
+fn candidate(vm: &VmId, replica: &Replica) -> Option<LoadCandidate> {
+    let slot = replica.slot.as_ref()?;
+    let is_reached = !matches!(
+        replica.stage,
+        ReplicaStage::Unreached | ReplicaStage::Reaching | ReplicaStage::Failed { .. }
+    );
+    let is_usable = slot.is_held() && slot.holder.process == replica.incarnation;
+    (is_reached && is_usable && !replica.is_draining).then(|| LoadCandidate {
+        vm: vm.clone(),
+        holder: slot.holder.process,
+        fence: slot.fence,
+        tier: replica.tier,
+        has_room: replica.free_memory >= slot.memory,
+        loading: u32::from(replica.stage == ReplicaStage::Loading),
+    })
+}
+
+fn log_report(model: &ModelId, edit: &PlacementEdit, report: OwnerReport) {
+    match report {
+        OwnerReport::Made => log::info!("placement: {model}: {edit}"),
+        OwnerReport::Refused(why) => log::info!("placement: {model}: {edit}: refused, {why}"),
+        OwnerReport::QueueFull => log::warn!("placement: {model}: {edit}: too many edits wait"),
+    }
+}
+
+/// Memory of a backend server on which no report has come yet.
+pub(super) const UNKNOWN_MEMORY: ByteSize = ByteSize(0);
+
+/// Tier of a checkpoint on which no report has come yet.
+pub(super) const UNKNOWN_TIER: CacheTier = CacheTier::Remote;
--- a/crates/entry/src/owner/target.rs
+++ b/crates/entry/src/owner/target.rs
@@ -2,14 +2,20 @@
 
 use std::{
     collections::{BTreeMap, HashSet, VecDeque},
+    fmt,
     net::SocketAddr,
 };
 
 use base::prelude::*;
-use routing::rendezvous::OwnerKey;
+use loading::{CacheTier, ModelDemand, OrderId};
+use placement::PlacementSlot;
 use wire::ask::{Ask, AskRefusal, Grant};
 
-use super::{AskReplyPath, ReplicaReport, TargetReport, placing::PlacedSlot};
+use super::{
+    AskReplyPath,
+    capacity::ModelCapacity,
+    slots::{UNKNOWN_MEMORY, UNKNOWN_TIER},
+};
 use crate::asks::AttemptId;
 
 /// Concurrency assumed before the first report.
@@ -61,6 +67,8 @@
     Loading,
     /// Requests may be granted.
     Ready,
+    /// The model is being unloaded.
+    Unloading,
     /// Something failed; nothing is tried until then.
     Failed {
         /// End of the pause.
@@ -68,6 +76,29 @@
     },
 }
 
+impl fmt::Display for ReplicaStage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ReplicaStage::Unreached => "not connected",
+            ReplicaStage::Reaching => "connecting",
+            ReplicaStage::Cold => "not loaded",
+            ReplicaStage::Loading => "loading",
+            ReplicaStage::Ready => "ready",
+            ReplicaStage::Unloading => "unloading",
+            ReplicaStage::Failed { .. } => "not reached",
+        })
+    }
+}
+
+/// A load that was ordered and has not ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PendingLoad {
+    /// The order.
+    pub order: OrderId,
+    /// When it was given.
+    pub since: Instant,
+}
+
 /// One backend server that may serve the target.
 #[derive(Debug)]
 pub struct Replica {
@@ -78,7 +109,13 @@
     /// Where it stands.
     pub stage: ReplicaStage,
     /// Slot that permits the model there; none for services.
-    pub slot: Option<PlacedSlot>,
+    pub slot: Option<PlacementSlot>,
+    /// Load that was ordered there.
+    pub pending: Option<PendingLoad>,
+    /// Where the server has the checkpoint.
+    pub tier: CacheTier,
+    /// Memory that nothing is reserved in.
+    pub free_memory: ByteSize,
     /// Requests that it runs at once.
     pub concurrency: usize,
     /// Whether it takes no new work.
@@ -95,21 +132,15 @@
             incarnation: ProcessIncarnation::default(),
             stage: ReplicaStage::Unreached,
             slot: None,
+            pending: None,
+            tier: UNKNOWN_TIER,
+            free_memory: UNKNOWN_MEMORY,
             concurrency: FIRST_CONCURRENCY,
             is_draining: false,
             outstanding: HashSet::new(),
         }
     }
 
-    /// Takes a report over: `Some(true)` if the model is loaded, `None` if it is not held.
-    pub fn observe(&mut self, held: Option<bool>) {
-        self.stage = match (self.stage, held) {
-            (ReplicaStage::Cold | ReplicaStage::Loading, Some(true)) => ReplicaStage::Ready,
-            (ReplicaStage::Ready, None) => ReplicaStage::Cold,
-            (stage, _) => stage,
-        };
-    }
-
     fn has_credit(&self) -> bool {
         let is_ready = self.stage == ReplicaStage::Ready && !self.is_draining;
         is_ready && self.outstanding.len() < self.concurrency
@@ -125,10 +156,8 @@
     pub queue: VecDeque<WaitingAsk>,
     /// Backend servers that may serve.
     pub replicas: BTreeMap<VmId, Replica>,
-    /// Whether the placement is being read or written.
-    pub is_placing: bool,
-    /// When the placement may be read again.
-    pub place_again: Option<Instant>,
+    /// Decisions about replicas; none for services.
+    pub capacity: Option<ModelCapacity>,
 }
 
 impl TargetState {
@@ -163,16 +192,10 @@
         }
     }
 
-    /// The replica to load next, unless one is loading already.
-    pub fn next_load(&mut self) -> Option<(&VmId, &mut Replica)> {
-        let is_loading =
-            self.replicas.values().any(|replica| replica.stage == ReplicaStage::Loading);
-        if is_loading {
-            return None;
-        }
-        self.replicas
-            .iter_mut()
-            .find(|(_, replica)| replica.stage == ReplicaStage::Cold && !replica.is_draining)
+    /// Requests that wait and run.
+    pub fn demand(&self) -> ModelDemand {
+        let running: usize = self.replicas.values().map(|replica| replica.outstanding.len()).sum();
+        ModelDemand { waiting: self.queue.len() as u32, running: running as u32 }
     }
 
     /// Requests whose time has run out.
@@ -192,19 +215,4 @@
             }
         }
     }
-
-    /// What operators see.
-    pub fn describe(&self, key: &OwnerKey) -> TargetReport {
-        let report = |(vm, replica): (&VmId, &Replica)| ReplicaReport {
-            vm: vm.clone(),
-            stage: format!("{:?}", replica.stage).to_lowercase(),
-            outstanding: replica.outstanding.len(),
-        };
-        TargetReport {
-            target: key.to_string(),
-            decided: self.decided,
-            replicas: self.replicas.iter().map(report).collect(),
-            waiting: self.queue.len(),
-        }
-    }
 }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -176,12 +176,13 @@
     let objects: Arc<dyn ObjectStore> = store.clone();
     let vms: Arc<dyn VmList> = Arc::new(client);
     let context = OwnerContext {
+        identity: identity.clone(),
         lists: lists.clone(),
         fleet: fleet.clone(),
         peers: peers.clone(),
         events: owner.clone(),
     };
-    tokio::spawn(OwnerDuty::new(context, objects.clone()).run(owner_events));
+    tokio::spawn(OwnerDuty::new(context, objects.clone(), vms.clone()).run(owner_events));
     tokio::spawn(list_watch::follow(objects.clone(), lists_sender));
     tokio::spawn(fleet::follow(vms, settings.platform.vm_poll.0, fleet_sender));
     Arc::new(EntryState {
--- a/crates/fescuewalk/src/cmd/status.rs
+++ b/crates/fescuewalk/src/cmd/status.rs
@@ -9,6 +9,7 @@
 use base::prelude::*;
 use bytes::Bytes;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use entry::owner::TargetReport;
 use http::Request;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
@@ -43,8 +44,10 @@
 pub async fn run(args: &ArgMatches) -> CliResult<()> {
     for address in args.get_many::<SocketAddr>("entries").into_iter().flatten() {
         let body = fetch(*address).await?;
+        let reports: Vec<TargetReport> = serde_json::from_slice(&body)
+            .map_err(|_| CliError::failed(format!("{address} answers something else")))?;
         println!("# entry {address}");
-        println!("{}", String::from_utf8_lossy(&body));
+        reports.iter().for_each(|report| print!("{report}"));
     }
     Ok(())
 }
--- a/crates/fescuewalk/src/local_fleet.rs
+++ b/crates/fescuewalk/src/local_fleet.rs
@@ -11,10 +11,11 @@
     ListSet, ServiceEntry, ServiceKind,
     store::{EditOrder, EditOutcome, ListTexts, apply_edit},
 };
+use loading::FenceCheck;
 use platform::{MemoryStore, VmEntry, VmState, budget::CallLimits, vms::VmRole};
 use side::{
     SideHandle, SideSettings,
-    settings::{BackendKind, BackendSettings, FencingCheck},
+    settings::{BackendKind, BackendSettings},
 };
 use standin::{
     engine::{self, EngineOptions, EngineServer},
@@ -28,6 +29,8 @@
 
 use crate::error::{CliError, CliResult};
 
+/// Memory of the largest adapter.
+const LARGEST_ADAPTER: ByteSize = ByteSize::mib(256);
 /// Secret shared by the processes of a local fleet.
 const LOCAL_SECRET: &str = "local-fleet-secret";
 /// Time for all entries to have the lists and the VM list.
@@ -162,8 +165,8 @@
             ServiceKind::Plain => BackendKind::Plain,
         };
         let fencing = match service.checks_fencing {
-            true => FencingCheck::Checked,
-            false => FencingCheck::Ignored,
+            true => FenceCheck::Enforced,
+            false => FenceCheck::Ignored,
         };
         let settings = SideSettings {
             log: LogSettings::default(),
@@ -174,6 +177,7 @@
                 address,
                 memory: service.memory,
                 concurrency: service.slots.0,
+                largest_adapter: LARGEST_ADAPTER,
                 fencing,
             },
             platform: Some(self.platform.address),
--- a/crates/loading/src/ledger/mod.rs
+++ b/crates/loading/src/ledger/mod.rs
@@ -19,10 +19,7 @@
 
 use base::prelude::*;
 
-use self::{
-    entry::{LedgerEntry, TargetPhase},
-    predecessor::PredecessorRoom,
-};
+use self::{entry::LedgerEntry, predecessor::PredecessorRoom};
 use crate::{
     backoff::RetryBackoff,
     guards::GuardSet,
@@ -33,7 +30,7 @@
     slots::SlotBook,
 };
 
-pub use self::entry::TargetStatus;
+pub use self::entry::{TargetPhase, TargetStatus};
 
 /// Adapter loads that an engine performs at full speed together.
 pub const MAX_ADAPTERS_IN_FLIGHT: usize = 32;
@@ -148,6 +145,11 @@
         self.book.held(model)
     }
 
+    /// Memory taken by or reserved for one target.
+    pub fn size_of(&self, target: &LoadTarget) -> ByteSize {
+        self.entries.get(target).map(|entry| entry.size).unwrap_or_default()
+    }
+
     /// Memory of the engine for models and adapters.
     pub fn capacity(&self) -> ByteSize {
         self.settings.capacity
--- a/crates/loading/src/orders.rs
+++ b/crates/loading/src/orders.rs
@@ -1,9 +1,10 @@
 //! Orders, answers, events and actions of the memory ledger.
 
-use std::fmt;
+use std::{fmt, str::FromStr};
 
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
+use snafu::Snafu;
 
 macro_rules! ledger_number {
     ($($(#[$doc:meta])* $name:ident;)*) => {$(
@@ -81,6 +82,23 @@
     Ignored,
 }
 
+/// The text is neither `yes` nor `no`.
+#[derive(Debug, Snafu, Clone, PartialEq, Eq)]
+#[snafu(display("an engine checks fencing numbers: yes or no"))]
+pub struct CheckError;
+
+impl FromStr for FenceCheck {
+    type Err = CheckError;
+
+    fn from_str(text: &str) -> Result<Self, CheckError> {
+        match text {
+            "yes" => Ok(FenceCheck::Enforced),
+            "no" => Ok(FenceCheck::Ignored),
+            _ => CheckSnafu.fail(),
+        }
+    }
+}
+
 /// An order to load.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LoadOrder {
--- a/crates/loading/src/scale.rs
+++ b/crates/loading/src/scale.rs
@@ -49,6 +49,16 @@
         Self { speed, parts: VecDeque::new() }
     }
 
+    /// Replaces what is known of a replica's speed.
+    pub fn set_speed(&mut self, speed: ReplicaSpeed) {
+        self.speed = speed;
+    }
+
+    /// What is known of a replica's speed.
+    pub fn speed(&self) -> ReplicaSpeed {
+        self.speed
+    }
+
     /// Replicas wanted, given how many are loaded or being loaded.
     pub fn target(&mut self, demand: ModelDemand, replicas: u32, now: Instant) -> u32 {
         let needed = self.needed(demand, replicas);
--- a/crates/loading/src/warm.rs
+++ b/crates/loading/src/warm.rs
@@ -118,7 +118,7 @@
     cost: LoadCost,
     gaps: GapHistogram,
     plan: WarmPlan,
-    running: u32,
+    is_busy: bool,
     idle_since: Instant,
 }
 
@@ -130,25 +130,24 @@
             cost,
             gaps: GapHistogram::default(),
             plan: WarmPlan::default(),
-            running: 0,
+            is_busy: false,
             idle_since: now,
         }
     }
 
-    /// A request arrived; the gap that it ended is also added to `prior`.
-    pub fn arrive(&mut self, prior: &mut GapHistogram, now: Instant) {
-        if self.running == 0 {
+    /// Whether requests wait or run now; the end of a gap is also added to `prior`.
+    ///
+    /// When the model falls idle a new plan is made.
+    pub fn observe(&mut self, is_busy: bool, prior: &mut GapHistogram, now: Instant) {
+        if is_busy == self.is_busy {
+            return;
+        }
+        self.is_busy = is_busy;
+        if is_busy {
             let gap = now.saturating_duration_since(self.idle_since);
             self.gaps.add(gap);
             prior.add(gap);
-        }
-        self.running += 1;
-    }
-
-    /// A request ended; with the last one the model falls idle and a plan is made.
-    pub fn end(&mut self, prior: &GapHistogram, now: Instant) {
-        self.running = self.running.saturating_sub(1);
-        if self.running == 0 {
+        } else {
             self.idle_since = now;
             let chances = self.gaps.chances(prior);
             self.plan = WarmPlan::cheapest(&chances, self.prices, self.cost);
@@ -165,7 +164,7 @@
         let idle = now.saturating_duration_since(self.idle_since);
         let soon = bucket_of(idle + self.cost.load_time);
         let is_wanted = (bucket_of(idle)..=soon).any(|bucket| self.plan.is_warm(bucket));
-        match self.running > 0 || is_wanted {
+        match self.is_busy || is_wanted {
             true => WarmWish::Loaded,
             false => WarmWish::Unloaded,
         }
@@ -190,7 +189,7 @@
 
     /// Expected saving of having it loaded now: the order in which idle models are evicted.
     pub fn worth(&self, prior: &GapHistogram, now: Instant) -> KeepWorth {
-        if self.running > 0 {
+        if self.is_busy {
             return KeepWorth(u64::MAX);
         }
         let bucket = bucket_of(now.saturating_duration_since(self.idle_since));
--- a/crates/placement/src/driver.rs
+++ b/crates/placement/src/driver.rs
@@ -11,18 +11,20 @@
 /// Performs `action` of the owner of `model` and returns the event that answers it.
 ///
 /// Releases and reports go to side processes and askers, not to the platform; they give `None`.
-pub async fn perform<P>(platform: &P, model: &ModelId, action: &OwnerAction) -> Option<OwnerEvent>
-where
-    P: ObjectStore + VmList + ?Sized,
-{
+pub async fn perform(
+    store: &dyn ObjectStore,
+    vms: &dyn VmList,
+    model: &ModelId,
+    action: &OwnerAction,
+) -> Option<OwnerEvent> {
     let key = PlacementObject::key(model);
     match action {
-        OwnerAction::Read => Some(OwnerEvent::ReadAnswered(platform.get(&key).await)),
+        OwnerAction::Read => Some(OwnerEvent::ReadAnswered(store.get(&key).await)),
         OwnerAction::Write(body, condition) => {
-            let answer = platform.put(&key, body.clone(), *condition).await;
+            let answer = store.put(&key, body.clone(), *condition).await;
             Some(OwnerEvent::WriteAnswered(answer))
         }
-        OwnerAction::ListVms => match platform.vms().await {
+        OwnerAction::ListVms => match vms.vms().await {
             Ok(vms) => Some(OwnerEvent::VmsListed(vms.into_iter().map(|vm| vm.id).collect())),
             Err(_) => Some(OwnerEvent::ListFailed),
         },
--- a/crates/placement/src/edit.rs
+++ b/crates/placement/src/edit.rs
@@ -13,12 +13,12 @@
 /// A change of a placement object.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PlacementEdit {
-    /// Replace the wanted count `from` by `to`.
+    /// Replace the wanted count by the one of a version of the lists.
     Resize {
-        /// Count that the change is based on.
-        from: u32,
         /// Count asked for.
         to: u32,
+        /// Version of the lists that asks for it.
+        list: ListVersion,
     },
     /// Give a slot to a side process, for a model that takes this much memory.
     Grant(SlotHolder, ByteSize),
@@ -37,7 +37,7 @@
 impl fmt::Display for PlacementEdit {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            PlacementEdit::Resize { from, to } => write!(f, "resize from {from} to {to}"),
+            PlacementEdit::Resize { to, list } => write!(f, "resize to {to} by lists {list}"),
             PlacementEdit::Grant(holder, memory) => write!(f, "grant {memory} to {holder}"),
             PlacementEdit::Release(vm) => write!(f, "release at {vm}"),
             PlacementEdit::Free(vm, fence) => write!(f, "free {fence} at {vm}"),
@@ -55,7 +55,7 @@
     NoSlot,
     /// The VM has a slot that is being released.
     StillReleasing,
-    /// The wanted count is not the one that the edit was based on.
+    /// The wanted count comes from newer lists.
     CountChanged,
     /// The slot is gone or has changed since.
     SlotChanged,
@@ -70,7 +70,7 @@
         f.write_str(match self {
             EditRefusal::NoSlot => "all decided slots are taken",
             EditRefusal::StillReleasing => "the slot on the VM is being released",
-            EditRefusal::CountChanged => "the wanted count has changed since",
+            EditRefusal::CountChanged => "the wanted count comes from newer lists",
             EditRefusal::SlotChanged => "the slot has changed since",
             EditRefusal::VmUnknown => "the VM list does not have the VM",
             EditRefusal::CountTooLarge => "the count is larger than an object can hold",
@@ -93,7 +93,7 @@
     /// Applies `edit`.
     pub fn apply(&mut self, edit: &PlacementEdit, guards: PlacementGuards) -> EditOutcome {
         match edit {
-            PlacementEdit::Resize { from, to } => self.resize(*from, *to, guards),
+            PlacementEdit::Resize { to, list } => self.resize(*to, *list, guards),
             PlacementEdit::Grant(holder, memory) => self.grant(holder, *memory, guards),
             PlacementEdit::Release(vm) => self.release(vm, guards),
             PlacementEdit::Free(vm, fence) => self.free(vm, *fence),
@@ -108,17 +108,18 @@
         self.last_fence
     }
 
-    fn resize(&mut self, from: u32, to: u32, guards: PlacementGuards) -> EditOutcome {
+    fn resize(&mut self, to: u32, list: ListVersion, guards: PlacementGuards) -> EditOutcome {
         if self.wanted == to {
             return EditOutcome::Unchanged;
         }
         if to > MAX_SLOTS {
             return EditOutcome::Refused(EditRefusal::CountTooLarge);
         }
-        if guards.compare_count && self.wanted != from {
+        if guards.compare_count && list < self.list {
             return EditOutcome::Refused(EditRefusal::CountChanged);
         }
         self.wanted = to;
+        self.list = list;
         self.release_excess(guards);
         self.follow_wanted();
         EditOutcome::Changed
--- a/crates/placement/src/guards.rs
+++ b/crates/placement/src/guards.rs
@@ -9,7 +9,7 @@
     pub await_confirmation: bool,
     /// Only a VM list requested after the slot was read may show its VM gone.
     pub ignore_old_lists: bool,
-    /// A change of the count names the count that it replaces.
+    /// A count from older lists does not replace one from newer lists.
     pub compare_count: bool,
     /// No more slots are granted than were decided.
     pub bound_slots: bool,
--- a/crates/placement/src/object.rs
+++ b/crates/placement/src/object.rs
@@ -96,6 +96,8 @@
     pub model: ModelId,
     /// Replicas asked for.
     pub wanted: u32,
+    /// Version of the lists that the wanted count comes from.
+    pub list: ListVersion,
     /// Replicas allowed; follows a lower wanted count as slots are freed.
     pub decided: u32,
     /// Highest fencing number given out.
@@ -112,6 +114,7 @@
         Self {
             model,
             wanted: 0,
+            list: ListVersion::default(),
             decided: 0,
             last_fence: FencingNumber::default(),
             slots: Vec::new(),
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -154,6 +154,16 @@
         self.known.as_ref().map(|known| &known.object)
     }
 
+    /// Whether the object was read and no write of this owner is in doubt.
+    pub fn is_current(&self) -> bool {
+        !self.is_stale
+    }
+
+    /// Whether the store failed the latest call.
+    pub fn is_store_failing(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Slots under which loads may be ordered.
     pub fn held_slots(&self) -> impl Iterator<Item = &PlacementSlot> {
         let slots = self.object().map(|object| object.slots.as_slice()).unwrap_or_default();
--- a/crates/side/src/backend.rs
+++ b/crates/side/src/backend.rs
@@ -1,6 +1,6 @@
 //! HTTP client of the backend server beside this process.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, error::Error, io, net::SocketAddr};
 
 use base::prelude::*;
 use bytes::Bytes;
@@ -11,6 +11,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
+use loading::{CacheTier, LoadTarget};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
 use tokio::time;
@@ -29,6 +30,9 @@
     /// No connection could be opened; nothing was sent.
     #[snafu(display("the backend server does not accept connections"))]
     NotSent,
+    /// Nothing listens at the backend server's address; nothing was sent.
+    #[snafu(display("nothing listens at the backend server's address"))]
+    Refused,
     /// The connection failed after the call may have been sent.
     #[snafu(display("the connection to the backend server was lost"))]
     Lost,
@@ -52,7 +56,7 @@
 impl BackendError {
     /// Whether the backend server cannot have received the call.
     pub fn is_not_sent(&self) -> bool {
-        matches!(self, BackendError::NotSent | BackendError::Invalid { .. })
+        matches!(self, BackendError::NotSent | BackendError::Refused | BackendError::Invalid { .. })
     }
 }
 
@@ -63,10 +67,22 @@
 #[derive(Debug, Clone, Serialize)]
 struct EngineOrder {
     model: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    adapter: Option<String>,
     bytes: u64,
     fencing: u64,
 }
 
+impl EngineOrder {
+    fn new(target: &LoadTarget, memory: ByteSize, fencing: FencingNumber) -> Self {
+        let adapter = match target {
+            LoadTarget::Model(_) => None,
+            LoadTarget::Adapter(_, adapter) => Some(adapter.to_string()),
+        };
+        Self { model: target.model().to_string(), adapter, bytes: memory.0, fencing: fencing.0 }
+    }
+}
+
 /// Stage of a model in the engine's listing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -93,21 +109,12 @@
     pub bytes: u64,
 }
 
-/// Where the checkpoint of a model is cached.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum CacheTier {
-    /// In memory.
-    Memory,
-    /// On the engine's disk.
-    Disk,
-    /// Only in the weight store.
-    Remote,
-}
-
 /// What the engine holds.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
 pub struct EngineListing {
+    /// Differs after a restart of the engine.
+    #[serde(default)]
+    pub life: u64,
     /// Models and adapters in any stage.
     pub models: Vec<ListedModel>,
     /// Models whose checkpoints are cached.
@@ -167,11 +174,11 @@
     /// After [`BackendError::Lost`] the engine may still be loading.
     pub async fn load(
         &self,
-        model: &ModelId,
+        target: &LoadTarget,
         fencing: FencingNumber,
         memory: ByteSize,
     ) -> Result<()> {
-        let order = EngineOrder { model: model.to_string(), bytes: memory.0, fencing: fencing.0 };
+        let order = EngineOrder::new(target, memory, fencing);
         self.post("/admin/load", &order).await.map(drop)
     }
 
@@ -180,8 +187,8 @@
     /// # Errors
     ///
     /// After [`BackendError::Lost`] the engine may still hold the model.
-    pub async fn unload(&self, model: &ModelId, fencing: FencingNumber) -> Result<()> {
-        let order = EngineOrder { model: model.to_string(), bytes: 0, fencing: fencing.0 };
+    pub async fn unload(&self, target: &LoadTarget, fencing: FencingNumber) -> Result<()> {
+        let order = EngineOrder::new(target, ByteSize::default(), fencing);
         self.post("/admin/unload", &order).await.map(drop)
     }
 
@@ -213,6 +220,7 @@
 
     async fn send(&self, call: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
         self.client.request(call).await.map_err(|error| match error.is_connect() {
+            true if is_refused(&error) => BackendError::Refused,
             true => BackendError::NotSent,
             false => BackendError::Lost,
         })
@@ -228,6 +236,12 @@
     }
 }
 
+/// Whether the system said that nothing listens, as opposed to no answer in time.
+fn is_refused(error: &(dyn Error + 'static)) -> bool {
+    let kind = error.downcast_ref::<io::Error>().map(io::Error::kind);
+    kind == Some(io::ErrorKind::ConnectionRefused) || error.source().is_some_and(is_refused)
+}
+
 async fn read_admin(answer: Response<Incoming>) -> Result<Bytes> {
     let status = answer.status();
     let body = Limited::new(answer.into_body(), MAX_ADMIN_BYTES).collect().await;
--- a/crates/side/src/process.rs
+++ b/crates/side/src/process.rs
@@ -11,9 +11,9 @@
 
 use crate::{
     admin,
-    backend::{BackendClient, BackendError, ListedStage},
+    backend::BackendClient,
     drain::{DrainStage, DrainSwitch},
-    loads::{self, LoadBook},
+    loads::{self, LoadDriver},
     metrics::SideMetrics,
     requests::{self, RequestTable},
     settings::{BackendKind, SideSettings},
@@ -50,7 +50,7 @@
     /// The backend server.
     pub backend: BackendClient,
     /// Models at the engine.
-    pub loads: LoadBook,
+    pub loads: LoadDriver,
     /// Requests from entries.
     pub requests: RequestTable,
     /// Planned stop.
@@ -80,12 +80,14 @@
             identity: settings.process.identity(PeerRole::Side, incarnation),
             metrics: SideMetrics::new(),
             backend: BackendClient::new(settings.backend.address),
-            loads: LoadBook::default(),
+            loads: LoadDriver::new(&settings.backend, incarnation),
             requests: RequestTable::default(),
             drain: DrainSwitch::new(),
             settings,
         });
-        adopt_engine(&state).await;
+        if state.settings.backend.kind == BackendKind::Engine {
+            tokio::spawn(loads::run(Arc::clone(&state)));
+        }
         let http_address = admins.local_addr().unwrap_or(state.settings.process.http_address);
         let peer_address = peers.local_addr().unwrap_or(peer_address);
         tokio::spawn(admin::serve(admins, Arc::clone(&state)));
@@ -122,28 +124,6 @@
     TcpListener::bind(address).await.context(ListenSnafu { address })
 }
 
-/// Lists the engine before the first order is taken.
-async fn adopt_engine(state: &Arc<SideState>) {
-    if state.settings.backend.kind == BackendKind::Plain {
-        return;
-    }
-    loop {
-        match state.backend.list().await {
-            Ok(listing) => {
-                for held in listing.models {
-                    let Ok(model) = held.model.parse() else { continue };
-                    let is_loaded = held.state == ListedStage::Loaded;
-                    state.loads.adopt(model, ByteSize(held.bytes), is_loaded);
-                }
-                return;
-            }
-            Err(BackendError::BadAnswer) => log::error!("process: the engine's listing is garbage"),
-            Err(error) => log::warn!("process: waiting for the engine: {error}"),
-        }
-        time::sleep(Duration::from_millis(200)).await;
-    }
-}
-
 async fn accept_peers(listener: TcpListener, state: Arc<SideState>) {
     loop {
         let accepted = tokio::select! {
@@ -225,6 +205,6 @@
         reserved: state.loads.reserved().0,
         is_draining: state.drain.stage() != DrainStage::Serving,
         concurrency: state.settings.backend.concurrency,
-        cached: Vec::new(),
+        cached: state.loads.cached(),
     }
 }
--- a/crates/side/src/requests.rs
+++ b/crates/side/src/requests.rs
@@ -9,6 +9,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use loading::LoadTarget;
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use wire::{
@@ -19,7 +20,7 @@
     },
 };
 
-use crate::{drain::DrainStage, process::SideState};
+use crate::{drain::DrainStage, loads, process::SideState};
 
 /// Headers of an answer that are passed on.
 const PASSED_HEADERS: [&str; 3] = ["content-type", "location", "retry-after"];
@@ -113,15 +114,14 @@
 /// Hands a request to the backend server and sends its answer, or refuses it.
 pub async fn run(state: Arc<SideState>, link: LinkSender, run: RunRequest) {
     let key = RunKey { request: run.request.clone(), attempt: run.attempt };
-    let code = match admit(&state, &key, &run) {
-        Ok(token) => {
-            let model = run.model.parse::<ModelId>().ok();
+    let code = match admit(&state, &key, &run).await {
+        Ok(AdmittedRun { token, target }) => {
             let budget = Duration::from_millis(run.budget_ms);
             state.metrics.in_flight.inc();
             let code = Answer::new(&state, &link, &run).forward(token, budget).await;
             state.metrics.in_flight.dec();
-            if let Some(model) = &model {
-                state.loads.end_request(model);
+            if let Some(target) = &target {
+                loads::release(&state, target);
             }
             state.requests.end(&key, Instant::now() + budget + MEMORY_MARGIN);
             code
@@ -134,29 +134,34 @@
     state.metrics.requests.with_label_values(&[&code.number().to_string()]).inc();
 }
 
-fn admit(
-    state: &SideState,
+/// An attempt that may be handed to the backend server.
+struct AdmittedRun {
+    token: CancellationToken,
+    target: Option<LoadTarget>,
+}
+
+async fn admit(
+    state: &Arc<SideState>,
     key: &RunKey,
     run: &RunRequest,
-) -> Result<CancellationToken, ResultCode> {
+) -> Result<AdmittedRun, ResultCode> {
     if run.incarnation != state.identity.incarnation.0 {
         return Err(ResultCode::NoReplica);
     }
     if state.drain.stage() != DrainStage::Serving {
         return Err(ResultCode::ProcessStopping);
     }
-    if run.model.is_empty() {
-        return state.requests.begin(key, state.settings.backend.concurrency);
-    }
-    let model = run.model.parse::<ModelId>().map_err(|_| ResultCode::MalformedRequest)?;
-    if !state.loads.start_request(&model) {
-        return Err(ResultCode::NoReplica);
+    let target = loads::target_of(run)?;
+    if let Some(target) = &target {
+        let budget = Duration::from_millis(run.budget_ms);
+        let acquired = time::timeout(budget, loads::acquire(state, target, run)).await;
+        acquired.unwrap_or(Err(ResultCode::DeadlinePassed))?;
     }
     let begun = state.requests.begin(key, state.settings.backend.concurrency);
-    if begun.is_err() {
-        state.loads.end_request(&model);
+    if let (Err(_), Some(target)) = (&begun, &target) {
+        loads::release(state, target);
     }
-    begun
+    Ok(AdmittedRun { token: begun?, target })
 }
 
 async fn refuse(link: &LinkSender, run: &RunRequest, code: ResultCode) {
--- a/crates/wire/src/load.rs
+++ b/crates/wire/src/load.rs
@@ -17,6 +17,9 @@
     /// Life of the side process that the slot is bound to.
     #[prost(uint64, tag = "4")]
     pub incarnation: u64,
+    /// Worth of keeping the model once it is loaded.
+    #[prost(uint64, tag = "5")]
+    pub worth: u64,
 }
 
 /// The owner wants a model unloaded.
@@ -31,6 +34,9 @@
     /// Whether the holder must promise not to load the model again under this number.
     #[prost(bool, tag = "3")]
     pub is_release: bool,
+    /// Life of the side process that the slot is bound to.
+    #[prost(uint64, tag = "4")]
+    pub incarnation: u64,
 }
 
 /// What became of an order.
@@ -48,6 +54,9 @@
     /// Result code: success, or why the order failed.
     #[prost(uint32, tag = "4")]
     pub code: u32,
+    /// Whether the order was to load.
+    #[prost(bool, tag = "5")]
+    pub is_load: bool,
 }
 
 /// One model at a backend server.
@@ -62,6 +71,20 @@
     /// Requests in flight on it.
     #[prost(uint32, tag = "3")]
     pub in_flight: u32,
+    /// Where it stands, for operators.
+    #[prost(string, tag = "4")]
+    pub stage: String,
+}
+
+/// A model whose checkpoint is cached at a backend server.
+#[derive(Clone, PartialEq, Message)]
+pub struct CachedModel {
+    /// Model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// Whether it is cached in memory, otherwise on disk.
+    #[prost(bool, tag = "2")]
+    pub is_in_memory: bool,
 }
 
 /// State of a backend server, sent to entries that subscribed and on change.
@@ -83,8 +106,8 @@
     #[prost(uint32, tag = "5")]
     pub concurrency: u32,
     /// Models whose checkpoints are cached in memory or on disk.
-    #[prost(string, repeated, tag = "6")]
-    pub cached: Vec<String>,
+    #[prost(message, repeated, tag = "6")]
+    pub cached: Vec<CachedModel>,
 }
 
 /// An entry wants reports from a side process.
