A lost load order no longer blocks its slot; capacity tests over processes

Cause: when a side process was killed, its slot was told to be empty while it still counted as usable, and the owner ordered the wanted load again at once, on the dead connection. Nothing answers such an order, and the slot stood as loading for five minutes; requests ran into their deadline. Seen in a test that kills both side processes under loaded engines: 0 of 20 requests served.

Ruled out: a shorter time limit for loads, for loads take long.

Change: a lost side process takes its slots out of the choice first. An order that could not be sent counts as such, and a report that does not show an ordered load after three seconds proves the order lost.

After: 20 of 20 served, and the engine was given no second load. Tests over separate processes: a burst at two entries gives one load, cold starts within standing slots go on while the store is down, a lower count unloads and frees.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -298,7 +298,11 @@
                     self.offer_slots(key, now);
                 }
             }
-            None => replica.stage = ReplicaStage::Failed { until: now + REACH_RETRY },
+            None => {
+                replica.pending = None;
+                replica.stage = ReplicaStage::Failed { until: now + REACH_RETRY };
+                self.offer_slots(key, now);
+            }
         }
         self.pump(key, now);
     }
@@ -336,7 +340,6 @@
             }
         }
         for key in lost {
-            self.feed_flight(&key, FlightEvent::Lost(peer.vm.clone()), now);
             self.offer_slots(&key, now);
         }
     }
--- a/crates/entry/src/owner/loads.rs
+++ b/crates/entry/src/owner/loads.rs
@@ -12,10 +12,13 @@
 };
 
 use super::{
-    OwnerDuty,
+    OwnerDuty, OwnerEvent,
     target::{PendingLoad, Replica, ReplicaStage},
 };
 
+/// Time after which a report that does not show an ordered load proves the order lost.
+const ORDER_GRACE: Duration = Duration::from_secs(3);
+
 impl OwnerDuty {
     /// Orders loads and unloads as far as the demand asks for them.
     pub(super) fn balance(&mut self, key: &OwnerKey, now: Instant) {
@@ -71,7 +74,18 @@
             incarnation: replica.incarnation.0,
             worth: capacity.worth(&self.prior, now).0,
         };
-        self.send(replica.address, Message::LoadOrder(order));
+        let (key, vm, address) = (key.clone(), vm.clone(), replica.address);
+        let context = self.context.clone();
+        tokio::spawn(async move {
+            let handle = context.peers.link(address).await.ok();
+            let is_sent = match handle {
+                Some(handle) => handle.sender.send(Message::LoadOrder(order)).await.is_ok(),
+                None => false,
+            };
+            if !is_sent {
+                let _ = context.events.send(OwnerEvent::SideReached { key, vm, peer: None }).await;
+            }
+        });
     }
 
     /// Unloads an idle replica that is not wanted any more; the slot stays.
@@ -116,6 +130,8 @@
         replica.tier = tier_of(report, model);
         replica.free_memory = ByteSize(report.memory).minus(ByteSize(report.reserved));
         let stage = replica.stage;
+        let is_forgotten = held.is_none()
+            && replica.pending.is_some_and(|pending| now >= pending.since + ORDER_GRACE);
         if let Some(capacity) = target.capacity.as_mut() {
             capacity.note_batch(report.concurrency);
         }
@@ -129,10 +145,23 @@
                 self.set_stage(key, &peer.vm, ReplicaStage::Cold);
                 self.feed_flight(key, FlightEvent::Lost(peer.vm.clone()), now);
             }
+            ReplicaStage::Loading if is_forgotten => {
+                let reason = DenyReason::NotReady;
+                self.load_denied(key, &peer.vm, reason, now);
+            }
             _ => {}
         }
     }
 
+    fn load_denied(&mut self, key: &OwnerKey, vm: &VmId, reason: DenyReason, now: Instant) {
+        let target = self.targets.get_mut(key);
+        let Some(replica) = target.and_then(|target| target.replicas.get_mut(vm)) else { return };
+        let Some(pending) = replica.pending.take() else { return };
+        log::warn!("owner: {key} was not loaded at {vm}: {reason}");
+        replica.stage = ReplicaStage::Cold;
+        self.feed_flight(key, FlightEvent::Denied(pending.order, reason), now);
+    }
+
     /// Takes over what became of an order.
     pub(super) fn order_ended(
         &mut self,
@@ -157,19 +186,16 @@
     }
 
     fn load_ended(&mut self, key: &OwnerKey, vm: &VmId, outcome: &OrderOutcome, now: Instant) {
+        if !outcome.is_loaded {
+            return self.load_denied(key, vm, reason_of(outcome.code), now);
+        }
         let target = self.targets.get_mut(key);
         let Some(replica) = target.and_then(|target| target.replicas.get_mut(vm)) else { return };
         let Some(pending) = replica.pending.take() else { return };
-        if outcome.is_loaded {
-            if let Some(capacity) = self.capacity_of(key) {
-                capacity.note_load(now.saturating_duration_since(pending.since));
-            }
-            return self.feed_flight(key, FlightEvent::Confirmed(pending.order), now);
+        if let Some(capacity) = self.capacity_of(key) {
+            capacity.note_load(now.saturating_duration_since(pending.since));
         }
-        log::warn!("owner: {key} was not loaded at {vm}: code {}", outcome.code);
-        replica.stage = ReplicaStage::Cold;
-        let reason = reason_of(outcome.code);
-        self.feed_flight(key, FlightEvent::Denied(pending.order, reason), now);
+        self.feed_flight(key, FlightEvent::Confirmed(pending.order), now);
     }
 
     fn unload_ended(
--- /dev/null
+++ b/crates/fescuewalk/tests/capacity.rs
@@ -0,0 +1,137 @@
+//! Capacity over separate processes: decided counts, outages of the store, restarts.
+
+mod support;
+
+use std::time::Duration;
+
+use base::prelude::*;
+use entry::owner::TargetReport;
+use lists::store::{EditOrder, EditOutcome, ListTexts, apply_edit};
+use platform::http::{ClientSettings, PlatformClient};
+use standin::load::{CallOutcome, CallScript, CallVerdict, ChatCall};
+use support::fleet::{Fleet, RIGHTS, get_json, plans, put_fault, send, start_fleet};
+
+fn chat(model: &str) -> ChatCall {
+    let prompt = "how full is the dam".to_owned();
+    ChatCall { model: model.to_owned(), prompt, tokens: 4, is_stream: false }
+}
+
+/// A burst of requests for one model at all entries at once.
+fn burst(model: &str, count: u32) -> CallScript {
+    let mut script = CallScript::default();
+    let spread = Duration::from_millis(20);
+    script.burst(Duration::ZERO, spread, count, "crew-key", &chat(model));
+    script
+}
+
+fn whole(outcomes: &[CallOutcome]) -> usize {
+    outcomes.iter().filter(|outcome| outcome.verdict == CallVerdict::Whole).count()
+}
+
+async fn reports(fleet: &Fleet, model: &str) -> Vec<TargetReport> {
+    let target = format!("model/{model}");
+    let mut found = Vec::new();
+    for address in fleet.addresses() {
+        let status = get_json(address, "/status").await;
+        let all: Vec<TargetReport> = serde_json::from_value(status).unwrap();
+        found.extend(all.into_iter().filter(|report| report.target == target));
+    }
+    found
+}
+
+async fn wait_for(fleet: &Fleet, model: &str, is_met: impl Fn(&TargetReport) -> bool) {
+    for _ in 0..500 {
+        if reports(fleet, model).await.iter().any(&is_met) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{:?}", reports(fleet, model).await);
+}
+
+/// Loads of `model` that the engines accepted, and the times that one overcommitted its memory.
+async fn engine_totals(fleet: &Fleet, model: &str) -> EngineTotals {
+    let mut totals = EngineTotals::default();
+    for number in 0..2 {
+        let records = get_json(fleet.engine(number), "/admin/records").await;
+        let orders = records["orders"].as_array().unwrap();
+        let is_load = |order: &&serde_json::Value| {
+            order["kind"] == "load" && order["key"]["model"] == model && order["accepted"] == true
+        };
+        totals.loads += orders.iter().filter(is_load).count();
+        totals.overcommits += records["overcommits"].as_u64().unwrap();
+    }
+    totals
+}
+
+#[derive(Debug, Default, PartialEq, Eq)]
+struct EngineTotals {
+    loads: usize,
+    overcommits: u64,
+}
+
+#[tokio::test]
+async fn a_burst_at_every_entry_loads_no_more_than_decided() {
+    let fleet = start_fleet().await;
+
+    let outcomes = send(&fleet, &burst("summary", 60)).await;
+
+    assert_eq!(whole(&outcomes), 60, "{outcomes:?}");
+    let expected = EngineTotals { loads: 1, overcommits: 0 };
+    assert_eq!(engine_totals(&fleet, "summary").await, expected);
+}
+
+#[tokio::test]
+async fn cold_starts_within_standing_slots_go_on_in_an_outage() {
+    let fleet = start_fleet().await;
+    wait_for(&fleet, "summary", |report| report.held == 1).await;
+    wait_for(&fleet, "dam-check", |report| report.held == 2).await;
+    put_fault(fleet.platform(), serde_json::json!({ "down": true })).await;
+
+    let outcomes = send(&fleet, &burst("summary", 20)).await;
+
+    assert_eq!(whole(&outcomes), 20, "{outcomes:?}");
+    assert_eq!(engine_totals(&fleet, "summary").await.loads, 1);
+}
+
+#[tokio::test]
+async fn a_replaced_side_process_serves_what_its_engine_still_holds() {
+    let mut fleet = start_fleet().await;
+    assert_eq!(whole(&send(&fleet, &burst("dam-check", 10)).await), 10);
+    assert_eq!(whole(&send(&fleet, &burst("summary", 10)).await), 10);
+
+    fleet.replace_side(0);
+    fleet.replace_side(1);
+    let outcomes = send(&fleet, &burst("summary", 20)).await;
+
+    assert_eq!(whole(&outcomes), 20, "{outcomes:?}");
+    let expected = EngineTotals { loads: 1, overcommits: 0 };
+    assert_eq!(engine_totals(&fleet, "summary").await, expected);
+}
+
+#[tokio::test]
+async fn a_lower_count_in_the_lists_unloads_and_frees_the_slots() {
+    let fleet = start_fleet().await;
+    assert_eq!(whole(&send(&fleet, &burst("dam-check", 10)).await), 10);
+    wait_for(&fleet, "dam-check", |report| report.held == 2 && report.loaded > 0).await;
+
+    let store = PlatformClient::new(ClientSettings::new(fleet.platform()));
+    let order = EditOrder {
+        texts: ListTexts {
+            plans: plans(),
+            rights: RIGHTS.replace("replicas = 2\nmemory = 14GiB", "replicas = 0\nmemory = 14GiB"),
+        },
+        read_at: ListVersion(1),
+        operator: "tester".parse().unwrap(),
+        note: "no dam checks in winter".to_owned(),
+    };
+    let outcome = apply_edit(&store, &order).await.unwrap();
+
+    assert!(matches!(outcome, EditOutcome::Accepted(_)));
+    let is_free = |report: &TargetReport| report.decided == 0 && report.replicas.is_empty();
+    wait_for(&fleet, "dam-check", is_free).await;
+    for number in 0..2 {
+        let listing = get_json(fleet.engine(number), "/admin/list").await;
+        assert!(!listing["models"].to_string().contains("dam-check"), "{listing}");
+    }
+}
--- /dev/null
+++ b/crates/fescuewalk/tests/support/fleet.rs
@@ -0,0 +1,237 @@
+//! A small fleet of separate processes with stand-ins for everything around it.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::prelude::KeyHash;
+use lists::store::{EditOrder, EditOutcome, ListTexts, apply_edit};
+use platform::http::{ClientSettings, PlatformClient};
+use standin::load::{CallOutcome, CallScript, LoadOptions, run_script};
+
+use super::{Process, WorkDir, fescuewalk, fescuewalk_side};
+
+pub const RIGHTS: &str = "
+[plan field]
+priority = 1
+share = 10
+models = *
+services = *
+[service rosnatka]
+kind = engine
+replicas = 2
+memory = 40GiB
+[service vrbovka]
+kind = plain
+replicas = 1
+[model summary]
+service = rosnatka
+replicas = 1
+memory = 14GiB
+[model dam-check]
+service = rosnatka
+replicas = 2
+memory = 14GiB
+";
+
+/// All processes of a small fleet.
+pub struct Fleet {
+    pub dir: WorkDir,
+    pub standins: Vec<Process>,
+    pub sides: Vec<Process>,
+    pub entries: Vec<Process>,
+}
+
+impl Fleet {
+    pub fn platform(&self) -> SocketAddr {
+        self.standins[0].address("http")
+    }
+
+    pub fn engine(&self, number: usize) -> SocketAddr {
+        self.standins[2 + number].address("http")
+    }
+
+    /// Kills the side process of an engine and starts another one in its place.
+    pub fn replace_side(&mut self, number: usize) {
+        let peer = self.sides[number].address("peers");
+        let (engine, platform) = (self.engine(number), self.platform());
+        drop(self.sides.remove(number));
+        let vm = format!("rosnatka-{number}");
+        let process = side(&self.dir, &vm, "engine", "rosnatka", engine, platform, peer);
+        self.sides.insert(number, process);
+    }
+
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|entry| entry.address("http")).collect()
+    }
+}
+
+pub fn plans() -> String {
+    let hash = KeyHash::of_key("crew-key");
+    format!("[customer crew]\nplan = field\nkey-hash = {hash}\nhome-region = cz-central\n")
+}
+
+pub fn standin(kind: &str, args: &[&str]) -> Process {
+    let mut command = fescuewalk();
+    command.args(["standin", kind]).args(args);
+    Process::start(command)
+}
+
+fn any_port() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+fn process_section(vm: &str, peer: SocketAddr) -> String {
+    format!(
+        "[process]\nvm = {vm}\nzone = cz-central-1\nregion = cz-central\nsecret = test-secret\n\
+         peer-address = {peer}\nhttp-address = 127.0.0.1:0\n"
+    )
+}
+
+pub fn side(
+    dir: &WorkDir,
+    vm: &str,
+    kind: &str,
+    service: &str,
+    backend: SocketAddr,
+    platform: SocketAddr,
+    peer: SocketAddr,
+) -> Process {
+    let text = format!(
+        "{}[backend]\nkind = {kind}\nservice = {service}\naddress = {backend}\nmemory = 40GiB\n\
+         [platform]\naddress = {platform}\n[limits]\nreport-interval = 100ms\n",
+        process_section(vm, peer)
+    );
+    let path = dir.write(&format!("{vm}.ini"), &text);
+    let mut command = fescuewalk_side();
+    command.arg(path);
+    Process::start(command)
+}
+
+pub fn entry(dir: &WorkDir, vm: &str, platform: SocketAddr) -> Process {
+    let peer = any_port();
+    let text = format!(
+        "{}[platform]\naddress = {platform}\nvm-poll = 100ms\nreads = 200/s\nwrites = 200/s\n",
+        process_section(vm, peer)
+    );
+    let path = dir.write(&format!("{vm}.ini"), &text);
+    let mut command = fescuewalk();
+    command.arg("entry").arg(path);
+    Process::start(command)
+}
+
+pub fn vm(id: &str, role: &str, service: Option<&str>, address: SocketAddr) -> serde_json::Value {
+    serde_json::json!({
+        "id": id, "role": role, "service": service, "zone": "cz-central-1",
+        "address": address, "state": "live",
+    })
+}
+
+/// Starts the stand-ins, three side processes and two entries, and accepts the lists.
+pub async fn start_fleet() -> Fleet {
+    let dir = WorkDir::new("path");
+    let platform = standin("platform", &[]);
+    let platform_address = platform.address("http");
+    let weights = standin("weights", &["--rate", "50/s"]);
+    let weights_address = weights.address("http").to_string();
+    let mut standins = vec![platform, weights];
+    let mut sides = Vec::new();
+    let mut vms = Vec::new();
+    for number in 0..2 {
+        let engine =
+            standin("engine", &["--memory", "40GiB", "--weights", weights_address.as_str()]);
+        let id = format!("rosnatka-{number}");
+        let engine_address = engine.address("http");
+        let process =
+            side(&dir, &id, "engine", "rosnatka", engine_address, platform_address, any_port());
+        vms.push(vm(&id, "backend", Some("rosnatka"), process.address("peers")));
+        sides.push(process);
+        standins.push(engine);
+    }
+    let service = standin("service", &[]);
+    let service_address = service.address("http");
+    let process =
+        side(&dir, "vrbovka-0", "plain", "vrbovka", service_address, platform_address, any_port());
+    vms.push(vm("vrbovka-0", "backend", Some("vrbovka"), process.address("peers")));
+    sides.push(process);
+    standins.push(service);
+    let mut entries = Vec::new();
+    for number in 0..2 {
+        let id = format!("entry-{number}");
+        let process = entry(&dir, &id, platform_address);
+        vms.push(vm(&id, "entry", None, process.address("peers")));
+        entries.push(process);
+    }
+    put_vms(platform_address, &vms).await;
+    accept_lists(platform_address).await;
+    let fleet = Fleet { dir, standins, sides, entries };
+    for address in fleet.addresses() {
+        wait_until_ready(address).await;
+    }
+    fleet
+}
+
+pub async fn put_vms(platform: SocketAddr, vms: &[serde_json::Value]) {
+    let body = serde_json::to_vec(vms).unwrap();
+    let request = http::Request::put(format!("http://{platform}/admin/vms"))
+        .body(http_body_util::Full::new(bytes::Bytes::from(body)))
+        .unwrap();
+    let answer = client().request(request).await.unwrap();
+    assert!(answer.status().is_success());
+}
+
+pub fn client() -> hyper_util::client::legacy::Client<
+    hyper_util::client::legacy::connect::HttpConnector,
+    http_body_util::Full<bytes::Bytes>,
+> {
+    hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new()).build_http()
+}
+
+pub async fn accept_lists(platform: SocketAddr) {
+    let store = PlatformClient::new(ClientSettings::new(platform));
+    let order = EditOrder {
+        texts: ListTexts { plans: plans(), rights: RIGHTS.to_owned() },
+        read_at: base::prelude::ListVersion(0),
+        operator: "tester".parse().unwrap(),
+        note: "first lists".to_owned(),
+    };
+    let outcome = apply_edit(&store, &order).await.unwrap();
+    assert!(matches!(outcome, EditOutcome::Accepted(_)));
+}
+
+pub async fn wait_until_ready(address: SocketAddr) {
+    for _ in 0..500 {
+        let request = http::Request::get(format!("http://{address}/readyz"))
+            .body(http_body_util::Full::default())
+            .unwrap();
+        let answer = client().request(request).await;
+        if answer.is_ok_and(|answer| answer.status().is_success()) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{address} did not become ready");
+}
+
+pub async fn send(fleet: &Fleet, script: &CallScript) -> Vec<CallOutcome> {
+    let options = LoadOptions { entries: fleet.addresses(), timeout: Duration::from_secs(60) };
+    run_script(&options, script).await
+}
+
+/// Reads an answer in JSON.
+pub async fn get_json(address: SocketAddr, path: &str) -> serde_json::Value {
+    use http_body_util::BodyExt;
+    let request = http::Request::get(format!("http://{address}{path}"))
+        .body(http_body_util::Full::default())
+        .unwrap();
+    let answer = client().request(request).await.unwrap();
+    let body = answer.into_body().collect().await.unwrap().to_bytes();
+    serde_json::from_slice(&body).unwrap()
+}
+
+/// Sets the faults of a stand-in.
+pub async fn put_fault(address: SocketAddr, fault: serde_json::Value) {
+    let request = http::Request::put(format!("http://{address}/admin/fault"))
+        .body(http_body_util::Full::new(bytes::Bytes::from(fault.to_string())))
+        .unwrap();
+    let answer = client().request(request).await.unwrap();
+    assert!(answer.status().is_success());
+}
--- a/crates/fescuewalk/tests/support/mod.rs
+++ b/crates/fescuewalk/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod fleet;
+
 use std::{
     fs,
     io::{BufRead, BufReader},
