--- a/crates/fescuewalk/tests/capacity.rs
+++ b/crates/fescuewalk/tests/capacity.rs
@@ -8,8 +8,8 @@
 use entry::owner::TargetReport;
 use lists::store::{EditOrder, EditOutcome, ListTexts, apply_edit};
 use platform::http::{ClientSettings, PlatformClient};
-use standin::load::{CallOutcome, CallScript, CallVerdict, ChatCall};
-use support::fleet::{Fleet, RIGHTS, get_json, plans, put_fault, send, start_fleet};
+use standin::load::{CallOutcome, CallScript, CallVerdict, ChatCall, LoadOptions, run_script};
+use support::fleet::{Fleet, RIGHTS, get_json, plans, put_fault, start_fleet};
 
 fn chat(model: &str) -> ChatCall {
     let prompt = "how full is the dam".to_owned();
@@ -24,6 +24,11 @@
     script
 }
 
+async fn send(fleet: &Fleet, script: &CallScript) -> Vec<CallOutcome> {
+    let options = LoadOptions { entries: fleet.addresses(), timeout: Duration::from_secs(60) };
+    run_script(&options, script).await
+}
+
 fn whole(outcomes: &[CallOutcome]) -> usize {
     outcomes.iter().filter(|outcome| outcome.verdict == CallVerdict::Whole).count()
 }
--- a/crates/fescuewalk/tests/path.rs
+++ b/crates/fescuewalk/tests/path.rs
@@ -9,7 +9,7 @@
 };
 use support::{
     Process,
-    fleet::{Fleet, send, start_fleet},
+    fleet::{Fleet, start_fleet},
 };
 
 fn chat(model: &str, is_stream: bool) -> ChatCall {
@@ -31,6 +31,11 @@
     })
 }
 
+async fn send(fleet: &Fleet, script: &CallScript) -> Vec<CallOutcome> {
+    let options = LoadOptions { entries: fleet.addresses(), timeout: Duration::from_secs(60) };
+    run_script(&options, script).await
+}
+
 fn count(outcomes: &[CallOutcome], verdict: CallVerdict) -> usize {
     outcomes.iter().filter(|outcome| outcome.verdict == verdict).count()
 }
--- a/crates/fescuewalk/tests/support/fleet.rs
+++ b/crates/fescuewalk/tests/support/fleet.rs
@@ -1,11 +1,17 @@
-//! A small fleet of separate processes with stand-ins for everything around it.
+//! A small fleet of separate processes: two engines, one plain service, two entries.
 
 use std::{net::SocketAddr, time::Duration};
 
-use base::prelude::KeyHash;
+use base::prelude::{KeyHash, ListVersion};
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
 use lists::store::{EditOrder, EditOutcome, ListTexts, apply_edit};
 use platform::http::{ClientSettings, PlatformClient};
-use standin::load::{CallOutcome, CallScript, LoadOptions, run_script};
 
 use super::{Process, WorkDir, fescuewalk, fescuewalk_side};
 
@@ -69,7 +75,7 @@
     format!("[customer crew]\nplan = field\nkey-hash = {hash}\nhome-region = cz-central\n")
 }
 
-pub fn standin(kind: &str, args: &[&str]) -> Process {
+fn standin(kind: &str, args: &[&str]) -> Process {
     let mut command = fescuewalk();
     command.args(["standin", kind]).args(args);
     Process::start(command)
@@ -86,7 +92,7 @@
     )
 }
 
-pub fn side(
+fn side(
     dir: &WorkDir,
     vm: &str,
     kind: &str,
@@ -106,11 +112,10 @@
     Process::start(command)
 }
 
-pub fn entry(dir: &WorkDir, vm: &str, platform: SocketAddr) -> Process {
-    let peer = any_port();
+fn entry(dir: &WorkDir, vm: &str, platform: SocketAddr) -> Process {
     let text = format!(
         "{}[platform]\naddress = {platform}\nvm-poll = 100ms\nreads = 200/s\nwrites = 200/s\n",
-        process_section(vm, peer)
+        process_section(vm, any_port())
     );
     let path = dir.write(&format!("{vm}.ini"), &text);
     let mut command = fescuewalk();
@@ -118,7 +123,7 @@
     Process::start(command)
 }
 
-pub fn vm(id: &str, role: &str, service: Option<&str>, address: SocketAddr) -> serde_json::Value {
+fn vm(id: &str, role: &str, service: Option<&str>, address: SocketAddr) -> serde_json::Value {
     serde_json::json!({
         "id": id, "role": role, "service": service, "zone": "cz-central-1",
         "address": address, "state": "live",
@@ -169,27 +174,25 @@
     fleet
 }
 
-pub async fn put_vms(platform: SocketAddr, vms: &[serde_json::Value]) {
+async fn put_vms(platform: SocketAddr, vms: &[serde_json::Value]) {
     let body = serde_json::to_vec(vms).unwrap();
-    let request = http::Request::put(format!("http://{platform}/admin/vms"))
-        .body(http_body_util::Full::new(bytes::Bytes::from(body)))
+    let request = Request::put(format!("http://{platform}/admin/vms"))
+        .body(Full::new(Bytes::from(body)))
         .unwrap();
     let answer = client().request(request).await.unwrap();
     assert!(answer.status().is_success());
 }
 
-pub fn client() -> hyper_util::client::legacy::Client<
-    hyper_util::client::legacy::connect::HttpConnector,
-    http_body_util::Full<bytes::Bytes>,
-> {
-    hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new()).build_http()
+/// An HTTP client for one call or a few.
+pub fn client() -> Client<HttpConnector, Full<Bytes>> {
+    Client::builder(TokioExecutor::new()).build_http()
 }
 
-pub async fn accept_lists(platform: SocketAddr) {
+async fn accept_lists(platform: SocketAddr) {
     let store = PlatformClient::new(ClientSettings::new(platform));
     let order = EditOrder {
         texts: ListTexts { plans: plans(), rights: RIGHTS.to_owned() },
-        read_at: base::prelude::ListVersion(0),
+        read_at: ListVersion(0),
         operator: "tester".parse().unwrap(),
         note: "first lists".to_owned(),
     };
@@ -197,11 +200,10 @@
     assert!(matches!(outcome, EditOutcome::Accepted(_)));
 }
 
-pub async fn wait_until_ready(address: SocketAddr) {
+async fn wait_until_ready(address: SocketAddr) {
     for _ in 0..500 {
-        let request = http::Request::get(format!("http://{address}/readyz"))
-            .body(http_body_util::Full::default())
-            .unwrap();
+        let request =
+            Request::get(format!("http://{address}/readyz")).body(Full::default()).unwrap();
         let answer = client().request(request).await;
         if answer.is_ok_and(|answer| answer.status().is_success()) {
             return;
@@ -211,17 +213,9 @@
     panic!("{address} did not become ready");
 }
 
-pub async fn send(fleet: &Fleet, script: &CallScript) -> Vec<CallOutcome> {
-    let options = LoadOptions { entries: fleet.addresses(), timeout: Duration::from_secs(60) };
-    run_script(&options, script).await
-}
-
 /// Reads an answer in JSON.
 pub async fn get_json(address: SocketAddr, path: &str) -> serde_json::Value {
-    use http_body_util::BodyExt;
-    let request = http::Request::get(format!("http://{address}{path}"))
-        .body(http_body_util::Full::default())
-        .unwrap();
+    let request = Request::get(format!("http://{address}{path}")).body(Full::default()).unwrap();
     let answer = client().request(request).await.unwrap();
     let body = answer.into_body().collect().await.unwrap().to_bytes();
     serde_json::from_slice(&body).unwrap()
@@ -229,8 +223,8 @@
 
 /// Sets the faults of a stand-in.
 pub async fn put_fault(address: SocketAddr, fault: serde_json::Value) {
-    let request = http::Request::put(format!("http://{address}/admin/fault"))
-        .body(http_body_util::Full::new(bytes::Bytes::from(fault.to_string())))
+    let request = Request::put(format!("http://{address}/admin/fault"))
+        .body(Full::new(Bytes::from(fault.to_string())))
         .unwrap();
     let answer = client().request(request).await.unwrap();
     assert!(answer.status().is_success());
