--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -36,7 +36,10 @@
         ModelKey, ModelListing, ModelState, UnloadOrder,
     },
     options::{CacheTier, EngineFault, EngineOptions},
-    records::{CrashRecord, EngineRecords, ExecutionEnd, ExecutionRecord, OrderKind, OrderRecord},
+    records::{
+        CrashRecord, EngineRecords, ExecutionEnd, ExecutionRecord, HoldingRecord, OrderKind,
+        OrderRecord,
+    },
 };
 use crate::server::{
     ConnectionBreaker, Result, ServerHandle, drop_connection, empty_answer, json_answer, read_json,
--- a/crates/standin/src/engine/crash.rs
+++ b/crates/standin/src/engine/crash.rs
@@ -27,6 +27,7 @@
         {
             let mut state = self.lock();
             state.table.clear();
+            state.records.close_holdings(|_| true);
             state.back_at = Some(Instant::now() + self.options.restart_time);
             let crash =
                 CrashRecord { at_ms: now_ms(), request_id: request_id.to_owned(), in_flight };
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -43,8 +43,7 @@
 impl Drop for LoadAttempt {
     fn drop(&mut self) {
         if !self.is_done && self.server.life() == self.life {
-            self.server.lock().table.remove(&self.key);
-            self.server.notify();
+            self.server.free(&self.key);
         }
     }
 }
@@ -136,12 +135,22 @@
         let used = state.table.used_bytes();
         let loads = state.table.adapter_loads();
         let records = &mut state.records;
+        records.open_holding(&order.key);
         records.overcommits += u32::from(!fits);
         records.peak_bytes = records.peak_bytes.max(used);
         records.peak_adapter_loads = records.peak_adapter_loads.max(loads);
         true
     }
 
+    /// Frees the memory of a model or adapter.
+    fn free(&self, key: &ModelKey) {
+        let mut state = self.lock();
+        state.table.remove(key);
+        state.records.close_holdings(|held| held == key);
+        drop(state);
+        self.notify();
+    }
+
     async fn carry_out_load(&self, key: ModelKey, record: usize) {
         let life = self.life();
         let mut attempt =
@@ -200,9 +209,8 @@
         if self.life() != life {
             return;
         }
-        self.lock().table.remove(&key);
         self.record_done(record);
-        self.notify();
+        self.free(&key);
     }
 }
 
--- a/crates/standin/src/engine/records.rs
+++ b/crates/standin/src/engine/records.rs
@@ -63,6 +63,17 @@
     pub done_ms: Option<u64>,
 }
 
+/// One span of time during which a model or adapter took memory.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HoldingRecord {
+    /// Model or adapter.
+    pub key: ModelKey,
+    /// Begin of the load, in milliseconds since the Unix epoch.
+    pub from_ms: u64,
+    /// End of the unload, of a failed load or of the engine, if there was one.
+    pub until_ms: Option<u64>,
+}
+
 /// One crash.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord {
@@ -81,6 +92,8 @@
     pub executions: Vec<ExecutionRecord>,
     /// Orders in the order of their arrivals.
     pub orders: Vec<OrderRecord>,
+    /// Spans during which models took memory, in the order of their begins.
+    pub holdings: Vec<HoldingRecord>,
     /// Crashes.
     pub crashes: Vec<CrashRecord>,
     /// Most memory taken at any time, in bytes.
@@ -91,6 +104,21 @@
     pub peak_adapter_loads: u32,
 }
 
+impl EngineRecords {
+    pub(super) fn open_holding(&mut self, key: &ModelKey) {
+        self.holdings.push(HoldingRecord { key: key.clone(), from_ms: now_ms(), until_ms: None });
+    }
+
+    /// Ends the open spans that `matches` accepts.
+    pub(super) fn close_holdings(&mut self, matches: impl Fn(&ModelKey) -> bool) {
+        for holding in &mut self.holdings {
+            if holding.until_ms.is_none() && matches(&holding.key) {
+                holding.until_ms = Some(now_ms());
+            }
+        }
+    }
+}
+
 pub(super) fn now_ms() -> u64 {
     since_epoch().as_millis() as u64
 }
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -326,3 +326,19 @@
     assert_eq!(status(&loaded), Some(StatusCode::OK));
     assert_eq!(verdicts(&server, &script).await, vec![CallVerdict::Whole]);
 }
+
+#[tokio::test]
+async fn holdings_tell_when_a_model_took_memory() {
+    let server = started(options()).await;
+    load(&server, MODEL).await;
+    order(server.address, "/admin/unload", MODEL, 40, 1).await;
+    server.state.set_fault(EngineFault { failed_loads: 1, ..EngineFault::default() });
+    order(server.address, "/admin/load", MODEL, 40, 1).await;
+    load(&server, MODEL).await;
+    server.state.crash("r1");
+
+    let holdings = server.state.records().holdings;
+
+    assert_eq!(holdings.len(), 3);
+    assert!(holdings.iter().all(|holding| holding.until_ms >= Some(holding.from_ms)));
+}
