Let credits lapse that nobody returns

The lost entry's credits stayed outstanding, so the owner saw a replica without room for ever.

Weighed: releasing an entry's credits at once when its connection ends. Its requests may still run, and a connection that is cut for a moment would bring a wave of refusals by the side process. Now a credit lapses 2 s after the connection it would be returned over has ended, and at the latest 1 s after the end of the request's time. The side process's own count stays the gate.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -4,6 +4,7 @@
 //! One task holds all state. Calls to the store and to side processes run in tasks of their own
 //! and come back as events.
 
+pub mod credits;
 mod placing;
 mod target;
 
@@ -53,6 +54,14 @@
 }
 
 impl AskReplyPath {
+    /// The connection to the entry that asks, unless it is this process.
+    fn asker(&self) -> Option<LinkSender> {
+        match self {
+            AskReplyPath::Local(_) => None,
+            AskReplyPath::Peer(sender) => Some(sender.clone()),
+        }
+    }
+
     fn grant(self, grant: Grant) {
         match self {
             AskReplyPath::Local(reply) => drop(reply.send(AskReply::Granted(grant))),
@@ -360,7 +369,7 @@
         let Some(target) = self.targets.get_mut(&key) else { return };
         target.queue.retain(|waiting| waiting.id != id);
         for replica in target.replicas.values_mut() {
-            replica.outstanding.remove(&id);
+            replica.outstanding.take_back(id);
         }
         self.pump(&key);
     }
@@ -370,6 +379,7 @@
         let keys: Vec<OwnerKey> = self.targets.keys().cloned().collect();
         for key in keys {
             self.expire(&key, now);
+            self.release_lapsed(&key, now);
             let Some(target) = self.targets.get_mut(&key) else { continue };
             target.revive(now);
             if target.queue.is_empty() {
@@ -383,6 +393,16 @@
         }
     }
 
+    fn release_lapsed(&mut self, key: &OwnerKey, now: Instant) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        for (vm, replica) in &mut target.replicas {
+            for id in replica.outstanding.release_lapsed(now) {
+                log::debug!("owner: a credit on {vm} lapsed");
+                self.keys.remove(&id);
+            }
+        }
+    }
+
     fn expire(&mut self, key: &OwnerKey, now: Instant) {
         let Some(target) = self.targets.get_mut(key) else { return };
         for waiting in target.take_expired(now) {
--- a/crates/entry/src/owner/target.rs
+++ b/crates/entry/src/owner/target.rs
@@ -1,7 +1,7 @@
 //! State of one model or service at its owner.
 
 use std::{
-    collections::{BTreeMap, HashSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     net::SocketAddr,
 };
 
@@ -9,11 +9,17 @@
 use routing::rendezvous::OwnerKey;
 use wire::ask::{Ask, AskRefusal, Grant};
 
-use super::{AskReplyPath, ReplicaReport, TargetReport, placing::PlacedSlot};
+use super::{
+    AskReplyPath, ReplicaReport, TargetReport,
+    credits::{CreditBook, CreditTerm},
+    placing::PlacedSlot,
+};
 use crate::asks::AttemptId;
 
 /// Concurrency assumed before the first report.
 const FIRST_CONCURRENCY: usize = 4;
+/// Time for which a credit outlives the time of its request.
+const CREDIT_MARGIN: Duration = Duration::from_secs(1);
 /// Suggested pause before a refused request is sent again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -84,7 +90,7 @@
     /// Whether it takes no new work.
     pub is_draining: bool,
     /// Credits granted and not returned.
-    pub outstanding: HashSet<AttemptId>,
+    pub outstanding: CreditBook,
 }
 
 impl Replica {
@@ -97,7 +103,7 @@
             slot: None,
             concurrency: FIRST_CONCURRENCY,
             is_draining: false,
-            outstanding: HashSet::new(),
+            outstanding: CreditBook::default(),
         }
     }
 
@@ -112,7 +118,7 @@
 
     fn has_credit(&self) -> bool {
         let is_ready = self.stage == ReplicaStage::Ready && !self.is_draining;
-        is_ready && self.outstanding.len() < self.concurrency
+        is_ready && self.outstanding.count() < self.concurrency
     }
 }
 
@@ -139,7 +145,7 @@
             let replica =
                 self.replicas.iter_mut().filter(|(_, replica)| replica.has_credit()).min_by_key(
                     |(vm, replica)| {
-                        (tried.iter().any(|t| t == vm.as_str()), replica.outstanding.len())
+                        (tried.iter().any(|t| t == vm.as_str()), replica.outstanding.count())
                     },
                 );
             let Some((vm, replica)) = replica else {
@@ -148,7 +154,11 @@
                 self.queue.iter_mut().for_each(|waiting| waiting.was_cold |= is_cold);
                 return;
             };
-            replica.outstanding.insert(waiting.id);
+            let term = CreditTerm {
+                until: waiting.deadline + CREDIT_MARGIN,
+                asker: waiting.reply.asker(),
+            };
+            replica.outstanding.grant(waiting.id, term);
             let grant = Grant {
                 request: waiting.id.request_bytes(),
                 attempt: waiting.id.attempt,
@@ -198,7 +208,7 @@
         let report = |(vm, replica): (&VmId, &Replica)| ReplicaReport {
             vm: vm.clone(),
             stage: format!("{:?}", replica.stage).to_lowercase(),
-            outstanding: replica.outstanding.len(),
+            outstanding: replica.outstanding.count(),
         };
         TargetReport {
             target: key.to_string(),
