Fault matrix over separate processes

What must always hold can't be shown by the system's own word, nor inside one process, where nothing can be killed. The package proof starts both programs and the stand-ins as processes on loopback, brings the fleet into a step, injects a fault (kill, freeze, cut, half-open, outage, lost answer, reclaimed VM and others) and judges by callers' views and the stand-ins' records.

A TCP relay in the test stands before each peer port, so that connections can be cut or held half-open without rights over the machine's network. nix is used for SIGSTOP and SIGCONT by process id.

--- /dev/null
+++ b/crates/proof/src/callers.rs
@@ -0,0 +1,128 @@
+//! Callers that send requests and remember what came back.
+
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+
+use base::clock::since_epoch;
+use standin::load::{
+    CallKind, CallOutcome, CallVerdict, ChatCall, EntryClient, ScriptedCall, ServiceCall,
+};
+use tokio::{task::JoinSet, time};
+
+use crate::plan::{DEADLINE, DEADLINE_MARGIN, PLAIN_SERVICE, first_key};
+
+/// Longest wait of a caller; longer than any answer may take.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A request and what its caller saw.
+#[derive(Debug, Clone)]
+pub struct ObservedCall {
+    /// The request.
+    pub call: ScriptedCall,
+    /// Entry process it was sent to.
+    pub entry: usize,
+    /// When it was sent, in milliseconds since the Unix epoch.
+    pub sent_ms: u64,
+    /// What came back.
+    pub outcome: CallOutcome,
+}
+
+impl ObservedCall {
+    /// Whether the answer or refusal came within the deadline.
+    pub fn is_in_time(&self) -> bool {
+        self.outcome.took <= DEADLINE + DEADLINE_MARGIN
+    }
+}
+
+/// Callers at work.
+#[derive(Debug)]
+pub struct CallerPool {
+    client: EntryClient,
+    calls: JoinSet<ObservedCall>,
+    sequence: u64,
+}
+
+impl Default for CallerPool {
+    fn default() -> Self {
+        Self { client: EntryClient::new(CALLER_TIMEOUT), calls: JoinSet::new(), sequence: 0 }
+    }
+}
+
+impl CallerPool {
+    /// A number that no other request of this pool has.
+    pub fn next_number(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    /// Sends `kind` with the first customer's key after `delay`.
+    pub fn send(&mut self, entry: usize, address: SocketAddr, delay: Duration, kind: CallKind) {
+        self.send_as(&first_key(), entry, address, delay, kind);
+    }
+
+    /// Sends `kind` with a customer's key after `delay`.
+    pub fn send_as(
+        &mut self,
+        customer_key: &str,
+        entry: usize,
+        address: SocketAddr,
+        delay: Duration,
+        kind: CallKind,
+    ) {
+        let client = self.client.clone();
+        let call = ScriptedCall { at: delay, customer_key: customer_key.to_owned(), kind };
+        self.calls.spawn(async move {
+            time::sleep(delay).await;
+            let sent_ms = since_epoch().as_millis() as u64;
+            let outcome = client.send(address, &call).await;
+            ObservedCall { call, entry, sent_ms, outcome }
+        });
+    }
+
+    /// Waits for all requests.
+    pub async fn collect(&mut self) -> Vec<ObservedCall> {
+        let mut observed = Vec::new();
+        while let Some(call) = self.calls.join_next().await {
+            observed.extend(call.ok());
+        }
+        observed.sort_by_key(|call| call.sent_ms);
+        observed
+    }
+
+    /// A chat completion with a prompt of its own.
+    pub fn chat(&mut self, model: &str, tokens: u32, is_stream: bool) -> CallKind {
+        let prompt = format!("prompt {}", self.next_number());
+        CallKind::Chat(ChatCall { model: model.to_owned(), prompt, tokens, is_stream })
+    }
+
+    /// A call that may not be repeated, with a body of its own.
+    pub fn order(&mut self, has_key: bool) -> CallKind {
+        let number = self.next_number();
+        let key = has_key.then(|| format!("order-{number}"));
+        let body = format!("open sluice {number}");
+        CallKind::Service(service_call("POST", "/orders", key, body))
+    }
+
+    /// A call that may be repeated.
+    pub fn reading(&mut self) -> CallKind {
+        let path = format!("/readings/{}", self.next_number());
+        CallKind::Service(service_call("GET", &path, None, String::new()))
+    }
+}
+
+fn service_call(method: &str, path: &str, key: Option<String>, body: String) -> ServiceCall {
+    ServiceCall {
+        service: PLAIN_SERVICE.to_owned(),
+        method: method.to_owned(),
+        path: path.to_owned(),
+        key,
+        body,
+    }
+}
+
+/// Entries whose own process was disturbed, so that their callers may see a lost connection.
+pub type DisturbedEntries = BTreeSet<usize>;
+
+/// Whether every request was answered.
+pub fn all_whole(calls: &[ObservedCall]) -> bool {
+    !calls.is_empty() && calls.iter().all(|call| call.outcome.verdict == CallVerdict::Whole)
+}
--- /dev/null
+++ b/crates/proof/src/fleet.rs
@@ -0,0 +1,223 @@
+//! A whole fleet of processes on loopback.
+
+use std::{fs, path::Path};
+
+use platform::VmEntry;
+use snafu::Snafu;
+use standin::engine::{EngineListing, EngineRecords, ModelState};
+
+use crate::{
+    admin::{self, AdminError},
+    binaries::ProgramPaths,
+    edits::{EditResult, OperatorEdit},
+    nodes::{NodeError, NodeHome, SideBeside, SystemNode},
+    plan::{DESKS, ENGINE_GIB, ENGINE_SERVICE, ENGINES, ENTRIES, PLAIN_SERVICE},
+    process::{ManagedProcess, ProcessError},
+    relay::TcpRelay,
+};
+
+/// The fleet could not be started or told something.
+#[derive(Debug, Snafu)]
+pub enum FleetError {
+    /// A node could not be started.
+    #[snafu(display("{source}"), context(false))]
+    Node {
+        /// Cause.
+        source: NodeError,
+    },
+    /// A stand-in did not answer.
+    #[snafu(display("{source}"), context(false))]
+    Admin {
+        /// Cause.
+        source: AdminError,
+    },
+    /// A process could not be signalled.
+    #[snafu(display("{source}"), context(false))]
+    Process {
+        /// Cause.
+        source: ProcessError,
+    },
+    /// A file could not be written or a command not started.
+    #[snafu(display("{source}"), context(false))]
+    Io {
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The lists could not be put into force.
+    #[snafu(display("the lists were not accepted: {cause}"))]
+    Refused {
+        /// What the edit ended with.
+        cause: String,
+    },
+}
+
+/// Result of an operation on the fleet.
+pub type Result<T, E = FleetError> = std::result::Result<T, E>;
+
+/// A backend server with its side process.
+#[derive(Debug)]
+pub struct BackendPair {
+    /// The stand-in of the backend server.
+    pub server: ManagedProcess,
+    /// The side process.
+    pub side: SystemNode,
+}
+
+/// The fleet; its processes end when it is dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Object API and VM list.
+    pub platform: ManagedProcess,
+    /// Weight store.
+    pub weights: ManagedProcess,
+    /// Model engines.
+    pub engines: Vec<BackendPair>,
+    /// Replicas of the plain service.
+    pub desks: Vec<BackendPair>,
+    /// Entry processes.
+    pub entries: Vec<SystemNode>,
+    /// Relays between the entries and the platform.
+    pub platform_relays: Vec<TcpRelay>,
+    home: NodeHome,
+}
+
+impl Fleet {
+    /// Starts every process, publishes the VM list and the first lists.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process does not start.
+    pub async fn start(programs: &ProgramPaths, directory: &Path) -> Result<Self> {
+        fs::create_dir_all(directory)?;
+        let home = NodeHome { programs: programs.clone(), directory: directory.to_owned() };
+        let platform = home.standin("platform", &["platform"]).await?;
+        let weights = home.standin("weights", &["weights", "--rate", "3/s"]).await?;
+        let mut fleet = Self {
+            platform,
+            weights,
+            engines: Vec::new(),
+            desks: Vec::new(),
+            entries: Vec::new(),
+            platform_relays: Vec::new(),
+            home,
+        };
+        fleet.start_backends().await?;
+        fleet.start_entries().await?;
+        fleet.publish_vms().await?;
+        let applied = fleet.edit(0)?.run().await;
+        match applied {
+            EditResult::Accepted => Ok(fleet),
+            EditResult::Refused(cause) => RefusedSnafu { cause }.fail(),
+        }
+    }
+
+    async fn start_backends(&mut self) -> Result<()> {
+        let weights = self.weights.address("http")?.to_string();
+        let memory = format!("{ENGINE_GIB}GiB");
+        for index in 0..ENGINES {
+            let name = format!("engine-{index}");
+            let arguments = ["engine", "--memory", &memory, "--weights", &weights];
+            let arguments = [&arguments[..], &["--token-time", "5ms"]].concat();
+            let server = self.home.standin(&name, &arguments).await?;
+            let pair = self.pair(server, ENGINE_SERVICE, "engine", index).await?;
+            self.engines.push(pair);
+        }
+        for index in 0..DESKS {
+            let name = format!("desk-{index}");
+            let server = self.home.standin(&name, &["service", "--call-time", "30ms"]).await?;
+            let pair = self.pair(server, PLAIN_SERVICE, "plain", index).await?;
+            self.desks.push(pair);
+        }
+        Ok(())
+    }
+
+    async fn pair(
+        &self,
+        server: ManagedProcess,
+        service: &str,
+        kind: &str,
+        index: usize,
+    ) -> Result<BackendPair> {
+        let backend = server.address("http")?;
+        let platform = self.platform.address("http")?;
+        let beside = SideBeside { service, kind, index, backend, platform };
+        let side = SystemNode::side(&self.home, &beside).await?;
+        Ok(BackendPair { server, side })
+    }
+
+    async fn start_entries(&mut self) -> Result<()> {
+        for index in 0..ENTRIES {
+            let relay = TcpRelay::start(self.platform.address("http")?).await?;
+            self.entries.push(SystemNode::entry(&self.home, index, relay.address).await?);
+            self.platform_relays.push(relay);
+        }
+        Ok(())
+    }
+
+    /// All nodes of the system.
+    pub fn nodes(&self) -> impl Iterator<Item = &SystemNode> {
+        let sides = self.engines.iter().chain(&self.desks).map(|pair| &pair.side);
+        self.entries.iter().chain(sides)
+    }
+
+    /// Publishes the VM list as the nodes say.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer.
+    pub async fn publish_vms(&self) -> Result<()> {
+        let vms = self.nodes().filter_map(SystemNode::vm_entry).collect::<Vec<VmEntry>>();
+        Ok(admin::replace(self.platform.address("http")?, "/admin/vms", &vms).await?)
+    }
+
+    /// An operator's edit that puts the lists of `edition` into force.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform's address is unknown.
+    pub fn edit(&self, edition: u32) -> Result<OperatorEdit> {
+        Ok(OperatorEdit { platform: self.platform.address("http")?, edition })
+    }
+
+    /// The engine that holds `model`, by its own listing.
+    pub async fn holder(&self, model: &str) -> Option<usize> {
+        self.find_engine(model, |_| true).await
+    }
+
+    /// The engine that is loading `model`, by its own listing.
+    pub async fn loader(&self, model: &str) -> Option<usize> {
+        self.find_engine(model, |state| state == ModelState::Loading).await
+    }
+
+    async fn find_engine(&self, model: &str, fits: impl Fn(ModelState) -> bool) -> Option<usize> {
+        for (index, pair) in self.engines.iter().enumerate() {
+            let address = pair.server.address("http").ok()?;
+            let Ok(listing) = admin::read::<EngineListing>(address, "/admin/list").await else {
+                continue;
+            };
+            let mut held = listing.models.iter();
+            if held.any(|held| held.key.model == model && fits(held.state)) {
+                return Some(index);
+            }
+        }
+        None
+    }
+
+    /// Records of all engines.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an engine does not answer.
+    pub async fn engine_records(&self) -> Result<Vec<EngineRecords>> {
+        let mut records = Vec::new();
+        for pair in &self.engines {
+            records.push(admin::read(pair.server.address("http")?, "/admin/records").await?);
+        }
+        Ok(records)
+    }
+
+    /// Directory of settings and logs.
+    pub fn directory(&self) -> &Path {
+        &self.home.directory
+    }
+}
--- /dev/null
+++ b/crates/proof/src/steps.rs
@@ -0,0 +1,255 @@
+//! Steps of the duties, each with the work that brings the fleet into it.
+
+use std::{fmt, str::FromStr, time::Duration};
+
+use standin::{
+    engine::{EngineRecords, OrderKind},
+    load::CallKind,
+};
+use tokio::time;
+
+use crate::{
+    callers::CallerPool,
+    edits::EditWatch,
+    faults::{FaultTarget, NameError},
+    fleet::{Fleet, Result},
+};
+
+/// Longest wait until a step has begun.
+const BEGIN_LIMIT: Duration = Duration::from_secs(4);
+/// Time between looks at whether a step has begun.
+const BEGIN_POLL: Duration = Duration::from_millis(20);
+
+/// Steps of the duties.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum StepKind {
+    /// An entry asks the owner of a model.
+    Ask,
+    /// The owner grants a backend server.
+    Grant,
+    /// An idempotency key is claimed.
+    Claim,
+    /// A request is handed to a side process.
+    HandOver,
+    /// An answer is streamed.
+    Answer,
+    /// A model is loaded.
+    Load,
+    /// A model is unloaded for another.
+    Unload,
+    /// A slot moves, because its holder has changed.
+    SlotMove,
+    /// An edit of the lists is made.
+    Edit,
+    /// An accepted edit spreads.
+    Spread,
+    /// A side process stops as planned.
+    Drain,
+}
+
+impl StepKind {
+    /// Every step.
+    pub const ALL: [StepKind; 11] = [
+        StepKind::Ask,
+        StepKind::Grant,
+        StepKind::Claim,
+        StepKind::HandOver,
+        StepKind::Answer,
+        StepKind::Load,
+        StepKind::Unload,
+        StepKind::SlotMove,
+        StepKind::Edit,
+        StepKind::Spread,
+        StepKind::Drain,
+    ];
+
+    /// Name on the command line and in reports.
+    pub fn name(self) -> &'static str {
+        match self {
+            StepKind::Ask => "ask",
+            StepKind::Grant => "grant",
+            StepKind::Claim => "claim",
+            StepKind::HandOver => "hand-over",
+            StepKind::Answer => "answer",
+            StepKind::Load => "load",
+            StepKind::Unload => "unload",
+            StepKind::SlotMove => "slot-move",
+            StepKind::Edit => "edit",
+            StepKind::Spread => "spread",
+            StepKind::Drain => "drain",
+        }
+    }
+}
+
+impl fmt::Display for StepKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl FromStr for StepKind {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Self, NameError> {
+        Self::ALL.into_iter().find(|step| step.name() == text).ok_or(NameError::new(text))
+    }
+}
+
+/// What a step has set going.
+#[derive(Debug)]
+pub struct StepRun {
+    /// Process that a fault strikes.
+    pub target: FaultTarget,
+    /// Edit of the lists under way, if any.
+    pub edit: Option<EditWatch>,
+    /// Engine whose side process stops as planned, if any.
+    pub drained: Option<usize>,
+}
+
+impl StepRun {
+    fn at(target: FaultTarget) -> Self {
+        Self { target, edit: None, drained: None }
+    }
+}
+
+/// The second entry process, which owns some of the models and is no first entry of callers.
+const SECOND_ENTRY: FaultTarget = FaultTarget::Entry(1);
+
+/// Brings the fleet into `step` and returns once it is there.
+///
+/// # Errors
+///
+/// Fails if a process does not react.
+pub async fn begin(step: StepKind, fleet: &mut Fleet, pool: &mut CallerPool) -> Result<StepRun> {
+    match step {
+        StepKind::Ask => {
+            chats(fleet, pool, &["m0", "m1"], 12, 8, false);
+            Ok(StepRun::at(SECOND_ENTRY))
+        }
+        StepKind::Grant => {
+            chats(fleet, pool, &["m0", "m1"], 60, 20, false);
+            time::sleep(Duration::from_millis(60)).await;
+            Ok(StepRun::at(SECOND_ENTRY))
+        }
+        StepKind::Claim => {
+            orders(fleet, pool, 30);
+            Ok(StepRun::at(SECOND_ENTRY))
+        }
+        StepKind::HandOver => {
+            chats(fleet, pool, &["m0", "m1"], 12, 20, false);
+            orders(fleet, pool, 12);
+            time::sleep(Duration::from_millis(15)).await;
+            Ok(StepRun::at(holder_of(fleet, "m0").await))
+        }
+        StepKind::Answer => {
+            chats(fleet, pool, &["m0", "m1"], 8, 300, true);
+            time::sleep(Duration::from_millis(500)).await;
+            Ok(StepRun::at(holder_of(fleet, "m0").await))
+        }
+        StepKind::Load => begin_load(fleet, pool).await,
+        StepKind::Unload => begin_unload(fleet, pool).await,
+        StepKind::SlotMove => begin_slot_move(fleet, pool).await,
+        StepKind::Edit => {
+            let edit = EditWatch::start(fleet, 1).await?;
+            Ok(StepRun { edit: Some(edit), ..StepRun::at(SECOND_ENTRY) })
+        }
+        StepKind::Spread => {
+            let mut edit = EditWatch::start(fleet, 1).await?;
+            edit.accepted().await;
+            Ok(StepRun { edit: Some(edit), ..StepRun::at(SECOND_ENTRY) })
+        }
+        StepKind::Drain => begin_drain(fleet, pool).await,
+    }
+}
+
+/// Sends `count` chat completions at once to all entries in turn.
+pub fn chats(
+    fleet: &Fleet,
+    pool: &mut CallerPool,
+    models: &[&str],
+    count: usize,
+    tokens: u32,
+    is_stream: bool,
+) {
+    for index in 0..count {
+        let entry = index % fleet.entries.len();
+        let kind = pool.chat(models[index % models.len()], tokens, is_stream);
+        pool.send(entry, fleet.entries[entry].http_address(), Duration::ZERO, kind);
+    }
+}
+
+/// Sends `count` calls that may not be repeated, most of them with a key and some of them twice.
+fn orders(fleet: &Fleet, pool: &mut CallerPool, count: usize) {
+    for index in 0..count {
+        let entry = index % fleet.entries.len();
+        let has_key = index % 4 != 0;
+        let kind = pool.order(has_key);
+        if has_key && index % 3 == 0 {
+            send_again(fleet, pool, (entry + 1) % fleet.entries.len(), kind.clone());
+        }
+        pool.send(entry, fleet.entries[entry].http_address(), Duration::ZERO, kind);
+    }
+}
+
+/// The caller sends the same request with the same key at another entry a little later.
+fn send_again(fleet: &Fleet, pool: &mut CallerPool, entry: usize, kind: CallKind) {
+    let address = fleet.entries[entry].http_address();
+    pool.send(entry, address, Duration::from_millis(20), kind);
+}
+
+async fn holder_of(fleet: &Fleet, model: &str) -> FaultTarget {
+    FaultTarget::Engine(fleet.holder(model).await.unwrap_or(0))
+}
+
+async fn begin_load(fleet: &Fleet, pool: &mut CallerPool) -> Result<StepRun> {
+    chats(fleet, pool, &["m2", "m3"], 12, 8, false);
+    let began = time::Instant::now();
+    while began.elapsed() < BEGIN_LIMIT {
+        if let Some(index) = fleet.loader("m2").await {
+            return Ok(StepRun::at(FaultTarget::Engine(index)));
+        }
+        time::sleep(BEGIN_POLL).await;
+    }
+    Ok(StepRun::at(FaultTarget::Engine(0)))
+}
+
+async fn begin_unload(fleet: &Fleet, pool: &mut CallerPool) -> Result<StepRun> {
+    let models = ["m2", "m3", "m4", "m5"];
+    for (index, model) in models.iter().enumerate() {
+        let kind = pool.chat(model, 8, false);
+        let delay = Duration::from_millis(100) * index as u32;
+        pool.send(0, fleet.entries[0].http_address(), delay, kind);
+    }
+    let began = time::Instant::now();
+    while began.elapsed() < BEGIN_LIMIT {
+        let records = fleet.engine_records().await?;
+        if let Some(index) = records.iter().position(has_unload) {
+            return Ok(StepRun::at(FaultTarget::Engine(index)));
+        }
+        time::sleep(BEGIN_POLL).await;
+    }
+    Ok(StepRun::at(FaultTarget::Engine(0)))
+}
+
+fn has_unload(records: &EngineRecords) -> bool {
+    records.orders.iter().any(|order| order.kind == OrderKind::Unload)
+}
+
+async fn begin_slot_move(fleet: &mut Fleet, pool: &mut CallerPool) -> Result<StepRun> {
+    let index = fleet.holder("m0").await.unwrap_or(0);
+    let side = &mut fleet.engines[index].side;
+    side.process.kill().await;
+    side.restart().await?;
+    chats(fleet, pool, &["m0", "m1", "m2"], 12, 8, false);
+    time::sleep(Duration::from_millis(100)).await;
+    Ok(StepRun::at(SECOND_ENTRY))
+}
+
+async fn begin_drain(fleet: &Fleet, pool: &mut CallerPool) -> Result<StepRun> {
+    chats(fleet, pool, &["m0", "m1"], 8, 300, true);
+    time::sleep(Duration::from_millis(300)).await;
+    let index = fleet.holder("m0").await.unwrap_or(0);
+    fleet.engines[index].side.process.terminate()?;
+    time::sleep(Duration::from_millis(100)).await;
+    Ok(StepRun { drained: Some(index), ..StepRun::at(SECOND_ENTRY) })
+}
