--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -5,6 +5,7 @@
 //! and come back as events.
 
 mod capacity;
+pub mod credits;
 mod loads;
 mod report;
 mod slots;
@@ -56,6 +57,14 @@
 }
 
 impl AskReplyPath {
+    /// The connection to the entry that asks, unless it is this process.
+    fn asker(&self) -> Option<LinkSender> {
+        match self {
+            AskReplyPath::Local(_) => None,
+            AskReplyPath::Peer(sender) => Some(sender.clone()),
+        }
+    }
+
     fn grant(self, grant: Grant) {
         match self {
             AskReplyPath::Local(reply) => drop(reply.send(AskReply::Granted(grant))),
@@ -350,7 +359,7 @@
         let Some(target) = self.targets.get_mut(&key) else { return };
         target.queue.retain(|waiting| waiting.id != id);
         for replica in target.replicas.values_mut() {
-            replica.outstanding.remove(&id);
+            replica.outstanding.take_back(id);
         }
         if let Some(capacity) = target.capacity.as_mut().filter(|_| returned.service_us > 0) {
             capacity.note_service(Duration::from_micros(returned.service_us));
@@ -366,6 +375,7 @@
         let keys: Vec<OwnerKey> = self.targets.keys().cloned().collect();
         for key in keys {
             self.expire(&key, now);
+            self.release_lapsed(&key, now);
             let Some(target) = self.targets.get_mut(&key) else { continue };
             target.revive(now);
             let is_model = matches!(key, OwnerKey::Model(_));
@@ -392,6 +402,16 @@
         }
     }
 
+    fn release_lapsed(&mut self, key: &OwnerKey, now: Instant) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        for (vm, replica) in &mut target.replicas {
+            for id in replica.outstanding.release_lapsed(now) {
+                log::debug!("owner: a credit on {vm} lapsed");
+                self.keys.remove(&id);
+            }
+        }
+    }
+
     fn expire(&mut self, key: &OwnerKey, now: Instant) {
         let Some(target) = self.targets.get_mut(key) else { return };
         for waiting in target.take_expired(now) {
--- a/crates/entry/src/owner/loads.rs
+++ b/crates/entry/src/owner/loads.rs
@@ -97,7 +97,7 @@
             return;
         }
         let is_idle = |replica: &&mut Replica| {
-            replica.stage == ReplicaStage::Ready && replica.outstanding.is_empty()
+            replica.stage == ReplicaStage::Ready && replica.outstanding.count() == 0
         };
         let Some(replica) = target.replicas.values_mut().rfind(is_idle) else { return };
         let Some(slot) = &replica.slot else { return };
--- a/crates/entry/src/owner/target.rs
+++ b/crates/entry/src/owner/target.rs
@@ -1,7 +1,7 @@
 //! State of one model or service at its owner.
 
 use std::{
-    collections::{BTreeMap, HashSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     fmt,
     net::SocketAddr,
 };
@@ -14,12 +14,15 @@
 use super::{
     AskReplyPath,
     capacity::ModelCapacity,
+    credits::{CreditBook, CreditTerm},
     slots::{UNKNOWN_MEMORY, UNKNOWN_TIER},
 };
 use crate::asks::AttemptId;
 
 /// Concurrency assumed before the first report.
 const FIRST_CONCURRENCY: usize = 4;
+/// Time for which a credit outlives the time of its request.
+const CREDIT_MARGIN: Duration = Duration::from_secs(1);
 /// Suggested pause before a refused request is sent again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -121,7 +124,7 @@
     /// Whether it takes no new work.
     pub is_draining: bool,
     /// Credits granted and not returned.
-    pub outstanding: HashSet<AttemptId>,
+    pub outstanding: CreditBook,
 }
 
 impl Replica {
@@ -137,13 +140,13 @@
             free_memory: UNKNOWN_MEMORY,
             concurrency: FIRST_CONCURRENCY,
             is_draining: false,
-            outstanding: HashSet::new(),
+            outstanding: CreditBook::default(),
         }
     }
 
     fn has_credit(&self) -> bool {
         let is_ready = self.stage == ReplicaStage::Ready && !self.is_draining;
-        is_ready && self.outstanding.len() < self.concurrency
+        is_ready && self.outstanding.count() < self.concurrency
     }
 }
 
@@ -168,7 +171,7 @@
             let replica =
                 self.replicas.iter_mut().filter(|(_, replica)| replica.has_credit()).min_by_key(
                     |(vm, replica)| {
-                        (tried.iter().any(|t| t == vm.as_str()), replica.outstanding.len())
+                        (tried.iter().any(|t| t == vm.as_str()), replica.outstanding.count())
                     },
                 );
             let Some((vm, replica)) = replica else {
@@ -177,7 +180,11 @@
                 self.queue.iter_mut().for_each(|waiting| waiting.was_cold |= is_cold);
                 return;
             };
-            replica.outstanding.insert(waiting.id);
+            let term = CreditTerm {
+                until: waiting.deadline + CREDIT_MARGIN,
+                asker: waiting.reply.asker(),
+            };
+            replica.outstanding.grant(waiting.id, term);
             let grant = Grant {
                 request: waiting.id.request_bytes(),
                 attempt: waiting.id.attempt,
@@ -194,7 +201,8 @@
 
     /// Requests that wait and run.
     pub fn demand(&self) -> ModelDemand {
-        let running: usize = self.replicas.values().map(|replica| replica.outstanding.len()).sum();
+        let running: usize =
+            self.replicas.values().map(|replica| replica.outstanding.count()).sum();
         ModelDemand { waiting: self.queue.len() as u32, running: running as u32 }
     }
 
