--- a/crates/entry/src/owner/target.rs
+++ b/crates/entry/src/owner/target.rs
@@ -1,19 +1,28 @@
 //! State of one model or service at its owner.
 
 use std::{
-    collections::{BTreeMap, HashSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
+    fmt,
     net::SocketAddr,
 };
 
 use base::prelude::*;
-use routing::rendezvous::OwnerKey;
+use loading::{CacheTier, ModelDemand, OrderId};
+use placement::PlacementSlot;
 use wire::ask::{Ask, AskRefusal, Grant};
 
-use super::{AskReplyPath, ReplicaReport, TargetReport, placing::PlacedSlot};
+use super::{
+    AskReplyPath,
+    capacity::ModelCapacity,
+    credits::{CreditBook, CreditTerm},
+    slots::{UNKNOWN_MEMORY, UNKNOWN_TIER},
+};
 use crate::asks::AttemptId;
 
 /// Concurrency assumed before the first report.
 const FIRST_CONCURRENCY: usize = 4;
+/// Time for which a credit outlives the time of its request.
+const CREDIT_MARGIN: Duration = Duration::from_secs(1);
 /// Suggested pause before a refused request is sent again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -61,6 +70,8 @@
     Loading,
     /// Requests may be granted.
     Ready,
+    /// The model is being unloaded.
+    Unloading,
     /// Something failed; nothing is tried until then.
     Failed {
         /// End of the pause.
@@ -68,6 +79,29 @@
     },
 }
 
+impl fmt::Display for ReplicaStage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ReplicaStage::Unreached => "not connected",
+            ReplicaStage::Reaching => "connecting",
+            ReplicaStage::Cold => "not loaded",
+            ReplicaStage::Loading => "loading",
+            ReplicaStage::Ready => "ready",
+            ReplicaStage::Unloading => "unloading",
+            ReplicaStage::Failed { .. } => "not reached",
+        })
+    }
+}
+
+/// A load that was ordered and has not ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PendingLoad {
+    /// The order.
+    pub order: OrderId,
+    /// When it was given.
+    pub since: Instant,
+}
+
 /// One backend server that may serve the target.
 #[derive(Debug)]
 pub struct Replica {
@@ -78,13 +112,19 @@
     /// Where it stands.
     pub stage: ReplicaStage,
     /// Slot that permits the model there; none for services.
-    pub slot: Option<PlacedSlot>,
+    pub slot: Option<PlacementSlot>,
+    /// Load that was ordered there.
+    pub pending: Option<PendingLoad>,
+    /// Where the server has the checkpoint.
+    pub tier: CacheTier,
+    /// Memory that nothing is reserved in.
+    pub free_memory: ByteSize,
     /// Requests that it runs at once.
     pub concurrency: usize,
     /// Whether it takes no new work.
     pub is_draining: bool,
     /// Credits granted and not returned.
-    pub outstanding: HashSet<AttemptId>,
+    pub outstanding: CreditBook,
 }
 
 impl Replica {
@@ -95,24 +135,18 @@
             incarnation: ProcessIncarnation::default(),
             stage: ReplicaStage::Unreached,
             slot: None,
+            pending: None,
+            tier: UNKNOWN_TIER,
+            free_memory: UNKNOWN_MEMORY,
             concurrency: FIRST_CONCURRENCY,
             is_draining: false,
-            outstanding: HashSet::new(),
+            outstanding: CreditBook::default(),
         }
     }
 
-    /// Takes a report over: `Some(true)` if the model is loaded, `None` if it is not held.
-    pub fn observe(&mut self, held: Option<bool>) {
-        self.stage = match (self.stage, held) {
-            (ReplicaStage::Cold | ReplicaStage::Loading, Some(true)) => ReplicaStage::Ready,
-            (ReplicaStage::Ready, None) => ReplicaStage::Cold,
-            (stage, _) => stage,
-        };
-    }
-
     fn has_credit(&self) -> bool {
         let is_ready = self.stage == ReplicaStage::Ready && !self.is_draining;
-        is_ready && self.outstanding.len() < self.concurrency
+        is_ready && self.outstanding.count() < self.concurrency
     }
 }
 
@@ -125,10 +159,8 @@
     pub queue: VecDeque<WaitingAsk>,
     /// Backend servers that may serve.
     pub replicas: BTreeMap<VmId, Replica>,
-    /// Whether the placement is being read or written.
-    pub is_placing: bool,
-    /// When the placement may be read again.
-    pub place_again: Option<Instant>,
+    /// Decisions about replicas; none for services.
+    pub capacity: Option<ModelCapacity>,
 }
 
 impl TargetState {
@@ -139,7 +171,7 @@
             let replica =
                 self.replicas.iter_mut().filter(|(_, replica)| replica.has_credit()).min_by_key(
                     |(vm, replica)| {
-                        (tried.iter().any(|t| t == vm.as_str()), replica.outstanding.len())
+                        (tried.iter().any(|t| t == vm.as_str()), replica.outstanding.count())
                     },
                 );
             let Some((vm, replica)) = replica else {
@@ -148,7 +180,11 @@
                 self.queue.iter_mut().for_each(|waiting| waiting.was_cold |= is_cold);
                 return;
             };
-            replica.outstanding.insert(waiting.id);
+            let term = CreditTerm {
+                until: waiting.deadline + CREDIT_MARGIN,
+                asker: waiting.reply.asker(),
+            };
+            replica.outstanding.grant(waiting.id, term);
             let grant = Grant {
                 request: waiting.id.request_bytes(),
                 attempt: waiting.id.attempt,
@@ -163,16 +199,11 @@
         }
     }
 
-    /// The replica to load next, unless one is loading already.
-    pub fn next_load(&mut self) -> Option<(&VmId, &mut Replica)> {
-        let is_loading =
-            self.replicas.values().any(|replica| replica.stage == ReplicaStage::Loading);
-        if is_loading {
-            return None;
-        }
-        self.replicas
-            .iter_mut()
-            .find(|(_, replica)| replica.stage == ReplicaStage::Cold && !replica.is_draining)
+    /// Requests that wait and run.
+    pub fn demand(&self) -> ModelDemand {
+        let running: usize =
+            self.replicas.values().map(|replica| replica.outstanding.count()).sum();
+        ModelDemand { waiting: self.queue.len() as u32, running: running as u32 }
     }
 
     /// Requests whose time has run out.
@@ -192,19 +223,4 @@
             }
         }
     }
-
-    /// What operators see.
-    pub fn describe(&self, key: &OwnerKey) -> TargetReport {
-        let report = |(vm, replica): (&VmId, &Replica)| ReplicaReport {
-            vm: vm.clone(),
-            stage: format!("{:?}", replica.stage).to_lowercase(),
-            outstanding: replica.outstanding.len(),
-        };
-        TargetReport {
-            target: key.to_string(),
-            decided: self.decided,
-            replicas: self.replicas.iter().map(report).collect(),
-            waiting: self.queue.len(),
-        }
-    }
 }
--- a/crates/fescuewalk/tests/support/fleet.rs
+++ b/crates/fescuewalk/tests/support/fleet.rs
@@ -5,7 +5,7 @@
 use base::prelude::{KeyHash, ListVersion};
 use bytes::Bytes;
 use http::Request;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -15,7 +15,7 @@
 
 use super::{Process, WorkDir, fescuewalk, fescuewalk_side};
 
-const RIGHTS: &str = "
+pub const RIGHTS: &str = "
 [plan field]
 priority = 1
 share = 10
@@ -47,12 +47,30 @@
 }
 
 impl Fleet {
+    pub fn platform(&self) -> SocketAddr {
+        self.standins[0].address("http")
+    }
+
+    pub fn engine(&self, number: usize) -> SocketAddr {
+        self.standins[2 + number].address("http")
+    }
+
+    /// Kills the side process of an engine and starts another one in its place.
+    pub fn replace_side(&mut self, number: usize) {
+        let peer = self.sides[number].address("peers");
+        let (engine, platform) = (self.engine(number), self.platform());
+        drop(self.sides.remove(number));
+        let vm = format!("rosnatka-{number}");
+        let process = side(&self.dir, &vm, "engine", "rosnatka", engine, platform, peer);
+        self.sides.insert(number, process);
+    }
+
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.entries.iter().map(|entry| entry.address("http")).collect()
     }
 }
 
-fn plans() -> String {
+pub fn plans() -> String {
     let hash = KeyHash::of_key("crew-key");
     format!("[customer crew]\nplan = field\nkey-hash = {hash}\nhome-region = cz-central\n")
 }
@@ -63,10 +81,14 @@
     Process::start(command)
 }
 
-fn process_section(vm: &str) -> String {
+fn any_port() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+fn process_section(vm: &str, peer: SocketAddr) -> String {
     format!(
         "[process]\nvm = {vm}\nzone = cz-central-1\nregion = cz-central\nsecret = test-secret\n\
-         peer-address = 127.0.0.1:0\nhttp-address = 127.0.0.1:0\n"
+         peer-address = {peer}\nhttp-address = 127.0.0.1:0\n"
     )
 }
 
@@ -77,11 +99,12 @@
     service: &str,
     backend: SocketAddr,
     platform: SocketAddr,
+    peer: SocketAddr,
 ) -> Process {
     let text = format!(
         "{}[backend]\nkind = {kind}\nservice = {service}\naddress = {backend}\nmemory = 40GiB\n\
          [platform]\naddress = {platform}\n[limits]\nreport-interval = 100ms\n",
-        process_section(vm)
+        process_section(vm, peer)
     );
     let path = dir.write(&format!("{vm}.ini"), &text);
     let mut command = fescuewalk_side();
@@ -92,7 +115,7 @@
 fn entry(dir: &WorkDir, vm: &str, platform: SocketAddr) -> Process {
     let text = format!(
         "{}[platform]\naddress = {platform}\nvm-poll = 100ms\nreads = 200/s\nwrites = 200/s\n",
-        process_section(vm)
+        process_section(vm, any_port())
     );
     let path = dir.write(&format!("{vm}.ini"), &text);
     let mut command = fescuewalk();
@@ -122,14 +145,16 @@
             standin("engine", &["--memory", "40GiB", "--weights", weights_address.as_str()]);
         let id = format!("rosnatka-{number}");
         let engine_address = engine.address("http");
-        let process = side(&dir, &id, "engine", "rosnatka", engine_address, platform_address);
+        let process =
+            side(&dir, &id, "engine", "rosnatka", engine_address, platform_address, any_port());
         vms.push(vm(&id, "backend", Some("rosnatka"), process.address("peers")));
         sides.push(process);
         standins.push(engine);
     }
     let service = standin("service", &[]);
+    let service_address = service.address("http");
     let process =
-        side(&dir, "vrbovka-0", "plain", "vrbovka", service.address("http"), platform_address);
+        side(&dir, "vrbovka-0", "plain", "vrbovka", service_address, platform_address, any_port());
     vms.push(vm("vrbovka-0", "backend", Some("vrbovka"), process.address("peers")));
     sides.push(process);
     standins.push(service);
@@ -187,3 +212,20 @@
     }
     panic!("{address} did not become ready");
 }
+
+/// Reads an answer in JSON.
+pub async fn get_json(address: SocketAddr, path: &str) -> serde_json::Value {
+    let request = Request::get(format!("http://{address}{path}")).body(Full::default()).unwrap();
+    let answer = client().request(request).await.unwrap();
+    let body = answer.into_body().collect().await.unwrap().to_bytes();
+    serde_json::from_slice(&body).unwrap()
+}
+
+/// Sets the faults of a stand-in.
+pub async fn put_fault(address: SocketAddr, fault: serde_json::Value) {
+    let request = Request::put(format!("http://{address}/admin/fault"))
+        .body(Full::new(Bytes::from(fault.to_string())))
+        .unwrap();
+    let answer = client().request(request).await.unwrap();
+    assert!(answer.status().is_success());
+}
--- a/crates/side/src/answer.rs
+++ b/crates/side/src/answer.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     drain::DrainStage,
-    engine_watch,
+    engine_watch, loads,
     process::SideState,
     requests::{self, ActiveRun},
 };
@@ -41,19 +41,21 @@
 /// Tells the ledger how it ended, too.
 async fn forward(state: Arc<SideState>, active: ActiveRun) {
     let id = active.id;
-    let model = active.run.model.parse::<ModelId>().ok();
-    let is_loaded = model.as_ref().is_none_or(|model| state.loads.start_request(model));
-    if !is_loaded {
+    let target = tokio::select! {
+        target = loads::acquire(&state, &active.run) => target,
+        () = active.token.cancelled() => Err(ResultCode::CallerCancelled),
+    };
+    let Ok(target) = target else {
         let sent = SendState::NotTaken;
         return requests::tell(&state, RunEvent::HandOverFailed { id, sent }).await;
-    }
+    };
     let end = tokio::select! {
         end = pass(&state, &active) => end,
         () = active.token.cancelled() => BackendEnd::Unwanted,
         () = state.drain.reached(DrainStage::Stopped) => BackendEnd::Lost(ResultCode::BackendLost),
     };
-    if let Some(model) = &model {
-        state.loads.end_request(model);
+    if let Some(target) = &target {
+        loads::release(&state, target);
     }
     if matches!(end, BackendEnd::Unwanted | BackendEnd::Lost(_)) {
         state.backend.cancel(id.request).await;
