One type for an attempt, and the lists' priority and class in admission

Need: an owner admits attempts, not requests, since a hedge and its original run at the same time; priorities and classes stood twice. Change: AttemptId moves from the entry to the shared identifiers; admission takes RequestPriority and WorkClass from the lists.

--- a/crates/admission/src/class.rs
+++ b/crates/admission/src/class.rs
@@ -3,17 +3,18 @@
 use std::collections::BTreeMap;
 
 use base::prelude::*;
+use lists::RequestPriority;
 
 use crate::{
     fair::{FairRing, LongestQueue, WaitingRequest},
-    request::{AdmissionRequest, PriorityRank, RequestSize},
+    request::{AdmissionRequest, RequestSize},
 };
 
 /// One ring for each priority that has waiting requests.
 #[derive(Debug)]
 pub(crate) struct ClassQueue {
     quantum: RequestSize,
-    levels: BTreeMap<PriorityRank, FairRing>,
+    levels: BTreeMap<RequestPriority, FairRing>,
 }
 
 impl ClassQueue {
@@ -30,7 +31,7 @@
     }
 
     /// Priority of the request that goes next.
-    pub(crate) fn best_rank(&self) -> Option<PriorityRank> {
+    pub(crate) fn best_rank(&self) -> Option<RequestPriority> {
         self.levels.keys().next().copied()
     }
 
@@ -78,7 +79,7 @@
         self.levels.values().next_back()?.longest()
     }
 
-    fn drop_if_empty(&mut self, rank: PriorityRank) {
+    fn drop_if_empty(&mut self, rank: RequestPriority) {
         if self.levels.get(&rank).is_some_and(|ring| ring.len() == 0) {
             self.levels.remove(&rank);
         }
--- a/crates/admission/src/estimate.rs
+++ b/crates/admission/src/estimate.rs
@@ -1,8 +1,9 @@
 //! Service times as observed, per class.
 
 use base::prelude::*;
+use lists::WorkClass;
 
-use crate::{policy::AdmissionPolicy, request::WorkClass};
+use crate::policy::AdmissionPolicy;
 
 /// Weight of the newest observation in the moving average.
 const NEWEST_WEIGHT: f64 = 0.1;
--- a/crates/admission/src/fair.rs
+++ b/crates/admission/src/fair.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use base::prelude::*;
+use base::{ids::AttemptId, prelude::*};
 
 use crate::request::{AdmissionRequest, RequestSize};
 
@@ -97,7 +97,7 @@
     }
 
     /// Takes one request out of turn and charges its customer for it.
-    pub(crate) fn take(&mut self, customer: &CustomerId, id: RequestId) -> Option<WaitingRequest> {
+    pub(crate) fn take(&mut self, customer: &CustomerId, id: AttemptId) -> Option<WaitingRequest> {
         let quantum = self.quantum;
         if let Some(queue) = self.customers.get_mut(customer) {
             let found = queue.requests.iter().find(|waiting| waiting.request.id == id);
@@ -111,7 +111,7 @@
     pub(crate) fn remove(
         &mut self,
         customer: &CustomerId,
-        id: RequestId,
+        id: AttemptId,
     ) -> Option<WaitingRequest> {
         let queue = self.customers.get_mut(customer)?;
         let index = queue.requests.iter().position(|waiting| waiting.request.id == id)?;
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -11,5 +11,5 @@
 pub use crate::{
     policy::{AdmissionGuards, AdmissionPolicy},
     queue::{AdmissionAction, AdmissionEvent, AdmissionQueue, QueueCounts},
-    request::{AdmissionRequest, PriorityRank, RequestSize, SlotCount, WorkClass},
+    request::{AdmissionRequest, RequestSize, SlotTotal},
 };
--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -1,8 +1,9 @@
 //! Limits of admission.
 
 use base::prelude::*;
+use lists::WorkClass;
 
-use crate::request::{RequestSize, WorkClass};
+use crate::request::RequestSize;
 
 /// Limits of one queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -2,14 +2,15 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use base::prelude::*;
+use base::{ids::AttemptId, prelude::*};
+use lists::WorkClass;
 
 use crate::{
     class::ClassQueue,
     estimate::ServiceEstimate,
     fair::WaitingRequest,
     policy::{AdmissionGuards, AdmissionPolicy},
-    request::{AdmissionRequest, RequestSize, SlotCount, WorkClass},
+    request::{AdmissionRequest, RequestSize, SlotTotal},
     slots::SlotLedger,
 };
 
@@ -22,13 +23,13 @@
     /// A request asks to be admitted; one that is known already is left as it is.
     Offer(AdmissionRequest),
     /// A granted request has ended; its service time is observed.
-    Finish(RequestId),
+    Finish(AttemptId),
     /// A granted request gives its slot back without a service time worth observing.
-    Release(RequestId),
+    Release(AttemptId),
     /// The caller has gone; the request is forgotten, waiting or granted.
-    Cancel(RequestId),
+    Cancel(AttemptId),
     /// The number of slots of the usable replicas has changed.
-    Resize(SlotCount),
+    Resize(SlotTotal),
     /// The first replica is expected to be ready then, or nothing is known of one.
     ExpectReady(Option<Instant>),
     /// Time has passed.
@@ -41,14 +42,14 @@
     /// The request may run.
     Grant {
         /// The request.
-        id: RequestId,
+        id: AttemptId,
         /// Its class, which decides the replica's slots it may use.
         class: WorkClass,
     },
     /// The request was not admitted and did not run.
     Refuse {
         /// The request.
-        id: RequestId,
+        id: AttemptId,
         /// Why; always a code whose run state is `not run`.
         code: ResultCode,
     },
@@ -70,7 +71,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct ExpiryKey {
     latest_start: Instant,
-    id: RequestId,
+    id: AttemptId,
 }
 
 #[derive(Debug, Clone)]
@@ -86,7 +87,7 @@
     guards: AdmissionGuards,
     short: ClassQueue,
     long: ClassQueue,
-    waiting: HashMap<RequestId, WaitingEntry>,
+    waiting: HashMap<AttemptId, WaitingEntry>,
     expiries: BTreeSet<ExpiryKey>,
     slots: SlotLedger,
     estimate: ServiceEstimate,
@@ -158,7 +159,7 @@
     pub fn expected_wait(&self, request: &AdmissionRequest, now: Instant) -> Duration {
         let class = self.policy.class_of(request.size);
         let queue = self.class(class);
-        if self.slots.total() == SlotCount(0) {
+        if self.slots.total() == SlotTotal(0) {
             let ready = self.expected_ready.unwrap_or(now);
             return ready.saturating_duration_since(now);
         }
@@ -244,19 +245,19 @@
         }
     }
 
-    fn finish(&mut self, id: RequestId, now: Instant) {
+    fn finish(&mut self, id: AttemptId, now: Instant) {
         if let Some(running) = self.slots.stop(id) {
             let served = now.saturating_duration_since(running.granted);
             self.estimate.observe(running.class, served);
         }
     }
 
-    fn cancel(&mut self, id: RequestId) {
+    fn cancel(&mut self, id: AttemptId) {
         self.slots.stop(id);
         self.forget(id);
     }
 
-    fn resize(&mut self, total: SlotCount) {
+    fn resize(&mut self, total: SlotTotal) {
         let percent = if self.guards.short_reserve { self.policy.long_percent } else { 100 };
         self.slots.resize(total, percent);
     }
@@ -328,7 +329,7 @@
         }
     }
 
-    fn forget(&mut self, id: RequestId) {
+    fn forget(&mut self, id: AttemptId) {
         let Some(entry) = self.waiting.remove(&id) else { return };
         let class = self.policy.class_of(entry.request.size);
         self.class_mut(class).remove(&entry.request);
--- a/crates/admission/src/request.rs
+++ b/crates/admission/src/request.rs
@@ -2,7 +2,8 @@
 
 use std::{fmt, num::ParseIntError, str::FromStr};
 
-use base::prelude::*;
+use base::{ids::AttemptId, prelude::*};
+use lists::RequestPriority;
 
 macro_rules! count_type {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
@@ -29,41 +30,21 @@
 count_type! {
     /// Predicted size of a request, in tokens; plain services count one call as one token.
     RequestSize(u32);
-    /// Priority of a request; the smaller number goes first.
-    PriorityRank(u8);
-    /// Number of requests that may run at the same time.
-    SlotCount(u32);
-}
-
-/// Class of a request by its predicted size.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum WorkClass {
-    /// The request is expected to end soon.
-    Short,
-    /// The request runs many times longer than a short one.
-    Long,
-}
-
-impl fmt::Display for WorkClass {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            WorkClass::Short => "short",
-            WorkClass::Long => "long",
-        })
-    }
+    /// Requests that all usable replicas may run at the same time.
+    SlotTotal(u32);
 }
 
 /// One request that asks to be admitted.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AdmissionRequest {
-    /// The request.
-    pub id: RequestId,
+    /// The attempt that asks.
+    pub id: AttemptId,
     /// The customer who sent it.
     pub customer: CustomerId,
     /// Weight of the customer among others of the same priority.
     pub share: ShareWeight,
     /// Priority by the customer's plan.
-    pub priority: PriorityRank,
+    pub priority: RequestPriority,
     /// Predicted size.
     pub size: RequestSize,
     /// Time by which the answer must have ended.
--- a/crates/admission/src/slots.rs
+++ b/crates/admission/src/slots.rs
@@ -2,9 +2,10 @@
 
 use std::collections::HashMap;
 
-use base::prelude::*;
+use base::{ids::AttemptId, prelude::*};
+use lists::WorkClass;
 
-use crate::request::{SlotCount, WorkClass};
+use crate::request::SlotTotal;
 
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RunningRequest {
@@ -15,17 +16,17 @@
 /// Counts of running requests against the slots.
 #[derive(Debug)]
 pub(crate) struct SlotLedger {
-    total: SlotCount,
+    total: SlotTotal,
     long_limit: u32,
     short_running: u32,
     long_running: u32,
-    running: HashMap<RequestId, RunningRequest>,
+    running: HashMap<AttemptId, RunningRequest>,
 }
 
 impl SlotLedger {
     pub(crate) fn new() -> Self {
         Self {
-            total: SlotCount(0),
+            total: SlotTotal(0),
             long_limit: 0,
             short_running: 0,
             long_running: 0,
@@ -34,13 +35,13 @@
     }
 
     /// Sets the number of slots and how many percent of them long requests may hold.
-    pub(crate) fn resize(&mut self, total: SlotCount, long_percent: u32) {
+    pub(crate) fn resize(&mut self, total: SlotTotal, long_percent: u32) {
         let part = u64::from(total.0) * u64::from(long_percent.min(100)) / 100;
         self.total = total;
         self.long_limit = u32::try_from(part).unwrap_or(total.0).max(1);
     }
 
-    pub(crate) fn total(&self) -> SlotCount {
+    pub(crate) fn total(&self) -> SlotTotal {
         self.total
     }
 
@@ -51,7 +52,7 @@
         }
     }
 
-    pub(crate) fn holds(&self, id: RequestId) -> bool {
+    pub(crate) fn holds(&self, id: AttemptId) -> bool {
         self.running.contains_key(&id)
     }
 
@@ -78,12 +79,12 @@
         }
     }
 
-    pub(crate) fn start(&mut self, id: RequestId, class: WorkClass, now: Instant) {
+    pub(crate) fn start(&mut self, id: AttemptId, class: WorkClass, now: Instant) {
         *self.counter(class) += 1;
         self.running.insert(id, RunningRequest { class, granted: now });
     }
 
-    pub(crate) fn stop(&mut self, id: RequestId) -> Option<RunningRequest> {
+    pub(crate) fn stop(&mut self, id: AttemptId) -> Option<RunningRequest> {
         let running = self.running.remove(&id)?;
         *self.counter(running.class) -= 1;
         Some(running)
--- a/crates/admission/tests/history.rs
+++ b/crates/admission/tests/history.rs
@@ -193,7 +193,7 @@
     let mut queue = AdmissionQueue::new(policy());
     let request = replay::request(0, &short(0, "ada"), start);
     let offer = admission::AdmissionEvent::Offer(request);
-    queue.handle(admission::AdmissionEvent::Resize(admission::SlotCount(1)), start);
+    queue.handle(admission::AdmissionEvent::Resize(admission::SlotTotal(1)), start);
 
     let first = queue.handle(offer.clone(), start);
     let again = queue.handle(offer, start);
@@ -215,11 +215,11 @@
 
     let refused = queue.handle(admission::AdmissionEvent::Offer(soon), start);
     let queued = queue.handle(admission::AdmissionEvent::Offer(patient), start);
-    let resize = admission::AdmissionEvent::Resize(admission::SlotCount(1));
+    let resize = admission::AdmissionEvent::Resize(admission::SlotTotal(1));
     let granted = queue.handle(resize, ready);
 
     let code = ResultCode::DeadlineUnmeetable;
-    assert_eq!(refused, [admission::AdmissionAction::Refuse { id: RequestId(0), code }]);
+    assert_eq!(refused, [admission::AdmissionAction::Refuse { id: replay::attempt(0), code }]);
     assert_eq!(queued, []);
     assert_eq!(granted.len(), 1);
 }
--- a/crates/admission/tests/replay/mod.rs
+++ b/crates/admission/tests/replay/mod.rs
@@ -6,9 +6,10 @@
 
 use admission::{
     AdmissionAction, AdmissionEvent, AdmissionGuards, AdmissionPolicy, AdmissionQueue,
-    AdmissionRequest, PriorityRank, RequestSize, SlotCount, WorkClass,
+    AdmissionRequest, RequestSize, SlotTotal,
 };
-use base::prelude::*;
+use base::{ids::AttemptId, prelude::*};
+use lists::{RequestPriority, WorkClass};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -73,8 +74,8 @@
 #[derive(Default)]
 pub struct FifoQueue {
     slots: u32,
-    waiting: VecDeque<RequestId>,
-    running: BTreeSet<RequestId>,
+    waiting: VecDeque<AttemptId>,
+    running: BTreeSet<AttemptId>,
 }
 
 impl FifoQueue {
@@ -144,12 +145,16 @@
     }
 }
 
+pub fn attempt(id: usize) -> AttemptId {
+    AttemptId { request: RequestId(id as u128), attempt: 1 }
+}
+
 pub fn request(id: usize, arrival: &Arrival, start: Instant) -> AdmissionRequest {
     AdmissionRequest {
-        id: RequestId(id as u128),
+        id: attempt(id),
         customer: CustomerId::new(arrival.customer).unwrap(),
         share: ShareWeight(arrival.share),
-        priority: PriorityRank(arrival.priority),
+        priority: RequestPriority(arrival.priority),
         size: RequestSize(arrival.size),
         deadline: start + arrival.at + arrival.budget,
     }
@@ -176,7 +181,7 @@
         running: BTreeMap::new(),
         record: ReplayRecord::default(),
     };
-    queue.handle(AdmissionEvent::Resize(SlotCount(slots)), start);
+    queue.handle(AdmissionEvent::Resize(SlotTotal(slots)), start);
     loop {
         let expiry = queue.next_expiry().map(|due| due.saturating_duration_since(start));
         let step = replay.steps.first().copied();
@@ -216,7 +221,7 @@
             ReplayStep::Finish(id) => {
                 self.running.remove(&id)?;
                 self.end(id, at, EndKind::Answered);
-                Some(AdmissionEvent::Finish(RequestId(id as u128)))
+                Some(AdmissionEvent::Finish(attempt(id)))
             }
             ReplayStep::Leave(id) => {
                 if !self.open.contains(&id) {
@@ -224,7 +229,7 @@
                 }
                 self.running.remove(&id);
                 self.end(id, at, EndKind::Cancelled);
-                Some(AdmissionEvent::Cancel(RequestId(id as u128)))
+                Some(AdmissionEvent::Cancel(attempt(id)))
             }
         }
     }
@@ -232,9 +237,9 @@
     fn apply(&mut self, actions: Vec<AdmissionAction>, at: Duration) {
         for action in actions {
             match action {
-                AdmissionAction::Grant { id, .. } => self.start(id.0 as usize, at),
+                AdmissionAction::Grant { id, .. } => self.start(id.request.0 as usize, at),
                 AdmissionAction::Refuse { id, code } => {
-                    let id = id.0 as usize;
+                    let id = id.request.0 as usize;
                     assert!(!self.running.contains_key(&id), "a granted request was refused");
                     self.end(id, at, EndKind::Refused(code));
                 }
--- a/crates/base/src/ids.rs
+++ b/crates/base/src/ids.rs
@@ -235,3 +235,42 @@
         Ok(Self(text.to_ascii_lowercase()))
     }
 }
+
+/// One attempt of a request; an entry may make several.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// Request.
+    pub request: RequestId,
+    /// Attempt, counted from one.
+    pub attempt: u32,
+}
+
+impl AttemptId {
+    /// Reads the identity from a message; `None` if the request is not 16 bytes long.
+    pub fn from_wire(request: &[u8], attempt: u32) -> Option<Self> {
+        let bytes = <[u8; 16]>::try_from(request).ok()?;
+        Some(Self { request: RequestId(u128::from_be_bytes(bytes)), attempt })
+    }
+
+    /// The request as messages carry it.
+    pub fn request_bytes(&self) -> Vec<u8> {
+        self.request.0.to_be_bytes().to_vec()
+    }
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.request, self.attempt)
+    }
+}
+
+impl FromStr for AttemptId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let bad_number = || BadNumberSnafu { text }.build();
+        let (request, attempt) = text.split_once('#').ok_or_else(bad_number)?;
+        let attempt = attempt.parse().map_err(|_| bad_number())?;
+        Ok(Self { request: request.parse()?, attempt })
+    }
+}
--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -2,35 +2,13 @@
 
 use std::{collections::HashMap, sync::Mutex};
 
-use base::prelude::*;
+use base::{ids::AttemptId, prelude::*};
 use tokio::sync::oneshot;
 use wire::{
     PeerIdentity,
     ask::{AskRefusal, Grant},
 };
 
-/// Identifies one attempt of one request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct AttemptId {
-    /// Request.
-    pub request: RequestId,
-    /// Attempt, counted from one.
-    pub attempt: u32,
-}
-
-impl AttemptId {
-    /// Reads the identity from a message; `None` if the request is not 16 bytes long.
-    pub fn from_wire(request: &[u8], attempt: u32) -> Option<Self> {
-        let bytes = <[u8; 16]>::try_from(request).ok()?;
-        Some(Self { request: RequestId(u128::from_be_bytes(bytes)), attempt })
-    }
-
-    /// The request as messages carry it.
-    pub fn request_bytes(&self) -> Vec<u8> {
-        self.request.0.to_be_bytes().to_vec()
-    }
-}
-
 /// What an owner answered.
 #[derive(Debug, Clone, PartialEq)]
 pub enum AskReply {
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -12,7 +12,7 @@
     sync::Arc,
 };
 
-use base::prelude::*;
+use base::{ids::AttemptId, prelude::*};
 use lists::ListSet;
 use platform::ObjectStore;
 use routing::rendezvous::OwnerKey;
@@ -30,11 +30,7 @@
     placing::{PlacedSlot, Placing},
     target::{Replica, ReplicaStage, TargetState, WaitingAsk},
 };
-use crate::{
-    asks::{AskReply, AttemptId},
-    fleet::FleetView,
-    peers::PeerPool,
-};
+use crate::{asks::AskReply, fleet::FleetView, peers::PeerPool};
 
 /// Time between looks at deadlines and replicas.
 const TICK: Duration = Duration::from_millis(50);
--- a/crates/entry/src/owner/target.rs
+++ b/crates/entry/src/owner/target.rs
@@ -5,12 +5,11 @@
     net::SocketAddr,
 };
 
-use base::prelude::*;
+use base::{ids::AttemptId, prelude::*};
 use routing::rendezvous::OwnerKey;
 use wire::ask::{Ask, AskRefusal, Grant};
 
 use super::{AskReplyPath, ReplicaReport, TargetReport, placing::PlacedSlot};
-use crate::asks::AttemptId;
 
 /// Concurrency assumed before the first report.
 const FIRST_CONCURRENCY: usize = 4;
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use base::prelude::*;
+use base::{ids::AttemptId, prelude::*};
 use bytes::BytesMut;
 use routing::rendezvous::{OwnerCount, OwnerKey, OwnerRanking};
 use tokio::{sync::mpsc, time};
@@ -14,7 +14,7 @@
 
 use crate::{
     answers::{AnswerPart, CallAnswer, HeadParts, PART_QUEUE},
-    asks::{AskReply, AttemptId},
+    asks::AskReply,
     calls::{AnswerMode, CallTarget, CallerCall, RepeatRule},
     owner::{AskReplyPath, OwnerEvent},
     peers::PeerHandle,
--- a/crates/entry/src/runs.rs
+++ b/crates/entry/src/runs.rs
@@ -2,15 +2,13 @@
 
 use std::{collections::HashMap, sync::Mutex};
 
-use base::prelude::*;
+use base::{ids::AttemptId, prelude::*};
 use tokio::sync::mpsc;
 use wire::{
     Message, PeerIdentity,
     run::{AnswerChunk, AnswerEnd, AnswerHead},
 };
 
-use crate::asks::AttemptId;
-
 /// What a side process told about an attempt.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RunEvent {
