--- /dev/null
+++ b/crates/routing/tests/chooser.rs
@@ -0,0 +1,232 @@
+//! Choice of replica: zones, slow replicas, leaving VMs, incarnations and long work.
+
+use base::{ids::AttemptId, prelude::*};
+use lists::WorkClass;
+use routing::{ChooserGuards, CreditEnd, ReplicaChooser, ReplicaInfo, ReplicaRequest};
+
+const NORMAL: Duration = Duration::from_millis(100);
+
+fn vm(index: usize) -> VmId {
+    VmId::new(format!("backend-{index}")).unwrap()
+}
+
+fn zone(name: &str) -> ZoneName {
+    ZoneName::new(name).unwrap()
+}
+
+fn replica(index: usize, zone_name: &str) -> ReplicaInfo {
+    let incarnation = ProcessIncarnation(1);
+    ReplicaInfo { vm: vm(index), incarnation, zone: zone(zone_name), slots: 4 }
+}
+
+fn request(id: u128) -> ReplicaRequest {
+    ReplicaRequest {
+        id: AttemptId { request: RequestId(id), attempt: 1 },
+        class: WorkClass::Short,
+        zone: zone("a"),
+        tried: Vec::new(),
+        must_differ: false,
+        may_repeat: true,
+    }
+}
+
+fn chooser(replicas: Vec<ReplicaInfo>, guards: ChooserGuards) -> ReplicaChooser {
+    let mut chooser = ReplicaChooser::with_guards(50, 7, guards);
+    for info in replicas {
+        chooser.upsert(info, Instant::now());
+    }
+    chooser
+}
+
+/// Grants one request after another; each takes what `service` says for its replica.
+fn run_one_by_one(
+    chooser: &mut ReplicaChooser,
+    ids: std::ops::Range<u128>,
+    clock: &mut Instant,
+    service: impl Fn(&VmId) -> Duration,
+) -> Vec<VmId> {
+    let mut chosen = Vec::new();
+    for id in ids {
+        chooser.update_probation(*clock);
+        let choice = chooser.choose(&request(id), *clock).unwrap();
+        let time = service(&choice.vm);
+        *clock += time;
+        chooser.close(request(id).id, CreditEnd::Served(time), *clock);
+        chosen.push(choice.vm);
+    }
+    chosen
+}
+
+fn slow_first(vm_id: &VmId) -> Duration {
+    if *vm_id == vm(0) { NORMAL * 3 } else { NORMAL }
+}
+
+/// Grants `width` requests in each of `rounds` rounds and counts those on the first replica.
+fn run_rounds(
+    chooser: &mut ReplicaChooser,
+    rounds: std::ops::Range<u128>,
+    clock: &mut Instant,
+    service: impl Fn(&VmId) -> Duration,
+) -> usize {
+    const WIDTH: u128 = 9;
+    let mut open: Vec<(Instant, u128, Duration)> = Vec::new();
+    let mut on_first = 0;
+    for round in rounds {
+        for id in round * WIDTH..(round + 1) * WIDTH {
+            let choice = chooser.choose(&request(id), *clock).unwrap();
+            let time = service(&choice.vm);
+            on_first += usize::from(choice.vm == vm(0));
+            open.push((*clock + time, id, time));
+        }
+        *clock += NORMAL;
+        for (_, id, time) in open.extract_if(.., |(due, _, _)| *due <= *clock) {
+            chooser.close(request(id).id, CreditEnd::Served(time), *clock);
+        }
+        chooser.update_probation(*clock);
+    }
+    on_first
+}
+
+#[test]
+fn a_slow_replica_gets_only_trials_and_returns_when_it_is_fast_again() {
+    let replicas = || (0..6).map(|i| replica(i, "a")).collect();
+    let off = ChooserGuards { probation: false, ..ChooserGuards::default() };
+    let mut guarded = chooser(replicas(), ChooserGuards::default());
+    let mut unguarded = chooser(replicas(), off);
+    let (mut now, mut unguarded_now) = (Instant::now(), Instant::now());
+
+    let slow = run_rounds(&mut guarded, 0..100, &mut now, slow_first);
+    let was_on_probation = guarded.slow() == [&vm(0)];
+    run_rounds(&mut guarded, 100..200, &mut now, |_| NORMAL);
+    let fast = run_rounds(&mut guarded, 200..300, &mut now, |_| NORMAL);
+    let unguarded_slow = run_rounds(&mut unguarded, 0..100, &mut unguarded_now, slow_first);
+
+    assert!(was_on_probation);
+    assert!(guarded.slow().is_empty());
+    assert!(slow < 30, "{slow}");
+    assert!(fast > 100, "{fast}");
+    assert!(unguarded_slow > 2 * slow, "{unguarded_slow} {slow}");
+}
+
+#[test]
+fn a_replica_that_stops_answering_is_noticed_before_it_answers() {
+    let mut now = Instant::now();
+    let mut chooser = chooser((0..4).map(|i| replica(i, "a")).collect(), ChooserGuards::default());
+    run_one_by_one(&mut chooser, 0..100, &mut now, |_| NORMAL);
+    let mut stuck = Vec::new();
+    for id in 100..116 {
+        stuck.push(chooser.choose(&request(id), now).unwrap().vm);
+    }
+    now += NORMAL;
+    for (index, stuck) in stuck.iter().enumerate().filter(|(_, stuck)| **stuck != vm(2)) {
+        assert_ne!(*stuck, vm(2));
+        chooser.close(request(100 + index as u128).id, CreditEnd::Served(NORMAL), now);
+    }
+
+    chooser.update_probation(now + NORMAL * 4);
+
+    assert_eq!(chooser.slow(), [&vm(2)]);
+}
+
+#[test]
+fn at_most_half_of_the_replicas_are_on_probation() {
+    let mut now = Instant::now();
+    let mut chooser = chooser((0..4).map(|i| replica(i, "a")).collect(), ChooserGuards::default());
+    run_one_by_one(&mut chooser, 0..100, &mut now, |_| NORMAL);
+
+    for id in 100..116 {
+        chooser.choose(&request(id), now).unwrap();
+    }
+    chooser.update_probation(now + NORMAL * 50);
+
+    assert_eq!(chooser.slow().len(), 2);
+    assert_eq!(chooser.slot_total(), 16);
+}
+
+#[test]
+fn the_own_zone_goes_first_until_another_is_worth_it() {
+    let replicas = || vec![replica(0, "a"), replica(1, "b"), replica(2, "b")];
+    let anywhere = ChooserGuards { zone_first: false, ..ChooserGuards::default() };
+    let now = Instant::now();
+    let picks = |guards| {
+        let mut chooser = chooser(replicas(), guards);
+        (0..12).map(|id| chooser.choose(&request(id), now).unwrap().vm).collect::<Vec<_>>()
+    };
+
+    let zoned = picks(ChooserGuards::default());
+    let spread = picks(anywhere);
+
+    assert_eq!(zoned[..2], [vm(0), vm(0)]);
+    assert_eq!(zoned.iter().filter(|vm_id| **vm_id == vm(0)).count(), 4);
+    assert!(spread[..3].iter().any(|vm_id| *vm_id != vm(0)));
+}
+
+#[test]
+fn a_leaving_replica_gets_nothing_new() {
+    let now = Instant::now();
+    let replicas = || vec![replica(0, "a"), replica(1, "a")];
+    let off = ChooserGuards { leaving: false, ..ChooserGuards::default() };
+    let picks = |guards| {
+        let mut chooser = chooser(replicas(), guards);
+        chooser.leave(&vm(0));
+        (0..4).filter(|id| chooser.choose(&request(*id), now).unwrap().vm == vm(0)).count()
+    };
+
+    assert_eq!(picks(ChooserGuards::default()), 0);
+    assert!(picks(off) > 0);
+}
+
+#[test]
+fn credits_of_an_old_incarnation_die_with_it() {
+    let now = Instant::now();
+    let next_life = ReplicaInfo { incarnation: ProcessIncarnation(2), ..replica(0, "a") };
+    let off = ChooserGuards { incarnations: false, ..ChooserGuards::default() };
+    let restart = |guards| {
+        let mut chooser = chooser(vec![replica(0, "a")], guards);
+        (0..4).for_each(|id| drop(chooser.choose(&request(id), now)));
+        let dead = chooser.upsert(next_life.clone(), now);
+        (dead.len(), chooser.choose(&request(9), now).map(|choice| choice.incarnation))
+    };
+
+    assert_eq!(restart(ChooserGuards::default()), (4, Some(ProcessIncarnation(2))));
+    assert_eq!(restart(off), (0, None));
+}
+
+#[test]
+fn a_hedge_goes_to_another_replica_or_nowhere() {
+    let now = Instant::now();
+    let mut chooser = chooser(vec![replica(0, "a")], ChooserGuards::default());
+    let retry = ReplicaRequest { tried: vec![vm(0)], ..request(1) };
+    let hedge = ReplicaRequest { must_differ: true, tried: vec![vm(0)], ..request(2) };
+
+    let retried = chooser.choose(&retry, now);
+    let hedged = chooser.choose(&hedge, now);
+
+    assert_eq!(retried.map(|choice| choice.vm), Some(vm(0)));
+    assert_eq!(hedged, None);
+}
+
+#[test]
+fn long_work_spreads_and_leaves_short_slots_on_each_replica() {
+    let now = Instant::now();
+    let mut chooser = chooser((0..3).map(|i| replica(i, "a")).collect(), ChooserGuards::default());
+
+    for id in 0..6 {
+        let long = ReplicaRequest { class: WorkClass::Long, ..request(id) };
+        chooser.choose(&long, now).unwrap();
+    }
+
+    assert_eq!((0..3).map(|i| chooser.outstanding(&vm(i))).collect::<Vec<_>>(), [2, 2, 2]);
+}
+
+#[test]
+fn a_late_report_is_only_a_hint() {
+    let now = Instant::now();
+    let mut chooser = chooser(vec![replica(0, "a"), replica(1, "a")], ChooserGuards::default());
+    chooser.report(&vm(0), 4, now);
+
+    let picks: Vec<VmId> = (0..8).map(|id| chooser.choose(&request(id), now).unwrap().vm).collect();
+
+    assert_eq!(picks[0], vm(1));
+    assert_eq!(picks.iter().filter(|vm_id| **vm_id == vm(0)).count(), 4);
+}
