--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -10,7 +10,8 @@
 pub struct AdmissionPolicy {
     /// Largest size of a short request.
     pub short_limit: RequestSize,
-    /// Share of all slots that long requests may hold, in percent.
+    /// Largest share of all slots that long requests may hold, in percent; less while short
+    /// requests need the slots.
     pub long_percent: u32,
     /// Most waiting requests of one customer in one class.
     pub customer_limit: usize,
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     class::ClassQueue,
-    estimate::ServiceEstimate,
+    estimate::{DemandEstimate, ServiceEstimate},
     fair::WaitingRequest,
     policy::{AdmissionGuards, AdmissionPolicy},
     request::{AdmissionRequest, RequestSize, SlotTotal},
@@ -91,6 +91,7 @@
     expiries: BTreeSet<ExpiryKey>,
     slots: SlotLedger,
     estimate: ServiceEstimate,
+    short_demand: DemandEstimate,
     expected_ready: Option<Instant>,
     grants_since_aged: u32,
 }
@@ -112,6 +113,7 @@
             expiries: BTreeSet::new(),
             slots: SlotLedger::new(),
             estimate: ServiceEstimate::new(&policy),
+            short_demand: DemandEstimate::new(),
             expected_ready: None,
             grants_since_aged: policy.aged_interval,
         }
@@ -125,10 +127,11 @@
             AdmissionEvent::Finish(id) => self.finish(id, now),
             AdmissionEvent::Release(id) => drop(self.slots.stop(id)),
             AdmissionEvent::Cancel(id) => self.cancel(id),
-            AdmissionEvent::Resize(total) => self.resize(total),
+            AdmissionEvent::Resize(total) => self.slots.resize(total),
             AdmissionEvent::ExpectReady(ready) => self.expected_ready = ready,
             AdmissionEvent::Expire => {}
         }
+        self.limit_long(now);
         self.expire(now, &mut actions);
         self.dispatch(now, &mut actions);
         actions
@@ -150,6 +153,11 @@
         }
     }
 
+    /// Slots that long requests may hold now.
+    pub fn long_limit(&self) -> u32 {
+        self.slots.long_limit()
+    }
+
     /// Mean service time of `class` as observed.
     pub fn mean_service(&self, class: WorkClass) -> Duration {
         self.estimate.mean(class)
@@ -185,6 +193,9 @@
         if self.waiting.contains_key(&id) || self.slots.holds(id) {
             return;
         }
+        if self.policy.class_of(request.size) == WorkClass::Short {
+            self.short_demand.arrive(now);
+        }
         match self.check(&request, now) {
             Err(code) => actions.push(AdmissionAction::Refuse { id, code }),
             Ok(()) => {
@@ -257,9 +268,13 @@
         self.forget(id);
     }
 
-    fn resize(&mut self, total: SlotTotal) {
-        let percent = if self.guards.short_reserve { self.policy.long_percent } else { 100 };
-        self.slots.resize(total, percent);
+    fn limit_long(&mut self, now: Instant) {
+        let service = self.estimate.mean(WorkClass::Short);
+        let (percent, short) = match self.guards.short_reserve {
+            true => (self.policy.long_percent, self.short_demand.slots(service, now)),
+            false => (100, 0),
+        };
+        self.slots.limit_long(percent, short);
     }
 
     fn expire(&mut self, now: Instant, actions: &mut Vec<AdmissionAction>) {
--- a/crates/admission/src/slots.rs
+++ b/crates/admission/src/slots.rs
@@ -34,11 +34,20 @@
         }
     }
 
-    /// Sets the number of slots and how many percent of them long requests may hold.
-    pub(crate) fn resize(&mut self, total: SlotTotal, long_percent: u32) {
-        let part = u64::from(total.0) * u64::from(long_percent.min(100)) / 100;
+    pub(crate) fn resize(&mut self, total: SlotTotal) {
         self.total = total;
-        self.long_limit = u32::try_from(part).unwrap_or(total.0).max(1);
+    }
+
+    /// Limits long requests to `percent` of the slots, and to those that `short` leaves; at least
+    /// one slot stays open to them.
+    pub(crate) fn limit_long(&mut self, percent: u32, short: u32) {
+        let part = u64::from(self.total.0) * u64::from(percent.min(100)) / 100;
+        let left = self.total.0.saturating_sub(short);
+        self.long_limit = (part as u32).min(left).max(1);
+    }
+
+    pub(crate) fn long_limit(&self) -> u32 {
+        self.long_limit
     }
 
     pub(crate) fn total(&self) -> SlotTotal {
--- /dev/null
+++ b/crates/measures/benches/crest.rs
@@ -0,0 +1,202 @@
+//! Service at the crest of a demand swing, and short work beside long work: the owner's admission
+//! against least connections on late reports with first in, first out.
+
+use std::time::Duration;
+
+use admission::{AdmissionPolicy, RequestSize};
+use lists::WorkClass;
+use measures::{
+    figures::{FigureTarget, MeasuredFigure},
+    replay::{Job, JobEnd, ReplayFleet, ReplayRouter, ReplaySummary, Workload, replay},
+};
+
+const SEED: u64 = 20_261;
+const CUSTOMERS: usize = 8;
+const BASE_LOAD: f64 = 0.4;
+const SWING_FROM: Duration = Duration::from_secs(30);
+const SWING_UNTIL: Duration = Duration::from_secs(60);
+const END: Duration = Duration::from_secs(90);
+const MIX_END: Duration = Duration::from_secs(240);
+const MIX_FROM: Duration = Duration::from_secs(40);
+const SHORT_BUDGET: Duration = Duration::from_secs(3);
+const LONG_BUDGET: Duration = Duration::from_secs(120);
+const LONG_FACTOR: u32 = 20;
+const LONG_LOAD: f64 = 0.6;
+/// Part of the answers that capacity allows which must come in time at the crest.
+const GOODPUT_TARGET: f64 = 0.9;
+/// Largest ratio of the p99 of short work with long work to that without.
+const MIX_TARGET: f64 = 1.2;
+/// Seeds over which the mixed load is averaged.
+const MIX_SEEDS: u64 = 5;
+
+struct ServiceCase {
+    name: &'static str,
+    fleet: ReplayFleet,
+    service: Duration,
+}
+
+fn cases() -> [ServiceCase; 4] {
+    let case = |name, servers, zones, millis| ServiceCase {
+        name,
+        fleet: ReplayFleet { servers, slots: 4, zones },
+        service: Duration::from_millis(millis),
+    };
+    [
+        case("rosnatka", 12, 3, 400),
+        case("vrbovka", 3, 3, 60),
+        case("lending-assistant", 9, 4, 300),
+        case("circulation-desk", 4, 4, 50),
+    ]
+}
+
+impl ServiceCase {
+    fn policy(&self) -> AdmissionPolicy {
+        AdmissionPolicy {
+            short_limit: RequestSize(100),
+            short_service: self.service,
+            long_service: self.service * LONG_FACTOR,
+            ..AdmissionPolicy::default()
+        }
+    }
+
+    fn short(&self, load: f64, from: Duration, until: Duration) -> Workload {
+        Workload {
+            class: WorkClass::Short,
+            from,
+            until,
+            rate: load * self.fleet.capacity() / self.service.as_secs_f64(),
+            service: self.service,
+            budget: SHORT_BUDGET,
+            repeatable_percent: 50,
+        }
+    }
+
+    fn long(&self) -> Workload {
+        let service = self.service * LONG_FACTOR;
+        let rate = LONG_LOAD * self.fleet.capacity() / service.as_secs_f64();
+        let class = WorkClass::Long;
+        let budget = LONG_BUDGET;
+        Workload { class, rate, service, budget, ..self.short(1.0, Duration::ZERO, MIX_END) }
+    }
+
+    fn draw(&self, workloads: &[Workload], seed: u64) -> Vec<Job> {
+        let draws = workloads.iter().zip(seed * 100..);
+        let mut jobs: Vec<Job> =
+            draws.flat_map(|(w, seed)| w.draw(seed, CUSTOMERS, self.fleet.zones)).collect();
+        jobs.sort_by_key(|job| job.at);
+        jobs
+    }
+
+    fn run_desk(&self, jobs: &[Job], seed: u64) -> ReplaySummary {
+        let router = ReplayRouter::desk(self.policy(), &self.fleet, seed);
+        replay(router, &self.fleet, jobs, &[])
+    }
+
+    fn run_naive(&self, jobs: &[Job], seed: u64) -> ReplaySummary {
+        replay(ReplayRouter::naive(&self.fleet, seed), &self.fleet, jobs, &[])
+    }
+}
+
+/// Answers in time at the crest, as a part of what the capacity allows.
+fn goodput(summary: &ReplaySummary, jobs: &[Job], swing: f64) -> f64 {
+    let answered = summary.part(jobs, SWING_FROM, SWING_UNTIL, |job, outcome| {
+        outcome.end == JobEnd::Answered && outcome.after <= job.budget
+    });
+    answered * (BASE_LOAD * swing) / (BASE_LOAD * swing).min(1.0)
+}
+
+fn measure_swing(case: &ServiceCase, swing: u32, figures: &mut Vec<MeasuredFigure>) {
+    let factor = f64::from(swing);
+    let workloads = [
+        case.short(BASE_LOAD, Duration::ZERO, SWING_FROM),
+        case.short(BASE_LOAD * factor, SWING_FROM, SWING_UNTIL),
+        case.short(BASE_LOAD, SWING_UNTIL, END),
+    ];
+    let jobs = case.draw(&workloads, SEED);
+    for (router, summary) in
+        [("desk", case.run_desk(&jobs, SEED)), ("naive", case.run_naive(&jobs, SEED))]
+    {
+        let good = goodput(&summary, &jobs, factor);
+        let refused = summary.part(&jobs, SWING_FROM, SWING_UNTIL, |_, outcome| {
+            matches!(outcome.end, JobEnd::Refused(_))
+        });
+        let at_once = summary.part(&jobs, SWING_FROM, SWING_UNTIL, |_, outcome| {
+            matches!(outcome.end, JobEnd::Refused(_)) && outcome.after.is_zero()
+        });
+        let timed_out = summary
+            .part(&jobs, SWING_FROM, SWING_UNTIL, |_, outcome| outcome.end == JobEnd::TimedOut);
+        println!(
+            "{:<18} x{swing:<3} {router:<6} {good:>8.3} {refused:>8.3} {at_once:>8.3} {timed_out:>9.3}",
+            case.name
+        );
+        let target = match router {
+            "desk" => FigureTarget::AtLeast(GOODPUT_TARGET),
+            _ => FigureTarget::Baseline,
+        };
+        let name = format!("crest.{}.x{swing}.goodput.{router}", case.name);
+        figures.push(MeasuredFigure::new(name, good, target));
+    }
+}
+
+/// Means over some seeds.
+struct MixedResult {
+    short_p99_ms: f64,
+    long_answered: f64,
+}
+
+fn run_mix(case: &ServiceCase, has_long: bool, is_desk: bool) -> MixedResult {
+    let mut sum = MixedResult { short_p99_ms: 0.0, long_answered: 0.0 };
+    for seed in SEED..SEED + MIX_SEEDS {
+        let short = case.short(BASE_LOAD, Duration::ZERO, MIX_END);
+        let workloads = if has_long { vec![short, case.long()] } else { vec![short] };
+        let jobs = case.draw(&workloads, seed);
+        let summary =
+            if is_desk { case.run_desk(&jobs, seed) } else { case.run_naive(&jobs, seed) };
+        let p99 = summary.quantile(&jobs, WorkClass::Short, MIX_FROM, 0.99);
+        let long: Vec<Job> =
+            jobs.iter().filter(|job| job.class == WorkClass::Long).copied().collect();
+        let answered = summary.part(&jobs, Duration::ZERO, MIX_END, |job, outcome| {
+            job.class == WorkClass::Long && outcome.end == JobEnd::Answered
+        });
+        let of_all = long.len() as f64 / jobs.len() as f64;
+        sum.short_p99_ms += 1e3 * p99.as_secs_f64() / MIX_SEEDS as f64;
+        sum.long_answered += answered / of_all.max(f64::MIN_POSITIVE) / MIX_SEEDS as f64;
+    }
+    sum
+}
+
+fn measure_mix(case: &ServiceCase, figures: &mut Vec<MeasuredFigure>) {
+    for (router, is_desk) in [("desk", true), ("naive", false)] {
+        let alone = run_mix(case, false, is_desk).short_p99_ms;
+        let MixedResult { short_p99_ms, long_answered } = run_mix(case, true, is_desk);
+        let ratio = short_p99_ms / alone;
+        println!(
+            "{:<18} {router:<6} {alone:>9.1} {short_p99_ms:>10.1} {ratio:>7.2} {long_answered:>14.3}",
+            case.name
+        );
+        let target = match is_desk {
+            true => FigureTarget::AtMost(MIX_TARGET),
+            false => FigureTarget::Baseline,
+        };
+        let name = format!("crest.{}.short_p99_ratio.{router}", case.name);
+        figures.push(MeasuredFigure::new(name, ratio, target));
+    }
+}
+
+fn main() {
+    let mut figures = Vec::new();
+    println!("service            swing router  goodput  refused  at once  timed out");
+    for case in cases() {
+        for swing in [2, 5, 10] {
+            measure_swing(&case, swing, &mut figures);
+        }
+    }
+    println!(
+        "\nservice            router p99 alone  with long   ratio  long answered   (p99 of short work, ms)"
+    );
+    for case in cases() {
+        measure_mix(&case, &mut figures);
+    }
+    println!();
+    figures.iter().for_each(MeasuredFigure::print);
+}
--- a/crates/routing/src/chooser.rs
+++ b/crates/routing/src/chooser.rs
@@ -72,7 +72,7 @@
 #[derive(Debug)]
 pub struct ReplicaChooser {
     guards: ChooserGuards,
-    long_percent: u32,
+    long_limit: u32,
     replicas: BTreeMap<VmId, ReplicaState>,
     holders: HashMap<AttemptId, VmId>,
     medians: ClassMedians,
@@ -80,16 +80,16 @@
 }
 
 impl ReplicaChooser {
-    /// A chooser without replicas that lets long work hold `long_percent` of the slots.
-    pub fn new(long_percent: u32, seed: u64) -> Self {
-        Self::with_guards(long_percent, seed, ChooserGuards::default())
+    /// A chooser without replicas; `seed` decides its random choices.
+    pub fn new(seed: u64) -> Self {
+        Self::with_guards(seed, ChooserGuards::default())
     }
 
     /// A chooser with some safeguards off, to show what they prevent.
-    pub fn with_guards(long_percent: u32, seed: u64, guards: ChooserGuards) -> Self {
+    pub fn with_guards(seed: u64, guards: ChooserGuards) -> Self {
         Self {
             guards,
-            long_percent,
+            long_limit: 0,
             replicas: BTreeMap::new(),
             holders: HashMap::new(),
             medians: ClassMedians::new(),
@@ -97,6 +97,14 @@
         }
     }
 
+    /// Lets long work hold `limit` of the slots.
+    pub fn limit_long(&mut self, limit: u32) {
+        if self.long_limit != limit {
+            self.long_limit = limit;
+            self.share_long_slots();
+        }
+    }
+
     /// Adds or updates a replica and returns the credits that died with its former incarnation.
     pub fn upsert(&mut self, info: ReplicaInfo, now: Instant) -> Vec<AttemptId> {
         let incarnation = self.replicas.get(&info.vm).map(|replica| replica.info.incarnation);
@@ -117,8 +125,7 @@
     /// Removes a replica and returns the credits that died with it.
     pub fn remove(&mut self, vm: &VmId) -> Vec<AttemptId> {
         let Some(replica) = self.replicas.remove(vm) else { return Vec::new() };
-        let mut dead: Vec<AttemptId> = replica.credits.into_keys().collect();
-        dead.sort_unstable();
+        let dead: Vec<AttemptId> = replica.credits.into_keys().collect();
         for id in &dead {
             self.holders.remove(id);
         }
@@ -308,6 +315,8 @@
     /// Deals the slots that long work may hold out to the usable replicas.
     fn share_long_slots(&mut self) {
         let slow_too = self.grants_on_slow();
+        let working = self.replicas.values().filter(|replica| replica.takes_work(slow_too));
+        let total = working.map(|replica| u64::from(replica.info.slots)).sum::<u64>().max(1);
         let (mut slots, mut dealt) = (0, 0);
         for replica in self.replicas.values_mut() {
             if !replica.takes_work(slow_too) {
@@ -315,7 +324,7 @@
                 continue;
             }
             slots += u64::from(replica.info.slots);
-            let due = (slots * u64::from(self.long_percent) / 100) as u32;
+            let due = (slots * u64::from(self.long_limit) / total) as u32;
             replica.long_limit = due - dealt;
             dealt = due;
         }
--- a/crates/routing/src/desk.rs
+++ b/crates/routing/src/desk.rs
@@ -176,7 +176,7 @@
             policy,
             guards,
             queue: AdmissionQueue::new(policy),
-            chooser: ReplicaChooser::new(policy.long_percent, seed),
+            chooser: ReplicaChooser::new(seed),
             hedges: AttemptBudget::new(HEDGE_PERCENT, HEDGE_BURST),
             asks: HashMap::new(),
             by_entry: BTreeMap::new(),
@@ -364,6 +364,7 @@
 
     fn choose(&mut self, id: AttemptId, class: WorkClass, now: Instant) -> Option<ReplicaChoice> {
         let ask = self.asks.get(&id)?;
+        self.chooser.limit_long(self.queue.long_limit());
         let request = ReplicaRequest {
             id,
             class,
--- a/crates/routing/src/replica.rs
+++ b/crates/routing/src/replica.rs
@@ -1,6 +1,6 @@
 //! One replica as its owner sees it.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use base::{ids::AttemptId, prelude::*};
 use lists::WorkClass;
@@ -58,7 +58,7 @@
     pub(crate) info: ReplicaInfo,
     pub(crate) is_leaving: bool,
     pub(crate) long_limit: u32,
-    pub(crate) credits: HashMap<AttemptId, OpenCredit>,
+    pub(crate) credits: BTreeMap<AttemptId, OpenCredit>,
     pub(crate) slowness: SlownessMean,
     pub(crate) probation: SlowProbation,
     long_running: u32,
@@ -71,7 +71,7 @@
             info,
             is_leaving: false,
             long_limit: 0,
-            credits: HashMap::new(),
+            credits: BTreeMap::new(),
             slowness: SlownessMean::new(now),
             probation: SlowProbation::Normal,
             long_running: 0,
--- a/crates/routing/tests/chooser.rs
+++ b/crates/routing/tests/chooser.rs
@@ -31,7 +31,7 @@
 }
 
 fn chooser(replicas: Vec<ReplicaInfo>, guards: ChooserGuards) -> ReplicaChooser {
-    let mut chooser = ReplicaChooser::with_guards(50, 7, guards);
+    let mut chooser = ReplicaChooser::with_guards(7, guards);
     for info in replicas {
         chooser.upsert(info, Instant::now());
     }
@@ -211,6 +211,8 @@
     let now = Instant::now();
     let mut chooser = chooser((0..3).map(|i| replica(i, "a")).collect(), ChooserGuards::default());
 
+    chooser.limit_long(6);
+
     for id in 0..6 {
         let long = ReplicaRequest { class: WorkClass::Long, ..request(id) };
         chooser.choose(&long, now).unwrap();
