Claims wait for the budget of writes, and their gap is a setting

Need: a write over the process's budget refused its claims at once, though nothing was wrong with the store; and the gap of 500 ms, right at the size of the design, made each claim wait where writes are to spare.

Change: a deferred write puts its claims back into the queue, where their deadlines guard them; `[claims] write-gap` (default 100 ms) and `life`.

--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -86,11 +86,12 @@
     pub fn new(
         me: &PeerIdentity,
         region: &RegionName,
+        limits: ShardLimits,
         store: &Arc<PlatformStore>,
         peers: Arc<PeerPool>,
         fleet: watch::Receiver<Arc<FleetView>>,
     ) -> Self {
-        let (store, limits) = (Arc::clone(store), ShardLimits::default());
+        let store = Arc::clone(store);
         let keeper = ClaimKeeper::new(Arc::clone(&store), region, me.incarnation, limits);
         let (calls, objects) = (CallTable::default(), ObjectClaims::new(store));
         Self { me: me.vm.clone(), keeper, objects, calls, peers, fleet }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -194,7 +194,14 @@
     tokio::spawn(list_watch::follow(objects.clone(), lists_sender));
     tokio::spawn(fleet::follow(vms, settings.platform.vm_poll.0, fleet_sender));
     let region = &settings.process.region;
-    let desk = ClaimDesk::new(&identity, region, &store, Arc::clone(&peers), fleet.clone());
+    let desk = ClaimDesk::new(
+        &identity,
+        region,
+        settings.claims,
+        &store,
+        Arc::clone(&peers),
+        fleet.clone(),
+    );
     let desk = Arc::new(desk);
     let quarantine = QuarantineKeeper::start(Arc::clone(&store), QuarantineLimits::default());
     let cleaner = quarantine.clone();
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,6 +7,7 @@
     logging::LogSettings,
     prelude::*,
 };
+use once::ShardLimits;
 use platform::budget::CallLimits;
 use wire::ProcessSettings;
 
@@ -62,6 +63,14 @@
     }
 }
 
+fn read_claims(section: &mut SectionReader<'_>) -> ShardLimits {
+    let limits = ShardLimits::default();
+    let span = "a time such as 100ms";
+    let write_gap = section.optional("write-gap", span, TimeSpan(limits.write_gap)).0;
+    let claim_life = section.optional("life", "a time such as 1h", TimeSpan(limits.claim_life)).0;
+    ShardLimits { write_gap, claim_life, ..limits }
+}
+
 /// All settings of the entry process.
 #[derive(Debug, Clone)]
 pub struct EntrySettings {
@@ -73,6 +82,8 @@
     pub platform: PlatformSettings,
     /// Limits.
     pub limits: RequestLimits,
+    /// Claims of idempotency keys.
+    pub claims: ShardLimits,
 }
 
 impl EntrySettings {
@@ -87,11 +98,13 @@
         let process = reader.section("process", ProcessSettings::read);
         let platform = reader.section("platform", PlatformSettings::read);
         let limits = reader.section("limits", RequestLimits::read);
+        let claims = reader.section("claims", read_claims);
         let settings = process.zip(platform).map(|(process, platform)| Self {
             log,
             process,
             platform,
             limits,
+            claims,
         });
         reader.finish(settings)
     }
--- a/crates/fescuewalk/src/local_fleet.rs
+++ b/crates/fescuewalk/src/local_fleet.rs
@@ -11,6 +11,7 @@
     ListSet, ServiceEntry, ServiceKind,
     store::{EditOrder, EditOutcome, ListTexts, apply_edit},
 };
+use once::ShardLimits;
 use platform::{MemoryStore, VmEntry, VmState, budget::CallLimits, vms::VmRole};
 use side::{
     SideHandle, SideSettings,
@@ -210,6 +211,7 @@
                     answer: ByteSize::mib(16),
                     drain: TimeSpan(Duration::from_secs(60)),
                 },
+                claims: ShardLimits::default(),
             };
             let entry = EntryHandle::start(settings).await?;
             self.vms.push(VmEntry {
--- a/crates/once/src/claim.rs
+++ b/crates/once/src/claim.rs
@@ -106,6 +106,8 @@
     ConditionFailed,
     /// Nothing was written by this call.
     NotWritten,
+    /// The call was not made, as the budget of calls is spent for the moment.
+    Deferred,
     /// It may have taken effect.
     Uncertain,
 }
--- a/crates/once/src/quarantine.rs
+++ b/crates/once/src/quarantine.rs
@@ -261,7 +261,7 @@
             (WriteOutcome::ConditionFailed | WriteOutcome::Uncertain, _) => {
                 vec![QuarantineAction::Read { fingerprint }]
             }
-            (WriteOutcome::NotWritten, _) => Vec::new(),
+            (WriteOutcome::NotWritten | WriteOutcome::Deferred, _) => Vec::new(),
         }
     }
 
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -239,10 +239,15 @@
                 batch.in_doubt = true;
                 self.read_back(batch)
             }
-            WriteOutcome::NotWritten if batch.in_doubt => {
+            WriteOutcome::Deferred if !batch.in_doubt => {
+                self.next_write = time.now + self.limits.retry_pause;
+                self.requeue(batch);
+                Vec::new()
+            }
+            WriteOutcome::NotWritten | WriteOutcome::Deferred if batch.in_doubt => {
                 self.pause(batch, CommitStep::Write, time)
             }
-            WriteOutcome::NotWritten => {
+            WriteOutcome::NotWritten | WriteOutcome::Deferred => {
                 self.phase = ShardPhase::Idle;
                 batch.refuse(ResultCode::StoreUnavailable)
             }
@@ -324,7 +329,7 @@
         if !matches!(self.take_phase(), ShardPhase::Expiring) {
             return Vec::new();
         }
-        if outcome == WriteOutcome::NotWritten {
+        if matches!(outcome, WriteOutcome::NotWritten | WriteOutcome::Deferred) {
             return Vec::new();
         }
         self.phase = ShardPhase::Refreshing;
--- a/crates/once/src/shard/limits.rs
+++ b/crates/once/src/shard/limits.rs
@@ -26,7 +26,7 @@
         Self {
             claim_life: Duration::from_secs(3_600),
             mint_skew: Duration::from_secs(300),
-            write_gap: Duration::from_millis(500),
+            write_gap: Duration::from_millis(100),
             retry_pause: Duration::from_millis(250),
             expiry_span: Duration::from_secs(60),
             queued_calls: 8_192,
--- a/crates/once/tests/keeper.rs
+++ b/crates/once/tests/keeper.rs
@@ -9,7 +9,10 @@
     ClaimAsk, ClaimKeeper, ClaimKey, ClaimReply, KeyDigest, MintTime, ObjectClaims,
     RequestFingerprint, ShardId, ShardLimits, shard_ranking,
 };
-use platform::{MemoryStore, ObjectStore, StoreFault};
+use platform::{
+    MemoryStore, ObjectStore, StoreFault,
+    budget::{BudgetedStore, CallLimits},
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time;
@@ -109,6 +112,22 @@
     assert_eq!(again, ClaimReply::Granted);
 }
 
+#[tokio::test(start_paused = true)]
+async fn claims_over_the_budget_of_writes_wait_and_are_not_refused() {
+    let limits = CallLimits { reads: EventRate(1e3), writes: EventRate(2.0) };
+    let store = Arc::new(BudgetedStore::new(MemoryStore::new(), limits));
+    let shard_limits = ShardLimits { write_gap: Duration::ZERO, ..ShardLimits::default() };
+    let writer = ProcessIncarnation::random();
+    let keeper = ClaimKeeper::new(store, &region(), writer, shard_limits);
+
+    let mut replies = Vec::new();
+    for number in 0..10 {
+        replies.push(keeper.claim(ask(number, number)).await);
+    }
+
+    assert_eq!(replies, vec![ClaimReply::Granted; 10]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_slow_store_leaves_a_claim_uncertain_until_its_release() {
     let store = MemoryStore::new();
--- a/crates/once/tests/shard_histories.rs
+++ b/crates/once/tests/shard_histories.rs
@@ -272,7 +272,8 @@
 
     fn write(&mut self, number: SegmentNumber, body: Bytes, fault: u32) -> WriteOutcome {
         match fault {
-            0..8 => WriteOutcome::NotWritten,
+            0..6 => WriteOutcome::NotWritten,
+            6..8 => WriteOutcome::Deferred,
             8..16 => {
                 self.objects.create(number, body);
                 WriteOutcome::Uncertain
