--- a/crates/fescuewalk/src/local_fleet.rs
+++ b/crates/fescuewalk/src/local_fleet.rs
@@ -12,6 +12,7 @@
     store::{EditOrder, EditOutcome, ListTexts, apply_edit},
 };
 use loading::FenceCheck;
+use once::ShardLimits;
 use platform::{MemoryStore, VmEntry, VmState, budget::CallLimits, vms::VmRole};
 use side::{
     SideHandle, SideSettings,
@@ -214,6 +215,7 @@
                     answer: ByteSize::mib(16),
                     drain: TimeSpan(Duration::from_secs(60)),
                 },
+                claims: ShardLimits::default(),
             };
             let entry = EntryHandle::start(settings).await?;
             self.vms.push(VmEntry {
