Connections cost little when idle, and close when unused

Cause: an entry kept every connection it had ever opened, with a heartbeat a second each way. At the size of the design an entry would end up connected to all 10,000 side processes: 10,000 heartbeats a second, over 0.5 MB/s with the heads of TCP and IP, against 21 KB/s. Owners also got a report a second from each replica even when nothing had changed.

Ruled out: no heartbeats at all, which leaves a half-open connection undetected while a request is in flight on it.

Change: the pace of heartbeats slows from one a second to one in five when no message has gone over the connection for 12 s; receivers expect the slower pace before senders take it up. Connections that nobody holds are closed after 30 s without a message. Reports go out on change, and every 5 s without one.

Tests: an idle connection outlives many silence limits, a closed one delivers what was queued, the pool closes unused connections and keeps held ones.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -6,7 +6,8 @@
     sync::{Arc, Mutex, atomic::AtomicU64},
 };
 
-use tokio::{net::TcpListener, sync::Mutex as AsyncMutex};
+use base::prelude::*;
+use tokio::{net::TcpListener, sync::Mutex as AsyncMutex, time};
 use wire::{
     FleetSecret, LinkOptions, LinkReceiver, LinkSender, PeerIdentity, PeerLink, link::Result,
 };
@@ -30,6 +31,13 @@
     }
 }
 
+/// Time after its last message after which a connection that nobody holds is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+/// Time between looks at idle connections.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// Holders of a connection that nobody uses: the pool and the task that receives.
+const POOL_HOLDERS: usize = 2;
+
 type LinkCell = Arc<AsyncMutex<Option<PeerHandle>>>;
 
 /// Opens at most one connection to each address.
@@ -69,6 +77,37 @@
         Ok(handle)
     }
 
+    /// Closes connections that nobody has used for a while, until the process ends.
+    ///
+    /// Without this an entry would end up connected to every side process of its region, and the
+    /// heartbeats alone would take more than its share of the network.
+    pub async fn sweep(self: Arc<Self>) {
+        loop {
+            time::sleep(SWEEP_INTERVAL).await;
+            self.close_unused(IDLE_LIMIT);
+        }
+    }
+
+    /// Closes connections that nobody holds and that were idle for `limit`, and forgets those that
+    /// have ended.
+    pub fn close_unused(&self, limit: Duration) {
+        let mut links = self.links.lock().expect("no holder panics");
+        links.retain(|_, cell| {
+            let Ok(open) = cell.try_lock() else { return true };
+            let Some(handle) = open.as_ref() else { return false };
+            let is_unused = handle.sender.holders() <= POOL_HOLDERS;
+            if is_unused && handle.sender.idle_time() >= limit {
+                handle.sender.close();
+            }
+            !handle.sender.is_closed()
+        });
+    }
+
+    /// Number of connections opened by this process.
+    pub fn open_links(&self) -> usize {
+        self.links.lock().expect("no holder panics").len()
+    }
+
     /// Accepts connections of other entries until the listener fails.
     pub async fn accept(self: Arc<Self>, listener: TcpListener, metrics: EntryMetrics) {
         while let Ok((stream, address)) = listener.accept().await {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -131,6 +131,7 @@
         let state = start_tasks(settings);
         let metrics = state.metrics.clone();
         tokio::spawn(Arc::clone(&state.peers).accept(peers, metrics));
+        tokio::spawn(Arc::clone(&state.peers).sweep());
         tokio::spawn(server::serve(callers, Arc::clone(&state)));
         log::info!("process: entry {} listens on {http_address}", state.identity.vm);
         Ok(Self { state, peer_address, http_address })
--- /dev/null
+++ b/crates/entry/tests/peers.rs
@@ -0,0 +1,101 @@
+//! The pool keeps connections that are in use and closes the others.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use base::prelude::*;
+use entry::{asks::AskTable, inbox::PeerInbox, peers::PeerPool, runs::RunTable};
+use tokio::{net::TcpListener, sync::mpsc, time};
+use wire::{FleetSecret, LinkOptions, PeerIdentity, PeerLink, PeerRole};
+
+fn secret() -> FleetSecret {
+    "long secret".parse().unwrap()
+}
+
+fn identity(vm: &str) -> PeerIdentity {
+    PeerIdentity {
+        vm: vm.parse().unwrap(),
+        zone: "cz-central-1".parse().unwrap(),
+        incarnation: ProcessIncarnation(7),
+        role: PeerRole::Entry,
+    }
+}
+
+fn pool() -> PeerPool {
+    let (owner, _) = mpsc::channel(16);
+    let (claims, _) = mpsc::channel(16);
+    let inbox = PeerInbox {
+        asks: Arc::new(AskTable::default()),
+        runs: Arc::new(RunTable::default()),
+        owner,
+        claims,
+    };
+    PeerPool::new(secret(), identity("entry-0"), inbox)
+}
+
+/// A peer that accepts connections and keeps them until they end.
+async fn peer(vm: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(async move {
+                let options = LinkOptions::default();
+                let link = PeerLink::accept(stream, &secret(), &identity(vm), options).await;
+                let mut link = link.unwrap();
+                while link.receiver.next().await.is_ok() {}
+            });
+        }
+    });
+    address
+}
+
+async fn wait_for_links(pool: &PeerPool, count: usize) -> bool {
+    for _ in 0..200 {
+        pool.close_unused(Duration::ZERO);
+        if pool.open_links() == count {
+            return true;
+        }
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    false
+}
+
+#[tokio::test]
+async fn one_connection_serves_all_who_ask_for_it() {
+    let pool = pool();
+    let address = peer("entry-1").await;
+
+    let (first, second) = tokio::join!(pool.link(address), pool.link(address));
+
+    assert!(first.is_ok() && second.is_ok());
+    assert_eq!(pool.open_links(), 1);
+}
+
+#[tokio::test]
+async fn unused_connections_are_closed_and_held_ones_stay() {
+    let pool = pool();
+    let (used, unused) = (peer("entry-1").await, peer("entry-2").await);
+    let held = pool.link(used).await.unwrap();
+    drop(pool.link(unused).await.unwrap());
+
+    let is_reduced = wait_for_links(&pool, 1).await;
+    let was_open = !held.sender.is_closed();
+    drop(held);
+    let is_empty = wait_for_links(&pool, 0).await;
+
+    assert!(is_reduced);
+    assert!(was_open);
+    assert!(is_empty);
+}
+
+#[tokio::test]
+async fn a_busy_limit_keeps_connections_used_a_moment_ago() {
+    let pool = pool();
+    let address = peer("entry-1").await;
+    drop(pool.link(address).await.unwrap());
+
+    pool.close_unused(Duration::from_secs(30));
+
+    assert_eq!(pool.open_links(), 1);
+}
--- a/crates/side/src/process.rs
+++ b/crates/side/src/process.rs
@@ -24,6 +24,9 @@
 /// Time for the last messages to leave the process.
 const LAST_WORDS: Duration = Duration::from_millis(20);
 
+/// Longest time between two reports to a subscriber.
+const REPORT_REFRESH: Duration = Duration::from_secs(5);
+
 /// The process could not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -195,16 +198,37 @@
     }
 }
 
-/// Reports until the subscriber's connection ends.
+/// Reports changes until the subscriber's connection ends, and now and then without a change.
+///
+/// Requests in flight are a hint that may be late; they alone are no reason for a report.
 async fn send_reports(state: Arc<SideState>, sender: LinkSender) {
+    let mut last = BackendReport::default();
+    let mut sent_at = Instant::now();
     loop {
-        if sender.send(Message::BackendReport(report(&state))).await.is_err() {
+        let report = report(&state);
+        let is_due = sent_at.elapsed() >= REPORT_REFRESH;
+        if is_due || without_load(&report) != last {
+            last = without_load(&report);
+            sent_at = Instant::now();
+            if sender.send(Message::BackendReport(report)).await.is_err() {
+                return;
+            }
+        }
+        if sender.is_closed() {
             return;
         }
         time::sleep(state.settings.report_interval.0).await;
     }
 }
 
+fn without_load(report: &BackendReport) -> BackendReport {
+    let mut report = report.clone();
+    for held in &mut report.models {
+        held.in_flight = 0;
+    }
+    report
+}
+
 fn report(state: &SideState) -> BackendReport {
     BackendReport {
         models: state.loads.models(),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,6 @@
 pub use crate::{
     envelope::{Envelope, Message},
     handshake::{FleetSecret, PeerIdentity, PeerRole},
-    link::{LinkOptions, LinkReceiver, LinkSender, PeerLink},
+    link::{LinkOptions, LinkPace, LinkReceiver, LinkSender, PeerLink},
     settings::ProcessSettings,
 };
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
 };
@@ -16,11 +16,7 @@
 };
 use prost::Message as _;
 use snafu::{ResultExt, Snafu};
-use tokio::{
-    net::TcpStream,
-    sync::mpsc,
-    time::{self, MissedTickBehavior},
-};
+use tokio::{net::TcpStream, sync::mpsc, time};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::{
@@ -67,40 +63,100 @@
 /// Result of using a connection.
 pub type Result<T, E = LinkError> = std::result::Result<T, E>;
 
+/// How often a peer is heard of, and after how much silence it counts as lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LinkPace {
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Silence after which the peer counts as lost.
+    pub silence_limit: Duration,
+}
+
 /// Times of a connection.
+///
+/// A connection is busy while messages other than heartbeats went over it a short time ago. The
+/// pace of an idle one is slower, so that thousands of them cost little.
 #[derive(Debug, Clone, Copy)]
 pub struct LinkOptions {
     /// Time for the connection to open.
     pub connect_timeout: Duration,
-    /// Time between heartbeats.
-    pub heartbeat: Duration,
-    /// Silence after which the peer counts as lost.
-    pub silence_limit: Duration,
+    /// Pace of a busy connection.
+    pub busy: LinkPace,
+    /// Pace of an idle connection.
+    pub idle: LinkPace,
+    /// Time after its last message for which a sender keeps to the busy pace.
+    ///
+    /// A receiver keeps to it for a shorter time, by one busy silence limit, so that it never
+    /// expects heartbeats that are not sent any more.
+    pub busy_time: Duration,
 }
 
 impl Default for LinkOptions {
     fn default() -> Self {
         Self {
             connect_timeout: Duration::from_millis(500),
-            heartbeat: Duration::from_secs(1),
-            silence_limit: Duration::from_secs(4),
+            busy: LinkPace {
+                heartbeat: Duration::from_secs(1),
+                silence_limit: Duration::from_secs(4),
+            },
+            idle: LinkPace {
+                heartbeat: Duration::from_secs(5),
+                silence_limit: Duration::from_secs(16),
+            },
+            busy_time: Duration::from_secs(12),
         }
     }
 }
 
-/// Bytes that went over a connection, frames' heads included.
+/// When the last message went over a connection, in either direction.
+#[derive(Debug)]
+struct LinkActivity {
+    options: LinkOptions,
+    last: Mutex<Instant>,
+}
+
+impl LinkActivity {
+    fn new(options: LinkOptions) -> Self {
+        Self { options, last: Mutex::new(Instant::now()) }
+    }
+
+    fn note(&self) {
+        *self.last.lock().expect("no holder panics") = Instant::now();
+    }
+
+    fn idle_time(&self) -> Duration {
+        self.last.lock().expect("no holder panics").elapsed()
+    }
+
+    fn next_heartbeat(&self) -> Duration {
+        let LinkOptions { busy, idle, busy_time, .. } = self.options;
+        if self.idle_time() < busy_time { busy.heartbeat } else { idle.heartbeat }
+    }
+
+    fn silence_limit(&self) -> Duration {
+        let LinkOptions { busy, idle, busy_time, .. } = self.options;
+        let expects_busy = self.idle_time() + busy.silence_limit < busy_time;
+        if expects_busy { busy.silence_limit } else { idle.silence_limit }
+    }
+}
+
+/// What went over a connection; frames' heads are not counted in bytes.
 #[derive(Debug, Default)]
 pub struct LinkTraffic {
     /// Bytes received.
     pub received: AtomicU64,
     /// Bytes sent.
     pub sent: AtomicU64,
+    /// Frames sent, heartbeats included.
+    pub frames: AtomicU64,
 }
 
 /// Sends messages in order; clones share the connection.
 #[derive(Debug, Clone)]
 pub struct LinkSender {
     queue: mpsc::Sender<Envelope>,
+    activity: Arc<LinkActivity>,
+    ended: CancellationToken,
 }
 
 impl LinkSender {
@@ -118,6 +174,21 @@
         self.queue.try_send(message.into()).is_ok()
     }
 
+    /// Ends the connection after what has been queued.
+    pub fn close(&self) {
+        self.ended.cancel();
+    }
+
+    /// Time since the last message in either direction.
+    pub fn idle_time(&self) -> Duration {
+        self.activity.idle_time()
+    }
+
+    /// Number of clones of this sender, itself included.
+    pub fn holders(&self) -> usize {
+        self.queue.strong_count()
+    }
+
     /// Whether the connection has ended.
     pub fn is_closed(&self) -> bool {
         self.queue.is_closed()
@@ -128,7 +199,7 @@
 #[derive(Debug)]
 pub struct LinkReceiver {
     frames: SplitStream<FrameStream<TcpStream>>,
-    silence_limit: Duration,
+    activity: Arc<LinkActivity>,
     traffic: Arc<LinkTraffic>,
     /// Ends the sending half once nobody listens to the peer any more.
     _guard: DropGuard,
@@ -142,7 +213,7 @@
     /// Fails if the connection ends, the peer is silent for too long or sends garbage.
     pub async fn next(&mut self) -> Result<Message> {
         loop {
-            let received = time::timeout(self.silence_limit, self.frames.next()).await;
+            let received = time::timeout(self.activity.silence_limit(), self.frames.next()).await;
             let Ok(received) = received else { return SilentSnafu.fail() };
             let frame = received
                 .unwrap_or_else(|| Err(std::io::ErrorKind::UnexpectedEof.into()))
@@ -151,6 +222,7 @@
             self.traffic.received.fetch_add(frame.len() as u64, Ordering::Relaxed);
             let envelope = Envelope::decode(frame).context(DecodeSnafu).context(FrameSnafu)?;
             if let Some(message) = envelope.message {
+                self.activity.note();
                 return Ok(message);
             }
         }
@@ -213,60 +285,76 @@
         let (queue, queued) = mpsc::channel(SEND_QUEUE);
         let traffic = Arc::new(LinkTraffic::default());
         let ended = CancellationToken::new();
-        tokio::spawn(write_frames(sink, queued, options, Arc::clone(&traffic), ended.clone()));
+        let activity = Arc::new(LinkActivity::new(options));
+        let writer = LinkWriter {
+            sink,
+            queued,
+            activity: Arc::clone(&activity),
+            traffic: Arc::clone(&traffic),
+            ended: ended.clone(),
+        };
+        tokio::spawn(writer.run());
+        let sender = LinkSender { queue, activity: Arc::clone(&activity), ended: ended.clone() };
         let receiver = LinkReceiver {
             frames: stream,
-            silence_limit: options.silence_limit,
+            activity,
             traffic: Arc::clone(&traffic),
             _guard: ended.drop_guard(),
         };
-        Self { peer, sender: LinkSender { queue }, receiver, traffic }
+        Self { peer, sender, receiver, traffic }
     }
 }
 
-async fn write_frames(
-    mut sink: SplitSink<FrameStream<TcpStream>, Bytes>,
-    mut queued: mpsc::Receiver<Envelope>,
-    options: LinkOptions,
+/// Writes queued messages, and heartbeats when there are none.
+struct LinkWriter {
+    sink: SplitSink<FrameStream<TcpStream>, Bytes>,
+    queued: mpsc::Receiver<Envelope>,
+    activity: Arc<LinkActivity>,
     traffic: Arc<LinkTraffic>,
     ended: CancellationToken,
-) {
-    let mut heartbeat = time::interval(options.heartbeat);
-    heartbeat.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        let envelope = tokio::select! {
-            envelope = queued.recv() => match envelope {
-                Some(envelope) => envelope,
-                None => break,
-            },
-            _ = heartbeat.tick() => Envelope::default(),
-            () = ended.cancelled(), if !queued.is_closed() => {
-                queued.close();
-                continue;
-            }
-        };
-        let sent = time::timeout(options.silence_limit, async {
-            write_envelope(&mut sink, &envelope, &traffic).await?;
-            while let Ok(queued) = queued.try_recv() {
-                write_envelope(&mut sink, &queued, &traffic).await?;
+}
+
+impl LinkWriter {
+    async fn run(mut self) {
+        let mut heartbeat_at = Instant::now();
+        loop {
+            let envelope = tokio::select! {
+                envelope = self.queued.recv() => match envelope {
+                    Some(envelope) => envelope,
+                    None => break,
+                },
+                () = time::sleep_until(heartbeat_at) => Envelope::default(),
+                () = self.ended.cancelled(), if !self.queued.is_closed() => {
+                    self.queued.close();
+                    continue;
+                }
+            };
+            let limit = self.activity.options.idle.silence_limit;
+            if !matches!(time::timeout(limit, self.write(envelope)).await, Ok(Ok(()))) {
+                break;
             }
-            sink.flush().await
-        });
-        if !matches!(sent.await, Ok(Ok(()))) {
-            break;
+            heartbeat_at = Instant::now() + self.activity.next_heartbeat();
         }
+        let _ = self.sink.close().await;
+    }
+
+    /// Writes `first` and whatever has queued up meanwhile, so that many small messages share a
+    /// system call.
+    async fn write(&mut self, first: Envelope) -> std::io::Result<()> {
+        self.feed(first).await?;
+        while let Ok(next) = self.queued.try_recv() {
+            self.feed(next).await?;
+        }
+        self.sink.flush().await
     }
-    let _ = sink.close().await;
-}
 
-/// Encodes one message into the buffer of the connection; whatever has queued up meanwhile is sent
-/// with it, so that many small messages share a system call.
-async fn write_envelope(
-    sink: &mut SplitSink<FrameStream<TcpStream>, Bytes>,
-    envelope: &Envelope,
-    traffic: &LinkTraffic,
-) -> std::io::Result<()> {
-    let frame = Bytes::from(envelope.encode_to_vec());
-    traffic.sent.fetch_add(frame.len() as u64, Ordering::Relaxed);
-    sink.feed(frame).await
+    async fn feed(&mut self, envelope: Envelope) -> std::io::Result<()> {
+        if envelope.message.is_some() {
+            self.activity.note();
+        }
+        let frame = Bytes::from(envelope.encode_to_vec());
+        self.traffic.sent.fetch_add(frame.len() as u64, Ordering::Relaxed);
+        self.traffic.frames.fetch_add(1, Ordering::Relaxed);
+        self.sink.feed(frame).await
+    }
 }
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -1,6 +1,6 @@
 //! Connections between processes: proofs, limits, garbage, silence and cuts.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::atomic::Ordering};
 
 use base::prelude::*;
 use proptest::{prelude::*, test_runner::TestRunner};
@@ -11,7 +11,7 @@
     time,
 };
 use wire::{
-    Envelope, FleetSecret, LinkOptions, Message, PeerIdentity, PeerLink, PeerRole,
+    Envelope, FleetSecret, LinkOptions, LinkPace, Message, PeerIdentity, PeerLink, PeerRole,
     ask::{Ask, AskTarget},
     codec::MAX_FRAME_BYTES,
     link::{LinkError, Result},
@@ -33,8 +33,15 @@
 fn quick() -> LinkOptions {
     LinkOptions {
         connect_timeout: Duration::from_millis(500),
-        heartbeat: Duration::from_millis(20),
-        silence_limit: Duration::from_millis(200),
+        busy: LinkPace {
+            heartbeat: Duration::from_millis(20),
+            silence_limit: Duration::from_millis(200),
+        },
+        idle: LinkPace {
+            heartbeat: Duration::from_millis(100),
+            silence_limit: Duration::from_millis(800),
+        },
+        busy_time: Duration::from_millis(600),
     }
 }
 
@@ -125,6 +132,38 @@
     assert!(matches!(received, Err(LinkError::Silent)), "{received:?}");
 }
 
+#[tokio::test]
+async fn an_idle_link_outlives_many_silence_limits_at_a_slower_pace() {
+    let (dialled, accepted) = connect("long secret", "long secret").await;
+    let (dialled, mut accepted) = (dialled.unwrap(), accepted.unwrap());
+    let receiving = tokio::spawn(async move { accepted.receiver.next().await });
+
+    time::sleep(Duration::from_millis(700)).await;
+    let busy_bytes = dialled.traffic.sent.load(Ordering::Relaxed);
+    let busy_frames = dialled.traffic.frames.load(Ordering::Relaxed);
+    time::sleep(Duration::from_millis(1500)).await;
+    let idle_frames = dialled.traffic.frames.load(Ordering::Relaxed) - busy_frames;
+    dialled.sender.send(ask()).await.unwrap();
+
+    assert_eq!(busy_bytes, 0, "a heartbeat is an empty frame");
+    assert!(idle_frames < busy_frames, "{idle_frames} idle, {busy_frames} busy");
+    assert_eq!(receiving.await.unwrap().unwrap(), ask());
+}
+
+#[tokio::test]
+async fn a_link_that_is_closed_delivers_what_was_queued() {
+    let (dialled, accepted) = connect("long secret", "long secret").await;
+    let (dialled, mut accepted) = (dialled.unwrap(), accepted.unwrap());
+
+    dialled.sender.send(ask()).await.unwrap();
+    dialled.sender.close();
+    let first = accepted.receiver.next().await;
+    let second = accepted.receiver.next().await;
+
+    assert_eq!(first.unwrap(), ask());
+    assert!(matches!(second, Err(LinkError::Frame { .. })), "{second:?}");
+}
+
 #[tokio::test]
 async fn a_closed_connection_ends_both_halves() {
     let (mut link, stream) = raw_peer().await;
