A side process learns from entries that its VM leaves

Need: a leaving backend server must get no new work after 3 s. The side process knew only of its own signal; owners go on granting its credits.

Weighed: each side process reads the VM list (10,000 readers spend the platform's reads), or only owners stop granting (others may lag or be frozen). Chosen: entries with a connection tell it, and two by rendezvous open one if need be; the side process then refuses by its own ledger.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod inbox;
 pub mod keyed;
+pub mod leaving;
 pub mod list_watch;
 pub mod metrics;
 pub mod owner;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -69,6 +69,13 @@
         Ok(handle)
     }
 
+    /// The connection to `address`, if one is open.
+    pub fn open_link(&self, address: SocketAddr) -> Option<PeerHandle> {
+        let cell = Arc::clone(self.links.lock().expect("no holder panics").get(&address)?);
+        let open = cell.try_lock().ok()?;
+        open.as_ref().filter(|handle| !handle.sender.is_closed()).cloned()
+    }
+
     /// Accepts connections of other entries until the listener fails.
     pub async fn accept(self: Arc<Self>, listener: TcpListener, metrics: EntryMetrics) {
         while let Ok((stream, address)) = listener.accept().await {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -23,7 +23,7 @@
     claims::{self, ClaimDesk, PlatformStore},
     fleet::{self, FleetView},
     inbox::PeerInbox,
-    list_watch,
+    leaving, list_watch,
     metrics::EntryMetrics,
     owner::{EVENT_QUEUE, OwnerContext, OwnerDuty, OwnerEvent},
     peers::PeerPool,
@@ -193,6 +193,7 @@
     tokio::spawn(OwnerDuty::new(context, objects.clone()).run(owner_events));
     tokio::spawn(list_watch::follow(objects.clone(), lists_sender));
     tokio::spawn(fleet::follow(vms, settings.platform.vm_poll.0, fleet_sender));
+    tokio::spawn(leaving::follow(identity.vm.clone(), Arc::clone(&peers), fleet.clone()));
     let region = &settings.process.region;
     let desk = ClaimDesk::new(
         &identity,
--- a/crates/fescuewalk/tests/once.rs
+++ b/crates/fescuewalk/tests/once.rs
@@ -157,3 +157,53 @@
     assert!(run(&["quarantine", "lift", &platform, fingerprint]).status.success());
     assert!(run(&["quarantine", "list", &platform]).stdout.is_empty());
 }
+
+async fn mark_leaving(platform: SocketAddr, vm: &str) {
+    let request = http::Request::get(format!("http://{platform}/vms"));
+    let answer = client().request(request.body(Full::default()).unwrap()).await.unwrap();
+    let bytes = answer.into_body().collect().await.unwrap().to_bytes();
+    let mut vms: Vec<Value> = serde_json::from_slice(&bytes).unwrap();
+    for entry in vms.iter_mut().filter(|entry| entry["id"] == vm) {
+        entry["state"] = json!("leaving");
+    }
+    admin(platform, "PUT", "vms", json!(vms)).await;
+}
+
+async fn answers_at(fleet: &Fleet, engine: usize) -> usize {
+    let address = fleet.standins[2 + engine].address("http");
+    let records = admin(address, "GET", "records", Value::Null).await;
+    records["executions"].as_array().unwrap().len()
+}
+
+#[tokio::test]
+async fn a_leaving_backend_server_gets_no_new_work_and_cuts_none_off() {
+    let fleet = start_fleet().await;
+    let entry = fleet.addresses()[0];
+    for number in 0..8 {
+        assert_eq!(send(entry, &chat(&format!("before {number}"))).await, CallVerdict::Whole);
+    }
+    let long =
+        ChatCall { model: "dam-check".into(), prompt: "long".into(), tokens: 400, is_stream: true };
+    let long = scripted(CallKind::Chat(long));
+    let streams = (0..4).map(|_| {
+        let long = long.clone();
+        tokio::spawn(async move { send(entry, &long).await })
+    });
+    let streams = streams.collect::<Vec<_>>();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    let leaver = usize::from(answers_at(&fleet, 1).await > 0);
+    let vm = format!("rosnatka-{leaver}");
+    mark_leaving(fleet.standins[0].address("http"), &vm).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = answers_at(&fleet, leaver).await;
+    for number in 0..20 {
+        assert_eq!(send(entry, &chat(&format!("after {number}"))).await, CallVerdict::Whole);
+    }
+
+    assert!(before > 0);
+    assert_eq!(answers_at(&fleet, leaver).await, before);
+    for stream in streams {
+        assert_eq!(stream.await.unwrap(), CallVerdict::Whole);
+    }
+}
--- a/crates/once/src/run.rs
+++ b/crates/once/src/run.rs
@@ -118,8 +118,6 @@
     VmLeaving,
     /// The process was sent a signal.
     Signal,
-    /// An operator or the placement ordered it.
-    Order,
 }
 
 /// What happened.
--- a/crates/side/src/process.rs
+++ b/crates/side/src/process.rs
@@ -208,6 +208,11 @@
                 let _ = sender.send(Message::OrderOutcome(outcome)).await;
             });
         }
+        Message::LeaveNotice(_) => {
+            log::info!("process: the VM list marks this VM as leaving");
+            state.drain.advance(DrainStage::Draining);
+            requests::tell(&state, RunEvent::Drain(DrainCause::VmLeaving)).await;
+        }
         Message::ReportSubscription(_) => {
             tokio::spawn(send_reports(state, sender));
         }
--- a/crates/wire/src/envelope.rs
+++ b/crates/wire/src/envelope.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     ask::{Ask, AskRefusal, CreditReturn, Grant},
-    load::{BackendReport, LoadOrder, OrderOutcome, ReportSubscription, UnloadOrder},
+    load::{BackendReport, LeaveNotice, LoadOrder, OrderOutcome, ReportSubscription, UnloadOrder},
     run::{
         AnswerChunk, AnswerEnd, AnswerHead, CancelAck, EpochNotice, RunCancel, RunRefusal,
         RunRequest,
@@ -20,7 +20,7 @@
     /// The message; absent in a heartbeat.
     #[prost(
         oneof = "Message",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
     )]
     pub message: Option<Message>,
 }
@@ -85,6 +85,9 @@
     /// Side process to entry.
     #[prost(message, tag = "20")]
     EpochNotice(EpochNotice),
+    /// Entry to side process.
+    #[prost(message, tag = "21")]
+    LeaveNotice(LeaveNotice),
 }
 
 impl From<Message> for Envelope {
--- a/crates/wire/src/load.rs
+++ b/crates/wire/src/load.rs
@@ -87,6 +87,10 @@
     pub cached: Vec<String>,
 }
 
+/// An entry tells a side process that the VM list marks its VM as leaving.
+#[derive(Clone, PartialEq, Message)]
+pub struct LeaveNotice {}
+
 /// An entry wants reports from a side process.
 #[derive(Clone, PartialEq, Message)]
 pub struct ReportSubscription {}
