--- a/crates/fescuewalk/tests/once.rs
+++ b/crates/fescuewalk/tests/once.rs
@@ -207,3 +207,40 @@
         assert_eq!(stream.await.unwrap(), CallVerdict::Whole);
     }
 }
+
+/// Sends an order with a time limit of its own; returns the refusal's code and state.
+async fn refusal_of(entry: SocketAddr, key: &str) -> (u64, String) {
+    let request = http::Request::post(format!("http://{entry}/services/vrbovka/orders"))
+        .header("authorization", "Bearer crew-key")
+        .header("idempotency-key", key)
+        .header("x-deadline-ms", "2000")
+        .body(Full::from("open the sluice"))
+        .unwrap();
+    let answer = client().request(request).await.unwrap();
+    let bytes = answer.into_body().collect().await.unwrap().to_bytes();
+    let body: Value = serde_json::from_slice(&bytes).unwrap();
+    let state = body["error"]["state"].as_str().unwrap_or_default().to_owned();
+    (body["error"]["code"].as_u64().unwrap_or_default(), state)
+}
+
+#[tokio::test]
+async fn a_call_in_flight_at_a_lost_side_process_may_have_run_and_stays_claimed() {
+    let fleet = start_fleet().await;
+    let [first, second] = fleet.addresses()[..] else { panic!("two entries") };
+    admin(fleet.standins[4].address("http"), "PUT", "fault", json!({ "slow_factor": 200.0 })).await;
+    let key = timed_key("lost");
+
+    let sending = tokio::spawn({
+        let key = key.clone();
+        async move { refusal_of(first, &key).await }
+    });
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    fleet.sides[2].signal("KILL");
+    let lost = sending.await.unwrap();
+    let again = refusal_of(second, &key).await;
+
+    let may_have_run = RunState::MayHaveRun.to_string();
+    assert_eq!(calls_with_key(&fleet, &key).await, 1);
+    assert_eq!(lost, (u64::from(ResultCode::BackendLost.number()), may_have_run.clone()));
+    assert_eq!(again, (u64::from(ResultCode::DuplicateKey.number()), may_have_run));
+}
--- a/crates/fescuewalk/tests/support/mod.rs
+++ b/crates/fescuewalk/tests/support/mod.rs
@@ -63,6 +63,12 @@
         words.next().unwrap().parse().unwrap()
     }
 
+    /// Sends a signal, such as `STOP`, `CONT` or `KILL`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        Command::new("kill").args([&format!("-{name}"), &id]).status().unwrap();
+    }
+
     /// Asks the process to stop and waits until it has.
     pub fn stop(mut self) -> bool {
         let id = self.child.id().to_string();
