--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
-use base::prelude::*;
+use base::{ids::AttemptId, prelude::*};
 use bytes::BytesMut;
 use once::{AttemptRecord, CrashMark, CrashNote, CrashVerdict, RequestFingerprint};
 use routing::rendezvous::{OwnerCount, OwnerKey, OwnerRanking};
@@ -15,7 +15,7 @@
 
 use crate::{
     answers::{AnswerPart, CallAnswer, HeadParts, PART_QUEUE},
-    asks::{AskReply, AttemptId},
+    asks::AskReply,
     calls::{AnswerMode, CallTarget, CallerCall, RepeatRule},
     claims::{ClaimOutcome, KeyedRequest},
     keyed,
