A keyed request goes on when its caller is gone

Need: a caller whose connection broke within a keyed call sent the key again and was told 2004: its run had been withdrawn with the connection, and the key stayed claimed without an answer. That is the very case for which keys exist.

Change: a request with a key is served by a task of its own, which counts as in flight for a planned stop. A request without a key still ends with its caller.

Seen failing: the added test got 2004 on its third send; now it gets the kept answer, and the service ran the call once.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -86,7 +86,7 @@
 }
 
 async fn handle(state: Arc<EntryState>, request: Request, kind: CallKind) -> Response {
-    let flight = FlightGuard::new(&state);
+    let flight = Arc::new(FlightGuard::new(&state));
     let started = Instant::now();
     let call = match read_call(&state, request, kind, started).await {
         Ok(call) => call,
@@ -98,7 +98,7 @@
     let id = call.id;
     let customer = call.rights.customer.id.to_string();
     let class = call.target.class().to_string();
-    let served = RequestDriver::new(Arc::clone(&state), call).serve().await;
+    let served = serve_call(&state, call, &flight).await;
     match served {
         Ok(answer) => {
             let elapsed = started.elapsed().as_secs_f64();
@@ -115,6 +115,26 @@
     }
 }
 
+/// Serves a request; one with a key goes on when its caller is gone, so that the caller can send
+/// the key again and get the answer.
+async fn serve_call(
+    state: &Arc<EntryState>,
+    call: CallerCall,
+    flight: &Arc<FlightGuard>,
+) -> Result<CallAnswer, CallRefusal> {
+    let is_keyed = call.key.is_some();
+    let driver = RequestDriver::new(Arc::clone(state), call);
+    if !is_keyed {
+        return driver.serve().await;
+    }
+    let flight = Arc::clone(flight);
+    let serving = tokio::spawn(async move {
+        let _flight = flight;
+        driver.serve().await
+    });
+    serving.await.unwrap_or(Err(ResultCode::BackendLost.into()))
+}
+
 async fn read_call(
     state: &EntryState,
     request: Request,
@@ -151,7 +171,7 @@
     }
 }
 
-fn respond(answer: CallAnswer, id: RequestId, flight: FlightGuard) -> Response {
+fn respond(answer: CallAnswer, id: RequestId, flight: Arc<FlightGuard>) -> Response {
     match answer {
         CallAnswer::Whole { head, body } => {
             let mut response = Response::new(Full::from(body).into());
@@ -172,7 +192,7 @@
 struct OpenStream {
     id: RequestId,
     parts: mpsc::Receiver<AnswerPart>,
-    _flight: FlightGuard,
+    _flight: Arc<FlightGuard>,
 }
 
 type StreamItem = Result<Bytes, Infallible>;
--- a/crates/fescuewalk/tests/once.rs
+++ b/crates/fescuewalk/tests/once.rs
@@ -244,3 +244,22 @@
     assert_eq!(lost, (u64::from(ResultCode::BackendLost.number()), may_have_run.clone()));
     assert_eq!(again, (u64::from(ResultCode::DuplicateKey.number()), may_have_run));
 }
+
+#[tokio::test]
+async fn a_caller_that_lost_its_connection_gets_the_kept_answer() {
+    let fleet = start_fleet().await;
+    let [first, second] = fleet.addresses()[..] else { panic!("two entries") };
+    admin(fleet.standins[4].address("http"), "PUT", "fault", json!({ "slow_factor": 200.0 })).await;
+    let key = timed_key("impatient");
+
+    let impatient = EntryClient::new(Duration::from_millis(300));
+    let lost = impatient.send(first, &order(&key)).await.verdict;
+    let meanwhile = send(second, &order(&key)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let again = send(second, &order(&key)).await;
+
+    assert_eq!(lost, CallVerdict::Lost);
+    assert_eq!(meanwhile, refused(ResultCode::DuplicateKey, RunState::MayHaveRun));
+    assert_eq!(again, CallVerdict::Whole);
+    assert_eq!(calls_with_key(&fleet, &key).await, 1);
+}
