--- a/crates/once/src/keeper.rs
+++ b/crates/once/src/keeper.rs
@@ -1,5 +1,7 @@
 //! Driver that runs shards of claims against the Object API.
 
+mod store;
+
 use std::{
     collections::{BTreeMap, HashMap},
     sync::{Arc, Mutex},
@@ -7,64 +9,25 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::{ObjectKey, ObjectStore, StoreError, WriteCondition};
-use snafu::{OptionExt, ResultExt, Snafu};
+use platform::ObjectStore;
 use tokio::{
     sync::{mpsc, oneshot},
     time,
 };
 
+pub use self::store::KeeperError;
+use self::store::ShardStore;
 use crate::{
-    claim::{
-        CallTicket, ClaimCall, ClaimReply, ReadOutcome, SegmentNumber, ShardAction, ShardEvent,
-        ShardImage, ShardTime, StoredBase, StoredSegment, WriteOutcome,
-    },
+    claim::{CallTicket, ClaimCall, ClaimReply, ShardAction, ShardEvent, ShardTime},
     fingerprint::RequestFingerprint,
     key::{ClaimKey, ShardId},
-    segment::{ClaimSegment, RecordKind, SegmentError, ShardBase},
+    segment::RecordKind,
     shard::{ClaimShard, ShardLimits},
 };
 
-/// Time after which a call to the store counts as lost.
-const STORE_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Calls that wait for a shard's task.
 const CHANNEL_CALLS: usize = 1_024;
 
-/// A shard could not be read.
-#[derive(Debug, Snafu)]
-pub enum KeeperError {
-    /// The store failed.
-    #[snafu(display("the store failed"), context(false))]
-    Store {
-        /// Its error.
-        source: StoreError,
-    },
-    /// The store did not answer in time.
-    #[snafu(display("the store did not answer in time"))]
-    StoreTimeout {
-        /// The elapsed timer.
-        source: time::error::Elapsed,
-    },
-    /// An object's body is malformed.
-    #[snafu(display("{key} is malformed"))]
-    MalformedObject {
-        /// Name of the object.
-        key: ObjectKey,
-        /// What is wrong.
-        source: SegmentError,
-    },
-    /// An object's name holds no segment number.
-    #[snafu(display("{key} has no segment number"))]
-    MalformedName {
-        /// Name of the object.
-        key: ObjectKey,
-    },
-}
-
-/// Result of reading a shard.
-pub type Result<T, E = KeeperError> = std::result::Result<T, E>;
-
 /// A request's wish to claim or release its key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClaimAsk {
@@ -218,124 +181,3 @@
         });
     }
 }
-
-/// The objects of one shard.
-struct ShardStore<S> {
-    store: Arc<S>,
-    prefix: String,
-}
-
-impl<S> Clone for ShardStore<S> {
-    fn clone(&self) -> Self {
-        Self { store: self.store.clone(), prefix: self.prefix.clone() }
-    }
-}
-
-impl<S: ObjectStore> ShardStore<S> {
-    async fn perform(&self, action: ShardAction) -> Option<ShardEvent> {
-        match action {
-            ShardAction::Recover => Some(ShardEvent::Recovered(self.recover().await)),
-            ShardAction::WriteSegment { number, body } => {
-                let key = self.segment_key(number);
-                let outcome = self.write(&key, body, WriteCondition::Absent).await;
-                Some(ShardEvent::SegmentWritten(outcome))
-            }
-            ShardAction::ReadSegment { number } => {
-                Some(ShardEvent::SegmentRead(self.read_segment(number).await))
-            }
-            ShardAction::ReadBase => Some(ShardEvent::BaseRead(self.read_base().await.ok())),
-            ShardAction::WriteBase { base, condition } => {
-                let outcome = self.write(&self.base_key(), base.encode(), condition).await;
-                Some(ShardEvent::BaseWritten(outcome))
-            }
-            ShardAction::DeleteSegment { number, version } => {
-                // Whoever owns the shard next deletes what stays.
-                let _ = self.store.delete(&self.segment_key(number), version).await;
-                None
-            }
-            ShardAction::Reply { .. } => None,
-        }
-    }
-
-    fn segment_prefix(&self) -> String {
-        format!("{}/log/", self.prefix)
-    }
-
-    fn segment_key(&self, number: SegmentNumber) -> ObjectKey {
-        ObjectKey::new(format!("{}{number}", self.segment_prefix()))
-    }
-
-    fn base_key(&self) -> ObjectKey {
-        ObjectKey::new(format!("{}/base", self.prefix))
-    }
-
-    async fn recover(&self) -> Option<ShardImage> {
-        match self.read_all().await {
-            Ok(image) => {
-                log::info!("claims: read {} segments of {}", image.segments.len(), self.prefix);
-                Some(image)
-            }
-            Err(error) => {
-                log::warn!("claims: {} cannot be read: {error}", self.prefix);
-                None
-            }
-        }
-    }
-
-    async fn read_all(&self) -> Result<ShardImage> {
-        let prefix = self.segment_prefix();
-        let listed = time::timeout(STORE_TIMEOUT, self.store.list(&prefix)).await;
-        let mut segments = Vec::new();
-        for object in listed.context(StoreTimeoutSnafu)?? {
-            let key = object.key;
-            let name = key.as_str().strip_prefix(&prefix).and_then(|name| name.parse().ok());
-            let number = SegmentNumber(name.context(MalformedNameSnafu { key: key.clone() })?);
-            let segment = ClaimSegment::decode(object.body);
-            let segment = segment.context(MalformedObjectSnafu { key })?;
-            segments.push(StoredSegment { number, version: object.version, segment });
-        }
-        segments.sort_by_key(|stored| stored.number);
-        let base = self.read_base().await?;
-        Ok(ShardImage { segments, base })
-    }
-
-    async fn read_base(&self) -> Result<StoredBase> {
-        let key = self.base_key();
-        let object = time::timeout(STORE_TIMEOUT, self.store.get(&key)).await;
-        let Some(object) = object.context(StoreTimeoutSnafu)?? else {
-            return Ok(StoredBase::default());
-        };
-        let base = ShardBase::decode(object.body).context(MalformedObjectSnafu { key })?;
-        Ok(StoredBase { version: Some(object.version), base })
-    }
-
-    async fn read_segment(&self, number: SegmentNumber) -> ReadOutcome {
-        let key = self.segment_key(number);
-        let object = match time::timeout(STORE_TIMEOUT, self.store.get(&key)).await {
-            Ok(Ok(Some(object))) => object,
-            Ok(Ok(None)) => return ReadOutcome::Absent,
-            Ok(Err(_)) | Err(_) => return ReadOutcome::Failed,
-        };
-        match ClaimSegment::decode(object.body) {
-            Ok(segment) => {
-                let version = object.version;
-                ReadOutcome::Found(StoredSegment { number, version, segment })
-            }
-            Err(error) => {
-                log::error!("claims: {key} is malformed: {error}");
-                ReadOutcome::Failed
-            }
-        }
-    }
-
-    async fn write(&self, key: &ObjectKey, body: Bytes, condition: WriteCondition) -> WriteOutcome {
-        match time::timeout(STORE_TIMEOUT, self.store.put(key, body, condition)).await {
-            Ok(Ok(version)) => WriteOutcome::Written(version),
-            Ok(Err(StoreError::ConditionFailed)) => WriteOutcome::ConditionFailed,
-            Ok(Err(StoreError::BudgetSpent)) => WriteOutcome::Deferred,
-            Ok(Err(error)) if error.is_uncertain() => WriteOutcome::Uncertain,
-            Ok(Err(_)) => WriteOutcome::NotWritten,
-            Err(_) => WriteOutcome::Uncertain,
-        }
-    }
-}
--- /dev/null
+++ b/crates/once/src/ledger/orders.rs
@@ -0,0 +1,130 @@
+//! Orders and withdrawals at the run ledger.
+
+use base::prelude::*;
+
+use super::{RunLedger, RunPhase, RunRecord};
+use crate::{
+    fingerprint::RequestFingerprint,
+    run::{CancelOrder, RunAction, RunEpoch, RunId, RunIsolation, RunOrder},
+};
+
+impl RunLedger {
+    pub(super) fn order(&mut self, order: &RunOrder, now: Instant) -> Vec<RunAction> {
+        let refuse = |code| vec![RunAction::Refuse { id: order.id, link: order.link, code }];
+        if self.guards.incarnation && order.grant.incarnation != self.incarnation {
+            return refuse(ResultCode::NoReplica);
+        }
+        if self.guards.repeats
+            && let Some(record) = self.records.get(&order.id)
+        {
+            return match record.phase {
+                RunPhase::NotRun(code) => refuse(code),
+                _ if record.is_active() && record.link == order.link => Vec::new(),
+                _ => refuse(ResultCode::BackendLost),
+            };
+        }
+        if self.guards.epochs && !self.remembers(order.grant.epoch) {
+            return refuse(ResultCode::BackendLost);
+        }
+        match self.refusal(order, now) {
+            Some(code) => {
+                if self.guards.tombstones {
+                    self.remember(order, RunPhase::NotRun(code), now);
+                }
+                refuse(code)
+            }
+            None if order.isolation == RunIsolation::Alone && self.guards.isolation => {
+                self.remember(order, RunPhase::Waiting, now);
+                Vec::new()
+            }
+            None => {
+                self.remember(order, RunPhase::Running { offset: 0 }, now);
+                vec![RunAction::HandOver { id: order.id }]
+            }
+        }
+    }
+
+    pub(super) fn refusal(&self, order: &RunOrder, now: Instant) -> Option<ResultCode> {
+        if self.guards.drain && self.drain.is_some() {
+            return Some(ResultCode::ProcessStopping);
+        }
+        if order.deadline <= now {
+            return Some(ResultCode::DeadlinePassed);
+        }
+        let full = self.active.len() >= self.limits.max_runs;
+        let reserved = self.guards.isolation && self.has_lone_run();
+        (full || reserved || !self.engine_up).then_some(ResultCode::NoReplica)
+    }
+
+    pub(super) fn has_lone_run(&self) -> bool {
+        self.active.iter().any(|id| self.records[id].isolation == RunIsolation::Alone)
+    }
+
+    pub(super) fn remembers(&self, epoch: RunEpoch) -> bool {
+        (self.floor..=self.epoch).contains(&epoch)
+    }
+
+    pub(super) fn remember(&mut self, order: &RunOrder, phase: RunPhase, now: Instant) {
+        let record = RunRecord {
+            epoch: order.grant.epoch,
+            link: order.link,
+            fingerprint: order.fingerprint,
+            deadline: order.deadline,
+            isolation: order.isolation,
+            phase,
+        };
+        self.insert(order.id, record, now);
+    }
+
+    pub(super) fn insert(&mut self, id: RunId, record: RunRecord, now: Instant) {
+        if record.is_active() {
+            self.active.insert(id);
+        }
+        self.records.insert(id, record);
+        self.epoch_records += 1;
+        if self.epoch_records >= self.limits.epoch_records {
+            self.advance_epoch(now);
+        }
+    }
+
+    pub(super) fn cancel(&mut self, cancel: &CancelOrder, now: Instant) -> Vec<RunAction> {
+        let (id, link) = (cancel.id, cancel.link);
+        let ack = |state| RunAction::AckCancel { id, link, state };
+        if cancel.grant.incarnation != self.incarnation {
+            return vec![ack(RunState::MayHaveRun)];
+        }
+        let Some(record) = self.records.get(&id) else {
+            return vec![ack(self.bar(cancel, now))];
+        };
+        match record.phase {
+            RunPhase::Waiting => {
+                self.settle(id, RunPhase::NotRun(ResultCode::CallerCancelled));
+                vec![ack(RunState::NotRun)]
+            }
+            RunPhase::Running { .. } => {
+                vec![self.cancel_at_engine(id), ack(RunState::MayHaveRun)]
+            }
+            RunPhase::Cancelling | RunPhase::Ended => vec![ack(RunState::MayHaveRun)],
+            RunPhase::NotRun(_) => vec![ack(RunState::NotRun)],
+        }
+    }
+
+    /// Bars an unknown request from running later.
+    pub(super) fn bar(&mut self, cancel: &CancelOrder, now: Instant) -> RunState {
+        if !self.remembers(cancel.grant.epoch) {
+            return RunState::MayHaveRun;
+        }
+        if self.guards.tombstones {
+            let record = RunRecord {
+                epoch: cancel.grant.epoch,
+                link: cancel.link,
+                fingerprint: RequestFingerprint([0; 32]),
+                deadline: now,
+                isolation: RunIsolation::Shared,
+                phase: RunPhase::NotRun(ResultCode::CallerCancelled),
+            };
+            self.insert(cancel.id, record, now);
+        }
+        RunState::NotRun
+    }
+}
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -8,21 +8,23 @@
 //! owners at once cost conflicts and break nothing.
 
 mod batch;
+mod commit;
 mod limits;
+mod replies;
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::VecDeque;
 
 use self::batch::{CommitBatch, PendingCall};
 pub use self::limits::{ShardGuards, ShardLimits};
 use crate::{
     answers::AnswerCache,
     claim::{
-        CallTicket, ClaimCall, ClaimReply, ReadOutcome, ShardAction, ShardEvent, ShardImage,
-        ShardTime, StoredBase, WriteOutcome,
+        CallTicket, ClaimCall, ClaimReply, ShardAction, ShardEvent, ShardImage, ShardTime,
+        StoredBase, WriteOutcome,
     },
     key::MintTime,
-    segment::{MAX_SEGMENT_RECORDS, RecordKind},
-    table::{ClaimTable, KeyState},
+    segment::RecordKind,
+    table::ClaimTable,
 };
 use base::prelude::*;
 
@@ -148,61 +150,6 @@
         Vec::new()
     }
 
-    fn early_reply(&self, call: &ClaimCall, time: ShardTime) -> Option<ClaimReply> {
-        if call.kind == RecordKind::Claim {
-            let oldest = MintTime::before(time.unix, self.limits.claim_life);
-            let newest = MintTime::before(time.unix + self.limits.mint_skew, Duration::ZERO);
-            if self.guards.expiry && call.key.minted < oldest {
-                return Some(ClaimReply::Refused(ResultCode::KeyExpired));
-            }
-            if call.key.minted > newest {
-                return Some(ClaimReply::Refused(ResultCode::MalformedRequest));
-            }
-        }
-        match self.phase {
-            ShardPhase::Unknown(_) | ShardPhase::Recovering => None,
-            _ => self.known_reply(call),
-        }
-    }
-
-    /// The reply that no later record of the log can change, if there is one.
-    fn known_reply(&self, call: &ClaimCall) -> Option<ClaimReply> {
-        match call.kind {
-            RecordKind::Claim => self.known_claim(call),
-            RecordKind::Release => self.known_release(call),
-        }
-    }
-
-    fn known_claim(&self, call: &ClaimCall) -> Option<ClaimReply> {
-        if self.table.is_released(call.key, call.request) {
-            return Some(ClaimReply::Refused(ResultCode::CallerCancelled));
-        }
-        if self.guards.expiry && self.table.is_expired(call.key) {
-            return Some(ClaimReply::Refused(ResultCode::KeyExpired));
-        }
-        match self.table.state(call.key) {
-            KeyState::Held(holder) if holder == call.request => Some(ClaimReply::Granted),
-            KeyState::Held(_) => {
-                let answer = self.answers.get(call.key.digest, call.fingerprint);
-                answer.map(ClaimReply::Kept)
-            }
-            KeyState::Free => None,
-        }
-    }
-
-    fn known_release(&self, call: &ClaimCall) -> Option<ClaimReply> {
-        let expired = self.table.is_expired(call.key);
-        let released = self.table.is_released(call.key, call.request);
-        (expired || released).then_some(ClaimReply::Released)
-    }
-
-    /// Whether another request holds the key, as far as this process has read the log.
-    fn is_duplicate(&self, call: &ClaimCall) -> bool {
-        let state = self.table.state(call.key);
-        call.kind == RecordKind::Claim
-            && matches!(state, KeyState::Held(holder) if holder != call.request)
-    }
-
     fn recovered(&mut self, image: Option<&ShardImage>, time: ShardTime) -> Vec<ShardAction> {
         let Some(image) = image else {
             self.phase = ShardPhase::Unknown(time.now + self.limits.retry_pause);
@@ -222,62 +169,6 @@
         self.delete_dead(image.base)
     }
 
-    fn segment_written(&mut self, outcome: WriteOutcome, time: ShardTime) -> Vec<ShardAction> {
-        let ShardPhase::Writing(mut batch) = self.take_phase() else { return Vec::new() };
-        match outcome {
-            WriteOutcome::Written(version) => {
-                batch.version = version;
-                self.confirm(batch)
-            }
-            WriteOutcome::ConditionFailed if !self.guards.fence => self.confirm(batch),
-            WriteOutcome::Uncertain if !self.guards.read_back => self.confirm(batch),
-            WriteOutcome::ConditionFailed => {
-                batch.taken = true;
-                self.read_back(batch)
-            }
-            WriteOutcome::Uncertain => {
-                batch.in_doubt = true;
-                self.read_back(batch)
-            }
-            WriteOutcome::Deferred if !batch.in_doubt => {
-                self.next_write = time.now + self.limits.retry_pause;
-                self.requeue(batch);
-                Vec::new()
-            }
-            WriteOutcome::NotWritten | WriteOutcome::Deferred if batch.in_doubt => {
-                self.pause(batch, CommitStep::Write, time)
-            }
-            WriteOutcome::NotWritten | WriteOutcome::Deferred => {
-                self.phase = ShardPhase::Idle;
-                batch.refuse(ResultCode::StoreUnavailable)
-            }
-        }
-    }
-
-    fn segment_read(&mut self, outcome: ReadOutcome, time: ShardTime) -> Vec<ShardAction> {
-        let ShardPhase::Reading(mut batch) = self.take_phase() else { return Vec::new() };
-        match outcome {
-            ReadOutcome::Failed => self.pause(batch, CommitStep::Read, time),
-            ReadOutcome::Found(stored) if batch.is_own(self.writer, &stored) => {
-                batch.version = stored.version;
-                self.confirm(batch)
-            }
-            ReadOutcome::Found(stored) => {
-                self.table.apply(&stored);
-                self.phase = ShardPhase::Idle;
-                self.requeue(batch);
-                Vec::new()
-            }
-            ReadOutcome::Absent if batch.taken => {
-                self.phase = ShardPhase::Unknown(time.now);
-                self.requeue(batch);
-                Vec::new()
-            }
-            ReadOutcome::Absent if batch.is_probe() => self.confirm(batch),
-            ReadOutcome::Absent => self.pause(batch, CommitStep::Write, time),
-        }
-    }
-
     fn base_read(&mut self, base: Option<StoredBase>, time: ShardTime) -> Vec<ShardAction> {
         match (self.take_phase(), base) {
             (ShardPhase::Confirming(batch), Some(base)) => self.commit(batch, base, time),
@@ -295,36 +186,6 @@
         self.delete_dead(base)
     }
 
-    fn commit(
-        &mut self,
-        batch: CommitBatch,
-        base: StoredBase,
-        time: ShardTime,
-    ) -> Vec<ShardAction> {
-        if self.guards.base && base.base.first > batch.number.0 {
-            self.phase = ShardPhase::Unknown(time.now);
-            self.requeue(batch);
-            return Vec::new();
-        }
-        if !batch.is_probe() {
-            self.table.apply(&batch.stored());
-        }
-        let mut actions = self.delete_dead(base);
-        for pending in batch.calls.into_iter().rev().filter(|pending| !pending.answered) {
-            match self.current_reply(&pending.call) {
-                Some(reply) => actions.push(send(pending.call.ticket, reply)),
-                None => self.queue.push_front(pending),
-            }
-        }
-        actions
-    }
-
-    /// The reply of a process that has just read the log to its end.
-    fn current_reply(&self, call: &ClaimCall) -> Option<ClaimReply> {
-        let duplicate = ClaimReply::Refused(ResultCode::DuplicateKey);
-        self.known_reply(call).or_else(|| self.is_duplicate(call).then_some(duplicate))
-    }
-
     fn base_written(&mut self, outcome: WriteOutcome) -> Vec<ShardAction> {
         if !matches!(self.take_phase(), ShardPhase::Expiring) {
             return Vec::new();
@@ -336,28 +197,6 @@
         vec![ShardAction::ReadBase]
     }
 
-    fn confirm(&mut self, batch: CommitBatch) -> Vec<ShardAction> {
-        self.phase = ShardPhase::Confirming(batch);
-        vec![ShardAction::ReadBase]
-    }
-
-    fn read_back(&mut self, batch: CommitBatch) -> Vec<ShardAction> {
-        let number = batch.number;
-        self.phase = ShardPhase::Reading(batch);
-        vec![ShardAction::ReadSegment { number }]
-    }
-
-    fn pause(&mut self, batch: CommitBatch, step: CommitStep, time: ShardTime) -> Vec<ShardAction> {
-        self.phase = ShardPhase::Paused(batch, step, time.now + self.limits.retry_pause);
-        Vec::new()
-    }
-
-    fn requeue(&mut self, batch: CommitBatch) {
-        for pending in batch.calls.into_iter().rev().filter(|pending| !pending.answered) {
-            self.queue.push_front(pending);
-        }
-    }
-
     fn delete_dead(&mut self, base: StoredBase) -> Vec<ShardAction> {
         let dead = self.table.adopt(base).into_iter();
         dead.map(|(number, version)| ShardAction::DeleteSegment { number, version }).collect()
@@ -435,45 +274,6 @@
         self.phase = ShardPhase::Expiring;
         vec![ShardAction::WriteBase { base, condition: self.table.base().unchanged() }]
     }
-
-    fn start_batch(&mut self, time: ShardTime) -> Vec<ShardAction> {
-        let mut actions = Vec::new();
-        let mut digests = HashSet::new();
-        let mut calls = Vec::new();
-        let mut left = VecDeque::new();
-        while let Some(pending) = self.queue.pop_front() {
-            if let Some(reply) = self.known_reply(&pending.call) {
-                actions.push(send(pending.call.ticket, reply));
-            } else if self.is_duplicate(&pending.call) {
-                calls.push(PendingCall { check: true, ..pending });
-            } else if calls.len() < MAX_SEGMENT_RECORDS && digests.insert(pending.call.key.digest) {
-                calls.push(PendingCall { check: false, ..pending });
-            } else {
-                left.push_back(pending);
-            }
-        }
-        self.queue = left;
-        if !calls.is_empty() {
-            actions.extend(self.start_commit(calls, time));
-        }
-        actions
-    }
-
-    fn start_commit(&mut self, calls: Vec<PendingCall>, time: ShardTime) -> Vec<ShardAction> {
-        self.nonce += 1;
-        let batch = CommitBatch::new(self.writer, self.nonce, self.table.next(), calls);
-        if batch.is_probe() {
-            return self.read_back(batch);
-        }
-        self.next_write = time.now + self.limits.write_gap;
-        self.write(batch)
-    }
-
-    fn write(&mut self, batch: CommitBatch) -> Vec<ShardAction> {
-        let (number, body) = (batch.number, batch.body());
-        self.phase = ShardPhase::Writing(batch);
-        vec![ShardAction::WriteSegment { number, body }]
-    }
 }
 
 /// The reply to a call of which nothing was written.
--- /dev/null
+++ b/crates/once/src/shard/replies.rs
@@ -0,0 +1,74 @@
+//! Replies of a shard of claims to its calls.
+
+use base::prelude::*;
+
+use super::{ClaimShard, ShardPhase};
+use crate::{
+    claim::{ClaimCall, ClaimReply, ShardTime},
+    key::MintTime,
+    segment::RecordKind,
+    table::KeyState,
+};
+
+impl ClaimShard {
+    pub(super) fn early_reply(&self, call: &ClaimCall, time: ShardTime) -> Option<ClaimReply> {
+        if call.kind == RecordKind::Claim {
+            let oldest = MintTime::before(time.unix, self.limits.claim_life);
+            let newest = MintTime::before(time.unix + self.limits.mint_skew, Duration::ZERO);
+            if self.guards.expiry && call.key.minted < oldest {
+                return Some(ClaimReply::Refused(ResultCode::KeyExpired));
+            }
+            if call.key.minted > newest {
+                return Some(ClaimReply::Refused(ResultCode::MalformedRequest));
+            }
+        }
+        match self.phase {
+            ShardPhase::Unknown(_) | ShardPhase::Recovering => None,
+            _ => self.known_reply(call),
+        }
+    }
+
+    /// The reply that no later record of the log can change, if there is one.
+    pub(super) fn known_reply(&self, call: &ClaimCall) -> Option<ClaimReply> {
+        match call.kind {
+            RecordKind::Claim => self.known_claim(call),
+            RecordKind::Release => self.known_release(call),
+        }
+    }
+
+    pub(super) fn known_claim(&self, call: &ClaimCall) -> Option<ClaimReply> {
+        if self.table.is_released(call.key, call.request) {
+            return Some(ClaimReply::Refused(ResultCode::CallerCancelled));
+        }
+        if self.guards.expiry && self.table.is_expired(call.key) {
+            return Some(ClaimReply::Refused(ResultCode::KeyExpired));
+        }
+        match self.table.state(call.key) {
+            KeyState::Held(holder) if holder == call.request => Some(ClaimReply::Granted),
+            KeyState::Held(_) => {
+                let answer = self.answers.get(call.key.digest, call.fingerprint);
+                answer.map(ClaimReply::Kept)
+            }
+            KeyState::Free => None,
+        }
+    }
+
+    pub(super) fn known_release(&self, call: &ClaimCall) -> Option<ClaimReply> {
+        let expired = self.table.is_expired(call.key);
+        let released = self.table.is_released(call.key, call.request);
+        (expired || released).then_some(ClaimReply::Released)
+    }
+
+    /// Whether another request holds the key, as far as this process has read the log.
+    pub(super) fn is_duplicate(&self, call: &ClaimCall) -> bool {
+        let state = self.table.state(call.key);
+        call.kind == RecordKind::Claim
+            && matches!(state, KeyState::Held(holder) if holder != call.request)
+    }
+
+    /// The reply of a process that has just read the log to its end.
+    pub(super) fn current_reply(&self, call: &ClaimCall) -> Option<ClaimReply> {
+        let duplicate = ClaimReply::Refused(ResultCode::DuplicateKey);
+        self.known_reply(call).or_else(|| self.is_duplicate(call).then_some(duplicate))
+    }
+}
