Claims keep to the home region's log when the VM list spans regions

Cause: owners are chosen among all entries of the VM list, and each entry wrote claims under the name of its own region. An owner of another region would have kept a second log for the same keys, and a key could have run once by each.

Change: a call to an owner names the region; an owner of another one refuses it, and the caller goes on to the next and asks that entry no more.

Seen failing: with the check off, claims of a customer of cz-central stood under claims/pnw-west; with it none do, and keys sent to both entries run once.

--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -2,7 +2,10 @@
 
 mod calls;
 
-use std::sync::Arc;
+use std::{
+    collections::HashSet,
+    sync::{Arc, Mutex},
+};
 
 use base::prelude::*;
 use bytes::Bytes;
@@ -74,6 +77,9 @@
 /// Claims and releases keys wherever their owner is.
 pub struct ClaimDesk {
     me: VmId,
+    region: RegionName,
+    /// Entries that said that they are of another region.
+    foreign: Mutex<HashSet<VmId>>,
     keeper: ClaimKeeper<PlatformStore>,
     objects: ObjectClaims<PlatformStore>,
     calls: CallTable,
@@ -94,7 +100,8 @@
         let store = Arc::clone(store);
         let keeper = ClaimKeeper::new(Arc::clone(&store), region, me.incarnation, limits);
         let (calls, objects) = (CallTable::default(), ObjectClaims::new(store));
-        Self { me: me.vm.clone(), keeper, objects, calls, peers, fleet }
+        let (me, region, foreign) = (me.vm.clone(), region.clone(), Mutex::default());
+        Self { me, region, foreign, keeper, objects, calls, peers, fleet }
     }
 
     /// Claims the key of a request; a refusal as not run leaves the key free.
@@ -180,12 +187,16 @@
                 request: ask.request,
                 fingerprint: ask.fingerprint,
                 budget: ask.deadline.saturating_duration_since(Instant::now()),
+                region: self.region.clone(),
             };
             let message = Message::ClaimExchange(ClaimExchange::Call(call).encode());
             if handle.sender.send(message).await.is_err() {
                 continue;
             }
             match time::timeout_at(ask.deadline, replied).await {
+                Ok(Ok(ClaimReply::Refused(ResultCode::RegionUnreachable))) => {
+                    self.foreign.lock().expect("no holder panics").insert(owner);
+                }
                 Ok(Ok(reply)) => return (Some(reply), in_doubt),
                 Ok(Err(_)) => in_doubt = true,
                 Err(_) => return (Some(ClaimReply::Refused(ResultCode::ClaimUncertain)), true),
@@ -196,7 +207,9 @@
 
     fn ranking(&self, shard: ShardId) -> Vec<VmId> {
         let entries = self.fleet.borrow().entries();
-        shard_ranking(shard, &entries).into_iter().cloned().collect()
+        let foreign = self.foreign.lock().expect("no holder panics");
+        let ranking = shard_ranking(shard, &entries).into_iter();
+        ranking.filter(|entry| !foreign.contains(*entry)).cloned().collect()
     }
 
     async fn link(&self, owner: &VmId) -> Option<PeerHandle> {
@@ -221,6 +234,9 @@
     }
 
     async fn serve(&self, call: ExchangeCall) -> ClaimReply {
+        if call.region != self.region {
+            return ClaimReply::Refused(ResultCode::RegionUnreachable);
+        }
         let ask = ClaimAsk {
             key: call.key,
             request: call.request,
--- a/crates/fescuewalk/tests/once.rs
+++ b/crates/fescuewalk/tests/once.rs
@@ -6,10 +6,15 @@
 
 use base::{clock, prelude::*};
 use http_body_util::{BodyExt, Full};
+use platform::{
+    ObjectStore,
+    http::{ClientSettings, PlatformClient},
+};
 use serde_json::{Value, json};
 use standin::load::{CallKind, CallVerdict, ChatCall, EntryClient, ScriptedCall, ServiceCall};
 use support::{
-    fleet::{Fleet, client, start_fleet},
+    Process, fescuewalk,
+    fleet::{Fleet, client, start_fleet, wait_until_ready},
     run,
 };
 
@@ -158,17 +163,65 @@
     assert!(run(&["quarantine", "list", &platform]).stdout.is_empty());
 }
 
-async fn mark_leaving(platform: SocketAddr, vm: &str) {
+async fn edit_vms(platform: SocketAddr, edit: impl FnOnce(&mut Vec<Value>)) {
     let request = http::Request::get(format!("http://{platform}/vms"));
     let answer = client().request(request.body(Full::default()).unwrap()).await.unwrap();
     let bytes = answer.into_body().collect().await.unwrap().to_bytes();
     let mut vms: Vec<Value> = serde_json::from_slice(&bytes).unwrap();
-    for entry in vms.iter_mut().filter(|entry| entry["id"] == vm) {
-        entry["state"] = json!("leaving");
-    }
+    edit(&mut vms);
     admin(platform, "PUT", "vms", json!(vms)).await;
 }
 
+async fn mark_leaving(platform: SocketAddr, vm: &str) {
+    edit_vms(platform, |vms| {
+        for entry in vms.iter_mut().filter(|entry| entry["id"] == vm) {
+            entry["state"] = json!("leaving");
+        }
+    })
+    .await;
+}
+
+/// Starts an entry of another region and puts it on the VM list.
+async fn foreign_entry(fleet: &Fleet) -> Process {
+    let platform = fleet.standins[0].address("http");
+    let text = format!(
+        "[process]\nvm = entry-far\nzone = pnw-west-1\nregion = pnw-west\nsecret = test-secret\n\
+         peer-address = 127.0.0.1:0\nhttp-address = 127.0.0.1:0\n[platform]\naddress = {platform}\n\
+         vm-poll = 100ms\nreads = 200/s\nwrites = 200/s\n"
+    );
+    let mut command = fescuewalk();
+    command.arg("entry").arg(fleet.dir.write("entry-far.ini", &text));
+    let process = Process::start(command);
+    let entry = json!({
+        "id": "entry-far", "role": "entry", "service": null, "zone": "pnw-west-1",
+        "address": process.address("peers"), "state": "live",
+    });
+    edit_vms(platform, |vms| vms.push(entry)).await;
+    wait_until_ready(process.address("http")).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    process
+}
+
+#[tokio::test]
+async fn claims_stay_in_the_home_region_of_the_customer() {
+    let fleet = start_fleet().await;
+    let [first, second] = fleet.addresses()[..] else { panic!("two entries") };
+    let far = foreign_entry(&fleet).await;
+
+    for number in 0..16 {
+        let key = timed_key(&format!("home-{number}"));
+        assert_eq!(send(first, &order(&key)).await, CallVerdict::Whole);
+        assert_eq!(send(second, &order(&key)).await, CallVerdict::Whole);
+        assert_eq!(calls_with_key(&fleet, &key).await, 1);
+    }
+    let from_far = send(far.address("http"), &order(&timed_key("far"))).await;
+
+    let store = PlatformClient::new(ClientSettings::new(fleet.standins[0].address("http")));
+    assert_eq!(from_far, refused(ResultCode::RegionUnreachable, RunState::NotRun));
+    assert!(!store.list("claims/cz-central/").await.unwrap().is_empty());
+    assert_eq!(store.list("claims/pnw-west/").await.unwrap(), []);
+}
+
 async fn answers_at(fleet: &Fleet, engine: usize) -> usize {
     let address = fleet.standins[2 + engine].address("http");
     let records = admin(address, "GET", "records", Value::Null).await;
--- a/crates/fescuewalk/tests/support/fleet.rs
+++ b/crates/fescuewalk/tests/support/fleet.rs
@@ -200,7 +200,7 @@
     assert!(matches!(outcome, EditOutcome::Accepted(_)));
 }
 
-async fn wait_until_ready(address: SocketAddr) {
+pub async fn wait_until_ready(address: SocketAddr) {
     for _ in 0..500 {
         let request =
             Request::get(format!("http://{address}/readyz")).body(Full::default()).unwrap();
--- a/crates/once/src/exchange.rs
+++ b/crates/once/src/exchange.rs
@@ -47,6 +47,8 @@
     pub fingerprint: RequestFingerprint,
     /// How long the sender waits.
     pub budget: Duration,
+    /// Region whose claims are meant; a process of another region refuses the call.
+    pub region: RegionName,
 }
 
 /// A message about claims.
@@ -94,6 +96,8 @@
     request: Vec<u8>,
     #[prost(uint64, tag = "5")]
     budget_ms: u64,
+    #[prost(string, tag = "6")]
+    region: String,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -152,6 +156,7 @@
                 key: key_body(call.key, call.fingerprint),
                 request: call.request.0.to_be_bytes().to_vec(),
                 budget_ms: u64::try_from(call.budget.as_millis()).unwrap_or(u64::MAX),
+                region: call.region.to_string(),
             }),
             ClaimExchange::Reply { serial, reply } => {
                 let outcome = Some(outcome_body(reply));
@@ -210,6 +215,7 @@
     let (key, fingerprint) = read_key(&body.key)?;
     let request = <[u8; 16]>::try_from(body.request.as_slice()).ok();
     let request = request.context(MalformedFieldSnafu { field: "request" })?;
+    let region = body.region.parse().ok().context(MalformedFieldSnafu { field: "region" })?;
     Ok(ClaimExchange::Call(ExchangeCall {
         serial: body.serial,
         kind: if body.is_release { RecordKind::Release } else { RecordKind::Claim },
@@ -217,6 +223,7 @@
         request: RequestId(u128::from_be_bytes(request)),
         fingerprint,
         budget: Duration::from_millis(body.budget_ms),
+        region,
     }))
 }
 
--- a/crates/once/tests/bytes.rs
+++ b/crates/once/tests/bytes.rs
@@ -85,6 +85,7 @@
                 request: record.request,
                 fingerprint,
                 budget: Duration::from_millis(number),
+                region: "cz-central".parse().unwrap(),
             };
             let answer = Bytes::from("answer");
             for message in [
