--- a/crates/entry/src/owner/capacity.rs
+++ b/crates/entry/src/owner/capacity.rs
@@ -6,7 +6,7 @@
 use lists::ModelEntry;
 use loading::{
     GapHistogram, KeepWarm, KeepWorth, LoadCost, LoadFlight, ModelDemand, OrderId, ReplicaScale,
-    ReplicaSpeed, WarmPrices, WarmWish,
+    ReplicaSpeed, WarmPrices, WarmWish, replicas_wanted,
 };
 use placement::{PlacementEdit, PlacementOwner, SlotHolder};
 
@@ -70,7 +70,7 @@
         let replicas = self.flight.loaded_count() + self.flight.loading_count();
         let target = self.scale.target(demand, replicas, now);
         self.is_kept = self.warm.wish(now) == WarmWish::Loaded;
-        self.wanted = target.max(u32::from(self.is_kept));
+        self.wanted = replicas_wanted(target, demand, self.is_kept);
         self.wanted
     }
 
--- a/crates/loading/src/lib.rs
+++ b/crates/loading/src/lib.rs
@@ -27,7 +27,7 @@
         KeepWorth, LedgerAction, LedgerEvent, ListedTarget, ListingNumber, LoadOrder, LoadTarget,
         OrderId, OrderOutcome, UnloadOrder, UnloadPurpose,
     },
-    scale::{ModelDemand, ReplicaScale, ReplicaSpeed},
+    scale::{ModelDemand, ReplicaScale, ReplicaSpeed, replicas_wanted},
     slots::SlotBook,
     warm::{KeepWarm, LoadCost, WarmPlan, WarmPrices, WarmWish},
 };
--- a/crates/loading/src/scale.rs
+++ b/crates/loading/src/scale.rs
@@ -30,6 +30,16 @@
     pub load_time: Duration,
 }
 
+/// Replicas wanted altogether: the scale decides between one and many, and where no request is
+/// there the keep-warm plan decides between one and none.
+pub fn replicas_wanted(target: u32, demand: ModelDemand, is_kept: bool) -> u32 {
+    let is_needed = is_kept || demand != ModelDemand::default();
+    match target {
+        0 | 1 => u32::from(is_needed),
+        _ => target,
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct DemandPart {
     end: Instant,
--- a/crates/loading/src/warm.rs
+++ b/crates/loading/src/warm.rs
@@ -26,7 +26,7 @@
 
 impl Default for WarmPrices {
     fn default() -> Self {
-        Self { wait: 20.0, length_exponent: 2.0 }
+        Self { wait: 20.0, length_exponent: 4.0 }
     }
 }
 
