--- a/crates/entry/src/owner/report.rs
+++ b/crates/entry/src/owner/report.rs
@@ -119,6 +119,6 @@
         vm: vm.clone(),
         stage: replica.stage.to_string(),
         tier: replica.tier.to_string(),
-        outstanding: replica.outstanding.len(),
+        outstanding: replica.outstanding.count(),
     }
 }
--- a/crates/side/src/loads.rs
+++ b/crates/side/src/loads.rs
@@ -120,7 +120,7 @@
 /// # Errors
 ///
 /// Fails if a name is malformed.
-pub fn target_of(run: &RunRequest) -> Result<Option<LoadTarget>, ResultCode> {
+fn target_of(run: &RunRequest) -> Result<Option<LoadTarget>, ResultCode> {
     if run.model.is_empty() {
         return Ok(None);
     }
@@ -231,25 +231,26 @@
     }
 }
 
-/// Counts a request on its model, after loading its adapter if that is missing.
+/// Counts a request on its model, after loading its adapter if that is missing; `None` for plain
+/// services.
 ///
 /// # Errors
 ///
 /// Fails if the model or adapter cannot be used; nothing was handed to the engine.
 pub async fn acquire(
     state: &Arc<SideState>,
-    target: &LoadTarget,
     run: &RunRequest,
-) -> Result<(), ResultCode> {
-    if state.loads.start_request(target) {
-        return Ok(());
+) -> Result<Option<LoadTarget>, ResultCode> {
+    let Some(target) = target_of(run)? else { return Ok(None) };
+    if state.loads.start_request(&target) {
+        return Ok(Some(target));
     }
     if !target.is_adapter() {
         return Err(ResultCode::NoReplica);
     }
-    load_adapter(state, target, ByteSize(run.adapter_memory)).await.map_err(code_of)?;
-    match state.loads.start_request(target) {
-        true => Ok(()),
+    load_adapter(state, &target, ByteSize(run.adapter_memory)).await.map_err(code_of)?;
+    match state.loads.start_request(&target) {
+        true => Ok(Some(target)),
         false => Err(ResultCode::NoReplica),
     }
 }
