Short loads do not flap, and restarted side processes settle their slots

Ruled out: a longer window of the replica scale (it would keep the last replica of slow models for minutes).

Change: an idle model is kept for at least ten seconds. After a rebind the owner orders an unload under the new number where the model is not loaded; an engine that checks fencing then bars what earlier processes ordered.

--- a/crates/entry/src/owner/loads.rs
+++ b/crates/entry/src/owner/loads.rs
@@ -136,6 +136,9 @@
             capacity.note_batch(report.concurrency);
         }
         self.offer_slots(key, now);
+        if stage == ReplicaStage::Cold && !is_loaded {
+            self.settle_slot(key, &peer.vm);
+        }
         match stage {
             ReplicaStage::Cold if is_loaded => {
                 self.feed_flight(key, FlightEvent::Found(peer.vm.clone()), now);
@@ -153,6 +156,28 @@
         }
     }
 
+    /// Orders an unload under the slot's new number after a change of the side process: an engine
+    /// that checks fencing then refuses what earlier processes ordered.
+    fn settle_slot(&mut self, key: &OwnerKey, vm: &VmId) {
+        let OwnerKey::Model(model) = key else { return };
+        let target = self.targets.get_mut(key);
+        let Some(replica) = target.and_then(|target| target.replicas.get_mut(vm)) else { return };
+        let Some(slot) = &replica.slot else { return };
+        let is_due = slot.is_held() && slot.unsettled > 0 && replica.settled != Some(slot.fence);
+        if !is_due || slot.holder.process != replica.incarnation {
+            return;
+        }
+        replica.settled = Some(slot.fence);
+        let order = UnloadOrder {
+            model: model.to_string(),
+            fencing: slot.fence.0,
+            is_release: false,
+            incarnation: replica.incarnation.0,
+        };
+        let address = replica.address;
+        self.send(address, Message::UnloadOrder(order));
+    }
+
     fn load_denied(&mut self, key: &OwnerKey, vm: &VmId, reason: DenyReason, now: Instant) {
         let target = self.targets.get_mut(key);
         let Some(replica) = target.and_then(|target| target.replicas.get_mut(vm)) else { return };
--- a/crates/entry/src/owner/target.rs
+++ b/crates/entry/src/owner/target.rs
@@ -112,6 +112,8 @@
     pub stage: ReplicaStage,
     /// Slot that permits the model there; none for services.
     pub slot: Option<PlacementSlot>,
+    /// Number of the slot under which earlier processes' orders were barred.
+    pub settled: Option<FencingNumber>,
     /// Load that was ordered there.
     pub pending: Option<PendingLoad>,
     /// Where the server has the checkpoint.
@@ -134,6 +136,7 @@
             incarnation: ProcessIncarnation::default(),
             stage: ReplicaStage::Unreached,
             slot: None,
+            settled: None,
             pending: None,
             tier: UNKNOWN_TIER,
             free_memory: UNKNOWN_MEMORY,
--- a/crates/loading/src/warm.rs
+++ b/crates/loading/src/warm.rs
@@ -12,6 +12,10 @@
     orders::KeepWorth,
 };
 
+/// A model is kept this long after its last request, whatever the plan says, so that one with
+/// short loads is not unloaded between two requests.
+const LEAST_KEEP: Duration = Duration::from_secs(10);
+
 /// Resolution of [`KeepWorth`]: worth of one accelerator second each second.
 const WORTH_UNIT: f64 = 1_000_000.0;
 
@@ -119,6 +123,7 @@
     gaps: GapHistogram,
     plan: WarmPlan,
     is_busy: bool,
+    has_served: bool,
     idle_since: Instant,
 }
 
@@ -131,6 +136,7 @@
             gaps: GapHistogram::default(),
             plan: WarmPlan::default(),
             is_busy: false,
+            has_served: false,
             idle_since: now,
         }
     }
@@ -143,6 +149,7 @@
             return;
         }
         self.is_busy = is_busy;
+        self.has_served = true;
         if is_busy {
             let gap = now.saturating_duration_since(self.idle_since);
             self.gaps.add(gap);
@@ -162,6 +169,9 @@
     /// What to do now; a load ahead of time begins early enough to be done in time.
     pub fn wish(&self, now: Instant) -> WarmWish {
         let idle = now.saturating_duration_since(self.idle_since);
+        if !self.is_busy && self.has_served && idle < LEAST_KEEP {
+            return WarmWish::Loaded;
+        }
         let soon = bucket_of(idle + self.cost.load_time);
         let is_wanted = (bucket_of(idle)..=soon).any(|bucket| self.plan.is_warm(bucket));
         match self.is_busy || is_wanted {
@@ -178,6 +188,7 @@
             let start = Duration::from_secs_f64(bucket_start(bucket));
             [Some(start), start.checked_sub(self.cost.load_time)]
         });
+        let edges = edges.chain([[Some(LEAST_KEEP), None]].into_iter().flatten());
         let mut times: Vec<Instant> = edges
             .flatten()
             .map(|edge| self.idle_since + edge + EDGE_GRAIN)
