The owner admits by shares, classes and deadlines, and chooses replicas itself

Need: the owner granted first in, first out on the replica with the fewest credits; it knew neither priorities nor shares, kept the credits of lost entries for ever, and never noticed slow backend servers. Change: the owner's targets decide by GrantDesk. An ask carries share, priority, class, queue length and whether it may be repeated; a credit comes back with what became of it. The class is the target's or the one named by x-request-class; the part of the slots open to long work follows short-slots of the list of rights. Replicas on VMs that the VM list calls leaving get no new work. The decision on repetition stays with the delivery record, where it stood already; the second one in routing is removed. Ruled out: telling the desk of a leaving replica as ready and then as leaving, which would have granted work to it in between.

--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -8,13 +8,11 @@
 /// Limits of one queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AdmissionPolicy {
-    /// Largest size of a short request.
-    pub short_limit: RequestSize,
+    /// Size that a customer of the smallest share may have granted in one round of short work.
+    pub quantum: RequestSize,
     /// Largest share of all slots that long requests may hold, in percent; less while short
     /// requests need the slots.
     pub long_percent: u32,
-    /// Most waiting requests of one customer in one class.
-    pub customer_limit: usize,
     /// Most waiting requests of all customers.
     pub total_limit: usize,
     /// Service time of short requests assumed before any was observed.
@@ -28,23 +26,17 @@
 impl Default for AdmissionPolicy {
     fn default() -> Self {
         Self {
-            short_limit: RequestSize(512),
+            quantum: RequestSize(512),
             long_percent: 50,
-            customer_limit: 256,
             total_limit: 4096,
-            short_service: Duration::from_millis(500),
-            long_service: Duration::from_secs(10),
+            short_service: Duration::from_millis(100),
+            long_service: Duration::from_secs(2),
             aged_interval: 8,
         }
     }
 }
 
 impl AdmissionPolicy {
-    /// Class of a request of this size.
-    pub fn class_of(&self, size: RequestSize) -> WorkClass {
-        if size <= self.short_limit { WorkClass::Short } else { WorkClass::Long }
-    }
-
     /// Service time assumed for `class` before any was observed.
     pub fn initial_service(&self, class: WorkClass) -> Duration {
         match class {
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -30,6 +30,8 @@
     Cancel(AttemptId),
     /// The number of slots of the usable replicas has changed.
     Resize(SlotTotal),
+    /// Long requests may hold at most this part of the slots, in percent.
+    LimitLong(u32),
     /// The first replica is expected to be ready then, or nothing is known of one.
     ExpectReady(Option<Instant>),
     /// Time has passed.
@@ -107,8 +109,8 @@
         Self {
             policy,
             guards,
-            short: ClassQueue::new(policy.short_limit),
-            long: ClassQueue::new(RequestSize(policy.short_limit.0.saturating_mul(8))),
+            short: ClassQueue::new(policy.quantum),
+            long: ClassQueue::new(RequestSize(policy.quantum.0.saturating_mul(8))),
             waiting: HashMap::new(),
             expiries: BTreeSet::new(),
             slots: SlotLedger::new(),
@@ -128,6 +130,7 @@
             AdmissionEvent::Release(id) => drop(self.slots.stop(id)),
             AdmissionEvent::Cancel(id) => self.cancel(id),
             AdmissionEvent::Resize(total) => self.slots.resize(total),
+            AdmissionEvent::LimitLong(percent) => self.policy.long_percent = percent,
             AdmissionEvent::ExpectReady(ready) => self.expected_ready = ready,
             AdmissionEvent::Expire => {}
         }
@@ -165,7 +168,7 @@
 
     /// How long a new request like `request` is expected to wait for a slot.
     pub fn expected_wait(&self, request: &AdmissionRequest, now: Instant) -> Duration {
-        let class = self.policy.class_of(request.size);
+        let class = request.class;
         let queue = self.class(class);
         if self.slots.total() == SlotTotal(0) {
             let ready = self.expected_ready.unwrap_or(now);
@@ -193,7 +196,7 @@
         if self.waiting.contains_key(&id) || self.slots.holds(id) {
             return;
         }
-        if self.policy.class_of(request.size) == WorkClass::Short {
+        if request.class == WorkClass::Short {
             self.short_demand.arrive(now);
         }
         match self.check(&request, now) {
@@ -206,9 +209,9 @@
     }
 
     fn check(&self, request: &AdmissionRequest, now: Instant) -> Result<(), ResultCode> {
-        let class = self.policy.class_of(request.size);
+        let class = request.class;
         let queued = self.class(class).customer_len(&request.customer);
-        if self.guards.bounded_queues && queued >= self.policy.customer_limit {
+        if self.guards.bounded_queues && queued >= request.queue_limit as usize {
             return Err(ResultCode::QueueFull);
         }
         if !self.guards.early_refusal {
@@ -228,7 +231,7 @@
     }
 
     fn enqueue(&mut self, request: AdmissionRequest, now: Instant) {
-        let class = self.policy.class_of(request.size);
+        let class = request.class;
         let service = self.estimate.mean(class);
         let can_start = self.slots.has_free(class) && self.class(class).len() == 0;
         let start = request.deadline.checked_sub(service).unwrap_or(now);
@@ -292,7 +295,7 @@
     fn dispatch(&mut self, now: Instant, actions: &mut Vec<AdmissionAction>) {
         while let Some(waiting) = self.next(now) {
             let request = &waiting.request;
-            let class = self.policy.class_of(request.size);
+            let class = request.class;
             let key = ExpiryKey { latest_start: waiting.latest_start, id: request.id };
             self.waiting.remove(&request.id);
             self.expiries.remove(&key);
@@ -305,7 +308,7 @@
     fn next(&mut self, now: Instant) -> Option<WaitingRequest> {
         if let Some(urgent) = self.aged(now) {
             self.grants_since_aged = 0;
-            let class = self.policy.class_of(urgent.size);
+            let class = urgent.class;
             return self.class_mut(class).take(&urgent);
         }
         let class = self.next_class()?;
@@ -321,7 +324,7 @@
         }
         let first = self.expiries.first()?;
         let request = &self.waiting[&first.id].request;
-        let class = self.policy.class_of(request.size);
+        let class = request.class;
         let margin = self.estimate.mean(class) * URGENT_SERVICES;
         let is_urgent = first.latest_start.saturating_duration_since(now) <= margin;
         let outranked = self.class(class).best_rank() < Some(request.priority);
@@ -346,7 +349,7 @@
 
     fn forget(&mut self, id: AttemptId) {
         let Some(entry) = self.waiting.remove(&id) else { return };
-        let class = self.policy.class_of(entry.request.size);
+        let class = entry.request.class;
         self.class_mut(class).remove(&entry.request);
         self.expiries.remove(&ExpiryKey { latest_start: entry.latest_start, id });
     }
--- a/crates/admission/src/request.rs
+++ b/crates/admission/src/request.rs
@@ -3,7 +3,7 @@
 use std::{fmt, num::ParseIntError, str::FromStr};
 
 use base::{ids::AttemptId, prelude::*};
-use lists::RequestPriority;
+use lists::{RequestPriority, WorkClass};
 
 macro_rules! count_type {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
@@ -45,8 +45,12 @@
     pub share: ShareWeight,
     /// Priority by the customer's plan.
     pub priority: RequestPriority,
-    /// Predicted size.
+    /// Class of its work.
+    pub class: WorkClass,
+    /// Predicted size, which its customer's share is charged with.
     pub size: RequestSize,
+    /// Most requests of the customer that may wait in one class.
+    pub queue_limit: u32,
     /// Time by which the answer must have ended.
     pub deadline: Instant,
 }
--- a/crates/admission/tests/replay/mod.rs
+++ b/crates/admission/tests/replay/mod.rs
@@ -26,6 +26,12 @@
     pub gone_after: Option<Duration>,
 }
 
+impl Arrival {
+    pub fn class(&self) -> WorkClass {
+        if self.size > SHORT_LIMIT { WorkClass::Long } else { WorkClass::Short }
+    }
+}
+
 /// How a request ended for its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndKind {
@@ -90,7 +96,9 @@
                 self.waiting.retain(|waiting| *waiting != id);
             }
             AdmissionEvent::Resize(slots) => self.slots = slots.0,
-            AdmissionEvent::ExpectReady(_) | AdmissionEvent::Expire => {}
+            AdmissionEvent::ExpectReady(_)
+            | AdmissionEvent::LimitLong(_)
+            | AdmissionEvent::Expire => {}
         }
         let mut actions = Vec::new();
         while self.running.len() < self.slots as usize {
@@ -130,14 +138,13 @@
 }
 
 pub const SHORT_LIMIT: u32 = 100;
-pub const CUSTOMER_LIMIT: usize = 40;
+pub const CUSTOMER_LIMIT: u32 = 40;
 pub const LONG_PERCENT: u32 = 50;
 
 pub fn policy() -> AdmissionPolicy {
     AdmissionPolicy {
-        short_limit: RequestSize(SHORT_LIMIT),
+        quantum: RequestSize(SHORT_LIMIT),
         long_percent: LONG_PERCENT,
-        customer_limit: CUSTOMER_LIMIT,
         total_limit: 100,
         short_service: Duration::from_millis(100),
         long_service: Duration::from_secs(3),
@@ -155,7 +162,9 @@
         customer: CustomerId::new(arrival.customer).unwrap(),
         share: ShareWeight(arrival.share),
         priority: RequestPriority(arrival.priority),
+        class: arrival.class(),
         size: RequestSize(arrival.size),
+        queue_limit: CUSTOMER_LIMIT,
         deadline: start + arrival.at + arrival.budget,
     }
 }
@@ -255,8 +264,7 @@
     fn start(&mut self, id: usize, at: Duration) {
         assert!(self.open.contains(&id), "a grant for a request that is not open");
         let arrival = &self.arrivals[id];
-        let long = arrival.size > SHORT_LIMIT;
-        let class = if long { WorkClass::Long } else { WorkClass::Short };
+        let class = arrival.class();
         assert!(self.running.insert(id, class).is_none(), "a request was granted twice");
         self.record.granted.insert(id, at);
         self.steps.insert((at + arrival.service, ReplayStep::Finish(id)));
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -12,11 +12,13 @@
 use wire::{ask::AskTarget, run::HeaderField};
 
 /// Headers of a request that are passed on to backend servers.
-const PASSED_HEADERS: [&str; 4] = ["content-type", "accept", "idempotency-key", "x-request-class"];
+const PASSED_HEADERS: [&str; 4] = ["content-type", "accept", "idempotency-key", CLASS_HEADER];
 /// Path of chat completions, here and at model engines.
 pub const CHAT_PATH: &str = "/v1/chat/completions";
 /// Header in which a caller gives its time limit, in milliseconds.
 const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// Header in which a caller names the class of its work.
+const CLASS_HEADER: &str = "x-request-class";
 /// Header in which a caller names the operation, so that it runs at most once.
 const KEY_HEADER: &str = "idempotency-key";
 
@@ -62,6 +64,8 @@
     pub id: RequestId,
     /// The caller.
     pub rights: CallerRights,
+    /// Class of its work.
+    pub class: WorkClass,
     /// What it is for.
     pub target: CallTarget,
     /// HTTP method.
@@ -168,7 +172,7 @@
         body: Bytes,
         now: Instant,
     ) -> Result<Self> {
-        let class = target.class();
+        let class = named_class(&head.headers)?.unwrap_or(target.class());
         let limit = match head.headers.get(DEADLINE_HEADER) {
             Some(value) => {
                 let millis = value.to_str().ok().and_then(|text| text.parse().ok());
@@ -179,6 +183,7 @@
         Ok(Self {
             id: RequestId::random(),
             rights,
+            class,
             target,
             method: head.method.clone(),
             path: head.path.clone(),
@@ -237,6 +242,13 @@
     lists.caller(&KeyHash::of_key(key.trim()))
 }
 
+/// The class that the request names.
+fn named_class(headers: &HeaderMap) -> Result<Option<WorkClass>> {
+    let Some(value) = headers.get(CLASS_HEADER) else { return Ok(None) };
+    let class = value.to_str().ok().and_then(|text| text.parse().ok());
+    class.map(Some).ok_or(ResultCode::MalformedRequest)
+}
+
 fn idempotency_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>> {
     let Some(value) = headers.get(KEY_HEADER) else { return Ok(None) };
     let text = value.to_str().map_err(|_| ResultCode::MalformedRequest)?;
--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -46,7 +46,8 @@
             }
             Message::Ask(ask) => {
                 let reply = AskReplyPath::Peer(handle.sender.clone());
-                self.tell_owner(OwnerEvent::Ask { ask, reply }).await;
+                let from = handle.peer.clone();
+                self.tell_owner(OwnerEvent::Ask { from, ask, reply }).await;
             }
             Message::CreditReturn(returned) => {
                 self.tell_owner(OwnerEvent::CreditReturn(returned)).await;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -7,28 +7,26 @@
 mod placing;
 mod target;
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    sync::Arc,
-};
+use std::{collections::BTreeMap, sync::Arc};
 
+use admission::RequestSize;
 use base::{ids::AttemptId, prelude::*};
-use lists::ListSet;
+use lists::{ListSet, RequestPriority, WorkClass};
 use platform::ObjectStore;
-use routing::rendezvous::OwnerKey;
+use routing::{AttemptKind, CreditEnd, DeskAsk, DeskEvent, EntryLife, OwnerKey};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time,
 };
 use wire::{
     LinkSender, Message, PeerIdentity, PeerRole,
-    ask::{Ask, AskRefusal, AskTarget, CreditReturn, Grant},
+    ask::{Ask, AskRefusal, AskTarget, CreditReturn, CreditUse, Grant},
     load::{BackendReport, LoadOrder, OrderOutcome, ReportSubscription},
 };
 
 use self::{
     placing::{PlacedSlot, Placing},
-    target::{Replica, ReplicaStage, TargetState, WaitingAsk},
+    target::{Replica, ReplicaStage, TargetState, refuse},
 };
 use crate::{asks::AskReply, fleet::FleetView, peers::PeerPool};
 
@@ -36,6 +34,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Events that may wait for the owner's task.
 pub const EVENT_QUEUE: usize = 8192;
+/// Bytes of a request's body that count as one token.
+const BYTES_PER_TOKEN: u64 = 4;
 /// Pause before a failed placement is read again.
 const PLACE_RETRY: Duration = Duration::from_secs(1);
 
@@ -69,6 +69,8 @@
 pub enum OwnerEvent {
     /// A request asks for a backend server.
     Ask {
+        /// The entry that holds the request.
+        from: PeerIdentity,
         /// The ask.
         ask: Ask,
         /// Where the reply goes.
@@ -154,14 +156,13 @@
     context: OwnerContext,
     placing: Placing,
     targets: BTreeMap<OwnerKey, TargetState>,
-    keys: HashMap<AttemptId, OwnerKey>,
 }
 
 impl OwnerDuty {
     /// A duty without targets.
     pub fn new(context: OwnerContext, store: Arc<dyn ObjectStore>) -> Self {
         let placing = Placing::new(store, context.events.clone(), Arc::clone(&context.peers));
-        Self { context, placing, targets: BTreeMap::new(), keys: HashMap::new() }
+        Self { context, placing, targets: BTreeMap::new() }
     }
 
     /// Handles events until all senders are gone.
@@ -180,10 +181,10 @@
 
     fn handle(&mut self, event: OwnerEvent, now: Instant) {
         match event {
-            OwnerEvent::Ask { ask, reply } => self.ask(ask, reply, now),
-            OwnerEvent::CreditReturn(returned) => self.take_back(&returned),
+            OwnerEvent::Ask { from, ask, reply } => self.ask(&from, &ask, reply, now),
+            OwnerEvent::CreditReturn(returned) => self.take_back(&returned, now),
             OwnerEvent::OrderOutcome { peer, outcome } => self.order_ended(&peer, &outcome, now),
-            OwnerEvent::BackendReport { peer, report } => self.report(&peer, &report),
+            OwnerEvent::BackendReport { peer, report } => self.report(&peer, &report, now),
             OwnerEvent::PeerLost(peer) => self.lose(&peer, now),
             OwnerEvent::Placed { model, slots } => self.placed(&model, slots, now),
             OwnerEvent::SideReached { key, vm, peer } => self.side_reached(&key, &vm, peer, now),
@@ -194,23 +195,25 @@
         }
     }
 
-    fn ask(&mut self, ask: Ask, reply: AskReplyPath, now: Instant) {
+    fn ask(&mut self, from: &PeerIdentity, ask: &Ask, reply: AskReplyPath, now: Instant) {
         let Some(id) = AttemptId::from_wire(&ask.request, ask.attempt) else { return };
-        let waiting = WaitingAsk::new(id, ask, reply, now);
-        let Some(key) = owner_key(&waiting.ask.target) else {
-            return waiting.refuse(ResultCode::MalformedRequest);
+        let (Some(key), Some(desk_ask)) = (owner_key(&ask.target), read_ask(from, id, ask, now))
+        else {
+            return refuse(id, reply, ResultCode::MalformedRequest);
         };
         let lists = self.context.lists.borrow().clone();
-        let Some(lists) = lists else { return waiting.refuse(ResultCode::ListsMissing) };
+        let Some(lists) = lists else { return refuse(id, reply, ResultCode::ListsMissing) };
         let Some(decided) = decided_count(&lists, &key) else {
-            return waiting.refuse(ResultCode::UnknownModel);
+            return refuse(id, reply, ResultCode::UnknownModel);
         };
-        let target = self.targets.entry(key.clone()).or_default();
+        let target = self.targets.entry(key.clone()).or_insert_with(TargetState::new);
         target.decided = decided;
-        target.queue.push_back(waiting);
-        self.keys.insert(id, key.clone());
+        if let Some(percent) = long_percent(&lists, &key) {
+            target.limit_long(percent, now);
+        }
+        target.ask(desk_ask, reply, now);
         self.place(&key, &lists, now);
-        self.pump(&key);
+        self.pump(&key, now);
     }
 
     /// Finds out which backend servers may serve the target.
@@ -220,12 +223,10 @@
         match key {
             OwnerKey::Service(service) => {
                 for vm in fleet.backends(service) {
-                    target
-                        .replicas
-                        .entry(vm.id.clone())
-                        .or_insert_with(|| Replica::new(vm.address));
+                    let new = || Replica::new(vm.address, vm.zone.clone());
+                    target.replicas.entry(vm.id.clone()).or_insert_with(new);
                 }
-                target.replicas.retain(|vm, _| fleet.vm(vm).is_some());
+                target.retain_replicas(|vm| fleet.vm(vm).is_some(), now);
                 self.reach(key);
             }
             OwnerKey::Model(model) => {
@@ -246,11 +247,11 @@
         target.is_placing = false;
         target.place_again = Some(now + PLACE_RETRY);
         let Some(slots) = slots else { return };
-        target.replicas.retain(|vm, _| slots.iter().any(|slot| slot.vm == *vm));
+        target.retain_replicas(|vm| slots.iter().any(|slot| slot.vm == *vm), now);
         for slot in slots {
-            let Some(address) = fleet.address(&slot.vm) else { continue };
-            let replica =
-                target.replicas.entry(slot.vm.clone()).or_insert_with(|| Replica::new(address));
+            let Some(vm) = fleet.vm(&slot.vm) else { continue };
+            let new = || Replica::new(vm.address, vm.zone.clone());
+            let replica = target.replicas.entry(slot.vm.clone()).or_insert_with(new);
             replica.slot = Some(slot);
         }
         self.reach(&key);
@@ -297,10 +298,10 @@
             }
             None => replica.stage = ReplicaStage::Failed { until: now + PLACE_RETRY },
         }
-        self.pump(key);
+        self.pump(key, now);
     }
 
-    fn report(&mut self, peer: &PeerIdentity, report: &BackendReport) {
+    fn report(&mut self, peer: &PeerIdentity, report: &BackendReport, now: Instant) {
         let mut changed = Vec::new();
         for (key, target) in &mut self.targets {
             let Some(replica) = target.replicas.get_mut(&peer.vm) else { continue };
@@ -316,7 +317,7 @@
             changed.push(key.clone());
         }
         for key in changed {
-            self.pump(&key);
+            self.pump(&key, now);
         }
     }
 
@@ -332,66 +333,65 @@
             true => ReplicaStage::Ready,
             false => ReplicaStage::Failed { until: now + PLACE_RETRY },
         };
-        self.pump(&key);
+        self.pump(&key, now);
     }
 
     fn lose(&mut self, peer: &PeerIdentity, now: Instant) {
-        if peer.role != PeerRole::Side {
-            return;
+        match peer.role {
+            PeerRole::Side => self.lose_side(peer, now),
+            PeerRole::Entry => {
+                let entry = EntryLife { vm: peer.vm.clone(), incarnation: peer.incarnation };
+                for target in self.targets.values_mut() {
+                    target.decide(DeskEvent::EntryLost(entry.clone()), now);
+                }
+            }
         }
+    }
+
+    fn lose_side(&mut self, peer: &PeerIdentity, now: Instant) {
         for target in self.targets.values_mut() {
             if let Some(replica) = target.replicas.get_mut(&peer.vm)
                 && replica.incarnation == peer.incarnation
             {
-                replica.outstanding.clear();
                 replica.stage = ReplicaStage::Failed { until: now + PLACE_RETRY };
                 target.place_again = None;
+                target.offer_replicas(now);
             }
         }
     }
 
-    fn take_back(&mut self, returned: &CreditReturn) {
+    fn take_back(&mut self, returned: &CreditReturn, now: Instant) {
         let Some(id) = AttemptId::from_wire(&returned.request, returned.attempt) else { return };
-        let Some(key) = self.keys.remove(&id) else { return };
+        let Some(key) = owner_key(&returned.target) else { return };
         let Some(target) = self.targets.get_mut(&key) else { return };
-        target.queue.retain(|waiting| waiting.id != id);
-        for replica in target.replicas.values_mut() {
-            replica.outstanding.remove(&id);
-        }
-        self.pump(&key);
+        target.decide(DeskEvent::Return { id, end: credit_end(returned) }, now);
     }
 
     fn tick(&mut self, now: Instant) {
         let lists = self.context.lists.borrow().clone();
+        let fleet = Arc::clone(&self.context.fleet.borrow());
         let keys: Vec<OwnerKey> = self.targets.keys().cloned().collect();
         for key in keys {
-            self.expire(&key, now);
             let Some(target) = self.targets.get_mut(&key) else { continue };
-            target.revive(now);
-            if target.queue.is_empty() {
+            target.mark_leaving(&fleet);
+            target.offer_replicas(now);
+            target.tick(now);
+            if !target.has_waiting() {
                 continue;
             }
             if let Some(lists) = &lists {
                 self.place(&key, lists, now);
             }
             self.reach(&key);
-            self.pump(&key);
-        }
-    }
-
-    fn expire(&mut self, key: &OwnerKey, now: Instant) {
-        let Some(target) = self.targets.get_mut(key) else { return };
-        for waiting in target.take_expired(now) {
-            self.keys.remove(&waiting.id);
-            waiting.refuse(ResultCode::DeadlinePassed);
+            self.pump(&key, now);
         }
     }
 
     /// Grants credits and orders loads as far as the replicas allow.
-    fn pump(&mut self, key: &OwnerKey) {
+    fn pump(&mut self, key: &OwnerKey, now: Instant) {
         let Some(target) = self.targets.get_mut(key) else { return };
-        target.grant_waiting();
-        if target.queue.is_empty() {
+        target.offer_replicas(now);
+        if !target.has_waiting() {
             return;
         }
         let OwnerKey::Model(model) = key else { return };
@@ -420,6 +420,47 @@
     }
 }
 
+fn read_ask(from: &PeerIdentity, id: AttemptId, ask: &Ask, now: Instant) -> Option<DeskAsk> {
+    let tokens = ask.max_tokens.saturating_add(ask.body_bytes / BYTES_PER_TOKEN);
+    let class = if ask.is_long { WorkClass::Long } else { WorkClass::Short };
+    let kind = if ask.is_hedge { AttemptKind::Hedge } else { AttemptKind::Sole };
+    Some(DeskAsk {
+        id,
+        entry: EntryLife { vm: from.vm.clone(), incarnation: from.incarnation },
+        zone: from.zone.clone(),
+        customer: ask.customer.parse().ok()?,
+        share: ShareWeight(ask.share.max(1)),
+        priority: RequestPriority(u8::try_from(ask.priority).unwrap_or(u8::MAX)),
+        class,
+        size: RequestSize(u32::try_from(tokens).unwrap_or(u32::MAX)),
+        queue_limit: ask.queue_limit,
+        deadline: now + Duration::from_millis(ask.budget_ms),
+        kind,
+        may_repeat: ask.may_repeat,
+        tried: ask.tried.iter().filter_map(|vm| vm.parse().ok()).collect(),
+    })
+}
+
+fn credit_end(returned: &CreditReturn) -> CreditEnd {
+    let time = Duration::from_micros(returned.service_us);
+    match returned.used() {
+        CreditUse::Unused => CreditEnd::Unused,
+        CreditUse::Served => CreditEnd::Served(time),
+        CreditUse::Withdrawn => CreditEnd::Withdrawn(time),
+        CreditUse::Failed => CreditEnd::Failed,
+    }
+}
+
+/// Part of the slots that long work may hold, in percent.
+fn long_percent(lists: &ListSet, key: &OwnerKey) -> Option<u32> {
+    let service = match key {
+        OwnerKey::Model(model) => &lists.model(model)?.service,
+        OwnerKey::Service(service) => service,
+    };
+    let entry = lists.service(service)?;
+    Some((entry.slots.0 - entry.short_slots.0.min(entry.slots.0)) * 100 / entry.slots.0.max(1))
+}
+
 fn owner_key(target: &AskTarget) -> Option<OwnerKey> {
     if target.model.is_empty() {
         return target.service.parse().ok().map(OwnerKey::Service);
--- a/crates/entry/src/owner/target.rs
+++ b/crates/entry/src/owner/target.rs
@@ -1,15 +1,18 @@
 //! State of one model or service at its owner.
 
 use std::{
-    collections::{BTreeMap, HashSet, VecDeque},
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
 };
 
+use admission::AdmissionPolicy;
 use base::{ids::AttemptId, prelude::*};
-use routing::rendezvous::OwnerKey;
-use wire::ask::{Ask, AskRefusal, Grant};
+use platform::VmState;
+use routing::{DeskAction, DeskAsk, DeskEvent, EntryLife, GrantDesk, OwnerKey, ReplicaInfo};
+use wire::ask::{AskRefusal, Grant};
 
 use super::{AskReplyPath, ReplicaReport, TargetReport, placing::PlacedSlot};
+use crate::fleet::FleetView;
 
 /// Concurrency assumed before the first report.
 const FIRST_CONCURRENCY: usize = 4;
@@ -18,33 +21,20 @@
 
 /// A request that waits for a grant.
 #[derive(Debug)]
-pub struct WaitingAsk {
-    /// Identity of the attempt.
-    pub id: AttemptId,
-    /// The ask.
-    pub ask: Ask,
+struct WaitingAsk {
+    entry: EntryLife,
     reply: AskReplyPath,
-    deadline: Instant,
     was_cold: bool,
 }
 
-impl WaitingAsk {
-    /// An ask that arrived at `now`.
-    pub fn new(id: AttemptId, ask: Ask, reply: AskReplyPath, now: Instant) -> Self {
-        let deadline = now + Duration::from_millis(ask.budget_ms);
-        Self { id, ask, reply, deadline, was_cold: false }
-    }
-
-    /// Refuses the request.
-    pub fn refuse(self, code: ResultCode) {
-        let refusal = AskRefusal {
-            request: self.id.request_bytes(),
-            attempt: self.id.attempt,
-            code: code.number(),
-            retry_after_ms: RETRY_AFTER.as_millis() as u64,
-        };
-        self.reply.refuse(refusal);
-    }
+/// Refuses an ask that the desk does not know.
+pub fn refuse(id: AttemptId, reply: AskReplyPath, code: ResultCode) {
+    reply.refuse(AskRefusal {
+        request: id.request_bytes(),
+        attempt: id.attempt,
+        code: code.number(),
+        retry_after_ms: RETRY_AFTER.as_millis() as u64,
+    });
 }
 
 /// Where a replica stands.
@@ -80,23 +70,35 @@
     pub slot: Option<PlacedSlot>,
     /// Requests that it runs at once.
     pub concurrency: usize,
-    /// Whether it takes no new work.
+    /// Whether its side process takes no new work.
     pub is_draining: bool,
-    /// Credits granted and not returned.
-    pub outstanding: HashSet<AttemptId>,
+    /// Whether its VM is about to leave by the VM list.
+    pub is_leaving: bool,
+    zone: ZoneName,
+    offered: ReplicaOffer,
+}
+
+/// What the desk was told of a replica last.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum ReplicaOffer {
+    Gone,
+    Ready(ReplicaInfo),
+    Leaving(ProcessIncarnation),
 }
 
 impl Replica {
     /// A replica whose side process is not connected.
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, zone: ZoneName) -> Self {
         Self {
             address,
+            zone,
             incarnation: ProcessIncarnation::default(),
             stage: ReplicaStage::Unreached,
             slot: None,
             concurrency: FIRST_CONCURRENCY,
             is_draining: false,
-            outstanding: HashSet::new(),
+            is_leaving: false,
+            offered: ReplicaOffer::Gone,
         }
     }
 
@@ -109,59 +111,176 @@
         };
     }
 
-    fn has_credit(&self) -> bool {
-        let is_ready = self.stage == ReplicaStage::Ready && !self.is_draining;
-        is_ready && self.outstanding.len() < self.concurrency
+    fn offer(&self, vm: &VmId) -> ReplicaOffer {
+        if self.stage != ReplicaStage::Ready {
+            return ReplicaOffer::Gone;
+        }
+        if self.is_draining || self.is_leaving {
+            return ReplicaOffer::Leaving(self.incarnation);
+        }
+        ReplicaOffer::Ready(ReplicaInfo {
+            vm: vm.clone(),
+            incarnation: self.incarnation,
+            zone: self.zone.clone(),
+            slots: self.concurrency as u32,
+        })
     }
 }
 
 /// One model or service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TargetState {
     /// Decided number of replicas.
     pub decided: u32,
-    /// Requests that wait.
-    pub queue: VecDeque<WaitingAsk>,
     /// Backend servers that may serve.
     pub replicas: BTreeMap<VmId, Replica>,
     /// Whether the placement is being read or written.
     pub is_placing: bool,
     /// When the placement may be read again.
     pub place_again: Option<Instant>,
+    desk: GrantDesk,
+    waiting: HashMap<AttemptId, WaitingAsk>,
+    long_percent: Option<u32>,
 }
 
 impl TargetState {
-    /// Grants credits to waiting requests as long as there are any.
-    pub fn grant_waiting(&mut self) {
-        while let Some(waiting) = self.queue.front_mut() {
-            let tried = &waiting.ask.tried;
-            let replica =
-                self.replicas.iter_mut().filter(|(_, replica)| replica.has_credit()).min_by_key(
-                    |(vm, replica)| {
-                        (tried.iter().any(|t| t == vm.as_str()), replica.outstanding.len())
-                    },
-                );
-            let Some((vm, replica)) = replica else {
-                let is_cold =
-                    !self.replicas.values().any(|replica| replica.stage == ReplicaStage::Ready);
-                self.queue.iter_mut().for_each(|waiting| waiting.was_cold |= is_cold);
-                return;
-            };
-            replica.outstanding.insert(waiting.id);
-            let grant = Grant {
-                request: waiting.id.request_bytes(),
-                attempt: waiting.id.attempt,
-                vm: vm.to_string(),
-                address: replica.address.to_string(),
-                incarnation: replica.incarnation.0,
-                is_cold: waiting.was_cold,
-            };
-            if let Some(waiting) = self.queue.pop_front() {
+    /// A target without replicas.
+    pub fn new() -> Self {
+        Self {
+            decided: 0,
+            replicas: BTreeMap::new(),
+            is_placing: false,
+            place_again: None,
+            desk: GrantDesk::new(AdmissionPolicy::default(), rand::random()),
+            waiting: HashMap::new(),
+            long_percent: None,
+        }
+    }
+
+    /// Whether any request waits for a grant.
+    pub fn has_waiting(&self) -> bool {
+        let counts = self.desk.counts();
+        counts.short_waiting + counts.long_waiting > 0
+    }
+
+    /// Takes an ask; its reply is sent now or later.
+    pub fn ask(&mut self, ask: DeskAsk, reply: AskReplyPath, now: Instant) {
+        let waiting = WaitingAsk { entry: ask.entry.clone(), reply, was_cold: false };
+        self.waiting.insert(ask.id, waiting);
+        self.decide(DeskEvent::Ask(ask), now);
+        self.mark_cold();
+    }
+
+    /// Limits the slots that long work may hold.
+    pub fn limit_long(&mut self, percent: u32, now: Instant) {
+        if self.long_percent != Some(percent) {
+            self.long_percent = Some(percent);
+            self.decide(DeskEvent::LimitLong(percent), now);
+        }
+    }
+
+    /// Passes one event to the desk and sends its decisions.
+    pub fn decide(&mut self, event: DeskEvent, now: Instant) {
+        match &event {
+            DeskEvent::Return { id, .. } | DeskEvent::Withdraw(id) => {
+                self.waiting.remove(id);
+            }
+            DeskEvent::EntryLost(entry) => self.waiting.retain(|_, ask| ask.entry != *entry),
+            _ => {}
+        }
+        let actions = self.desk.handle(event, now);
+        for action in actions {
+            self.reply(action);
+        }
+    }
+
+    /// Tells the desk which replicas can serve.
+    pub fn offer_replicas(&mut self, now: Instant) {
+        for event in self.offer_changes() {
+            self.decide(event, now);
+        }
+    }
+
+    /// Forgets replicas that `keep` is false for.
+    pub fn retain_replicas(&mut self, keep: impl Fn(&VmId) -> bool, now: Instant) {
+        let gone = self.replicas.extract_if(.., |vm, _| !keep(vm));
+        let events: Vec<DeskEvent> = gone.map(|(vm, _)| DeskEvent::ReplicaGone(vm)).collect();
+        for event in events {
+            self.decide(event, now);
+        }
+    }
+
+    /// Takes over from the VM list which VMs are about to leave.
+    pub fn mark_leaving(&mut self, fleet: &FleetView) {
+        for (vm, replica) in &mut self.replicas {
+            let entry = fleet.vm(vm);
+            replica.is_leaving = entry.is_some_and(|entry| entry.state == VmState::Leaving);
+        }
+    }
+
+    /// Lets time pass; decisions that are due are sent.
+    pub fn tick(&mut self, now: Instant) {
+        for replica in self.replicas.values_mut() {
+            if matches!(replica.stage, ReplicaStage::Failed { until } if until <= now) {
+                replica.stage = ReplicaStage::Unreached;
+            }
+        }
+        self.decide(DeskEvent::Tick, now);
+    }
+
+    fn offer_changes(&mut self) -> Vec<DeskEvent> {
+        let mut events = Vec::new();
+        for (vm, replica) in &mut self.replicas {
+            let offer = replica.offer(vm);
+            if offer == replica.offered {
+                continue;
+            }
+            events.push(match (&replica.offered, &offer) {
+                (_, ReplicaOffer::Ready(info)) => DeskEvent::ReplicaReady(info.clone()),
+                (ReplicaOffer::Ready(info), ReplicaOffer::Leaving(life))
+                    if info.incarnation == *life =>
+                {
+                    DeskEvent::ReplicaLeaving(vm.clone())
+                }
+                _ => DeskEvent::ReplicaGone(vm.clone()),
+            });
+            replica.offered = offer;
+        }
+        events
+    }
+
+    fn reply(&mut self, action: DeskAction) {
+        match action {
+            DeskAction::Refuse { id, code } => {
+                if let Some(waiting) = self.waiting.remove(&id) {
+                    refuse(id, waiting.reply, code);
+                }
+            }
+            DeskAction::Grant { id, choice, hedge_after } => {
+                let Some(waiting) = self.waiting.remove(&id) else { return };
+                let Some(replica) = self.replicas.get(&choice.vm) else { return };
+                let grant = Grant {
+                    request: id.request_bytes(),
+                    attempt: id.attempt,
+                    vm: choice.vm.to_string(),
+                    address: replica.address.to_string(),
+                    incarnation: choice.incarnation.0,
+                    is_cold: waiting.was_cold,
+                    hedge_after_us: hedge_after.map_or(0, |after| after.as_micros() as u64),
+                };
                 waiting.reply.grant(grant);
             }
         }
     }
 
+    /// Remembers for all waiting requests that no replica is ready.
+    fn mark_cold(&mut self) {
+        if self.replicas.values().any(|replica| replica.stage == ReplicaStage::Ready) {
+            return;
+        }
+        self.waiting.values_mut().for_each(|ask| ask.was_cold = true);
+    }
+
     /// The replica to load next, unless one is loading already.
     pub fn next_load(&mut self) -> Option<(&VmId, &mut Replica)> {
         let is_loading =
@@ -174,36 +293,19 @@
             .find(|(_, replica)| replica.stage == ReplicaStage::Cold && !replica.is_draining)
     }
 
-    /// Requests whose time has run out.
-    pub fn take_expired(&mut self, now: Instant) -> Vec<WaitingAsk> {
-        let (expired, waiting) = std::mem::take(&mut self.queue)
-            .into_iter()
-            .partition(|waiting| waiting.deadline <= now);
-        self.queue = waiting;
-        Vec::from(expired as VecDeque<WaitingAsk>)
-    }
-
-    /// Ends pauses after failures.
-    pub fn revive(&mut self, now: Instant) {
-        for replica in self.replicas.values_mut() {
-            if matches!(replica.stage, ReplicaStage::Failed { until } if until <= now) {
-                replica.stage = ReplicaStage::Unreached;
-            }
-        }
-    }
-
     /// What operators see.
     pub fn describe(&self, key: &OwnerKey) -> TargetReport {
         let report = |(vm, replica): (&VmId, &Replica)| ReplicaReport {
             vm: vm.clone(),
             stage: format!("{:?}", replica.stage).to_lowercase(),
-            outstanding: replica.outstanding.len(),
+            outstanding: self.desk.replicas().outstanding(vm),
         };
+        let counts = self.desk.counts();
         TargetReport {
             target: key.to_string(),
             decided: self.decided,
             replicas: self.replicas.iter().map(report).collect(),
-            waiting: self.queue.len(),
+            waiting: counts.short_waiting + counts.long_waiting,
         }
     }
 }
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -4,12 +4,13 @@
 
 use base::{ids::AttemptId, prelude::*};
 use bytes::BytesMut;
+use lists::WorkClass;
 use once::{AttemptRecord, CrashMark, CrashNote, CrashVerdict, RequestFingerprint};
 use routing::rendezvous::{OwnerCount, OwnerKey, OwnerRanking};
 use tokio::{sync::mpsc, time};
 use wire::{
     LinkSender, Message, PeerIdentity,
-    ask::{Ask, CreditReturn, Grant},
+    ask::{Ask, CreditReturn, CreditUse, Grant},
     run::{AnswerEnd, RunCancel, RunRequest},
 };
 
@@ -195,6 +196,12 @@
                 attempt: id.attempt,
                 body_bytes: self.call.body.len() as u64,
                 max_tokens: self.call.max_tokens,
+                share: self.call.rights.share().0,
+                priority: u32::from(self.call.rights.priority().0),
+                may_repeat: self.call.repeat == RepeatRule::Repeatable,
+                is_hedge: false,
+                is_long: self.call.class == WorkClass::Long,
+                queue_limit: self.call.rights.plan.queue.0,
             };
             let Some(mut pending) = PendingAsk::send(&self.state, owner, ask).await else {
                 continue;
@@ -245,9 +252,11 @@
             handed.is_open = false;
             return AttemptEnd::NotRun(ResultCode::NoReplica);
         }
+        handed.credit.used = CreditUse::Withdrawn;
         let head = match time::timeout(self.time_left(), handed.next()).await {
             Ok(RunEvent::Refused(code)) => {
                 handed.is_open = false;
+                handed.credit.used = CreditUse::Unused;
                 return match code.run_state() {
                     RunState::NotRun => AttemptEnd::NotRun(code),
                     RunState::MayHaveRun => AttemptEnd::MayHaveRun(code),
@@ -362,7 +371,9 @@
         let id = AttemptId::from_wire(&ask.request, ask.attempt)?;
         if *owner == state.identity.vm {
             let (reply, replied) = tokio::sync::oneshot::channel();
-            let event = OwnerEvent::Ask { ask: ask.clone(), reply: AskReplyPath::Local(reply) };
+            let from = state.identity.clone();
+            let reply = AskReplyPath::Local(reply);
+            let event = OwnerEvent::Ask { from, ask: ask.clone(), reply };
             state.owner.send(event).await.ok()?;
             return Some(Self::new(state, id, ask, None, replied));
         }
@@ -394,7 +405,7 @@
             ask: self.ask.clone(),
             grant,
             started: Instant::now(),
-            has_failed: false,
+            used: CreditUse::Unused,
         }
     }
 }
@@ -422,7 +433,7 @@
     ask: Ask,
     grant: Grant,
     started: Instant,
-    has_failed: bool,
+    used: CreditUse,
 }
 
 impl Drop for HeldCredit {
@@ -433,12 +444,21 @@
             target: self.ask.target.clone(),
             vm: self.grant.vm.clone(),
             service_us: self.started.elapsed().as_micros() as u64,
-            has_failed: self.has_failed,
+            used: self.used.into(),
         };
         return_credit(&self.state, self.owner.as_ref(), returned);
     }
 }
 
+/// What the end of an answer tells about the backend server.
+fn used_by(end: &AnswerEnd) -> CreditUse {
+    match ResultCode::from_number(end.code) {
+        Some(ResultCode::Success) => CreditUse::Served,
+        Some(ResultCode::CallerCancelled | ResultCode::AnswerTimeout) => CreditUse::Withdrawn,
+        _ => CreditUse::Failed,
+    }
+}
+
 fn return_credit(state: &EntryState, owner: Option<&LinkSender>, returned: CreditReturn) {
     let is_sent = match owner {
         Some(sender) => sender.offer(Message::CreditReturn(returned)),
@@ -480,9 +500,10 @@
         let event = self.events.recv().await.unwrap_or(RunEvent::Lost);
         if event == RunEvent::Lost {
             self.is_open = false;
-            self.credit.has_failed = true;
+            self.credit.used = CreditUse::Failed;
         }
         if let RunEvent::End(end) = &event {
+            self.credit.used = used_by(end);
             self.tell_quarantine(end);
         }
         event
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -97,7 +97,7 @@
     };
     let id = call.id;
     let customer = call.rights.customer.id.to_string();
-    let class = call.target.class().to_string();
+    let class = call.class.to_string();
     let served = RequestDriver::new(Arc::clone(&state), call).serve().await;
     match served {
         Ok(answer) => {
--- a/crates/measures/benches/crest.rs
+++ b/crates/measures/benches/crest.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use admission::{AdmissionPolicy, RequestSize};
+use admission::AdmissionPolicy;
 use lists::WorkClass;
 use measures::{
     figures::{FigureTarget, MeasuredFigure},
@@ -52,7 +52,6 @@
 impl ServiceCase {
     fn policy(&self) -> AdmissionPolicy {
         AdmissionPolicy {
-            short_limit: RequestSize(100),
             short_service: self.service,
             long_service: self.service * LONG_FACTOR,
             ..AdmissionPolicy::default()
--- a/crates/measures/benches/stragglers.rs
+++ b/crates/measures/benches/stragglers.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use admission::{AdmissionPolicy, RequestSize};
+use admission::AdmissionPolicy;
 use lists::WorkClass;
 use measures::{
     figures::{FigureTarget, MeasuredFigure},
@@ -78,11 +78,7 @@
     }
 
     fn run(&self, is_desk: bool, jobs: &[Job], changes: &[SpeedChange]) -> ReplaySummary {
-        let policy = AdmissionPolicy {
-            short_limit: RequestSize(100),
-            short_service: self.service,
-            ..AdmissionPolicy::default()
-        };
+        let policy = AdmissionPolicy { short_service: self.service, ..AdmissionPolicy::default() };
         let router = match is_desk {
             true => ReplayRouter::desk(policy, &self.fleet, SEED),
             false => ReplayRouter::naive(&self.fleet, SEED),
--- a/crates/measures/src/replay/driver.rs
+++ b/crates/measures/src/replay/driver.rs
@@ -7,7 +7,7 @@
 
 use admission::{AdmissionPolicy, RequestSize};
 use base::{ids::AttemptId, prelude::*};
-use lists::{RequestPriority, WorkClass};
+use lists::RequestPriority;
 use routing::{
     AttemptKind, CreditEnd, DeskAction, DeskAsk, DeskEvent, EntryLife, GrantDesk, ReplicaInfo,
 };
@@ -22,6 +22,9 @@
 /// Time between two asks for a hedge of the same request.
 const HEDGE_PAUSE: Duration = Duration::from_millis(50);
 
+/// Requests of one customer that may wait.
+const QUEUE_LIMIT: u32 = 256;
+
 /// What decides.
 pub enum ReplayRouter {
     /// The owner's desk.
@@ -245,7 +248,6 @@
         let job = &self.jobs[id];
         let number = if kind == AttemptKind::Sole { 1 } else { 2 };
         let vm = VmId::new("entry-0").expect("a valid name");
-        let size = if job.class == WorkClass::Short { 1 } else { u32::MAX };
         DeskAsk {
             id: attempt(id, number),
             entry: EntryLife { vm, incarnation: ProcessIncarnation(1) },
@@ -253,7 +255,9 @@
             customer: CustomerId::new(format!("customer-{}", job.customer)).expect("a valid name"),
             share: ShareWeight(1),
             priority: RequestPriority(1),
-            size: RequestSize(size),
+            class: job.class,
+            size: RequestSize(1),
+            queue_limit: QUEUE_LIMIT,
             deadline: self.start + job.at + job.budget,
             kind,
             may_repeat: job.may_repeat,
--- a/crates/measures/tests/replay.rs
+++ b/crates/measures/tests/replay.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use admission::{AdmissionPolicy, RequestSize};
+use admission::AdmissionPolicy;
 use lists::WorkClass;
 use measures::replay::{
     Job, JobEnd, JobOutcome, ReplayFleet, ReplayRouter, ReplaySummary, SpeedChange, Workload,
@@ -14,7 +14,6 @@
 
 fn policy() -> AdmissionPolicy {
     AdmissionPolicy {
-        short_limit: RequestSize(100),
         short_service: Duration::from_millis(100),
         long_service: Duration::from_secs(2),
         ..AdmissionPolicy::default()
--- a/crates/routing/src/chooser.rs
+++ b/crates/routing/src/chooser.rs
@@ -116,7 +116,7 @@
         let vm = info.vm.clone();
         self.replicas
             .entry(vm)
-            .and_modify(|replica| replica.info = info.clone())
+            .and_modify(|replica| replica.renew(&info))
             .or_insert_with(|| ReplicaState::new(info, now));
         self.share_long_slots();
         dead
--- a/crates/routing/src/desk.rs
+++ b/crates/routing/src/desk.rs
@@ -59,8 +59,12 @@
     pub share: ShareWeight,
     /// Priority of the customer's plan.
     pub priority: RequestPriority,
-    /// Predicted size.
+    /// Class of its work.
+    pub class: WorkClass,
+    /// Predicted size, which the customer's share is charged with.
     pub size: RequestSize,
+    /// Most requests of the customer that may wait in one class.
+    pub queue_limit: u32,
     /// End of the request's time.
     pub deadline: Instant,
     /// Why the attempt is made.
@@ -100,6 +104,8 @@
         /// Requests that ran there.
         running: u32,
     },
+    /// Long work may hold at most this part of the slots, in percent.
+    LimitLong(u32),
     /// When the first replica will be ready, if it is known.
     ExpectReady(Option<Instant>),
     /// Time has passed.
@@ -153,7 +159,6 @@
 /// Waiting asks, replicas and open credits of one model or service.
 #[derive(Debug)]
 pub struct GrantDesk {
-    policy: AdmissionPolicy,
     guards: DeskGuards,
     queue: AdmissionQueue,
     chooser: ReplicaChooser,
@@ -173,7 +178,6 @@
     /// A desk with some safeguards off, to show what they prevent.
     pub fn with_guards(policy: AdmissionPolicy, seed: u64, guards: DeskGuards) -> Self {
         Self {
-            policy,
             guards,
             queue: AdmissionQueue::new(policy),
             chooser: ReplicaChooser::new(seed),
@@ -210,6 +214,9 @@
             DeskEvent::ExpectReady(ready) => {
                 self.drive(AdmissionEvent::ExpectReady(ready), now, &mut actions);
             }
+            DeskEvent::LimitLong(percent) => {
+                self.drive(AdmissionEvent::LimitLong(percent), now, &mut actions);
+            }
             DeskEvent::Tick => {}
         }
         self.resize(now, &mut actions);
@@ -252,7 +259,9 @@
             customer: ask.customer.clone(),
             share: ask.share,
             priority: ask.priority,
+            class: ask.class,
             size: ask.size,
+            queue_limit: ask.queue_limit,
             deadline: ask.deadline,
         };
         self.by_entry.entry(ask.entry.clone()).or_default().insert(id);
@@ -378,9 +387,8 @@
 
     fn grant_of(&self, id: AttemptId, choice: ReplicaChoice) -> DeskAction {
         let ask = &self.asks[&id];
-        let class = self.policy.class_of(ask.size);
         let may_hedge = ask.may_repeat && ask.kind == AttemptKind::Sole;
-        let hedge_after = self.chooser.hedge_after(class).filter(|_| may_hedge);
+        let hedge_after = self.chooser.hedge_after(ask.class).filter(|_| may_hedge);
         DeskAction::Grant { id, choice, hedge_after }
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,7 +7,6 @@
 mod latency;
 mod probation;
 pub mod rendezvous;
-pub mod repeat;
 pub mod replica;
 
 pub use crate::{
@@ -16,6 +15,5 @@
     chooser::{ChooserGuards, ReplicaChoice, ReplicaChooser, ReplicaRequest},
     desk::{AttemptKind, DeskAction, DeskAsk, DeskEvent, DeskGuards, EntryLife, GrantDesk},
     rendezvous::{OwnerCount, OwnerKey, OwnerRanking},
-    repeat::{AttemptRecord, RepeatDecision, RepeatRule},
     replica::{CreditEnd, ReplicaInfo},
 };
--- a/crates/routing/src/replica.rs
+++ b/crates/routing/src/replica.rs
@@ -79,6 +79,12 @@
         }
     }
 
+    /// Takes over changes of the same incarnation; the replica does not leave any more.
+    pub(crate) fn renew(&mut self, info: &ReplicaInfo) {
+        self.info = info.clone();
+        self.is_leaving = false;
+    }
+
     /// Whether work is granted on the replica; `slow_too` if slow ones are not left out.
     pub(crate) fn takes_work(&self, slow_too: bool) -> bool {
         !self.is_leaving && (slow_too || !self.probation.is_slow())
--- a/crates/routing/tests/desk.rs
+++ b/crates/routing/tests/desk.rs
@@ -4,7 +4,7 @@
 
 use admission::{AdmissionPolicy, RequestSize};
 use base::{ids::AttemptId, prelude::*};
-use lists::RequestPriority;
+use lists::{RequestPriority, WorkClass};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use routing::{
@@ -37,7 +37,9 @@
         customer: CustomerId::new("ada").unwrap(),
         share: ShareWeight(1),
         priority: RequestPriority(1),
+        class: WorkClass::Short,
         size: RequestSize(10),
+        queue_limit: 100,
         deadline: now + Duration::from_secs(3),
         kind: AttemptKind::Sole,
         may_repeat: true,
--- a/crates/wire/src/ask.rs
+++ b/crates/wire/src/ask.rs
@@ -1,6 +1,6 @@
 //! Messages between an entry and the owner of a model or service.
 
-use prost::Message;
+use prost::{Enumeration, Message};
 
 /// What a request is for.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
@@ -43,6 +43,24 @@
     /// Largest number of tokens the caller wants, or zero if it did not say.
     #[prost(uint64, tag = "8")]
     pub max_tokens: u64,
+    /// Weight of the customer among others of the same priority.
+    #[prost(uint32, tag = "9")]
+    pub share: u32,
+    /// Priority; lower numbers go first.
+    #[prost(uint32, tag = "10")]
+    pub priority: u32,
+    /// Whether the request may be executed more than once.
+    #[prost(bool, tag = "11")]
+    pub may_repeat: bool,
+    /// Whether another attempt of the request is under way.
+    #[prost(bool, tag = "12")]
+    pub is_hedge: bool,
+    /// Whether the request belongs to the long class.
+    #[prost(bool, tag = "13")]
+    pub is_long: bool,
+    /// Most requests of the customer that may wait in one class.
+    #[prost(uint32, tag = "14")]
+    pub queue_limit: u32,
 }
 
 /// The owner grants one credit on a backend server.
@@ -66,6 +84,9 @@
     /// Whether the request waited for a load.
     #[prost(bool, tag = "6")]
     pub is_cold: bool,
+    /// Time after which a hedge may be asked for, in microseconds; zero if none may.
+    #[prost(uint64, tag = "7")]
+    pub hedge_after_us: u64,
 }
 
 /// The owner refuses; nothing was handed to a backend server.
@@ -103,7 +124,21 @@
     /// Time from hand-over to the end, in microseconds.
     #[prost(uint64, tag = "5")]
     pub service_us: u64,
-    /// Whether the backend server failed or was lost.
-    #[prost(bool, tag = "6")]
-    pub has_failed: bool,
+    /// What became of the credit.
+    #[prost(enumeration = "CreditUse", tag = "6")]
+    pub used: i32,
+}
+
+/// What became of a credit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Enumeration)]
+#[repr(i32)]
+pub enum CreditUse {
+    /// The request was not handed over.
+    Unused = 0,
+    /// The answer ended.
+    Served = 1,
+    /// The request was withdrawn after it had been handed over.
+    Withdrawn = 2,
+    /// The backend server failed or was lost.
+    Failed = 3,
 }
