--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -4,7 +4,10 @@
 //! One task holds all state. Calls to the store and to side processes run in tasks of their own
 //! and come back as events.
 
-mod placing;
+mod capacity;
+mod loads;
+mod report;
+mod slots;
 mod target;
 
 use std::{collections::BTreeMap, sync::Arc};
@@ -12,7 +15,9 @@
 use admission::RequestSize;
 use base::{ids::AttemptId, prelude::*};
 use lists::{ListSet, RequestPriority, WorkClass};
-use platform::ObjectStore;
+use loading::{FlightEvent, GapHistogram};
+use placement::OwnerEvent as PlacementEvent;
+use platform::{ObjectStore, VmList};
 use routing::{AttemptKind, CreditEnd, DeskAsk, DeskEvent, EntryLife, OwnerKey};
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -21,13 +26,11 @@
 use wire::{
     LinkSender, Message, PeerIdentity, PeerRole,
     ask::{Ask, AskRefusal, AskTarget, CreditReturn, CreditUse, Grant},
-    load::{BackendReport, LoadOrder, OrderOutcome, ReportSubscription},
+    load::{BackendReport, OrderOutcome, ReportSubscription},
 };
 
-use self::{
-    placing::{PlacedSlot, Placing},
-    target::{Replica, ReplicaStage, TargetState, refuse},
-};
+pub use self::report::{ReplicaReport, TargetReport};
+use self::target::{Replica, ReplicaStage, TargetState, refuse};
 use crate::{asks::AskReply, fleet::FleetView, peers::PeerPool};
 
 /// Time between looks at deadlines and replicas.
@@ -36,8 +39,8 @@
 pub const EVENT_QUEUE: usize = 8192;
 /// Bytes of a request's body that count as one token.
 const BYTES_PER_TOKEN: u64 = 4;
-/// Pause before a failed placement is read again.
-const PLACE_RETRY: Duration = Duration::from_secs(1);
+/// Pause before a side process that could not be reached is tried again.
+const REACH_RETRY: Duration = Duration::from_secs(1);
 
 /// Where the reply to an ask goes.
 #[derive(Debug)]
@@ -94,12 +97,21 @@
     },
     /// A connection has ended.
     PeerLost(PeerIdentity),
-    /// A placement was read or written.
-    Placed {
+    /// The platform answered a call for a placement.
+    Placement {
+        /// Model.
+        model: ModelId,
+        /// The answer.
+        event: PlacementEvent,
+    },
+    /// A VM that is to get a slot was reached, or could not be.
+    CandidateReached {
         /// Model.
         model: ModelId,
-        /// Its slots, or `None` if the store did not answer.
-        slots: Option<Vec<PlacedSlot>>,
+        /// The VM.
+        vm: VmId,
+        /// Its side process, or `None` if it could not be reached.
+        peer: Option<PeerIdentity>,
     },
     /// A side process was reached, or could not be.
     SideReached {
@@ -114,33 +126,11 @@
     Describe(oneshot::Sender<Vec<TargetReport>>),
 }
 
-/// What the owner knows of one model or service.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
-pub struct TargetReport {
-    /// Model or service.
-    pub target: String,
-    /// Decided number of replicas.
-    pub decided: u32,
-    /// Replicas with their stages.
-    pub replicas: Vec<ReplicaReport>,
-    /// Requests that wait.
-    pub waiting: usize,
-}
-
-/// What the owner knows of one replica.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
-pub struct ReplicaReport {
-    /// VM of the backend server.
-    pub vm: VmId,
-    /// Stage of the model there.
-    pub stage: String,
-    /// Credits granted and not returned.
-    pub outstanding: usize,
-}
-
 /// What the owner's task uses of the rest of the process.
 #[derive(Debug, Clone)]
 pub struct OwnerContext {
+    /// This process.
+    pub identity: PeerIdentity,
     /// The lists in force.
     pub lists: watch::Receiver<Option<ListSet>>,
     /// The fleet.
@@ -154,15 +144,31 @@
 /// State of the owner's task.
 pub struct OwnerDuty {
     context: OwnerContext,
-    placing: Placing,
+    store: Arc<dyn ObjectStore>,
+    vms: Arc<dyn VmList>,
     targets: BTreeMap<OwnerKey, TargetState>,
+    prior: GapHistogram,
+    adopted: Option<AdoptedState>,
+}
+
+/// Lists and fleet for which the models of this process were determined.
+#[derive(Debug)]
+struct AdoptedState {
+    list: ListVersion,
+    fleet: Arc<FleetView>,
 }
 
 impl OwnerDuty {
     /// A duty without targets.
-    pub fn new(context: OwnerContext, store: Arc<dyn ObjectStore>) -> Self {
-        let placing = Placing::new(store, context.events.clone(), Arc::clone(&context.peers));
-        Self { context, placing, targets: BTreeMap::new() }
+    pub fn new(context: OwnerContext, store: Arc<dyn ObjectStore>, vms: Arc<dyn VmList>) -> Self {
+        Self {
+            context,
+            store,
+            vms,
+            targets: BTreeMap::new(),
+            prior: GapHistogram::default(),
+            adopted: None,
+        }
     }
 
     /// Handles events until all senders are gone.
@@ -186,7 +192,13 @@
             OwnerEvent::OrderOutcome { peer, outcome } => self.order_ended(&peer, &outcome, now),
             OwnerEvent::BackendReport { peer, report } => self.report(&peer, &report, now),
             OwnerEvent::PeerLost(peer) => self.lose(&peer, now),
-            OwnerEvent::Placed { model, slots } => self.placed(&model, slots, now),
+            OwnerEvent::Placement { model, event } => {
+                self.feed_placement(&model, event, now);
+                self.pump(&OwnerKey::Model(model), now);
+            }
+            OwnerEvent::CandidateReached { model, vm, peer } => {
+                self.candidate_reached(&model, vm, peer.as_ref(), now);
+            }
             OwnerEvent::SideReached { key, vm, peer } => self.side_reached(&key, &vm, peer, now),
             OwnerEvent::Describe(reply) => {
                 let reports = self.targets.iter().map(|(key, target)| target.describe(key));
@@ -207,7 +219,9 @@
             return refuse(id, reply, ResultCode::UnknownModel);
         };
         let target = self.targets.entry(key.clone()).or_insert_with(TargetState::new);
-        target.decided = decided;
+        if matches!(key, OwnerKey::Service(_)) {
+            target.decided = decided;
+        }
         if let Some(percent) = long_percent(&lists, &key) {
             target.limit_long(percent, now);
         }
@@ -230,33 +244,13 @@
                 self.reach(key);
             }
             OwnerKey::Model(model) => {
-                let is_due = target.place_again.is_none_or(|at| at <= now);
-                if !target.is_placing && is_due {
-                    let Some(entry) = lists.model(model) else { return };
-                    target.is_placing = true;
-                    self.placing.start(entry, &fleet);
+                if let Some(entry) = lists.model(model) {
+                    self.place_model(entry, lists.version(), now);
                 }
             }
         }
     }
 
-    fn placed(&mut self, model: &ModelId, slots: Option<Vec<PlacedSlot>>, now: Instant) {
-        let key = OwnerKey::Model(model.clone());
-        let fleet = Arc::clone(&self.context.fleet.borrow());
-        let Some(target) = self.targets.get_mut(&key) else { return };
-        target.is_placing = false;
-        target.place_again = Some(now + PLACE_RETRY);
-        let Some(slots) = slots else { return };
-        target.retain_replicas(|vm| slots.iter().any(|slot| slot.vm == *vm), now);
-        for slot in slots {
-            let Some(vm) = fleet.vm(&slot.vm) else { continue };
-            let new = || Replica::new(vm.address, vm.zone.clone());
-            let replica = target.replicas.entry(slot.vm.clone()).or_insert_with(new);
-            replica.slot = Some(slot);
-        }
-        self.reach(&key);
-    }
-
     /// Connects to side processes of the target that are not connected yet.
     fn reach(&mut self, key: &OwnerKey) {
         let Some(target) = self.targets.get_mut(key) else { return };
@@ -295,8 +289,16 @@
                     OwnerKey::Service(_) => ReplicaStage::Ready,
                     OwnerKey::Model(_) => ReplicaStage::Cold,
                 };
+                if let OwnerKey::Model(model) = key {
+                    self.see_holder(model, &peer, now);
+                    self.offer_slots(key, now);
+                }
+            }
+            None => {
+                replica.pending = None;
+                replica.stage = ReplicaStage::Failed { until: now + REACH_RETRY };
+                self.offer_slots(key, now);
             }
-            None => replica.stage = ReplicaStage::Failed { until: now + PLACE_RETRY },
         }
         self.pump(key, now);
     }
@@ -310,32 +312,14 @@
             }
             replica.concurrency = report.concurrency as usize;
             replica.is_draining = report.is_draining;
-            if let OwnerKey::Model(model) = key {
-                let held = report.models.iter().find(|held| held.model == model.as_str());
-                replica.observe(held.map(|held| held.is_loaded));
-            }
             changed.push(key.clone());
         }
         for key in changed {
+            self.observe_model(&key, peer, report, now);
             self.pump(&key, now);
         }
     }
 
-    fn order_ended(&mut self, peer: &PeerIdentity, outcome: &OrderOutcome, now: Instant) {
-        let Ok(model) = outcome.model.parse::<ModelId>() else { return };
-        let key = OwnerKey::Model(model);
-        let Some(target) = self.targets.get_mut(&key) else { return };
-        let Some(replica) = target.replicas.get_mut(&peer.vm) else { return };
-        if replica.incarnation != peer.incarnation {
-            return;
-        }
-        replica.stage = match outcome.is_loaded {
-            true => ReplicaStage::Ready,
-            false => ReplicaStage::Failed { until: now + PLACE_RETRY },
-        };
-        self.pump(&key, now);
-    }
-
     fn lose(&mut self, peer: &PeerIdentity, now: Instant) {
         match peer.role {
             PeerRole::Side => self.lose_side(peer, now),
@@ -349,26 +333,39 @@
     }
 
     fn lose_side(&mut self, peer: &PeerIdentity, now: Instant) {
-        for target in self.targets.values_mut() {
+        let mut lost = Vec::new();
+        for (key, target) in &mut self.targets {
             if let Some(replica) = target.replicas.get_mut(&peer.vm)
                 && replica.incarnation == peer.incarnation
             {
-                replica.stage = ReplicaStage::Failed { until: now + PLACE_RETRY };
-                target.place_again = None;
+                replica.pending = None;
+                replica.stage = ReplicaStage::Failed { until: now + REACH_RETRY };
                 target.offer_replicas(now);
+                lost.push(key.clone());
             }
         }
+        for key in lost {
+            self.offer_slots(&key, now);
+        }
     }
 
     fn take_back(&mut self, returned: &CreditReturn, now: Instant) {
         let Some(id) = AttemptId::from_wire(&returned.request, returned.attempt) else { return };
         let Some(key) = owner_key(&returned.target) else { return };
         let Some(target) = self.targets.get_mut(&key) else { return };
-        target.decide(DeskEvent::Return { id, end: credit_end(returned) }, now);
+        let end = credit_end(returned);
+        if let (Some(capacity), CreditEnd::Served(time)) = (target.capacity.as_mut(), end) {
+            capacity.note_service(time);
+        }
+        target.decide(DeskEvent::Return { id, end }, now);
+        self.pump(&key, now);
     }
 
     fn tick(&mut self, now: Instant) {
         let lists = self.context.lists.borrow().clone();
+        if let Some(lists) = &lists {
+            self.follow_lists(lists, now);
+        }
         let fleet = Arc::clone(&self.context.fleet.borrow());
         let keys: Vec<OwnerKey> = self.targets.keys().cloned().collect();
         for key in keys {
@@ -376,47 +373,37 @@
             target.mark_leaving(&fleet);
             target.offer_replicas(now);
             target.tick(now);
-            if !target.has_waiting() {
+            let is_model = matches!(key, OwnerKey::Model(_));
+            if !target.has_waiting() && !is_model {
                 continue;
             }
             if let Some(lists) = &lists {
                 self.place(&key, lists, now);
             }
             self.reach(&key);
+            self.feed_flight(&key, FlightEvent::Tick, now);
             self.pump(&key, now);
         }
     }
 
+    /// Takes up models again when the lists or the fleet have changed.
+    fn follow_lists(&mut self, lists: &ListSet, now: Instant) {
+        let (list, fleet) = (lists.version(), Arc::clone(&self.context.fleet.borrow()));
+        let is_same =
+            |adopted: &AdoptedState| adopted.list == list && Arc::ptr_eq(&adopted.fleet, &fleet);
+        if !self.adopted.as_ref().is_some_and(is_same) {
+            self.adopted = Some(AdoptedState { list, fleet });
+            self.adopt_models(lists, now);
+        }
+    }
+
     /// Grants credits and orders loads as far as the replicas allow.
     fn pump(&mut self, key: &OwnerKey, now: Instant) {
         let Some(target) = self.targets.get_mut(key) else { return };
         target.offer_replicas(now);
-        if !target.has_waiting() {
-            return;
-        }
-        let OwnerKey::Model(model) = key else { return };
-        let lists = self.context.lists.borrow();
-        let Some(entry) = lists.as_ref().and_then(|lists| lists.model(model)) else { return };
-        let Some((vm, replica)) = target.next_load() else { return };
-        let Some(slot) = &replica.slot else { return };
-        if slot.incarnation != replica.incarnation {
-            target.place_again = None;
-            return;
+        if matches!(key, OwnerKey::Model(_)) {
+            self.balance(key, now);
         }
-        let order = LoadOrder {
-            model: model.to_string(),
-            fencing: slot.fencing.0,
-            memory: entry.memory.0,
-            incarnation: replica.incarnation.0,
-        };
-        replica.stage = ReplicaStage::Loading;
-        log::info!("owner: ordering {model} at {vm}");
-        let (peers, address) = (Arc::clone(&self.context.peers), replica.address);
-        tokio::spawn(async move {
-            if let Ok(handle) = peers.link(address).await {
-                let _ = handle.sender.send(Message::LoadOrder(order)).await;
-            }
-        });
     }
 }
 
--- a/crates/entry/src/owner/target.rs
+++ b/crates/entry/src/owner/target.rs
@@ -2,16 +2,23 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    fmt,
     net::SocketAddr,
 };
 
 use admission::AdmissionPolicy;
 use base::{ids::AttemptId, prelude::*};
+use loading::{CacheTier, ModelDemand, OrderId};
+use placement::PlacementSlot;
 use platform::VmState;
-use routing::{DeskAction, DeskAsk, DeskEvent, EntryLife, GrantDesk, OwnerKey, ReplicaInfo};
+use routing::{DeskAction, DeskAsk, DeskEvent, EntryLife, GrantDesk, ReplicaInfo};
 use wire::ask::{AskRefusal, Grant};
 
-use super::{AskReplyPath, ReplicaReport, TargetReport, placing::PlacedSlot};
+use super::{
+    AskReplyPath,
+    capacity::ModelCapacity,
+    slots::{UNKNOWN_MEMORY, UNKNOWN_TIER},
+};
 use crate::fleet::FleetView;
 
 /// Concurrency assumed before the first report.
@@ -50,6 +57,8 @@
     Loading,
     /// Requests may be granted.
     Ready,
+    /// The model is being unloaded.
+    Unloading,
     /// Something failed; nothing is tried until then.
     Failed {
         /// End of the pause.
@@ -57,6 +66,29 @@
     },
 }
 
+impl fmt::Display for ReplicaStage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ReplicaStage::Unreached => "not connected",
+            ReplicaStage::Reaching => "connecting",
+            ReplicaStage::Cold => "not loaded",
+            ReplicaStage::Loading => "loading",
+            ReplicaStage::Ready => "ready",
+            ReplicaStage::Unloading => "unloading",
+            ReplicaStage::Failed { .. } => "not reached",
+        })
+    }
+}
+
+/// A load that was ordered and has not ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PendingLoad {
+    /// The order.
+    pub order: OrderId,
+    /// When it was given.
+    pub since: Instant,
+}
+
 /// One backend server that may serve the target.
 #[derive(Debug)]
 pub struct Replica {
@@ -67,7 +99,13 @@
     /// Where it stands.
     pub stage: ReplicaStage,
     /// Slot that permits the model there; none for services.
-    pub slot: Option<PlacedSlot>,
+    pub slot: Option<PlacementSlot>,
+    /// Load that was ordered there.
+    pub pending: Option<PendingLoad>,
+    /// Where the server has the checkpoint.
+    pub tier: CacheTier,
+    /// Memory that nothing is reserved in.
+    pub free_memory: ByteSize,
     /// Requests that it runs at once.
     pub concurrency: usize,
     /// Whether its side process takes no new work.
@@ -91,26 +129,20 @@
     pub fn new(address: SocketAddr, zone: ZoneName) -> Self {
         Self {
             address,
-            zone,
             incarnation: ProcessIncarnation::default(),
             stage: ReplicaStage::Unreached,
             slot: None,
+            pending: None,
+            tier: UNKNOWN_TIER,
+            free_memory: UNKNOWN_MEMORY,
             concurrency: FIRST_CONCURRENCY,
             is_draining: false,
             is_leaving: false,
+            zone,
             offered: ReplicaOffer::Gone,
         }
     }
 
-    /// Takes a report over: `Some(true)` if the model is loaded, `None` if it is not held.
-    pub fn observe(&mut self, held: Option<bool>) {
-        self.stage = match (self.stage, held) {
-            (ReplicaStage::Cold | ReplicaStage::Loading, Some(true)) => ReplicaStage::Ready,
-            (ReplicaStage::Ready, None) => ReplicaStage::Cold,
-            (stage, _) => stage,
-        };
-    }
-
     fn offer(&self, vm: &VmId) -> ReplicaOffer {
         if self.stage != ReplicaStage::Ready {
             return ReplicaOffer::Gone;
@@ -134,10 +166,8 @@
     pub decided: u32,
     /// Backend servers that may serve.
     pub replicas: BTreeMap<VmId, Replica>,
-    /// Whether the placement is being read or written.
-    pub is_placing: bool,
-    /// When the placement may be read again.
-    pub place_again: Option<Instant>,
+    /// Decisions about replicas; none for services.
+    pub capacity: Option<ModelCapacity>,
     desk: GrantDesk,
     waiting: HashMap<AttemptId, WaitingAsk>,
     long_percent: Option<u32>,
@@ -149,8 +179,7 @@
         Self {
             decided: 0,
             replicas: BTreeMap::new(),
-            is_placing: false,
-            place_again: None,
+            capacity: None,
             desk: GrantDesk::new(AdmissionPolicy::default(), rand::random()),
             waiting: HashMap::new(),
             long_percent: None,
@@ -159,8 +188,7 @@
 
     /// Whether any request waits for a grant.
     pub fn has_waiting(&self) -> bool {
-        let counts = self.desk.counts();
-        counts.short_waiting + counts.long_waiting > 0
+        self.waiting_count() > 0
     }
 
     /// Takes an ask; its reply is sent now or later.
@@ -281,31 +309,29 @@
         self.waiting.values_mut().for_each(|ask| ask.was_cold = true);
     }
 
-    /// The replica to load next, unless one is loading already.
-    pub fn next_load(&mut self) -> Option<(&VmId, &mut Replica)> {
-        let is_loading =
-            self.replicas.values().any(|replica| replica.stage == ReplicaStage::Loading);
-        if is_loading {
-            return None;
-        }
-        self.replicas
-            .iter_mut()
-            .find(|(_, replica)| replica.stage == ReplicaStage::Cold && !replica.is_draining)
+    /// A replica that is ready and runs nothing.
+    pub fn idle_replica(&self) -> Option<VmId> {
+        let is_idle = |(vm, replica): &(&VmId, &Replica)| {
+            replica.stage == ReplicaStage::Ready && self.outstanding(vm) == 0
+        };
+        self.replicas.iter().rfind(is_idle).map(|(vm, _)| vm.clone())
     }
 
-    /// What operators see.
-    pub fn describe(&self, key: &OwnerKey) -> TargetReport {
-        let report = |(vm, replica): (&VmId, &Replica)| ReplicaReport {
-            vm: vm.clone(),
-            stage: format!("{:?}", replica.stage).to_lowercase(),
-            outstanding: self.desk.replicas().outstanding(vm),
-        };
+    /// Credits on a replica that were granted and not returned.
+    pub fn outstanding(&self, vm: &VmId) -> usize {
+        self.desk.replicas().outstanding(vm)
+    }
+
+    /// Requests that wait.
+    pub fn waiting_count(&self) -> usize {
         let counts = self.desk.counts();
-        TargetReport {
-            target: key.to_string(),
-            decided: self.decided,
-            replicas: self.replicas.iter().map(report).collect(),
-            waiting: counts.short_waiting + counts.long_waiting,
-        }
+        counts.short_waiting + counts.long_waiting
+    }
+
+    /// Requests that wait and run.
+    pub fn demand(&self) -> ModelDemand {
+        let counts = self.desk.counts();
+        let running = counts.short_running + counts.long_running;
+        ModelDemand { waiting: self.waiting_count() as u32, running }
     }
 }
--- a/crates/routing/tests/desk.rs
+++ b/crates/routing/tests/desk.rs
@@ -176,16 +176,18 @@
 #[test]
 fn a_credit_that_never_returns_is_taken_back_after_its_deadline() {
     let now = Instant::now();
-    let later = now + Duration::from_secs(6);
-    let running = |guards| {
+    let running = |guards, after| {
         let mut desk = desk(guards, 1, now);
+        let longer = DeskAsk { deadline: now + Duration::from_secs(9), ..ask(2, 0, now) };
         desk.handle(DeskEvent::Ask(ask(1, 0, now)), now);
-        desk.handle(DeskEvent::Tick, later);
+        desk.handle(DeskEvent::Ask(longer), now);
+        desk.handle(DeskEvent::Tick, now + Duration::from_secs(after));
         desk.counts().short_running
     };
 
-    assert_eq!(running(DeskGuards::default()), 0);
-    assert_eq!(running(DeskGuards { deadlines: false, ..DeskGuards::default() }), 1);
+    assert_eq!(running(DeskGuards::default(), 3), 2);
+    assert_eq!(running(DeskGuards::default(), 6), 1);
+    assert_eq!(running(DeskGuards { deadlines: false, ..DeskGuards::default() }, 6), 2);
 }
 
 #[test]
