The entry assembles answers by AnswerStream

Need: the entry compared offsets itself; it cut an answer over a repeated frame and did not look at the incarnation in a frame. Change: HandedRun passes each frame to AnswerStream. Repeated bytes are shown once, foreign frames are dropped, gaps and wrong lengths still cut.

--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -6,12 +6,14 @@
 use bytes::BytesMut;
 use lists::WorkClass;
 use once::{AttemptRecord, CrashMark, CrashNote, CrashVerdict, RequestFingerprint};
-use routing::rendezvous::{OwnerCount, OwnerKey, OwnerRanking};
+use routing::{
+    AnswerStream, FrameBody, FrameOrigin, OwnerCount, OwnerKey, OwnerRanking, StreamAction,
+};
 use tokio::{sync::mpsc, time};
 use wire::{
     LinkSender, Message, PeerIdentity,
     ask::{Ask, CreditReturn, CreditUse, Grant},
-    run::{AnswerEnd, RunCancel, RunRequest},
+    run::{AnswerChunk, AnswerEnd, RunCancel, RunRequest},
 };
 
 use crate::{
@@ -262,7 +264,10 @@
                     RunState::MayHaveRun => AttemptEnd::MayHaveRun(code),
                 };
             }
-            Ok(RunEvent::Head(head)) => HeadParts::from(head),
+            Ok(RunEvent::Head(head)) => {
+                handed.take_frame(RunEvent::Head(head.clone()));
+                HeadParts::from(head)
+            }
             Ok(RunEvent::End(end)) => {
                 handed.is_open = false;
                 let code = ResultCode::from_number(end.code).unwrap_or(ResultCode::AnswerCut);
@@ -478,7 +483,7 @@
     events: mpsc::UnboundedReceiver<RunEvent>,
     suspect: RunSuspect,
     epoch: u64,
-    offset: u64,
+    stream: AnswerStream,
     is_open: bool,
 }
 
@@ -493,7 +498,9 @@
         let peer: &PeerIdentity = &side.peer;
         let events = state.runs.listen(id, peer);
         let side = side.clone();
-        Self { state, id, side, credit, events, suspect, epoch: 0, offset: 0, is_open: true }
+        let origin = FrameOrigin { id, incarnation: peer.incarnation };
+        let stream = AnswerStream::new(origin);
+        Self { state, id, side, credit, events, suspect, epoch: 0, stream, is_open: true }
     }
 
     async fn next(&mut self) -> RunEvent {
@@ -520,23 +527,39 @@
 
     /// The next part of the body; anything out of place cuts the answer.
     async fn next_part(&mut self) -> AnswerPart {
-        match self.next().await {
-            RunEvent::Chunk(chunk) if chunk.offset == self.offset => {
-                self.offset += chunk.data.len() as u64;
-                AnswerPart::Data(chunk.data)
+        loop {
+            let event = self.next().await;
+            if matches!(event, RunEvent::End(_)) {
+                self.is_open = false;
+            }
+            let action = self.take_frame(event);
+            match action {
+                Some(StreamAction::ShowData(data)) => return AnswerPart::Data(data),
+                Some(StreamAction::Complete) => return AnswerPart::End,
+                Some(StreamAction::Cut(code)) => return AnswerPart::Cut(code),
+                Some(StreamAction::ShowHead) | None => {}
+            }
+        }
+    }
+
+    fn take_frame(&mut self, event: RunEvent) -> Option<StreamAction> {
+        let (life, body) = match event {
+            RunEvent::Head(head) => (head.incarnation, FrameBody::Head),
+            RunEvent::Chunk(chunk) => {
+                let AnswerChunk { incarnation, offset, data, .. } = chunk;
+                (incarnation, FrameBody::Chunk { offset, data })
             }
             RunEvent::End(end) => {
-                self.is_open = false;
                 let code = ResultCode::from_number(end.code).unwrap_or(ResultCode::AnswerCut);
-                match code {
-                    ResultCode::Success if end.length == self.offset => AnswerPart::End,
-                    ResultCode::Success => AnswerPart::Cut(ResultCode::AnswerCut),
-                    code => AnswerPart::Cut(code),
-                }
+                (end.incarnation, FrameBody::End { length: end.length, code })
             }
-            RunEvent::Lost => AnswerPart::Cut(ResultCode::BackendLost),
-            _ => AnswerPart::Cut(ResultCode::AnswerCut),
-        }
+            RunEvent::Lost => (self.side.peer.incarnation.0, FrameBody::Lost),
+            RunEvent::Refused(_) | RunEvent::CancelAck { .. } => {
+                return Some(StreamAction::Cut(ResultCode::AnswerCut));
+            }
+        };
+        let origin = FrameOrigin { id: self.id, incarnation: ProcessIncarnation(life) };
+        self.stream.take(origin, body)
     }
 
     /// Withdraws the request because its time has run out.
