--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -5,41 +5,40 @@
 //! and come back as events.
 
 mod capacity;
-pub mod credits;
 mod loads;
 mod report;
 mod slots;
 mod target;
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    sync::Arc,
-};
+use std::{collections::BTreeMap, sync::Arc};
 
+use admission::RequestSize;
 use base::{ids::AttemptId, prelude::*};
-use lists::ListSet;
+use lists::{ListSet, RequestPriority, WorkClass};
 use loading::{FlightEvent, GapHistogram};
 use placement::OwnerEvent as PlacementEvent;
 use platform::{ObjectStore, VmList};
-use routing::rendezvous::OwnerKey;
+use routing::{AttemptKind, CreditEnd, DeskAsk, DeskEvent, EntryLife, OwnerKey};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time,
 };
 use wire::{
     LinkSender, Message, PeerIdentity, PeerRole,
-    ask::{Ask, AskRefusal, AskTarget, CreditReturn, Grant},
+    ask::{Ask, AskRefusal, AskTarget, CreditReturn, CreditUse, Grant},
     load::{BackendReport, OrderOutcome, ReportSubscription},
 };
 
 pub use self::report::{ReplicaReport, TargetReport};
-use self::target::{Replica, ReplicaStage, TargetState, WaitingAsk};
+use self::target::{Replica, ReplicaStage, TargetState, refuse};
 use crate::{asks::AskReply, fleet::FleetView, peers::PeerPool};
 
 /// Time between looks at deadlines and replicas.
 const TICK: Duration = Duration::from_millis(50);
 /// Events that may wait for the owner's task.
 pub const EVENT_QUEUE: usize = 8192;
+/// Bytes of a request's body that count as one token.
+const BYTES_PER_TOKEN: u64 = 4;
 /// Pause before a side process that could not be reached is tried again.
 const REACH_RETRY: Duration = Duration::from_secs(1);
 
@@ -53,14 +52,6 @@
 }
 
 impl AskReplyPath {
-    /// The connection to the entry that asks, unless it is this process.
-    fn asker(&self) -> Option<LinkSender> {
-        match self {
-            AskReplyPath::Local(_) => None,
-            AskReplyPath::Peer(sender) => Some(sender.clone()),
-        }
-    }
-
     fn grant(self, grant: Grant) {
         match self {
             AskReplyPath::Local(reply) => drop(reply.send(AskReply::Granted(grant))),
@@ -81,6 +72,8 @@
 pub enum OwnerEvent {
     /// A request asks for a backend server.
     Ask {
+        /// The entry that holds the request.
+        from: PeerIdentity,
         /// The ask.
         ask: Ask,
         /// Where the reply goes.
@@ -154,7 +147,6 @@
     store: Arc<dyn ObjectStore>,
     vms: Arc<dyn VmList>,
     targets: BTreeMap<OwnerKey, TargetState>,
-    keys: HashMap<AttemptId, OwnerKey>,
     prior: GapHistogram,
     adopted: Option<AdoptedState>,
 }
@@ -174,7 +166,6 @@
             store,
             vms,
             targets: BTreeMap::new(),
-            keys: HashMap::new(),
             prior: GapHistogram::default(),
             adopted: None,
         }
@@ -196,7 +187,7 @@
 
     fn handle(&mut self, event: OwnerEvent, now: Instant) {
         match event {
-            OwnerEvent::Ask { ask, reply } => self.ask(ask, reply, now),
+            OwnerEvent::Ask { from, ask, reply } => self.ask(&from, &ask, reply, now),
             OwnerEvent::CreditReturn(returned) => self.take_back(&returned, now),
             OwnerEvent::OrderOutcome { peer, outcome } => self.order_ended(&peer, &outcome, now),
             OwnerEvent::BackendReport { peer, report } => self.report(&peer, &report, now),
@@ -216,23 +207,25 @@
         }
     }
 
-    fn ask(&mut self, ask: Ask, reply: AskReplyPath, now: Instant) {
+    fn ask(&mut self, from: &PeerIdentity, ask: &Ask, reply: AskReplyPath, now: Instant) {
         let Some(id) = AttemptId::from_wire(&ask.request, ask.attempt) else { return };
-        let waiting = WaitingAsk::new(id, ask, reply, now);
-        let Some(key) = owner_key(&waiting.ask.target) else {
-            return waiting.refuse(ResultCode::MalformedRequest);
+        let (Some(key), Some(desk_ask)) = (owner_key(&ask.target), read_ask(from, id, ask, now))
+        else {
+            return refuse(id, reply, ResultCode::MalformedRequest);
         };
         let lists = self.context.lists.borrow().clone();
-        let Some(lists) = lists else { return waiting.refuse(ResultCode::ListsMissing) };
+        let Some(lists) = lists else { return refuse(id, reply, ResultCode::ListsMissing) };
         let Some(decided) = decided_count(&lists, &key) else {
-            return waiting.refuse(ResultCode::UnknownModel);
+            return refuse(id, reply, ResultCode::UnknownModel);
         };
-        let target = self.targets.entry(key.clone()).or_default();
+        let target = self.targets.entry(key.clone()).or_insert_with(TargetState::new);
         if matches!(key, OwnerKey::Service(_)) {
             target.decided = decided;
         }
-        target.queue.push_back(waiting);
-        self.keys.insert(id, key.clone());
+        if let Some(percent) = long_percent(&lists, &key) {
+            target.limit_long(percent, now);
+        }
+        target.ask(desk_ask, reply, now);
         self.place(&key, &lists, now);
         self.pump(&key, now);
     }
@@ -244,12 +237,10 @@
         match key {
             OwnerKey::Service(service) => {
                 for vm in fleet.backends(service) {
-                    target
-                        .replicas
-                        .entry(vm.id.clone())
-                        .or_insert_with(|| Replica::new(vm.address));
+                    let new = || Replica::new(vm.address, vm.zone.clone());
+                    target.replicas.entry(vm.id.clone()).or_insert_with(new);
                 }
-                target.replicas.retain(|vm, _| fleet.vm(vm).is_some());
+                target.retain_replicas(|vm| fleet.vm(vm).is_some(), now);
                 self.reach(key);
             }
             OwnerKey::Model(model) => {
@@ -330,17 +321,26 @@
     }
 
     fn lose(&mut self, peer: &PeerIdentity, now: Instant) {
-        if peer.role != PeerRole::Side {
-            return;
+        match peer.role {
+            PeerRole::Side => self.lose_side(peer, now),
+            PeerRole::Entry => {
+                let entry = EntryLife { vm: peer.vm.clone(), incarnation: peer.incarnation };
+                for target in self.targets.values_mut() {
+                    target.decide(DeskEvent::EntryLost(entry.clone()), now);
+                }
+            }
         }
+    }
+
+    fn lose_side(&mut self, peer: &PeerIdentity, now: Instant) {
         let mut lost = Vec::new();
         for (key, target) in &mut self.targets {
             if let Some(replica) = target.replicas.get_mut(&peer.vm)
                 && replica.incarnation == peer.incarnation
             {
-                replica.outstanding.clear();
                 replica.pending = None;
                 replica.stage = ReplicaStage::Failed { until: now + REACH_RETRY };
+                target.offer_replicas(now);
                 lost.push(key.clone());
             }
         }
@@ -351,15 +351,13 @@
 
     fn take_back(&mut self, returned: &CreditReturn, now: Instant) {
         let Some(id) = AttemptId::from_wire(&returned.request, returned.attempt) else { return };
-        let Some(key) = self.keys.remove(&id) else { return };
+        let Some(key) = owner_key(&returned.target) else { return };
         let Some(target) = self.targets.get_mut(&key) else { return };
-        target.queue.retain(|waiting| waiting.id != id);
-        for replica in target.replicas.values_mut() {
-            replica.outstanding.take_back(id);
-        }
-        if let Some(capacity) = target.capacity.as_mut().filter(|_| returned.service_us > 0) {
-            capacity.note_service(Duration::from_micros(returned.service_us));
+        let end = credit_end(returned);
+        if let (Some(capacity), CreditEnd::Served(time)) = (target.capacity.as_mut(), end) {
+            capacity.note_service(time);
         }
+        target.decide(DeskEvent::Return { id, end }, now);
         self.pump(&key, now);
     }
 
@@ -368,14 +366,15 @@
         if let Some(lists) = &lists {
             self.follow_lists(lists, now);
         }
+        let fleet = Arc::clone(&self.context.fleet.borrow());
         let keys: Vec<OwnerKey> = self.targets.keys().cloned().collect();
         for key in keys {
-            self.expire(&key, now);
-            self.release_lapsed(&key, now);
             let Some(target) = self.targets.get_mut(&key) else { continue };
-            target.revive(now);
+            target.mark_leaving(&fleet);
+            target.offer_replicas(now);
+            target.tick(now);
             let is_model = matches!(key, OwnerKey::Model(_));
-            if target.queue.is_empty() && !is_model {
+            if !target.has_waiting() && !is_model {
                 continue;
             }
             if let Some(lists) = &lists {
@@ -398,34 +397,57 @@
         }
     }
 
-    fn release_lapsed(&mut self, key: &OwnerKey, now: Instant) {
-        let Some(target) = self.targets.get_mut(key) else { return };
-        for (vm, replica) in &mut target.replicas {
-            for id in replica.outstanding.release_lapsed(now) {
-                log::debug!("owner: a credit on {vm} lapsed");
-                self.keys.remove(&id);
-            }
-        }
-    }
-
-    fn expire(&mut self, key: &OwnerKey, now: Instant) {
-        let Some(target) = self.targets.get_mut(key) else { return };
-        for waiting in target.take_expired(now) {
-            self.keys.remove(&waiting.id);
-            waiting.refuse(ResultCode::DeadlinePassed);
-        }
-    }
-
     /// Grants credits and orders loads as far as the replicas allow.
     fn pump(&mut self, key: &OwnerKey, now: Instant) {
         let Some(target) = self.targets.get_mut(key) else { return };
-        target.grant_waiting();
+        target.offer_replicas(now);
         if matches!(key, OwnerKey::Model(_)) {
             self.balance(key, now);
         }
     }
 }
 
+fn read_ask(from: &PeerIdentity, id: AttemptId, ask: &Ask, now: Instant) -> Option<DeskAsk> {
+    let tokens = ask.max_tokens.saturating_add(ask.body_bytes / BYTES_PER_TOKEN);
+    let class = if ask.is_long { WorkClass::Long } else { WorkClass::Short };
+    let kind = if ask.is_hedge { AttemptKind::Hedge } else { AttemptKind::Sole };
+    Some(DeskAsk {
+        id,
+        entry: EntryLife { vm: from.vm.clone(), incarnation: from.incarnation },
+        zone: from.zone.clone(),
+        customer: ask.customer.parse().ok()?,
+        share: ShareWeight(ask.share.max(1)),
+        priority: RequestPriority(u8::try_from(ask.priority).unwrap_or(u8::MAX)),
+        class,
+        size: RequestSize(u32::try_from(tokens).unwrap_or(u32::MAX)),
+        queue_limit: ask.queue_limit,
+        deadline: now + Duration::from_millis(ask.budget_ms),
+        kind,
+        may_repeat: ask.may_repeat,
+        tried: ask.tried.iter().filter_map(|vm| vm.parse().ok()).collect(),
+    })
+}
+
+fn credit_end(returned: &CreditReturn) -> CreditEnd {
+    let time = Duration::from_micros(returned.service_us);
+    match returned.used() {
+        CreditUse::Unused => CreditEnd::Unused,
+        CreditUse::Served => CreditEnd::Served(time),
+        CreditUse::Withdrawn => CreditEnd::Withdrawn(time),
+        CreditUse::Failed => CreditEnd::Failed,
+    }
+}
+
+/// Part of the slots that long work may hold, in percent.
+fn long_percent(lists: &ListSet, key: &OwnerKey) -> Option<u32> {
+    let service = match key {
+        OwnerKey::Model(model) => &lists.model(model)?.service,
+        OwnerKey::Service(service) => service,
+    };
+    let entry = lists.service(service)?;
+    Some((entry.slots.0 - entry.short_slots.0.min(entry.slots.0)) * 100 / entry.slots.0.max(1))
+}
+
 fn owner_key(target: &AskTarget) -> Option<OwnerKey> {
     if target.model.is_empty() {
         return target.service.parse().ok().map(OwnerKey::Service);
--- a/crates/entry/src/owner/loads.rs
+++ b/crates/entry/src/owner/loads.rs
@@ -13,7 +13,7 @@
 
 use super::{
     OwnerDuty, OwnerEvent,
-    target::{PendingLoad, Replica, ReplicaStage},
+    target::{PendingLoad, ReplicaStage},
 };
 
 /// Time after which a report that does not show an ordered load proves the order lost.
@@ -96,10 +96,8 @@
         if capacity.flight.loaded_count() <= wanted {
             return;
         }
-        let is_idle = |replica: &&mut Replica| {
-            replica.stage == ReplicaStage::Ready && replica.outstanding.count() == 0
-        };
-        let Some(replica) = target.replicas.values_mut().rfind(is_idle) else { return };
+        let Some(vm) = target.idle_replica() else { return };
+        let Some(replica) = target.replicas.get_mut(&vm) else { return };
         let Some(slot) = &replica.slot else { return };
         let order = UnloadOrder {
             model: model.to_string(),
@@ -108,7 +106,8 @@
             incarnation: replica.incarnation.0,
         };
         replica.stage = ReplicaStage::Unloading;
-        let (vm, address) = (slot.holder.vm.clone(), replica.address);
+        let address = replica.address;
+        target.offer_replicas(now);
         log::info!("owner: unloading {key} at {vm}, no request is expected");
         self.send(address, Message::UnloadOrder(order));
         self.feed_flight(key, FlightEvent::Lost(vm), now);
--- a/crates/entry/src/owner/report.rs
+++ b/crates/entry/src/owner/report.rs
@@ -81,9 +81,13 @@
             loaded: flight.map_or(0, |flight| flight.loaded_count()),
             loading: flight.map_or(0, |flight| flight.loading_count()),
             wanted: capacity.map_or(0, ModelCapacity::wanted),
-            waiting: self.queue.len(),
+            waiting: self.waiting_count(),
             why: capacity.map_or_else(String::new, |capacity| self.reason(capacity)),
-            replicas: self.replicas.iter().map(|(vm, replica)| describe(vm, replica)).collect(),
+            replicas: self
+                .replicas
+                .iter()
+                .map(|(vm, replica)| self.describe_replica(vm, replica))
+                .collect(),
         }
     }
 
@@ -112,13 +116,13 @@
             false => "idle, no request is expected soon".to_owned(),
         }
     }
-}
 
-fn describe(vm: &VmId, replica: &Replica) -> ReplicaReport {
-    ReplicaReport {
-        vm: vm.clone(),
-        stage: replica.stage.to_string(),
-        tier: replica.tier.to_string(),
-        outstanding: replica.outstanding.count(),
+    fn describe_replica(&self, vm: &VmId, replica: &Replica) -> ReplicaReport {
+        ReplicaReport {
+            vm: vm.clone(),
+            stage: replica.stage.to_string(),
+            tier: replica.tier.to_string(),
+            outstanding: self.outstanding(vm),
+        }
     }
 }
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -4,13 +4,16 @@
 
 use base::{ids::AttemptId, prelude::*};
 use bytes::BytesMut;
+use lists::WorkClass;
 use once::{AttemptRecord, CrashMark, CrashNote, CrashVerdict, RequestFingerprint};
-use routing::rendezvous::{OwnerCount, OwnerKey, OwnerRanking};
+use routing::{
+    AnswerStream, FrameBody, FrameOrigin, OwnerCount, OwnerKey, OwnerRanking, StreamAction,
+};
 use tokio::{sync::mpsc, time};
 use wire::{
     LinkSender, Message, PeerIdentity,
-    ask::{Ask, CreditReturn, Grant},
-    run::{AnswerEnd, RunCancel, RunRequest},
+    ask::{Ask, CreditReturn, CreditUse, Grant},
+    run::{AnswerChunk, AnswerEnd, RunCancel, RunRequest},
 };
 
 use crate::{
@@ -195,6 +198,12 @@
                 attempt: id.attempt,
                 body_bytes: self.call.body.len() as u64,
                 max_tokens: self.call.max_tokens,
+                share: self.call.rights.share().0,
+                priority: u32::from(self.call.rights.priority().0),
+                may_repeat: self.call.repeat == RepeatRule::Repeatable,
+                is_hedge: false,
+                is_long: self.call.class == WorkClass::Long,
+                queue_limit: self.call.rights.plan.queue.0,
             };
             let Some(mut pending) = PendingAsk::send(&self.state, owner, ask).await else {
                 continue;
@@ -245,15 +254,20 @@
             handed.is_open = false;
             return AttemptEnd::NotRun(ResultCode::NoReplica);
         }
+        handed.credit.used = CreditUse::Withdrawn;
         let head = match time::timeout(self.time_left(), handed.next()).await {
             Ok(RunEvent::Refused(code)) => {
                 handed.is_open = false;
+                handed.credit.used = CreditUse::Unused;
                 return match code.run_state() {
                     RunState::NotRun => AttemptEnd::NotRun(code),
                     RunState::MayHaveRun => AttemptEnd::MayHaveRun(code),
                 };
             }
-            Ok(RunEvent::Head(head)) => HeadParts::from(head),
+            Ok(RunEvent::Head(head)) => {
+                handed.take_frame(RunEvent::Head(head.clone()));
+                HeadParts::from(head)
+            }
             Ok(RunEvent::End(end)) => {
                 handed.is_open = false;
                 let code = ResultCode::from_number(end.code).unwrap_or(ResultCode::AnswerCut);
@@ -362,7 +376,9 @@
         let id = AttemptId::from_wire(&ask.request, ask.attempt)?;
         if *owner == state.identity.vm {
             let (reply, replied) = tokio::sync::oneshot::channel();
-            let event = OwnerEvent::Ask { ask: ask.clone(), reply: AskReplyPath::Local(reply) };
+            let from = state.identity.clone();
+            let reply = AskReplyPath::Local(reply);
+            let event = OwnerEvent::Ask { from, ask: ask.clone(), reply };
             state.owner.send(event).await.ok()?;
             return Some(Self::new(state, id, ask, None, replied));
         }
@@ -394,7 +410,7 @@
             ask: self.ask.clone(),
             grant,
             started: Instant::now(),
-            has_failed: false,
+            used: CreditUse::Unused,
         }
     }
 }
@@ -422,7 +438,7 @@
     ask: Ask,
     grant: Grant,
     started: Instant,
-    has_failed: bool,
+    used: CreditUse,
 }
 
 impl Drop for HeldCredit {
@@ -433,12 +449,21 @@
             target: self.ask.target.clone(),
             vm: self.grant.vm.clone(),
             service_us: self.started.elapsed().as_micros() as u64,
-            has_failed: self.has_failed,
+            used: self.used.into(),
         };
         return_credit(&self.state, self.owner.as_ref(), returned);
     }
 }
 
+/// What the end of an answer tells about the backend server.
+fn used_by(end: &AnswerEnd) -> CreditUse {
+    match ResultCode::from_number(end.code) {
+        Some(ResultCode::Success) => CreditUse::Served,
+        Some(ResultCode::CallerCancelled | ResultCode::AnswerTimeout) => CreditUse::Withdrawn,
+        _ => CreditUse::Failed,
+    }
+}
+
 fn return_credit(state: &EntryState, owner: Option<&LinkSender>, returned: CreditReturn) {
     let is_sent = match owner {
         Some(sender) => sender.offer(Message::CreditReturn(returned)),
@@ -458,7 +483,7 @@
     events: mpsc::UnboundedReceiver<RunEvent>,
     suspect: RunSuspect,
     epoch: u64,
-    offset: u64,
+    stream: AnswerStream,
     is_open: bool,
 }
 
@@ -473,16 +498,19 @@
         let peer: &PeerIdentity = &side.peer;
         let events = state.runs.listen(id, peer);
         let side = side.clone();
-        Self { state, id, side, credit, events, suspect, epoch: 0, offset: 0, is_open: true }
+        let origin = FrameOrigin { id, incarnation: peer.incarnation };
+        let stream = AnswerStream::new(origin);
+        Self { state, id, side, credit, events, suspect, epoch: 0, stream, is_open: true }
     }
 
     async fn next(&mut self) -> RunEvent {
         let event = self.events.recv().await.unwrap_or(RunEvent::Lost);
         if event == RunEvent::Lost {
             self.is_open = false;
-            self.credit.has_failed = true;
+            self.credit.used = CreditUse::Failed;
         }
         if let RunEvent::End(end) = &event {
+            self.credit.used = used_by(end);
             self.tell_quarantine(end);
         }
         event
@@ -499,23 +527,39 @@
 
     /// The next part of the body; anything out of place cuts the answer.
     async fn next_part(&mut self) -> AnswerPart {
-        match self.next().await {
-            RunEvent::Chunk(chunk) if chunk.offset == self.offset => {
-                self.offset += chunk.data.len() as u64;
-                AnswerPart::Data(chunk.data)
+        loop {
+            let event = self.next().await;
+            if matches!(event, RunEvent::End(_)) {
+                self.is_open = false;
+            }
+            let action = self.take_frame(event);
+            match action {
+                Some(StreamAction::ShowData(data)) => return AnswerPart::Data(data),
+                Some(StreamAction::Complete) => return AnswerPart::End,
+                Some(StreamAction::Cut(code)) => return AnswerPart::Cut(code),
+                Some(StreamAction::ShowHead) | None => {}
+            }
+        }
+    }
+
+    fn take_frame(&mut self, event: RunEvent) -> Option<StreamAction> {
+        let (life, body) = match event {
+            RunEvent::Head(head) => (head.incarnation, FrameBody::Head),
+            RunEvent::Chunk(chunk) => {
+                let AnswerChunk { incarnation, offset, data, .. } = chunk;
+                (incarnation, FrameBody::Chunk { offset, data })
             }
             RunEvent::End(end) => {
-                self.is_open = false;
                 let code = ResultCode::from_number(end.code).unwrap_or(ResultCode::AnswerCut);
-                match code {
-                    ResultCode::Success if end.length == self.offset => AnswerPart::End,
-                    ResultCode::Success => AnswerPart::Cut(ResultCode::AnswerCut),
-                    code => AnswerPart::Cut(code),
-                }
+                (end.incarnation, FrameBody::End { length: end.length, code })
             }
-            RunEvent::Lost => AnswerPart::Cut(ResultCode::BackendLost),
-            _ => AnswerPart::Cut(ResultCode::AnswerCut),
-        }
+            RunEvent::Lost => (self.side.peer.incarnation.0, FrameBody::Lost),
+            RunEvent::Refused(_) | RunEvent::CancelAck { .. } => {
+                return Some(StreamAction::Cut(ResultCode::AnswerCut));
+            }
+        };
+        let origin = FrameOrigin { id: self.id, incarnation: ProcessIncarnation(life) };
+        self.stream.take(origin, body)
     }
 
     /// Withdraws the request because its time has run out.
--- a/crates/routing/tests/desk.rs
+++ b/crates/routing/tests/desk.rs
@@ -4,7 +4,7 @@
 
 use admission::{AdmissionPolicy, RequestSize};
 use base::{ids::AttemptId, prelude::*};
-use lists::RequestPriority;
+use lists::{RequestPriority, WorkClass};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use routing::{
@@ -37,7 +37,9 @@
         customer: CustomerId::new("ada").unwrap(),
         share: ShareWeight(1),
         priority: RequestPriority(1),
+        class: WorkClass::Short,
         size: RequestSize(10),
+        queue_limit: 100,
         deadline: now + Duration::from_secs(3),
         kind: AttemptKind::Sole,
         may_repeat: true,
@@ -174,16 +176,18 @@
 #[test]
 fn a_credit_that_never_returns_is_taken_back_after_its_deadline() {
     let now = Instant::now();
-    let later = now + Duration::from_secs(6);
-    let running = |guards| {
+    let running = |guards, after| {
         let mut desk = desk(guards, 1, now);
+        let longer = DeskAsk { deadline: now + Duration::from_secs(9), ..ask(2, 0, now) };
         desk.handle(DeskEvent::Ask(ask(1, 0, now)), now);
-        desk.handle(DeskEvent::Tick, later);
+        desk.handle(DeskEvent::Ask(longer), now);
+        desk.handle(DeskEvent::Tick, now + Duration::from_secs(after));
         desk.counts().short_running
     };
 
-    assert_eq!(running(DeskGuards::default()), 0);
-    assert_eq!(running(DeskGuards { deadlines: false, ..DeskGuards::default() }), 1);
+    assert_eq!(running(DeskGuards::default(), 3), 2);
+    assert_eq!(running(DeskGuards::default(), 6), 1);
+    assert_eq!(running(DeskGuards { deadlines: false, ..DeskGuards::default() }, 6), 2);
 }
 
 #[test]
