Free room that doubtful loads of an earlier process keep for ever

Nothing settled the doubts, because a load was denied before its new fencing number ever reached the engine.

Weighed: letting the doubts lapse with time, which safety must not rest on; and unloading all doubtful models at the start, which throws good replicas away. Now a load that is denied for room, of a model that is itself doubtful, begins to unload that model under its higher fencing number where the engine enforces these numbers; the unload settles the doubt. Where the engine ignores them, the room stays kept.

The changed histories reached an older fault as well: a release of a doubtful model that a request still counted on was sent to the engine at once (BusyUnloaded in no_history_breaks_an_invariant, enforced). It now waits for the request; with that line off, a_release_of_a_doubtful_model_waits fails.

--- a/crates/loading/src/ledger/orders.rs
+++ b/crates/loading/src/ledger/orders.rs
@@ -12,7 +12,8 @@
     pub(super) fn order_load(&mut self, order: LoadOrder, now: Instant) {
         let id = order.id;
         if let Err(reason) = self.check_load(&order, now) {
-            return self.deny(id, reason);
+            self.deny(id, reason);
+            return self.bar_doubtful(&order, reason);
         }
         let target = order.target;
         let entry = self
@@ -70,6 +71,24 @@
         }
     }
 
+    /// Begins to unload a target whose loads of unknown fate keep room from everybody.
+    ///
+    /// An engine that enforces fencing refuses these loads once it has carried out an order with
+    /// a higher number. Without this, a process that restarts beside a full engine might keep
+    /// more room than there is, and deny every load for ever.
+    fn bar_doubtful(&mut self, order: &LoadOrder, reason: DenyReason) {
+        let is_enforced = self.settings.fence_check == FenceCheck::Enforced;
+        if reason != DenyReason::NoRoom || !is_enforced || !self.is_over() {
+            return;
+        }
+        let Some(entry) = self.entries.get_mut(&order.target) else { return };
+        let is_doubtful = entry.phase == TargetPhase::Unsure && entry.doubts > 0;
+        if is_doubtful && entry.requests == 0 && order.fence > entry.doubt_fence {
+            entry.fence = entry.fence.max(order.fence);
+            self.start_leaving(&order.target);
+        }
+    }
+
     fn is_serving(&self, target: &LoadTarget) -> bool {
         self.entries.get(target).is_some_and(LedgerEntry::is_serving)
     }
@@ -119,15 +138,16 @@
         let Some(entry) = self.entries.get_mut(target).filter(|entry| entry.is_leaving) else {
             return;
         };
+        let is_busy = self.guards.spare_busy && entry.requests > 0;
         match entry.phase {
             TargetPhase::Waiting | TargetPhase::Queued => self.cancel_load(target),
             TargetPhase::Loading(_) | TargetPhase::Unloading(Some(_)) => {}
             TargetPhase::Loaded => {
-                let is_busy = self.guards.spare_busy && entry.requests > 0;
                 if !is_busy && !has_adapters {
                     self.send_unload(target);
                 }
             }
+            TargetPhase::Unsure if entry.doubts > 0 && can_bar && is_busy => {}
             TargetPhase::Unsure if entry.doubts > 0 && can_bar => self.send_unload(target),
             TargetPhase::Unsure if entry.doubts > 0 => self.deny_unloads(target),
             TargetPhase::Unsure | TargetPhase::Unloading(None) => self.request_listing(),
--- a/crates/loading/tests/ledger_orders.rs
+++ b/crates/loading/tests/ledger_orders.rs
@@ -306,3 +306,82 @@
 
     assert_eq!(denial(&actions), Some(DenyReason::NotReady));
 }
+
+/// A process whose predecessor may have ordered more models than there is room for.
+fn successor_over_its_memory(check: FenceCheck) -> LedgerFixture {
+    let ledger = common::ledger(check, GuardSet::default(), HOLDER);
+    let mut fixture = LedgerFixture { ledger, now: Instant::now(), orders: 0 };
+    let slot = |number| InheritedSlot {
+        model: common::model(number),
+        size: size_of(&base_target(number)),
+        fence: FencingNumber(1),
+        unsettled: 1,
+    };
+    fixture.step(LedgerEvent::Inherited((1..=4).map(slot).collect()));
+    fixture.list(1, &[]);
+    fixture
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_doubtful_load_beyond_the_memory_is_barred_where_fencing_is_enforced() {
+    let mut fixture = successor_over_its_memory(FenceCheck::Enforced);
+    let before = fixture.ledger.reserved();
+
+    let barred = fixture.load(base_target(1), 2, 1);
+    fixture.step(LedgerEvent::Answered(attempt_of(&barred), EngineAnswer::Done));
+    fixture.list(2, &[]);
+
+    assert_eq!(denial(&barred), Some(DenyReason::NoRoom));
+    assert_eq!(before.minus(fixture.ledger.reserved()), size_of(&base_target(1)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_process_that_restarts_over_its_memory_serves_again() {
+    let mut fixture = successor_over_its_memory(FenceCheck::Enforced);
+    for (number, listing) in [(1, 2), (2, 3), (3, 4)] {
+        let barred = fixture.load(base_target(number), 2, 1);
+        fixture.step(LedgerEvent::Answered(attempt_of(&barred), EngineAnswer::Done));
+        fixture.list(listing, &[]);
+    }
+
+    let actions = fixture.load(base_target(4), 2, 1);
+
+    assert_eq!(loads(&actions), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_doubtful_load_keeps_its_room_where_fencing_is_ignored() {
+    let mut fixture = successor_over_its_memory(FenceCheck::Ignored);
+    let before = fixture.ledger.reserved();
+
+    let actions = fixture.load(base_target(1), 2, 1);
+
+    assert_eq!(actions.len(), 1);
+    assert_eq!(denial(&actions), Some(DenyReason::NoRoom));
+    assert_eq!(fixture.ledger.reserved(), before);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_release_of_a_doubtful_model_waits_for_its_requests() {
+    let ledger = common::ledger(FenceCheck::Enforced, GuardSet::default(), HOLDER);
+    let mut fixture = LedgerFixture { ledger, now: Instant::now(), orders: 0 };
+    let slot = InheritedSlot {
+        model: common::model(1),
+        size: size_of(&base_target(1)),
+        fence: FencingNumber(1),
+        unsettled: 2,
+    };
+    fixture.step(LedgerEvent::Inherited(vec![slot]));
+    fixture.list(1, &[base_target(1)]);
+    fixture.step(LedgerEvent::RequestStarted(base_target(1)));
+    for _ in 0..10 {
+        fixture.step(LedgerEvent::Tick);
+    }
+    fixture.list(2, &[]);
+
+    let busy = fixture.unload(base_target(1), 2, UnloadPurpose::Release);
+    let idle = fixture.step(LedgerEvent::RequestEnded(base_target(1)));
+
+    assert_eq!(busy, Vec::new());
+    assert!(matches!(idle[..], [LedgerAction::UnloadAtEngine { .. }]), "{idle:?}");
+}
