A VM that is no longer listed holds no replicas

In the cells with a late VM list the stand-in of a lost VM's engine lives on, so its records show its models as held for ever, and the check counted them beside their replacements (hand-over, answer, load and unload with list-late). A holding now ends at the latest when the platform no longer lists the VM, not when the VM died, so that a slot moved before the platform told of the loss still counts as one too many.

Pairs of faults that freeze a process already dead were reported as not run; they now strike nothing.

--- a/crates/proof/src/faults.rs
+++ b/crates/proof/src/faults.rs
@@ -205,6 +205,21 @@
     target.node(fleet).expect("targets are chosen among the nodes of the fleet")
 }
 
+/// Freezes the process, unless an earlier fault has ended it.
+fn freeze(node: &mut SystemNode) -> Result<()> {
+    match node.process.is_running() {
+        true => Ok(node.process.freeze()?),
+        false => Ok(()),
+    }
+}
+
+fn wake(node: &mut SystemNode) -> Result<()> {
+    match node.process.is_running() && node.process.is_frozen() {
+        true => Ok(node.process.wake()?),
+        false => Ok(()),
+    }
+}
+
 /// Injects `fault`. Returns when the platform showed the target as leaving, if it did.
 ///
 /// # Errors
@@ -217,7 +232,7 @@
 ) -> Result<Option<u64>> {
     match fault {
         FaultKind::Kill => node(fleet, target).process.kill().await,
-        FaultKind::Freeze | FaultKind::LeaseLapsed => node(fleet, target).process.freeze()?,
+        FaultKind::Freeze | FaultKind::LeaseLapsed => freeze(node(fleet, target))?,
         FaultKind::Cut => node(fleet, target).peers.set_mode(RelayMode::Cut),
         FaultKind::HalfOpen => node(fleet, target).peers.set_mode(RelayMode::Silent),
         FaultKind::PlatformDown => {
@@ -239,6 +254,7 @@
         }
         FaultKind::VmReclaimed => return reclaim(fleet, target).await.map(Some),
         FaultKind::ListLate => {
+            node(fleet, target).is_gone = true;
             node(fleet, target).process.kill().await;
             take_backend_down(fleet, target).await?;
         }
@@ -259,9 +275,10 @@
     fleet.publish_vms().await?;
     let leaving_ms = since_epoch().as_millis() as u64;
     time::sleep(RECLAIM_NOTICE).await;
+    node(fleet, target).is_gone = true;
     node(fleet, target).process.kill().await;
     take_backend_down(fleet, target).await?;
-    node(fleet, target).listed = None;
+    node(fleet, target).delist();
     fleet.publish_vms().await?;
     Ok(leaving_ms)
 }
@@ -273,8 +290,9 @@
 /// Fails if a process or stand-in does not react.
 pub async fn heal(fleet: &mut Fleet, fault: FaultKind, target: FaultTarget) -> Result<()> {
     match fault {
+        FaultKind::Kill if node(fleet, target).is_gone => {}
         FaultKind::Kill => node(fleet, target).restart().await?,
-        FaultKind::Freeze | FaultKind::LeaseLapsed => node(fleet, target).process.wake()?,
+        FaultKind::Freeze | FaultKind::LeaseLapsed => wake(node(fleet, target))?,
         FaultKind::Cut | FaultKind::HalfOpen => {
             node(fleet, target).peers.set_mode(RelayMode::Open);
         }
@@ -283,7 +301,7 @@
         }
         FaultKind::WeightsSlow => set(&fleet.weights, &WeightFault::default()).await?,
         FaultKind::ListLate => {
-            node(fleet, target).listed = None;
+            node(fleet, target).delist();
             fleet.publish_vms().await?;
         }
         FaultKind::VmReclaimed | FaultKind::RacingEdits => {}
--- a/crates/proof/src/nodes.rs
+++ b/crates/proof/src/nodes.rs
@@ -6,7 +6,7 @@
     path::{Path, PathBuf},
 };
 
-use base::prelude::*;
+use base::{clock::since_epoch, prelude::*};
 use platform::{VmEntry, VmState, vms::VmRole};
 use snafu::{ResultExt, Snafu};
 
@@ -85,6 +85,10 @@
     pub peers: TcpRelay,
     /// State in the VM list; `None` if it is not listed.
     pub listed: Option<VmState>,
+    /// Whether its VM is gone for good.
+    pub is_gone: bool,
+    /// When the VM list lost it, in milliseconds since the Unix epoch.
+    pub delisted_ms: Option<u64>,
     plan: ProcessPlan,
 }
 
@@ -104,6 +108,8 @@
             zone: zone.parse().expect("names are valid"),
             service: None,
             listed: Some(VmState::Live),
+            is_gone: false,
+            delisted_ms: None,
             role,
             process,
             peers,
@@ -162,6 +168,12 @@
         Ok(())
     }
 
+    /// Takes the VM from the list, which must still be published.
+    pub fn delist(&mut self) {
+        self.listed = None;
+        self.delisted_ms = Some(since_epoch().as_millis() as u64);
+    }
+
     /// Address for callers, metrics and health checks.
     pub fn http_address(&self) -> SocketAddr {
         self.process.address("http").expect("a started process has told its addresses")
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -165,6 +165,11 @@
         self.signal(Signal::SIGCONT)
     }
 
+    /// Whether the process has been started and not waited for since.
+    pub fn is_running(&self) -> bool {
+        self.child.id().is_some()
+    }
+
     /// Whether the process is frozen.
     pub fn is_frozen(&self) -> bool {
         self.is_frozen
--- a/crates/proof/src/records.rs
+++ b/crates/proof/src/records.rs
@@ -18,6 +18,8 @@
     pub memory_bytes: u64,
     /// When the platform showed its VM as leaving, in milliseconds since the Unix epoch.
     pub leaving_ms: Option<u64>,
+    /// When the platform no longer listed its VM, in milliseconds since the Unix epoch.
+    pub delisted_ms: Option<u64>,
 }
 
 /// What a replica of the plain service recorded.
--- a/crates/proof/src/runner.rs
+++ b/crates/proof/src/runner.rs
@@ -267,7 +267,9 @@
     let memory_bytes = ByteSize::gib(ENGINE_GIB).0;
     for (index, records) in fleet.engine_records().await?.into_iter().enumerate() {
         let leaving_ms = leaving.filter(|_| target == FaultTarget::Engine(index));
-        evidence.engines.push(EngineEvidence { records, memory_bytes, leaving_ms });
+        let delisted_ms = fleet.engines[index].side.delisted_ms;
+        let engine = EngineEvidence { records, memory_bytes, leaving_ms, delisted_ms };
+        evidence.engines.push(engine);
     }
     for (index, pair) in fleet.desks.iter().enumerate() {
         let records = admin::read(pair.server.address("http")?, "/admin/records").await?;
