--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -2,14 +2,15 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use base::prelude::*;
+use base::{ids::AttemptId, prelude::*};
+use lists::WorkClass;
 
 use crate::{
     class::ClassQueue,
-    estimate::ServiceEstimate,
+    estimate::{DemandEstimate, ServiceEstimate},
     fair::WaitingRequest,
     policy::{AdmissionGuards, AdmissionPolicy},
-    request::{AdmissionRequest, RequestSize, SlotCount, WorkClass},
+    request::{AdmissionRequest, RequestSize, SlotTotal},
     slots::SlotLedger,
 };
 
@@ -22,13 +23,13 @@
     /// A request asks to be admitted; one that is known already is left as it is.
     Offer(AdmissionRequest),
     /// A granted request has ended; its service time is observed.
-    Finish(RequestId),
+    Finish(AttemptId),
     /// A granted request gives its slot back without a service time worth observing.
-    Release(RequestId),
+    Release(AttemptId),
     /// The caller has gone; the request is forgotten, waiting or granted.
-    Cancel(RequestId),
+    Cancel(AttemptId),
     /// The number of slots of the usable replicas has changed.
-    Resize(SlotCount),
+    Resize(SlotTotal),
     /// The first replica is expected to be ready then, or nothing is known of one.
     ExpectReady(Option<Instant>),
     /// Time has passed.
@@ -41,14 +42,14 @@
     /// The request may run.
     Grant {
         /// The request.
-        id: RequestId,
+        id: AttemptId,
         /// Its class, which decides the replica's slots it may use.
         class: WorkClass,
     },
     /// The request was not admitted and did not run.
     Refuse {
         /// The request.
-        id: RequestId,
+        id: AttemptId,
         /// Why; always a code whose run state is `not run`.
         code: ResultCode,
     },
@@ -70,7 +71,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct ExpiryKey {
     latest_start: Instant,
-    id: RequestId,
+    id: AttemptId,
 }
 
 #[derive(Debug, Clone)]
@@ -86,10 +87,11 @@
     guards: AdmissionGuards,
     short: ClassQueue,
     long: ClassQueue,
-    waiting: HashMap<RequestId, WaitingEntry>,
+    waiting: HashMap<AttemptId, WaitingEntry>,
     expiries: BTreeSet<ExpiryKey>,
     slots: SlotLedger,
     estimate: ServiceEstimate,
+    short_demand: DemandEstimate,
     expected_ready: Option<Instant>,
     grants_since_aged: u32,
 }
@@ -111,6 +113,7 @@
             expiries: BTreeSet::new(),
             slots: SlotLedger::new(),
             estimate: ServiceEstimate::new(&policy),
+            short_demand: DemandEstimate::new(),
             expected_ready: None,
             grants_since_aged: policy.aged_interval,
         }
@@ -124,10 +127,11 @@
             AdmissionEvent::Finish(id) => self.finish(id, now),
             AdmissionEvent::Release(id) => drop(self.slots.stop(id)),
             AdmissionEvent::Cancel(id) => self.cancel(id),
-            AdmissionEvent::Resize(total) => self.resize(total),
+            AdmissionEvent::Resize(total) => self.slots.resize(total),
             AdmissionEvent::ExpectReady(ready) => self.expected_ready = ready,
             AdmissionEvent::Expire => {}
         }
+        self.limit_long(now);
         self.expire(now, &mut actions);
         self.dispatch(now, &mut actions);
         actions
@@ -149,6 +153,11 @@
         }
     }
 
+    /// Slots that long requests may hold now.
+    pub fn long_limit(&self) -> u32 {
+        self.slots.long_limit()
+    }
+
     /// Mean service time of `class` as observed.
     pub fn mean_service(&self, class: WorkClass) -> Duration {
         self.estimate.mean(class)
@@ -158,7 +167,7 @@
     pub fn expected_wait(&self, request: &AdmissionRequest, now: Instant) -> Duration {
         let class = self.policy.class_of(request.size);
         let queue = self.class(class);
-        if self.slots.total() == SlotCount(0) {
+        if self.slots.total() == SlotTotal(0) {
             let ready = self.expected_ready.unwrap_or(now);
             return ready.saturating_duration_since(now);
         }
@@ -184,6 +193,9 @@
         if self.waiting.contains_key(&id) || self.slots.holds(id) {
             return;
         }
+        if self.policy.class_of(request.size) == WorkClass::Short {
+            self.short_demand.arrive(now);
+        }
         match self.check(&request, now) {
             Err(code) => actions.push(AdmissionAction::Refuse { id, code }),
             Ok(()) => {
@@ -244,21 +256,25 @@
         }
     }
 
-    fn finish(&mut self, id: RequestId, now: Instant) {
+    fn finish(&mut self, id: AttemptId, now: Instant) {
         if let Some(running) = self.slots.stop(id) {
             let served = now.saturating_duration_since(running.granted);
             self.estimate.observe(running.class, served);
         }
     }
 
-    fn cancel(&mut self, id: RequestId) {
+    fn cancel(&mut self, id: AttemptId) {
         self.slots.stop(id);
         self.forget(id);
     }
 
-    fn resize(&mut self, total: SlotCount) {
-        let percent = if self.guards.short_reserve { self.policy.long_percent } else { 100 };
-        self.slots.resize(total, percent);
+    fn limit_long(&mut self, now: Instant) {
+        let service = self.estimate.mean(WorkClass::Short);
+        let (percent, short) = match self.guards.short_reserve {
+            true => (self.policy.long_percent, self.short_demand.slots(service, now)),
+            false => (100, 0),
+        };
+        self.slots.limit_long(percent, short);
     }
 
     fn expire(&mut self, now: Instant, actions: &mut Vec<AdmissionAction>) {
@@ -328,7 +344,7 @@
         }
     }
 
-    fn forget(&mut self, id: RequestId) {
+    fn forget(&mut self, id: AttemptId) {
         let Some(entry) = self.waiting.remove(&id) else { return };
         let class = self.policy.class_of(entry.request.size);
         self.class_mut(class).remove(&entry.request);
--- a/crates/entry/src/owner/credits.rs
+++ b/crates/entry/src/owner/credits.rs
@@ -7,11 +7,9 @@
 
 use std::collections::HashMap;
 
-use base::prelude::*;
+use base::{ids::AttemptId, prelude::*};
 use wire::LinkSender;
 
-use crate::asks::AttemptId;
-
 /// Time for which the credits of an entry outlive its connection.
 const LOST_GRACE: Duration = Duration::from_secs(2);
 
--- a/crates/entry/src/owner/target.rs
+++ b/crates/entry/src/owner/target.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
 };
 
-use base::prelude::*;
+use base::{ids::AttemptId, prelude::*};
 use loading::{CacheTier, ModelDemand, OrderId};
 use placement::PlacementSlot;
 use wire::ask::{Ask, AskRefusal, Grant};
@@ -17,7 +17,6 @@
     credits::{CreditBook, CreditTerm},
     slots::{UNKNOWN_MEMORY, UNKNOWN_TIER},
 };
-use crate::asks::AttemptId;
 
 /// Concurrency assumed before the first report.
 const FIRST_CONCURRENCY: usize = 4;
--- a/crates/entry/tests/credits.rs
+++ b/crates/entry/tests/credits.rs
@@ -1,10 +1,7 @@
 //! Credits lapse when nobody returns them.
 
-use base::prelude::*;
-use entry::{
-    asks::AttemptId,
-    owner::credits::{CreditBook, CreditTerm},
-};
+use base::{ids::AttemptId, prelude::*};
+use entry::owner::credits::{CreditBook, CreditTerm};
 
 fn attempt(number: u128) -> AttemptId {
     AttemptId { request: RequestId(number), attempt: 1 }
