Bar all doubtful loads when a load finds no room, also those nobody asks for

The cells slot-move with kill, freeze, cut, half-open and platform-down still ended without recovery: a restarted side process kept 60 GiB for two slots that had been granted to its predecessor and never used. Nobody asked for these models, so no order with a higher number ever came, and two others took turns being barred without ever fitting.

Weighed: an order of the owner after each rebinding of a slot, which costs a message for each slot and loses the race against a waiting load. An unload needs no slot, and the ledger is the only giver of orders on its engine, so it may itself carry the number after the doubtful one; the next order under a slot carries at least this number. Now any load that finds no room makes the ledger bar every doubtful model that is not in use, where the engine enforces fencing.

New steps of the matrix: service-call, which strikes a replica of the plain service while it executes calls that may not be repeated, and entry-drain, a planned stop of an entry process.

--- a/crates/loading/src/ledger/orders.rs
+++ b/crates/loading/src/ledger/orders.rs
@@ -13,7 +13,10 @@
         let id = order.id;
         if let Err(reason) = self.check_load(&order, now) {
             self.deny(id, reason);
-            return self.bar_doubtful(&order, reason);
+            if reason == DenyReason::NoRoom {
+                self.bar_doubtful();
+            }
+            return;
         }
         let target = order.target;
         let entry = self
@@ -71,21 +74,26 @@
         }
     }
 
-    /// Begins to unload a target whose loads of unknown fate keep room from everybody.
+    /// Begins to unload the targets whose loads of unknown fate keep room from others.
     ///
-    /// An engine that enforces fencing refuses these loads once it has carried out an order with
-    /// a higher number. Without this, a process that restarts beside a full engine might keep
-    /// more room than there is, and deny every load for ever.
-    fn bar_doubtful(&mut self, order: &LoadOrder, reason: DenyReason) {
-        let is_enforced = self.settings.fence_check == FenceCheck::Enforced;
-        if reason != DenyReason::NoRoom || !is_enforced || !self.is_over() {
+    /// An engine that enforces fencing refuses these loads once it has carried out an unload with
+    /// a higher number; an unload needs no slot. Without this, a process that restarts beside a
+    /// full engine might keep more room than there is, and deny every load for ever.
+    pub(super) fn bar_doubtful(&mut self) {
+        if self.settings.fence_check != FenceCheck::Enforced {
             return;
         }
-        let Some(entry) = self.entries.get_mut(&order.target) else { return };
-        let is_doubtful = entry.phase == TargetPhase::Unsure && entry.doubts > 0;
-        if is_doubtful && entry.requests == 0 && order.fence > entry.doubt_fence {
-            entry.fence = entry.fence.max(order.fence);
-            self.start_leaving(&order.target);
+        let is_doubtful = |entry: &LedgerEntry| {
+            entry.phase == TargetPhase::Unsure && entry.doubts > 0 && entry.requests == 0
+        };
+        let doubtful = self.entries.iter_mut().filter(|(_, entry)| is_doubtful(entry));
+        let mut barred = Vec::new();
+        for (target, entry) in doubtful {
+            entry.fence = entry.fence.max(entry.doubt_fence.next());
+            barred.push(target.clone());
+        }
+        for target in barred {
+            self.start_leaving(&target);
         }
     }
 
--- a/crates/loading/src/ledger/room.rs
+++ b/crates/loading/src/ledger/room.rs
@@ -27,6 +27,7 @@
         } else {
             self.deny_loads(&target, DenyReason::NoRoom);
             self.entries.remove(&target);
+            self.bar_doubtful();
         }
     }
 
--- a/crates/loading/tests/ledger_orders.rs
+++ b/crates/loading/tests/ledger_orders.rs
@@ -82,6 +82,15 @@
     actions.iter().find_map(attempt).expect("a call to the engine")
 }
 
+fn attempts_of(actions: &[LedgerAction]) -> Vec<AttemptId> {
+    let attempt = |action: &LedgerAction| match action {
+        LedgerAction::LoadAtEngine { attempt, .. }
+        | LedgerAction::UnloadAtEngine { attempt, .. } => Some(*attempt),
+        _ => None,
+    };
+    actions.iter().filter_map(attempt).collect()
+}
+
 fn denial(actions: &[LedgerAction]) -> Option<DenyReason> {
     actions.iter().find_map(|action| match action {
         LedgerAction::Deny(_, reason) => Some(*reason),
@@ -323,29 +332,35 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_doubtful_load_beyond_the_memory_is_barred_where_fencing_is_enforced() {
+async fn doubtful_loads_are_barred_for_a_model_that_finds_no_room() {
     let mut fixture = successor_over_its_memory(FenceCheck::Enforced);
-    let before = fixture.ledger.reserved();
 
-    let barred = fixture.load(base_target(1), 2, 1);
-    fixture.step(LedgerEvent::Answered(attempt_of(&barred), EngineAnswer::Done));
+    let barred = fixture.load(base_target(5), 1, 1);
+    for attempt in attempts_of(&barred) {
+        fixture.step(LedgerEvent::Answered(attempt, EngineAnswer::Done));
+    }
     fixture.list(2, &[]);
+    fixture.list(3, &[]);
+    let actions = fixture.load(base_target(5), 1, 1);
 
     assert_eq!(denial(&barred), Some(DenyReason::NoRoom));
-    assert_eq!(before.minus(fixture.ledger.reserved()), size_of(&base_target(1)));
+    assert_eq!(attempts_of(&barred).len(), 4);
+    assert_eq!(loads(&actions), 1);
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_process_that_restarts_over_its_memory_serves_again() {
+async fn a_doubtful_model_that_finds_no_room_is_barred_itself_and_then_loaded() {
     let mut fixture = successor_over_its_memory(FenceCheck::Enforced);
-    for (number, listing) in [(1, 2), (2, 3), (3, 4)] {
-        let barred = fixture.load(base_target(number), 2, 1);
-        fixture.step(LedgerEvent::Answered(attempt_of(&barred), EngineAnswer::Done));
-        fixture.list(listing, &[]);
-    }
 
-    let actions = fixture.load(base_target(4), 2, 1);
+    let barred = fixture.load(base_target(1), 2, 1);
+    for attempt in attempts_of(&barred) {
+        fixture.step(LedgerEvent::Answered(attempt, EngineAnswer::Done));
+    }
+    fixture.list(2, &[]);
+    fixture.list(3, &[]);
+    let actions = fixture.load(base_target(1), 2, 1);
 
+    assert_eq!(denial(&barred), Some(DenyReason::NoRoom));
     assert_eq!(loads(&actions), 1);
 }
 
--- a/crates/proof/src/faults.rs
+++ b/crates/proof/src/faults.rs
@@ -171,7 +171,8 @@
 }
 
 impl FaultTarget {
-    fn node(self, fleet: &mut Fleet) -> Option<&mut SystemNode> {
+    /// The node in `fleet`; `None` if there is none of this number.
+    pub fn node(self, fleet: &mut Fleet) -> Option<&mut SystemNode> {
         match self {
             FaultTarget::Entry(index) => fleet.entries.get_mut(index),
             FaultTarget::Engine(index) => fleet.engines.get_mut(index).map(|pair| &mut pair.side),
--- a/crates/proof/src/matrix.rs
+++ b/crates/proof/src/matrix.rs
@@ -101,6 +101,11 @@
         (StepKind::Spread, Kill),
         (StepKind::Drain, PlatformDown),
         (StepKind::Drain, Cut),
+        (StepKind::ServiceCall, Kill),
+        (StepKind::ServiceCall, HalfOpen),
+        (StepKind::ServiceCall, VmReclaimed),
+        (StepKind::EntryDrain, PlatformDown),
+        (StepKind::EntryDrain, Freeze),
     ];
     let singles = table.into_iter().map(|(step, fault)| MatrixCell::new(step, fault));
     singles.chain(pairs().into_iter().take(2)).collect()
--- a/crates/proof/src/runner.rs
+++ b/crates/proof/src/runner.rs
@@ -18,10 +18,10 @@
     faults::{FaultKind, FaultTarget, heal, inject},
     fleet::{Fleet, Result},
     matrix::MatrixCell,
-    nodes::remove_directory,
+    nodes::{SystemNode, remove_directory},
     plan::{CRASH_MARKER, ENGINE_GIB, RECOVERY_LIMIT, decided},
     records::{CellEvidence, DeskEvidence, EngineEvidence, StopEvidence},
-    steps::{StepRun, begin},
+    steps::{DRAINED_ENTRY, StepKind, StepRun, begin},
 };
 
 /// Time between two waves of ordinary requests.
@@ -97,9 +97,9 @@
     let mut run = begin(cell.step, &mut fleet, &mut pool).await?;
     excuse(&mut evidence, cell, &run);
     let leaving = strike(&mut fleet, &mut pool, cell, &run).await?;
-    if let Some(index) = run.drained {
-        evidence.stops.push(stop_of(&mut fleet, index).await);
-        fleet.engines[index].side.restart().await?;
+    if let Some(node) = run.drained.and_then(|drained| drained.node(&mut fleet)) {
+        evidence.stops.push(stop_of(node).await);
+        node.restart().await?;
     }
     evidence.calls.extend(pool.collect().await);
     evidence.edits.extend(watch_edit(&fleet, cell, run.edit.take()).await);
@@ -118,6 +118,10 @@
     let mut at = Duration::ZERO;
     while at < length {
         for (entry, node) in fleet.entries.iter().enumerate() {
+            // Nobody sends new requests to an entry process that stops.
+            if cell.step == StepKind::EntryDrain && entry == DRAINED_ENTRY {
+                continue;
+            }
             let kinds = [
                 pool.chat(["m0", "m1"][entry % 2], 8, false),
                 pool.chat("m1", 8, true),
@@ -148,7 +152,7 @@
         evidence.may_break_streams |= *fault == FaultKind::PoisonRequest;
     }
     // The step itself kills the side process of an engine.
-    evidence.may_break_streams |= cell.step == crate::steps::StepKind::SlotMove;
+    evidence.may_break_streams |= cell.step == StepKind::SlotMove;
 }
 
 /// Injects all faults, lets them last and ends them in the same order.
@@ -200,10 +204,9 @@
     Ok(())
 }
 
-async fn stop_of(fleet: &mut Fleet, index: usize) -> StopEvidence {
-    let process = &mut fleet.engines[index].side.process;
-    let is_clean = process.ended(STOP_LIMIT).await;
-    StopEvidence { name: process.name.clone(), is_clean }
+async fn stop_of(node: &mut SystemNode) -> StopEvidence {
+    let is_clean = node.process.ended(STOP_LIMIT).await;
+    StopEvidence { name: node.process.name.clone(), is_clean }
 }
 
 async fn watch_edit(
--- a/crates/proof/src/steps.rs
+++ b/crates/proof/src/steps.rs
@@ -45,11 +45,15 @@
     Spread,
     /// A side process stops as planned.
     Drain,
+    /// A plain service executes calls that may not be repeated.
+    ServiceCall,
+    /// An entry process stops as planned.
+    EntryDrain,
 }
 
 impl StepKind {
     /// Every step.
-    pub const ALL: [StepKind; 11] = [
+    pub const ALL: [StepKind; 13] = [
         StepKind::Ask,
         StepKind::Grant,
         StepKind::Claim,
@@ -61,6 +65,8 @@
         StepKind::Edit,
         StepKind::Spread,
         StepKind::Drain,
+        StepKind::ServiceCall,
+        StepKind::EntryDrain,
     ];
 
     /// Name on the command line and in reports.
@@ -77,6 +83,8 @@
             StepKind::Edit => "edit",
             StepKind::Spread => "spread",
             StepKind::Drain => "drain",
+            StepKind::ServiceCall => "service-call",
+            StepKind::EntryDrain => "entry-drain",
         }
     }
 }
@@ -102,8 +110,8 @@
     pub target: FaultTarget,
     /// Edit of the lists under way, if any.
     pub edit: Option<EditWatch>,
-    /// Engine whose side process stops as planned, if any.
-    pub drained: Option<usize>,
+    /// Process that stops as planned, if any.
+    pub drained: Option<FaultTarget>,
 }
 
 impl StepRun {
@@ -112,6 +120,12 @@
     }
 }
 
+/// Entry process that stops as planned in [`StepKind::EntryDrain`].
+pub const DRAINED_ENTRY: usize = 1;
+
+/// Time from the order to stop until a fault strikes.
+const STOP_BEGINS: Duration = Duration::from_millis(100);
+
 /// The second entry process, which owns some of the models and is no first entry of callers.
 const SECOND_ENTRY: FaultTarget = FaultTarget::Entry(1);
 
@@ -159,6 +173,12 @@
             Ok(StepRun { edit: Some(edit), ..StepRun::at(SECOND_ENTRY) })
         }
         StepKind::Drain => begin_drain(fleet, pool).await,
+        StepKind::ServiceCall => {
+            orders(fleet, pool, 30);
+            time::sleep(Duration::from_millis(15)).await;
+            Ok(StepRun::at(FaultTarget::Desk(0)))
+        }
+        StepKind::EntryDrain => begin_entry_drain(fleet, pool).await,
     }
 }
 
@@ -248,8 +268,19 @@
 async fn begin_drain(fleet: &Fleet, pool: &mut CallerPool) -> Result<StepRun> {
     chats(fleet, pool, &["m0", "m1"], 8, 300, true);
     time::sleep(Duration::from_millis(300)).await;
-    let index = fleet.holder("m0").await.unwrap_or(0);
-    fleet.engines[index].side.process.terminate()?;
-    time::sleep(Duration::from_millis(100)).await;
-    Ok(StepRun { drained: Some(index), ..StepRun::at(SECOND_ENTRY) })
+    let holder = fleet.holder("m0").await.unwrap_or(0);
+    fleet.engines[holder].side.process.terminate()?;
+    time::sleep(STOP_BEGINS).await;
+    let drained = Some(FaultTarget::Engine(holder));
+    Ok(StepRun { drained, ..StepRun::at(SECOND_ENTRY) })
+}
+
+async fn begin_entry_drain(fleet: &Fleet, pool: &mut CallerPool) -> Result<StepRun> {
+    chats(fleet, pool, &["m0", "m1"], 8, 300, true);
+    orders(fleet, pool, 8);
+    time::sleep(Duration::from_millis(300)).await;
+    fleet.entries[DRAINED_ENTRY].process.terminate()?;
+    time::sleep(STOP_BEGINS).await;
+    let drained = Some(FaultTarget::Entry(DRAINED_ENTRY));
+    Ok(StepRun { drained, ..StepRun::at(holder_of(fleet, "m0").await) })
 }
--- a/crates/proof/tests/tools.rs
+++ b/crates/proof/tests/tools.rs
@@ -65,7 +65,7 @@
     let cells = whole();
 
     assert_eq!(cells, whole());
-    assert_eq!(cells.len(), 11 * 13 + pairs().len());
+    assert_eq!(cells.len(), 13 * 13 + pairs().len());
     let distinct = cells.iter().collect::<BTreeSet<_>>();
     assert_eq!(distinct.len(), cells.len());
     for cell in &cells {
