--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod edits;
 pub mod faults;
 pub mod fleet;
+pub mod injection;
 pub mod matrix;
 pub mod nodes;
 pub mod plan;
