--- a/crates/loading/src/ledger/orders.rs
+++ b/crates/loading/src/ledger/orders.rs
@@ -12,7 +12,11 @@
     pub(super) fn order_load(&mut self, order: LoadOrder, now: Instant) {
         let id = order.id;
         if let Err(reason) = self.check_load(&order, now) {
-            return self.deny(id, reason);
+            self.deny(id, reason);
+            if reason == DenyReason::NoRoom {
+                self.bar_doubtful();
+            }
+            return;
         }
         let target = order.target;
         let entry = self
@@ -70,6 +74,29 @@
         }
     }
 
+    /// Begins to unload the targets whose loads of unknown fate keep room from others.
+    ///
+    /// An engine that enforces fencing refuses these loads once it has carried out an unload with
+    /// a higher number; an unload needs no slot. Without this, a process that restarts beside a
+    /// full engine might keep more room than there is, and deny every load for ever.
+    pub(super) fn bar_doubtful(&mut self) {
+        if self.settings.fence_check != FenceCheck::Enforced {
+            return;
+        }
+        let is_doubtful = |entry: &LedgerEntry| {
+            entry.phase == TargetPhase::Unsure && entry.doubts > 0 && entry.requests == 0
+        };
+        let doubtful = self.entries.iter_mut().filter(|(_, entry)| is_doubtful(entry));
+        let mut barred = Vec::new();
+        for (target, entry) in doubtful {
+            entry.fence = entry.fence.max(entry.doubt_fence.next());
+            barred.push(target.clone());
+        }
+        for target in barred {
+            self.start_leaving(&target);
+        }
+    }
+
     fn is_serving(&self, target: &LoadTarget) -> bool {
         self.entries.get(target).is_some_and(LedgerEntry::is_serving)
     }
@@ -119,15 +146,16 @@
         let Some(entry) = self.entries.get_mut(target).filter(|entry| entry.is_leaving) else {
             return;
         };
+        let is_busy = self.guards.spare_busy && entry.requests > 0;
         match entry.phase {
             TargetPhase::Waiting | TargetPhase::Queued => self.cancel_load(target),
             TargetPhase::Loading(_) | TargetPhase::Unloading(Some(_)) => {}
             TargetPhase::Loaded => {
-                let is_busy = self.guards.spare_busy && entry.requests > 0;
                 if !is_busy && !has_adapters {
                     self.send_unload(target);
                 }
             }
+            TargetPhase::Unsure if entry.doubts > 0 && can_bar && is_busy => {}
             TargetPhase::Unsure if entry.doubts > 0 && can_bar => self.send_unload(target),
             TargetPhase::Unsure if entry.doubts > 0 => self.deny_unloads(target),
             TargetPhase::Unsure | TargetPhase::Unloading(None) => self.request_listing(),
--- a/crates/proof/src/faults.rs
+++ b/crates/proof/src/faults.rs
@@ -1,32 +1,10 @@
-//! Faults, their injection and their end.
+//! Faults and the processes that they strike.
 
 use std::{fmt, str::FromStr, time::Duration};
 
-use base::clock::since_epoch;
-use platform::VmState;
 use snafu::Snafu;
-use standin::{
-    engine::EngineFault, platform::PlatformFault, service::ServiceFault, weights::WeightFault,
-};
-use tokio::time;
 
-use crate::{
-    admin,
-    fleet::{Fleet, Result},
-    nodes::SystemNode,
-    plan::CRASH_MARKER,
-    process::ManagedProcess,
-    relay::RelayMode,
-};
-
-/// Time for which a reclaimed VM is shown as leaving before it is gone.
-const RECLAIM_NOTICE: Duration = Duration::from_secs(7);
-/// Delay of every call to a slow platform, in milliseconds.
-const PLATFORM_DELAY_MS: u64 = 800;
-/// Factor of a slow weight store.
-const WEIGHTS_SLOW_FACTOR: f64 = 5.0;
-/// Writes whose answers are lost.
-const LOST_ANSWERS: u32 = 3;
+use crate::{fleet::Fleet, nodes::SystemNode};
 
 /// A name of a fault or step is not known.
 #[derive(Debug, Snafu, Clone, PartialEq, Eq)]
@@ -171,7 +149,8 @@
 }
 
 impl FaultTarget {
-    fn node(self, fleet: &mut Fleet) -> Option<&mut SystemNode> {
+    /// The node in `fleet`; `None` if there is none of this number.
+    pub fn node(self, fleet: &mut Fleet) -> Option<&mut SystemNode> {
         match self {
             FaultTarget::Entry(index) => fleet.entries.get_mut(index),
             FaultTarget::Engine(index) => fleet.engines.get_mut(index).map(|pair| &mut pair.side),
@@ -179,119 +158,3 @@
         }
     }
 }
-
-async fn take_backend_down(fleet: &Fleet, target: FaultTarget) -> Result<()> {
-    match target {
-        FaultTarget::Entry(_) => Ok(()),
-        FaultTarget::Engine(index) => {
-            let fault = EngineFault { down: true, ..EngineFault::default() };
-            set(&fleet.engines[index].server, &fault).await
-        }
-        FaultTarget::Desk(index) => {
-            let fault = ServiceFault { down: true, ..ServiceFault::default() };
-            set(&fleet.desks[index].server, &fault).await
-        }
-    }
-}
-
-async fn set<T>(server: &ManagedProcess, fault: &T) -> Result<()>
-where
-    T: serde::Serialize + Sync,
-{
-    Ok(admin::replace(server.address("http")?, "/admin/fault", fault).await?)
-}
-
-fn node(fleet: &mut Fleet, target: FaultTarget) -> &mut SystemNode {
-    target.node(fleet).expect("targets are chosen among the nodes of the fleet")
-}
-
-/// Injects `fault`. Returns when the platform showed the target as leaving, if it did.
-///
-/// # Errors
-///
-/// Fails if a process or stand-in does not react.
-pub async fn inject(
-    fleet: &mut Fleet,
-    fault: FaultKind,
-    target: FaultTarget,
-) -> Result<Option<u64>> {
-    match fault {
-        FaultKind::Kill => node(fleet, target).process.kill().await,
-        FaultKind::Freeze | FaultKind::LeaseLapsed => node(fleet, target).process.freeze()?,
-        FaultKind::Cut => node(fleet, target).peers.set_mode(RelayMode::Cut),
-        FaultKind::HalfOpen => node(fleet, target).peers.set_mode(RelayMode::Silent),
-        FaultKind::PlatformDown => {
-            let down = PlatformFault { down: true, ..PlatformFault::default() };
-            set(&fleet.platform, &down).await?;
-        }
-        FaultKind::PlatformSlow => {
-            let delay_ms = PLATFORM_DELAY_MS;
-            set(&fleet.platform, &PlatformFault { delay_ms, ..PlatformFault::default() }).await?;
-        }
-        FaultKind::AnswerLost => {
-            let lost_answers = LOST_ANSWERS;
-            let fault = PlatformFault { lost_answers, ..PlatformFault::default() };
-            set(&fleet.platform, &fault).await?;
-        }
-        FaultKind::WeightsSlow => {
-            let slow_factor = WEIGHTS_SLOW_FACTOR;
-            set(&fleet.weights, &WeightFault { slow_factor, ..WeightFault::default() }).await?;
-        }
-        FaultKind::VmReclaimed => return reclaim(fleet, target).await.map(Some),
-        FaultKind::ListLate => {
-            node(fleet, target).process.kill().await;
-            take_backend_down(fleet, target).await?;
-        }
-        FaultKind::RacingEdits => {}
-        FaultKind::PoisonRequest => {
-            let crash_marker = Some(CRASH_MARKER.to_owned());
-            let fault = EngineFault { crash_marker, ..EngineFault::default() };
-            for pair in &fleet.engines {
-                set(&pair.server, &fault).await?;
-            }
-        }
-    }
-    Ok(None)
-}
-
-async fn reclaim(fleet: &mut Fleet, target: FaultTarget) -> Result<u64> {
-    node(fleet, target).listed = Some(VmState::Leaving);
-    fleet.publish_vms().await?;
-    let leaving_ms = since_epoch().as_millis() as u64;
-    time::sleep(RECLAIM_NOTICE).await;
-    node(fleet, target).process.kill().await;
-    take_backend_down(fleet, target).await?;
-    node(fleet, target).listed = None;
-    fleet.publish_vms().await?;
-    Ok(leaving_ms)
-}
-
-/// Ends `fault`.
-///
-/// # Errors
-///
-/// Fails if a process or stand-in does not react.
-pub async fn heal(fleet: &mut Fleet, fault: FaultKind, target: FaultTarget) -> Result<()> {
-    match fault {
-        FaultKind::Kill => node(fleet, target).restart().await?,
-        FaultKind::Freeze | FaultKind::LeaseLapsed => node(fleet, target).process.wake()?,
-        FaultKind::Cut | FaultKind::HalfOpen => {
-            node(fleet, target).peers.set_mode(RelayMode::Open);
-        }
-        FaultKind::PlatformDown | FaultKind::PlatformSlow | FaultKind::AnswerLost => {
-            set(&fleet.platform, &PlatformFault::default()).await?;
-        }
-        FaultKind::WeightsSlow => set(&fleet.weights, &WeightFault::default()).await?,
-        FaultKind::ListLate => {
-            node(fleet, target).listed = None;
-            fleet.publish_vms().await?;
-        }
-        FaultKind::VmReclaimed | FaultKind::RacingEdits => {}
-        FaultKind::PoisonRequest => {
-            for pair in &fleet.engines {
-                set(&pair.server, &EngineFault::default()).await?;
-            }
-        }
-    }
-    Ok(())
-}
