Run a spread node against its peers and the platform

Need: the decisions need a driver that watches the head, reads edits, and keeps the status of the zone.

Weighed: keeping all times in the status (36 KB a write at 1,024 versions) or only the last ones; a status keeps up to 256 and moves 128 at a time to objects of their own, which the account reads.

--- a/crates/lists/src/spread.rs
+++ b/crates/lists/src/spread.rs
@@ -6,6 +6,7 @@
 
 pub mod children;
 pub mod copy;
+pub mod driver;
 pub mod message;
 pub mod node;
 pub mod roster;
@@ -16,6 +17,7 @@
 
 pub use self::{
     copy::{CopyGuards, ListCopy},
+    driver::{SpreadDriver, SpreadHandle, SpreadInput, SpreadLinks},
     message::{SpreadBody, SpreadFrame},
     node::{NodeIdentity, SpreadAction, SpreadEvent, SpreadNode, StoreNews},
     roster::{EntryRoster, NodeHash, RosterEntry},
--- /dev/null
+++ b/crates/lists/src/spread/driver.rs
@@ -0,0 +1,280 @@
+//! Runs a [`SpreadNode`]: connects it to its peers and to the platform.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use base::prelude::*;
+use bytes::Bytes;
+use log::{info, warn};
+use platform::{ObjectChange, ObjectStore, ObjectVersion, VmList};
+use prost::Message;
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinSet,
+    time::{self, MissedTickBehavior},
+};
+
+use crate::{
+    set::ListSet,
+    spread::{
+        SpreadAction, SpreadEvent, SpreadFrame, SpreadNode, StatusReport, StoreNews, copy::EditStep,
+    },
+    store::{
+        EditRecord, HeadObject, edits_between, objects::decode_object, objects::head_key,
+        read_head, read_lists, write_status,
+    },
+};
+
+/// Time between two looks at the node's timers.
+const TICK: Duration = Duration::from_millis(250);
+/// Longest wait of one watch; an answer shows that the store is alive.
+const WATCH_WAIT: Duration = Duration::from_secs(3);
+/// Pause after a failed call to the store.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Edits read one by one; a node further behind reads the whole lists.
+const MAX_EDITS: u64 = 64;
+/// Events that may wait.
+const INBOX: usize = 4_096;
+
+/// Sends frames to peers without waiting.
+///
+/// An implementation uses the connection on which the peer was heard, or opens one to `address`.
+/// A frame that cannot be sent is dropped; the node repeats what matters.
+pub trait SpreadLinks: Send + Sync {
+    /// Sends one frame.
+    fn send(&self, to: &VmId, address: Option<SocketAddr>, frame: Bytes);
+}
+
+/// What the connections report.
+#[derive(Debug, Clone)]
+pub enum SpreadInput {
+    /// A frame arrived.
+    Frame {
+        /// Its sender.
+        from: VmId,
+        /// Its bytes.
+        frame: Bytes,
+    },
+    /// A peer cannot be reached or its connection ended.
+    Disconnected {
+        /// The peer.
+        peer: VmId,
+    },
+}
+
+/// Where frames go in and lists come out.
+#[derive(Debug, Clone)]
+pub struct SpreadHandle {
+    /// For the connections.
+    pub inbox: mpsc::Sender<SpreadInput>,
+    /// Lists in force at this node; `None` until it is ready.
+    pub lists: watch::Receiver<Option<ListSet>>,
+}
+
+/// Runs one node.
+pub struct SpreadDriver {
+    node: SpreadNode,
+    links: Arc<dyn SpreadLinks>,
+    store: Arc<dyn ObjectStore>,
+    vms: Arc<dyn VmList>,
+    inbox: mpsc::Receiver<SpreadInput>,
+    lists: watch::Sender<Option<ListSet>>,
+    results: mpsc::Sender<SpreadEvent>,
+    pending: mpsc::Receiver<SpreadEvent>,
+    tasks: JoinSet<()>,
+    head_watch: Option<tokio::task::AbortHandle>,
+}
+
+impl SpreadDriver {
+    /// A driver for `node` and the handle to it.
+    pub fn new(
+        node: SpreadNode,
+        links: Arc<dyn SpreadLinks>,
+        store: Arc<dyn ObjectStore>,
+        vms: Arc<dyn VmList>,
+    ) -> (Self, SpreadHandle) {
+        let (inbox_sender, inbox) = mpsc::channel(INBOX);
+        let (results, pending) = mpsc::channel(INBOX);
+        let (lists, receiver) = watch::channel(None);
+        let handle = SpreadHandle { inbox: inbox_sender, lists: receiver };
+        let tasks = JoinSet::new();
+        let head_watch = None;
+        let driver =
+            Self { node, links, store, vms, inbox, lists, results, pending, tasks, head_watch };
+        (driver, handle)
+    }
+
+    /// Runs until every sender of the inbox is gone.
+    pub async fn run(mut self) {
+        let mut ticks = time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let event = tokio::select! {
+                input = self.inbox.recv() => match input {
+                    Some(input) => input_event(input),
+                    None => break,
+                },
+                Some(event) = self.pending.recv() => Some(event),
+                Some(_) = self.tasks.join_next() => None,
+                _ = ticks.tick() => Some(SpreadEvent::Tick),
+            };
+            if let Some(event) = event {
+                self.step(event);
+            }
+        }
+    }
+
+    fn step(&mut self, event: SpreadEvent) {
+        for action in self.node.handle(event, Instant::now()) {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: SpreadAction) {
+        let results = self.results.clone();
+        let store = Arc::clone(&self.store);
+        match action {
+            SpreadAction::Send { to, body } => {
+                let frame = SpreadFrame { body: Some(body) }.encode_to_vec();
+                self.links.send(&to, self.node.address(&to), Bytes::from(frame));
+            }
+            SpreadAction::WatchHead(true) => {
+                info!("lists: this node is a relay now");
+                self.head_watch = Some(self.tasks.spawn(watch_head(store, results)));
+            }
+            SpreadAction::WatchHead(false) => {
+                if let Some(task) = self.head_watch.take() {
+                    task.abort();
+                }
+            }
+            SpreadAction::ReadHead => {
+                self.tasks.spawn(report(results, async move { see_head(&*store).await }));
+            }
+            SpreadAction::ReadLists { after } => {
+                self.tasks.spawn(report(results, async move { read_news(&*store, after).await }));
+            }
+            SpreadAction::ReadVms => {
+                let vms = Arc::clone(&self.vms);
+                self.tasks.spawn(report(results, async move { read_vms(&*vms).await }));
+            }
+            SpreadAction::Install(set) => {
+                self.lists.send_replace(Some(set));
+            }
+            SpreadAction::WriteStatus(status) => {
+                let task = self.status_task(status);
+                self.tasks.spawn(task);
+            }
+        }
+    }
+
+    fn status_task(&self, status: StatusReport) -> impl Future<Output = ()> + use<> {
+        let store = Arc::clone(&self.store);
+        let identity = self.node.identity().clone();
+        let results = self.results.clone();
+        async move {
+            if let Err(error) = write_status(&*store, &identity.zone, &identity.vm, &status).await {
+                warn!("lists: the status of {} was not written: {error}", identity.zone);
+                let _ = results.send(SpreadEvent::StatusFailed).await;
+            }
+        }
+    }
+}
+
+fn input_event(input: SpreadInput) -> Option<SpreadEvent> {
+    match input {
+        SpreadInput::Disconnected { peer } => Some(SpreadEvent::Disconnected { peer }),
+        SpreadInput::Frame { from, frame } => {
+            let body = SpreadFrame::decode(frame).ok()?.body?;
+            Some(SpreadEvent::Received { from, body })
+        }
+    }
+}
+
+async fn report(
+    results: mpsc::Sender<SpreadEvent>,
+    read: impl Future<Output = Option<SpreadEvent>>,
+) {
+    if let Some(event) = read.await {
+        let _ = results.send(event).await;
+    }
+}
+
+async fn see_head(store: &dyn ObjectStore) -> Option<SpreadEvent> {
+    match read_head(store).await {
+        Ok(head) => {
+            let version = head.map_or(ListVersion(0), |(_, head)| head.version);
+            Some(SpreadEvent::HeadSeen(version))
+        }
+        Err(error) => {
+            warn!("lists: {error}");
+            None
+        }
+    }
+}
+
+async fn read_vms(vms: &dyn VmList) -> Option<SpreadEvent> {
+    match vms.vms().await {
+        Ok(vms) => Some(SpreadEvent::VmsRead(vms)),
+        Err(error) => {
+            warn!("lists: the VM list cannot be read: {error}");
+            None
+        }
+    }
+}
+
+async fn read_news(store: &dyn ObjectStore, after: ListVersion) -> Option<SpreadEvent> {
+    match news_after(store, after).await {
+        Ok(news) => Some(SpreadEvent::ListsRead(news)),
+        Err(error) => {
+            warn!("lists: {error}");
+            None
+        }
+    }
+}
+
+async fn news_after(
+    store: &dyn ObjectStore,
+    after: ListVersion,
+) -> crate::store::Result<StoreNews> {
+    if after > ListVersion(0) {
+        let head = read_head(store).await?.map(|(_, head)| head).unwrap_or_default();
+        if head.version.0.saturating_sub(after.0) <= MAX_EDITS {
+            let edits = edits_between(store, &head, after).await?;
+            return Ok(StoreNews::Edits(edits.into_iter().map(edit_step).collect()));
+        }
+    }
+    let lists = read_lists(store).await?;
+    Ok(StoreNews::Whole { version: lists.head.version, image: lists.image })
+}
+
+fn edit_step(record: EditRecord) -> EditStep {
+    EditStep { version: record.version, digest: record.digest, delta: record.delta }
+}
+
+async fn watch_head(store: Arc<dyn ObjectStore>, results: mpsc::Sender<SpreadEvent>) {
+    let mut since = ObjectVersion(0);
+    let mut version = ListVersion(0);
+    loop {
+        let changes = store.watch(head_key().as_str(), since, WATCH_WAIT).await;
+        match changes {
+            Ok(changes) => {
+                for change in changes {
+                    since = since.max(change.version());
+                    version = head_version(&change).unwrap_or(version);
+                }
+                if results.send(SpreadEvent::HeadSeen(version)).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                warn!("lists: the watch failed: {error}");
+                time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn head_version(change: &ObjectChange) -> Option<ListVersion> {
+    let ObjectChange::Written(object) = change else { return None };
+    let head: HeadObject = decode_object(&object.key, &object.body).ok()?;
+    Some(head.version)
+}
--- a/crates/lists/src/spread/status.rs
+++ b/crates/lists/src/spread/status.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use base::{clock, prelude::*};
+use base::prelude::*;
 use platform::vms::{VmEntry, VmState};
 
 use crate::{
@@ -10,7 +10,7 @@
         children::{ChildTable, NodeLack, SubtreeReport},
         roster::NodeHash,
     },
-    store::objects::{ForceTime, KEPT_FORCE_TIMES, MAX_LACKING, StatusObject, ZoneLack},
+    store::objects::{KEPT_FORCE_TIMES, MAX_LACKING, ZoneLack},
 };
 
 /// A version and the moment at which a relay saw it acknowledged by all reachable nodes.
@@ -145,40 +145,3 @@
 fn is_leaving(vm: &VmEntry) -> bool {
     vm.state == VmState::Leaving
 }
-
-impl StatusReport {
-    /// The object to write over `former`, the one in the store.
-    ///
-    /// Times and the version in force that another relay wrote are kept.
-    pub fn to_object(
-        &self,
-        zone: &ZoneName,
-        relay: &VmId,
-        former: Option<&StatusObject>,
-        now: Instant,
-    ) -> StatusObject {
-        let wall = clock::since_epoch();
-        let mut times: BTreeMap<u64, u64> = BTreeMap::new();
-        let known = former.map(|status| status.times.as_slice()).unwrap_or_default();
-        times.extend(known.iter().map(|time| (time.version.0, time.millis)));
-        for time in &self.times {
-            let millis = (wall - now.saturating_duration_since(time.at)).as_millis() as u64;
-            times.entry(time.version.0).or_insert(millis);
-        }
-        let surplus = times.len().saturating_sub(KEPT_FORCE_TIMES);
-        let kept = times.into_iter().skip(surplus);
-        let times =
-            kept.map(|(version, millis)| ForceTime { version: ListVersion(version), millis });
-        let former_version = former.map_or(ListVersion(0), |status| status.in_force);
-        StatusObject {
-            zone: zone.clone(),
-            relay: relay.clone(),
-            in_force: self.in_force.max(former_version),
-            newest: self.newest,
-            nodes: self.nodes,
-            lacking: self.lacking.clone(),
-            lacking_count: self.lacking_count,
-            times: times.collect(),
-        }
-    }
-}
--- a/crates/lists/src/store.rs
+++ b/crates/lists/src/store.rs
@@ -8,6 +8,7 @@
 pub mod history;
 pub mod objects;
 pub mod read;
+pub mod status;
 
 use base::ini::FileFaults;
 use platform::{ObjectKey, StoreError};
@@ -17,7 +18,8 @@
     apply::{EditOrder, EditOutcome, apply_edit},
     history::{edit_record, edits_between},
     objects::{EditRecord, HeadObject, ListTexts, StatusObject, ZoneLack},
-    read::{LoadedLists, load_lists, read_lists},
+    read::{LoadedLists, load_lists, read_head, read_lists},
+    status::{ForceRecord, force_times, read_statuses, write_status},
 };
 
 /// The lists could not be read or written.
--- a/crates/lists/src/store/objects.rs
+++ b/crates/lists/src/store/objects.rs
@@ -129,8 +129,10 @@
 
 /// Lacking nodes that a status names.
 pub const MAX_LACKING: usize = 64;
-/// Recent versions whose times a status keeps.
+/// Times that are moved to an object of their own at once; a status holds up to twice as many.
 pub const KEPT_FORCE_TIMES: usize = 128;
+/// Prefix of the statuses.
+pub const STATUS_PREFIX: &str = "status/";
 
 /// Key of the head.
 pub fn head_key() -> ObjectKey {
@@ -139,7 +141,17 @@
 
 /// Key of the status of `zone`.
 pub fn status_key(zone: &ZoneName) -> ObjectKey {
-    ObjectKey::new(format!("status/{zone}"))
+    ObjectKey::new(format!("{STATUS_PREFIX}{zone}"))
+}
+
+/// Prefix of the older times of `zone`.
+pub fn times_prefix(zone: &ZoneName) -> String {
+    format!("status-times/{zone}/")
+}
+
+/// Key of older times of `zone`, the first of which is of `version`.
+pub fn times_key(zone: &ZoneName, version: ListVersion) -> ObjectKey {
+    ObjectKey::new(format!("{}{:0VERSION_DIGITS$}", times_prefix(zone), version.0))
 }
 
 /// Name of the record of an edit; `nonce` tells racing edits apart.
--- /dev/null
+++ b/crates/lists/src/store/status.rs
@@ -0,0 +1,149 @@
+//! Statuses of the zones in the Object API.
+
+use std::collections::BTreeMap;
+
+use base::{clock, prelude::*};
+use platform::{ObjectKey, ObjectStore, StoreError, WriteCondition};
+use snafu::ResultExt;
+
+use crate::{
+    spread::StatusReport,
+    store::{
+        Result, StoreCallSnafu,
+        objects::{
+            ForceTime, KEPT_FORCE_TIMES, STATUS_PREFIX, StatusObject, decode_object, encode_object,
+            status_key, times_key, times_prefix,
+        },
+    },
+};
+
+/// When versions came into force in one zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ForceRecord {
+    /// The zone.
+    pub zone: ZoneName,
+    /// The times, by version.
+    pub times: Vec<ForceTime>,
+}
+
+/// A status to be written, and times that no longer fit into it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MergedStatus {
+    /// The status.
+    pub status: StatusObject,
+    /// Older times, to be kept in an object of their own.
+    pub older: Vec<ForceTime>,
+}
+
+/// Writes what `relay` knows about `zone` over the status in the store.
+///
+/// # Errors
+///
+/// Fails if the store does not answer or another relay wrote at the same time.
+pub async fn write_status(
+    store: &dyn ObjectStore,
+    zone: &ZoneName,
+    relay: &VmId,
+    report: &StatusReport,
+) -> Result<()> {
+    let key = status_key(zone);
+    let former = store.get(&key).await.context(StoreCallSnafu { key: key.clone() })?;
+    let condition = match &former {
+        Some(object) => WriteCondition::Version(object.version),
+        None => WriteCondition::Absent,
+    };
+    let former = former.and_then(|object| decode_object(&key, &object.body).ok());
+    let merged = merge_status(zone, relay, report, former.as_ref(), Instant::now());
+    keep_older(store, zone, &merged.older).await?;
+    let body = encode_object(&key, &merged.status)?;
+    store.put(&key, body, condition).await.map(drop).context(StoreCallSnafu { key })
+}
+
+/// Merges a report into the status in the store; times and the version in force that another
+/// relay wrote are kept.
+pub fn merge_status(
+    zone: &ZoneName,
+    relay: &VmId,
+    report: &StatusReport,
+    former: Option<&StatusObject>,
+    now: Instant,
+) -> MergedStatus {
+    let wall = clock::since_epoch();
+    let known = former.map(|status| status.times.as_slice()).unwrap_or_default();
+    let mut times: Vec<ForceTime> = known.to_vec();
+    let newest_known = times.last().map_or(ListVersion(0), |time| time.version);
+    for time in report.times.iter().filter(|time| time.version > newest_known) {
+        let millis = (wall - now.saturating_duration_since(time.at)).as_millis() as u64;
+        times.push(ForceTime { version: time.version, millis });
+    }
+    let surplus = if times.len() > 2 * KEPT_FORCE_TIMES { KEPT_FORCE_TIMES } else { 0 };
+    let older = times.drain(..surplus).collect();
+    let former_version = former.map_or(ListVersion(0), |status| status.in_force);
+    let status = StatusObject {
+        zone: zone.clone(),
+        relay: relay.clone(),
+        in_force: report.in_force.max(former_version),
+        newest: report.newest,
+        nodes: report.nodes,
+        lacking: report.lacking.clone(),
+        lacking_count: report.lacking_count,
+        times,
+    };
+    MergedStatus { status, older }
+}
+
+/// The statuses of all zones; objects of other kinds under the same prefix are passed over.
+///
+/// # Errors
+///
+/// Fails if the store does not answer.
+pub async fn read_statuses(store: &dyn ObjectStore) -> Result<Vec<StatusObject>> {
+    let key = ObjectKey::new(STATUS_PREFIX);
+    let objects = store.list(STATUS_PREFIX).await.context(StoreCallSnafu { key })?;
+    Ok(objects.iter().filter_map(|o| decode_object(&o.key, &o.body).ok()).collect())
+}
+
+/// When the versions after `after` came into force in each zone.
+///
+/// # Errors
+///
+/// Fails if the store does not answer.
+pub async fn force_times(
+    store: &dyn ObjectStore,
+    statuses: &[StatusObject],
+    after: ListVersion,
+) -> Result<Vec<ForceRecord>> {
+    let mut records = Vec::new();
+    for status in statuses {
+        let mut times: BTreeMap<ListVersion, ForceTime> = BTreeMap::new();
+        times.extend(status.times.iter().map(|time| (time.version, *time)));
+        if status.times.first().is_some_and(|first| first.version > after.next()) {
+            let older = read_older(store, &status.zone).await?;
+            times.extend(older.into_iter().map(|time| (time.version, time)));
+        }
+        let wanted = times.into_values().filter(|time| time.version > after);
+        records.push(ForceRecord { zone: status.zone.clone(), times: wanted.collect() });
+    }
+    Ok(records)
+}
+
+async fn keep_older(store: &dyn ObjectStore, zone: &ZoneName, older: &[ForceTime]) -> Result<()> {
+    let Some(first) = older.first() else { return Ok(()) };
+    let key = times_key(zone, first.version);
+    let body = encode_object(&key, &older)?;
+    match store.put(&key, body, WriteCondition::Absent).await {
+        Ok(_) | Err(StoreError::ConditionFailed) => Ok(()),
+        Err(source) => Err(source).context(StoreCallSnafu { key }),
+    }
+}
+
+async fn read_older(store: &dyn ObjectStore, zone: &ZoneName) -> Result<Vec<ForceTime>> {
+    let prefix = times_prefix(zone);
+    let key = ObjectKey::new(&prefix);
+    let objects = store.list(&prefix).await.context(StoreCallSnafu { key })?;
+    let mut times = Vec::new();
+    for object in objects {
+        times.extend(decode_object::<Vec<ForceTime>>(&object.key, &object.body)?);
+    }
+    Ok(times)
+}
