Connect spread nodes over the system's protocol

Need: entries and side processes must exchange the spread's frames.

Weighed: sharing the connections of requests (a full copy would delay grants and answers on the same stream) and one connection of its own from each node to its upper one, which is taken; answers return on the connection of the question. The status moves times away 32 at a time, so that a relay stays under its budget of bytes even with a status written every two seconds.

--- a/crates/lists/src/spread.rs
+++ b/crates/lists/src/spread.rs
@@ -7,6 +7,7 @@
 pub mod children;
 pub mod copy;
 pub mod driver;
+pub mod links;
 pub mod message;
 pub mod node;
 pub mod roster;
@@ -18,6 +19,7 @@
 pub use self::{
     copy::{CopyGuards, ListCopy},
     driver::{SpreadDriver, SpreadHandle, SpreadInput, SpreadLinks},
+    links::{SharedLinks, WireLinks},
     message::{SpreadBody, SpreadFrame},
     node::{NodeIdentity, SpreadAction, SpreadEvent, SpreadNode, StoreNews},
     roster::{EntryRoster, NodeHash, RosterEntry},
@@ -69,6 +71,6 @@
 /// Lower nodes that one node serves; more are sent elsewhere.
 pub const MAX_LOWER_NODES: usize = 96;
 /// Bytes of the VM list that a relay reads each second on average.
-pub const VM_LIST_RATE: u64 = 10 << 10;
+pub const VM_LIST_RATE: u64 = 6 << 10;
 /// Bytes that one VM takes in the VM list.
 pub const VM_ENTRY_BYTES: u64 = 150;
--- a/crates/lists/src/spread/driver.rs
+++ b/crates/lists/src/spread/driver.rs
@@ -32,8 +32,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Edits read one by one; a node further behind reads the whole lists.
 const MAX_EDITS: u64 = 64;
-/// Events that may wait.
-const INBOX: usize = 4_096;
+/// Results of calls to the platform that may wait.
+const RESULT_QUEUE: usize = 64;
 
 /// Sends frames to peers without waiting.
 ///
@@ -85,22 +85,21 @@
 }
 
 impl SpreadDriver {
-    /// A driver for `node` and the handle to it.
+    /// A driver for `node`, and the lists in force there: `None` until the node is ready.
     pub fn new(
         node: SpreadNode,
         links: Arc<dyn SpreadLinks>,
         store: Arc<dyn ObjectStore>,
         vms: Arc<dyn VmList>,
-    ) -> (Self, SpreadHandle) {
-        let (inbox_sender, inbox) = mpsc::channel(INBOX);
-        let (results, pending) = mpsc::channel(INBOX);
+        inbox: mpsc::Receiver<SpreadInput>,
+    ) -> (Self, watch::Receiver<Option<ListSet>>) {
+        let (results, pending) = mpsc::channel(RESULT_QUEUE);
         let (lists, receiver) = watch::channel(None);
-        let handle = SpreadHandle { inbox: inbox_sender, lists: receiver };
         let tasks = JoinSet::new();
         let head_watch = None;
         let driver =
             Self { node, links, store, vms, inbox, lists, results, pending, tasks, head_watch };
-        (driver, handle)
+        (driver, receiver)
     }
 
     /// Runs until every sender of the inbox is gone.
--- /dev/null
+++ b/crates/lists/src/spread/links.rs
@@ -0,0 +1,149 @@
+//! Connections of a spread node over the system's own protocol.
+//!
+//! A node dials its upper node; answers come back on the connection on which the question came.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use base::prelude::*;
+use bytes::Bytes;
+use tokio::{sync::mpsc, time};
+use wire::{FleetSecret, LinkOptions, LinkReceiver, LinkSender, Message, PeerIdentity, PeerLink};
+
+use crate::spread::driver::{SpreadInput, SpreadLinks};
+
+/// Frames that may wait for one connection.
+const SEND_QUEUE: usize = 256;
+/// Time without a frame to send after which a dialled connection is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+
+/// Connections to upper nodes, dialled on demand, and senders to nodes that dialled this one.
+#[derive(Debug)]
+pub struct WireLinks {
+    secret: FleetSecret,
+    identity: PeerIdentity,
+    options: LinkOptions,
+    inbox: mpsc::Sender<SpreadInput>,
+    tables: Mutex<LinkTables>,
+}
+
+#[derive(Debug, Default)]
+struct LinkTables {
+    dialled: HashMap<VmId, DialledLink>,
+    accepted: HashMap<VmId, LinkSender>,
+}
+
+#[derive(Debug)]
+struct DialledLink {
+    address: SocketAddr,
+    queue: mpsc::Sender<Bytes>,
+}
+
+impl WireLinks {
+    /// Links of `identity`; frames that arrive go to `inbox`.
+    pub fn new(
+        secret: FleetSecret,
+        identity: PeerIdentity,
+        options: LinkOptions,
+        inbox: mpsc::Sender<SpreadInput>,
+    ) -> Arc<Self> {
+        Arc::new(Self { secret, identity, options, inbox, tables: Mutex::default() })
+    }
+
+    /// Takes a frame from a peer that dialled this process and answers on the same connection.
+    pub async fn accept(&self, peer: &PeerIdentity, sender: &LinkSender, frame: Bytes) {
+        self.tables().accepted.insert(peer.vm.clone(), sender.clone());
+        let input = SpreadInput::Frame { from: peer.vm.clone(), frame };
+        let _ = self.inbox.send(input).await;
+    }
+
+    fn tables(&self) -> MutexGuard<'_, LinkTables> {
+        self.tables.lock().expect("no holder panics")
+    }
+
+    async fn run_link(self: Arc<Self>, peer: VmId, address: SocketAddr, queue: FrameQueue) {
+        let link = PeerLink::dial(address, &self.secret, &self.identity, self.options).await;
+        match link {
+            Ok(link) if link.peer.vm == peer => self.exchange(link, queue).await,
+            Ok(link) => log::warn!("lists: {address} is {}, not {peer}", link.peer.vm),
+            Err(error) => log::debug!("lists: {peer} cannot be reached: {error}"),
+        }
+        self.forget(&peer, address);
+        let _ = self.inbox.send(SpreadInput::Disconnected { peer }).await;
+    }
+
+    async fn exchange(&self, link: PeerLink, queue: FrameQueue) {
+        tokio::select! {
+            () = send_frames(link.sender, queue) => {}
+            () = self.receive_frames(&link.peer, link.receiver) => {}
+        }
+    }
+
+    async fn receive_frames(&self, peer: &PeerIdentity, mut receiver: LinkReceiver) {
+        loop {
+            match receiver.next().await {
+                Ok(Message::ListSpread(frame)) => {
+                    let input = SpreadInput::Frame { from: peer.vm.clone(), frame };
+                    if self.inbox.send(input).await.is_err() {
+                        return;
+                    }
+                }
+                Ok(other) => log::warn!("lists: a message has no place here: {other:?}"),
+                Err(error) => {
+                    log::debug!("lists: {} left: {error}", peer.vm);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn forget(&self, peer: &VmId, address: SocketAddr) {
+        let mut tables = self.tables();
+        if tables.dialled.get(peer).is_some_and(|link| link.address == address) {
+            tables.dialled.remove(peer);
+        }
+    }
+}
+
+type FrameQueue = mpsc::Receiver<Bytes>;
+
+/// Sends until nothing was sent for [`IDLE_LIMIT`] or the connection ends.
+async fn send_frames(sender: LinkSender, mut queue: FrameQueue) {
+    while let Ok(Some(frame)) = time::timeout(IDLE_LIMIT, queue.recv()).await {
+        if sender.send(Message::ListSpread(frame)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Links that are shared with the tasks of their connections.
+#[derive(Debug, Clone)]
+pub struct SharedLinks(pub Arc<WireLinks>);
+
+impl SpreadLinks for SharedLinks {
+    fn send(&self, to: &VmId, address: Option<SocketAddr>, frame: Bytes) {
+        let mut tables = self.0.tables();
+        if let Some(sender) = tables.accepted.get(to) {
+            if sender.offer(Message::ListSpread(frame.clone())) {
+                return;
+            }
+            if sender.is_closed() {
+                tables.accepted.remove(to);
+            }
+        }
+        let Some(address) = address else { return };
+        let is_same = tables.dialled.get(to).is_some_and(|link| link.address == address);
+        if !is_same {
+            let (queue, frames) = mpsc::channel(SEND_QUEUE);
+            let links = Arc::clone(&self.0);
+            tokio::spawn(links.run_link(to.clone(), address, frames));
+            tables.dialled.insert(to.clone(), DialledLink { address, queue });
+        }
+        if let Some(link) = tables.dialled.get(to) {
+            let _ = link.queue.try_send(frame);
+        }
+    }
+}
--- a/crates/lists/src/spread/node.rs
+++ b/crates/lists/src/spread/node.rs
@@ -30,6 +30,8 @@
 const PULL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Shortest time between two requests for a full copy.
 const COPY_PAUSE: Duration = Duration::from_secs(5);
+/// Time between two reads of the VM list by a node that knows no entry.
+const FIRST_VMS_PAUSE: Duration = Duration::from_millis(500);
 /// Time after which an unanswered read of the store is repeated.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -304,7 +306,11 @@
     fn read_vms_if_due(&mut self, actions: &mut Vec<SpreadAction>, now: Instant) {
         let is_needed = self.is_relay() || self.roster.is_empty();
         if is_needed && now >= self.timers.next_vms {
-            self.timers.next_vms = now + self.settings.vms_every;
+            let pause = match self.roster.is_empty() {
+                true => FIRST_VMS_PAUSE,
+                false => self.settings.vms_every,
+            };
+            self.timers.next_vms = now + pause;
             actions.push(SpreadAction::ReadVms);
         }
     }
--- a/crates/lists/src/store/objects.rs
+++ b/crates/lists/src/store/objects.rs
@@ -130,7 +130,9 @@
 /// Lacking nodes that a status names.
 pub const MAX_LACKING: usize = 64;
 /// Times that are moved to an object of their own at once; a status holds up to twice as many.
-pub const KEPT_FORCE_TIMES: usize = 128;
+pub const KEPT_FORCE_TIMES: usize = 32;
+/// Versions whose older times are read together.
+pub const TIMES_BLOCK: u64 = 10_000;
 /// Prefix of the statuses.
 pub const STATUS_PREFIX: &str = "status/";
 
@@ -144,14 +146,15 @@
     ObjectKey::new(format!("{STATUS_PREFIX}{zone}"))
 }
 
-/// Prefix of the older times of `zone`.
-pub fn times_prefix(zone: &ZoneName) -> String {
-    format!("status-times/{zone}/")
+/// Prefix of the older times of `zone` in the ten thousand versions around `version`.
+pub fn times_prefix(zone: &ZoneName, version: ListVersion) -> String {
+    let digits = VERSION_DIGITS - 4;
+    format!("status-times/{zone}/{:0digits$}", version.0 / TIMES_BLOCK)
 }
 
 /// Key of older times of `zone`, the first of which is of `version`.
 pub fn times_key(zone: &ZoneName, version: ListVersion) -> ObjectKey {
-    ObjectKey::new(format!("{}{:0VERSION_DIGITS$}", times_prefix(zone), version.0))
+    ObjectKey::new(format!("status-times/{zone}/{:0VERSION_DIGITS$}", version.0))
 }
 
 /// Name of the record of an edit; `nonce` tells racing edits apart.
--- a/crates/lists/src/store/status.rs
+++ b/crates/lists/src/store/status.rs
@@ -11,8 +11,8 @@
     store::{
         Result, StoreCallSnafu,
         objects::{
-            ForceTime, KEPT_FORCE_TIMES, STATUS_PREFIX, StatusObject, decode_object, encode_object,
-            status_key, times_key, times_prefix,
+            ForceTime, KEPT_FORCE_TIMES, STATUS_PREFIX, StatusObject, TIMES_BLOCK, decode_object,
+            encode_object, status_key, times_key, times_prefix,
         },
     },
 };
@@ -117,8 +117,9 @@
     for status in statuses {
         let mut times: BTreeMap<ListVersion, ForceTime> = BTreeMap::new();
         times.extend(status.times.iter().map(|time| (time.version, *time)));
-        if status.times.first().is_some_and(|first| first.version > after.next()) {
-            let older = read_older(store, &status.zone).await?;
+        let first = status.times.first().map_or(status.in_force, |first| first.version);
+        if first > after.next() {
+            let older = read_older(store, &status.zone, after, first).await?;
             times.extend(older.into_iter().map(|time| (time.version, time)));
         }
         let wanted = times.into_values().filter(|time| time.version > after);
@@ -137,13 +138,23 @@
     }
 }
 
-async fn read_older(store: &dyn ObjectStore, zone: &ZoneName) -> Result<Vec<ForceTime>> {
-    let prefix = times_prefix(zone);
-    let key = ObjectKey::new(&prefix);
-    let objects = store.list(&prefix).await.context(StoreCallSnafu { key })?;
+/// Times kept outside the status. An object is named after its first version, so the block before
+/// `after` may hold versions after it.
+async fn read_older(
+    store: &dyn ObjectStore,
+    zone: &ZoneName,
+    after: ListVersion,
+    first: ListVersion,
+) -> Result<Vec<ForceTime>> {
     let mut times = Vec::new();
-    for object in objects {
-        times.extend(decode_object::<Vec<ForceTime>>(&object.key, &object.body)?);
+    let earliest = after.0.saturating_sub(2 * KEPT_FORCE_TIMES as u64) / TIMES_BLOCK;
+    for block in earliest..=first.0 / TIMES_BLOCK {
+        let prefix = times_prefix(zone, ListVersion(block * TIMES_BLOCK));
+        let key = ObjectKey::new(&prefix);
+        let objects = store.list(&prefix).await.context(StoreCallSnafu { key })?;
+        for object in objects {
+            times.extend(decode_object::<Vec<ForceTime>>(&object.key, &object.body)?);
+        }
     }
     Ok(times)
 }
--- /dev/null
+++ b/crates/lists/tests/driver.rs
@@ -0,0 +1,147 @@
+//! Drivers of a few nodes over loopback, against the in-memory store.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use base::prelude::*;
+use lists::{
+    spread::{
+        NodeIdentity, SharedLinks, SpreadDriver, SpreadHandle, SpreadNode, SpreadSettings,
+        WireLinks,
+    },
+    store::{EditOrder, ListTexts, apply_edit, read_statuses},
+};
+use platform::{MemoryStore, StoreFault, VmEntry, VmState, vms::VmRole};
+use tokio::{net::TcpListener, sync::mpsc, time};
+use wire::{FleetSecret, LinkOptions, Message, PeerIdentity, PeerLink, PeerRole};
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn texts(share: u32) -> ListTexts {
+    let rights = format!("[plan gold]\npriority = 1\nshare = {share}\nmodels = *\n");
+    ListTexts { plans: String::new(), rights }
+}
+
+async fn accept(store: &MemoryStore, share: u32, read_at: u64) {
+    let order = EditOrder {
+        texts: texts(share),
+        read_at: ListVersion(read_at),
+        operator: OperatorName::new("jana").unwrap(),
+        note: String::new(),
+    };
+    apply_edit(store, &order).await.unwrap();
+}
+
+struct Place {
+    entry: VmEntry,
+    listener: TcpListener,
+}
+
+async fn place(name: &str, role: VmRole) -> Place {
+    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await.unwrap();
+    let entry = VmEntry {
+        id: VmId::new(name).unwrap(),
+        role,
+        service: None,
+        zone: ZoneName::new("z0").unwrap(),
+        address: listener.local_addr().unwrap(),
+        state: VmState::Live,
+    };
+    Place { entry, listener }
+}
+
+fn start(place: Place, store: &MemoryStore) -> SpreadHandle {
+    let secret: FleetSecret = "a shared secret".parse().unwrap();
+    let incarnation = ProcessIncarnation::random();
+    let VmEntry { id: vm, zone, .. } = place.entry;
+    let identity =
+        PeerIdentity { vm: vm.clone(), zone: zone.clone(), incarnation, role: PeerRole::Entry };
+    let node = NodeIdentity { vm, zone, incarnation };
+    let node = SpreadNode::new(node, SpreadSettings::default(), Vec::new(), Instant::now());
+    let (sender, inbox) = mpsc::channel(64);
+    let options = LinkOptions::default();
+    let links = WireLinks::new(secret.clone(), identity.clone(), options, sender.clone());
+    let store = Arc::new(store.clone());
+    let shared = Arc::new(SharedLinks(Arc::clone(&links)));
+    let (driver, lists) = SpreadDriver::new(node, shared, store.clone(), store, inbox);
+    tokio::spawn(driver.run());
+    tokio::spawn(serve(place.listener, secret, identity, links));
+    SpreadHandle { inbox: sender, lists }
+}
+
+async fn serve(
+    listener: TcpListener,
+    secret: FleetSecret,
+    identity: PeerIdentity,
+    links: Arc<WireLinks>,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let link = PeerLink::accept(stream, &secret, &identity, LinkOptions::default()).await;
+        let mut link = link.unwrap();
+        let links = Arc::clone(&links);
+        tokio::spawn(async move {
+            while let Ok(Message::ListSpread(frame)) = link.receiver.next().await {
+                links.accept(&link.peer, &link.sender, frame).await;
+            }
+        });
+    }
+}
+
+async fn wait_for(handles: &mut [SpreadHandle], version: u64) {
+    for handle in handles {
+        let has = |lists: &Option<lists::ListSet>| {
+            lists.as_ref().is_some_and(|lists| lists.version() >= ListVersion(version))
+        };
+        time::timeout(LIMIT, handle.lists.wait_for(has)).await.unwrap().unwrap();
+    }
+}
+
+async fn small_fleet(store: &MemoryStore) -> Vec<SpreadHandle> {
+    let mut places = Vec::new();
+    for number in 0..4 {
+        places.push(place(&format!("entry-{number}"), VmRole::Entry).await);
+    }
+    for number in 0..3 {
+        places.push(place(&format!("back-{number}"), VmRole::Backend).await);
+    }
+    store.set_vms(places.iter().map(|place| place.entry.clone()).collect());
+    places.into_iter().map(|place| start(place, store)).collect()
+}
+
+#[tokio::test]
+async fn edits_reach_every_process_and_the_status_says_so() {
+    let store = MemoryStore::new();
+    accept(&store, 1, 0).await;
+    let mut handles = small_fleet(&store).await;
+    wait_for(&mut handles, 1).await;
+
+    accept(&store, 2, 1).await;
+    wait_for(&mut handles, 2).await;
+
+    let deadline = Instant::now() + LIMIT;
+    loop {
+        let statuses = read_statuses(&store).await.unwrap();
+        let is_in_force = statuses.iter().any(|status| {
+            status.in_force == ListVersion(2) && status.nodes == 7 && status.lacking.is_empty()
+        });
+        if is_in_force {
+            break;
+        }
+        assert!(Instant::now() < deadline, "{statuses:?}");
+        time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_process_that_starts_in_an_outage_gets_lists_from_its_peers() {
+    let store = MemoryStore::new();
+    accept(&store, 1, 0).await;
+    let mut handles = small_fleet(&store).await;
+    wait_for(&mut handles, 1).await;
+
+    let late_store = MemoryStore::new();
+    late_store.set_vms(platform::VmList::vms(&store).await.unwrap());
+    store.set_fault(StoreFault { down: true, ..StoreFault::default() });
+    let late = start(place("back-9", VmRole::Backend).await, &late_store);
+
+    wait_for(&mut [late], 1).await;
+}
