Measure the spread against fleet size, fan-out and size of lists

Need: time until an edit is in force and bytes a second a node, at 12,600 nodes against 13 s and 21 KB/s.

Weighed: extrapolating from a few hundred tasks only, or replaying the real machines with their real messages in virtual time; the replay reaches the whole target size, so both are done, the tasks as a check of the drivers.

Found by it: relays answered each other's questions with the roster of their zone every second.

Naive version: 12,600 calls a second at one poll a second.

--- a/crates/lists/src/spread/node/beats.rs
+++ b/crates/lists/src/spread/node/beats.rs
@@ -71,7 +71,8 @@
             self.pulse = Some(now);
         }
         let version = ListVersion(beat.version);
-        if beat.roster_digest != self.roster.digest() && !self.roster.is_empty() {
+        let is_of_zone = !self.other_relays.contains_key(from);
+        if is_of_zone && beat.roster_digest != self.roster.digest() && !self.roster.is_empty() {
             let body = SpreadBody::Roster(self.roster.to_message());
             actions.push(SpreadAction::Send { to: from.clone(), body });
         }
--- /dev/null
+++ b/crates/measures/benches/spread.rs
@@ -0,0 +1,171 @@
+//! Time until an edit is in force everywhere and the spread's cost for each node, against the
+//! fleet's size, the fan-out and the size of the lists.
+//!
+//! The replayed machines are the real ones with their real messages; time is virtual, one way
+//! takes 1 ms and an answer of the platform 5 ms. Bytes are those of frames, both ways, without
+//! the heads of TCP and IP.
+
+#[path = "spread/full_lists.rs"]
+mod full_lists;
+#[path = "spread/loopback.rs"]
+mod loopback;
+#[path = "spread/platform_bytes.rs"]
+mod platform_bytes;
+#[path = "spread/replay.rs"]
+mod replay;
+
+use base::prelude::*;
+use measures::{FigureTarget, print_figure};
+
+use crate::replay::{NodePlace, Replay, ReplayPlan, ReplayResult};
+
+/// Changes of configuration a second at the target's size: 38,000 a day.
+const EDIT_RATE: f64 = 38_000.0 / 86_400.0;
+/// Availability zones at the target's size.
+const ZONES: usize = 9;
+/// Entries and side processes of one zone at the target's size.
+const TARGET_ZONE: (usize, usize) = (289, 1_111);
+/// Share of a core that control may take.
+const CORE_SHARE: f64 = 0.015;
+/// Bytes a second that control may take.
+const BYTE_RATE: f64 = 21.0 * 1024.0;
+/// Seconds within which an edit is in force.
+const IN_FORCE: f64 = 13.0;
+/// Memory that control may take, in MiB.
+const MEMORY: f64 = 128.0;
+
+fn plan(entries: usize, sides: usize, fan_out: usize) -> ReplayPlan {
+    let measured = Duration::from_secs(30);
+    ReplayPlan { zones: ZONES, entries, sides, fan_out, edit_rate: EDIT_RATE, measured }
+}
+
+fn run(plan: ReplayPlan) -> ReplayResult {
+    let result = Replay::new(plan).measure();
+    let nodes = plan.zones * (plan.entries + plan.sides);
+    for cost in &result.places {
+        println!(
+            "{nodes:>6} {:>7} {:>6} {:>9.1} {:>9.1} {:>9.0} {:>9.0} {:>9.1} {:>9.4} {:>9.4}",
+            plan.fan_out,
+            format!("{:?}", cost.place),
+            result.slowest.as_secs_f64() * 1e3,
+            result.slowest_known.as_secs_f64() * 1e3,
+            cost.mean_bytes,
+            cost.most_bytes,
+            cost.most_messages,
+            cost.mean_work.as_secs_f64() * 100.0,
+            cost.most_work.as_secs_f64() * 100.0,
+        );
+    }
+    result
+}
+
+fn main() {
+    let costs = list_costs();
+    println!("\nedits at {EDIT_RATE:.3}/s over 30 s of virtual time, {ZONES} zones");
+    println!(
+        "{:>6} {:>7} {:>6} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9}",
+        "nodes",
+        "fan-out",
+        "place",
+        "force ms",
+        "known ms",
+        "mean B/s",
+        "most B/s",
+        "most m/s",
+        "mean %",
+        "most %"
+    );
+    for (entries, sides) in [(3, 11), (29, 111)] {
+        run(plan(entries, sides, 8));
+    }
+    for fan_out in [4, 16] {
+        run(plan(TARGET_ZONE.0, TARGET_ZONE.1, fan_out));
+    }
+    let target = run(plan(TARGET_ZONE.0, TARGET_ZONE.1, 8));
+    let slowest = loopback_times();
+    print_figures(&target, &costs, slowest);
+}
+
+/// Costs for rising numbers of adapters; measured first, as freed memory would hide growth.
+fn list_costs() -> full_lists::ListCost {
+    println!(
+        "{:>8} {:>10} {:>9} {:>9} {:>10} {:>9}",
+        "adapters", "copy B", "copy ms", "edit us", "edit B", "MiB"
+    );
+    let mut last = None;
+    for adapters in [100, 1_000, 9_400] {
+        let cost = full_lists::measure(adapters);
+        println!(
+            "{:>8} {:>10} {:>9.2} {:>9.1} {:>10} {:>9.2}",
+            cost.adapters,
+            cost.copy_bytes,
+            cost.copy_time.as_secs_f64() * 1e3,
+            cost.edit_time.as_secs_f64() * 1e6,
+            cost.edit_bytes,
+            cost.memory as f64 / f64::from(1 << 20),
+        );
+        last = Some(cost);
+    }
+    last.expect("there are sizes")
+}
+
+fn loopback_times() -> Duration {
+    println!("\ndrivers as tasks over loopback TCP, one zone, edits in real time");
+    println!("{:>6} {:>7} {:>9} {:>9}", "nodes", "fan-out", "mean ms", "most ms");
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    let runtime = builder.worker_threads(2).enable_all().build().expect("a runtime starts");
+    let mut slowest = Duration::ZERO;
+    for (entries, sides, fan_out) in [(6, 24, 8), (60, 240, 4), (60, 240, 8), (60, 240, 16)] {
+        let times = runtime.block_on(loopback::measure(entries, sides, fan_out));
+        println!(
+            "{:>6} {fan_out:>7} {:>9.1} {:>9.1}",
+            times.nodes,
+            times.mean.as_secs_f64() * 1e3,
+            times.slowest.as_secs_f64() * 1e3,
+        );
+        slowest = slowest.max(times.slowest);
+    }
+    slowest
+}
+
+fn print_figures(target: &ReplayResult, lists: &full_lists::ListCost, loopback: Duration) {
+    println!();
+    let seconds = target.slowest.as_secs_f64();
+    print_figure("spread.in_force_seconds_12600", seconds, FigureTarget::AtMost(IN_FORCE));
+    let known = target.slowest_known.as_secs_f64();
+    print_figure("spread.known_in_force_seconds_12600", known, FigureTarget::AtMost(IN_FORCE));
+    let seconds = loopback.as_secs_f64();
+    print_figure("spread.in_force_seconds_300_loopback", seconds, FigureTarget::AtMost(IN_FORCE));
+    let edits = lists.edit_time.as_secs_f64() * EDIT_RATE;
+    for cost in &target.places {
+        let place = match cost.place {
+            NodePlace::Relay => "relay",
+            NodePlace::Entry => "entry",
+            NodePlace::Side => "side",
+        };
+        let bytes = FigureTarget::AtMost(BYTE_RATE);
+        print_figure(&format!("spread.{place}_bytes_per_second"), cost.most_bytes, bytes);
+        let share = cost.mean_work.as_secs_f64() + edits;
+        let core = FigureTarget::AtMost(CORE_SHARE);
+        print_figure(&format!("spread.{place}_core_share"), share, core);
+    }
+    let memory = lists.memory as f64 / f64::from(1 << 20);
+    print_figure("spread.lists_mebibytes_9400_adapters", memory, FigureTarget::AtMost(MEMORY));
+    let platform = platform_bytes::relay_rate(EDIT_RATE);
+    let bytes = FigureTarget::AtMost(BYTE_RATE);
+    print_figure("spread.relay_platform_bytes_per_second", platform, bytes);
+    let relay = target.places.iter().find(|cost| cost.place == NodePlace::Relay);
+    let all = platform + relay.map_or(0.0, |cost| cost.most_bytes);
+    print_figure("spread.relay_all_bytes_per_second", all, bytes);
+    let copy = lists.copy_bytes as f64;
+    print_figure("spread.full_copy_bytes_9400_adapters", copy, FigureTarget::None);
+    let calls = platform_bytes::relay_calls(EDIT_RATE, ZONES);
+    print_figure("spread.platform_reads_per_second", calls.reads, FigureTarget::AtMost(2_000.0));
+    print_figure("spread.platform_writes_per_second", calls.writes, FigureTarget::AtMost(300.0));
+    print_figure("spread.naive_calls_per_second_12600", naive_calls(), FigureTarget::None);
+}
+
+/// Calls a second of the naive version, in which each node polls the head once a second.
+fn naive_calls() -> f64 {
+    (ZONES * (TARGET_ZONE.0 + TARGET_ZONE.1)) as f64
+}
