--- a/crates/measures/benches/spread.rs
+++ b/crates/measures/benches/spread.rs
@@ -15,7 +15,7 @@
 mod replay;
 
 use base::prelude::*;
-use measures::{FigureTarget, print_figure};
+use measures::figures::{FigureTarget, MeasuredFigure};
 
 use crate::replay::{NodePlace, Replay, ReplayPlan, ReplayResult};
 
@@ -158,11 +158,15 @@
     let all = platform + relay.map_or(0.0, |cost| cost.most_bytes);
     print_figure("spread.relay_all_bytes_per_second", all, bytes);
     let copy = lists.copy_bytes as f64;
-    print_figure("spread.full_copy_bytes_9400_adapters", copy, FigureTarget::None);
+    print_figure("spread.full_copy_bytes_9400_adapters", copy, FigureTarget::Baseline);
     let calls = platform_bytes::relay_calls(EDIT_RATE, ZONES);
     print_figure("spread.platform_reads_per_second", calls.reads, FigureTarget::AtMost(2_000.0));
     print_figure("spread.platform_writes_per_second", calls.writes, FigureTarget::AtMost(300.0));
-    print_figure("spread.naive_calls_per_second_12600", naive_calls(), FigureTarget::None);
+    print_figure("spread.naive_calls_per_second_12600", naive_calls(), FigureTarget::Baseline);
+}
+
+fn print_figure(name: &str, value: f64, target: FigureTarget) {
+    MeasuredFigure::new(name, value, target).print();
 }
 
 /// Calls a second of the naive version, in which each node polls the head once a second.
--- a/crates/measures/benches/spread/replay.rs
+++ b/crates/measures/benches/spread/replay.rs
@@ -251,7 +251,7 @@
         node.cost.work += started.elapsed();
         self.act_all(due.to, actions);
         if is_tick {
-            if self.nodes[due.to].watching && self.order % 16 == 0 {
+            if self.nodes[due.to].watching && self.order.is_multiple_of(16) {
                 let event = SpreadEvent::HeadSeen(self.last());
                 self.push(self.now + STORE_ANSWER, due.to, ReplayEvent::Spread(event));
             }
--- a/crates/measures/src/lib.rs
+++ b/crates/measures/src/lib.rs
@@ -1,5 +1,4 @@
-//! Measurements of the system; each bench prints tables and lines of figures.
+//! What the benches share: figures with their targets, and the use of a process.
 
-pub mod figure;
-
-pub use crate::figure::{FigureTarget, print_figure};
+pub mod figures;
+pub mod usage;
