Take the lists from the spread in entries and side processes

Need: every entry watched the store and read all parts on each edit, and side processes had no lists at all.

Weighed: keeping the watch as a second source in entries; it would keep the store's calls growing with the fleet and would hide faults of the spread, and a node that hears from no relay asks the store seldom anyway. So the watch goes.

A connection that carried only frames of the spread is not reported to the owner when it ends, because no ask or credit hangs on it. Both programs take an optional [spread] section: fan-out, beat, and seeds, the entries to ask while the VM list cannot be read.

--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
+use lists::spread::WireLinks;
 use tokio::sync::mpsc;
 use wire::Message;
 
@@ -22,6 +23,8 @@
     pub runs: Arc<RunTable>,
     /// The owner's duty of this process.
     pub owner: mpsc::Sender<OwnerEvent>,
+    /// The spread of the lists.
+    pub spread: Arc<WireLinks>,
     /// Claims of idempotency keys.
     pub claims: mpsc::Sender<ClaimMessage>,
 }
@@ -59,6 +62,9 @@
                 let peer = handle.peer.clone();
                 self.tell_owner(OwnerEvent::BackendReport { peer, report }).await;
             }
+            Message::ListSpread(frame) => {
+                self.spread.accept(&handle.peer, &handle.sender, frame).await;
+            }
             other => log::warn!("peers: a message has no place here: {other:?}"),
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod fleet;
 pub mod inbox;
 pub mod keyed;
-pub mod list_watch;
 pub mod metrics;
 pub mod owner;
 pub mod peers;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -8,7 +8,8 @@
 
 use tokio::{net::TcpListener, sync::Mutex as AsyncMutex};
 use wire::{
-    FleetSecret, LinkOptions, LinkReceiver, LinkSender, PeerIdentity, PeerLink, link::Result,
+    FleetSecret, LinkOptions, LinkReceiver, LinkSender, Message, PeerIdentity, PeerLink,
+    link::Result,
 };
 
 use crate::{inbox::PeerInbox, metrics::EntryMetrics};
@@ -92,13 +93,19 @@
 }
 
 async fn receive(mut receiver: LinkReceiver, handle: PeerHandle, inbox: PeerInbox) {
+    let mut is_spread_only = true;
     let error = loop {
         match receiver.next().await {
-            Ok(message) => inbox.deliver(&handle, message).await,
+            Ok(message) => {
+                is_spread_only &= matches!(message, Message::ListSpread(_));
+                inbox.deliver(&handle, message).await;
+            }
             Err(error) => break error,
         }
     };
     log::debug!("peers: {} left: {error}", handle.peer.vm);
     drop(receiver);
-    inbox.lose(&handle).await;
+    if !is_spread_only {
+        inbox.lose(&handle).await;
+    }
 }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use base::prelude::*;
-use lists::ListSet;
+use lists::{ListSet, spread::SpreadProcess};
 use once::{QuarantineKeeper, QuarantineLimits};
 use platform::{
     ObjectStore, VmList,
@@ -23,7 +23,6 @@
     claims::{self, ClaimDesk, PlatformStore},
     fleet::{self, FleetView},
     inbox::PeerInbox,
-    list_watch,
     metrics::EntryMetrics,
     owner::{EVENT_QUEUE, OwnerContext, OwnerDuty, OwnerEvent},
     peers::PeerPool,
@@ -168,22 +167,29 @@
     let identity = settings.process.identity(PeerRole::Entry, ProcessIncarnation::random());
     let client = PlatformClient::new(ClientSettings::new(settings.platform.address));
     let store = Arc::new(BudgetedStore::new(client.clone(), settings.platform.limits));
-    let (lists_sender, lists) = watch::channel(None);
     let (fleet_sender, fleet) = watch::channel(Arc::new(FleetView::default()));
     let (owner, owner_events) = mpsc::channel(EVENT_QUEUE);
     let asks = Arc::new(AskTable::default());
     let runs = Arc::new(RunTable::default());
     let (claim_sender, claim_messages) = mpsc::channel(claims::MESSAGE_QUEUE);
+    let secret = settings.process.secret.clone();
+    let objects: Arc<dyn ObjectStore> = store.clone();
+    let vms: Arc<dyn VmList> = Arc::new(client);
+    let SpreadProcess { links, lists } = SpreadProcess::start(
+        identity.clone(),
+        secret.clone(),
+        &settings.spread,
+        objects.clone(),
+        vms.clone(),
+    );
     let inbox = PeerInbox {
+        spread: links,
         asks: asks.clone(),
         runs: runs.clone(),
         owner: owner.clone(),
         claims: claim_sender,
     };
-    let secret = settings.process.secret.clone();
     let peers = Arc::new(PeerPool::new(secret, identity.clone(), inbox));
-    let objects: Arc<dyn ObjectStore> = store.clone();
-    let vms: Arc<dyn VmList> = Arc::new(client);
     let context = OwnerContext {
         lists: lists.clone(),
         fleet: fleet.clone(),
@@ -191,7 +197,6 @@
         events: owner.clone(),
     };
     tokio::spawn(OwnerDuty::new(context, objects.clone()).run(owner_events));
-    tokio::spawn(list_watch::follow(objects.clone(), lists_sender));
     tokio::spawn(fleet::follow(vms, settings.platform.vm_poll.0, fleet_sender));
     let region = &settings.process.region;
     let desk = ClaimDesk::new(&identity, region, &store, Arc::clone(&peers), fleet.clone());
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,6 +7,7 @@
     logging::LogSettings,
     prelude::*,
 };
+use lists::spread::SpreadConfig;
 use platform::budget::CallLimits;
 use wire::ProcessSettings;
 
@@ -73,6 +74,8 @@
     pub platform: PlatformSettings,
     /// Limits.
     pub limits: RequestLimits,
+    /// Spread of the lists.
+    pub spread: SpreadConfig,
 }
 
 impl EntrySettings {
@@ -87,11 +90,13 @@
         let process = reader.section("process", ProcessSettings::read);
         let platform = reader.section("platform", PlatformSettings::read);
         let limits = reader.section("limits", RequestLimits::read);
+        let spread = reader.section("spread", SpreadConfig::read);
         let settings = process.zip(platform).map(|(process, platform)| Self {
             log,
             process,
             platform,
             limits,
+            spread,
         });
         reader.finish(settings)
     }
--- a/crates/fescuewalk/src/local_fleet.rs
+++ b/crates/fescuewalk/src/local_fleet.rs
@@ -9,6 +9,7 @@
 };
 use lists::{
     ListSet, ServiceEntry, ServiceKind,
+    spread::SpreadConfig,
     store::{EditOrder, EditOutcome, ListTexts, apply_edit},
 };
 use platform::{MemoryStore, VmEntry, VmState, budget::CallLimits, vms::VmRole};
@@ -179,6 +180,7 @@
             platform: Some(self.platform.address),
             drain_limit: TimeSpan(Duration::from_secs(60)),
             report_interval: TimeSpan(Duration::from_millis(250)),
+            spread: SpreadConfig::default(),
         };
         let side = SideHandle::start(settings).await?;
         self.vms.push(VmEntry {
@@ -210,6 +212,7 @@
                     answer: ByteSize::mib(16),
                     drain: TimeSpan(Duration::from_secs(60)),
                 },
+                spread: SpreadConfig::default(),
             };
             let entry = EntryHandle::start(settings).await?;
             self.vms.push(VmEntry {
--- a/crates/lists/src/spread.rs
+++ b/crates/lists/src/spread.rs
@@ -11,6 +11,7 @@
 pub mod message;
 pub mod node;
 pub mod roster;
+pub mod start;
 pub mod status;
 pub mod upper;
 
@@ -23,6 +24,7 @@
     message::{SpreadBody, SpreadFrame},
     node::{NodeIdentity, SpreadAction, SpreadEvent, SpreadNode, StoreNews},
     roster::{EntryRoster, NodeHash, RosterEntry},
+    start::{SeedEntry, SpreadConfig, SpreadProcess},
     status::StatusReport,
 };
 
--- a/crates/side/src/process.rs
+++ b/crates/side/src/process.rs
@@ -3,7 +3,12 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use base::prelude::*;
+use lists::spread::SpreadProcess;
 use once::{DrainCause, LinkId, RunEvent};
+use platform::{
+    budget::{BudgetedStore, CallLimits},
+    http::{ClientSettings, PlatformClient},
+};
 use snafu::{ResultExt, Snafu};
 use tokio::{net::TcpListener, time};
 use wire::{
@@ -21,6 +26,8 @@
     settings::{BackendKind, SideSettings},
 };
 
+/// Calls to the platform that this process may make; the lists come from entries.
+const PLATFORM_LIMITS: CallLimits = CallLimits { reads: EventRate(2.0), writes: EventRate(1.0) };
 /// Time for the last messages to leave the process.
 const LAST_WORDS: Duration = Duration::from_millis(20);
 
@@ -59,6 +66,8 @@
     pub engine_watch: EngineWatch,
     /// Planned stop.
     pub drain: DrainSwitch,
+    /// The spread of the lists; none without a platform.
+    pub spread: Option<SpreadProcess>,
 }
 
 /// A running side process.
@@ -80,8 +89,10 @@
         let admins = listen(settings.process.http_address).await?;
         let peer_address = settings.process.peer_address;
         let incarnation = ProcessIncarnation::random();
+        let identity = settings.process.identity(PeerRole::Side, incarnation);
         let state = Arc::new(SideState {
-            identity: settings.process.identity(PeerRole::Side, incarnation),
+            spread: start_spread(&settings, &identity),
+            identity,
             metrics: SideMetrics::new(),
             backend: BackendClient::new(settings.backend.address),
             loads: LoadBook::default(),
@@ -125,6 +136,14 @@
     }
 }
 
+fn start_spread(settings: &SideSettings, identity: &PeerIdentity) -> Option<SpreadProcess> {
+    let client = PlatformClient::new(ClientSettings::new(settings.platform?));
+    let store = Arc::new(BudgetedStore::new(client.clone(), PLATFORM_LIMITS));
+    let secret = settings.process.secret.clone();
+    let identity = identity.clone();
+    Some(SpreadProcess::start(identity, secret, &settings.spread, store, Arc::new(client)))
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address).await.context(ListenSnafu { address })
 }
@@ -208,6 +227,7 @@
                 let _ = sender.send(Message::OrderOutcome(outcome)).await;
             });
         }
+        Message::ListSpread(_) => log::warn!("peers: nobody hangs below a side process"),
         Message::ReportSubscription(_) => {
             tokio::spawn(send_reports(state, sender));
         }
--- a/crates/side/src/settings.rs
+++ b/crates/side/src/settings.rs
@@ -7,6 +7,7 @@
     logging::LogSettings,
     prelude::*,
 };
+use lists::spread::SpreadConfig;
 use snafu::Snafu;
 use std::str::FromStr;
 use wire::ProcessSettings;
@@ -114,6 +115,8 @@
     pub drain_limit: TimeSpan,
     /// Time between reports to subscribers.
     pub report_interval: TimeSpan,
+    /// Spread of the lists.
+    pub spread: SpreadConfig,
 }
 
 impl SideSettings {
@@ -136,6 +139,7 @@
             let report = section.optional("report-interval", span, DEFAULT_REPORT_INTERVAL);
             (drain, report)
         });
+        let spread = reader.section("spread", SpreadConfig::read);
         let settings = process.zip(backend).map(|(process, backend)| Self {
             log,
             process,
@@ -143,6 +147,7 @@
             platform,
             drain_limit: limits.0,
             report_interval: limits.1,
+            spread,
         });
         reader.finish(settings)
     }
