Check, diff and apply the lists from the command line

Need: operators edit both lists as files and want to know what an edit changes and for whom before it is sent.

Weighed: reading the version from the store in apply (a racing edit would then be overwritten unseen) or asking for the version at which the lists were read, which is taken. Effects name changed values, the part of its priority's work that a customer of a plan can count on, and the customers.

Seen failing first: apply ended with code 1 on faulty lists; it checks them itself now and ends with 3 like check.

--- a/crates/fescuewalk/src/cmd.rs
+++ b/crates/fescuewalk/src/cmd.rs
@@ -1,5 +1,8 @@
 //! One module for each subcommand.
 
+pub mod apply;
+pub mod check;
+pub mod diff;
 pub mod entry;
 pub mod standin;
 pub mod status;
--- /dev/null
+++ b/crates/fescuewalk/src/cmd/apply.rs
@@ -0,0 +1,137 @@
+//! Sends an edit of the lists against the version at which they were read.
+//!
+//! ```text
+//! fescuewalk apply --platform IP:PORT --read-at VERSION --operator NAME
+//!                  [--note TEXT] [--dry-run] PLANS RIGHTS
+//! ```
+
+use base::prelude::*;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use lists::{
+    check_lists,
+    store::{EditOrder, EditOutcome, EditRecord, ListTexts, apply_edit, read_lists},
+};
+use platform::http::PlatformClient;
+
+use crate::{
+    cmd::{
+        check::list_args,
+        diff::{print_delta, print_effects, print_record},
+    },
+    config::{platform_arg, platform_client, read_texts, required},
+    error::{CliError, CliResult},
+};
+
+/// Arguments of the subcommand.
+struct ApplyArgs {
+    client: PlatformClient,
+    texts: ListTexts,
+    read_at: ListVersion,
+    operator: OperatorName,
+    note: String,
+    is_dry: bool,
+}
+
+impl ApplyArgs {
+    fn new(args: &ArgMatches) -> CliResult<Self> {
+        Ok(Self {
+            client: platform_client(args),
+            texts: read_texts(args)?,
+            read_at: required(args, "read-at"),
+            operator: required(args, "operator"),
+            note: required(args, "note"),
+            is_dry: args.get_flag("dry-run"),
+        })
+    }
+}
+
+/// Describes the subcommand.
+pub fn command() -> Command {
+    Command::new("apply")
+        .about("Sends an edit of the lists; a racing edit is refused with both diffs")
+        .arg(platform_arg())
+        .arg(
+            Arg::new("read-at")
+                .long("read-at")
+                .value_name("VERSION")
+                .help("Version at which the lists were read; 0 if there were none")
+                .value_parser(value_parser!(ListVersion))
+                .required(true),
+        )
+        .arg(
+            Arg::new("operator")
+                .long("operator")
+                .value_name("NAME")
+                .help("Who makes the edit")
+                .value_parser(value_parser!(OperatorName))
+                .required(true),
+        )
+        .arg(
+            Arg::new("note")
+                .long("note")
+                .value_name("TEXT")
+                .help("Why, for the account")
+                .default_value(""),
+        )
+        .arg(
+            Arg::new("dry-run")
+                .long("dry-run")
+                .help("Only say what would change, and for whom")
+                .action(ArgAction::SetTrue),
+        )
+        .args(list_args())
+}
+
+/// Runs the subcommand.
+///
+/// # Errors
+///
+/// Fails if the lists have faults, another edit came first, or the platform does not answer.
+#[tokio::main]
+pub async fn run(args: &ArgMatches) -> CliResult<()> {
+    let args = ApplyArgs::new(args)?;
+    check_lists(&args.texts.plans, &args.texts.rights)?;
+    if args.is_dry {
+        return dry_run(&args).await;
+    }
+    let order = EditOrder {
+        texts: args.texts,
+        read_at: args.read_at,
+        operator: args.operator,
+        note: args.note,
+    };
+    match apply_edit(&args.client, &order).await? {
+        EditOutcome::Accepted(record) => {
+            println!("version {} accepted, {} sections", record.version, sections(&record));
+            Ok(())
+        }
+        EditOutcome::Unchanged(version) => {
+            println!("nothing changes; version {version} stays in force");
+            Ok(())
+        }
+        EditOutcome::Raced { current, theirs, ours } => {
+            println!("# theirs");
+            theirs.iter().for_each(print_record);
+            println!("# ours, refused");
+            print_delta(&ours);
+            let version = current.head.version;
+            Err(CliError::failed(format!("another edit came first; version {version} is in force")))
+        }
+        EditOutcome::Unknown { record } => Err(CliError::failed(format!(
+            "the answer was lost and the platform is silent; see later whether {record} is in the account"
+        ))),
+    }
+}
+
+async fn dry_run(args: &ApplyArgs) -> CliResult<()> {
+    let base = read_lists(&args.client).await?;
+    if base.head.version != args.read_at {
+        let version = base.head.version;
+        return Err(CliError::failed(format!("version {version} is in force by now")));
+    }
+    print_effects(&args.texts, &base)
+}
+
+fn sections(record: &EditRecord) -> usize {
+    record.delta.changes.len()
+}
--- a/crates/fescuewalk/src/config.rs
+++ b/crates/fescuewalk/src/config.rs
@@ -3,6 +3,8 @@
 use std::{fs, net::SocketAddr, path::PathBuf};
 
 use clap::{Arg, ArgMatches, value_parser};
+use lists::store::ListTexts;
+use platform::http::{ClientSettings, PlatformClient};
 
 use crate::error::{CliError, CliResult};
 
@@ -49,6 +51,31 @@
         .default_value("127.0.0.1:0")
 }
 
+/// The `--platform` argument.
+pub fn platform_arg() -> Arg {
+    Arg::new("platform")
+        .long("platform")
+        .value_name("IP:PORT")
+        .help("Address of the platform's Object API")
+        .value_parser(value_parser!(SocketAddr))
+        .required(true)
+}
+
+/// A client of the platform named by `--platform`.
+pub fn platform_client(args: &ArgMatches) -> PlatformClient {
+    PlatformClient::new(ClientSettings::new(required(args, "platform")))
+}
+
+/// Both lists named on the command line.
+///
+/// # Errors
+///
+/// Fails if a file cannot be read.
+pub fn read_texts(args: &ArgMatches) -> CliResult<ListTexts> {
+    let text = |name| InputConfig::new(required::<PathBuf>(args, name)).text();
+    Ok(ListTexts { plans: text("plans")?, rights: text("rights")? })
+}
+
 /// The value of a required argument.
 pub fn required<T>(args: &ArgMatches, name: &str) -> T
 where
--- a/crates/fescuewalk/src/main.rs
+++ b/crates/fescuewalk/src/main.rs
@@ -18,6 +18,9 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(cmd::apply::command())
+        .subcommand(cmd::check::command())
+        .subcommand(cmd::diff::command())
         .subcommand(cmd::entry::command())
         .subcommand(cmd::standin::command())
         .subcommand(cmd::status::command())
@@ -26,6 +29,9 @@
 
 fn run(matches: &ArgMatches) -> CliResult<()> {
     match matches.subcommand() {
+        Some(("apply", args)) => cmd::apply::run(args),
+        Some(("check", args)) => cmd::check::run(args),
+        Some(("diff", args)) => cmd::diff::run(args),
         Some(("entry", args)) => cmd::entry::run(args),
         Some(("standin", args)) => cmd::standin::run(args),
         Some(("status", args)) => cmd::status::run(args),
--- /dev/null
+++ b/crates/fescuewalk/tests/support/desk.rs
@@ -0,0 +1,54 @@
+//! A work directory with both lists, and a stand-in of the platform.
+
+use std::process::Output;
+
+use super::{Process, WorkDir, fescuewalk, run};
+
+pub const PLANS: &str = "[customer crew]\nplan = field\n\
+    key-hash = 2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae\n\
+    home-region = cz-central\n";
+pub const RIGHTS: &str = "[plan field]\npriority = 1\nshare = 30\nmodels = summary\n\
+    [service rosnatka]\nkind = engine\nreplicas = 12\nmemory = 80GiB\n\
+    [model summary]\nservice = rosnatka\nreplicas = 2\nmemory = 14GiB\n";
+
+pub struct Desk {
+    dir: WorkDir,
+    platform: Process,
+}
+
+impl Desk {
+    pub fn new(name: &str) -> Self {
+        let mut command = fescuewalk();
+        command.args(["standin", "platform"]);
+        let platform = Process::start(command);
+        Self { dir: WorkDir::new(name), platform }
+    }
+
+    /// Runs a command on both lists.
+    pub fn run(&self, args: &[&str], plans: &str, rights: &str) -> Output {
+        let plans = self.dir.write("plans.ini", plans);
+        let rights = self.dir.write("rights.ini", rights);
+        let platform = self.platform();
+        let mut all = vec![args[0], "--platform", &platform];
+        all.extend(&args[1..]);
+        all.extend([plans.to_str().unwrap(), rights.to_str().unwrap()]);
+        run(&all)
+    }
+
+    /// Applies both lists as read at a version.
+    pub fn apply(&self, read_at: &str, plans: &str, rights: &str) -> Output {
+        self.run(&["apply", "--read-at", read_at, "--operator", "jana"], plans, rights)
+    }
+
+    pub fn platform(&self) -> String {
+        self.platform.address("http").to_string()
+    }
+}
+
+pub fn stdout(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
+
+pub fn stderr(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).unwrap()
+}
--- a/crates/fescuewalk/tests/support/mod.rs
+++ b/crates/fescuewalk/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod desk;
 pub mod fleet;
 
 use std::{
--- /dev/null
+++ b/crates/lists/src/effects.rs
@@ -0,0 +1,163 @@
+//! What an edit changes for whom.
+
+use std::{collections::BTreeMap, fmt};
+
+use base::prelude::*;
+use serde::Serialize;
+
+use crate::{
+    image::ListDelta,
+    rights::PlanEntry,
+    section::{SectionKind, SectionName},
+    set::ListSet,
+};
+
+/// Customers of a plan that are named one by one.
+const NAMED_CUSTOMERS: usize = 8;
+
+/// One value that an edit changes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct ValueChange {
+    /// Name of the value.
+    pub value: String,
+    /// Before the edit; empty if there was none.
+    pub from: String,
+    /// After the edit; empty if there is none.
+    pub to: String,
+}
+
+/// What an edit changes for one section, and the customers that feel it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct EditEffect {
+    /// The section.
+    pub section: SectionName,
+    /// Whether the section is new, gone or changed.
+    pub kind: EffectKind,
+    /// The values that change.
+    pub changes: Vec<ValueChange>,
+    /// Customers for whom it changes something.
+    pub customers: Vec<CustomerId>,
+}
+
+/// What happens to a section.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum EffectKind {
+    /// It is new.
+    Added,
+    /// It is gone.
+    Removed,
+    /// It stays with other values.
+    Changed,
+}
+
+impl fmt::Display for EditEffect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let kind = match self.kind {
+            EffectKind::Added => "new",
+            EffectKind::Removed => "removed",
+            EffectKind::Changed => "changed",
+        };
+        write!(f, "[{}] {kind}", self.section)?;
+        for change in &self.changes {
+            write!(f, "; {}: {:?} -> {:?}", change.value, change.from, change.to)?;
+        }
+        let named: Vec<_> =
+            self.customers.iter().take(NAMED_CUSTOMERS).map(CustomerId::as_str).collect();
+        let more = self.customers.len() - named.len();
+        match (named.is_empty(), more) {
+            (true, _) => Ok(()),
+            (false, 0) => write!(f, "; for {}", named.join(", ")),
+            (false, more) => write!(f, "; for {} and {more} more", named.join(", ")),
+        }
+    }
+}
+
+/// The effects of the changes that lead from `older` to `newer`.
+///
+/// `former` holds the former texts of the sections that `delta` changes.
+pub fn edit_effects(
+    older: &ListSet,
+    newer: &ListSet,
+    delta: &ListDelta,
+    former: &ListDelta,
+) -> Vec<EditEffect> {
+    let mut effects = Vec::new();
+    for (after, before) in delta.changes.iter().zip(&former.changes) {
+        let kind = match (&before.text, &after.text) {
+            (None, _) => EffectKind::Added,
+            (_, None) => EffectKind::Removed,
+            _ => EffectKind::Changed,
+        };
+        let mut changes = text_changes(before.text.as_deref(), after.text.as_deref());
+        changes.extend(share_change(older, newer, &after.name));
+        let customers = touched_customers(older, newer, &after.name);
+        effects.push(EditEffect { section: after.name.clone(), kind, changes, customers });
+    }
+    effects
+}
+
+fn text_changes(before: Option<&str>, after: Option<&str>) -> Vec<ValueChange> {
+    let before = key_values(before.unwrap_or_default());
+    let after = key_values(after.unwrap_or_default());
+    let mut keys: Vec<_> = before.keys().chain(after.keys()).copied().collect();
+    keys.sort_unstable();
+    keys.dedup();
+    let change = |key: &str| {
+        let from = before.get(key).copied().unwrap_or_default().to_owned();
+        let to = after.get(key).copied().unwrap_or_default().to_owned();
+        (from != to).then(|| ValueChange { value: key.to_owned(), from, to })
+    };
+    keys.into_iter().filter_map(change).collect()
+}
+
+fn key_values(text: &str) -> BTreeMap<&str, &str> {
+    text.lines().filter_map(|line| line.split_once(" = ")).collect()
+}
+
+/// The part of its priority's work that one customer of a plan can count on.
+fn share_change(older: &ListSet, newer: &ListSet, name: &SectionName) -> Option<ValueChange> {
+    if name.kind != SectionKind::Plan {
+        return None;
+    }
+    let plan = PlanName::new(name.name.as_str()).ok()?;
+    let from = share_text(older, &plan);
+    let to = share_text(newer, &plan);
+    let value = "part of a customer in its priority".to_owned();
+    (from != to).then_some(ValueChange { value, from, to })
+}
+
+fn share_text(set: &ListSet, plan: &PlanName) -> String {
+    let Some(entry) = set.plan(plan) else { return String::new() };
+    let total: u64 = set.customers().map(|c| peer_share(set, entry, &c.plan)).sum();
+    if total == 0 {
+        return String::new();
+    }
+    format!("{:.1}%", f64::from(entry.share.0) * 100.0 / total as f64)
+}
+
+fn peer_share(set: &ListSet, entry: &PlanEntry, plan: &PlanName) -> u64 {
+    let peer = set.plan(plan).filter(|peer| peer.priority == entry.priority);
+    peer.map_or(0, |peer| u64::from(peer.share.0))
+}
+
+fn touched_customers(older: &ListSet, newer: &ListSet, name: &SectionName) -> Vec<CustomerId> {
+    let mut customers: Vec<_> = [older, newer]
+        .into_iter()
+        .flat_map(|set| set.customers().map(move |customer| (set, customer)))
+        .filter(|(set, customer)| {
+            let plan = set.plan(&customer.plan);
+            match name.kind {
+                SectionKind::Customer => customer.id.as_str() == name.name,
+                SectionKind::Plan => customer.plan.as_str() == name.name,
+                SectionKind::Model => plan.is_some_and(|plan| plan.models.contains(&name.name)),
+                SectionKind::Adapter => plan.is_some_and(|plan| plan.adapters.contains(&name.name)),
+                SectionKind::Service => plan.is_some_and(|plan| plan.services.contains(&name.name)),
+            }
+        })
+        .map(|(_, customer)| customer.id.clone())
+        .collect();
+    customers.sort();
+    customers.dedup();
+    customers
+}
--- a/crates/lists/src/lib.rs
+++ b/crates/lists/src/lib.rs
@@ -1,6 +1,7 @@
 //! The operators' two lists: parsing, checking, editing and spreading them.
 
 pub mod check;
+pub mod effects;
 pub mod entries;
 pub mod image;
 pub mod names;
@@ -13,6 +14,7 @@
 
 pub use crate::{
     check::check_lists,
+    effects::{EditEffect, EffectKind, ValueChange, edit_effects},
     entries::{
         AvailabilityTarget, ClassObjective, HttpMethod, ObjectiveSet, ReplicaCount,
         RequestPriority, ServiceKind, SlotCount, WorkClass, YesNo,
