--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -191,12 +191,13 @@
     };
     let peers = Arc::new(PeerPool::new(secret, identity.clone(), inbox));
     let context = OwnerContext {
+        identity: identity.clone(),
         lists: lists.clone(),
         fleet: fleet.clone(),
         peers: peers.clone(),
         events: owner.clone(),
     };
-    tokio::spawn(OwnerDuty::new(context, objects.clone()).run(owner_events));
+    tokio::spawn(OwnerDuty::new(context, objects.clone(), vms.clone()).run(owner_events));
     tokio::spawn(fleet::follow(vms, settings.platform.vm_poll.0, fleet_sender));
     let region = &settings.process.region;
     let desk = ClaimDesk::new(&identity, region, &store, Arc::clone(&peers), fleet.clone());
--- a/crates/fescuewalk/src/cmd.rs
+++ b/crates/fescuewalk/src/cmd.rs
@@ -4,6 +4,7 @@
 pub mod check;
 pub mod diff;
 pub mod entry;
+pub mod quarantine;
 pub mod standin;
 pub mod status;
 pub mod r#try;
--- a/crates/fescuewalk/src/main.rs
+++ b/crates/fescuewalk/src/main.rs
@@ -22,6 +22,7 @@
         .subcommand(cmd::check::command())
         .subcommand(cmd::diff::command())
         .subcommand(cmd::entry::command())
+        .subcommand(cmd::quarantine::command())
         .subcommand(cmd::standin::command())
         .subcommand(cmd::status::command())
         .subcommand(cmd::r#try::command())
@@ -33,6 +34,7 @@
         Some(("check", args)) => cmd::check::run(args),
         Some(("diff", args)) => cmd::diff::run(args),
         Some(("entry", args)) => cmd::entry::run(args),
+        Some(("quarantine", args)) => cmd::quarantine::run(args),
         Some(("standin", args)) => cmd::standin::run(args),
         Some(("status", args)) => cmd::status::run(args),
         Some(("try", args)) => cmd::r#try::run(args),
--- a/crates/side/src/engine_watch.rs
+++ b/crates/side/src/engine_watch.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 
 use base::prelude::*;
+use loading::LedgerEvent;
 use once::RunEvent;
 use tokio::{sync::Mutex, time};
 
-use crate::{process::SideState, requests};
+use crate::{backend::BackendError, loads, process::SideState, requests};
 
 /// Time between looks at a backend server that is down.
 const RETURN_POLL: Duration = Duration::from_millis(100);
@@ -22,10 +23,14 @@
 /// When this returns, the ledger knows of a crash, and all runs in flight at it were named.
 pub async fn look(state: &Arc<SideState>) {
     let _looking = state.engine_watch.looking.lock().await;
-    if !state.requests.is_engine_up() || is_standing(state).await {
+    if !state.requests.is_engine_up() {
         return;
     }
+    let Err(error) = state.backend.probe(state.settings.backend.kind).await else { return };
     requests::tell(state, RunEvent::EngineCrashed).await;
+    if matches!(error, BackendError::Refused) {
+        loads::feed(state, LedgerEvent::EngineDied);
+    }
     tokio::spawn(wait_for_return(Arc::clone(state)));
 }
 
@@ -38,8 +43,5 @@
 }
 
 async fn is_standing(state: &SideState) -> bool {
-    let kind = state.settings.backend.kind;
-    let Ok(held) = state.backend.probe(kind).await else { return false };
-    state.loads.restarted(&held);
-    true
+    state.backend.probe(state.settings.backend.kind).await.is_ok()
 }
