Count late answers by cause

Need: the burn report has to say what used up an error budget; histograms of waits are not kept by customer.

Weighed: labels of customer and class on every wait histogram (14 buckets each) or one counter of late answers by cause at the moment the answer starts, which is taken. The cause is the wait for the grant if that is half of the time or more (a cold start if the model was loaded for it, else the queue), otherwise the backend server.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod runs;
 pub mod server;
 pub mod settings;
+pub mod slow;
 
 pub use crate::{
     process::{EntryHandle, StartError},
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -16,6 +16,8 @@
     registry: Registry,
     /// Requests that ended, by customer, class and result code.
     pub requests: IntCounterVec,
+    /// Answers later than their objective, by customer, class and cause.
+    pub slow: IntCounterVec,
     /// Time to the first byte of the answer, in seconds, by customer and class.
     pub first_byte: HistogramVec,
     /// Time from admission to the grant, in seconds, by whether a load was waited for.
@@ -51,6 +53,11 @@
                 "Requests by result code.",
                 &["customer", "class", "code"],
             ),
+            slow: counters(
+                "fescuewalk_slow_total",
+                "Answers later than their objective.",
+                &["customer", "class", "cause"],
+            ),
             first_byte: histograms(
                 "fescuewalk_first_byte_seconds",
                 "Time to the first byte of the answer.",
@@ -80,8 +87,9 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn Collector>; 8] = [
+        let collectors: [Box<dyn Collector>; 9] = [
             Box::new(self.requests.clone()),
+            Box::new(self.slow.clone()),
             Box::new(self.first_byte.clone()),
             Box::new(self.grant_wait.clone()),
             Box::new(self.retries.clone()),
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -24,6 +24,7 @@
     process::EntryState,
     refusals::CallRefusal,
     runs::RunEvent,
+    slow::SlowCause,
 };
 
 /// Attempts that may have run before a repeatable request is given up.
@@ -54,6 +55,7 @@
     tried: Vec<String>,
     fingerprint: RequestFingerprint,
     record: AttemptRecord,
+    started: Instant,
 }
 
 impl RequestDriver {
@@ -64,7 +66,8 @@
         let customer = &call.rights.customer.id;
         let fingerprint = RequestFingerprint::of_request(customer, &name, &call.body);
         let record = AttemptRecord::new(call.repeat == RepeatRule::Repeatable);
-        Self { state, call: Arc::new(call), tried: Vec::new(), fingerprint, record }
+        let started = Instant::now();
+        Self { state, call: Arc::new(call), tried: Vec::new(), fingerprint, record, started }
     }
 
     /// Serves the request: one answer or one refusal.
@@ -158,8 +161,10 @@
             return Ok(AttemptEnd::NotRun(ResultCode::OwnerUnreachable));
         };
         let cold = if credit.grant.is_cold { "yes" } else { "no" };
-        let wait = asked.elapsed().as_secs_f64();
-        self.state.metrics.grant_wait.with_label_values(&[cold]).observe(wait);
+        let is_cold = credit.grant.is_cold;
+        let wait = asked.elapsed();
+        let grant_wait = &self.state.metrics.grant_wait;
+        grant_wait.with_label_values(&[cold]).observe(wait.as_secs_f64());
         self.tried.push(credit.grant.vm.clone());
         let Ok(address) = credit.grant.address.parse() else {
             return Ok(AttemptEnd::NotRun(ResultCode::NoReplica));
@@ -173,7 +178,23 @@
         if !self.record.deliver(attempt) {
             return Ok(AttemptEnd::NotRun(ResultCode::NoReplica));
         }
-        Ok(self.hand_over(id, &side, credit).await)
+        let end = self.hand_over(id, &side, credit).await;
+        if matches!(end, AttemptEnd::Answered(_)) {
+            self.count_if_slow(wait, is_cold);
+        }
+        Ok(end)
+    }
+
+    fn count_if_slow(&self, wait: Duration, is_cold: bool) {
+        let class = self.call.target.class();
+        let objective = self.call.rights.objectives().of_class(class);
+        let total = self.started.elapsed();
+        if total > objective.latency.0 {
+            let customer = self.call.rights.customer.id.as_str();
+            let cause = SlowCause::of(total, wait, is_cold).to_string();
+            let labels = [customer, &class.to_string(), &cause];
+            self.state.metrics.slow.with_label_values(&labels).inc();
+        }
     }
 
     /// Asks owners in the order of rendezvous until one grants or refuses; `None` if none answers.
