Account for the board and burn of service levels

Need: operators defend each change before a weekly board and have to see what customers got.

Weighed for the numbers of the past: a store of series of our own (one more thing to run, and the VMs keep nothing), the operators' Prometheus (another dependency of the report), and a log of scrapes that burn appends to, which is taken; its library reads the Prometheus text. An entry that started anew between scrapes is counted from zero. Alerts need a long and a short window, so that they end soon after their cause.

The account walks the chain of records, takes the times in force from the zones' statuses and compares equal spans before and after each edit.

New library: prometheus-parse.

--- a/crates/fescuewalk/src/cmd.rs
+++ b/crates/fescuewalk/src/cmd.rs
@@ -1,6 +1,8 @@
 //! One module for each subcommand.
 
+pub mod account;
 pub mod apply;
+pub mod burn;
 pub mod check;
 pub mod diff;
 pub mod entry;
--- a/crates/fescuewalk/src/config.rs
+++ b/crates/fescuewalk/src/config.rs
@@ -76,6 +76,31 @@
     Ok(ListTexts { plans: text("plans")?, rights: text("rights")? })
 }
 
+/// An argument that names a file to write, such as `--html`.
+pub fn output_arg(name: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("FILE")
+        .help(format!("Also writes the report as {name}"))
+        .value_parser(value_parser!(PathBuf))
+}
+
+/// Writes what `render` gives to the file named by the argument, if it was given.
+///
+/// # Errors
+///
+/// Fails if rendering fails or the file cannot be written.
+pub fn write_output(
+    args: &ArgMatches,
+    name: &str,
+    render: impl FnOnce() -> CliResult<String>,
+) -> CliResult<()> {
+    if let Some(path) = args.get_one::<PathBuf>(name) {
+        fs::write(path, render()?)?;
+    }
+    Ok(())
+}
+
 /// The value of a required argument.
 pub fn required<T>(args: &ArgMatches, name: &str) -> T
 where
--- a/crates/fescuewalk/src/error.rs
+++ b/crates/fescuewalk/src/error.rs
@@ -65,6 +65,24 @@
         /// Cause.
         source: ListError,
     },
+    /// A log of metrics could not be read.
+    #[snafu(display("{source}"), context(false))]
+    Scrape {
+        /// Cause.
+        source: report::ScrapeError,
+    },
+    /// A plot could not be drawn.
+    #[snafu(display("{source}"), context(false))]
+    Plot {
+        /// Cause.
+        source: report::plot::PlotError,
+    },
+    /// A report could not be encoded.
+    #[snafu(display("{source}"), context(false))]
+    Json {
+        /// Cause.
+        source: serde_json::Error,
+    },
     /// Logging could not start.
     #[snafu(display("{source}"), context(false))]
     Log {
--- a/crates/fescuewalk/src/main.rs
+++ b/crates/fescuewalk/src/main.rs
@@ -3,6 +3,7 @@
 mod cmd;
 mod config;
 mod error;
+mod fetch;
 mod local_fleet;
 mod signals;
 
@@ -18,7 +19,9 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(cmd::account::command())
         .subcommand(cmd::apply::command())
+        .subcommand(cmd::burn::command())
         .subcommand(cmd::check::command())
         .subcommand(cmd::diff::command())
         .subcommand(cmd::entry::command())
@@ -30,6 +33,8 @@
 
 fn run(matches: &ArgMatches) -> CliResult<()> {
     match matches.subcommand() {
+        Some(("account", args)) => cmd::account::run(args),
+        Some(("burn", args)) => cmd::burn::run(args),
         Some(("apply", args)) => cmd::apply::run(args),
         Some(("check", args)) => cmd::check::run(args),
         Some(("diff", args)) => cmd::diff::run(args),
--- a/crates/fescuewalk/tests/support/desk.rs
+++ b/crates/fescuewalk/tests/support/desk.rs
@@ -1,6 +1,6 @@
 //! A work directory with both lists, and a stand-in of the platform.
 
-use std::process::Output;
+use std::{path::PathBuf, process::Output};
 
 use super::{Process, WorkDir, fescuewalk, run};
 
@@ -40,6 +40,14 @@
         self.run(&["apply", "--read-at", read_at, "--operator", "jana"], plans, rights)
     }
 
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        self.dir.write(name, text)
+    }
+
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.dir.write(name, "")
+    }
+
     pub fn platform(&self) -> String {
         self.platform.address("http").to_string()
     }
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -1,1 +1,17 @@
-//! Reports for operators: the account of an edit and the burn of service levels.
+//! Reports for operators: the account of edits and the burn of service levels.
+
+pub mod account;
+pub mod burn;
+pub mod html;
+pub mod outcome;
+pub mod plot;
+pub mod scrape;
+pub mod settings;
+
+pub use crate::{
+    account::{AccountReport, gather_account},
+    burn::{BurnReport, burn_report},
+    outcome::{CustomerClass, OutcomeCounts},
+    scrape::{ScrapeError, ScrapeLog, ScrapeRecord},
+    settings::BurnSettings,
+};
--- /dev/null
+++ b/crates/report/src/settings.rs
@@ -0,0 +1,85 @@
+//! Windows and thresholds of the burn report.
+
+use base::{
+    ini::{Result, SectionReader, SettingsReader},
+    prelude::*,
+};
+
+const MINUTE: u64 = 60;
+const HOUR: u64 = 60 * MINUTE;
+
+/// An alert: the burn is above `threshold` over both windows.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AlertRule {
+    /// Long window.
+    pub long: TimeSpan,
+    /// Short window, so that an alert ends soon after its cause.
+    pub short: TimeSpan,
+    /// Multiple of the rate at which the error budget lasts exactly its period.
+    pub threshold: f64,
+}
+
+/// Windows and thresholds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct BurnSettings {
+    /// Windows, shortest first.
+    pub windows: Vec<TimeSpan>,
+    /// Alert for somebody who is woken up.
+    pub page: AlertRule,
+    /// Alert for the next working day.
+    pub ticket: AlertRule,
+}
+
+const fn seconds(count: u64) -> TimeSpan {
+    TimeSpan(Duration::from_secs(count))
+}
+
+impl Default for BurnSettings {
+    fn default() -> Self {
+        Self {
+            windows: vec![
+                seconds(5 * MINUTE),
+                seconds(HOUR),
+                seconds(6 * HOUR),
+                seconds(72 * HOUR),
+            ],
+            page: AlertRule { long: seconds(HOUR), short: seconds(5 * MINUTE), threshold: 14.4 },
+            ticket: AlertRule {
+                long: seconds(72 * HOUR),
+                short: seconds(6 * HOUR),
+                threshold: 1.0,
+            },
+        }
+    }
+}
+
+impl BurnSettings {
+    /// Reads settings from the text of a file called `name`; every key has a default.
+    ///
+    /// # Errors
+    ///
+    /// Lists all faults of the file.
+    pub fn parse(name: &str, text: &str) -> Result<Self> {
+        let default = Self::default();
+        let mut reader = SettingsReader::new(name, text)?;
+        let mut windows: Vec<TimeSpan> = reader.section("burn", |section| {
+            section.values("windows", "times such as 5min, 1h, 6h, 72h")
+        });
+        if windows.is_empty() {
+            windows.clone_from(&default.windows);
+        }
+        windows.sort();
+        let page = reader.section("page", |section| read_rule(section, default.page));
+        let ticket = reader.section("ticket", |section| read_rule(section, default.ticket));
+        reader.finish(Some(Self { windows, page, ticket }))
+    }
+}
+
+fn read_rule(section: &mut SectionReader<'_>, default: AlertRule) -> AlertRule {
+    let span = "a time such as 5min or 1h";
+    AlertRule {
+        long: section.optional("long", span, default.long),
+        short: section.optional("short", span, default.short),
+        threshold: section.optional("threshold", "a number such as 14.4", default.threshold),
+    }
+}
