--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -1,15 +1,17 @@
 //! Limits of admission.
 
 use base::prelude::*;
+use lists::WorkClass;
 
-use crate::request::{RequestSize, WorkClass};
+use crate::request::RequestSize;
 
 /// Limits of one queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AdmissionPolicy {
     /// Largest size of a short request.
     pub short_limit: RequestSize,
-    /// Share of all slots that long requests may hold, in percent.
+    /// Largest share of all slots that long requests may hold, in percent; less while short
+    /// requests need the slots.
     pub long_percent: u32,
     /// Most waiting requests of one customer in one class.
     pub customer_limit: usize,
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -16,7 +16,7 @@
     sync::Arc,
 };
 
-use base::prelude::*;
+use base::{ids::AttemptId, prelude::*};
 use lists::ListSet;
 use loading::{FlightEvent, GapHistogram};
 use placement::OwnerEvent as PlacementEvent;
@@ -34,11 +34,7 @@
 
 pub use self::report::{ReplicaReport, TargetReport};
 use self::target::{Replica, ReplicaStage, TargetState, WaitingAsk};
-use crate::{
-    asks::{AskReply, AttemptId},
-    fleet::FleetView,
-    peers::PeerPool,
-};
+use crate::{asks::AskReply, fleet::FleetView, peers::PeerPool};
 
 /// Time between looks at deadlines and replicas.
 const TICK: Duration = Duration::from_millis(50);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -8,6 +8,7 @@
     prelude::*,
 };
 use lists::spread::SpreadConfig;
+use once::ShardLimits;
 use platform::budget::CallLimits;
 use wire::ProcessSettings;
 
@@ -63,6 +64,14 @@
     }
 }
 
+fn read_claims(section: &mut SectionReader<'_>) -> ShardLimits {
+    let limits = ShardLimits::default();
+    let span = "a time such as 100ms";
+    let write_gap = section.optional("write-gap", span, TimeSpan(limits.write_gap)).0;
+    let claim_life = section.optional("life", "a time such as 1h", TimeSpan(limits.claim_life)).0;
+    ShardLimits { write_gap, claim_life, ..limits }
+}
+
 /// All settings of the entry process.
 #[derive(Debug, Clone)]
 pub struct EntrySettings {
@@ -76,6 +85,8 @@
     pub limits: RequestLimits,
     /// Spread of the lists.
     pub spread: SpreadConfig,
+    /// Claims of idempotency keys.
+    pub claims: ShardLimits,
 }
 
 impl EntrySettings {
@@ -91,12 +102,14 @@
         let platform = reader.section("platform", PlatformSettings::read);
         let limits = reader.section("limits", RequestLimits::read);
         let spread = reader.section("spread", SpreadConfig::read);
+        let claims = reader.section("claims", read_claims);
         let settings = process.zip(platform).map(|(process, platform)| Self {
             log,
             process,
             platform,
             limits,
             spread,
+            claims,
         });
         reader.finish(settings)
     }
--- a/crates/fescuewalk/src/local_fleet.rs
+++ b/crates/fescuewalk/src/local_fleet.rs
@@ -13,6 +13,7 @@
     store::{EditOrder, EditOutcome, ListTexts, apply_edit},
 };
 use loading::FenceCheck;
+use once::ShardLimits;
 use platform::{MemoryStore, VmEntry, VmState, budget::CallLimits, vms::VmRole};
 use side::{
     SideHandle, SideSettings,
@@ -217,6 +218,7 @@
                     drain: TimeSpan(Duration::from_secs(60)),
                 },
                 spread: SpreadConfig::default(),
+                claims: ShardLimits::default(),
             };
             let entry = EntryHandle::start(settings).await?;
             self.vms.push(VmEntry {
