--- a/crates/lists/src/spread.rs
+++ b/crates/lists/src/spread.rs
@@ -7,6 +7,7 @@
 pub mod children;
 pub mod copy;
 pub mod driver;
+pub mod event;
 pub mod links;
 pub mod message;
 pub mod node;
@@ -20,9 +21,10 @@
 pub use self::{
     copy::{CopyGuards, ListCopy},
     driver::{SpreadDriver, SpreadHandle, SpreadInput, SpreadLinks},
+    event::{NodeIdentity, SpreadAction, SpreadEvent, StoreNews},
     links::{SharedLinks, WireLinks},
     message::{SpreadBody, SpreadFrame},
-    node::{NodeIdentity, SpreadAction, SpreadEvent, SpreadNode, StoreNews},
+    node::SpreadNode,
     roster::{EntryRoster, NodeHash, RosterEntry},
     start::{SeedEntry, SpreadConfig, SpreadProcess},
     status::StatusReport,
--- a/crates/lists/src/spread/node.rs
+++ b/crates/lists/src/spread/node.rs
@@ -13,15 +13,15 @@
 use platform::vms::VmEntry;
 
 use crate::{
-    image::{ImageDigest, ListImage},
-    set::ListSet,
+    image::ImageDigest,
     spread::{
         SpreadSettings,
         children::{ChildTable, SubtreeReport},
-        copy::{CopyGuards, EditStep, ListCopy},
+        copy::{CopyGuards, ListCopy},
+        event::{NodeIdentity, SpreadAction, SpreadEvent},
         message::SpreadBody,
         roster::{EntryRoster, NodeHash, RELAYS_PER_ZONE, RosterEntry},
-        status::{StatusKeeper, StatusReport, ZoneView},
+        status::{StatusKeeper, ZoneView},
         upper::UpperChoice,
     },
 };
@@ -35,85 +35,6 @@
 /// Time after which an unanswered read of the store is repeated.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Who a node is.
-#[derive(Debug, Clone)]
-pub struct NodeIdentity {
-    /// Its VM.
-    pub vm: VmId,
-    /// Its availability zone.
-    pub zone: ZoneName,
-    /// Life of its process.
-    pub incarnation: ProcessIncarnation,
-}
-
-/// Lists read from the store.
-#[derive(Debug, Clone)]
-pub enum StoreNews {
-    /// Edits that follow the version asked for; empty if there are none.
-    Edits(Vec<EditStep>),
-    /// The whole lists.
-    Whole {
-        /// Their version.
-        version: ListVersion,
-        /// Their sections.
-        image: ListImage,
-    },
-}
-
-/// What happened at a node.
-#[derive(Debug, Clone)]
-pub enum SpreadEvent {
-    /// Time passed.
-    Tick,
-    /// A message arrived.
-    Received {
-        /// Its sender.
-        from: VmId,
-        /// Its contents.
-        body: SpreadBody,
-    },
-    /// No connection to a peer could be made, or it ended.
-    Disconnected {
-        /// The peer.
-        peer: VmId,
-    },
-    /// The VM list was read.
-    VmsRead(Vec<VmEntry>),
-    /// The head in the store names this version.
-    HeadSeen(ListVersion),
-    /// The lists were read.
-    ListsRead(StoreNews),
-    /// The status of the zone could not be written.
-    StatusFailed,
-}
-
-/// What a node is to do.
-#[derive(Debug, Clone)]
-pub enum SpreadAction {
-    /// Send a message.
-    Send {
-        /// Its receiver.
-        to: VmId,
-        /// Its contents.
-        body: SpreadBody,
-    },
-    /// Start or stop watching the head in the store.
-    WatchHead(bool),
-    /// Read the head once and tell its version.
-    ReadHead,
-    /// Read the edits after a version, or the whole lists if it is zero.
-    ReadLists {
-        /// Version held.
-        after: ListVersion,
-    },
-    /// Read the VM list.
-    ReadVms,
-    /// Use these lists from now on.
-    Install(ListSet),
-    /// Write the status of the zone.
-    WriteStatus(StatusReport),
-}
-
 /// One node: an entry or a side process.
 #[derive(Debug)]
 pub struct SpreadNode {
--- a/crates/lists/src/spread/node/beats.rs
+++ b/crates/lists/src/spread/node/beats.rs
@@ -2,8 +2,11 @@
 
 use base::prelude::*;
 
-use super::{SpreadAction, SpreadNode};
-use crate::spread::message::{BeatMessage, LackMessage, OfferMessage, SpreadBody};
+use super::SpreadNode;
+use crate::spread::{
+    event::SpreadAction,
+    message::{BeatMessage, LackMessage, OfferMessage, SpreadBody},
+};
 
 impl SpreadNode {
     pub(super) fn beat_all(&mut self, actions: &mut Vec<SpreadAction>, now: Instant) {
--- a/crates/lists/src/spread/node/members.rs
+++ b/crates/lists/src/spread/node/members.rs
@@ -5,9 +5,10 @@
 use base::prelude::*;
 use platform::vms::VmEntry;
 
-use super::{SpreadAction, SpreadNode};
+use super::SpreadNode;
 use crate::spread::{
     VM_ENTRY_BYTES, VM_LIST_RATE,
+    event::SpreadAction,
     message::RosterMessage,
     roster::{EntryRoster, NodeHash},
 };
--- a/crates/lists/src/spread/node/takes.rs
+++ b/crates/lists/src/spread/node/takes.rs
@@ -2,9 +2,10 @@
 
 use base::prelude::*;
 
-use super::{COPY_PAUSE, PULL_TIMEOUT, READ_TIMEOUT, SpreadAction, SpreadNode, StoreNews};
+use super::{COPY_PAUSE, PULL_TIMEOUT, READ_TIMEOUT, SpreadNode};
 use crate::spread::{
     copy::TakeOutcome,
+    event::{SpreadAction, StoreNews},
     message::{PullMessage, SpreadBody},
 };
 
