--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod inbox;
 pub mod keyed;
 pub mod leaving;
-pub mod list_watch;
 pub mod metrics;
 pub mod owner;
 pub mod peers;
@@ -21,6 +20,7 @@
 pub mod runs;
 pub mod server;
 pub mod settings;
+pub mod slow;
 
 pub use crate::{
     process::{EntryHandle, StartError},
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use entry::{asks::AskTable, inbox::PeerInbox, peers::PeerPool, runs::RunTable};
+use lists::spread::WireLinks;
 use tokio::{net::TcpListener, sync::mpsc, time};
 use wire::{FleetSecret, LinkOptions, PeerIdentity, PeerLink, PeerRole};
 
@@ -23,7 +24,10 @@
 fn pool() -> PeerPool {
     let (owner, _) = mpsc::channel(16);
     let (claims, _) = mpsc::channel(16);
+    let (spread, _) = mpsc::channel(16);
+    let links = WireLinks::new(secret(), identity("entry-0"), LinkOptions::default(), spread);
     let inbox = PeerInbox {
+        spread: links,
         asks: Arc::new(AskTable::default()),
         runs: Arc::new(RunTable::default()),
         owner,
--- a/crates/fescuewalk/src/config.rs
+++ b/crates/fescuewalk/src/config.rs
@@ -3,6 +3,8 @@
 use std::{fs, net::SocketAddr, path::PathBuf};
 
 use clap::{Arg, ArgMatches, value_parser};
+use lists::store::ListTexts;
+use platform::http::{ClientSettings, PlatformClient};
 
 use crate::error::{CliError, CliResult};
 
@@ -49,6 +51,56 @@
         .default_value("127.0.0.1:0")
 }
 
+/// The `--platform` argument.
+pub fn platform_arg() -> Arg {
+    Arg::new("platform")
+        .long("platform")
+        .value_name("IP:PORT")
+        .help("Address of the platform's Object API")
+        .value_parser(value_parser!(SocketAddr))
+        .required(true)
+}
+
+/// A client of the platform named by `--platform`.
+pub fn platform_client(args: &ArgMatches) -> PlatformClient {
+    PlatformClient::new(ClientSettings::new(required(args, "platform")))
+}
+
+/// Both lists named on the command line.
+///
+/// # Errors
+///
+/// Fails if a file cannot be read.
+pub fn read_texts(args: &ArgMatches) -> CliResult<ListTexts> {
+    let text = |name| InputConfig::new(required::<PathBuf>(args, name)).text();
+    Ok(ListTexts { plans: text("plans")?, rights: text("rights")? })
+}
+
+/// An argument that names a file to write, such as `--html`.
+pub fn output_arg(name: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("FILE")
+        .help(format!("Also writes the report as {name}"))
+        .value_parser(value_parser!(PathBuf))
+}
+
+/// Writes what `render` gives to the file named by the argument, if it was given.
+///
+/// # Errors
+///
+/// Fails if rendering fails or the file cannot be written.
+pub fn write_output(
+    args: &ArgMatches,
+    name: &str,
+    render: impl FnOnce() -> CliResult<String>,
+) -> CliResult<()> {
+    if let Some(path) = args.get_one::<PathBuf>(name) {
+        fs::write(path, render()?)?;
+    }
+    Ok(())
+}
+
 /// The value of a required argument.
 pub fn required<T>(args: &ArgMatches, name: &str) -> T
 where
--- a/crates/fescuewalk/src/local_fleet.rs
+++ b/crates/fescuewalk/src/local_fleet.rs
@@ -9,6 +9,7 @@
 };
 use lists::{
     ListSet, ServiceEntry, ServiceKind,
+    spread::SpreadConfig,
     store::{EditOrder, EditOutcome, ListTexts, apply_edit},
 };
 use loading::FenceCheck;
@@ -184,6 +185,7 @@
             platform: Some(self.platform.address),
             drain_limit: TimeSpan(Duration::from_secs(60)),
             report_interval: TimeSpan(Duration::from_millis(250)),
+            spread: SpreadConfig::default(),
         };
         let side = SideHandle::start(settings).await?;
         self.vms.push(VmEntry {
@@ -215,6 +217,7 @@
                     answer: ByteSize::mib(16),
                     drain: TimeSpan(Duration::from_secs(60)),
                 },
+                spread: SpreadConfig::default(),
                 claims: ShardLimits::default(),
             };
             let entry = EntryHandle::start(settings).await?;
--- a/crates/lists/src/spread.rs
+++ b/crates/lists/src/spread.rs
@@ -6,9 +6,13 @@
 
 pub mod children;
 pub mod copy;
+pub mod driver;
+pub mod event;
+pub mod links;
 pub mod message;
 pub mod node;
 pub mod roster;
+pub mod start;
 pub mod status;
 pub mod upper;
 
@@ -16,9 +20,13 @@
 
 pub use self::{
     copy::{CopyGuards, ListCopy},
+    driver::{SpreadDriver, SpreadHandle, SpreadInput, SpreadLinks},
+    event::{NodeIdentity, SpreadAction, SpreadEvent, StoreNews},
+    links::{SharedLinks, WireLinks},
     message::{SpreadBody, SpreadFrame},
-    node::{NodeIdentity, SpreadAction, SpreadEvent, SpreadNode, StoreNews},
+    node::SpreadNode,
     roster::{EntryRoster, NodeHash, RosterEntry},
+    start::{SeedEntry, SpreadConfig, SpreadProcess},
     status::StatusReport,
 };
 
@@ -67,6 +75,6 @@
 /// Lower nodes that one node serves; more are sent elsewhere.
 pub const MAX_LOWER_NODES: usize = 96;
 /// Bytes of the VM list that a relay reads each second on average.
-pub const VM_LIST_RATE: u64 = 10 << 10;
+pub const VM_LIST_RATE: u64 = 6 << 10;
 /// Bytes that one VM takes in the VM list.
 pub const VM_ENTRY_BYTES: u64 = 150;
--- a/crates/lists/src/spread/node/beats.rs
+++ b/crates/lists/src/spread/node/beats.rs
@@ -2,8 +2,11 @@
 
 use base::prelude::*;
 
-use super::{SpreadAction, SpreadNode};
-use crate::spread::message::{BeatMessage, LackMessage, OfferMessage, SpreadBody};
+use super::SpreadNode;
+use crate::spread::{
+    event::SpreadAction,
+    message::{BeatMessage, LackMessage, OfferMessage, SpreadBody},
+};
 
 impl SpreadNode {
     pub(super) fn beat_all(&mut self, actions: &mut Vec<SpreadAction>, now: Instant) {
@@ -71,7 +74,8 @@
             self.pulse = Some(now);
         }
         let version = ListVersion(beat.version);
-        if beat.roster_digest != self.roster.digest() && !self.roster.is_empty() {
+        let is_of_zone = !self.other_relays.contains_key(from);
+        if is_of_zone && beat.roster_digest != self.roster.digest() && !self.roster.is_empty() {
             let body = SpreadBody::Roster(self.roster.to_message());
             actions.push(SpreadAction::Send { to: from.clone(), body });
         }
--- a/crates/side/src/settings.rs
+++ b/crates/side/src/settings.rs
@@ -7,6 +7,7 @@
     logging::LogSettings,
     prelude::*,
 };
+use lists::spread::SpreadConfig;
 use loading::FenceCheck;
 use snafu::Snafu;
 use std::str::FromStr;
@@ -100,6 +101,8 @@
     pub drain_limit: TimeSpan,
     /// Time between reports to subscribers.
     pub report_interval: TimeSpan,
+    /// Spread of the lists.
+    pub spread: SpreadConfig,
 }
 
 impl SideSettings {
@@ -122,6 +125,7 @@
             let report = section.optional("report-interval", span, DEFAULT_REPORT_INTERVAL);
             (drain, report)
         });
+        let spread = reader.section("spread", SpreadConfig::read);
         let settings = process.zip(backend).map(|(process, backend)| Self {
             log,
             process,
@@ -129,6 +133,7 @@
             platform,
             drain_limit: limits.0,
             report_interval: limits.1,
+            spread,
         });
         reader.finish(settings)
     }
