--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
+use lists::spread::WireLinks;
 use tokio::sync::mpsc;
 use wire::Message;
 
@@ -22,6 +23,8 @@
     pub runs: Arc<RunTable>,
     /// The owner's duty of this process.
     pub owner: mpsc::Sender<OwnerEvent>,
+    /// The spread of the lists.
+    pub spread: Arc<WireLinks>,
     /// Claims of idempotency keys.
     pub claims: mpsc::Sender<ClaimMessage>,
 }
@@ -46,7 +49,8 @@
             }
             Message::Ask(ask) => {
                 let reply = AskReplyPath::Peer(handle.sender.clone());
-                self.tell_owner(OwnerEvent::Ask { ask, reply }).await;
+                let from = handle.peer.clone();
+                self.tell_owner(OwnerEvent::Ask { from, ask, reply }).await;
             }
             Message::CreditReturn(returned) => {
                 self.tell_owner(OwnerEvent::CreditReturn(returned)).await;
@@ -59,6 +63,9 @@
                 let peer = handle.peer.clone();
                 self.tell_owner(OwnerEvent::BackendReport { peer, report }).await;
             }
+            Message::ListSpread(frame) => {
+                self.spread.accept(&handle.peer, &handle.sender, frame).await;
+            }
             other => log::warn!("peers: a message has no place here: {other:?}"),
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod fleet;
 pub mod inbox;
 pub mod keyed;
-pub mod list_watch;
+pub mod leaving;
 pub mod metrics;
 pub mod owner;
 pub mod peers;
@@ -20,6 +20,7 @@
 pub mod runs;
 pub mod server;
 pub mod settings;
+pub mod slow;
 
 pub use crate::{
     process::{EntryHandle, StartError},
--- a/crates/entry/src/owner/slots.rs
+++ b/crates/entry/src/owner/slots.rs
@@ -16,7 +16,7 @@
 use super::{
     OwnerDuty, OwnerEvent,
     capacity::ModelCapacity,
-    target::{Replica, ReplicaStage},
+    target::{Replica, ReplicaStage, TargetState},
 };
 
 impl OwnerDuty {
@@ -28,7 +28,7 @@
             let key = OwnerKey::Model(entry.id.clone());
             let ranking = OwnerRanking::new(&key, &entries, OwnerCount(1));
             if ranking.owners().first() == Some(&self.context.identity.vm) {
-                self.targets.entry(key).or_default();
+                self.targets.entry(key).or_insert_with(TargetState::new);
                 self.place_model(entry, lists.version(), now);
             }
         }
@@ -148,11 +148,11 @@
         let object = target.capacity.as_ref().and_then(|capacity| capacity.placement.object());
         let Some(object) = object.cloned() else { return };
         target.decided = object.decided;
-        target.replicas.retain(|vm, _| object.slot(vm).is_some());
+        target.retain_replicas(|vm| object.slot(vm).is_some(), now);
         for slot in object.slots {
-            let Some(address) = fleet.address(&slot.holder.vm) else { continue };
-            let replica = target.replicas.entry(slot.holder.vm.clone());
-            replica.or_insert_with(|| Replica::new(address)).slot = Some(slot);
+            let Some(vm) = fleet.vm(&slot.holder.vm) else { continue };
+            let new = || Replica::new(vm.address, vm.zone.clone());
+            target.replicas.entry(vm.id.clone()).or_insert_with(new).slot = Some(slot);
         }
         self.reach(key);
         self.offer_slots(key, now);
--- a/crates/entry/src/owner/target.rs
+++ b/crates/entry/src/owner/target.rs
@@ -1,59 +1,47 @@
 //! State of one model or service at its owner.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, HashMap},
     fmt,
     net::SocketAddr,
 };
 
+use admission::AdmissionPolicy;
 use base::{ids::AttemptId, prelude::*};
 use loading::{CacheTier, ModelDemand, OrderId};
 use placement::PlacementSlot;
-use wire::ask::{Ask, AskRefusal, Grant};
+use platform::VmState;
+use routing::{DeskAction, DeskAsk, DeskEvent, EntryLife, GrantDesk, ReplicaInfo};
+use wire::ask::{AskRefusal, Grant};
 
 use super::{
     AskReplyPath,
     capacity::ModelCapacity,
-    credits::{CreditBook, CreditTerm},
     slots::{UNKNOWN_MEMORY, UNKNOWN_TIER},
 };
+use crate::fleet::FleetView;
 
 /// Concurrency assumed before the first report.
 const FIRST_CONCURRENCY: usize = 4;
-/// Time for which a credit outlives the time of its request.
-const CREDIT_MARGIN: Duration = Duration::from_secs(1);
 /// Suggested pause before a refused request is sent again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A request that waits for a grant.
 #[derive(Debug)]
-pub struct WaitingAsk {
-    /// Identity of the attempt.
-    pub id: AttemptId,
-    /// The ask.
-    pub ask: Ask,
+struct WaitingAsk {
+    entry: EntryLife,
     reply: AskReplyPath,
-    deadline: Instant,
     was_cold: bool,
 }
 
-impl WaitingAsk {
-    /// An ask that arrived at `now`.
-    pub fn new(id: AttemptId, ask: Ask, reply: AskReplyPath, now: Instant) -> Self {
-        let deadline = now + Duration::from_millis(ask.budget_ms);
-        Self { id, ask, reply, deadline, was_cold: false }
-    }
-
-    /// Refuses the request.
-    pub fn refuse(self, code: ResultCode) {
-        let refusal = AskRefusal {
-            request: self.id.request_bytes(),
-            attempt: self.id.attempt,
-            code: code.number(),
-            retry_after_ms: RETRY_AFTER.as_millis() as u64,
-        };
-        self.reply.refuse(refusal);
-    }
+/// Refuses an ask that the desk does not know.
+pub fn refuse(id: AttemptId, reply: AskReplyPath, code: ResultCode) {
+    reply.refuse(AskRefusal {
+        request: id.request_bytes(),
+        attempt: id.attempt,
+        code: code.number(),
+        retry_after_ms: RETRY_AFTER.as_millis() as u64,
+    });
 }
 
 /// Where a replica stands.
@@ -112,6 +100,8 @@
     pub stage: ReplicaStage,
     /// Slot that permits the model there; none for services.
     pub slot: Option<PlacementSlot>,
+    /// Number of the slot under which earlier processes' orders were barred.
+    pub settled: Option<FencingNumber>,
     /// Load that was ordered there.
     pub pending: Option<PendingLoad>,
     /// Where the server has the checkpoint.
@@ -120,106 +110,231 @@
     pub free_memory: ByteSize,
     /// Requests that it runs at once.
     pub concurrency: usize,
-    /// Whether it takes no new work.
+    /// Whether its side process takes no new work.
     pub is_draining: bool,
-    /// Credits granted and not returned.
-    pub outstanding: CreditBook,
+    /// Whether its VM is about to leave by the VM list.
+    pub is_leaving: bool,
+    zone: ZoneName,
+    offered: ReplicaOffer,
+}
+
+/// What the desk was told of a replica last.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum ReplicaOffer {
+    Gone,
+    Ready(ReplicaInfo),
+    Leaving(ProcessIncarnation),
 }
 
 impl Replica {
     /// A replica whose side process is not connected.
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, zone: ZoneName) -> Self {
         Self {
             address,
             incarnation: ProcessIncarnation::default(),
             stage: ReplicaStage::Unreached,
             slot: None,
+            settled: None,
             pending: None,
             tier: UNKNOWN_TIER,
             free_memory: UNKNOWN_MEMORY,
             concurrency: FIRST_CONCURRENCY,
             is_draining: false,
-            outstanding: CreditBook::default(),
+            is_leaving: false,
+            zone,
+            offered: ReplicaOffer::Gone,
         }
     }
 
-    fn has_credit(&self) -> bool {
-        let is_ready = self.stage == ReplicaStage::Ready && !self.is_draining;
-        is_ready && self.outstanding.count() < self.concurrency
+    fn offer(&self, vm: &VmId) -> ReplicaOffer {
+        if self.stage != ReplicaStage::Ready {
+            return ReplicaOffer::Gone;
+        }
+        if self.is_draining || self.is_leaving {
+            return ReplicaOffer::Leaving(self.incarnation);
+        }
+        ReplicaOffer::Ready(ReplicaInfo {
+            vm: vm.clone(),
+            incarnation: self.incarnation,
+            zone: self.zone.clone(),
+            slots: self.concurrency as u32,
+        })
     }
 }
 
 /// One model or service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TargetState {
     /// Decided number of replicas.
     pub decided: u32,
-    /// Requests that wait.
-    pub queue: VecDeque<WaitingAsk>,
     /// Backend servers that may serve.
     pub replicas: BTreeMap<VmId, Replica>,
     /// Decisions about replicas; none for services.
     pub capacity: Option<ModelCapacity>,
+    desk: GrantDesk,
+    waiting: HashMap<AttemptId, WaitingAsk>,
+    long_percent: Option<u32>,
 }
 
 impl TargetState {
-    /// Grants credits to waiting requests as long as there are any.
-    pub fn grant_waiting(&mut self) {
-        while let Some(waiting) = self.queue.front_mut() {
-            let tried = &waiting.ask.tried;
-            let replica =
-                self.replicas.iter_mut().filter(|(_, replica)| replica.has_credit()).min_by_key(
-                    |(vm, replica)| {
-                        (tried.iter().any(|t| t == vm.as_str()), replica.outstanding.count())
-                    },
-                );
-            let Some((vm, replica)) = replica else {
-                let is_cold =
-                    !self.replicas.values().any(|replica| replica.stage == ReplicaStage::Ready);
-                self.queue.iter_mut().for_each(|waiting| waiting.was_cold |= is_cold);
-                return;
-            };
-            let term = CreditTerm {
-                until: waiting.deadline + CREDIT_MARGIN,
-                asker: waiting.reply.asker(),
-            };
-            replica.outstanding.grant(waiting.id, term);
-            let grant = Grant {
-                request: waiting.id.request_bytes(),
-                attempt: waiting.id.attempt,
-                vm: vm.to_string(),
-                address: replica.address.to_string(),
-                incarnation: replica.incarnation.0,
-                is_cold: waiting.was_cold,
-            };
-            if let Some(waiting) = self.queue.pop_front() {
-                waiting.reply.grant(grant);
+    /// A target without replicas.
+    pub fn new() -> Self {
+        Self {
+            decided: 0,
+            replicas: BTreeMap::new(),
+            capacity: None,
+            desk: GrantDesk::new(AdmissionPolicy::default(), rand::random()),
+            waiting: HashMap::new(),
+            long_percent: None,
+        }
+    }
+
+    /// Whether any request waits for a grant.
+    pub fn has_waiting(&self) -> bool {
+        self.waiting_count() > 0
+    }
+
+    /// Takes an ask; its reply is sent now or later.
+    pub fn ask(&mut self, ask: DeskAsk, reply: AskReplyPath, now: Instant) {
+        let waiting = WaitingAsk { entry: ask.entry.clone(), reply, was_cold: false };
+        self.waiting.insert(ask.id, waiting);
+        self.decide(DeskEvent::Ask(ask), now);
+        self.mark_cold();
+    }
+
+    /// Limits the slots that long work may hold.
+    pub fn limit_long(&mut self, percent: u32, now: Instant) {
+        if self.long_percent != Some(percent) {
+            self.long_percent = Some(percent);
+            self.decide(DeskEvent::LimitLong(percent), now);
+        }
+    }
+
+    /// Passes one event to the desk and sends its decisions.
+    pub fn decide(&mut self, event: DeskEvent, now: Instant) {
+        match &event {
+            DeskEvent::Return { id, .. } | DeskEvent::Withdraw(id) => {
+                self.waiting.remove(id);
             }
+            DeskEvent::EntryLost(entry) => self.waiting.retain(|_, ask| ask.entry != *entry),
+            _ => {}
+        }
+        let actions = self.desk.handle(event, now);
+        for action in actions {
+            self.reply(action);
         }
     }
 
-    /// Requests that wait and run.
-    pub fn demand(&self) -> ModelDemand {
-        let running: usize =
-            self.replicas.values().map(|replica| replica.outstanding.count()).sum();
-        ModelDemand { waiting: self.queue.len() as u32, running: running as u32 }
+    /// Tells the desk which replicas can serve.
+    pub fn offer_replicas(&mut self, now: Instant) {
+        for event in self.offer_changes() {
+            self.decide(event, now);
+        }
+    }
+
+    /// Forgets replicas that `keep` is false for.
+    pub fn retain_replicas(&mut self, keep: impl Fn(&VmId) -> bool, now: Instant) {
+        let gone = self.replicas.extract_if(.., |vm, _| !keep(vm));
+        let events: Vec<DeskEvent> = gone.map(|(vm, _)| DeskEvent::ReplicaGone(vm)).collect();
+        for event in events {
+            self.decide(event, now);
+        }
     }
 
-    /// Requests whose time has run out.
-    pub fn take_expired(&mut self, now: Instant) -> Vec<WaitingAsk> {
-        let (expired, waiting) = std::mem::take(&mut self.queue)
-            .into_iter()
-            .partition(|waiting| waiting.deadline <= now);
-        self.queue = waiting;
-        Vec::from(expired as VecDeque<WaitingAsk>)
+    /// Takes over from the VM list which VMs are about to leave.
+    pub fn mark_leaving(&mut self, fleet: &FleetView) {
+        for (vm, replica) in &mut self.replicas {
+            let entry = fleet.vm(vm);
+            replica.is_leaving = entry.is_some_and(|entry| entry.state == VmState::Leaving);
+        }
     }
 
-    /// Ends pauses after failures.
-    pub fn revive(&mut self, now: Instant) {
+    /// Lets time pass; decisions that are due are sent.
+    pub fn tick(&mut self, now: Instant) {
         for replica in self.replicas.values_mut() {
             if matches!(replica.stage, ReplicaStage::Failed { until } if until <= now) {
                 replica.stage = ReplicaStage::Unreached;
             }
         }
+        self.decide(DeskEvent::Tick, now);
+    }
+
+    fn offer_changes(&mut self) -> Vec<DeskEvent> {
+        let mut events = Vec::new();
+        for (vm, replica) in &mut self.replicas {
+            let offer = replica.offer(vm);
+            if offer == replica.offered {
+                continue;
+            }
+            events.push(match (&replica.offered, &offer) {
+                (_, ReplicaOffer::Ready(info)) => DeskEvent::ReplicaReady(info.clone()),
+                (ReplicaOffer::Ready(info), ReplicaOffer::Leaving(life))
+                    if info.incarnation == *life =>
+                {
+                    DeskEvent::ReplicaLeaving(vm.clone())
+                }
+                _ => DeskEvent::ReplicaGone(vm.clone()),
+            });
+            replica.offered = offer;
+        }
+        events
+    }
+
+    fn reply(&mut self, action: DeskAction) {
+        match action {
+            DeskAction::Refuse { id, code } => {
+                if let Some(waiting) = self.waiting.remove(&id) {
+                    refuse(id, waiting.reply, code);
+                }
+            }
+            DeskAction::Grant { id, choice, hedge_after } => {
+                let Some(waiting) = self.waiting.remove(&id) else { return };
+                let Some(replica) = self.replicas.get(&choice.vm) else { return };
+                let grant = Grant {
+                    request: id.request_bytes(),
+                    attempt: id.attempt,
+                    vm: choice.vm.to_string(),
+                    address: replica.address.to_string(),
+                    incarnation: choice.incarnation.0,
+                    is_cold: waiting.was_cold,
+                    hedge_after_us: hedge_after.map_or(0, |after| after.as_micros() as u64),
+                };
+                waiting.reply.grant(grant);
+            }
+        }
+    }
+
+    /// Remembers for all waiting requests that no replica is ready.
+    fn mark_cold(&mut self) {
+        if self.replicas.values().any(|replica| replica.stage == ReplicaStage::Ready) {
+            return;
+        }
+        self.waiting.values_mut().for_each(|ask| ask.was_cold = true);
+    }
+
+    /// A replica that is ready and runs nothing.
+    pub fn idle_replica(&self) -> Option<VmId> {
+        let is_idle = |(vm, replica): &(&VmId, &Replica)| {
+            replica.stage == ReplicaStage::Ready && self.outstanding(vm) == 0
+        };
+        self.replicas.iter().rfind(is_idle).map(|(vm, _)| vm.clone())
+    }
+
+    /// Credits on a replica that were granted and not returned.
+    pub fn outstanding(&self, vm: &VmId) -> usize {
+        self.desk.replicas().outstanding(vm)
+    }
+
+    /// Requests that wait.
+    pub fn waiting_count(&self) -> usize {
+        let counts = self.desk.counts();
+        counts.short_waiting + counts.long_waiting
+    }
+
+    /// Requests that wait and run.
+    pub fn demand(&self) -> ModelDemand {
+        let counts = self.desk.counts();
+        let running = counts.short_running + counts.long_running;
+        ModelDemand { waiting: self.waiting_count() as u32, running }
     }
 }
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -4,13 +4,16 @@
 
 use base::{ids::AttemptId, prelude::*};
 use bytes::BytesMut;
+use lists::WorkClass;
 use once::{AttemptRecord, CrashMark, CrashNote, CrashVerdict, RequestFingerprint};
-use routing::rendezvous::{OwnerCount, OwnerKey, OwnerRanking};
+use routing::{
+    AnswerStream, FrameBody, FrameOrigin, OwnerCount, OwnerKey, OwnerRanking, StreamAction,
+};
 use tokio::{sync::mpsc, time};
 use wire::{
     LinkSender, Message, PeerIdentity,
-    ask::{Ask, CreditReturn, Grant},
-    run::{AnswerEnd, RunCancel, RunRequest},
+    ask::{Ask, CreditReturn, CreditUse, Grant},
+    run::{AnswerChunk, AnswerEnd, RunCancel, RunRequest},
 };
 
 use crate::{
@@ -24,6 +27,7 @@
     process::EntryState,
     refusals::CallRefusal,
     runs::RunEvent,
+    slow::SlowCause,
 };
 
 /// Attempts that may have run before a repeatable request is given up.
@@ -54,6 +58,7 @@
     tried: Vec<String>,
     fingerprint: RequestFingerprint,
     record: AttemptRecord,
+    started: Instant,
 }
 
 impl RequestDriver {
@@ -64,7 +69,8 @@
         let customer = &call.rights.customer.id;
         let fingerprint = RequestFingerprint::of_request(customer, &name, &call.body);
         let record = AttemptRecord::new(call.repeat == RepeatRule::Repeatable);
-        Self { state, call: Arc::new(call), tried: Vec::new(), fingerprint, record }
+        let started = Instant::now();
+        Self { state, call: Arc::new(call), tried: Vec::new(), fingerprint, record, started }
     }
 
     /// Serves the request: one answer or one refusal.
@@ -158,8 +164,10 @@
             return Ok(AttemptEnd::NotRun(ResultCode::OwnerUnreachable));
         };
         let cold = if credit.grant.is_cold { "yes" } else { "no" };
-        let wait = asked.elapsed().as_secs_f64();
-        self.state.metrics.grant_wait.with_label_values(&[cold]).observe(wait);
+        let is_cold = credit.grant.is_cold;
+        let wait = asked.elapsed();
+        let grant_wait = &self.state.metrics.grant_wait;
+        grant_wait.with_label_values(&[cold]).observe(wait.as_secs_f64());
         self.tried.push(credit.grant.vm.clone());
         let Ok(address) = credit.grant.address.parse() else {
             return Ok(AttemptEnd::NotRun(ResultCode::NoReplica));
@@ -173,7 +181,23 @@
         if !self.record.deliver(attempt) {
             return Ok(AttemptEnd::NotRun(ResultCode::NoReplica));
         }
-        Ok(self.hand_over(id, &side, credit).await)
+        let end = self.hand_over(id, &side, credit).await;
+        if matches!(end, AttemptEnd::Answered(_)) {
+            self.count_if_slow(wait, is_cold);
+        }
+        Ok(end)
+    }
+
+    fn count_if_slow(&self, wait: Duration, is_cold: bool) {
+        let class = self.call.target.class();
+        let objective = self.call.rights.objectives().of_class(class);
+        let total = self.started.elapsed();
+        if total > objective.latency.0 {
+            let customer = self.call.rights.customer.id.as_str();
+            let cause = SlowCause::of(total, wait, is_cold).to_string();
+            let labels = [customer, &class.to_string(), &cause];
+            self.state.metrics.slow.with_label_values(&labels).inc();
+        }
     }
 
     /// Asks owners in the order of rendezvous until one grants or refuses; `None` if none answers.
@@ -195,6 +219,12 @@
                 attempt: id.attempt,
                 body_bytes: self.call.body.len() as u64,
                 max_tokens: self.call.max_tokens,
+                share: self.call.rights.share().0,
+                priority: u32::from(self.call.rights.priority().0),
+                may_repeat: self.call.repeat == RepeatRule::Repeatable,
+                is_hedge: false,
+                is_long: self.call.class == WorkClass::Long,
+                queue_limit: self.call.rights.plan.queue.0,
             };
             let Some(mut pending) = PendingAsk::send(&self.state, owner, ask).await else {
                 continue;
@@ -245,15 +275,20 @@
             handed.is_open = false;
             return AttemptEnd::NotRun(ResultCode::NoReplica);
         }
+        handed.credit.used = CreditUse::Withdrawn;
         let head = match time::timeout(self.time_left(), handed.next()).await {
             Ok(RunEvent::Refused(code)) => {
                 handed.is_open = false;
+                handed.credit.used = CreditUse::Unused;
                 return match code.run_state() {
                     RunState::NotRun => AttemptEnd::NotRun(code),
                     RunState::MayHaveRun => AttemptEnd::MayHaveRun(code),
                 };
             }
-            Ok(RunEvent::Head(head)) => HeadParts::from(head),
+            Ok(RunEvent::Head(head)) => {
+                handed.take_frame(RunEvent::Head(head.clone()));
+                HeadParts::from(head)
+            }
             Ok(RunEvent::End(end)) => {
                 handed.is_open = false;
                 let code = ResultCode::from_number(end.code).unwrap_or(ResultCode::AnswerCut);
@@ -362,7 +397,9 @@
         let id = AttemptId::from_wire(&ask.request, ask.attempt)?;
         if *owner == state.identity.vm {
             let (reply, replied) = tokio::sync::oneshot::channel();
-            let event = OwnerEvent::Ask { ask: ask.clone(), reply: AskReplyPath::Local(reply) };
+            let from = state.identity.clone();
+            let reply = AskReplyPath::Local(reply);
+            let event = OwnerEvent::Ask { from, ask: ask.clone(), reply };
             state.owner.send(event).await.ok()?;
             return Some(Self::new(state, id, ask, None, replied));
         }
@@ -394,7 +431,7 @@
             ask: self.ask.clone(),
             grant,
             started: Instant::now(),
-            has_failed: false,
+            used: CreditUse::Unused,
         }
     }
 }
@@ -422,7 +459,7 @@
     ask: Ask,
     grant: Grant,
     started: Instant,
-    has_failed: bool,
+    used: CreditUse,
 }
 
 impl Drop for HeldCredit {
@@ -433,12 +470,21 @@
             target: self.ask.target.clone(),
             vm: self.grant.vm.clone(),
             service_us: self.started.elapsed().as_micros() as u64,
-            has_failed: self.has_failed,
+            used: self.used.into(),
         };
         return_credit(&self.state, self.owner.as_ref(), returned);
     }
 }
 
+/// What the end of an answer tells about the backend server.
+fn used_by(end: &AnswerEnd) -> CreditUse {
+    match ResultCode::from_number(end.code) {
+        Some(ResultCode::Success) => CreditUse::Served,
+        Some(ResultCode::CallerCancelled | ResultCode::AnswerTimeout) => CreditUse::Withdrawn,
+        _ => CreditUse::Failed,
+    }
+}
+
 fn return_credit(state: &EntryState, owner: Option<&LinkSender>, returned: CreditReturn) {
     let is_sent = match owner {
         Some(sender) => sender.offer(Message::CreditReturn(returned)),
@@ -458,7 +504,7 @@
     events: mpsc::UnboundedReceiver<RunEvent>,
     suspect: RunSuspect,
     epoch: u64,
-    offset: u64,
+    stream: AnswerStream,
     is_open: bool,
 }
 
@@ -473,16 +519,19 @@
         let peer: &PeerIdentity = &side.peer;
         let events = state.runs.listen(id, peer);
         let side = side.clone();
-        Self { state, id, side, credit, events, suspect, epoch: 0, offset: 0, is_open: true }
+        let origin = FrameOrigin { id, incarnation: peer.incarnation };
+        let stream = AnswerStream::new(origin);
+        Self { state, id, side, credit, events, suspect, epoch: 0, stream, is_open: true }
     }
 
     async fn next(&mut self) -> RunEvent {
         let event = self.events.recv().await.unwrap_or(RunEvent::Lost);
         if event == RunEvent::Lost {
             self.is_open = false;
-            self.credit.has_failed = true;
+            self.credit.used = CreditUse::Failed;
         }
         if let RunEvent::End(end) = &event {
+            self.credit.used = used_by(end);
             self.tell_quarantine(end);
         }
         event
@@ -499,23 +548,39 @@
 
     /// The next part of the body; anything out of place cuts the answer.
     async fn next_part(&mut self) -> AnswerPart {
-        match self.next().await {
-            RunEvent::Chunk(chunk) if chunk.offset == self.offset => {
-                self.offset += chunk.data.len() as u64;
-                AnswerPart::Data(chunk.data)
+        loop {
+            let event = self.next().await;
+            if matches!(event, RunEvent::End(_)) {
+                self.is_open = false;
+            }
+            let action = self.take_frame(event);
+            match action {
+                Some(StreamAction::ShowData(data)) => return AnswerPart::Data(data),
+                Some(StreamAction::Complete) => return AnswerPart::End,
+                Some(StreamAction::Cut(code)) => return AnswerPart::Cut(code),
+                Some(StreamAction::ShowHead) | None => {}
+            }
+        }
+    }
+
+    fn take_frame(&mut self, event: RunEvent) -> Option<StreamAction> {
+        let (life, body) = match event {
+            RunEvent::Head(head) => (head.incarnation, FrameBody::Head),
+            RunEvent::Chunk(chunk) => {
+                let AnswerChunk { incarnation, offset, data, .. } = chunk;
+                (incarnation, FrameBody::Chunk { offset, data })
             }
             RunEvent::End(end) => {
-                self.is_open = false;
                 let code = ResultCode::from_number(end.code).unwrap_or(ResultCode::AnswerCut);
-                match code {
-                    ResultCode::Success if end.length == self.offset => AnswerPart::End,
-                    ResultCode::Success => AnswerPart::Cut(ResultCode::AnswerCut),
-                    code => AnswerPart::Cut(code),
-                }
+                (end.incarnation, FrameBody::End { length: end.length, code })
             }
-            RunEvent::Lost => AnswerPart::Cut(ResultCode::BackendLost),
-            _ => AnswerPart::Cut(ResultCode::AnswerCut),
-        }
+            RunEvent::Lost => (self.side.peer.incarnation.0, FrameBody::Lost),
+            RunEvent::Refused(_) | RunEvent::CancelAck { .. } => {
+                return Some(StreamAction::Cut(ResultCode::AnswerCut));
+            }
+        };
+        let origin = FrameOrigin { id: self.id, incarnation: ProcessIncarnation(life) };
+        self.stream.take(origin, body)
     }
 
     /// Withdraws the request because its time has run out.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,6 +7,7 @@
     logging::LogSettings,
     prelude::*,
 };
+use lists::spread::SpreadConfig;
 use once::ShardLimits;
 use platform::budget::CallLimits;
 use wire::ProcessSettings;
@@ -82,6 +83,8 @@
     pub platform: PlatformSettings,
     /// Limits.
     pub limits: RequestLimits,
+    /// Spread of the lists.
+    pub spread: SpreadConfig,
     /// Claims of idempotency keys.
     pub claims: ShardLimits,
 }
@@ -98,12 +101,14 @@
         let process = reader.section("process", ProcessSettings::read);
         let platform = reader.section("platform", PlatformSettings::read);
         let limits = reader.section("limits", RequestLimits::read);
+        let spread = reader.section("spread", SpreadConfig::read);
         let claims = reader.section("claims", read_claims);
         let settings = process.zip(platform).map(|(process, platform)| Self {
             log,
             process,
             platform,
             limits,
+            spread,
             claims,
         });
         reader.finish(settings)
--- a/crates/fescuewalk/src/cmd.rs
+++ b/crates/fescuewalk/src/cmd.rs
@@ -1,5 +1,10 @@
 //! One module for each subcommand.
 
+pub mod account;
+pub mod apply;
+pub mod burn;
+pub mod check;
+pub mod diff;
 pub mod entry;
 pub mod quarantine;
 pub mod standin;
--- a/crates/fescuewalk/tests/once.rs
+++ b/crates/fescuewalk/tests/once.rs
@@ -6,10 +6,15 @@
 
 use base::{clock, prelude::*};
 use http_body_util::{BodyExt, Full};
+use platform::{
+    ObjectStore,
+    http::{ClientSettings, PlatformClient},
+};
 use serde_json::{Value, json};
 use standin::load::{CallKind, CallVerdict, ChatCall, EntryClient, ScriptedCall, ServiceCall};
 use support::{
-    fleet::{Fleet, client, start_fleet},
+    Process, fescuewalk,
+    fleet::{Fleet, client, start_fleet, wait_until_ready},
     run,
 };
 
@@ -157,3 +162,157 @@
     assert!(run(&["quarantine", "lift", &platform, fingerprint]).status.success());
     assert!(run(&["quarantine", "list", &platform]).stdout.is_empty());
 }
+
+async fn edit_vms(platform: SocketAddr, edit: impl FnOnce(&mut Vec<Value>)) {
+    let request = http::Request::get(format!("http://{platform}/vms"));
+    let answer = client().request(request.body(Full::default()).unwrap()).await.unwrap();
+    let bytes = answer.into_body().collect().await.unwrap().to_bytes();
+    let mut vms: Vec<Value> = serde_json::from_slice(&bytes).unwrap();
+    edit(&mut vms);
+    admin(platform, "PUT", "vms", json!(vms)).await;
+}
+
+async fn mark_leaving(platform: SocketAddr, vm: &str) {
+    edit_vms(platform, |vms| {
+        for entry in vms.iter_mut().filter(|entry| entry["id"] == vm) {
+            entry["state"] = json!("leaving");
+        }
+    })
+    .await;
+}
+
+/// Starts an entry of another region and puts it on the VM list.
+async fn foreign_entry(fleet: &Fleet) -> Process {
+    let platform = fleet.standins[0].address("http");
+    let text = format!(
+        "[process]\nvm = entry-far\nzone = pnw-west-1\nregion = pnw-west\nsecret = test-secret\n\
+         peer-address = 127.0.0.1:0\nhttp-address = 127.0.0.1:0\n[platform]\naddress = {platform}\n\
+         vm-poll = 100ms\nreads = 200/s\nwrites = 200/s\n"
+    );
+    let mut command = fescuewalk();
+    command.arg("entry").arg(fleet.dir.write("entry-far.ini", &text));
+    let process = Process::start(command);
+    let entry = json!({
+        "id": "entry-far", "role": "entry", "service": null, "zone": "pnw-west-1",
+        "address": process.address("peers"), "state": "live",
+    });
+    edit_vms(platform, |vms| vms.push(entry)).await;
+    wait_until_ready(process.address("http")).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    process
+}
+
+#[tokio::test]
+async fn claims_stay_in_the_home_region_of_the_customer() {
+    let fleet = start_fleet().await;
+    let [first, second] = fleet.addresses()[..] else { panic!("two entries") };
+    let far = foreign_entry(&fleet).await;
+
+    for number in 0..16 {
+        let key = timed_key(&format!("home-{number}"));
+        assert_eq!(send(first, &order(&key)).await, CallVerdict::Whole);
+        assert_eq!(send(second, &order(&key)).await, CallVerdict::Whole);
+        assert_eq!(calls_with_key(&fleet, &key).await, 1);
+    }
+    let from_far = send(far.address("http"), &order(&timed_key("far"))).await;
+
+    let store = PlatformClient::new(ClientSettings::new(fleet.standins[0].address("http")));
+    assert_eq!(from_far, refused(ResultCode::RegionUnreachable, RunState::NotRun));
+    assert!(!store.list("claims/cz-central/").await.unwrap().is_empty());
+    assert_eq!(store.list("claims/pnw-west/").await.unwrap(), []);
+}
+
+async fn answers_at(fleet: &Fleet, engine: usize) -> usize {
+    let address = fleet.standins[2 + engine].address("http");
+    let records = admin(address, "GET", "records", Value::Null).await;
+    records["executions"].as_array().unwrap().len()
+}
+
+#[tokio::test]
+async fn a_leaving_backend_server_gets_no_new_work_and_cuts_none_off() {
+    let fleet = start_fleet().await;
+    let entry = fleet.addresses()[0];
+    for number in 0..8 {
+        assert_eq!(send(entry, &chat(&format!("before {number}"))).await, CallVerdict::Whole);
+    }
+    let long =
+        ChatCall { model: "dam-check".into(), prompt: "long".into(), tokens: 400, is_stream: true };
+    let long = scripted(CallKind::Chat(long));
+    let streams = (0..4).map(|_| {
+        let long = long.clone();
+        tokio::spawn(async move { send(entry, &long).await })
+    });
+    let streams = streams.collect::<Vec<_>>();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    let leaver = usize::from(answers_at(&fleet, 1).await > 0);
+    let vm = format!("rosnatka-{leaver}");
+    mark_leaving(fleet.standins[0].address("http"), &vm).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = answers_at(&fleet, leaver).await;
+    for number in 0..20 {
+        assert_eq!(send(entry, &chat(&format!("after {number}"))).await, CallVerdict::Whole);
+    }
+
+    assert!(before > 0);
+    assert_eq!(answers_at(&fleet, leaver).await, before);
+    for stream in streams {
+        assert_eq!(stream.await.unwrap(), CallVerdict::Whole);
+    }
+}
+
+/// Sends an order with a time limit of its own; returns the refusal's code and state.
+async fn refusal_of(entry: SocketAddr, key: &str) -> (u64, String) {
+    let request = http::Request::post(format!("http://{entry}/services/vrbovka/orders"))
+        .header("authorization", "Bearer crew-key")
+        .header("idempotency-key", key)
+        .header("x-deadline-ms", "2000")
+        .body(Full::from("open the sluice"))
+        .unwrap();
+    let answer = client().request(request).await.unwrap();
+    let bytes = answer.into_body().collect().await.unwrap().to_bytes();
+    let body: Value = serde_json::from_slice(&bytes).unwrap();
+    let state = body["error"]["state"].as_str().unwrap_or_default().to_owned();
+    (body["error"]["code"].as_u64().unwrap_or_default(), state)
+}
+
+#[tokio::test]
+async fn a_call_in_flight_at_a_lost_side_process_may_have_run_and_stays_claimed() {
+    let fleet = start_fleet().await;
+    let [first, second] = fleet.addresses()[..] else { panic!("two entries") };
+    admin(fleet.standins[4].address("http"), "PUT", "fault", json!({ "slow_factor": 200.0 })).await;
+    let key = timed_key("lost");
+
+    let sending = tokio::spawn({
+        let key = key.clone();
+        async move { refusal_of(first, &key).await }
+    });
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    fleet.sides[2].signal("KILL");
+    let lost = sending.await.unwrap();
+    let again = refusal_of(second, &key).await;
+
+    let may_have_run = RunState::MayHaveRun.to_string();
+    assert_eq!(calls_with_key(&fleet, &key).await, 1);
+    assert_eq!(lost, (u64::from(ResultCode::BackendLost.number()), may_have_run.clone()));
+    assert_eq!(again, (u64::from(ResultCode::DuplicateKey.number()), may_have_run));
+}
+
+#[tokio::test]
+async fn a_caller_that_lost_its_connection_gets_the_kept_answer() {
+    let fleet = start_fleet().await;
+    let [first, second] = fleet.addresses()[..] else { panic!("two entries") };
+    admin(fleet.standins[4].address("http"), "PUT", "fault", json!({ "slow_factor": 200.0 })).await;
+    let key = timed_key("impatient");
+
+    let impatient = EntryClient::new(Duration::from_millis(300));
+    let lost = impatient.send(first, &order(&key)).await.verdict;
+    let meanwhile = send(second, &order(&key)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let again = send(second, &order(&key)).await;
+
+    assert_eq!(lost, CallVerdict::Lost);
+    assert_eq!(meanwhile, refused(ResultCode::DuplicateKey, RunState::MayHaveRun));
+    assert_eq!(again, CallVerdict::Whole);
+    assert_eq!(calls_with_key(&fleet, &key).await, 1);
+}
--- a/crates/loading/tests/ledger_orders.rs
+++ b/crates/loading/tests/ledger_orders.rs
@@ -82,6 +82,15 @@
     actions.iter().find_map(attempt).expect("a call to the engine")
 }
 
+fn attempts_of(actions: &[LedgerAction]) -> Vec<AttemptId> {
+    let attempt = |action: &LedgerAction| match action {
+        LedgerAction::LoadAtEngine { attempt, .. }
+        | LedgerAction::UnloadAtEngine { attempt, .. } => Some(*attempt),
+        _ => None,
+    };
+    actions.iter().filter_map(attempt).collect()
+}
+
 fn denial(actions: &[LedgerAction]) -> Option<DenyReason> {
     actions.iter().find_map(|action| match action {
         LedgerAction::Deny(_, reason) => Some(*reason),
@@ -306,3 +315,88 @@
 
     assert_eq!(denial(&actions), Some(DenyReason::NotReady));
 }
+
+/// A process whose predecessor may have ordered more models than there is room for.
+fn successor_over_its_memory(check: FenceCheck) -> LedgerFixture {
+    let ledger = common::ledger(check, GuardSet::default(), HOLDER);
+    let mut fixture = LedgerFixture { ledger, now: Instant::now(), orders: 0 };
+    let slot = |number| InheritedSlot {
+        model: common::model(number),
+        size: size_of(&base_target(number)),
+        fence: FencingNumber(1),
+        unsettled: 1,
+    };
+    fixture.step(LedgerEvent::Inherited((1..=4).map(slot).collect()));
+    fixture.list(1, &[]);
+    fixture
+}
+
+#[tokio::test(start_paused = true)]
+async fn doubtful_loads_are_barred_for_a_model_that_finds_no_room() {
+    let mut fixture = successor_over_its_memory(FenceCheck::Enforced);
+
+    let barred = fixture.load(base_target(5), 1, 1);
+    for attempt in attempts_of(&barred) {
+        fixture.step(LedgerEvent::Answered(attempt, EngineAnswer::Done));
+    }
+    fixture.list(2, &[]);
+    fixture.list(3, &[]);
+    let actions = fixture.load(base_target(5), 1, 1);
+
+    assert_eq!(denial(&barred), Some(DenyReason::NoRoom));
+    assert_eq!(attempts_of(&barred).len(), 4);
+    assert_eq!(loads(&actions), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_doubtful_model_that_finds_no_room_is_barred_itself_and_then_loaded() {
+    let mut fixture = successor_over_its_memory(FenceCheck::Enforced);
+
+    let barred = fixture.load(base_target(1), 2, 1);
+    for attempt in attempts_of(&barred) {
+        fixture.step(LedgerEvent::Answered(attempt, EngineAnswer::Done));
+    }
+    fixture.list(2, &[]);
+    fixture.list(3, &[]);
+    let actions = fixture.load(base_target(1), 2, 1);
+
+    assert_eq!(denial(&barred), Some(DenyReason::NoRoom));
+    assert_eq!(loads(&actions), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_doubtful_load_keeps_its_room_where_fencing_is_ignored() {
+    let mut fixture = successor_over_its_memory(FenceCheck::Ignored);
+    let before = fixture.ledger.reserved();
+
+    let actions = fixture.load(base_target(1), 2, 1);
+
+    assert_eq!(actions.len(), 1);
+    assert_eq!(denial(&actions), Some(DenyReason::NoRoom));
+    assert_eq!(fixture.ledger.reserved(), before);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_release_of_a_doubtful_model_waits_for_its_requests() {
+    let ledger = common::ledger(FenceCheck::Enforced, GuardSet::default(), HOLDER);
+    let mut fixture = LedgerFixture { ledger, now: Instant::now(), orders: 0 };
+    let slot = InheritedSlot {
+        model: common::model(1),
+        size: size_of(&base_target(1)),
+        fence: FencingNumber(1),
+        unsettled: 2,
+    };
+    fixture.step(LedgerEvent::Inherited(vec![slot]));
+    fixture.list(1, &[base_target(1)]);
+    fixture.step(LedgerEvent::RequestStarted(base_target(1)));
+    for _ in 0..10 {
+        fixture.step(LedgerEvent::Tick);
+    }
+    fixture.list(2, &[]);
+
+    let busy = fixture.unload(base_target(1), 2, UnloadPurpose::Release);
+    let idle = fixture.step(LedgerEvent::RequestEnded(base_target(1)));
+
+    assert_eq!(busy, Vec::new());
+    assert!(matches!(idle[..], [LedgerAction::UnloadAtEngine { .. }]), "{idle:?}");
+}
--- a/crates/side/src/process.rs
+++ b/crates/side/src/process.rs
@@ -3,7 +3,12 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use base::prelude::*;
+use lists::spread::SpreadProcess;
 use once::{DrainCause, LinkId, RunEvent};
+use platform::{
+    budget::{BudgetedStore, CallLimits},
+    http::{ClientSettings, PlatformClient},
+};
 use snafu::{ResultExt, Snafu};
 use tokio::{net::TcpListener, time};
 use wire::{
@@ -21,9 +26,14 @@
     settings::{BackendKind, SideSettings},
 };
 
+/// Calls to the platform that this process may make; the lists come from entries.
+const PLATFORM_LIMITS: CallLimits = CallLimits { reads: EventRate(2.0), writes: EventRate(1.0) };
 /// Time for the last messages to leave the process.
 const LAST_WORDS: Duration = Duration::from_millis(20);
 
+/// Longest time between two reports to a subscriber.
+const REPORT_REFRESH: Duration = Duration::from_secs(5);
+
 /// The process could not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -59,6 +69,8 @@
     pub engine_watch: EngineWatch,
     /// Planned stop.
     pub drain: DrainSwitch,
+    /// The spread of the lists; none without a platform.
+    pub spread: Option<SpreadProcess>,
 }
 
 /// A running side process.
@@ -80,8 +92,10 @@
         let admins = listen(settings.process.http_address).await?;
         let peer_address = settings.process.peer_address;
         let incarnation = ProcessIncarnation::random();
+        let identity = settings.process.identity(PeerRole::Side, incarnation);
         let state = Arc::new(SideState {
-            identity: settings.process.identity(PeerRole::Side, incarnation),
+            spread: start_spread(&settings, &identity),
+            identity,
             metrics: SideMetrics::new(),
             backend: BackendClient::new(settings.backend.address),
             loads: LoadDriver::new(&settings.backend, incarnation),
@@ -127,6 +141,14 @@
     }
 }
 
+fn start_spread(settings: &SideSettings, identity: &PeerIdentity) -> Option<SpreadProcess> {
+    let client = PlatformClient::new(ClientSettings::new(settings.platform?));
+    let store = Arc::new(BudgetedStore::new(client.clone(), PLATFORM_LIMITS));
+    let secret = settings.process.secret.clone();
+    let identity = identity.clone();
+    Some(SpreadProcess::start(identity, secret, &settings.spread, store, Arc::new(client)))
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address).await.context(ListenSnafu { address })
 }
@@ -188,6 +210,12 @@
                 let _ = sender.send(Message::OrderOutcome(outcome)).await;
             });
         }
+        Message::LeaveNotice(_) => {
+            log::info!("process: the VM list marks this VM as leaving");
+            state.drain.advance(DrainStage::Draining);
+            requests::tell(&state, RunEvent::Drain(DrainCause::VmLeaving)).await;
+        }
+        Message::ListSpread(_) => log::warn!("peers: nobody hangs below a side process"),
         Message::ReportSubscription(_) => {
             tokio::spawn(send_reports(state, sender));
         }
@@ -195,16 +223,37 @@
     }
 }
 
-/// Reports until the subscriber's connection ends.
+/// Reports changes until the subscriber's connection ends, and now and then without a change.
+///
+/// Requests in flight are a hint that may be late; they alone are no reason for a report.
 async fn send_reports(state: Arc<SideState>, sender: LinkSender) {
+    let mut last = BackendReport::default();
+    let mut sent_at = Instant::now();
     loop {
-        if sender.send(Message::BackendReport(report(&state))).await.is_err() {
+        let report = report(&state);
+        let is_due = sent_at.elapsed() >= REPORT_REFRESH;
+        if is_due || without_load(&report) != last {
+            last = without_load(&report);
+            sent_at = Instant::now();
+            if sender.send(Message::BackendReport(report)).await.is_err() {
+                return;
+            }
+        }
+        if sender.is_closed() {
             return;
         }
         time::sleep(state.settings.report_interval.0).await;
     }
 }
 
+fn without_load(report: &BackendReport) -> BackendReport {
+    let mut report = report.clone();
+    for held in &mut report.models {
+        held.in_flight = 0;
+    }
+    report
+}
+
 fn report(state: &SideState) -> BackendReport {
     BackendReport {
         models: state.loads.models(),
