--- a/crates/proof/tests/matrix.rs
+++ b/crates/proof/tests/matrix.rs
@@ -16,7 +16,7 @@
 };
 
 /// Cells that run at the same time.
-const PARALLEL_CELLS: usize = 3;
+const PARALLEL_CELLS: usize = 4;
 /// Beginning of a line of `KNOWN-RED.txt` that names a cell.
 const KNOWN_PREFIX: &str = "matrix ";
 
