Split the life of a request; one way to listen

Change: credits and handed-over requests have modules of their own, wire holds the listening. No behaviour changes.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,7 +22,4 @@
 pub mod settings;
 pub mod slow;
 
-pub use crate::{
-    process::{EntryHandle, StartError},
-    settings::EntrySettings,
-};
+pub use crate::{process::EntryHandle, settings::EntrySettings};
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -10,13 +10,11 @@
     budget::BudgetedStore,
     http::{ClientSettings, PlatformClient},
 };
-use snafu::{ResultExt, Snafu};
 use tokio::{
-    net::TcpListener,
     sync::{mpsc, watch},
     time,
 };
-use wire::{PeerIdentity, PeerRole};
+use wire::{ListenError, PeerIdentity, PeerRole, listen::listen};
 
 use crate::{
     asks::AskTable,
@@ -35,22 +33,6 @@
 /// Time between looks at whether all requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
-/// The process could not start.
-#[derive(Debug, Snafu)]
-pub enum StartError {
-    /// An address is taken.
-    #[snafu(display("cannot listen on {address}: {source}"))]
-    Listen {
-        /// Address wanted.
-        address: SocketAddr,
-        /// Cause.
-        source: std::io::Error,
-    },
-}
-
-/// Result of starting.
-pub type Result<T, E = StartError> = std::result::Result<T, E>;
-
 /// Everything the tasks of the process share.
 pub struct EntryState {
     /// Settings.
@@ -123,7 +105,7 @@
     /// # Errors
     ///
     /// Fails if an address is taken.
-    pub async fn start(settings: EntrySettings) -> Result<Self> {
+    pub async fn start(settings: EntrySettings) -> Result<Self, ListenError> {
         let peers = listen(settings.process.peer_address).await?;
         let callers = listen(settings.process.http_address).await?;
         let peer_address = peers.local_addr().unwrap_or(settings.process.peer_address);
@@ -232,7 +214,3 @@
         is_draining: watch::Sender::new(false),
     })
 }
-
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.context(ListenSnafu { address })
-}
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -1,28 +1,32 @@
 //! The life of one request: claim, ask, hand-over, answer.
 
+mod credit;
+mod handed;
+
 use std::sync::{Arc, atomic::Ordering};
 
 use base::{ids::AttemptId, prelude::*};
 use bytes::BytesMut;
 use lists::WorkClass;
-use once::{AttemptRecord, CrashMark, CrashNote, CrashVerdict, RequestFingerprint};
-use routing::{
-    AnswerStream, FrameBody, FrameOrigin, OwnerCount, OwnerKey, OwnerRanking, StreamAction,
-};
+use once::{AttemptRecord, CrashVerdict, RequestFingerprint};
+use routing::{OwnerCount, OwnerKey, OwnerRanking};
 use tokio::{sync::mpsc, time};
 use wire::{
-    LinkSender, Message, PeerIdentity,
-    ask::{Ask, CreditReturn, CreditUse, Grant},
-    run::{AnswerChunk, AnswerEnd, RunCancel, RunRequest},
+    Message,
+    ask::{Ask, CreditUse},
+    run::RunRequest,
 };
 
+use self::{
+    credit::{HeldCredit, PendingAsk},
+    handed::{HandedRun, RunSuspect},
+};
 use crate::{
     answers::{AnswerPart, CallAnswer, HeadParts, PART_QUEUE},
     asks::AskReply,
     calls::{AnswerMode, CallTarget, CallerCall, RepeatRule},
     claims::{ClaimOutcome, KeyedRequest},
     keyed,
-    owner::{AskReplyPath, OwnerEvent},
     peers::PeerHandle,
     process::EntryState,
     refusals::CallRefusal,
@@ -360,261 +364,3 @@
         self.call.deadline.saturating_duration_since(Instant::now())
     }
 }
-
-/// What is told to the quarantine at the end of a run.
-struct RunSuspect {
-    call: Arc<CallerCall>,
-    fingerprint: RequestFingerprint,
-    is_alone: bool,
-}
-
-impl RunSuspect {
-    fn note(&self, end: &AnswerEnd) -> CrashNote {
-        let target = self.call.ask_target();
-        let model = if target.model.is_empty() { target.service } else { target.model };
-        let incarnation = ProcessIncarnation(end.incarnation);
-        CrashNote {
-            fingerprint: self.fingerprint,
-            customer: self.call.rights.customer.id.to_string(),
-            model,
-            mark: CrashMark { incarnation, crash: end.crash },
-        }
-    }
-}
-
-/// An ask that has been sent; withdrawn if it is dropped unanswered.
-struct PendingAsk {
-    state: Arc<EntryState>,
-    id: AttemptId,
-    ask: Ask,
-    owner: Option<LinkSender>,
-    replied: tokio::sync::oneshot::Receiver<AskReply>,
-    is_open: bool,
-}
-
-impl PendingAsk {
-    async fn send(state: &Arc<EntryState>, owner: &VmId, ask: Ask) -> Option<Self> {
-        let id = AttemptId::from_wire(&ask.request, ask.attempt)?;
-        if *owner == state.identity.vm {
-            let (reply, replied) = tokio::sync::oneshot::channel();
-            let from = state.identity.clone();
-            let reply = AskReplyPath::Local(reply);
-            let event = OwnerEvent::Ask { from, ask: ask.clone(), reply };
-            state.owner.send(event).await.ok()?;
-            return Some(Self::new(state, id, ask, None, replied));
-        }
-        let address = state.fleet.borrow().address(owner)?;
-        let handle = state.peers.link(address).await.ok()?;
-        let replied = state.asks.wait(id, owner.clone());
-        if handle.sender.send(Message::Ask(ask.clone())).await.is_err() {
-            state.asks.forget(id);
-            return None;
-        }
-        Some(Self::new(state, id, ask, Some(handle.sender), replied))
-    }
-
-    fn new(
-        state: &Arc<EntryState>,
-        id: AttemptId,
-        ask: Ask,
-        owner: Option<LinkSender>,
-        replied: tokio::sync::oneshot::Receiver<AskReply>,
-    ) -> Self {
-        Self { state: Arc::clone(state), id, ask, owner, replied, is_open: true }
-    }
-
-    fn granted(mut self, grant: Grant) -> HeldCredit {
-        self.is_open = false;
-        HeldCredit {
-            state: Arc::clone(&self.state),
-            owner: self.owner.clone(),
-            ask: self.ask.clone(),
-            grant,
-            started: Instant::now(),
-            used: CreditUse::Unused,
-        }
-    }
-}
-
-impl Drop for PendingAsk {
-    fn drop(&mut self) {
-        if !self.is_open {
-            return;
-        }
-        self.state.asks.forget(self.id);
-        let returned = CreditReturn {
-            request: self.ask.request.clone(),
-            attempt: self.ask.attempt,
-            target: self.ask.target.clone(),
-            ..CreditReturn::default()
-        };
-        return_credit(&self.state, self.owner.as_ref(), returned);
-    }
-}
-
-/// A credit; given back when it is dropped.
-struct HeldCredit {
-    state: Arc<EntryState>,
-    owner: Option<LinkSender>,
-    ask: Ask,
-    grant: Grant,
-    started: Instant,
-    used: CreditUse,
-}
-
-impl Drop for HeldCredit {
-    fn drop(&mut self) {
-        let returned = CreditReturn {
-            request: self.ask.request.clone(),
-            attempt: self.ask.attempt,
-            target: self.ask.target.clone(),
-            vm: self.grant.vm.clone(),
-            service_us: self.started.elapsed().as_micros() as u64,
-            used: self.used.into(),
-        };
-        return_credit(&self.state, self.owner.as_ref(), returned);
-    }
-}
-
-/// What the end of an answer tells about the backend server.
-fn used_by(end: &AnswerEnd) -> CreditUse {
-    match ResultCode::from_number(end.code) {
-        Some(ResultCode::Success) => CreditUse::Served,
-        Some(ResultCode::CallerCancelled | ResultCode::AnswerTimeout) => CreditUse::Withdrawn,
-        _ => CreditUse::Failed,
-    }
-}
-
-fn return_credit(state: &EntryState, owner: Option<&LinkSender>, returned: CreditReturn) {
-    let is_sent = match owner {
-        Some(sender) => sender.offer(Message::CreditReturn(returned)),
-        None => state.owner.try_send(OwnerEvent::CreditReturn(returned)).is_ok(),
-    };
-    if !is_sent {
-        log::debug!("requests: a credit could not be returned");
-    }
-}
-
-/// A request at a side process; withdrawn if it is dropped before its end.
-struct HandedRun {
-    state: Arc<EntryState>,
-    id: AttemptId,
-    side: PeerHandle,
-    credit: HeldCredit,
-    events: mpsc::UnboundedReceiver<RunEvent>,
-    suspect: RunSuspect,
-    epoch: u64,
-    stream: AnswerStream,
-    is_open: bool,
-}
-
-impl HandedRun {
-    fn listen(
-        state: Arc<EntryState>,
-        id: AttemptId,
-        side: &PeerHandle,
-        credit: HeldCredit,
-        suspect: RunSuspect,
-    ) -> Self {
-        let peer: &PeerIdentity = &side.peer;
-        let events = state.runs.listen(id, peer);
-        let side = side.clone();
-        let origin = FrameOrigin { id, incarnation: peer.incarnation };
-        let stream = AnswerStream::new(origin);
-        Self { state, id, side, credit, events, suspect, epoch: 0, stream, is_open: true }
-    }
-
-    async fn next(&mut self) -> RunEvent {
-        let event = self.events.recv().await.unwrap_or(RunEvent::Lost);
-        if event == RunEvent::Lost {
-            self.is_open = false;
-            self.credit.used = CreditUse::Failed;
-        }
-        if let RunEvent::End(end) = &event {
-            self.credit.used = used_by(end);
-            self.tell_quarantine(end);
-        }
-        event
-    }
-
-    fn tell_quarantine(&self, end: &AnswerEnd) {
-        let quarantine = &self.state.quarantine;
-        if end.crash > 0 {
-            quarantine.crashed(self.suspect.note(end));
-        } else if self.suspect.is_alone && end.code == ResultCode::Success.number() {
-            quarantine.ended_well(self.suspect.fingerprint);
-        }
-    }
-
-    /// The next part of the body; anything out of place cuts the answer.
-    async fn next_part(&mut self) -> AnswerPart {
-        loop {
-            let event = self.next().await;
-            if matches!(event, RunEvent::End(_)) {
-                self.is_open = false;
-            }
-            let action = self.take_frame(event);
-            match action {
-                Some(StreamAction::ShowData(data)) => return AnswerPart::Data(data),
-                Some(StreamAction::Complete) => return AnswerPart::End,
-                Some(StreamAction::Cut(code)) => return AnswerPart::Cut(code),
-                Some(StreamAction::ShowHead) | None => {}
-            }
-        }
-    }
-
-    fn take_frame(&mut self, event: RunEvent) -> Option<StreamAction> {
-        let (life, body) = match event {
-            RunEvent::Head(head) => (head.incarnation, FrameBody::Head),
-            RunEvent::Chunk(chunk) => {
-                let AnswerChunk { incarnation, offset, data, .. } = chunk;
-                (incarnation, FrameBody::Chunk { offset, data })
-            }
-            RunEvent::End(end) => {
-                let code = ResultCode::from_number(end.code).unwrap_or(ResultCode::AnswerCut);
-                (end.incarnation, FrameBody::End { length: end.length, code })
-            }
-            RunEvent::Lost => (self.side.peer.incarnation.0, FrameBody::Lost),
-            RunEvent::Refused(_) | RunEvent::CancelAck { .. } => {
-                return Some(StreamAction::Cut(ResultCode::AnswerCut));
-            }
-        };
-        let origin = FrameOrigin { id: self.id, incarnation: ProcessIncarnation(life) };
-        self.stream.take(origin, body)
-    }
-
-    /// Withdraws the request because its time has run out.
-    async fn withdraw(mut self) -> AttemptEnd {
-        self.cancel();
-        let ack = time::timeout(REFUSAL_MARGIN, self.next()).await;
-        match ack {
-            Ok(RunEvent::CancelAck { may_have_run: false }) => {
-                AttemptEnd::NotRun(ResultCode::DeadlinePassed)
-            }
-            Ok(RunEvent::Refused(code)) if code.run_state() == RunState::NotRun => {
-                AttemptEnd::NotRun(code)
-            }
-            _ => AttemptEnd::MayHaveRun(ResultCode::AnswerTimeout),
-        }
-    }
-
-    fn cancel(&mut self) {
-        self.is_open = false;
-        let cancel = RunCancel {
-            request: self.id.request_bytes(),
-            attempt: self.id.attempt,
-            incarnation: self.side.peer.incarnation.0,
-            epoch: self.epoch,
-        };
-        self.side.sender.offer(Message::RunCancel(cancel));
-    }
-}
-
-impl Drop for HandedRun {
-    fn drop(&mut self) {
-        if self.is_open {
-            self.cancel();
-        }
-        self.state.runs.forget(self.id);
-    }
-}
--- /dev/null
+++ b/crates/entry/src/requests/handed.rs
@@ -0,0 +1,172 @@
+//! A request handed over to a side process, until its answer has ended.
+
+use std::sync::Arc;
+
+use base::{ids::AttemptId, prelude::*};
+use once::{CrashMark, CrashNote, RequestFingerprint};
+use routing::{AnswerStream, FrameBody, FrameOrigin, StreamAction};
+use tokio::{sync::mpsc, time};
+use wire::{
+    Message, PeerIdentity,
+    ask::CreditUse,
+    run::{AnswerChunk, AnswerEnd, RunCancel},
+};
+
+use super::{AttemptEnd, REFUSAL_MARGIN, credit::HeldCredit};
+use crate::{
+    answers::AnswerPart, calls::CallerCall, peers::PeerHandle, process::EntryState, runs::RunEvent,
+};
+
+/// What is told to the quarantine at the end of a run.
+pub(super) struct RunSuspect {
+    pub(super) call: Arc<CallerCall>,
+    pub(super) fingerprint: RequestFingerprint,
+    pub(super) is_alone: bool,
+}
+
+impl RunSuspect {
+    fn note(&self, end: &AnswerEnd) -> CrashNote {
+        let target = self.call.ask_target();
+        let model = if target.model.is_empty() { target.service } else { target.model };
+        let incarnation = ProcessIncarnation(end.incarnation);
+        CrashNote {
+            fingerprint: self.fingerprint,
+            customer: self.call.rights.customer.id.to_string(),
+            model,
+            mark: CrashMark { incarnation, crash: end.crash },
+        }
+    }
+}
+
+/// What the end of an answer tells about the backend server.
+fn used_by(end: &AnswerEnd) -> CreditUse {
+    match ResultCode::from_number(end.code) {
+        Some(ResultCode::Success) => CreditUse::Served,
+        Some(ResultCode::CallerCancelled | ResultCode::AnswerTimeout) => CreditUse::Withdrawn,
+        _ => CreditUse::Failed,
+    }
+}
+
+/// A request at a side process; withdrawn if it is dropped before its end.
+pub(super) struct HandedRun {
+    state: Arc<EntryState>,
+    id: AttemptId,
+    side: PeerHandle,
+    pub(super) credit: HeldCredit,
+    events: mpsc::UnboundedReceiver<RunEvent>,
+    suspect: RunSuspect,
+    pub(super) epoch: u64,
+    stream: AnswerStream,
+    pub(super) is_open: bool,
+}
+
+impl HandedRun {
+    pub(super) fn listen(
+        state: Arc<EntryState>,
+        id: AttemptId,
+        side: &PeerHandle,
+        credit: HeldCredit,
+        suspect: RunSuspect,
+    ) -> Self {
+        let peer: &PeerIdentity = &side.peer;
+        let events = state.runs.listen(id, peer);
+        let side = side.clone();
+        let origin = FrameOrigin { id, incarnation: peer.incarnation };
+        let stream = AnswerStream::new(origin);
+        Self { state, id, side, credit, events, suspect, epoch: 0, stream, is_open: true }
+    }
+
+    pub(super) async fn next(&mut self) -> RunEvent {
+        let event = self.events.recv().await.unwrap_or(RunEvent::Lost);
+        if event == RunEvent::Lost {
+            self.is_open = false;
+            self.credit.used = CreditUse::Failed;
+        }
+        if let RunEvent::End(end) = &event {
+            self.credit.used = used_by(end);
+            self.tell_quarantine(end);
+        }
+        event
+    }
+
+    fn tell_quarantine(&self, end: &AnswerEnd) {
+        let quarantine = &self.state.quarantine;
+        if end.crash > 0 {
+            quarantine.crashed(self.suspect.note(end));
+        } else if self.suspect.is_alone && end.code == ResultCode::Success.number() {
+            quarantine.ended_well(self.suspect.fingerprint);
+        }
+    }
+
+    /// The next part of the body; anything out of place cuts the answer.
+    pub(super) async fn next_part(&mut self) -> AnswerPart {
+        loop {
+            let event = self.next().await;
+            if matches!(event, RunEvent::End(_)) {
+                self.is_open = false;
+            }
+            let action = self.take_frame(event);
+            match action {
+                Some(StreamAction::ShowData(data)) => return AnswerPart::Data(data),
+                Some(StreamAction::Complete) => return AnswerPart::End,
+                Some(StreamAction::Cut(code)) => return AnswerPart::Cut(code),
+                Some(StreamAction::ShowHead) | None => {}
+            }
+        }
+    }
+
+    pub(super) fn take_frame(&mut self, event: RunEvent) -> Option<StreamAction> {
+        let (life, body) = match event {
+            RunEvent::Head(head) => (head.incarnation, FrameBody::Head),
+            RunEvent::Chunk(chunk) => {
+                let AnswerChunk { incarnation, offset, data, .. } = chunk;
+                (incarnation, FrameBody::Chunk { offset, data })
+            }
+            RunEvent::End(end) => {
+                let code = ResultCode::from_number(end.code).unwrap_or(ResultCode::AnswerCut);
+                (end.incarnation, FrameBody::End { length: end.length, code })
+            }
+            RunEvent::Lost => (self.side.peer.incarnation.0, FrameBody::Lost),
+            RunEvent::Refused(_) | RunEvent::CancelAck { .. } => {
+                return Some(StreamAction::Cut(ResultCode::AnswerCut));
+            }
+        };
+        let origin = FrameOrigin { id: self.id, incarnation: ProcessIncarnation(life) };
+        self.stream.take(origin, body)
+    }
+
+    /// Withdraws the request because its time has run out.
+    pub(super) async fn withdraw(mut self) -> AttemptEnd {
+        self.cancel();
+        let ack = time::timeout(REFUSAL_MARGIN, self.next()).await;
+        match ack {
+            Ok(RunEvent::CancelAck { may_have_run: false }) => {
+                AttemptEnd::NotRun(ResultCode::DeadlinePassed)
+            }
+            Ok(RunEvent::Refused(code)) if code.run_state() == RunState::NotRun => {
+                AttemptEnd::NotRun(code)
+            }
+            _ => AttemptEnd::MayHaveRun(ResultCode::AnswerTimeout),
+        }
+    }
+
+    fn cancel(&mut self) {
+        self.is_open = false;
+        let cancel = RunCancel {
+            request: self.id.request_bytes(),
+            attempt: self.id.attempt,
+            incarnation: self.side.peer.incarnation.0,
+            epoch: self.epoch,
+        };
+        self.side.sender.offer(Message::RunCancel(cancel));
+    }
+}
+
+impl Drop for HandedRun {
+    fn drop(&mut self) {
+        if self.is_open {
+            self.cancel();
+        }
+        self.state.runs.forget(self.id);
+    }
+}
--- a/crates/fescuewalk-side/src/main.rs
+++ b/crates/fescuewalk-side/src/main.rs
@@ -8,9 +8,10 @@
 
 use base::ini::FileFaults;
 use clap::{Arg, ArgAction, Command, value_parser};
-use side::{SideHandle, SideSettings, StartError};
+use side::{SideHandle, SideSettings};
 use snafu::Snafu;
 use tokio::signal::unix::{SignalKind, signal};
+use wire::ListenError;
 
 /// Exit code for files with faults.
 const EXIT_FAULTS: u8 = 3;
@@ -25,7 +26,7 @@
     #[snafu(display("{source}"), context(false))]
     Io { source: io::Error },
     #[snafu(display("{source}"), context(false))]
-    Start { source: StartError },
+    Listen { source: ListenError },
     #[snafu(display("{source}"), context(false))]
     Log { source: flexi_logger::FlexiLoggerError },
 }
--- a/crates/fescuewalk/src/error.rs
+++ b/crates/fescuewalk/src/error.rs
@@ -6,6 +6,7 @@
 use lists::store::ListError;
 use snafu::Snafu;
 use standin::server::ServeError;
+use wire::ListenError;
 
 /// Exit code for wrong arguments, as `clap` uses it.
 const EXIT_USAGE: u8 = 2;
@@ -35,17 +36,11 @@
         /// Cause.
         source: io::Error,
     },
-    /// The entry process could not start.
+    /// A process could not start.
     #[snafu(display("{source}"), context(false))]
-    Entry {
+    Listen {
         /// Cause.
-        source: entry::StartError,
-    },
-    /// The side process could not start.
-    #[snafu(display("{source}"), context(false))]
-    Side {
-        /// Cause.
-        source: side::StartError,
+        source: ListenError,
     },
     /// A stand-in could not start.
     #[snafu(display("{source}"), context(false))]
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -14,7 +14,4 @@
 pub mod requests;
 pub mod settings;
 
-pub use crate::{
-    process::{SideHandle, StartError},
-    settings::SideSettings,
-};
+pub use crate::{process::SideHandle, settings::SideSettings};
--- a/crates/side/src/process.rs
+++ b/crates/side/src/process.rs
@@ -9,10 +9,10 @@
     budget::{BudgetedStore, CallLimits},
     http::{ClientSettings, PlatformClient},
 };
-use snafu::{ResultExt, Snafu};
 use tokio::{net::TcpListener, time};
 use wire::{
-    LinkOptions, LinkSender, Message, PeerIdentity, PeerLink, PeerRole, load::BackendReport,
+    LinkOptions, LinkSender, ListenError, Message, PeerIdentity, PeerLink, PeerRole,
+    listen::listen, load::BackendReport,
 };
 
 use crate::{
@@ -34,22 +34,6 @@
 /// Longest time between two reports to a subscriber.
 const REPORT_REFRESH: Duration = Duration::from_secs(5);
 
-/// The process could not start.
-#[derive(Debug, Snafu)]
-pub enum StartError {
-    /// An address is taken; for the peer address, another side process may be running.
-    #[snafu(display("cannot listen on {address}: {source}"))]
-    Listen {
-        /// Address wanted.
-        address: SocketAddr,
-        /// Cause.
-        source: std::io::Error,
-    },
-}
-
-/// Result of starting.
-pub type Result<T, E = StartError> = std::result::Result<T, E>;
-
 /// Everything the tasks of the process share.
 #[derive(Debug)]
 pub struct SideState {
@@ -87,7 +71,7 @@
     /// # Errors
     ///
     /// Fails if an address is taken.
-    pub async fn start(settings: SideSettings) -> Result<Self> {
+    pub async fn start(settings: SideSettings) -> Result<Self, ListenError> {
         let peers = listen(settings.process.peer_address).await?;
         let admins = listen(settings.process.http_address).await?;
         let peer_address = settings.process.peer_address;
@@ -149,10 +133,6 @@
     Some(SpreadProcess::start(identity, secret, &settings.spread, store, Arc::new(client)))
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.context(ListenSnafu { address })
-}
-
 async fn accept_peers(listener: TcpListener, state: Arc<SideState>) {
     loop {
         let accepted = tokio::select! {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod envelope;
 pub mod handshake;
 pub mod link;
+pub mod listen;
 pub mod load;
 pub mod run;
 pub mod settings;
@@ -13,5 +14,6 @@
     envelope::{Envelope, Message},
     handshake::{FleetSecret, PeerIdentity, PeerRole},
     link::{LinkOptions, LinkPace, LinkReceiver, LinkSender, PeerLink},
+    listen::ListenError,
     settings::ProcessSettings,
 };
