--- a/crates/fescuewalk-side/tests/settings.rs
+++ b/crates/fescuewalk-side/tests/settings.rs
@@ -52,3 +52,20 @@
     assert!(errors.contains(":12: [backend] memory: a size such as 80GiB"), "{errors}");
     assert!(errors.contains(":13: [backend] checks-fences: no such key here"), "{errors}");
 }
+
+#[test]
+fn the_settings_of_both_examples_have_no_faults() {
+    let names = [
+        "slatina/side-rosnatka",
+        "slatina/side-vrbovka",
+        "toy-desk/side-lending-assistant",
+        "toy-desk/side-circulation-desk",
+    ];
+    for name in names {
+        let path = format!("{}/../../examples/{name}.ini", env!("CARGO_MANIFEST_DIR"));
+
+        let (success, errors) = check("example", &fs::read_to_string(path).unwrap());
+
+        assert!(success, "{name}: {errors}");
+    }
+}
--- a/crates/fescuewalk/tests/entry.rs
+++ b/crates/fescuewalk/tests/entry.rs
@@ -54,3 +54,14 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(errors.contains("no-such-file.ini"), "{errors}");
 }
+
+#[test]
+fn the_settings_of_both_examples_have_no_faults() {
+    for deployment in ["slatina", "toy-desk"] {
+        let path = format!("{}/../../examples/{deployment}/entry.ini", env!("CARGO_MANIFEST_DIR"));
+
+        let output = run(&["entry", "--check", &path]);
+
+        assert!(output.status.success(), "{output:?}");
+    }
+}
