Calls to the platform are shown; doubled code of tests and metrics goes

Cause: the metric of calls to the platform was registered but never fed. It is filled from the budget's counters when metrics are read; a test over processes reads it, and failed before.

Both processes rendered metrics by the same code, and two test files held the same calls of the stand-ins' administration; each stands once now.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod ids;
 pub mod ini;
 pub mod logging;
+pub mod metrics;
 pub mod prelude;
 pub mod rates;
 pub mod sizes;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,9 +1,12 @@
 //! Counters of the entry process, in Prometheus text format.
 
-use base::prelude::*;
+use std::sync::atomic::Ordering;
+
+use base::{metrics, prelude::*};
+use platform::budget::CallCounts;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder, core::Collector,
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    core::Collector,
 };
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -46,7 +49,7 @@
 impl EntryMetrics {
     /// Fresh counters.
     pub fn new() -> Self {
-        let metrics = Self {
+        let mut metrics = Self {
             registry: Registry::new(),
             requests: counters(
                 "fescuewalk_requests_total",
@@ -82,12 +85,12 @@
             refused_peers: IntCounter::new("fescuewalk_refused_peers_total", "Peers refused.")
                 .expect("the name is valid"),
         };
-        metrics.register();
+        metrics.registry = metrics::registry(metrics.collectors());
         metrics
     }
 
-    fn register(&self) {
-        let collectors: [Box<dyn Collector>; 9] = [
+    fn collectors(&self) -> Vec<Box<dyn Collector>> {
+        vec![
             Box::new(self.requests.clone()),
             Box::new(self.slow.clone()),
             Box::new(self.first_byte.clone()),
@@ -97,10 +100,7 @@
             Box::new(self.list_version.clone()),
             Box::new(self.platform_calls.clone()),
             Box::new(self.refused_peers.clone()),
-        ];
-        for collector in collectors {
-            self.registry.register(collector).expect("each name is registered once");
-        }
+        ]
     }
 
     /// Counts the end of a request.
@@ -109,13 +109,24 @@
         self.requests.with_label_values(&[customer, class, &number]).inc();
     }
 
+    /// Takes over the calls to the platform counted so far.
+    pub fn set_platform_calls(&self, counts: &CallCounts) {
+        let kinds = [
+            ("read", &counts.reads),
+            ("write", &counts.writes),
+            ("watch", &counts.watches),
+            ("refused", &counts.refused),
+        ];
+        for (kind, count) in kinds {
+            let counter = self.platform_calls.with_label_values(&[kind]);
+            counter.reset();
+            counter.inc_by(count.load(Ordering::Relaxed));
+        }
+    }
+
     /// All counters as text.
     pub fn render(&self) -> String {
-        let mut text = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut text)
-            .expect("writing to memory succeeds");
-        String::from_utf8(text).expect("the encoder writes UTF-8")
+        metrics::render(&self.registry)
     }
 }
 
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -263,6 +263,7 @@
     let state = state_of(&mut request).await?;
     let version = state.lists.borrow().as_ref().map_or(0, |lists| lists.version().0);
     state.metrics.list_version.set(version as i64);
+    state.metrics.set_platform_calls(state.store.counts());
     Ok(Response::text(state.metrics.render()))
 }
 
--- a/crates/fescuewalk/tests/once.rs
+++ b/crates/fescuewalk/tests/once.rs
@@ -14,7 +14,7 @@
 use standin::load::{CallKind, CallVerdict, ChatCall, EntryClient, ScriptedCall, ServiceCall};
 use support::{
     Process, fescuewalk,
-    fleet::{Fleet, client, start_fleet, wait_until_ready},
+    fleet::{Fleet, admin, client, start_fleet, wait_until_ready},
     run,
 };
 
@@ -48,28 +48,16 @@
     EntryClient::new(Duration::from_secs(60)).send(entry, call).await.verdict
 }
 
-async fn admin(address: SocketAddr, method: &str, path: &str, body: Value) -> Value {
-    let request = http::Request::builder()
-        .method(method)
-        .uri(format!("http://{address}/admin/{path}"))
-        .header("content-type", "application/json")
-        .body(Full::from(body.to_string()))
-        .unwrap();
-    let answer = client().request(request).await.unwrap();
-    let bytes = answer.into_body().collect().await.unwrap().to_bytes();
-    serde_json::from_slice(&bytes).unwrap_or(Value::Null)
-}
-
 async fn calls_with_key(fleet: &Fleet, key: &str) -> usize {
-    let records = admin(fleet.standins[4].address("http"), "GET", "records", Value::Null).await;
+    let records = admin(fleet.service(), "GET", "records", Value::Null).await;
     let calls = records["calls"].as_array().unwrap();
     calls.iter().filter(|call| call["key"] == key).count()
 }
 
 async fn crashes(fleet: &Fleet) -> usize {
     let mut crashes = 0;
-    for engine in &fleet.standins[2..4] {
-        let records = admin(engine.address("http"), "GET", "records", Value::Null).await;
+    for engine in fleet.engines() {
+        let records = admin(engine, "GET", "records", Value::Null).await;
         crashes += records["crashes"].as_array().unwrap().len();
     }
     crashes
@@ -121,7 +109,7 @@
 async fn a_key_refused_while_the_store_is_down_can_be_sent_again() {
     let fleet = start_fleet().await;
     let entry = fleet.addresses()[0];
-    let platform = fleet.standins[0].address("http");
+    let platform = fleet.platform();
     send(entry, &order(&timed_key("first"))).await;
     let key = timed_key("order");
 
@@ -139,11 +127,11 @@
 async fn a_request_that_crashes_engines_is_stopped_after_two_and_can_be_lifted() {
     let fleet = start_fleet().await;
     let [first, second] = fleet.addresses()[..] else { panic!("two entries") };
-    for engine in &fleet.standins[2..4] {
+    for engine in fleet.engines() {
         let fault = json!({ "crash_marker": MARKER });
-        admin(engine.address("http"), "PUT", "fault", fault).await;
+        admin(engine, "PUT", "fault", fault).await;
     }
-    let platform = fleet.standins[0].address("http").to_string();
+    let platform = fleet.platform().to_string();
 
     let crasher = send(first, &chat(MARKER)).await;
     tokio::time::sleep(Duration::from_secs(1)).await;
@@ -183,7 +171,7 @@
 
 /// Starts an entry of another region and puts it on the VM list.
 async fn foreign_entry(fleet: &Fleet) -> Process {
-    let platform = fleet.standins[0].address("http");
+    let platform = fleet.platform();
     let text = format!(
         "[process]\nvm = entry-far\nzone = pnw-west-1\nregion = pnw-west\nsecret = test-secret\n\
          peer-address = 127.0.0.1:0\nhttp-address = 127.0.0.1:0\n[platform]\naddress = {platform}\n\
@@ -216,14 +204,14 @@
     }
     let from_far = send(far.address("http"), &order(&timed_key("far"))).await;
 
-    let store = PlatformClient::new(ClientSettings::new(fleet.standins[0].address("http")));
+    let store = PlatformClient::new(ClientSettings::new(fleet.platform()));
     assert_eq!(from_far, refused(ResultCode::RegionUnreachable, RunState::NotRun));
     assert!(!store.list("claims/cz-central/").await.unwrap().is_empty());
     assert_eq!(store.list("claims/pnw-west/").await.unwrap(), []);
 }
 
 async fn answers_at(fleet: &Fleet, engine: usize) -> usize {
-    let address = fleet.standins[2 + engine].address("http");
+    let address = fleet.engine(engine);
     let records = admin(address, "GET", "records", Value::Null).await;
     records["executions"].as_array().unwrap().len()
 }
@@ -247,7 +235,7 @@
 
     let leaver = usize::from(answers_at(&fleet, 1).await > 0);
     let vm = format!("rosnatka-{leaver}");
-    mark_leaving(fleet.standins[0].address("http"), &vm).await;
+    mark_leaving(fleet.platform(), &vm).await;
     tokio::time::sleep(Duration::from_secs(1)).await;
     let before = answers_at(&fleet, leaver).await;
     for number in 0..20 {
@@ -280,7 +268,7 @@
 async fn a_call_in_flight_at_a_lost_side_process_may_have_run_and_stays_claimed() {
     let fleet = start_fleet().await;
     let [first, second] = fleet.addresses()[..] else { panic!("two entries") };
-    admin(fleet.standins[4].address("http"), "PUT", "fault", json!({ "slow_factor": 200.0 })).await;
+    admin(fleet.service(), "PUT", "fault", json!({ "slow_factor": 200.0 })).await;
     let key = timed_key("lost");
 
     let sending = tokio::spawn({
@@ -302,7 +290,7 @@
 async fn a_caller_that_lost_its_connection_gets_the_kept_answer() {
     let fleet = start_fleet().await;
     let [first, second] = fleet.addresses()[..] else { panic!("two entries") };
-    admin(fleet.standins[4].address("http"), "PUT", "fault", json!({ "slow_factor": 200.0 })).await;
+    admin(fleet.service(), "PUT", "fault", json!({ "slow_factor": 200.0 })).await;
     let key = timed_key("impatient");
 
     let impatient = EntryClient::new(Duration::from_millis(300));
--- a/crates/fescuewalk/tests/once_faults.rs
+++ b/crates/fescuewalk/tests/once_faults.rs
@@ -6,13 +6,12 @@
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use base::{clock, prelude::*};
-use http_body_util::{BodyExt, Full};
 use rstest::rstest;
 use serde_json::{Value, json};
 use standin::load::{CallKind, CallOutcome, CallVerdict, EntryClient, ScriptedCall, ServiceCall};
 use support::{
     Process,
-    fleet::{Fleet, client, start_fleet},
+    fleet::{Fleet, admin, start_fleet},
 };
 use tokio::time;
 
@@ -35,26 +34,6 @@
     ServiceLosesAnswers,
 }
 
-fn platform(fleet: &Fleet) -> SocketAddr {
-    fleet.standins[0].address("http")
-}
-
-fn service(fleet: &Fleet) -> SocketAddr {
-    fleet.standins[4].address("http")
-}
-
-async fn admin(address: SocketAddr, method: &str, path: &str, body: Value) -> Value {
-    let request = http::Request::builder()
-        .method(method)
-        .uri(format!("http://{address}/admin/{path}"))
-        .header("content-type", "application/json")
-        .body(Full::from(body.to_string()))
-        .unwrap();
-    let answer = client().request(request).await.unwrap();
-    let bytes = answer.into_body().collect().await.unwrap().to_bytes();
-    serde_json::from_slice(&bytes).unwrap_or(Value::Null)
-}
-
 async fn freeze(process: &Process) {
     process.signal("STOP");
     time::sleep(FAULT_TIME).await;
@@ -74,18 +53,18 @@
         PathFault::EntryFrozen => freeze(entry).await,
         PathFault::SideKilled => {
             // Slow calls, so that some are in flight.
-            admin(service(fleet), "PUT", "fault", json!({ "slow_factor": 100.0 })).await;
+            admin(fleet.service(), "PUT", "fault", json!({ "slow_factor": 100.0 })).await;
             time::sleep(FAULT_TIME / 4).await;
             side.signal("KILL");
         }
         PathFault::SideFrozen => freeze(side).await,
-        PathFault::StoreDown => misbehave(platform(fleet), json!({ "down": true })).await,
-        PathFault::StoreSlow => misbehave(platform(fleet), json!({ "delay_ms": 300 })).await,
+        PathFault::StoreDown => misbehave(fleet.platform(), json!({ "down": true })).await,
+        PathFault::StoreSlow => misbehave(fleet.platform(), json!({ "delay_ms": 300 })).await,
         PathFault::StoreLosesAnswers => {
-            misbehave(platform(fleet), json!({ "lost_answers": 4 })).await;
+            misbehave(fleet.platform(), json!({ "lost_answers": 4 })).await;
         }
         PathFault::ServiceLosesAnswers => {
-            misbehave(service(fleet), json!({ "lost_answers": 6 })).await;
+            misbehave(fleet.service(), json!({ "lost_answers": 6 })).await;
         }
     }
 }
@@ -154,7 +133,7 @@
         tracks.push(call.await.unwrap());
     }
 
-    let records = admin(service(&fleet), "GET", "records", Value::Null).await;
+    let records = admin(fleet.service(), "GET", "records", Value::Null).await;
     check(&tracks, records["calls"].as_array().unwrap());
     let answered = tracks.iter().filter(|track| track.is_answered()).count();
     let least = if faults.is_empty() { KEYS } else { 1 };
--- a/crates/fescuewalk/tests/path.rs
+++ b/crates/fescuewalk/tests/path.rs
@@ -4,12 +4,13 @@
 
 use std::time::Duration;
 
+use http_body_util::BodyExt;
 use standin::load::{
     CallKind, CallOutcome, CallScript, CallVerdict, ChatCall, LoadOptions, ServiceCall, run_script,
 };
 use support::{
     Process,
-    fleet::{Fleet, start_fleet},
+    fleet::{Fleet, client, start_fleet},
 };
 
 fn chat(model: &str, is_stream: bool) -> ChatCall {
@@ -91,3 +92,19 @@
     let refused = |code| CallVerdict::Refused { code, run: RunState::NotRun };
     assert_eq!(codes, [refused(ResultCode::UnknownCustomer), refused(ResultCode::UnknownModel)]);
 }
+
+#[tokio::test]
+async fn calls_to_the_platform_are_counted() {
+    let fleet = start_fleet().await;
+    let request = http::Request::get(format!("http://{}/metrics", fleet.addresses()[0]))
+        .body(http_body_util::Full::default())
+        .unwrap();
+
+    let answer = client().request(request).await.unwrap();
+    let body = answer.into_body().collect().await.unwrap().to_bytes();
+
+    let text = String::from_utf8(body.to_vec()).unwrap();
+    let prefix = "fescuewalk_platform_calls_total{kind=\"read\"} ";
+    let count = text.lines().find_map(|line| line.strip_prefix(prefix));
+    assert!(count.is_some_and(|count| count.parse::<u64>().unwrap() > 0), "{text}");
+}
--- a/crates/fescuewalk/tests/support/fleet.rs
+++ b/crates/fescuewalk/tests/support/fleet.rs
@@ -12,6 +12,7 @@
 };
 use lists::store::{EditOrder, EditOutcome, ListTexts, apply_edit};
 use platform::http::{ClientSettings, PlatformClient};
+use serde_json::Value;
 
 use super::{Process, WorkDir, fescuewalk, fescuewalk_side};
 
@@ -47,10 +48,22 @@
 }
 
 impl Fleet {
+    /// Address of the platform.
     pub fn platform(&self) -> SocketAddr {
         self.standins[0].address("http")
     }
 
+    /// Addresses of the engines.
+    pub fn engines(&self) -> [SocketAddr; 2] {
+        [self.engine(0), self.engine(1)]
+    }
+
+    /// Address of the plain service.
+    pub fn service(&self) -> SocketAddr {
+        self.standins[4].address("http")
+    }
+
+    /// Address of one engine.
     pub fn engine(&self, number: usize) -> SocketAddr {
         self.standins[2 + number].address("http")
     }
@@ -123,7 +136,7 @@
     Process::start(command)
 }
 
-fn vm(id: &str, role: &str, service: Option<&str>, address: SocketAddr) -> serde_json::Value {
+fn vm(id: &str, role: &str, service: Option<&str>, address: SocketAddr) -> Value {
     serde_json::json!({
         "id": id, "role": role, "service": service, "zone": "cz-central-1",
         "address": address, "state": "live",
@@ -174,7 +187,7 @@
     fleet
 }
 
-async fn put_vms(platform: SocketAddr, vms: &[serde_json::Value]) {
+async fn put_vms(platform: SocketAddr, vms: &[Value]) {
     let body = serde_json::to_vec(vms).unwrap();
     let request = Request::put(format!("http://{platform}/admin/vms"))
         .body(Full::new(Bytes::from(body)))
@@ -188,6 +201,19 @@
     Client::builder(TokioExecutor::new()).build_http()
 }
 
+/// Calls the administration of a stand-in; the answer is `null` if it has no body.
+pub async fn admin(address: SocketAddr, method: &str, path: &str, body: Value) -> Value {
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}/admin/{path}"))
+        .header("content-type", "application/json")
+        .body(Full::from(body.to_string()))
+        .unwrap();
+    let answer = client().request(request).await.unwrap();
+    let bytes = answer.into_body().collect().await.unwrap().to_bytes();
+    serde_json::from_slice(&bytes).unwrap_or(Value::Null)
+}
+
 async fn accept_lists(platform: SocketAddr) {
     let store = PlatformClient::new(ClientSettings::new(platform));
     let order = EditOrder {
@@ -214,7 +240,7 @@
 }
 
 /// Reads an answer in JSON.
-pub async fn get_json(address: SocketAddr, path: &str) -> serde_json::Value {
+pub async fn get_json(address: SocketAddr, path: &str) -> Value {
     let request = Request::get(format!("http://{address}{path}")).body(Full::default()).unwrap();
     let answer = client().request(request).await.unwrap();
     let body = answer.into_body().collect().await.unwrap().to_bytes();
@@ -222,7 +248,7 @@
 }
 
 /// Sets the faults of a stand-in.
-pub async fn put_fault(address: SocketAddr, fault: serde_json::Value) {
+pub async fn put_fault(address: SocketAddr, fault: Value) {
     let request = Request::put(format!("http://{address}/admin/fault"))
         .body(Full::new(Bytes::from(fault.to_string())))
         .unwrap();
--- a/crates/side/src/metrics.rs
+++ b/crates/side/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters of the side process, in Prometheus text format.
 
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use base::metrics;
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 /// All counters of one process.
 #[derive(Debug, Clone)]
@@ -21,7 +22,6 @@
 impl SideMetrics {
     /// Fresh counters.
     pub fn new() -> Self {
-        let registry = Registry::new();
         let requests = IntCounterVec::new(
             Opts::new("fescuewalk_side_requests_total", "Requests by result code."),
             &["code"],
@@ -39,25 +39,19 @@
         let refused_peers =
             IntCounter::new("fescuewalk_side_refused_peers_total", "Peers refused.")
                 .expect("the name is valid");
-        for collector in [
-            Box::new(requests.clone()) as Box<dyn prometheus::core::Collector>,
+        let registry = metrics::registry(vec![
+            Box::new(requests.clone()),
             Box::new(loads.clone()),
             Box::new(in_flight.clone()),
             Box::new(reserved.clone()),
             Box::new(refused_peers.clone()),
-        ] {
-            registry.register(collector).expect("each name is registered once");
-        }
+        ]);
         Self { registry, requests, loads, in_flight, reserved, refused_peers }
     }
 
     /// All counters as text.
     pub fn render(&self) -> String {
-        let mut text = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut text)
-            .expect("writing to memory succeeds");
-        String::from_utf8(text).expect("the encoder writes UTF-8")
+        metrics::render(&self.registry)
     }
 }
 
