Look a caller up once; one way to pick headers; unused functions go

Cause: a request's key was hashed and looked up when its head was read and again when its body was; entry and side process picked headers by the same function twice; seven public functions had no callers.

Change: the rights found first are passed on, HeaderField::pick serves both processes, the functions are removed.

--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -1,7 +1,6 @@
 //! Limits of admission.
 
 use base::prelude::*;
-use lists::WorkClass;
 
 use crate::request::RequestSize;
 
@@ -36,16 +35,6 @@
     }
 }
 
-impl AdmissionPolicy {
-    /// Service time assumed for `class` before any was observed.
-    pub fn initial_service(&self, class: WorkClass) -> Duration {
-        match class {
-            WorkClass::Short => self.short_service,
-            WorkClass::Long => self.long_service,
-        }
-    }
-}
-
 /// The safeguards of a queue; all are on except in tests that show what each prevents.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AdmissionGuards {
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -161,11 +161,6 @@
         self.slots.long_limit()
     }
 
-    /// Mean service time of `class` as observed.
-    pub fn mean_service(&self, class: WorkClass) -> Duration {
-        self.estimate.mean(class)
-    }
-
     /// How long a new request like `request` is expected to wait for a slot.
     pub fn expected_wait(&self, request: &AdmissionRequest, now: Instant) -> Duration {
         let class = request.class;
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -110,13 +110,18 @@
 }
 
 impl CallerCall {
-    /// Reads a chat completion.
+    /// Reads a chat completion of the caller with these rights.
     ///
     /// # Errors
     ///
     /// Fails if the body is malformed or the lists do not permit the model.
-    pub fn chat(lists: &ListSet, head: &CallHead, body: Bytes, now: Instant) -> Result<Self> {
-        let rights = caller(lists, &head.headers)?;
+    pub fn chat(
+        lists: &ListSet,
+        rights: CallerRights,
+        head: &CallHead,
+        body: Bytes,
+        now: Instant,
+    ) -> Result<Self> {
         let chat: ChatBody =
             serde_json::from_slice(&body).map_err(|_| ResultCode::MalformedRequest)?;
         let target = match lists.target(&rights, &chat.model)? {
@@ -140,19 +145,19 @@
         Ok(call)
     }
 
-    /// Reads a call of the plain service `name`.
+    /// Reads a call of the plain service `name` by the caller with these rights.
     ///
     /// # Errors
     ///
     /// Fails if the lists do not permit the service.
     pub fn service(
         lists: &ListSet,
+        rights: CallerRights,
         name: &str,
         head: &CallHead,
         body: Bytes,
         now: Instant,
     ) -> Result<Self> {
-        let rights = caller(lists, &head.headers)?;
         let service = lists.plain_service(&rights, name)?;
         let repeat = match service.may_repeat(head.method.as_str()) {
             true => RepeatRule::Repeatable,
@@ -187,7 +192,7 @@
             target,
             method: head.method.clone(),
             path: head.path.clone(),
-            headers: passed_headers(&head.headers),
+            headers: HeaderField::pick(&head.headers, &PASSED_HEADERS),
             body,
             deadline: now + limit,
             key: None,
@@ -254,11 +259,3 @@
     let text = value.to_str().map_err(|_| ResultCode::MalformedRequest)?;
     IdempotencyKey::new(text).map(Some).map_err(|_| ResultCode::MalformedRequest)
 }
-
-fn passed_headers(headers: &HeaderMap) -> Vec<HeaderField> {
-    let field = |name: &&str| {
-        let value = headers.get(*name)?;
-        Some(HeaderField { name: (*name).to_owned(), value: value.as_bytes().to_vec() })
-    };
-    PASSED_HEADERS.iter().filter_map(field).collect()
-}
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     answers::{AnswerPart, CallAnswer, HeadParts},
-    calls::{CallHead, CallerCall},
+    calls::{self, CallHead, CallerCall},
     owner::OwnerEvent,
     process::{EntryState, Readiness},
     refusals::CallRefusal,
@@ -148,14 +148,14 @@
     let (parts, body) = request.into_parts();
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
     let head = CallHead { method: parts.method, path, headers: parts.headers };
-    crate::calls::caller(&lists, &head.headers)?;
+    let rights = calls::caller(&lists, &head.headers)?;
     let body = read_body(body, state.settings.limits.body).await?;
     match kind {
-        CallKind::Chat => CallerCall::chat(&lists, &head, body, now),
+        CallKind::Chat => CallerCall::chat(&lists, rights, &head, body, now),
         CallKind::Service => {
             let rest = head.path.strip_prefix(SERVICES_PREFIX).unwrap_or_default();
             let name = rest.split(['/', '?']).next().unwrap_or_default().to_owned();
-            CallerCall::service(&lists, &name, &head, body, now)
+            CallerCall::service(&lists, rights, &name, &head, body, now)
         }
     }
 }
@@ -237,7 +237,7 @@
     let state = state_of(&mut request).await?;
     let lists = state.lists.borrow().clone();
     let permitted = lists.ok_or(ResultCode::ListsMissing).and_then(|lists| {
-        let rights = crate::calls::caller(&lists, request.headers())?;
+        let rights = calls::caller(&lists, request.headers())?;
         let names: Vec<String> = lists
             .models()
             .map(|model| model.id.to_string())
--- a/crates/loading/src/cache.rs
+++ b/crates/loading/src/cache.rs
@@ -20,13 +20,6 @@
     Remote,
 }
 
-impl CacheTier {
-    /// Whether a load takes up the weight store.
-    pub fn needs_store(self) -> bool {
-        self == CacheTier::Remote
-    }
-}
-
 impl fmt::Display for CacheTier {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/crates/loading/src/flight.rs
+++ b/crates/loading/src/flight.rs
@@ -106,11 +106,6 @@
         self.last_denial
     }
 
-    /// Whether a load could be begun or is under way.
-    pub fn can_load(&self, now: Instant) -> bool {
-        self.loading_count() > 0 || self.slots.values().any(|slot| slot.is_free(now))
-    }
-
     fn count(&self, is_meant: impl Fn(SlotPhase) -> bool) -> u32 {
         self.slots.values().filter(|slot| is_meant(slot.phase)).count() as u32
     }
--- a/crates/loading/src/gate.rs
+++ b/crates/loading/src/gate.rs
@@ -127,11 +127,6 @@
         is_paced.then(|| self.filled + Duration::from_secs_f64(missing) + CLOCK_GRAIN)
     }
 
-    /// Loads that read from the store now.
-    pub fn permit_count(&self) -> usize {
-        self.permits.len()
-    }
-
     /// Loads that wait.
     pub fn waiting_count(&self) -> usize {
         self.waiting.len()
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -94,11 +94,6 @@
         self.records.len()
     }
 
-    /// Why the process leaves, once it knows.
-    pub fn drain_cause(&self) -> Option<DrainCause> {
-        self.drain
-    }
-
     /// Takes one event and returns what to do, in order.
     pub fn handle(&mut self, event: RunEvent, now: Instant) -> Vec<RunAction> {
         let mut actions = match event {
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -170,11 +170,6 @@
         slots.iter().filter(|slot| slot.is_held())
     }
 
-    /// Edits that wait for the store.
-    pub fn pending_count(&self) -> usize {
-        self.pending.len() + self.writing.as_ref().map_or(0, |write| write.edits.len())
-    }
-
     fn ask(&mut self, edit: PlacementEdit) {
         if self.pending.contains(&edit) {
             return;
--- a/crates/side/src/answer.rs
+++ b/crates/side/src/answer.rs
@@ -92,7 +92,7 @@
         attempt: run.attempt,
         incarnation: state.identity.incarnation.0,
         status: u32::from(head.status.as_u16()),
-        headers: passed_headers(&head.headers),
+        headers: HeaderField::pick(&head.headers, &PASSED_HEADERS),
     };
     if !state.requests.is_wanted(active.id)
         || active.sender.send(Message::AnswerHead(head)).await.is_err()
@@ -110,11 +110,3 @@
     }
     BackendEnd::Complete
 }
-
-fn passed_headers(headers: &http::HeaderMap) -> Vec<HeaderField> {
-    let field = |name: &&str| {
-        let value = headers.get(*name)?;
-        Some(HeaderField { name: (*name).to_owned(), value: value.as_bytes().to_vec() })
-    };
-    PASSED_HEADERS.iter().filter_map(field).collect()
-}
--- a/crates/wire/src/run.rs
+++ b/crates/wire/src/run.rs
@@ -1,5 +1,6 @@
 //! Messages between an entry and a side process about one request.
 
+use http::HeaderMap;
 use prost::Message;
 
 /// One header of a request or answer.
@@ -13,6 +14,17 @@
     pub value: Vec<u8>,
 }
 
+impl HeaderField {
+    /// The headers among `names` that are present, in the order of `names`.
+    pub fn pick(headers: &HeaderMap, names: &[&str]) -> Vec<Self> {
+        let field = |name: &&str| {
+            let value = headers.get(*name)?;
+            Some(Self { name: (*name).to_owned(), value: value.as_bytes().to_vec() })
+        };
+        names.iter().filter_map(field).collect()
+    }
+}
+
 /// Hands a request over to a backend server.
 #[derive(Clone, PartialEq, Message)]
 pub struct RunRequest {
