--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -9,11 +9,11 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use object_api::{budget::BudgetedStore, http::PlatformClient};
 use once::{
     ClaimAsk, ClaimExchange, ClaimKeeper, ClaimKey, ClaimReply, ExchangeCall, KeyDigest,
     ObjectClaims, RecordKind, RequestFingerprint, ShardId, ShardLimits, shard_ranking,
 };
-use platform::{budget::BudgetedStore, http::PlatformClient};
 use tokio::{
     sync::{mpsc, watch},
     time,
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use base::prelude::*;
-use platform::{VmEntry, VmList, VmState, vms::VmRole};
+use object_api::{VmEntry, VmList, VmState, vms::VmRole};
 use tokio::{sync::watch, time};
 
 /// Size of one VM in the list, in bytes.
--- a/crates/entry/src/leaving.rs
+++ b/crates/entry/src/leaving.rs
@@ -7,8 +7,8 @@
 use std::{collections::HashSet, sync::Arc};
 
 use base::prelude::*;
+use object_api::{VmEntry, VmState, vms::VmRole};
 use once::{ShardId, shard_ranking};
-use platform::{VmEntry, VmState, vms::VmRole};
 use tokio::{sync::watch, time};
 use wire::{Message, load::LeaveNotice};
 use xxhash_rust::xxh3::xxh3_64;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -16,8 +16,8 @@
 use base::{ids::AttemptId, prelude::*};
 use lists::{ListSet, RequestPriority, WorkClass};
 use loading::{FlightEvent, GapHistogram};
+use object_api::{ObjectStore, VmList};
 use placement::OwnerEvent as PlacementEvent;
-use platform::{ObjectStore, VmList};
 use routing::{AttemptKind, CreditEnd, DeskAsk, DeskEvent, EntryLife, OwnerKey};
 use tokio::{
     sync::{mpsc, oneshot, watch},
--- a/crates/entry/src/owner/slots.rs
+++ b/crates/entry/src/owner/slots.rs
@@ -5,11 +5,11 @@
 use base::prelude::*;
 use lists::{ListSet, ModelEntry};
 use loading::{CacheTier, FlightEvent, LoadCandidate};
+use object_api::VmState;
 use placement::{
     OwnerAction as PlacementAction, OwnerEvent as PlacementEvent, OwnerReport, PlacementEdit,
     PlacementSlot, SlotHolder, driver,
 };
-use platform::VmState;
 use routing::rendezvous::{OwnerCount, OwnerKey, OwnerRanking};
 use wire::{Message, PeerIdentity, load::UnloadOrder};
 
--- a/crates/entry/src/owner/target.rs
+++ b/crates/entry/src/owner/target.rs
@@ -9,8 +9,8 @@
 use admission::AdmissionPolicy;
 use base::{ids::AttemptId, prelude::*};
 use loading::{CacheTier, ModelDemand, OrderId};
+use object_api::VmState;
 use placement::PlacementSlot;
-use platform::VmState;
 use routing::{DeskAction, DeskAsk, DeskEvent, EntryLife, GrantDesk, ReplicaInfo};
 use wire::ask::{AskRefusal, Grant};
 
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -4,12 +4,12 @@
 
 use base::prelude::*;
 use lists::{ListSet, spread::SpreadProcess};
-use once::{QuarantineKeeper, QuarantineLimits};
-use platform::{
+use object_api::{
     ObjectStore, VmList,
     budget::BudgetedStore,
     http::{ClientSettings, PlatformClient},
 };
+use once::{QuarantineKeeper, QuarantineLimits};
 use tokio::{
     sync::{mpsc, watch},
     time,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -8,8 +8,8 @@
     prelude::*,
 };
 use lists::spread::SpreadConfig;
+use object_api::budget::CallLimits;
 use once::ShardLimits;
-use platform::budget::CallLimits;
 use wire::ProcessSettings;
 
 const DEFAULT_READS: EventRate = EventRate(20.0);
--- a/crates/fescuewalk/src/cmd/apply.rs
+++ b/crates/fescuewalk/src/cmd/apply.rs
@@ -11,7 +11,7 @@
     check_lists,
     store::{EditOrder, EditOutcome, EditRecord, ListTexts, apply_edit, read_lists},
 };
-use platform::http::PlatformClient;
+use object_api::http::PlatformClient;
 
 use crate::{
     cmd::{
--- a/crates/fescuewalk/src/cmd/quarantine.rs
+++ b/crates/fescuewalk/src/cmd/quarantine.rs
@@ -8,8 +8,8 @@
 use std::net::SocketAddr;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
+use object_api::http::{ClientSettings, PlatformClient};
 use once::{RequestFingerprint, StoredRecord, quarantine::operate};
-use platform::http::{ClientSettings, PlatformClient};
 
 use crate::error::{CliError, CliResult};
 
--- a/crates/fescuewalk/src/config.rs
+++ b/crates/fescuewalk/src/config.rs
@@ -4,7 +4,7 @@
 
 use clap::{Arg, ArgMatches, value_parser};
 use lists::store::ListTexts;
-use platform::http::{ClientSettings, PlatformClient};
+use object_api::http::{ClientSettings, PlatformClient};
 
 use crate::error::{CliError, CliResult};
 
--- a/crates/fescuewalk/src/local_fleet.rs
+++ b/crates/fescuewalk/src/local_fleet.rs
@@ -13,8 +13,8 @@
     store::{EditOrder, EditOutcome, ListTexts, apply_edit},
 };
 use loading::FenceCheck;
+use object_api::{MemoryStore, VmEntry, VmState, budget::CallLimits, vms::VmRole};
 use once::ShardLimits;
-use platform::{MemoryStore, VmEntry, VmState, budget::CallLimits, vms::VmRole};
 use side::{
     SideHandle, SideSettings,
     settings::{BackendKind, BackendSettings},
--- a/crates/fescuewalk/tests/capacity.rs
+++ b/crates/fescuewalk/tests/capacity.rs
@@ -7,7 +7,7 @@
 use base::prelude::*;
 use entry::owner::TargetReport;
 use lists::store::{EditOrder, EditOutcome, ListTexts, apply_edit};
-use platform::http::{ClientSettings, PlatformClient};
+use object_api::http::{ClientSettings, PlatformClient};
 use standin::load::{CallOutcome, CallScript, CallVerdict, ChatCall, LoadOptions, run_script};
 use support::fleet::{Fleet, RIGHTS, get_json, plans, put_fault, start_fleet};
 
--- a/crates/fescuewalk/tests/once.rs
+++ b/crates/fescuewalk/tests/once.rs
@@ -6,7 +6,7 @@
 
 use base::{clock, prelude::*};
 use http_body_util::{BodyExt, Full};
-use platform::{
+use object_api::{
     ObjectStore,
     http::{ClientSettings, PlatformClient},
 };
--- a/crates/fescuewalk/tests/support/fleet.rs
+++ b/crates/fescuewalk/tests/support/fleet.rs
@@ -11,7 +11,7 @@
     rt::TokioExecutor,
 };
 use lists::store::{EditOrder, EditOutcome, ListTexts, apply_edit};
-use platform::http::{ClientSettings, PlatformClient};
+use object_api::http::{ClientSettings, PlatformClient};
 use serde_json::Value;
 
 use super::{Process, WorkDir, fescuewalk, fescuewalk_side};
--- a/crates/lists/src/spread/driver.rs
+++ b/crates/lists/src/spread/driver.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use bytes::Bytes;
 use log::{info, warn};
-use platform::{ObjectChange, ObjectStore, ObjectVersion, VmList};
+use object_api::{ObjectChange, ObjectStore, ObjectVersion, VmList};
 use prost::Message;
 use tokio::{
     sync::{mpsc, watch},
--- a/crates/lists/src/spread/event.rs
+++ b/crates/lists/src/spread/event.rs
@@ -1,7 +1,7 @@
 //! What happens at a node of the spread, and what it is to do.
 
 use base::prelude::*;
-use platform::vms::VmEntry;
+use object_api::vms::VmEntry;
 
 use crate::{
     image::ListImage,
--- a/crates/lists/src/spread/node.rs
+++ b/crates/lists/src/spread/node.rs
@@ -10,7 +10,7 @@
 };
 
 use base::prelude::*;
-use platform::vms::VmEntry;
+use object_api::vms::VmEntry;
 
 use crate::{
     image::ImageDigest,
--- a/crates/lists/src/spread/node/members.rs
+++ b/crates/lists/src/spread/node/members.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, net::SocketAddr};
 
 use base::prelude::*;
-use platform::vms::VmEntry;
+use object_api::vms::VmEntry;
 
 use super::SpreadNode;
 use crate::spread::{
--- a/crates/lists/src/spread/roster.rs
+++ b/crates/lists/src/spread/roster.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, fmt, net::SocketAddr};
 
 use base::prelude::*;
-use platform::vms::{VmEntry, VmRole, VmState};
+use object_api::vms::{VmEntry, VmRole, VmState};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::spread::message::{RosterEntryMessage, RosterMessage};
--- a/crates/lists/src/spread/start.rs
+++ b/crates/lists/src/spread/start.rs
@@ -3,7 +3,7 @@
 use std::{fmt, net::SocketAddr, str::FromStr, sync::Arc};
 
 use base::{ini::SectionReader, prelude::*};
-use platform::{ObjectStore, VmList};
+use object_api::{ObjectStore, VmList};
 use snafu::{OptionExt, Snafu};
 use tokio::sync::{mpsc, watch};
 use wire::{FleetSecret, LinkOptions, PeerIdentity};
--- a/crates/lists/src/spread/status.rs
+++ b/crates/lists/src/spread/status.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use base::prelude::*;
-use platform::vms::{VmEntry, VmState};
+use object_api::vms::{VmEntry, VmState};
 
 use crate::{
     spread::{
--- a/crates/lists/src/store.rs
+++ b/crates/lists/src/store.rs
@@ -11,7 +11,7 @@
 pub mod status;
 
 use base::ini::FileFaults;
-use platform::{ObjectKey, StoreError};
+use object_api::{ObjectKey, StoreError};
 use snafu::Snafu;
 
 pub use self::{
--- a/crates/lists/src/store/apply.rs
+++ b/crates/lists/src/store/apply.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use log::{info, warn};
-use platform::{ObjectStore, StoreError, WriteCondition};
+use object_api::{ObjectStore, StoreError, WriteCondition};
 use snafu::ResultExt;
 
 use self::stage::{StagedEdit, remove_object, remove_staged, stage_edit, write_staged};
--- a/crates/lists/src/store/apply/stage.rs
+++ b/crates/lists/src/store/apply/stage.rs
@@ -3,7 +3,7 @@
 use base::{clock, prelude::*};
 use bytes::Bytes;
 use log::warn;
-use platform::{ObjectKey, ObjectStore, StoreError, WriteCondition};
+use object_api::{ObjectKey, ObjectStore, StoreError, WriteCondition};
 use rand::Rng;
 use snafu::ResultExt;
 
--- a/crates/lists/src/store/history.rs
+++ b/crates/lists/src/store/history.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use base::prelude::*;
-use platform::{ObjectKey, ObjectStore};
+use object_api::{ObjectKey, ObjectStore};
 use snafu::ResultExt;
 
 use crate::store::{
--- a/crates/lists/src/store/objects.rs
+++ b/crates/lists/src/store/objects.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::ObjectKey;
+use object_api::ObjectKey;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
--- a/crates/lists/src/store/read.rs
+++ b/crates/lists/src/store/read.rs
@@ -1,7 +1,7 @@
 //! Reading of the lists in force.
 
 use base::ini::IniFile;
-use platform::{ObjectKey, ObjectStore, ObjectVersion};
+use object_api::{ObjectKey, ObjectStore, ObjectVersion};
 use snafu::ResultExt;
 
 use crate::{
--- a/crates/lists/src/store/status.rs
+++ b/crates/lists/src/store/status.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use base::{clock, prelude::*};
-use platform::{ObjectKey, ObjectStore, StoreError, WriteCondition};
+use object_api::{ObjectKey, ObjectStore, StoreError, WriteCondition};
 use snafu::ResultExt;
 
 use crate::{
--- a/crates/lists/tests/driver.rs
+++ b/crates/lists/tests/driver.rs
@@ -10,7 +10,7 @@
     },
     store::{EditOrder, ListTexts, apply_edit, read_statuses},
 };
-use platform::{MemoryStore, StoreFault, VmEntry, VmState, vms::VmRole};
+use object_api::{MemoryStore, StoreFault, VmEntry, VmState, vms::VmRole};
 use tokio::{net::TcpListener, sync::mpsc, time};
 use wire::{FleetSecret, LinkOptions, Message, PeerIdentity, PeerLink, PeerRole};
 
@@ -139,7 +139,7 @@
     wait_for(&mut handles, 1).await;
 
     let late_store = MemoryStore::new();
-    late_store.set_vms(platform::VmList::vms(&store).await.unwrap());
+    late_store.set_vms(object_api::VmList::vms(&store).await.unwrap());
     store.set_fault(StoreFault { down: true, ..StoreFault::default() });
     let late = start(place("back-9", VmRole::Backend).await, &late_store);
 
--- a/crates/lists/tests/fleet/mod.rs
+++ b/crates/lists/tests/fleet/mod.rs
@@ -14,7 +14,7 @@
         SpreadSettings, StatusReport, StoreNews, copy::EditStep,
     },
 };
-use platform::vms::{VmEntry, VmRole, VmState};
+use object_api::vms::{VmEntry, VmRole, VmState};
 use rand_chacha::{
     ChaCha8Rng,
     rand_core::{Rng, SeedableRng},
--- a/crates/lists/tests/status.rs
+++ b/crates/lists/tests/status.rs
@@ -5,7 +5,7 @@
     spread::{StatusReport, status::ForceMoment},
     store::{force_times, read_statuses, write_status},
 };
-use platform::MemoryStore;
+use object_api::MemoryStore;
 
 fn zone() -> ZoneName {
     ZoneName::new("z0").unwrap()
--- a/crates/lists/tests/store.rs
+++ b/crates/lists/tests/store.rs
@@ -8,7 +8,7 @@
     load_lists, read_lists,
     store::{EditOrder, EditOutcome, ListTexts, apply_edit, edits_between, objects::head_key},
 };
-use platform::{MemoryStore, ObjectStore, StoreFault, WriteCondition};
+use object_api::{MemoryStore, ObjectStore, StoreFault, WriteCondition};
 
 fn texts() -> ListTexts {
     let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/slatina");
--- a/crates/measures/benches/claims.rs
+++ b/crates/measures/benches/claims.rs
@@ -9,16 +9,16 @@
     figures::{FigureTarget, MeasuredFigure},
     usage::ProcessUsage,
 };
+use object_api::{
+    MemoryStore, ObjectVersion, StoreFault,
+    budget::{BudgetedStore, CallLimits},
+};
 use once::{
     CallTicket, ClaimAsk, ClaimCall, ClaimKeeper, ClaimKey, ClaimRecord, ClaimReply, ClaimSegment,
     ClaimShard, KeyDigest, MintTime, ObjectClaims, RecordKind, RequestFingerprint, SegmentNumber,
     ShardAction, ShardEvent, ShardImage, ShardLimits, ShardTime, StoredBase, StoredSegment,
     WriteOutcome,
 };
-use platform::{
-    MemoryStore, ObjectVersion, StoreFault,
-    budget::{BudgetedStore, CallLimits},
-};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::{
--- a/crates/measures/benches/spread/loopback.rs
+++ b/crates/measures/benches/spread/loopback.rs
@@ -10,7 +10,7 @@
     },
     store::{EditOrder, ListTexts, apply_edit},
 };
-use platform::{MemoryStore, VmEntry, VmState, vms::VmRole};
+use object_api::{MemoryStore, VmEntry, VmState, vms::VmRole};
 use tokio::{
     net::TcpListener,
     sync::{mpsc, watch},
--- a/crates/measures/benches/spread/replay.rs
+++ b/crates/measures/benches/spread/replay.rs
@@ -14,7 +14,7 @@
         SpreadSettings, StoreNews, copy::EditStep,
     },
 };
-use platform::{VmEntry, VmState, vms::VmRole};
+use object_api::{VmEntry, VmState, vms::VmRole};
 use prost::Message;
 
 /// One way between two nodes.
--- a/crates/measures/benches/support/mod.rs
+++ b/crates/measures/benches/support/mod.rs
@@ -18,7 +18,7 @@
 };
 use lists::store::{EditOrder, ListTexts, apply_edit};
 use measures::usage::ProcessUsage;
-use platform::http::{ClientSettings, PlatformClient};
+use object_api::http::{ClientSettings, PlatformClient};
 
 const RIGHTS: &str = "[plan field]\npriority = 1\nshare = 10\nservices = *\nmodels = *\nqueue = 1000\n\
     [service vrbovka]\nkind = plain\nreplicas = 1\nslots = 256\n\
--- a/crates/platform/tests/answers.rs
+++ b/crates/object-api/tests/answers.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
-use platform::{
+use object_api::{
     ObjectChange, ObjectKey, ObjectVersion, StoreError, StoredObject,
     http::{
         key_of_path,
--- a/crates/platform/tests/memory.rs
+++ b/crates/object-api/tests/memory.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use platform::{
+use object_api::{
     MemoryStore, ObjectKey, ObjectStore, ObjectVersion, StoreError, StoreFault, WriteCondition,
 };
 
--- a/crates/once/src/claim.rs
+++ b/crates/once/src/claim.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::{ObjectVersion, WriteCondition};
+use object_api::{ObjectVersion, WriteCondition};
 
 use crate::{
     fingerprint::RequestFingerprint,
--- a/crates/once/src/keeper.rs
+++ b/crates/once/src/keeper.rs
@@ -9,7 +9,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::ObjectStore;
+use object_api::ObjectStore;
 use tokio::{
     sync::{mpsc, oneshot},
     time,
--- a/crates/once/src/keeper/store.rs
+++ b/crates/once/src/keeper/store.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::{ObjectKey, ObjectStore, StoreError, WriteCondition};
+use object_api::{ObjectKey, ObjectStore, StoreError, WriteCondition};
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::time;
 
--- a/crates/once/src/object_claims.rs
+++ b/crates/once/src/object_claims.rs
@@ -8,7 +8,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::{ObjectKey, ObjectStore, StoreError, StoredObject, WriteCondition};
+use object_api::{ObjectKey, ObjectStore, StoreError, StoredObject, WriteCondition};
 
 use crate::{claim::ClaimReply, key::KeyDigest};
 
--- a/crates/once/src/quarantine.rs
+++ b/crates/once/src/quarantine.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 
 use base::prelude::*;
-use platform::{ObjectVersion, WriteCondition};
+use object_api::{ObjectVersion, WriteCondition};
 
 use self::record::{CrashNote, CrashRecord, CrashVerdict};
 use crate::{claim::WriteOutcome, fingerprint::RequestFingerprint};
--- a/crates/once/src/quarantine/keeper.rs
+++ b/crates/once/src/quarantine/keeper.rs
@@ -6,7 +6,7 @@
 };
 
 use base::{clock, prelude::*};
-use platform::{ObjectChange, ObjectStore, ObjectVersion, StoreError};
+use object_api::{ObjectChange, ObjectStore, ObjectVersion, StoreError};
 use tokio::{sync::mpsc, time};
 
 use super::{
--- a/crates/once/src/quarantine/operate.rs
+++ b/crates/once/src/quarantine/operate.rs
@@ -1,6 +1,6 @@
 //! What operators do with the quarantine.
 
-use platform::{ObjectKey, ObjectStore, StoreError};
+use object_api::{ObjectKey, ObjectStore, StoreError};
 use snafu::{ResultExt, Snafu};
 
 use super::{
--- a/crates/once/src/segment.rs
+++ b/crates/once/src/segment.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::object::MAX_OBJECT_BYTES;
+use object_api::object::MAX_OBJECT_BYTES;
 use prost::Message;
 use snafu::{ResultExt, Snafu, ensure};
 
--- a/crates/once/src/shard/batch.rs
+++ b/crates/once/src/shard/batch.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::ObjectVersion;
+use object_api::ObjectVersion;
 
 use crate::{
     claim::{ClaimCall, SegmentNumber, ShardAction, StoredSegment},
--- a/crates/once/src/table.rs
+++ b/crates/once/src/table.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use base::prelude::*;
-use platform::ObjectVersion;
+use object_api::ObjectVersion;
 
 use crate::{
     claim::{SegmentNumber, ShardImage, StoredBase, StoredSegment},
--- a/crates/once/tests/bytes.rs
+++ b/crates/once/tests/bytes.rs
@@ -112,7 +112,7 @@
 
     let body = ClaimSegment { writer: ProcessIncarnation(u64::MAX), nonce: u64::MAX, records };
 
-    assert!(body.encode().len() <= platform::object::MAX_OBJECT_BYTES);
+    assert!(body.encode().len() <= object_api::object::MAX_OBJECT_BYTES);
 }
 
 #[rstest]
--- a/crates/once/tests/keeper.rs
+++ b/crates/once/tests/keeper.rs
@@ -5,14 +5,14 @@
 use base::{clock, prelude::*};
 use bytes::Bytes;
 use futures::future::join_all;
+use object_api::{
+    MemoryStore, ObjectStore, StoreFault,
+    budget::{BudgetedStore, CallLimits},
+};
 use once::{
     ClaimAsk, ClaimKeeper, ClaimKey, ClaimReply, KeyDigest, MintTime, ObjectClaims,
     RequestFingerprint, ShardId, ShardLimits, shard_ranking,
 };
-use platform::{
-    MemoryStore, ObjectStore, StoreFault,
-    budget::{BudgetedStore, CallLimits},
-};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time;
--- a/crates/once/tests/quarantine.rs
+++ b/crates/once/tests/quarantine.rs
@@ -4,11 +4,11 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use object_api::{MemoryStore, ObjectStore, StoreFault};
 use once::{
     CrashMark, CrashNote, CrashRecord, CrashVerdict, QuarantineKeeper, QuarantineLimits,
     RequestFingerprint, quarantine::operate,
 };
-use platform::{MemoryStore, ObjectStore, StoreFault};
 use proptest::{collection::vec, prelude::*, test_runner::TestRunner};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/once/tests/shard_histories.rs
+++ b/crates/once/tests/shard_histories.rs
@@ -5,12 +5,12 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use object_api::{ObjectVersion, WriteCondition};
 use once::{
     CallTicket, ClaimCall, ClaimKey, ClaimReply, ClaimSegment, ClaimShard, KeyDigest, MintTime,
     ReadOutcome, RecordKind, RequestFingerprint, SegmentNumber, ShardAction, ShardBase, ShardEvent,
     ShardGuards, ShardImage, ShardLimits, ShardTime, StoredBase, StoredSegment, WriteOutcome,
 };
-use platform::{ObjectVersion, WriteCondition};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
--- a/crates/placement/src/driver.rs
+++ b/crates/placement/src/driver.rs
@@ -1,7 +1,7 @@
 //! Performs an owner's actions at the platform.
 
 use base::prelude::*;
-use platform::{ObjectStore, VmList};
+use object_api::{ObjectStore, VmList};
 
 use crate::{
     object::PlacementObject,
--- a/crates/placement/src/object.rs
+++ b/crates/placement/src/object.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::ObjectKey;
+use object_api::ObjectKey;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -10,7 +10,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::{ObjectVersion, StoreError, StoredObject, WriteCondition};
+use object_api::{ObjectVersion, StoreError, StoredObject, WriteCondition};
 
 use self::vms::VmWatch;
 use crate::{
--- a/crates/placement/src/owner/store.rs
+++ b/crates/placement/src/owner/store.rs
@@ -3,7 +3,7 @@
 use std::mem;
 
 use base::prelude::*;
-use platform::{ObjectVersion, StoreError, StoredObject, WriteCondition};
+use object_api::{ObjectVersion, StoreError, StoredObject, WriteCondition};
 
 use super::{KnownObject, OpenWrite, OwnerAction, OwnerReport, PlacementOwner};
 use crate::{
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -6,8 +6,8 @@
 use base::prelude::*;
 use bytes::Bytes;
 use loading::SlotBook;
+use object_api::{ObjectVersion, StoreError, StoredObject, WriteCondition};
 use placement::*;
-use platform::{ObjectVersion, StoreError, StoredObject, WriteCondition};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
--- a/crates/placement/tests/owner_steps.rs
+++ b/crates/placement/tests/owner_steps.rs
@@ -4,8 +4,8 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use object_api::{MemoryStore, ObjectStore, StoreError, StoreFault};
 use placement::*;
-use platform::{MemoryStore, ObjectStore, StoreError, StoreFault};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -336,5 +336,5 @@
     let body: Bytes = object.encode();
 
     assert_eq!(object.slot_count(), 4096);
-    assert!(body.len() < platform::object::MAX_OBJECT_BYTES, "{} bytes", body.len());
+    assert!(body.len() < object_api::object::MAX_OBJECT_BYTES, "{} bytes", body.len());
 }
--- a/crates/proof/src/edits.rs
+++ b/crates/proof/src/edits.rs
@@ -11,7 +11,7 @@
     prelude::{OperatorName, ResultCode},
 };
 use lists::store::{EditOrder, EditOutcome, ListTexts, apply_edit, read_lists};
-use platform::{ClientSettings, PlatformClient};
+use object_api::{ClientSettings, PlatformClient};
 use standin::load::{CallVerdict, EntryClient, ScriptedCall};
 use tokio::{
     task::JoinHandle,
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, path::Path};
 
-use platform::VmEntry;
+use object_api::VmEntry;
 use snafu::Snafu;
 use standin::engine::{EngineListing, EngineRecords, ModelState};
 
--- a/crates/proof/src/injection.rs
+++ b/crates/proof/src/injection.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::clock::since_epoch;
-use platform::VmState;
+use object_api::VmState;
 use serde::Serialize;
 use standin::{
     engine::EngineFault, platform::PlatformFault, service::ServiceFault, weights::WeightFault,
--- a/crates/proof/src/nodes.rs
+++ b/crates/proof/src/nodes.rs
@@ -7,7 +7,7 @@
 };
 
 use base::{clock::since_epoch, prelude::*};
-use platform::{VmEntry, VmState, vms::VmRole};
+use object_api::{VmEntry, VmState, vms::VmRole};
 use snafu::{ResultExt, Snafu};
 
 use crate::{
--- a/crates/report/src/account.rs
+++ b/crates/report/src/account.rs
@@ -10,7 +10,7 @@
         read_statuses,
     },
 };
-use platform::ObjectStore;
+use object_api::ObjectStore;
 use serde::Serialize;
 
 use crate::{
--- a/crates/report/tests/account.rs
+++ b/crates/report/tests/account.rs
@@ -5,7 +5,7 @@
     spread::{StatusReport, status::ForceMoment},
     store::{EditOrder, ListTexts, ZoneLack, apply_edit, write_status},
 };
-use platform::MemoryStore;
+use object_api::MemoryStore;
 use report::{ScrapeLog, account::AccountScope, gather_account, html::account_page};
 
 fn texts(share: u32, replicas: u32) -> ListTexts {
--- a/crates/side/src/loads/start.rs
+++ b/crates/side/src/loads/start.rs
@@ -4,11 +4,11 @@
 
 use base::prelude::*;
 use loading::{InheritedSlot, LedgerEvent};
-use placement::{PlacementObject, object::PLACEMENT_PREFIX};
-use platform::{
+use object_api::{
     ObjectStore, StoredObject,
     http::{ClientSettings, PlatformClient},
 };
+use placement::{PlacementObject, object::PLACEMENT_PREFIX};
 use tokio::time;
 
 use super::feed;
--- a/crates/side/src/process.rs
+++ b/crates/side/src/process.rs
@@ -4,11 +4,11 @@
 
 use base::prelude::*;
 use lists::spread::SpreadProcess;
-use once::{DrainCause, LinkId, RunEvent};
-use platform::{
+use object_api::{
     budget::{BudgetedStore, CallLimits},
     http::{ClientSettings, PlatformClient},
 };
+use once::{DrainCause, LinkId, RunEvent};
 use tokio::{net::TcpListener, time};
 use wire::{
     LinkOptions, LinkSender, ListenError, Message, PeerIdentity, PeerLink, PeerRole,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -8,7 +8,7 @@
 //! | `GET /vms`, `PUT /admin/vms` | VM list, and its replacement |
 //! | `PUT /admin/fault`, `GET /admin/calls` | faults, and calls counted |
 
-use ::platform::{
+use ::object_api::{
     MemoryStore, ObjectStore, ObjectVersion, StoreError, StoreFault, VmEntry, VmList,
     WriteCondition,
     http::{
@@ -115,7 +115,7 @@
     response
 }
 
-fn key_of(request: &Request) -> viz::Result<::platform::ObjectKey> {
+fn key_of(request: &Request) -> viz::Result<::object_api::ObjectKey> {
     key_of_path(request.path())
         .ok_or_else(|| error_answer(StatusCode::BAD_REQUEST, "the path names no object"))
 }
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::ByteSize;
 use bytes::Bytes;
-use platform::{
+use object_api::{
     ClientSettings, MemoryStore, ObjectChange, ObjectKey, ObjectStore, PlatformClient, StoreError,
     StoreFault, VmEntry, VmList, VmState, WriteCondition, vms::VmRole,
 };
