--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent.
--- /dev/null
+++ b/crates/catalog/src/tokens.rs
@@ -0,0 +1,39 @@
+//! Amounts that engines count in.
+
+use std::{fmt, num::ParseIntError, str::FromStr};
+
+/// A number of tokens.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TokenCount(pub u64);
+
+impl fmt::Display for TokenCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for TokenCount {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        text.parse().map(Self)
+    }
+}
+
+/// Size of weights in megabytes; fractions occur.
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
+pub struct Megabytes(pub f64);
+
+impl fmt::Display for Megabytes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} MB", self.0)
+    }
+}
+
+impl FromStr for Megabytes {
+    type Err = std::num::ParseFloatError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.trim_end_matches(" MB").parse().map(Self)
+    }
+}
--- /dev/null
+++ b/crates/connections/src/connect.rs
@@ -0,0 +1,131 @@
+//! One connection.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use socket2::SockRef;
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time,
+};
+
+/// Why a request got no answer.
+#[derive(Debug, Snafu)]
+pub enum SendError {
+    /// No byte of the request was sent.
+    #[snafu(display("not sent: {reason}"))]
+    NotSent {
+        /// Cause.
+        reason: String,
+    },
+    /// The request was sent, in part at least.
+    #[snafu(display("no answer: {reason}"))]
+    NoAnswer {
+        /// Cause.
+        reason: String,
+    },
+}
+
+/// Result of a call over a connection.
+pub type Result<T, E = SendError> = std::result::Result<T, E>;
+
+impl SendError {
+    fn not_sent(reason: impl ToString) -> Self {
+        SendError::NotSent { reason: reason.to_string() }
+    }
+
+    fn no_answer(reason: impl ToString) -> Self {
+        SendError::NoAnswer { reason: reason.to_string() }
+    }
+
+    /// Whether the other end can have read the request.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, SendError::NoAnswer { .. })
+    }
+}
+
+/// How connections are opened.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectSettings {
+    /// Longest wait for a new connection.
+    pub connect_timeout: Duration,
+    /// Time after which the kernel gives up on bytes that are not acknowledged.
+    pub user_timeout: Duration,
+    /// Largest head of an answer that is buffered.
+    pub read_buffer: ByteSize,
+}
+
+/// An open connection that carries no request.
+#[derive(Debug)]
+pub struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+}
+
+impl Connection {
+    /// Connects to `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`SendError::NotSent`] if no connection is open within the time allowed.
+    pub async fn open(address: SocketAddr, settings: &ConnectSettings) -> Result<Self> {
+        let opening = Self::open_socket(address, settings);
+        let stream = time::timeout(settings.connect_timeout, opening)
+            .await
+            .map_err(|_| SendError::not_sent("the connection was not accepted in time"))?
+            .map_err(SendError::not_sent)?;
+        let buffer = usize::try_from(settings.read_buffer.0).unwrap_or(usize::MAX);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(buffer)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(SendError::not_sent)?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connections: the connection to {address} ended: {error}");
+            }
+        });
+        Ok(Self { sender })
+    }
+
+    async fn open_socket(
+        address: SocketAddr,
+        settings: &ConnectSettings,
+    ) -> std::io::Result<TcpStream> {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        let stream = socket.connect(address).await?;
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(settings.user_timeout))?;
+        Ok(stream)
+    }
+
+    /// Whether the other end still listens.
+    pub fn is_usable(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Waits until the connection can carry another request; fails if it has ended.
+    pub(crate) async fn rest(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Sends `request` and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the other end can have read the request.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut failure) => match failure.take_message() {
+                Some(_) => Err(SendError::not_sent(failure.into_error())),
+                None => Err(SendError::no_answer(failure.into_error())),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/choice.rs
@@ -0,0 +1,101 @@
+//! The choice of a backend server.
+//!
+//! Load pattern: requests come in bursts at several entries, of which each knows the load of a
+//! backend server only by late reports and by what it sent itself.
+
+use base::prelude::*;
+use roster::InstanceId;
+
+use crate::{call::Generation, servers::ServerView};
+
+/// What the way into another availability zone counts for, in time to the first byte.
+///
+/// Bytes between zones are priced; a stream of 9 KB costs about as much as this much delay is
+/// worth for a request with a goal of half a second.
+const ZONE_COST: Duration = Duration::from_millis(12);
+/// Mean time of a plain request, by the users' sheets 15 to 30 ms.
+const PLAIN_TIME: Duration = Duration::from_millis(25);
+/// What a sure failure counts for, in time to the first byte.
+const FAILURE_COST: Duration = Duration::from_millis(800);
+/// What each request beside a new one counts for: batches slow every token down a little.
+const COMPANY_COST: Duration = Duration::from_millis(2);
+/// Time that a request waits for one ahead of it when all slots are taken.
+const SLOT_WAIT: Duration = Duration::from_millis(30);
+/// Time until an adapter is there.
+const ADAPTER_COST: Duration = Duration::from_millis(40);
+
+/// What the choice for one request depends on besides the backend servers.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ChoiceView<'a> {
+    /// Zone of the entry.
+    pub zone: &'a ZoneName,
+    /// Backend servers that failed this request before.
+    pub avoided: &'a [InstanceId],
+    /// Now.
+    pub now: Instant,
+}
+
+impl ChoiceView<'_> {
+    fn is_open(&self, server: &ServerView) -> bool {
+        !server.is_leaving
+            && !server.trust.is_suspended(self.now)
+            && !self.avoided.contains(&server.id)
+    }
+
+    fn common_cost(&self, server: &ServerView) -> Duration {
+        let zone = if server.zone == *self.zone { Duration::ZERO } else { ZONE_COST };
+        zone + FAILURE_COST.mul_f64(server.trust.failure_share(self.now))
+    }
+}
+
+/// The best backend server of a plain service, and the expected time to its first byte.
+pub(crate) fn choose_plain<'a>(
+    servers: impl Iterator<Item = &'a ServerView>,
+    service: &ServiceName,
+    view: &ChoiceView<'_>,
+) -> Option<(InstanceId, Duration)> {
+    let cost = |server: &ServerView| {
+        let turns = f64::from(server.load() + 1) / f64::from(server.slots.max(1));
+        (PLAIN_TIME.mul_f64(turns) + view.common_cost(server), PLAIN_TIME.mul_f64(turns.max(1.0)))
+    };
+    servers
+        .filter(|server| server.service == *service && view.is_open(server))
+        .map(|server| (cost(server), server))
+        .min_by(|(a, _), (b, _)| a.0.cmp(&b.0))
+        .map(|((_, expected), server)| (server.id.clone(), expected))
+}
+
+/// An engine chosen for a request.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct EngineChoice {
+    /// Engine.
+    pub server: InstanceId,
+    /// Expected time to the first event.
+    pub expected: Duration,
+    /// Whether the adapter, if one is asked for, is there.
+    pub has_adapter: bool,
+}
+
+/// The best engine among those that hold the model.
+pub(crate) fn choose_engine<'a>(
+    servers: impl Iterator<Item = &'a ServerView>,
+    service: &ServiceName,
+    generation: &Generation,
+    view: &ChoiceView<'_>,
+) -> Option<EngineChoice> {
+    let judge = |server: &ServerView| {
+        let has_adapter = server.holds(&generation.target);
+        let adapter = if has_adapter { Duration::ZERO } else { ADAPTER_COST };
+        let excess = (server.load() + 1).saturating_sub(server.slots);
+        let expected = server.first_event(generation) + SLOT_WAIT * excess + adapter;
+        let company = COMPANY_COST * server.load();
+        let choice = EngineChoice { server: server.id.clone(), expected, has_adapter };
+        (expected + company + view.common_cost(server), choice)
+    };
+    servers
+        .filter(|server| server.service == *service && view.is_open(server))
+        .filter(|server| server.holds_model(&generation.target.model))
+        .map(judge)
+        .min_by(|(a, _), (b, _)| a.cmp(b))
+        .map(|(_, choice)| choice)
+}
--- /dev/null
+++ b/crates/dispatch/src/servers.rs
@@ -0,0 +1,268 @@
+//! What an entry believes about the backend servers to which it sends.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddr,
+};
+
+use base::prelude::*;
+use catalog::TokenCount;
+use roster::{BackendServer, IncarnationStart, InstanceId, ResidentModel, ServerState};
+
+use crate::{
+    call::{Generation, ModelTarget, ServerLoad},
+    pace::EnginePace,
+    trust::ServerTrust,
+};
+
+/// One request of this entry at a backend server.
+#[derive(Debug, Clone)]
+pub struct RunningCall {
+    /// Model and adapter; none for plain services.
+    pub target: Option<ModelTarget>,
+    /// Length of the prompt.
+    pub prompt: TokenCount,
+    /// Tokens of prompts that this entry had waiting there before it.
+    pub queued_before: TokenCount,
+    /// When it was sent.
+    pub sent: Instant,
+    /// Whether its first event has come.
+    pub has_started: bool,
+}
+
+/// A load in progress.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadInProgress {
+    /// Model that will be there.
+    pub model: ModelId,
+    /// When it is expected to be ready.
+    pub ready_at: Instant,
+}
+
+/// What a side process says about the engine beside it.
+#[derive(Debug, Clone, Default)]
+pub struct EngineNews {
+    /// Models that the engine holds.
+    pub residents: Vec<ResidentModel>,
+    /// A model that it is about to drop.
+    pub unloading: Option<ModelId>,
+    /// A load in progress.
+    pub loading: Option<LoadInProgress>,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// One backend server as this entry sees it.
+#[derive(Debug)]
+pub struct ServerView {
+    /// Name.
+    pub id: InstanceId,
+    /// Service.
+    pub service: ServiceName,
+    /// Address.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Start of its incarnation.
+    pub started: Option<IncarnationStart>,
+    /// Whether it takes no new work.
+    pub is_leaving: bool,
+    /// Trust by own results.
+    pub trust: ServerTrust,
+    /// Own requests there.
+    pub calls: HashMap<u64, RunningCall>,
+    residents: BTreeMap<ModelId, BTreeSet<AdapterId>>,
+    unloading: Option<ModelId>,
+    loading: Option<LoadInProgress>,
+    has_side_news: bool,
+    paces: HashMap<ModelId, EnginePace>,
+    told: u32,
+    told_at: Instant,
+    own_at_told: u32,
+}
+
+impl ServerView {
+    /// A backend server that has just been listed.
+    pub fn new(server: &BackendServer, now: Instant) -> Self {
+        let mut view = Self {
+            id: server.id.clone(),
+            service: server.service.clone(),
+            address: server.address,
+            zone: server.zone.clone(),
+            slots: server.slots,
+            started: server.started,
+            is_leaving: false,
+            trust: ServerTrust::new(now),
+            calls: HashMap::new(),
+            residents: BTreeMap::new(),
+            unloading: None,
+            loading: None,
+            has_side_news: false,
+            paces: HashMap::new(),
+            told: 0,
+            told_at: now,
+            own_at_told: 0,
+        };
+        view.update(server, now);
+        view
+    }
+
+    /// Takes in a changed entry of the store.
+    pub fn update(&mut self, server: &BackendServer, now: Instant) {
+        if self.started != server.started {
+            self.forget(now);
+        }
+        self.service = server.service.clone();
+        self.address = server.address;
+        self.zone = server.zone.clone();
+        self.slots = server.slots;
+        self.started = server.started;
+        self.is_leaving = matches!(server.state, ServerState::Draining { .. });
+        if !self.has_side_news {
+            self.set_residents(&server.residents);
+        }
+    }
+
+    /// A new incarnation under the same name holds and knows nothing of before.
+    fn forget(&mut self, now: Instant) {
+        self.trust = ServerTrust::new(now);
+        self.residents.clear();
+        self.unloading = None;
+        self.loading = None;
+        self.has_side_news = false;
+    }
+
+    /// Takes in news of the side process.
+    pub fn hear(&mut self, news: &EngineNews, now: Instant) {
+        self.has_side_news = true;
+        self.set_residents(&news.residents);
+        self.unloading = news.unloading.clone();
+        self.loading = news.loading.clone();
+        self.tell_load(news.running + news.waiting, now);
+    }
+
+    /// Goes by the entries of the store again, because the side process is silent.
+    pub fn lose_side(&mut self, server: &BackendServer) {
+        self.has_side_news = false;
+        self.unloading = None;
+        self.loading = None;
+        self.set_residents(&server.residents);
+    }
+
+    /// Takes in the load that an answer told.
+    pub fn hear_load(&mut self, load: ServerLoad, now: Instant) {
+        self.slots = load.slots.max(1);
+        self.tell_load(load.running + load.waiting, now);
+    }
+
+    fn tell_load(&mut self, load: u32, now: Instant) {
+        self.told = load;
+        self.told_at = now;
+        self.own_at_told = self.own();
+    }
+
+    fn set_residents(&mut self, residents: &[ResidentModel]) {
+        self.residents = residents
+            .iter()
+            .map(|resident| {
+                (resident.model.clone(), resident.adapters.iter().cloned().collect())
+            })
+            .collect();
+    }
+
+    /// The engine said that it does not hold `target`.
+    pub fn miss(&mut self, target: &ModelTarget) {
+        match &target.adapter {
+            Some(adapter) => {
+                if let Some(adapters) = self.residents.get_mut(&target.model) {
+                    adapters.remove(adapter);
+                }
+            }
+            None => {
+                self.residents.remove(&target.model);
+            }
+        }
+    }
+
+    /// Whether requests for `model` can go there.
+    pub fn holds_model(&self, model: &ModelId) -> bool {
+        self.residents.contains_key(model) && self.unloading.as_ref() != Some(model)
+    }
+
+    /// Whether the model and the adapter, if one is asked for, are there.
+    pub fn holds(&self, target: &ModelTarget) -> bool {
+        let has_adapter = match &target.adapter {
+            Some(adapter) => {
+                self.residents.get(&target.model).is_some_and(|held| held.contains(adapter))
+            }
+            None => true,
+        };
+        self.holds_model(&target.model) && has_adapter
+    }
+
+    /// The load in progress.
+    pub fn loading(&self) -> Option<&LoadInProgress> {
+        self.loading.as_ref()
+    }
+
+    fn own(&self) -> u32 {
+        u32::try_from(self.calls.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Requests believed to run or wait there: what was told, and own ones since.
+    pub fn load(&self) -> u32 {
+        let since = self.own().saturating_sub(self.own_at_told);
+        (self.told + since).max(self.own())
+    }
+
+    /// Age of what was told about its load.
+    pub fn load_age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.told_at)
+    }
+
+    /// Tokens of own prompts that have not had their first event.
+    pub fn queued_prompts(&self) -> TokenCount {
+        let waiting = self.calls.values().filter(|call| !call.has_started);
+        TokenCount(waiting.map(|call| call.prompt.0).sum())
+    }
+
+    /// Expected time to the first event of `generation`.
+    pub fn first_event(&self, generation: &Generation) -> Duration {
+        let pace = self.paces.get(&generation.target.model).copied().unwrap_or_default();
+        pace.first_event(self.queued_prompts(), generation.prompt)
+    }
+
+    /// Notes a request that was sent.
+    pub fn send(&mut self, key: u64, target: Option<ModelTarget>, prompt: TokenCount, now: Instant) {
+        let call = RunningCall {
+            target,
+            prompt,
+            queued_before: self.queued_prompts(),
+            sent: now,
+            has_started: false,
+        };
+        self.calls.insert(key, call);
+    }
+
+    /// Notes the first event of a request.
+    pub fn start(&mut self, key: u64, now: Instant) {
+        let Some(call) = self.calls.get_mut(&key) else { return };
+        if call.has_started {
+            return;
+        }
+        call.has_started = true;
+        let Some(target) = &call.target else { return };
+        let took = now.saturating_duration_since(call.sent);
+        let pace = self.paces.entry(target.model.clone()).or_default();
+        pace.observe(call.queued_before, call.prompt, took);
+    }
+
+    /// Notes the end of a request.
+    pub fn end(&mut self, key: u64) {
+        self.calls.remove(&key);
+    }
+}
--- /dev/null
+++ b/crates/fescuewalk/src/cmd/gateway.rs
@@ -0,0 +1,92 @@
+//! Runs the gateway.
+//!
+//! ```text
+//! fescuewalk gateway [--check] [SETTINGS]
+//! ```
+
+use std::{env, path::PathBuf};
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use events::{EventLog, LogLimits};
+use gateway::{GatewayHandle, GatewaySettings};
+use log::LevelFilter;
+use tokio::runtime::Builder;
+
+use crate::{
+    config::InputConfig,
+    error::{CliError, CliResult},
+    signals,
+};
+
+/// Variable that names the settings file where no argument does.
+const SETTINGS_VARIABLE: &str = "FESCUEWALK_SETTINGS";
+
+/// Describes the subcommand.
+pub fn command() -> Command {
+    Command::new("gateway")
+        .about("Runs the entry process on the users' platform")
+        .long_about(
+            "Runs the entry process on the users' platform until SIGTERM or SIGINT. It accepts \
+             requests from callers and sends them straight to backend servers. Without SETTINGS \
+             the file is named by the variable FESCUEWALK_SETTINGS.",
+        )
+        .after_help("Example:\n  fescuewalk gateway --check examples/slatina/gateway.ini")
+        .arg(
+            Arg::new("settings")
+                .value_name("SETTINGS")
+                .help("Settings in INI")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .help("Check the settings, list all faults and exit")
+                .action(ArgAction::SetTrue),
+        )
+}
+
+struct GatewayArgs {
+    settings: InputConfig,
+    check: bool,
+}
+
+impl GatewayArgs {
+    fn new(args: &ArgMatches) -> CliResult<Self> {
+        let given = args.get_one::<PathBuf>("settings").cloned();
+        let path = given.or_else(|| env::var_os(SETTINGS_VARIABLE).map(PathBuf::from));
+        let path = path.ok_or_else(|| {
+            CliError::usage(format!("name the settings as argument or by {SETTINGS_VARIABLE}"))
+        })?;
+        Ok(Self { settings: InputConfig::new(path), check: args.get_flag("check") })
+    }
+}
+
+/// Runs the subcommand.
+///
+/// # Errors
+///
+/// Fails if the settings have faults or the process cannot start.
+pub fn run(args: &ArgMatches) -> CliResult<()> {
+    let args = GatewayArgs::new(args)?;
+    let settings = GatewaySettings::parse(&args.settings.name(), &args.settings.text()?)?;
+    if args.check {
+        println!("{}: no faults", args.settings.name());
+        return Ok(());
+    }
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let (log, writer) =
+        EventLog::start(&settings.identity.vm, LogLimits::default(), std::io::stdout());
+    let _notes = log.take_notes(LevelFilter::Info)?;
+    let outcome = runtime.block_on(serve(settings, log.clone()));
+    log.close();
+    // The writer only fails if standard output does, and then nobody can be told.
+    let _ = writer.join();
+    outcome
+}
+
+async fn serve(settings: GatewaySettings, log: EventLog) -> CliResult<()> {
+    let handle = GatewayHandle::start(settings, log).await?;
+    signals::stop_requested().await?;
+    handle.stop().await;
+    Ok(())
+}
--- a/crates/fescuewalk/src/error.rs
+++ b/crates/fescuewalk/src/error.rs
@@ -42,6 +42,12 @@
         /// Cause.
         source: ListenError,
     },
+    /// The gateway could not start.
+    #[snafu(display("{source}"), context(false))]
+    Gateway {
+        /// Cause.
+        source: gateway::StartError,
+    },
     /// A stand-in could not start.
     #[snafu(display("{source}"), context(false))]
     Standin {
--- a/crates/fescuewalk/src/main.rs
+++ b/crates/fescuewalk/src/main.rs
@@ -25,6 +25,7 @@
         .subcommand(cmd::check::command())
         .subcommand(cmd::diff::command())
         .subcommand(cmd::entry::command())
+        .subcommand(cmd::gateway::command())
         .subcommand(cmd::quarantine::command())
         .subcommand(cmd::standin::command())
         .subcommand(cmd::status::command())
@@ -39,6 +40,7 @@
         Some(("check", args)) => cmd::check::run(args),
         Some(("diff", args)) => cmd::diff::run(args),
         Some(("entry", args)) => cmd::entry::run(args),
+        Some(("gateway", args)) => cmd::gateway::run(args),
         Some(("quarantine", args)) => cmd::quarantine::run(args),
         Some(("standin", args)) => cmd::standin::run(args),
         Some(("status", args)) => cmd::status::run(args),
--- /dev/null
+++ b/crates/gateway/src/backends.rs
@@ -0,0 +1,196 @@
+//! The desk, the requests that wait for it, and the connections to backend servers.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use base::prelude::*;
+use connections::{ConnectSettings, ConnectionPool, PoolSettings};
+use dispatch::{Ask, AttemptFailure, Desk, DeskAction, ModelTarget, Refusal, Verdict};
+use roster::InstanceId;
+use tokio::{
+    sync::{Notify, oneshot},
+    time,
+};
+
+/// Longest wait for a connection to a backend server in the same region.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after which the kernel gives up on a backend server that acknowledges nothing.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest rest of a connection; a backend server that states a shorter time goes first.
+const MAX_REST: Duration = Duration::from_secs(10);
+/// Connections to one backend server that an entry may open however many entries there are.
+const MIN_CONNECTIONS: usize = 8;
+/// Part of a backend server's connections that the entries use together.
+const CONNECTION_PART: f64 = 0.8;
+
+/// Time between two looks at the requests that wait, besides those that news cause.
+const REVIEW: Duration = Duration::from_millis(40);
+
+/// Carries wishes for adapters to side processes.
+pub type AdapterWish = Box<dyn Fn(&InstanceId, SocketAddr, &ModelTarget) + Send + Sync>;
+
+struct BackendState {
+    desk: Desk,
+    waiters: HashMap<u64, oneshot::Sender<Verdict>>,
+    pools: HashMap<SocketAddr, ConnectionPool>,
+    entries: usize,
+}
+
+/// The backend servers as the requests of this entry use them; clones share their state.
+#[derive(Clone)]
+pub struct Backends {
+    state: Arc<Mutex<BackendState>>,
+    wish: Arc<AdapterWish>,
+    has_waiting: Arc<Notify>,
+}
+
+impl Backends {
+    /// Backends that `desk` decides about.
+    pub fn new(desk: Desk, wish: AdapterWish) -> Self {
+        let state = BackendState {
+            desk,
+            waiters: HashMap::new(),
+            pools: HashMap::new(),
+            entries: 1,
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+            wish: Arc::new(wish),
+            has_waiting: Arc::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BackendState> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    /// Lets `step` use the desk and carries out what it decides.
+    pub fn step<T>(&self, step: impl FnOnce(&mut Desk, Instant) -> T) -> T {
+        let mut state = self.lock();
+        let outcome = step(&mut state.desk, Instant::now());
+        let actions = state.desk.take_actions();
+        for action in actions {
+            self.carry_out(&mut state, action);
+        }
+        outcome
+    }
+
+    fn carry_out(&self, state: &mut BackendState, action: DeskAction) {
+        match action {
+            DeskAction::Decide(key, verdict) => {
+                if let Some(waiter) = state.waiters.remove(&key) {
+                    // The caller may have left in the meantime; its ticket then closes the key.
+                    let _ = waiter.send(verdict);
+                }
+            }
+            DeskAction::WantAdapter(server, target) => {
+                if let Some(view) = state.desk.server(&server) {
+                    (self.wish)(&server, view.address, &target);
+                }
+            }
+        }
+    }
+
+    /// Sets the number of entries that share the backend servers.
+    pub fn set_entries(&self, entries: usize) {
+        let mut state = self.lock();
+        state.entries = entries.max(1);
+        state.desk.set_entries(entries);
+    }
+
+    /// Connections to `address`, where `limit` may be open from all entries together.
+    pub fn pool(&self, address: SocketAddr, limit: usize) -> ConnectionPool {
+        let mut state = self.lock();
+        let part = (limit as f64 * CONNECTION_PART / state.entries as f64) as usize;
+        let connect = ConnectSettings {
+            connect_timeout: CONNECT_TIMEOUT,
+            user_timeout: USER_TIMEOUT,
+            read_buffer: ByteSize(64 * 1024),
+        };
+        let max_open = part.max(MIN_CONNECTIONS);
+        let settings = PoolSettings { connect, max_open, max_rest: MAX_REST };
+        state
+            .pools
+            .entry(address)
+            .or_insert_with(|| ConnectionPool::new(address, settings))
+            .clone()
+    }
+
+    /// Drops the connections to backend servers that are gone.
+    pub fn drop_unused_pools(&self) {
+        let mut state = self.lock();
+        let used: Vec<SocketAddr> = state.desk.servers().map(|view| view.address).collect();
+        state.pools.retain(|address, _| used.contains(address));
+    }
+
+    /// Looks at the requests that wait from time to time, until the process ends.
+    pub async fn review_waiting(self) {
+        loop {
+            if self.lock().waiters.is_empty() {
+                self.has_waiting.notified().await;
+            }
+            time::sleep(REVIEW).await;
+            self.step(|desk, now| desk.review(now));
+        }
+    }
+
+    /// Hands a request to the desk.
+    pub fn offer(&self, ask: Ask) -> (Ticket, Verdict) {
+        let (key, verdict) = self.step(|desk, now| desk.offer(ask, now));
+        (Ticket { backends: self.clone(), key, is_open: true }, verdict)
+    }
+}
+
+/// A request at the desk; dropping it tells the desk that the caller has left.
+pub struct Ticket {
+    backends: Backends,
+    key: u64,
+    is_open: bool,
+}
+
+impl Ticket {
+    /// Waits for the next verdict of a request that waits.
+    pub async fn next(&mut self) -> Verdict {
+        let (sender, receiver) = oneshot::channel();
+        self.backends.lock().waiters.insert(self.key, sender);
+        self.backends.has_waiting.notify_one();
+        // News may have come before the waiter was there.
+        self.backends.step(|desk, now| desk.review(now));
+        receiver.await.unwrap_or_else(|_| {
+            let reason = "the entry forgot the request";
+            Verdict::Refuse(Refusal::new(ResultCode::NoReplica, reason))
+        })
+    }
+
+    /// The attempt failed; says what is next.
+    pub fn fail(&mut self, failure: AttemptFailure) -> Verdict {
+        self.backends.step(|desk, now| desk.fail(self.key, failure, now))
+    }
+
+    /// The first byte of the answer came.
+    pub fn start(&self) {
+        self.backends.step(|desk, now| desk.start(self.key, now));
+    }
+
+    /// The request is answered or refused.
+    pub fn finish(&mut self, is_success: bool) {
+        if std::mem::take(&mut self.is_open) {
+            self.backends.step(|desk, now| desk.close(self.key, is_success, now));
+        }
+    }
+
+    /// The backend servers.
+    pub fn backends(&self) -> &Backends {
+        &self.backends
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.finish(false);
+        self.backends.lock().waiters.remove(&self.key);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,21 @@
+//! The gateway: the entry process on the users' platform.
+//!
+//! It accepts requests from callers, decides by the desk where each goes, and passes answers on.
+
+pub mod attempt;
+pub mod backends;
+mod call;
+mod follow;
+mod front;
+mod metrics;
+mod ops;
+pub mod process;
+mod relay;
+pub mod settings;
+pub mod sse;
+mod story;
+
+pub use crate::{
+    process::{GatewayHandle, StartError},
+    settings::GatewaySettings,
+};
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,102 @@
+//! Counters and histograms of the gateway.
+
+use base::{metrics, prelude::*};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+
+/// Bounds of the histogram of first bytes, in seconds; the goals of the users lie between them.
+const FIRST_BYTE_BOUNDS: [f64; 12] =
+    [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 2.5, 4.0, 8.0, 16.0];
+
+/// All metrics of the process; clones share them.
+#[derive(Debug, Clone)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    /// Attempts at backend servers.
+    pub attempts: IntCounter,
+    /// Attempts that brought no answer to pass on.
+    pub failed_attempts: IntCounter,
+    /// Requests in flight.
+    pub in_flight: IntGauge,
+    /// Time to the first byte of an answer.
+    pub first_byte: Histogram,
+    /// Version of the configuration in force.
+    pub catalog_version: IntGauge,
+    /// Entries that count as live.
+    pub live_entries: IntGauge,
+    /// Log lines that were dropped.
+    pub dropped_lines: IntGauge,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl GatewayMetrics {
+    /// Fresh metrics.
+    ///
+    /// # Panics
+    ///
+    /// Never: names and bounds are constant.
+    pub fn new() -> Self {
+        let counter = |name: &str, help: &str| IntCounter::new(name, help).expect("a valid name");
+        let gauge = |name: &str, help: &str| IntGauge::new(name, help).expect("a valid name");
+        let requests = IntCounterVec::new(
+            Opts::new("fescuewalk_gateway_requests_total", "Requests that ended, by result code"),
+            &["code"],
+        )
+        .expect("a valid name");
+        let options = HistogramOpts::new(
+            "fescuewalk_gateway_first_byte_seconds",
+            "Time from a request to the first byte of its answer",
+        );
+        let first_byte = Histogram::with_opts(options.buckets(FIRST_BYTE_BOUNDS.to_vec()))
+            .expect("valid bounds");
+        let attempts =
+            counter("fescuewalk_gateway_attempts_total", "Attempts at backend servers");
+        let failed_attempts = counter(
+            "fescuewalk_gateway_failed_attempts_total",
+            "Attempts that brought no answer to pass on",
+        );
+        let in_flight = gauge("fescuewalk_gateway_in_flight_requests", "Requests in flight");
+        let catalog_version =
+            gauge("fescuewalk_gateway_catalog_version", "Version of the configuration in force");
+        let live_entries =
+            gauge("fescuewalk_gateway_live_entries", "Entries that count as live, with this one");
+        let dropped_lines =
+            gauge("fescuewalk_gateway_dropped_log_lines", "Log lines dropped since the start");
+        let registry = metrics::registry(vec![
+            Box::new(requests.clone()),
+            Box::new(attempts.clone()),
+            Box::new(failed_attempts.clone()),
+            Box::new(in_flight.clone()),
+            Box::new(first_byte.clone()),
+            Box::new(catalog_version.clone()),
+            Box::new(live_entries.clone()),
+            Box::new(dropped_lines.clone()),
+        ]);
+        Self {
+            registry,
+            requests,
+            attempts,
+            failed_attempts,
+            in_flight,
+            first_byte,
+            catalog_version,
+            live_entries,
+            dropped_lines,
+        }
+    }
+
+    /// Counts a request that ended with `code`.
+    pub fn count(&self, code: ResultCode) {
+        self.requests.with_label_values(&[code.number().to_string()]).inc();
+    }
+
+    /// All metrics as text.
+    pub fn render(&self) -> String {
+        metrics::render(&self.registry)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ops.rs
@@ -0,0 +1,45 @@
+//! Readiness and metrics.
+
+use std::sync::Arc;
+
+use tokio::net::TcpListener;
+use viz::{Request, RequestExt, Response, ResponseExt, Router, StatusCode, types::State};
+
+use crate::process::Gateway;
+
+async fn gateway_of(request: &mut Request) -> viz::Result<Arc<Gateway>> {
+    let State(gateway) = request.extract::<State<Arc<Gateway>>>().await?;
+    Ok(gateway)
+}
+
+async fn ready(mut request: Request) -> viz::Result<Response> {
+    let gateway = gateway_of(&mut request).await?;
+    let mut response = Response::text("");
+    if !gateway.is_ready() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    Ok(response)
+}
+
+async fn metrics(mut request: Request) -> viz::Result<Response> {
+    let gateway = gateway_of(&mut request).await?;
+    let dropped = i64::try_from(gateway.log.dropped()).unwrap_or(i64::MAX);
+    gateway.metrics.dropped_lines.set(dropped);
+    Ok(Response::text(gateway.metrics.render()))
+}
+
+async fn serve(listener: TcpListener, router: Router) {
+    if let Err(error) = viz::serve(listener, router).await {
+        log::error!("ops: a listener failed: {error}");
+    }
+}
+
+/// Answers whether the process is ready.
+pub async fn serve_ready(listener: TcpListener, gateway: Arc<Gateway>) {
+    serve(listener, Router::new().get("/*", ready).with(State::new(gateway))).await;
+}
+
+/// Serves metrics.
+pub async fn serve_metrics(listener: TcpListener, gateway: Arc<Gateway>) {
+    serve(listener, Router::new().get("/metrics", metrics).with(State::new(gateway))).await;
+}
--- /dev/null
+++ b/crates/gateway/src/process.rs
@@ -0,0 +1,174 @@
+//! Start and planned stop of the gateway.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use catalog::Catalog;
+use dispatch::{Desk, DeskSettings};
+use events::{DecisionEvent, EventLog};
+use peers::{AdapterWanted, DatagramBody, PeerSocket};
+use platform::PlatformStore;
+use snafu::Snafu;
+use tokio::{sync::watch, time};
+use wire::{ListenError, listen::listen};
+
+use crate::{
+    backends::{AdapterWish, Backends},
+    follow::{CatalogFollower, RosterFollower},
+    front,
+    metrics::GatewayMetrics,
+    ops,
+    settings::GatewaySettings,
+};
+
+/// Time after a request to stop for which new requests are still served: the balancer notices
+/// within two of its questions, one a second.
+const TURN_AWAY: Duration = Duration::from_millis(2_600);
+/// Part of the grace time that is kept for the end of the process itself.
+const END_MARGIN: Duration = Duration::from_millis(700);
+/// Time between looks at whether all requests have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(25);
+
+/// The gateway cannot start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address is taken.
+    #[snafu(display("{source}"), context(false))]
+    Listen {
+        /// Cause.
+        source: ListenError,
+    },
+    /// The socket for datagrams cannot be opened.
+    #[snafu(display("{source}"), context(false))]
+    Socket {
+        /// Cause.
+        source: peers::socket::SocketError,
+    },
+}
+
+/// Result of starting.
+pub type Result<T, E = StartError> = std::result::Result<T, E>;
+
+/// What the requests of the process share.
+pub struct Gateway {
+    /// Log of decisions.
+    pub log: EventLog,
+    /// Metrics.
+    pub metrics: GatewayMetrics,
+    /// Configuration in force; none before the first was read.
+    pub catalog: watch::Receiver<Option<Arc<Catalog>>>,
+    /// Backend servers.
+    pub backends: Backends,
+    /// When a planned stop began.
+    pub draining: watch::Sender<Option<Instant>>,
+}
+
+impl Gateway {
+    /// Whether the balancer should send new connections.
+    pub fn is_ready(&self) -> bool {
+        self.draining.borrow().is_none() && self.catalog.borrow().is_some()
+    }
+
+    /// Waits until a planned stop begins.
+    pub async fn stop_begun(&self) {
+        let mut draining = self.draining.subscribe();
+        // The sender lives as long as this gateway.
+        let _ = draining.wait_for(Option::is_some).await;
+    }
+
+    /// Whether new requests are refused because the process is about to end.
+    pub fn refuses_new(&self) -> bool {
+        self.draining.borrow().is_some_and(|began| began.elapsed() > TURN_AWAY)
+    }
+}
+
+/// A running gateway.
+pub struct GatewayHandle {
+    gateway: Arc<Gateway>,
+    grace: Duration,
+}
+
+fn adapter_wish(socket: &Arc<PeerSocket>, side_port: u16) -> AdapterWish {
+    let socket = Arc::clone(socket);
+    Box::new(move |server, address, target| {
+        let Some(adapter) = &target.adapter else { return };
+        let wanted = AdapterWanted {
+            model: target.model.to_string(),
+            adapter: adapter.to_string(),
+            instance: server.to_string(),
+        };
+        let side = std::net::SocketAddr::new(address.ip(), side_port);
+        socket.send(side, DatagramBody::AdapterWanted(wanted));
+    })
+}
+
+impl GatewayHandle {
+    /// Starts all tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is taken.
+    pub async fn start(settings: GatewaySettings, log: EventLog) -> Result<Self> {
+        let incarnation = ProcessIncarnation::random();
+        log.record(&DecisionEvent::Started {
+            program: "gateway",
+            version: env!("CARGO_PKG_VERSION"),
+            incarnation,
+        });
+        let callers = listen(settings.listen.callers).await?;
+        let ready = listen(settings.listen.ready).await?;
+        let metrics_listener = listen(settings.listen.metrics).await?;
+        let vm = settings.identity.vm.clone();
+        let socket = Arc::new(PeerSocket::bind(settings.listen.peers, vm, incarnation).await?);
+        let store = PlatformStore::new(settings.store.address, settings.store.call_timeout);
+        let metrics = GatewayMetrics::new();
+        let desk = Desk::new(DeskSettings {
+            zone: settings.identity.zone.clone(),
+            repeats: settings.limits.repeats,
+        });
+        let wish = adapter_wish(&socket, settings.listen.peers.port());
+        let backends = Backends::new(desk, wish);
+        let (sender, catalog) = watch::channel(None);
+        let gateway = Arc::new(Gateway {
+            log: log.clone(),
+            metrics: metrics.clone(),
+            catalog,
+            backends: backends.clone(),
+            draining: watch::Sender::new(None),
+        });
+        let catalog_follower = CatalogFollower {
+            store: store.clone(),
+            settings: settings.store,
+            log: log.clone(),
+            metrics,
+            sender,
+        };
+        let roster_follower = RosterFollower { store, settings: settings.store, log, backends };
+        tokio::spawn(catalog_follower.run());
+        tokio::spawn(roster_follower.run());
+        tokio::spawn(gateway.backends.clone().review_waiting());
+        tokio::spawn(front::serve(callers, Arc::clone(&gateway)));
+        tokio::spawn(ops::serve_ready(ready, Arc::clone(&gateway)));
+        tokio::spawn(ops::serve_metrics(metrics_listener, Arc::clone(&gateway)));
+        Ok(Self { gateway, grace: settings.limits.grace })
+    }
+
+    /// Turns new requests away, lets those in flight end, and returns when they have, or when the
+    /// grace time is about to end.
+    pub async fn stop(&self) {
+        let in_flight = || u64::try_from(self.gateway.metrics.in_flight.get()).unwrap_or(0);
+        let began = Instant::now();
+        self.gateway.log.record(&DecisionEvent::Stopping { in_flight: in_flight() });
+        self.gateway.draining.send_replace(Some(began));
+        let earliest = began + TURN_AWAY;
+        let latest = began + self.grace.saturating_sub(END_MARGIN);
+        loop {
+            let now = Instant::now();
+            if now >= latest || (now >= earliest && in_flight() == 0) {
+                break;
+            }
+            time::sleep(DRAIN_POLL).await;
+        }
+        self.gateway.log.record(&DecisionEvent::Stopped { in_flight: in_flight() });
+    }
+}
--- /dev/null
+++ b/crates/peers/src/book.rs
@@ -0,0 +1,146 @@
+//! The entries that are live, and which of them plans.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use base::prelude::*;
+
+/// An entry that is silent for this time counts as lost; it sends a beat each half second, and one
+/// may be lost on the way.
+pub const SILENCE: Duration = Duration::from_millis(1_700);
+/// A lost entry is still sent beats for this time, in case only the way was cut.
+const REMEMBER: Duration = Duration::from_secs(30);
+
+/// Another entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntryPeer {
+    /// Address for datagrams.
+    pub address: SocketAddr,
+    /// Incarnation of its process; zero before it was heard.
+    pub incarnation: ProcessIncarnation,
+    /// Share of a core that it has, in thousandths.
+    pub core_share: u32,
+    /// Whether a planned stop has begun there.
+    pub is_draining: bool,
+    heard: Option<Instant>,
+    met: Instant,
+}
+
+impl EntryPeer {
+    fn is_live(&self, now: Instant) -> bool {
+        self.heard.is_some_and(|heard| now.saturating_duration_since(heard) < SILENCE)
+    }
+}
+
+/// A belief that changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PeerNews {
+    /// An entry is live.
+    Found(VmId),
+    /// An entry is silent or has stopped.
+    Lost(VmId),
+}
+
+/// What an entry knows of the others.
+#[derive(Debug)]
+pub struct PeerBook {
+    own: VmId,
+    own_share: u32,
+    is_draining: bool,
+    entries: BTreeMap<VmId, EntryPeer>,
+    live: Vec<VmId>,
+}
+
+impl PeerBook {
+    /// A book of the entry on `own` with this share of a core, in thousandths.
+    pub fn new(own: VmId, own_share: u32) -> Self {
+        Self { own, own_share, is_draining: false, entries: BTreeMap::new(), live: Vec::new() }
+    }
+
+    /// This entry stops; it does not plan any more.
+    pub fn drain(&mut self) {
+        self.is_draining = true;
+    }
+
+    /// Notes that an entry exists, as another process tells.
+    pub fn meet(&mut self, vm: VmId, address: SocketAddr, now: Instant) {
+        if vm == self.own {
+            return;
+        }
+        let peer = EntryPeer {
+            address,
+            incarnation: ProcessIncarnation(0),
+            core_share: 0,
+            is_draining: false,
+            heard: None,
+            met: now,
+        };
+        self.entries.entry(vm).or_insert(peer);
+    }
+
+    /// Takes in a beat.
+    pub fn hear(
+        &mut self,
+        vm: VmId,
+        address: SocketAddr,
+        incarnation: ProcessIncarnation,
+        core_share: u32,
+        is_draining: bool,
+        now: Instant,
+    ) {
+        if vm == self.own {
+            return;
+        }
+        let heard = Some(now);
+        let peer =
+            EntryPeer { address, incarnation, core_share, is_draining, heard, met: now };
+        self.entries.insert(vm, peer);
+    }
+
+    /// Compares who is live with what was told before, and forgets those lost for long.
+    pub fn review(&mut self, now: Instant) -> Vec<PeerNews> {
+        let live: Vec<VmId> = self
+            .entries
+            .iter()
+            .filter(|(_, peer)| peer.is_live(now) && !peer.is_draining)
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        let found = live.iter().filter(|vm| !self.live.contains(vm)).cloned().map(PeerNews::Found);
+        let lost = self.live.iter().filter(|vm| !live.contains(vm)).cloned().map(PeerNews::Lost);
+        let news = found.chain(lost).collect();
+        self.live = live;
+        self.entries.retain(|_, peer| {
+            let last = peer.heard.unwrap_or(peer.met);
+            now.saturating_duration_since(last) < REMEMBER
+        });
+        news
+    }
+
+    /// Entries that count as live, with this one.
+    pub fn live_entries(&self) -> usize {
+        self.live.len() + 1
+    }
+
+    /// Where beats go.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.entries.values().map(|peer| peer.address).collect()
+    }
+
+    /// The entries that are live, with their addresses.
+    pub fn live(&self) -> impl Iterator<Item = (&VmId, SocketAddr)> {
+        self.live.iter().filter_map(|vm| Some((vm, self.entries.get(vm)?.address)))
+    }
+
+    /// The live entry that plans, if it is not this one: the one with the most processor time.
+    ///
+    /// Two entries that both plan for a while waste loads and break nothing, because each side
+    /// process decides for its engine.
+    pub fn planner(&self) -> Option<SocketAddr> {
+        let own = (self.own_share, &self.own);
+        let others = self.live.iter().filter_map(|vm| {
+            let peer = self.entries.get(vm)?;
+            Some(((peer.core_share, vm), peer.address))
+        });
+        let (best, address) = others.max_by(|(a, _), (b, _)| a.cmp(b))?;
+        (self.is_draining || best > own).then_some(address)
+    }
+}
