--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -7,6 +7,6 @@
 pub mod pool;
 
 pub use crate::{
-    connect::{Connection, ConnectSettings, SendError},
+    connect::{ConnectSettings, Connection, SendError},
     pool::{ConnectionPool, Lease, PoolSettings},
 };
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -38,6 +38,7 @@
 impl ChoiceView<'_> {
     fn is_open(&self, server: &ServerView) -> bool {
         !server.is_leaving
+            && !server.is_down()
             && !server.trust.is_suspended(self.now)
             && !self.avoided.contains(&server.id)
     }
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -7,7 +7,7 @@
 
 use base::prelude::*;
 use catalog::{RouteKind, TokenCount};
-use roster::{BackendServer, InstanceId};
+use roster::{BackendServer, IncarnationStart, InstanceId};
 
 use crate::{
     budget::{RepeatBudget, RepeatLimits},
@@ -154,9 +154,35 @@
 /// Time for which a backend server without room is left out.
 const FULL_SUSPENSION: Duration = Duration::from_millis(50);
 
+/// What an entry asks of one model.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ModelUse {
+    /// Requests for it since the entry started.
+    pub arrivals: u64,
+    /// Requests that wait because no engine holds it.
+    pub waiting: u32,
+    /// Time until the first of them misses its goal; zero once it has.
+    pub slack: Duration,
+    /// Most urgent priority among them.
+    pub priority: u32,
+    /// Requests at engines.
+    pub runs: BTreeMap<InstanceId, u32>,
+}
+
+impl ModelUse {
+    fn wait(&mut self, ask: &Ask, now: Instant) {
+        let slack = (ask.arrived + ask.goal).saturating_duration_since(now);
+        let is_first = self.waiting == 0;
+        self.slack = if is_first { slack } else { self.slack.min(slack) };
+        self.priority = if is_first { ask.priority } else { self.priority.min(ask.priority) };
+        self.waiting += 1;
+    }
+}
+
 #[derive(Debug)]
 struct OpenCall {
     ask: Ask,
+    missing: bool,
     at: Option<InstanceId>,
     avoided: Vec<InstanceId>,
     sent: u32,
@@ -173,6 +199,7 @@
     calls: BTreeMap<u64, OpenCall>,
     budgets: HashMap<ServiceName, RepeatBudget>,
     outlooks: HashMap<ModelId, LoadOutlook>,
+    arrivals: BTreeMap<ModelId, u64>,
     entries: usize,
     next_key: u64,
     actions: Vec<DeskAction>,
@@ -190,6 +217,7 @@
             calls: BTreeMap::new(),
             budgets: HashMap::new(),
             outlooks: HashMap::new(),
+            arrivals: BTreeMap::new(),
             entries: 1,
             next_key: 0,
             actions: Vec::new(),
@@ -236,9 +264,9 @@
     }
 
     /// The side process beside `server` is silent.
-    pub fn lose_side(&mut self, server: &BackendServer) {
-        if let Some(view) = self.servers.get_mut(&server.id) {
-            view.lose_side(server);
+    pub fn lose_side(&mut self, server: &InstanceId) {
+        if let Some(view) = self.servers.get_mut(server) {
+            view.lose_side();
         }
     }
 
@@ -249,6 +277,13 @@
         }
     }
 
+    /// Takes in the load that the side process beside `server` told.
+    pub fn hear_side_load(&mut self, server: &InstanceId, load: u32, now: Instant) {
+        if let Some(view) = self.servers.get_mut(server) {
+            view.tell_load(load, now);
+        }
+    }
+
     /// Takes in when the planner expects `model` to be loaded somewhere.
     pub fn expect(&mut self, model: ModelId, outlook: LoadOutlook) {
         self.outlooks.insert(model, outlook);
@@ -259,25 +294,58 @@
         self.servers.values()
     }
 
+    /// The backend server at `address`, of this incarnation if both tell theirs.
+    pub fn server_at(
+        &self,
+        address: std::net::SocketAddr,
+        started: Option<IncarnationStart>,
+    ) -> Option<&ServerView> {
+        self.servers.values().find(|view| {
+            let is_same = view.started.is_none() || started.is_none() || view.started == started;
+            view.address == address && is_same
+        })
+    }
+
+    /// Whether a request waits for a model that no engine holds.
+    pub fn has_missing(&self) -> bool {
+        self.calls.values().any(|call| call.missing)
+    }
+
     /// One backend server.
     pub fn server(&self, id: &InstanceId) -> Option<&ServerView> {
         self.servers.get(id)
     }
 
-    /// Requests that wait, with their models.
-    pub fn waiting(&self) -> impl Iterator<Item = (&Ask, &ModelTarget)> {
-        self.calls
-            .values()
-            .filter(|call| call.since.is_some())
-            .filter_map(|call| Some((&call.ask, &call.ask.generation.as_ref()?.target)))
+    /// What this entry asks of each model.
+    pub fn demand(&self, now: Instant) -> BTreeMap<ModelId, ModelUse> {
+        let mut uses: BTreeMap<ModelId, ModelUse> = BTreeMap::new();
+        for (model, arrivals) in &self.arrivals {
+            uses.entry(model.clone()).or_default().arrivals = *arrivals;
+        }
+        for call in self.calls.values() {
+            let Some(generation) = &call.ask.generation else { continue };
+            let model_use = uses.entry(generation.target.model.clone()).or_default();
+            match (&call.at, call.missing) {
+                (Some(server), _) => {
+                    *model_use.runs.entry(server.clone()).or_default() += 1;
+                }
+                (None, true) => model_use.wait(&call.ask, now),
+                (None, false) => {}
+            }
+        }
+        uses
     }
 
     /// Takes in a request; the verdict is the first of those that follow.
     pub fn offer(&mut self, ask: Ask, now: Instant) -> (u64, Verdict) {
         self.next_key += 1;
         let key = self.next_key;
+        if let Some(generation) = &ask.generation {
+            *self.arrivals.entry(generation.target.model.clone()).or_default() += 1;
+        }
         let call = OpenCall {
             ask,
+            missing: false,
             at: None,
             avoided: Vec::new(),
             sent: 0,
@@ -437,7 +505,8 @@
         if choice.has_adapter {
             if generation.target.adapter.is_some() {
                 // The side process learns that the adapter is in use.
-                let want = DeskAction::WantAdapter(choice.server.clone(), generation.target.clone());
+                let want =
+                    DeskAction::WantAdapter(choice.server.clone(), generation.target.clone());
                 self.actions.push(want);
             }
             return self.assign(key, &choice.server, choice.expected, now);
@@ -461,6 +530,7 @@
 
     fn wait(&mut self, key: u64, reason: WaitReason, now: Instant) -> Verdict {
         let call = self.calls.get_mut(&key).expect("the caller found it");
+        call.missing = reason == WaitReason::ModelMissing;
         let since = *call.since.get_or_insert(now);
         let target = call.ask.generation.as_ref().map(|generation| &generation.target);
         let outlook = target.and_then(|target| {
@@ -483,6 +553,7 @@
         let call = self.calls.get_mut(&key).expect("the caller found it");
         let view = self.servers.get_mut(server).expect("it was chosen among them");
         call.since = None;
+        call.missing = false;
         call.sent += 1;
         call.at = Some(server.clone());
         let attempt = call.sent;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,12 +12,11 @@
 pub use crate::{
     budget::RepeatLimits,
     call::{
-        AnswerHead, CallHead, CallId, Generation, ModelTarget, PromptPart, PromptPartId,
-        ServerLoad,
+        AnswerHead, CallHead, CallId, Generation, ModelTarget, PromptPart, PromptPartId, ServerLoad,
     },
     desk::{
-        Ask, Assignment, AttemptFailure, Desk, DeskAction, DeskSettings, Refusal, Verdict,
-        WaitReason,
+        Ask, Assignment, AttemptFailure, Desk, DeskAction, DeskSettings, ModelUse, Refusal,
+        Verdict, WaitReason,
     },
     servers::{EngineNews, LoadInProgress, ServerView},
     waiting::LoadOutlook,
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -52,6 +52,8 @@
     pub running: u32,
     /// Requests that wait.
     pub waiting: u32,
+    /// Whether the engine answers its side process.
+    pub is_reachable: bool,
 }
 
 /// One backend server as this entry sees it.
@@ -75,6 +77,8 @@
     pub trust: ServerTrust,
     /// Own requests there.
     pub calls: HashMap<u64, RunningCall>,
+    listed: Vec<ResidentModel>,
+    is_down: bool,
     residents: BTreeMap<ModelId, BTreeSet<AdapterId>>,
     unloading: Option<ModelId>,
     loading: Option<LoadInProgress>,
@@ -98,6 +102,8 @@
             is_leaving: false,
             trust: ServerTrust::new(now),
             calls: HashMap::new(),
+            listed: Vec::new(),
+            is_down: false,
             residents: BTreeMap::new(),
             unloading: None,
             loading: None,
@@ -122,6 +128,7 @@
         self.slots = server.slots;
         self.started = server.started;
         self.is_leaving = matches!(server.state, ServerState::Draining { .. });
+        self.listed.clone_from(&server.residents);
         if !self.has_side_news {
             self.set_residents(&server.residents);
         }
@@ -134,11 +141,13 @@
         self.unloading = None;
         self.loading = None;
         self.has_side_news = false;
+        self.is_down = false;
     }
 
     /// Takes in news of the side process.
     pub fn hear(&mut self, news: &EngineNews, now: Instant) {
         self.has_side_news = true;
+        self.is_down = !news.is_reachable;
         self.set_residents(&news.residents);
         self.unloading = news.unloading.clone();
         self.loading = news.loading.clone();
@@ -146,11 +155,19 @@
     }
 
     /// Goes by the entries of the store again, because the side process is silent.
-    pub fn lose_side(&mut self, server: &BackendServer) {
+    pub fn lose_side(&mut self) {
         self.has_side_news = false;
+        self.is_down = false;
         self.unloading = None;
         self.loading = None;
-        self.set_residents(&server.residents);
+        let listed = std::mem::take(&mut self.listed);
+        self.set_residents(&listed);
+        self.listed = listed;
+    }
+
+    /// Whether the side process says that the engine does not answer.
+    pub fn is_down(&self) -> bool {
+        self.is_down
     }
 
     /// Takes in the load that an answer told.
@@ -159,7 +176,8 @@
         self.tell_load(load.running + load.waiting, now);
     }
 
-    fn tell_load(&mut self, load: u32, now: Instant) {
+    /// Takes in the number of requests that run or wait there.
+    pub fn tell_load(&mut self, load: u32, now: Instant) {
         self.told = load;
         self.told_at = now;
         self.own_at_told = self.own();
@@ -168,9 +186,7 @@
     fn set_residents(&mut self, residents: &[ResidentModel]) {
         self.residents = residents
             .iter()
-            .map(|resident| {
-                (resident.model.clone(), resident.adapters.iter().cloned().collect())
-            })
+            .map(|resident| (resident.model.clone(), resident.adapters.iter().cloned().collect()))
             .collect();
     }
 
@@ -237,7 +253,13 @@
     }
 
     /// Notes a request that was sent.
-    pub fn send(&mut self, key: u64, target: Option<ModelTarget>, prompt: TokenCount, now: Instant) {
+    pub fn send(
+        &mut self,
+        key: u64,
+        target: Option<ModelTarget>,
+        prompt: TokenCount,
+        now: Instant,
+    ) {
         let call = RunningCall {
             target,
             prompt,
--- a/crates/dispatch/src/trust.rs
+++ b/crates/dispatch/src/trust.rs
@@ -26,12 +26,7 @@
 impl ServerTrust {
     /// Trust in a backend server of which nothing is known.
     pub fn new(now: Instant) -> Self {
-        Self {
-            failures: 0.0,
-            judged: now,
-            suspended_until: None,
-            suspension: FIRST_SUSPENSION,
-        }
+        Self { failures: 0.0, judged: now, suspended_until: None, suspension: FIRST_SUSPENSION }
     }
 
     /// Share of requests that are expected to fail.
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -24,10 +24,7 @@
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn text<T: std::fmt::Display, S: Serializer>(
-    value: &T,
-    serializer: S,
-) -> Result<S::Ok, S::Error> {
+fn text<T: std::fmt::Display, S: Serializer>(value: &T, serializer: S) -> Result<S::Ok, S::Error> {
     serializer.collect_str(value)
 }
 
@@ -42,15 +39,7 @@
 }
 
 fn write_answer<S: Serializer>(value: &OrderAnswer, serializer: S) -> Result<S::Ok, S::Error> {
-    serializer.serialize_str(match value {
-        OrderAnswer::Accepted => "accepted",
-        OrderAnswer::Holds => "holds",
-        OrderAnswer::Conflict => "conflict",
-        OrderAnswer::Fenced => "fenced",
-        OrderAnswer::OtherInstance => "other-instance",
-        OrderAnswer::Refused => "refused",
-        OrderAnswer::Unknown => "unknown",
-    })
+    serializer.serialize_str(value.text())
 }
 
 /// One decision, or one change of what a process believes.
@@ -306,5 +295,7 @@
         /// Orders accepted.
         #[serde(serialize_with = "text")]
         orders: OrderCount,
+        /// Models with a copy on the disk.
+        copies: usize,
     },
 }
--- /dev/null
+++ b/crates/fescuewalk-side/src/cmd.rs
@@ -0,0 +1,4 @@
+//! One module for each way to run.
+
+pub mod agent;
+pub mod side;
--- /dev/null
+++ b/crates/fescuewalk-side/src/cmd/side.rs
@@ -0,0 +1,39 @@
+//! Runs the side process of the system's own interface.
+//!
+//! ```text
+//! fescuewalk-side [--check] FILE
+//! ```
+
+use std::{fs, path::PathBuf};
+
+use clap::ArgMatches;
+use side::{SideHandle, SideSettings};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::error::Result;
+
+/// Runs the process.
+///
+/// # Errors
+///
+/// Fails if the settings have faults or the process cannot start.
+#[tokio::main]
+pub async fn run(args: &ArgMatches) -> Result<()> {
+    let path = args.get_one::<PathBuf>("settings").expect("clap demands it");
+    let settings = SideSettings::parse(&path.display().to_string(), &fs::read_to_string(path)?)?;
+    if args.get_flag("check") {
+        println!("{}: no faults", path.display());
+        return Ok(());
+    }
+    let _logger = settings.log.start()?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let handle = SideHandle::start(settings).await?;
+    println!("listening peers {} http {}", handle.peer_address(), handle.http_address());
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    handle.stop().await;
+    Ok(())
+}
--- a/crates/fescuewalk-side/src/main.rs
+++ b/crates/fescuewalk-side/src/main.rs
@@ -1,42 +1,20 @@
 //! `fescuewalk-side`: the process that runs beside each backend server.
-//!
-//! ```text
-//! fescuewalk-side [--check] FILE
-//! ```
 
-use std::{fs, io, path::PathBuf, process::ExitCode};
+mod cmd;
+mod error;
 
-use base::ini::FileFaults;
-use clap::{Arg, ArgAction, Command, value_parser};
-use side::{SideHandle, SideSettings};
-use snafu::Snafu;
-use tokio::signal::unix::{SignalKind, signal};
-use wire::ListenError;
+use std::{path::PathBuf, process::ExitCode};
 
-/// Exit code for files with faults.
-const EXIT_FAULTS: u8 = 3;
-/// Exit code for anything else that failed.
-const EXIT_FAILED: u8 = 1;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
-/// Why the process ended early.
-#[derive(Debug, Snafu)]
-enum MainError {
-    #[snafu(display("{source}"), context(false))]
-    Faults { source: FileFaults },
-    #[snafu(display("{source}"), context(false))]
-    Io { source: io::Error },
-    #[snafu(display("{source}"), context(false))]
-    Listen { source: ListenError },
-    #[snafu(display("{source}"), context(false))]
-    Log { source: flexi_logger::FlexiLoggerError },
-}
-
-type Result<T, E = MainError> = std::result::Result<T, E>;
+use crate::error::Result;
 
 fn command() -> Command {
     Command::new("fescuewalk-side")
         .about("Runs beside one backend server and is the only one to give it orders")
         .version(env!("CARGO_PKG_VERSION"))
+        .args_conflicts_with_subcommands(true)
+        .subcommand_negates_reqs(true)
         .arg(
             Arg::new("settings")
                 .value_name("FILE")
@@ -50,39 +28,23 @@
                 .help("Check the settings, list all faults and exit")
                 .action(ArgAction::SetTrue),
         )
+        .subcommand(cmd::agent::command())
 }
 
-#[tokio::main]
-async fn run() -> Result<()> {
-    let args = command().get_matches();
-    let path = args.get_one::<PathBuf>("settings").expect("clap demands it");
-    let settings = SideSettings::parse(&path.display().to_string(), &fs::read_to_string(path)?)?;
-    if args.get_flag("check") {
-        println!("{}: no faults", path.display());
-        return Ok(());
-    }
-    let _logger = settings.log.start()?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let handle = SideHandle::start(settings).await?;
-    println!("listening peers {} http {}", handle.peer_address(), handle.http_address());
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+fn run(matches: &ArgMatches) -> Result<()> {
+    match matches.subcommand() {
+        Some(("agent", args)) => cmd::agent::run(args),
+        _ => cmd::side::run(matches),
     }
-    handle.stop().await;
-    Ok(())
 }
 
 fn main() -> ExitCode {
-    match run() {
+    let matches = command().get_matches();
+    match run(&matches) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("fescuewalk-side: {error}");
-            ExitCode::from(match error {
-                MainError::Faults { .. } => EXIT_FAULTS,
-                _ => EXIT_FAILED,
-            })
+            error.exit_code()
         }
     }
 }
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -50,12 +50,8 @@
 impl Backends {
     /// Backends that `desk` decides about.
     pub fn new(desk: Desk, wish: AdapterWish) -> Self {
-        let state = BackendState {
-            desk,
-            waiters: HashMap::new(),
-            pools: HashMap::new(),
-            entries: 1,
-        };
+        let state =
+            BackendState { desk, waiters: HashMap::new(), pools: HashMap::new(), entries: 1 };
         Self {
             state: Arc::new(Mutex::new(state)),
             wish: Arc::new(wish),
@@ -112,11 +108,7 @@
         };
         let max_open = part.max(MIN_CONNECTIONS);
         let settings = PoolSettings { connect, max_open, max_rest: MAX_REST };
-        state
-            .pools
-            .entry(address)
-            .or_insert_with(|| ConnectionPool::new(address, settings))
-            .clone()
+        state.pools.entry(address).or_insert_with(|| ConnectionPool::new(address, settings)).clone()
     }
 
     /// Drops the connections to backend servers that are gone.
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -47,8 +47,7 @@
 /// Serves one request.
 pub async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
     let head = head_form::read_call(request.headers());
-    let story =
-        CallStory::new(gateway.log.clone(), gateway.metrics.clone(), head.call.clone());
+    let story = CallStory::new(gateway.log.clone(), gateway.metrics.clone(), head.call.clone());
     let guard = CallGuard::new(&gateway, story);
     match admit(&gateway, request, head, &guard.story).await {
         Ok(admitted) => run(&gateway, admitted, guard).await,
@@ -186,6 +185,7 @@
             }
             Verdict::Wait(reason, expected) => {
                 guard.story.wait(reason, expected);
+                gateway.fleet.note_missing();
                 ticket.next().await
             }
             Verdict::Send(assignment) => {
@@ -209,10 +209,7 @@
     }
 }
 
-async fn whole(
-    request: &ForwardRequest,
-    answer: OpenAnswer,
-) -> Result<WholeAnswer, FailedAttempt> {
+async fn whole(request: &ForwardRequest, answer: OpenAnswer) -> Result<WholeAnswer, FailedAttempt> {
     attempt::read_whole(answer, request.deadline).await
 }
 
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,596 @@
+//! The other processes of the system: entries, side processes, and the duty of the planner.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use base::prelude::*;
+use catalog::Catalog;
+use dispatch::{EngineNews, LoadInProgress, LoadOutlook, ModelUse};
+use events::{DecisionEvent, EventLog};
+use peers::{
+    ChangeWanted, Datagram, DatagramBody, EngineLoad, EngineState, EntryBeat, LoadDemand,
+    ModelDemand, ModelOutlook, Outlooks, PeerAddress, PeerBook, PeerNews, PeerSocket, RunsAtEngine,
+    SideBeat,
+};
+use residency::{
+    CurrentLoad, DemandBook, DemandRow, EngineFacts, OrderCount, PlannedChange, Planner,
+};
+use roster::{IncarnationStart, InstanceId, ResidentModel};
+use tokio::{
+    sync::{Notify, watch},
+    time,
+};
+
+use crate::{backends::Backends, metrics::GatewayMetrics};
+
+/// Time between two beats to other entries.
+const ENTRY_BEAT: Duration = Duration::from_millis(500);
+/// Time between two beats to side processes.
+const SIDE_BEAT: Duration = Duration::from_secs(1);
+/// A side process that answers no beat for this time counts as silent.
+const SIDE_SILENCE: Duration = Duration::from_millis(2_800);
+/// Time between two tellings of the demand while there is any.
+const DEMAND_PACE: Duration = Duration::from_millis(200);
+/// Time between a request that begins to wait and the telling of it, so that bursts are gathered.
+const DEMAND_GATHER: Duration = Duration::from_millis(10);
+/// Time between two looks of the planner.
+const PLAN_PACE: Duration = Duration::from_millis(100);
+
+struct SideView {
+    heard: Instant,
+    number: u64,
+    is_silent: bool,
+}
+
+struct FleetState {
+    book: PeerBook,
+    sides: HashMap<SocketAddr, SideView>,
+    demand: DemandBook,
+    planners: HashMap<ServiceName, Planner>,
+    told: BTreeMap<ModelId, ModelUse>,
+    side_beat: Option<Instant>,
+}
+
+/// What the process knows of the rest of the system; clones share it.
+#[derive(Clone)]
+pub struct Fleet {
+    state: Arc<Mutex<FleetState>>,
+    socket: Arc<PeerSocket>,
+    backends: Backends,
+    catalog: watch::Receiver<Option<Arc<Catalog>>>,
+    log: EventLog,
+    metrics: GatewayMetrics,
+    vm: VmId,
+    core_share: u32,
+    side_port: u16,
+    demand_changed: Arc<Notify>,
+}
+
+/// Who the process is among the others.
+pub struct FleetIdentity {
+    /// VM.
+    pub vm: VmId,
+    /// Part of a core, in thousandths.
+    pub core_share: u32,
+    /// Port of side processes.
+    pub side_port: u16,
+}
+
+impl Fleet {
+    /// A fleet of which nothing is known yet.
+    pub fn new(
+        identity: FleetIdentity,
+        socket: Arc<PeerSocket>,
+        backends: Backends,
+        catalog: watch::Receiver<Option<Arc<Catalog>>>,
+        log: EventLog,
+        metrics: GatewayMetrics,
+    ) -> Self {
+        let FleetIdentity { vm, core_share, side_port } = identity;
+        let state = FleetState {
+            book: PeerBook::new(vm.clone(), core_share),
+            sides: HashMap::new(),
+            demand: DemandBook::default(),
+            planners: HashMap::new(),
+            told: BTreeMap::new(),
+            side_beat: None,
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+            socket,
+            backends,
+            catalog,
+            log,
+            metrics,
+            vm,
+            core_share,
+            side_port,
+            demand_changed: Arc::default(),
+        }
+    }
+
+    /// Starts all tasks.
+    pub fn start(&self) {
+        tokio::spawn(self.clone().receive());
+        tokio::spawn(self.clone().beat());
+        tokio::spawn(self.clone().tell_demand());
+        tokio::spawn(self.clone().plan());
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FleetState> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    /// Another process told of an entry.
+    pub fn meet(&self, vm: VmId, address: SocketAddr) {
+        self.lock().book.meet(vm, address, Instant::now());
+    }
+
+    /// A planned stop begins: this entry plans no more.
+    pub fn drain(&self) {
+        self.lock().book.drain();
+        self.send_entry_beats(true);
+    }
+
+    /// A request waits for a model that no engine holds.
+    pub fn note_missing(&self) {
+        self.demand_changed.notify_one();
+    }
+
+    /// A backend server leaves or is gone: nothing is loaded there any more.
+    pub fn forget_engine(&self, instance: &InstanceId) {
+        for planner in self.lock().planners.values_mut() {
+            planner.remove(instance);
+        }
+    }
+
+    async fn beat(self) {
+        loop {
+            self.review();
+            self.send_entry_beats(false);
+            self.send_side_beats();
+            time::sleep(ENTRY_BEAT).await;
+        }
+    }
+
+    fn review(&self) {
+        let now = Instant::now();
+        let (news, entries) = {
+            let mut state = self.lock();
+            let news = state.book.review(now);
+            (news, state.book.live_entries())
+        };
+        for item in &news {
+            let (peer, is_live) = match item {
+                PeerNews::Found(vm) => (vm, true),
+                PeerNews::Lost(vm) => (vm, false),
+            };
+            self.log.record(&DecisionEvent::PeerChanged { peer, is_live, live_entries: entries });
+        }
+        if !news.is_empty() {
+            self.backends.set_entries(entries);
+            self.metrics.live_entries.set(i64::try_from(entries).unwrap_or(i64::MAX));
+        }
+        self.review_sides(now);
+    }
+
+    fn review_sides(&self, now: Instant) {
+        let mut silent = Vec::new();
+        {
+            let mut state = self.lock();
+            for (address, side) in &mut state.sides {
+                let is_silent = now.saturating_duration_since(side.heard) > SIDE_SILENCE;
+                if is_silent && !side.is_silent {
+                    side.is_silent = true;
+                    side.number = 0;
+                    silent.push(*address);
+                }
+            }
+            state
+                .sides
+                .retain(|_, side| now.saturating_duration_since(side.heard) < SIDE_SILENCE * 4);
+        }
+        for address in silent {
+            let instance = self.backends.step(|desk, _| {
+                let instance = desk.server_at(address, None).map(|view| view.id.clone())?;
+                desk.lose_side(&instance);
+                Some(instance)
+            });
+            if let Some(instance) = instance {
+                self.forget_engine(&instance);
+                self.note_server(&instance, "side-silent");
+            }
+        }
+    }
+
+    fn note_server(&self, server: &InstanceId, standing: &'static str) {
+        let source = "side";
+        self.log.record(&DecisionEvent::ServerChanged { server, standing, source, revision: 0 });
+    }
+
+    fn send_entry_beats(&self, is_draining: bool) {
+        let (addresses, known) = {
+            let state = self.lock();
+            let known = state.book.live().map(|(vm, address)| PeerAddress {
+                vm: vm.to_string(),
+                address: address.to_string(),
+            });
+            (state.book.addresses(), known.collect())
+        };
+        let beat = EntryBeat { core_share: self.core_share, is_draining, known };
+        self.socket.send_all(&addresses, DatagramBody::EntryBeat(beat));
+    }
+
+    fn send_side_beats(&self) {
+        let now = Instant::now();
+        let engines = self.engine_addresses();
+        let mut state = self.lock();
+        let is_due =
+            state.side_beat.is_none_or(|sent| now.saturating_duration_since(sent) >= SIDE_BEAT);
+        for engine in engines {
+            let known = state.sides.get(&engine).map_or(0, |side| side.number);
+            if is_due || known == 0 {
+                let side = SocketAddr::new(engine.ip(), self.side_port);
+                let beat = SideBeat { known_state: known };
+                self.socket.send(side, DatagramBody::SideBeat(beat));
+            }
+        }
+        if is_due {
+            state.side_beat = Some(now);
+        }
+    }
+
+    fn engine_addresses(&self) -> Vec<SocketAddr> {
+        let Some(catalog) = self.catalog.borrow().clone() else { return Vec::new() };
+        let has_engine = |service: &ServiceName| {
+            catalog.service(service).is_some_and(|service| service.engine.is_some())
+        };
+        self.backends.step(|desk, _| {
+            let engines = desk.servers().filter(|view| has_engine(&view.service));
+            engines.map(|view| view.address).collect()
+        })
+    }
+
+    async fn receive(self) {
+        loop {
+            let (source, datagram) = self.socket.receive().await;
+            self.take(source, datagram);
+        }
+    }
+
+    fn take(&self, source: SocketAddr, datagram: Datagram) {
+        let Ok(vm) = datagram.vm.parse::<VmId>() else {
+            log::warn!("fleet: a datagram of {source} names no VM");
+            return;
+        };
+        match datagram.body {
+            Some(DatagramBody::EntryBeat(beat)) => {
+                self.take_entry_beat(vm, source, datagram.incarnation, &beat);
+            }
+            Some(DatagramBody::EngineState(state)) => self.take_state(&state),
+            Some(DatagramBody::EngineLoad(load)) => self.take_load(source, load),
+            Some(DatagramBody::LoadDemand(demand)) => {
+                let rows = demand.models.into_iter().filter_map(read_row).collect();
+                self.lock().demand.tell(vm, rows, Instant::now());
+                self.plan_now();
+            }
+            Some(DatagramBody::Outlooks(outlooks)) => self.take_outlooks(outlooks),
+            _ => {}
+        }
+    }
+
+    fn take_entry_beat(&self, vm: VmId, source: SocketAddr, incarnation: u64, beat: &EntryBeat) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let incarnation = ProcessIncarnation(incarnation);
+        state.book.hear(vm, source, incarnation, beat.core_share, beat.is_draining, now);
+        for known in &beat.known {
+            if let (Ok(vm), Ok(address)) = (known.vm.parse(), known.address.parse()) {
+                state.book.meet(vm, address, now);
+            }
+        }
+    }
+
+    fn take_state(&self, state: &EngineState) {
+        let Ok(address) = state.engine.parse::<SocketAddr>() else { return };
+        let now = Instant::now();
+        let started = (state.started != 0).then_some(IncarnationStart(state.started));
+        let number = state.load.map_or(0, |load| load.state_number);
+        let news = engine_news(state, now);
+        let found = self.backends.step(|desk, now| {
+            let view = desk.server_at(address, started)?;
+            let (instance, service, is_leaving) =
+                (view.id.clone(), view.service.clone(), view.is_leaving);
+            desk.hear(&instance, &news, now);
+            desk.review(now);
+            Some((instance, service, is_leaving))
+        });
+        // A state of an engine that is not listed yet is asked for again.
+        let number = if found.is_some() { number } else { 0 };
+        let mut fleet = self.lock();
+        fleet.sides.insert(address, SideView { heard: now, number, is_silent: false });
+        let Some((instance, service, is_leaving)) = found else { return };
+        let planner = fleet.planners.entry(service).or_default();
+        if is_leaving || !state.is_reachable {
+            planner.remove(&instance);
+        } else {
+            planner.hear(engine_facts(instance, started, state, &news, now), now);
+        }
+    }
+
+    fn take_load(&self, source: SocketAddr, load: EngineLoad) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let found = state.sides.iter_mut().find(|(engine, _)| engine.ip() == source.ip());
+        let Some((engine, side)) = found else { return };
+        let engine = *engine;
+        side.heard = now;
+        side.is_silent = false;
+        if side.number != load.state_number {
+            side.number = 0;
+            let beat = SideBeat { known_state: 0 };
+            self.socket.send(source, DatagramBody::SideBeat(beat));
+        }
+        drop(state);
+        self.backends.step(|desk, now| {
+            if let Some(instance) = desk.server_at(engine, None).map(|view| view.id.clone()) {
+                desk.hear_side_load(&instance, load.running + load.waiting, now);
+            }
+        });
+    }
+
+    fn take_outlooks(&self, outlooks: Outlooks) {
+        let now = Instant::now();
+        let read = outlooks.models.into_iter().filter_map(|outlook| {
+            let ready_at = outlook.ready_in_ms.map(|ms| now + Duration::from_millis(ms.into()));
+            Some((outlook.model.parse().ok()?, LoadOutlook { ready_at, told: now }))
+        });
+        let read: Vec<(ModelId, LoadOutlook)> = read.collect();
+        self.apply_outlooks(read);
+    }
+
+    fn apply_outlooks(&self, outlooks: Vec<(ModelId, LoadOutlook)>) {
+        if outlooks.is_empty() {
+            return;
+        }
+        self.backends.step(|desk, now| {
+            for (model, outlook) in outlooks {
+                desk.expect(model, outlook);
+            }
+            desk.review(now);
+        });
+    }
+
+    async fn tell_demand(self) {
+        loop {
+            tokio::select! {
+                () = time::sleep(DEMAND_PACE) => {}
+                () = self.demand_changed.notified() => time::sleep(DEMAND_GATHER).await,
+            }
+            self.tell_demand_now();
+        }
+    }
+
+    fn tell_demand_now(&self) {
+        let uses = self.backends.step(|desk, now| desk.demand(now));
+        let mut state = self.lock();
+        let rows = changed_rows(&uses, &state.told);
+        let was_quiet =
+            state.told.values().all(|model| model.waiting == 0 && model.runs.is_empty());
+        state.told = uses;
+        if rows.is_empty() && was_quiet {
+            return;
+        }
+        match state.book.planner() {
+            Some(planner) => {
+                let models = rows.into_iter().map(write_row).collect();
+                self.socket.send(planner, DatagramBody::LoadDemand(LoadDemand { models }));
+            }
+            None => {
+                let vm = self.vm.clone();
+                state.demand.tell(vm, rows, Instant::now());
+                drop(state);
+                self.plan_now();
+            }
+        }
+    }
+
+    async fn plan(self) {
+        loop {
+            time::sleep(PLAN_PACE).await;
+            self.plan_now();
+        }
+    }
+
+    /// Plans if that is this entry's duty.
+    fn plan_now(&self) {
+        let Some(catalog) = self.catalog.borrow().clone() else { return };
+        let now = Instant::now();
+        let mut outlooks = Vec::new();
+        let mut changes = Vec::new();
+        let listeners: Vec<SocketAddr> = {
+            let mut state = self.lock();
+            if state.book.planner().is_some() {
+                return;
+            }
+            let FleetState { planners, demand, .. } = &mut *state;
+            for (service, planner) in planners.iter_mut() {
+                let spec = catalog.service(service).and_then(|found| found.engine.clone());
+                let Some(spec) = spec else { continue };
+                planner.learn(Arc::new(spec));
+                let outcome = planner.plan(demand, now);
+                outlooks.extend(outcome.outlooks);
+                changes.extend(outcome.changes);
+            }
+            state.book.live().map(|(_, address)| address).collect()
+        };
+        for planned in &changes {
+            self.ask_for(planned);
+        }
+        self.tell_outlooks(&listeners, outlooks, now);
+    }
+
+    fn ask_for(&self, planned: &PlannedChange) {
+        let change = &planned.change;
+        let address =
+            self.backends.step(|desk, _| desk.server(&change.instance).map(|view| view.address));
+        let Some(address) = address else { return };
+        let load = change.load.as_ref().map(ToString::to_string).unwrap_or_default();
+        let unload: Vec<String> = change.unload.iter().map(ToString::to_string).collect();
+        self.log.record(&DecisionEvent::ChangePlanned {
+            server: &change.instance,
+            load: &load,
+            unload: &unload.join(" "),
+            reason: planned.reason.text(),
+            waiting: planned.waiting,
+            orders: change.orders,
+        });
+        let wanted = ChangeWanted {
+            instance: change.instance.to_string(),
+            started: change.started.map_or(0, |started| started.0),
+            orders: change.orders.0,
+            unload,
+            load,
+            load_ms: whole_millis(change.load_time),
+            is_from_store: change.is_from_store,
+        };
+        let side = SocketAddr::new(address.ip(), self.side_port);
+        self.socket.send(side, DatagramBody::ChangeWanted(wanted));
+    }
+
+    fn tell_outlooks(
+        &self,
+        listeners: &[SocketAddr],
+        outlooks: Vec<(ModelId, Option<Instant>)>,
+        now: Instant,
+    ) {
+        if outlooks.is_empty() {
+            return;
+        }
+        let models = outlooks
+            .iter()
+            .map(|(model, ready_at)| ModelOutlook {
+                model: model.to_string(),
+                ready_in_ms: ready_at.map(|at| whole_millis(at.saturating_duration_since(now))),
+            })
+            .collect();
+        self.socket.send_all(listeners, DatagramBody::Outlooks(Outlooks { models }));
+        let own = outlooks
+            .into_iter()
+            .map(|(model, ready_at)| (model, LoadOutlook { ready_at, told: now }))
+            .collect();
+        self.apply_outlooks(own);
+    }
+}
+
+fn whole_millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn models(names: &[String]) -> impl Iterator<Item = ModelId> {
+    names.iter().filter_map(|name| name.parse().ok())
+}
+
+fn engine_news(state: &EngineState, now: Instant) -> EngineNews {
+    let residents = state.residents.iter().filter_map(|held| {
+        Some(ResidentModel {
+            model: held.model.parse().ok()?,
+            weights_version: held.weights_version,
+            adapters: held.adapters.iter().filter_map(|name| name.parse().ok()).collect(),
+        })
+    });
+    let loading = state.loading.as_ref().and_then(|load| {
+        let ready_at = now + Duration::from_millis(load.ready_in_ms.into());
+        Some(LoadInProgress { model: load.model.parse().ok()?, ready_at })
+    });
+    let load = state.load.unwrap_or_default();
+    EngineNews {
+        residents: residents.collect(),
+        unloading: state.unloading.parse().ok(),
+        loading,
+        running: load.running,
+        waiting: load.waiting,
+        is_reachable: state.is_reachable,
+    }
+}
+
+fn engine_facts(
+    instance: InstanceId,
+    started: Option<IncarnationStart>,
+    state: &EngineState,
+    news: &EngineNews,
+    now: Instant,
+) -> EngineFacts {
+    let loading = state.loading.as_ref().and_then(|load| {
+        Some(CurrentLoad {
+            model: load.model.parse().ok()?,
+            ready_at: now + Duration::from_millis(load.ready_in_ms.into()),
+            is_from_store: load.is_from_store,
+        })
+    });
+    let residents =
+        news.residents.iter().map(|held| (held.model.clone(), held.adapters.len())).collect();
+    EngineFacts {
+        instance,
+        started,
+        orders: OrderCount(state.orders),
+        residents,
+        loading,
+        unloading: news.unloading.clone(),
+        copies_in_memory: models(&state.copies_in_memory).collect(),
+        copies_on_disk: models(&state.copies_on_disk).collect(),
+        takes_changes: state.takes_changes,
+    }
+}
+
+/// The models of which something is asked, or whose arrivals changed since they were told.
+fn changed_rows(
+    uses: &BTreeMap<ModelId, ModelUse>,
+    told: &BTreeMap<ModelId, ModelUse>,
+) -> Vec<DemandRow> {
+    let is_told = |model: &ModelId, now: &ModelUse| {
+        now.waiting == 0
+            && now.runs.is_empty()
+            && told.get(model).is_some_and(|before| before.arrivals == now.arrivals)
+    };
+    uses.iter()
+        .filter(|(model, now)| !is_told(model, now))
+        .map(|(model, now)| DemandRow {
+            model: Some(model.clone()),
+            arrivals: now.arrivals,
+            waiting: now.waiting,
+            slack: now.slack,
+            priority: now.priority,
+            runs: now.runs.iter().map(|(engine, runs)| (engine.clone(), *runs)).collect(),
+        })
+        .collect()
+}
+
+fn write_row(row: DemandRow) -> ModelDemand {
+    let runs = row.runs.into_iter();
+    ModelDemand {
+        model: row.model.map(String::from).unwrap_or_default(),
+        arrivals: row.arrivals,
+        waiting: row.waiting,
+        slack_ms: whole_millis(row.slack),
+        runs: runs
+            .map(|(engine, runs)| RunsAtEngine { instance: engine.to_string(), runs })
+            .collect(),
+        priority: row.priority,
+    }
+}
+
+fn read_row(row: ModelDemand) -> Option<DemandRow> {
+    let runs = row.runs.iter().filter_map(|runs| Some((runs.instance.parse().ok()?, runs.runs)));
+    Some(DemandRow {
+        model: Some(row.model.parse().ok()?),
+        arrivals: row.arrivals,
+        waiting: row.waiting,
+        slack: Duration::from_millis(row.slack_ms.into()),
+        priority: row.priority,
+        runs: runs.collect(),
+    })
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use tokio::{sync::watch, time};
 
-use crate::{backends::Backends, metrics::GatewayMetrics, settings::StoreSettings};
+use crate::{backends::Backends, fleet::Fleet, metrics::GatewayMetrics, settings::StoreSettings};
 
 /// Time between two tries while the store does not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
@@ -134,6 +134,8 @@
     pub log: EventLog,
     /// The requests' view of the backend servers.
     pub backends: Backends,
+    /// The planner's view of them.
+    pub fleet: Fleet,
 }
 
 impl RosterFollower {
@@ -224,6 +226,11 @@
             }
             desk.review(now);
         });
+        for item in &news {
+            if let RosterNews::Draining(id) | RosterNews::Gone(id) = item {
+                self.fleet.forget_engine(id);
+            }
+        }
         self.backends.drop_unused_pools();
     }
 
@@ -243,4 +250,3 @@
         });
     }
 }
-
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,10 +5,12 @@
 pub mod attempt;
 pub mod backends;
 mod call;
+mod fleet;
 mod follow;
 mod front;
 mod metrics;
 mod ops;
+mod own_entry;
 pub mod process;
 mod relay;
 pub mod settings;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,8 +54,7 @@
         );
         let first_byte = Histogram::with_opts(options.buckets(FIRST_BYTE_BOUNDS.to_vec()))
             .expect("valid bounds");
-        let attempts =
-            counter("fescuewalk_gateway_attempts_total", "Attempts at backend servers");
+        let attempts = counter("fescuewalk_gateway_attempts_total", "Attempts at backend servers");
         let failed_attempts = counter(
             "fescuewalk_gateway_failed_attempts_total",
             "Attempts that brought no answer to pass on",
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -14,10 +14,12 @@
 
 use crate::{
     backends::{AdapterWish, Backends},
+    fleet::{Fleet, FleetIdentity},
     follow::{CatalogFollower, RosterFollower},
     front,
     metrics::GatewayMetrics,
     ops,
+    own_entry::OwnEntry,
     settings::GatewaySettings,
 };
 
@@ -59,6 +61,8 @@
     pub catalog: watch::Receiver<Option<Arc<Catalog>>>,
     /// Backend servers.
     pub backends: Backends,
+    /// Other processes of the system.
+    pub fleet: Fleet,
     /// When a planned stop began.
     pub draining: watch::Sender<Option<Instant>>,
 }
@@ -85,6 +89,7 @@
 /// A running gateway.
 pub struct GatewayHandle {
     gateway: Arc<Gateway>,
+    own: OwnEntry,
     grace: Duration,
 }
 
@@ -129,11 +134,25 @@
         let wish = adapter_wish(&socket, settings.listen.peers.port());
         let backends = Backends::new(desk, wish);
         let (sender, catalog) = watch::channel(None);
+        let identity = FleetIdentity {
+            vm: settings.identity.vm.clone(),
+            core_share: settings.identity.core_share,
+            side_port: settings.listen.peers.port(),
+        };
+        let fleet = Fleet::new(
+            identity,
+            socket,
+            backends.clone(),
+            catalog.clone(),
+            log.clone(),
+            metrics.clone(),
+        );
         let gateway = Arc::new(Gateway {
             log: log.clone(),
             metrics: metrics.clone(),
             catalog,
             backends: backends.clone(),
+            fleet: fleet.clone(),
             draining: watch::Sender::new(None),
         });
         let catalog_follower = CatalogFollower {
@@ -143,14 +162,22 @@
             metrics,
             sender,
         };
-        let roster_follower = RosterFollower { store, settings: settings.store, log, backends };
+        let own = OwnEntry {
+            store: store.clone(),
+            vm: settings.identity.vm,
+            address: settings.listen.peers,
+        };
+        tokio::spawn(own.clone().join(fleet.clone()));
+        fleet.start();
+        let roster_follower =
+            RosterFollower { store, settings: settings.store, log, backends, fleet };
         tokio::spawn(catalog_follower.run());
         tokio::spawn(roster_follower.run());
         tokio::spawn(gateway.backends.clone().review_waiting());
         tokio::spawn(front::serve(callers, Arc::clone(&gateway)));
         tokio::spawn(ops::serve_ready(ready, Arc::clone(&gateway)));
         tokio::spawn(ops::serve_metrics(metrics_listener, Arc::clone(&gateway)));
-        Ok(Self { gateway, grace: settings.limits.grace })
+        Ok(Self { gateway, own, grace: settings.limits.grace })
     }
 
     /// Turns new requests away, lets those in flight end, and returns when they have, or when the
@@ -160,6 +187,8 @@
         let began = Instant::now();
         self.gateway.log.record(&DecisionEvent::Stopping { in_flight: in_flight() });
         self.gateway.draining.send_replace(Some(began));
+        self.gateway.fleet.drain();
+        tokio::spawn(self.own.clone().leave());
         let earliest = began + TURN_AWAY;
         let latest = began + self.grace.saturating_sub(END_MARGIN);
         loop {
--- a/crates/peers/src/book.rs
+++ b/crates/peers/src/book.rs
@@ -91,8 +91,7 @@
             return;
         }
         let heard = Some(now);
-        let peer =
-            EntryPeer { address, incarnation, core_share, is_draining, heard, met: now };
+        let peer = EntryPeer { address, incarnation, core_share, is_draining, heard, met: now };
         self.entries.insert(vm, peer);
     }
 
--- a/crates/peers/src/messages.rs
+++ b/crates/peers/src/messages.rs
@@ -74,9 +74,9 @@
 /// An entry wants to hear from a side process.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct SideBeat {
-    /// Whether the whole state is wanted at once.
-    #[prost(bool, tag = "1")]
-    pub wants_state: bool,
+    /// Number of the last whole state that the entry has; zero if none.
+    #[prost(uint64, tag = "1")]
+    pub known_state: u64,
 }
 
 /// A model that an engine holds.
@@ -157,6 +157,9 @@
     /// Tokens in memory that cannot yield.
     #[prost(uint64, tag = "3")]
     pub tokens_used: u64,
+    /// Number of the whole state that this belongs to.
+    #[prost(uint64, tag = "4")]
+    pub state_number: u64,
 }
 
 /// A request needs an adapter at this engine.
@@ -191,9 +194,6 @@
     /// Model to load; empty if only room is to be made.
     #[prost(string, tag = "5")]
     pub load: String,
-    /// Size of the model to load, in megabytes.
-    #[prost(double, tag = "6")]
-    pub load_megabytes: f64,
     /// Time that the load is expected to take.
     #[prost(uint32, tag = "7")]
     pub load_ms: u32,
@@ -225,9 +225,9 @@
     /// Requests that wait for it.
     #[prost(uint32, tag = "3")]
     pub waiting: u32,
-    /// Time until the first of them misses its goal; negative once it has.
-    #[prost(sint32, tag = "4")]
-    pub slack_ms: i32,
+    /// Time until the first of them misses its goal; zero once it has.
+    #[prost(uint32, tag = "4")]
+    pub slack_ms: u32,
     /// Where requests for it run.
     #[prost(message, repeated, tag = "5")]
     pub runs: Vec<RunsAtEngine>,
--- a/crates/residency/src/engine.rs
+++ b/crates/residency/src/engine.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use catalog::TokenCount;
-use roster::{InstanceId, IncarnationStart, ResidentModel};
+use roster::{IncarnationStart, InstanceId, ResidentModel};
 
 /// Number of orders that an engine has accepted in its incarnation.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -117,3 +117,18 @@
     /// No answer came; the order may be carried out, now or later.
     Unknown,
 }
+
+impl OrderAnswer {
+    /// One word for logs and metrics.
+    pub fn text(self) -> &'static str {
+        match self {
+            OrderAnswer::Accepted => "accepted",
+            OrderAnswer::Holds => "holds",
+            OrderAnswer::Conflict => "conflict",
+            OrderAnswer::Fenced => "fenced",
+            OrderAnswer::OtherInstance => "other-instance",
+            OrderAnswer::Refused => "refused",
+            OrderAnswer::Unknown => "unknown",
+        }
+    }
+}
--- a/crates/residency/src/lib.rs
+++ b/crates/residency/src/lib.rs
@@ -1,7 +1,13 @@
 //! Residency: which models and adapters the engines hold, and which they load next.
 
+pub mod demand;
 pub mod engine;
+pub mod keeper;
+pub mod planner;
 
-pub use crate::engine::{
-    EngineOrder, EngineReport, OrderAction, OrderAnswer, OrderCount, PendingAdapter,
+pub use crate::{
+    demand::{DemandBook, DemandRow},
+    engine::{EngineOrder, EngineReport, OrderAction, OrderAnswer, OrderCount, PendingAdapter},
+    keeper::{CurrentLoad, WantedChange},
+    planner::{EngineFacts, PlannedChange, Planner},
 };
--- /dev/null
+++ b/crates/residency/src/planner.rs
@@ -0,0 +1,496 @@
+//! The planner: which engine loads which model next, and what makes room for it.
+//!
+//! Load pattern: many rare models, of which engines hold a few at a time and keep copies of more
+//! on their disks. Requests for models that no engine holds come in bursts at many entries; a load
+//! from disk takes a second or two, one from the weight store many, and only a few of those run at
+//! full speed. One entry plans for all, so that a burst begins one load; the side processes decide
+//! whether a change is safe.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
+
+use base::prelude::*;
+use catalog::{EngineSpec, ModelSpec};
+use roster::{IncarnationStart, InstanceId};
+
+use crate::{
+    demand::{DemandBook, ModelDemand},
+    engine::OrderCount,
+    keeper::{CurrentLoad, WantedChange},
+};
+
+/// What the planner knows of one engine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineFacts {
+    /// Name.
+    pub instance: InstanceId,
+    /// Start of its incarnation.
+    pub started: Option<IncarnationStart>,
+    /// Orders accepted.
+    pub orders: OrderCount,
+    /// Models that it holds, with the number of their adapters.
+    pub residents: Vec<(ModelId, usize)>,
+    /// A load in progress.
+    pub loading: Option<CurrentLoad>,
+    /// A model that is being dropped.
+    pub unloading: Option<ModelId>,
+    /// Copies in memory.
+    pub copies_in_memory: BTreeSet<ModelId>,
+    /// Copies on disk.
+    pub copies_on_disk: BTreeSet<ModelId>,
+    /// Whether the side process can give orders now.
+    pub takes_changes: bool,
+}
+
+/// Where the weights for a load come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WeightSource {
+    /// The memory of the engine's VM.
+    Memory,
+    /// The engine's disk.
+    Disk,
+    /// The weight store.
+    Store,
+}
+
+/// Why a change is wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChangeReason {
+    /// Requests wait for the model.
+    Waiting,
+    /// The model is asked for more than its engines can bear.
+    Busy,
+    /// There is room, and nobody holds the model.
+    Spare,
+}
+
+impl ChangeReason {
+    /// One word for logs.
+    pub fn text(self) -> &'static str {
+        match self {
+            ChangeReason::Waiting => "waiting",
+            ChangeReason::Busy => "busy",
+            ChangeReason::Spare => "spare",
+        }
+    }
+}
+
+/// A change with its reason.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlannedChange {
+    /// The change.
+    pub change: WantedChange,
+    /// Why it is wanted.
+    pub reason: ChangeReason,
+    /// Requests that wait for it.
+    pub waiting: u32,
+}
+
+/// What a look at the fleet brought.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct PlanOutcome {
+    /// Changes to ask for.
+    pub changes: Vec<PlannedChange>,
+    /// When the models that requests wait for are expected; none if not soon.
+    pub outlooks: Vec<(ModelId, Option<Instant>)>,
+}
+
+/// Loads that the weight store serves together at full speed.
+///
+/// It is nowhere told; more at once only take longer in proportion.
+const FULL_SPEED_LOADS: usize = 4;
+/// A change that was asked for and is not seen after this time was lost on the way.
+const PENDING: Duration = Duration::from_millis(500);
+/// Time from an order to its execution, and from the end of a load to the first request.
+const ORDER_TIME: Duration = Duration::from_millis(60);
+/// Expected time until the requests of a model that is to be dropped have ended.
+const RUN_TIME: Duration = Duration::from_millis(1_500);
+/// A model that was loaded is kept at least this long, for the requests that waited for it.
+const KEEP: Duration = Duration::from_millis(700);
+/// What a request a second for a model that is dropped counts for, in time of waiting requests.
+const LOSS_SPAN: f64 = 4.0;
+/// Requests at one engine for one model above which another engine should hold it, too.
+const RUNS_PER_ENGINE: f64 = 14.0;
+/// Rate above which a model should be held by two engines.
+const PAIR_RATE: EventRate = EventRate(1.5);
+/// Time by which the weight store must be faster than a disk that is free later.
+const STORE_PATIENCE: Duration = Duration::from_millis(200);
+
+#[derive(Debug)]
+struct Pending {
+    until: Instant,
+    orders: OrderCount,
+    load: Option<ModelId>,
+    ready_at: Instant,
+    is_from_store: bool,
+}
+
+/// The planner of one service.
+#[derive(Debug, Default)]
+pub struct Planner {
+    spec: Option<Arc<EngineSpec>>,
+    engines: BTreeMap<InstanceId, EngineFacts>,
+    pending: HashMap<InstanceId, Pending>,
+    arrived: HashMap<(InstanceId, ModelId), Instant>,
+}
+
+struct Candidate {
+    instance: InstanceId,
+    unload: Vec<ModelId>,
+    load_time: Duration,
+    source: WeightSource,
+    ready_at: Instant,
+    starts_now: bool,
+    cost: f64,
+}
+
+/// One look at the fleet.
+struct Look<'a> {
+    planner: &'a Planner,
+    spec: &'a EngineSpec,
+    book: &'a DemandBook,
+    demand: BTreeMap<ModelId, ModelDemand>,
+    taken: BTreeSet<InstanceId>,
+    store_loads: usize,
+    now: Instant,
+}
+
+impl Planner {
+    /// Takes in the sizes of models.
+    pub fn learn(&mut self, spec: Arc<EngineSpec>) {
+        self.spec = Some(spec);
+    }
+
+    /// Takes in the state of an engine.
+    pub fn hear(&mut self, facts: EngineFacts, now: Instant) {
+        let instance = facts.instance.clone();
+        if let Some(pending) = self.pending.get(&instance) {
+            let is_seen = facts.loading.is_some() || facts.orders != pending.orders;
+            if is_seen {
+                self.pending.remove(&instance);
+            }
+        }
+        let before = self.engines.get(&instance);
+        for (model, _) in &facts.residents {
+            let is_new = before
+                .is_some_and(|before| !before.residents.iter().any(|(held, _)| held == model));
+            if is_new {
+                self.arrived.insert((instance.clone(), model.clone()), now);
+            }
+        }
+        self.engines.insert(instance, facts);
+    }
+
+    /// Drops an engine that is gone, leaves, or is not heard of.
+    pub fn remove(&mut self, instance: &InstanceId) {
+        self.engines.remove(instance);
+        self.pending.remove(instance);
+        self.arrived.retain(|(engine, _), _| engine != instance);
+    }
+
+    /// Engines that are known.
+    pub fn engines(&self) -> impl Iterator<Item = &EngineFacts> {
+        self.engines.values()
+    }
+
+    /// Looks at the demand and says what to change.
+    pub fn plan(&mut self, book: &DemandBook, now: Instant) -> PlanOutcome {
+        let Some(spec) = self.spec.clone() else { return PlanOutcome::default() };
+        self.pending.retain(|_, pending| pending.until > now);
+        let mut look = Look::new(self, &spec, book, now);
+        let mut outcome = PlanOutcome::default();
+        look.serve_waiting(&mut outcome);
+        look.spread_busy(&mut outcome);
+        look.fill_spare(&mut outcome);
+        for planned in &outcome.changes {
+            self.note(&planned.change, now);
+        }
+        outcome
+    }
+
+    fn note(&mut self, change: &WantedChange, now: Instant) {
+        let pending = Pending {
+            until: now + PENDING,
+            orders: change.orders,
+            load: change.load.clone(),
+            ready_at: now + ORDER_TIME + change.load_time,
+            is_from_store: change.is_from_store,
+        };
+        self.pending.insert(change.instance.clone(), pending);
+    }
+}
+
+impl<'a> Look<'a> {
+    fn new(planner: &'a Planner, spec: &'a EngineSpec, book: &'a DemandBook, now: Instant) -> Self {
+        let under_way = planner.engines.values().filter_map(|engine| engine.loading.as_ref());
+        let store_loads = under_way.filter(|load| load.is_from_store).count()
+            + planner.pending.values().filter(|pending| pending.is_from_store).count();
+        let demand = book.by_model(now);
+        let taken = BTreeSet::new();
+        Self { planner, spec, book, demand, taken, store_loads, now }
+    }
+
+    /// When a load of `model` that is under way ends.
+    fn expected(&self, model: &ModelId) -> Option<Instant> {
+        let under_way = self.planner.engines.values().filter_map(|engine| engine.loading.as_ref());
+        let loads = under_way
+            .filter(|load| load.model == *model)
+            .map(|load| load.ready_at.max(self.now + ORDER_TIME));
+        let pending = self.planner.pending.values();
+        let asked = pending
+            .filter(|pending| pending.load.as_ref() == Some(model))
+            .map(|pending| pending.ready_at.max(self.now + ORDER_TIME));
+        loads.chain(asked).min()
+    }
+
+    fn holders(&self, model: &ModelId) -> usize {
+        let holds = |engine: &&EngineFacts| {
+            engine.unloading.as_ref() != Some(model)
+                && engine.residents.iter().any(|(held, _)| held == model)
+        };
+        self.planner.engines.values().filter(holds).count()
+    }
+
+    /// Models that requests wait for: first those whose goal can still be met, by the time that
+    /// is left; then the others, by the number of requests.
+    fn waiting_models(&self) -> Vec<(ModelId, ModelDemand)> {
+        let mut models: Vec<(ModelId, ModelDemand)> = self
+            .demand
+            .iter()
+            .filter(|(_, demand)| demand.waiting > 0)
+            .map(|(model, demand)| (model.clone(), demand.clone()))
+            .collect();
+        models.sort_by_key(|(model, demand)| {
+            let load = self.spec.model(model).map_or(Duration::ZERO, |spec| spec.disk_load);
+            let due = demand.due.unwrap_or(self.now);
+            let is_late = due < self.now + load;
+            let rank = if is_late { u32::MAX - demand.waiting } else { 0 };
+            (is_late, rank, due)
+        });
+        models
+    }
+
+    fn serve_waiting(&mut self, outcome: &mut PlanOutcome) {
+        for (model, demand) in self.waiting_models() {
+            if let Some(ready_at) = self.expected(&model) {
+                outcome.outlooks.push((model, Some(ready_at)));
+                continue;
+            }
+            if self.holders(&model) > 0 {
+                continue;
+            }
+            let Some(best) = self.best_candidate(&model) else {
+                outcome.outlooks.push((model, None));
+                continue;
+            };
+            outcome.outlooks.push((model.clone(), Some(best.ready_at)));
+            if best.starts_now {
+                self.take(outcome, model, best, ChangeReason::Waiting, demand.waiting);
+            } else {
+                // The engine is needed for this model next; others must not take it before.
+                self.taken.insert(best.instance);
+            }
+        }
+    }
+
+    fn wanted_holders(&self, model: &ModelId) -> usize {
+        let runs = self.demand.get(model).map_or(0, ModelDemand::all_runs);
+        let by_runs = (f64::from(runs) / RUNS_PER_ENGINE).ceil() as usize;
+        let by_rate = if self.book.rate(model, self.now) >= PAIR_RATE { 2 } else { 0 };
+        by_runs.max(by_rate)
+    }
+
+    /// Lets another engine hold a model whose engines have too much to do.
+    fn spread_busy(&mut self, outcome: &mut PlanOutcome) {
+        let models: Vec<ModelId> = self.spec.models.iter().map(|spec| spec.id.clone()).collect();
+        for model in models {
+            let wanted = self.wanted_holders(&model);
+            if wanted < 2 || self.holders(&model) >= wanted || self.expected(&model).is_some() {
+                continue;
+            }
+            if let Some(best) = self.best_candidate(&model)
+                && best.starts_now
+                && best.source != WeightSource::Store
+            {
+                self.take(outcome, model, best, ChangeReason::Busy, 0);
+            }
+        }
+    }
+
+    /// Fills free memory with models that nobody holds, from copies only.
+    fn fill_spare(&mut self, outcome: &mut PlanOutcome) {
+        let models: Vec<ModelId> = self.spec.models.iter().map(|spec| spec.id.clone()).collect();
+        for model in models {
+            if self.holders(&model) > 0 || self.expected(&model).is_some() {
+                continue;
+            }
+            let best = self
+                .candidates(&model)
+                .into_iter()
+                .filter(|found| found.starts_now && found.unload.is_empty())
+                .filter(|found| found.source != WeightSource::Store)
+                .min_by(|a, b| a.cost.total_cmp(&b.cost));
+            if let Some(best) = best {
+                self.take(outcome, model, best, ChangeReason::Spare, 0);
+            }
+        }
+    }
+
+    fn take(
+        &mut self,
+        outcome: &mut PlanOutcome,
+        model: ModelId,
+        found: Candidate,
+        reason: ChangeReason,
+        waiting: u32,
+    ) {
+        let Some(engine) = self.planner.engines.get(&found.instance) else { return };
+        let is_from_store = found.source == WeightSource::Store;
+        self.store_loads += usize::from(is_from_store);
+        self.taken.insert(found.instance.clone());
+        let change = WantedChange {
+            instance: found.instance,
+            started: engine.started,
+            orders: engine.orders,
+            unload: found.unload,
+            load: Some(model),
+            load_time: found.load_time,
+            is_from_store,
+        };
+        outcome.changes.push(PlannedChange { change, reason, waiting });
+    }
+
+    fn best_candidate(&self, model: &ModelId) -> Option<Candidate> {
+        self.candidates(model).into_iter().min_by(|a, b| a.cost.total_cmp(&b.cost))
+    }
+
+    fn candidates(&self, model: &ModelId) -> Vec<Candidate> {
+        let Some(spec) = self.spec.model(model) else { return Vec::new() };
+        let engines = self.planner.engines.values();
+        engines.filter_map(|engine| self.candidate(engine, spec)).collect()
+    }
+
+    fn source(&self, engine: &EngineFacts, model: &ModelSpec) -> (WeightSource, Duration) {
+        if engine.copies_in_memory.contains(&model.id) {
+            return (WeightSource::Memory, model.memory_load);
+        }
+        if engine.copies_on_disk.contains(&model.id) {
+            return (WeightSource::Disk, model.disk_load);
+        }
+        let together = (self.store_loads + 1) as f64 / FULL_SPEED_LOADS as f64;
+        (WeightSource::Store, model.store_load.mul_f64(together.max(1.0)))
+    }
+
+    /// When the engine can begin with another change.
+    fn free_at(&self, engine: &EngineFacts) -> Option<Instant> {
+        let pending = self.planner.pending.get(&engine.instance).map(|pending| pending.ready_at);
+        let loading = engine.loading.as_ref().map(|load| load.ready_at);
+        match pending.or(loading) {
+            Some(at) => Some(at.max(self.now + ORDER_TIME)),
+            None if engine.takes_changes => Some(self.now),
+            None => Some(self.now + ORDER_TIME),
+        }
+    }
+
+    fn candidate(&self, engine: &EngineFacts, model: &ModelSpec) -> Option<Candidate> {
+        let is_known = self.planner.engines.contains_key(&engine.instance);
+        if !is_known || self.taken.contains(&engine.instance) {
+            return None;
+        }
+        let holds = engine.residents.iter().any(|(held, _)| *held == model.id);
+        if holds {
+            return None;
+        }
+        let (source, load_time) = self.source(engine, model);
+        let free_at = self.free_at(engine)?;
+        let room = self.make_room(engine, model)?;
+        let ready_at = free_at + ORDER_TIME + room.wait + load_time;
+        let patience = if source == WeightSource::Store { STORE_PATIENCE } else { Duration::ZERO };
+        let wait = ready_at.saturating_duration_since(self.now) + patience;
+        let cost = wait.as_secs_f64() + room.loss;
+        Some(Candidate {
+            instance: engine.instance.clone(),
+            unload: room.unload,
+            load_time,
+            source,
+            ready_at,
+            starts_now: free_at <= self.now,
+            cost,
+        })
+    }
+
+    /// What has to go for `model`: idle models of least worth first.
+    fn make_room(&self, engine: &EngineFacts, model: &ModelSpec) -> Option<Room> {
+        let mut room = Room::default();
+        let mut free = self.spec.weights_capacity.0 - self.used(engine);
+        let mut residents: Vec<(f64, Duration, &ModelId)> = engine
+            .residents
+            .iter()
+            .filter_map(|(held, _)| {
+                let (loss, wait) = self.loss(engine, held)?;
+                Some((loss, wait, held))
+            })
+            .collect();
+        residents.sort_by(|a, b| (a.0 + a.1.as_secs_f64()).total_cmp(&(b.0 + b.1.as_secs_f64())));
+        for (loss, wait, held) in residents {
+            if free >= model.weights.0 {
+                break;
+            }
+            free += self.size(engine, held);
+            room.loss += loss;
+            room.wait = room.wait.max(wait);
+            room.unload.push(held.clone());
+        }
+        (free >= model.weights.0).then_some(room)
+    }
+
+    fn size(&self, engine: &EngineFacts, model: &ModelId) -> f64 {
+        let adapters =
+            engine.residents.iter().find(|(held, _)| held == model).map_or(0, |(_, n)| *n);
+        let spec = self.spec.model(model);
+        spec.map_or(0.0, |spec| spec.weights.0 + spec.adapter_size.0 * adapters as f64)
+    }
+
+    fn used(&self, engine: &EngineFacts) -> f64 {
+        let held: f64 = engine.residents.iter().map(|(model, _)| self.size(engine, model)).sum();
+        let loading = engine
+            .loading
+            .as_ref()
+            .filter(|load| !engine.residents.iter().any(|(held, _)| *held == load.model));
+        let coming = loading.and_then(|load| self.spec.model(&load.model));
+        held + coming.map_or(0.0, |spec| spec.weights.0)
+    }
+
+    /// What it costs to drop `model` there, and how long that takes; `None` if it must stay.
+    fn loss(&self, engine: &EngineFacts, model: &ModelId) -> Option<(f64, Duration)> {
+        let key = (engine.instance.clone(), model.clone());
+        let is_fresh = self
+            .planner
+            .arrived
+            .get(&key)
+            .is_some_and(|at| self.now.saturating_duration_since(*at) < KEEP);
+        let demand = self.demand.get(model);
+        let is_asked_for = demand.is_some_and(|demand| demand.waiting > 0);
+        if is_fresh || is_asked_for || engine.unloading.as_ref() == Some(model) {
+            return None;
+        }
+        let runs = demand.and_then(|demand| demand.runs.get(&engine.instance)).copied();
+        let wait = if runs.unwrap_or(0) > 0 { RUN_TIME } else { Duration::ZERO };
+        let holders = self.holders(model);
+        let rate = self.book.rate(model, self.now).0;
+        let part = match holders > self.wanted_holders(model).max(1) {
+            true => 0.2 * rate / holders as f64,
+            false => rate,
+        };
+        Some((part * LOSS_SPAN, wait))
+    }
+}
+
+#[derive(Debug, Default)]
+struct Room {
+    unload: Vec<ModelId>,
+    loss: f64,
+    wait: Duration,
+}
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -6,7 +6,7 @@
 pub use crate::{
     book::{Roster, RosterNews, Standing},
     server::{
-        BackendServer, InstanceId, IncarnationStart, ResidentModel, RosterChange, RosterRevision,
+        BackendServer, IncarnationStart, InstanceId, ResidentModel, RosterChange, RosterRevision,
         ServerState,
     },
 };
