An adapter waits until its engine has loaded a model

Cause: while an engine carries out an order for a model it refuses every other order; the keeper gave adapter orders in a loop (2028 of 2188 refused). Ruled out: wrong order numbers (each conflict came with the right number while the report said busy).

--- a/crates/residency/src/keeper.rs
+++ b/crates/residency/src/keeper.rs
@@ -431,7 +431,8 @@
             report.residents.iter().any(|held| held.model == *model)
                 && self.unloading() != Some(model)
         })?;
-        if report.pending.len() >= MAX_PENDING_ADAPTERS {
+        // The engine refuses any order while it carries out one for a model.
+        if report.is_busy || report.pending.len() >= MAX_PENDING_ADAPTERS {
             return None;
         }
         let held: usize = report.residents.iter().map(|held| held.adapters.len()).sum();
--- /dev/null
+++ b/crates/residency/tests/common/mod.rs
@@ -0,0 +1,94 @@
+//! Fixtures of the tests of this package.
+
+#![allow(dead_code, reason = "each test uses some of them")]
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use catalog::{EngineSpec, Megabytes, ModelSpec, TokenCount};
+use residency::{
+    EngineReport, OrderCount,
+    keeper::{Keeper, KeeperAction, KeeperIdentity},
+};
+use roster::{IncarnationStart, InstanceId, ResidentModel};
+
+pub fn model(name: &str) -> ModelId {
+    name.parse().expect("a valid name")
+}
+
+pub fn adapter(name: &str) -> AdapterId {
+    name.parse().expect("a valid name")
+}
+
+pub fn instance(name: &str) -> InstanceId {
+    name.parse().expect("a valid name")
+}
+
+pub fn model_spec(name: &str) -> ModelSpec {
+    ModelSpec {
+        id: model(name),
+        weights: Megabytes(70_000.0),
+        store_load: Duration::from_secs(6),
+        disk_load: Duration::from_millis(1_600),
+        memory_load: Duration::from_millis(800),
+        adapters: 12,
+        adapter_size: Megabytes(60.0),
+    }
+}
+
+/// An engine with room for three models of 70 GB and two adapters.
+pub fn engine_spec(models: &[&str]) -> EngineSpec {
+    EngineSpec {
+        batch_slots: 64,
+        kv_capacity: TokenCount(120_000),
+        weights_capacity: Megabytes(220_000.0),
+        adapter_slots: 2,
+        store_loads: EventRate(2.8),
+        memory_copies: Megabytes(150_000.0),
+        disk_copies: Megabytes(1_400_000.0),
+        can_move: true,
+        models: models.iter().map(|name| model_spec(name)).collect(),
+    }
+}
+
+pub fn resident(name: &str, adapters: &[&str]) -> ResidentModel {
+    ResidentModel {
+        model: model(name),
+        weights_version: 1,
+        adapters: adapters.iter().map(|name| adapter(name)).collect(),
+    }
+}
+
+pub fn report(orders: u64, is_busy: bool, residents: &[ResidentModel]) -> EngineReport {
+    EngineReport {
+        started: Some(IncarnationStart(1)),
+        orders: OrderCount(orders),
+        is_busy,
+        residents: residents.to_vec(),
+        ..EngineReport::default()
+    }
+}
+
+/// A keeper that knows the sizes of the models a to e and has heard `report`.
+pub fn keeper(report: EngineReport, now: Instant) -> Keeper {
+    let identity = KeeperIdentity {
+        holder: "side-1".parse().expect("a valid name"),
+        fence: FencingNumber(1),
+    };
+    let mut keeper = Keeper::new(identity);
+    keeper.learn(Arc::new(engine_spec(&["a", "b", "c", "d", "e"])), now);
+    keeper.hear(report, now);
+    keeper.take_actions();
+    keeper
+}
+
+/// The orders among `actions`, as text.
+pub fn orders(actions: &[KeeperAction]) -> Vec<String> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            KeeperAction::Order(order) => Some(format!("{} at {}", order.action, order.expected)),
+            KeeperAction::Decline(..) | KeeperAction::Changed => None,
+        })
+        .collect()
+}
