--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -132,7 +132,7 @@
     /// A planned stop begins: this entry plans no more.
     pub fn drain(&self) {
         self.lock().book.drain();
-        self.send_entry_beats(true);
+        self.send_entry_beats();
     }
 
     /// A request waits for a model that no engine holds.
@@ -150,7 +150,7 @@
     async fn beat(self) {
         loop {
             self.review();
-            self.send_entry_beats(false);
+            self.send_entry_beats();
             self.send_side_beats();
             time::sleep(ENTRY_BEAT).await;
         }
@@ -211,14 +211,14 @@
         self.log.record(&DecisionEvent::ServerChanged { server, standing, source, revision: 0 });
     }
 
-    fn send_entry_beats(&self, is_draining: bool) {
-        let (addresses, known) = {
+    fn send_entry_beats(&self) {
+        let (addresses, known, is_draining) = {
             let state = self.lock();
             let known = state.book.live().map(|(vm, address)| PeerAddress {
                 vm: vm.to_string(),
                 address: address.to_string(),
             });
-            (state.book.addresses(), known.collect())
+            (state.book.addresses(), known.collect(), state.book.is_draining())
         };
         let beat = EntryBeat { core_share: self.core_share, is_draining, known };
         self.socket.send_all(&addresses, DatagramBody::EntryBeat(beat));
--- a/crates/peers/src/book.rs
+++ b/crates/peers/src/book.rs
@@ -61,6 +61,11 @@
         self.is_draining = true;
     }
 
+    /// Whether this entry stops.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining
+    }
+
     /// Notes that an entry exists, as another process tells.
     pub fn meet(&mut self, vm: VmId, address: SocketAddr, now: Instant) {
         if vm == self.own {
--- a/crates/residency/src/keeper.rs
+++ b/crates/residency/src/keeper.rs
@@ -211,6 +211,7 @@
     /// Takes in the sizes of models.
     pub fn learn(&mut self, spec: Arc<EngineSpec>, now: Instant) {
         self.spec = Some(spec);
+        self.actions.push(KeeperAction::Changed);
         self.go_on(now);
     }
 
--- a/crates/residency/tests/common/mod.rs
+++ b/crates/residency/tests/common/mod.rs
@@ -69,13 +69,17 @@
     }
 }
 
-/// A keeper that knows the sizes of the models a to e and has heard `report`.
-pub fn keeper(report: EngineReport, now: Instant) -> Keeper {
-    let identity = KeeperIdentity {
+/// A keeper that knows neither the sizes of models nor its engine.
+pub fn keeper_without_sizes() -> Keeper {
+    Keeper::new(KeeperIdentity {
         holder: "side-1".parse().expect("a valid name"),
         fence: FencingNumber(1),
-    };
-    let mut keeper = Keeper::new(identity);
+    })
+}
+
+/// A keeper that knows the sizes of the models a to e and has heard `report`.
+pub fn keeper(report: EngineReport, now: Instant) -> Keeper {
+    let mut keeper = keeper_without_sizes();
     keeper.learn(Arc::new(engine_spec(&["a", "b", "c", "d", "e"])), now);
     keeper.hear(report, now);
     keeper.take_actions();
--- a/crates/residency/tests/keeper.rs
+++ b/crates/residency/tests/keeper.rs
@@ -160,3 +160,18 @@
     assert!(keeper.takes_changes());
     assert_eq!(keeper.loading(), None);
 }
+
+#[tokio::test(start_paused = true)]
+async fn entries_are_told_when_the_sizes_of_models_become_known() {
+    let now = Instant::now();
+    let mut keeper = common::keeper_without_sizes();
+    keeper.hear(report(0, false, &[]), now);
+    keeper.take_actions();
+    let before = keeper.takes_changes();
+
+    keeper.learn(std::sync::Arc::new(common::engine_spec(&["a"])), now);
+
+    assert!(!before);
+    assert!(keeper.takes_changes());
+    assert_eq!(keeper.take_actions(), [KeeperAction::Changed]);
+}
