--- a/crates/connections/src/connect.rs
+++ b/crates/connections/src/connect.rs
@@ -12,6 +12,7 @@
 use socket2::SockRef;
 use tokio::{
     net::{TcpSocket, TcpStream},
+    task::AbortHandle,
     time,
 };
 
@@ -62,9 +63,19 @@
 }
 
 /// An open connection that carries no request.
+///
+/// Dropping it resets the connection. Bytes of a request that was given up and that the other end
+/// has not read yet are lost with it; after an orderly end they would be read and run later.
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
 }
 
 impl Connection {
@@ -85,12 +96,12 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(SendError::not_sent)?;
-        tokio::spawn(async move {
+        let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("connections: the connection to {address} ended: {error}");
             }
         });
-        Ok(Self { sender })
+        Ok(Self { sender, driver: driver.abort_handle() })
     }
 
     async fn open_socket(
@@ -100,6 +111,7 @@
         let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         let stream = socket.connect(address).await?;
         stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(settings.user_timeout))?;
         Ok(stream)
     }
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -47,6 +47,7 @@
     fn is_open(&self, server: &ServerView) -> bool {
         !server.is_leaving
             && !server.is_down()
+            && !server.is_silent(self.now)
             && !server.trust.is_suspended(self.now)
             && !self.avoided.contains(&server.id)
     }
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -15,6 +15,13 @@
     trust::ServerTrust,
 };
 
+/// A plain request that has no answer for this time, and no other sign of life since, tells that
+/// its backend server is silent. Slow plain requests take 200 ms.
+const PLAIN_SILENCE: Duration = Duration::from_millis(350);
+/// The same for streams and their first events. An engine reads a long prompt in 150 ms, and in
+/// 400 ms while its VM is slowed.
+const ENGINE_SILENCE: Duration = Duration::from_millis(800);
+
 /// One request of this entry at a backend server.
 #[derive(Debug, Clone)]
 pub struct RunningCall {
@@ -87,6 +94,7 @@
     told: u32,
     told_at: Instant,
     own_at_told: u32,
+    alive_at: Instant,
 }
 
 impl ServerView {
@@ -112,6 +120,7 @@
             told: 0,
             told_at: now,
             own_at_told: 0,
+            alive_at: now,
         };
         view.update(server, now);
         view
@@ -136,6 +145,7 @@
 
     /// A new incarnation under the same name holds and knows nothing of before.
     fn forget(&mut self, now: Instant) {
+        self.alive_at = now;
         self.trust = ServerTrust::new(now);
         self.residents.clear();
         self.unloading = None;
@@ -178,6 +188,7 @@
 
     /// Takes in the number of requests that run or wait there.
     pub fn tell_load(&mut self, load: u32, now: Instant) {
+        self.alive_at = now;
         self.told = load;
         self.told_at = now;
         self.own_at_told = self.own();
@@ -225,6 +236,14 @@
         self.loading.as_ref()
     }
 
+    /// Whether a request has had no answer for long, and nothing else was heard since.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let unanswered = self.calls.values().filter(|call| !call.has_started);
+        let Some(oldest) = unanswered.min_by_key(|call| call.sent) else { return false };
+        let patience = if oldest.target.is_some() { ENGINE_SILENCE } else { PLAIN_SILENCE };
+        now.saturating_duration_since(oldest.sent.max(self.alive_at)) > patience
+    }
+
     fn own(&self) -> u32 {
         u32::try_from(self.calls.len()).unwrap_or(u32::MAX)
     }
@@ -277,6 +296,7 @@
             return;
         }
         call.has_started = true;
+        self.alive_at = now;
         let Some(target) = &call.target else { return };
         let took = now.saturating_duration_since(call.sent);
         let pace = self.paces.entry(target.model.clone()).or_default();
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -30,8 +30,10 @@
 const ENTRY_BEAT: Duration = Duration::from_millis(500);
 /// Time between two beats to side processes.
 const SIDE_BEAT: Duration = Duration::from_secs(1);
+/// A side process that was not heard for this time is sent further beats.
+const SIDE_DOUBT: Duration = Duration::from_millis(1_200);
 /// A side process that answers no beat for this time counts as silent.
-const SIDE_SILENCE: Duration = Duration::from_millis(2_800);
+const SIDE_SILENCE: Duration = Duration::from_millis(2_200);
 /// Time between two tellings of the demand while there is any.
 const DEMAND_PACE: Duration = Duration::from_millis(200);
 /// Time between a request that begins to wait and the telling of it, so that bursts are gathered.
@@ -231,8 +233,11 @@
         let is_due =
             state.side_beat.is_none_or(|sent| now.saturating_duration_since(sent) >= SIDE_BEAT);
         for engine in engines {
-            let known = state.sides.get(&engine).map_or(0, |side| side.number);
-            if is_due || known == 0 {
+            let side = state.sides.get(&engine);
+            let known = side.map_or(0, |side| side.number);
+            let is_doubtful =
+                side.is_none_or(|side| now.saturating_duration_since(side.heard) > SIDE_DOUBT);
+            if is_due || known == 0 || is_doubtful {
                 let side = SocketAddr::new(engine.ip(), self.side_port);
                 let beat = SideBeat { known_state: known };
                 self.socket.send(side, DatagramBody::SideBeat(beat));
