Planner: fewer looks, each cheaper

Ruled out: beats and states of 40 side processes (0.03 of a core at other entries). Now it gathers news for 30 ms, counts holders once a look, and asks only engines with copies.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -242,7 +242,7 @@
                 Ok((Some(catalog), _)) => {
                     let engine = catalog.service(&service).and_then(|found| found.engine.clone());
                     if let Some(engine) = engine {
-                        self.step(|keeper, now| keeper.learn(Arc::new(engine), now));
+                        self.step(|keeper, now| keeper.learn(engine, now));
                         return;
                     }
                 }
--- a/crates/catalog/src/engine.rs
+++ b/crates/catalog/src/engine.rs
@@ -1,5 +1,7 @@
 //! Services and the model engines behind them.
 
+use std::sync::Arc;
+
 use base::prelude::*;
 
 use crate::tokens::{Megabytes, TokenCount};
@@ -12,7 +14,7 @@
     /// Connections that one backend server accepts from all callers together.
     pub max_connections: usize,
     /// What its engines can do; none for plain services.
-    pub engine: Option<EngineSpec>,
+    pub engine: Option<Arc<EngineSpec>>,
 }
 
 /// Sizes and speeds that the engines of a service share.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -38,8 +38,10 @@
 const DEMAND_PACE: Duration = Duration::from_millis(200);
 /// Time between a request that begins to wait and the telling of it, so that bursts are gathered.
 const DEMAND_GATHER: Duration = Duration::from_millis(10);
-/// Time between two looks of the planner.
-const PLAN_PACE: Duration = Duration::from_millis(100);
+/// Longest time between two looks of the planner.
+const PLAN_IDLE: Duration = Duration::from_millis(400);
+/// Least time between two looks of the planner, so that a burst of news is planned for together.
+const PLAN_PACE: Duration = Duration::from_millis(30);
 
 struct SideView {
     heard: Instant,
@@ -69,6 +71,7 @@
     core_share: u32,
     side_port: u16,
     demand_changed: Arc<Notify>,
+    news: Arc<Notify>,
 }
 
 /// Who the process is among the others.
@@ -111,6 +114,7 @@
             core_share,
             side_port,
             demand_changed: Arc::default(),
+            news: Arc::default(),
         }
     }
 
@@ -280,7 +284,7 @@
             Some(DatagramBody::LoadDemand(demand)) => {
                 let rows = demand.models.into_iter().filter_map(read_row).collect();
                 self.lock().demand.tell(vm, rows, Instant::now());
-                self.plan_now();
+                self.news.notify_one();
             }
             Some(DatagramBody::Outlooks(outlooks)) => self.take_outlooks(outlooks),
             _ => {}
@@ -324,6 +328,8 @@
         } else {
             planner.hear(engine_facts(instance, started, state, &news, now), now);
         }
+        drop(fleet);
+        self.news.notify_one();
     }
 
     fn take_load(&self, source: SocketAddr, load: EngineLoad) {
@@ -398,15 +404,19 @@
                 let vm = self.vm.clone();
                 state.demand.tell(vm, rows, Instant::now());
                 drop(state);
-                self.plan_now();
+                self.news.notify_one();
             }
         }
     }
 
     async fn plan(self) {
         loop {
-            time::sleep(PLAN_PACE).await;
+            tokio::select! {
+                () = time::sleep(PLAN_IDLE) => {}
+                () = self.news.notified() => {}
+            }
             self.plan_now();
+            time::sleep(PLAN_PACE).await;
         }
     }
 
@@ -425,7 +435,7 @@
             for (service, planner) in planners.iter_mut() {
                 let spec = catalog.service(service).and_then(|found| found.engine.clone());
                 let Some(spec) = spec else { continue };
-                planner.learn(Arc::new(spec));
+                planner.learn(spec);
                 let outcome = planner.plan(demand, now);
                 outlooks.extend(outcome.outlooks);
                 changes.extend(outcome.changes);
--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -44,6 +44,13 @@
     pub takes_changes: bool,
 }
 
+impl EngineFacts {
+    /// Whether the engine has a copy of the weights of `model`.
+    fn has_copy(&self, model: &ModelId) -> bool {
+        self.copies_in_memory.contains(model) || self.copies_on_disk.contains(model)
+    }
+}
+
 /// Where the weights for a load come from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum WeightSource {
@@ -162,6 +169,33 @@
     cost: f64,
 }
 
+/// How many engines hold each model and keep it.
+fn holders(planner: &Planner) -> HashMap<&ModelId, usize> {
+    let mut holders = HashMap::new();
+    for engine in planner.engines.values() {
+        let kept = engine.residents.iter().map(|(model, _)| model);
+        for model in kept.filter(|model| engine.unloading.as_ref() != Some(*model)) {
+            *holders.entry(model).or_insert(0) += 1;
+        }
+    }
+    holders
+}
+
+/// When the loads that are under way or asked for end.
+fn coming(planner: &Planner, now: Instant) -> HashMap<&ModelId, Instant> {
+    let under_way = planner.engines.values().filter_map(|engine| engine.loading.as_ref());
+    let loads = under_way.map(|load| (&load.model, load.ready_at));
+    let pending = planner.pending.values();
+    let asked = pending.filter_map(|pending| Some((pending.load.as_ref()?, pending.ready_at)));
+    let mut coming: HashMap<&ModelId, Instant> = HashMap::new();
+    for (model, ready_at) in loads.chain(asked) {
+        let ready_at = ready_at.max(now + ORDER_TIME);
+        let first = coming.entry(model).or_insert(ready_at);
+        *first = ready_at.min(*first);
+    }
+    coming
+}
+
 /// One look at the fleet.
 struct Look<'a> {
     planner: &'a Planner,
@@ -170,6 +204,10 @@
     demand: BTreeMap<ModelId, ModelDemand>,
     /// Engines that are planned for in this look, and when they can take another change.
     taken: BTreeMap<InstanceId, Instant>,
+    /// Models that engines hold, and how many.
+    holders: HashMap<&'a ModelId, usize>,
+    /// Models whose load is under way, and when it ends.
+    coming: HashMap<&'a ModelId, Instant>,
     /// Models whose load is planned in this look.
     planned: BTreeSet<ModelId>,
     store_loads: usize,
@@ -248,11 +286,19 @@
         let under_way = planner.engines.values().filter_map(|engine| engine.loading.as_ref());
         let store_loads = under_way.filter(|load| load.is_from_store).count()
             + planner.pending.values().filter(|pending| pending.is_from_store).count();
-        let demand = book.by_model(now);
-        let taken = BTreeMap::new();
-        let planned = BTreeSet::new();
-        let mut look =
-            Self { planner, spec, book, demand, taken, planned, store_loads, pressure: 0.0, now };
+        let mut look = Self {
+            planner,
+            spec,
+            book,
+            demand: book.by_model(now),
+            taken: BTreeMap::new(),
+            holders: holders(planner),
+            coming: coming(planner, now),
+            planned: BTreeSet::new(),
+            store_loads,
+            pressure: 0.0,
+            now,
+        };
         let unmet = look.unmet_models().len() as f64;
         look.pressure = unmet / planner.engines.len().max(1) as f64;
         look
@@ -269,15 +315,7 @@
 
     /// When a load of `model` that is under way ends.
     fn expected(&self, model: &ModelId) -> Option<Instant> {
-        let under_way = self.planner.engines.values().filter_map(|engine| engine.loading.as_ref());
-        let loads = under_way
-            .filter(|load| load.model == *model)
-            .map(|load| load.ready_at.max(self.now + ORDER_TIME));
-        let pending = self.planner.pending.values();
-        let asked = pending
-            .filter(|pending| pending.load.as_ref() == Some(model))
-            .map(|pending| pending.ready_at.max(self.now + ORDER_TIME));
-        loads.chain(asked).min()
+        self.coming.get(model).copied()
     }
 
     /// Whether a load of `model` is under way or planned.
@@ -286,11 +324,7 @@
     }
 
     fn holders(&self, model: &ModelId) -> usize {
-        let holds = |engine: &&EngineFacts| {
-            engine.unloading.as_ref() != Some(model)
-                && engine.residents.iter().any(|(held, _)| held == model)
-        };
-        self.planner.engines.values().filter(holds).count()
+        self.holders.get(model).copied().unwrap_or(0)
     }
 
     /// Models that requests wait for: first those whose goal can still be met, by the time that
@@ -363,6 +397,9 @@
 
     /// Fills free memory with models that nobody holds, from copies only.
     fn fill_spare(&mut self, outcome: &mut PlanOutcome) {
+        if self.pressure > 0.0 || !self.has_room() {
+            return;
+        }
         let models: Vec<ModelId> = self.spec.models.iter().map(|spec| spec.id.clone()).collect();
         for model in models {
             if self.holders(&model) > 0 || self.is_coming(&model) {
@@ -380,6 +417,17 @@
         }
     }
 
+    /// Whether an engine that takes changes has room for the smallest model.
+    fn has_room(&self) -> bool {
+        let sizes = self.spec.models.iter().map(|spec| spec.weights.0);
+        let least = sizes.fold(f64::INFINITY, f64::min);
+        self.planner.engines.values().any(|engine| {
+            engine.takes_changes
+                && !self.taken.contains_key(&engine.instance)
+                && self.used(engine) + least <= self.spec.weights_capacity.0
+        })
+    }
+
     fn take(
         &mut self,
         outcome: &mut PlanOutcome,
@@ -410,10 +458,23 @@
         self.candidates(model).into_iter().min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
+    /// Engines that can load `model`: those with a copy, and the others if the weight store would
+    /// be faster.
     fn candidates(&self, model: &ModelId) -> Vec<Candidate> {
         let Some(spec) = self.spec.model(model) else { return Vec::new() };
-        let engines = self.planner.engines.values();
-        engines.filter_map(|engine| self.candidate(engine, spec)).collect()
+        let mut found: Vec<Candidate> = self
+            .planner
+            .engines
+            .values()
+            .filter(|engine| engine.has_copy(model))
+            .filter_map(|engine| self.candidate(engine, spec))
+            .collect();
+        let first = found.iter().map(|candidate| candidate.ready_at).min();
+        if first.is_none_or(|at| at > self.now + spec.store_load) {
+            let others = self.planner.engines.values().filter(|engine| !engine.has_copy(model));
+            found.extend(others.filter_map(|engine| self.candidate(engine, spec)));
+        }
+        found
     }
 
     fn source(&self, engine: &EngineFacts, model: &ModelSpec) -> (WeightSource, Duration) {
