Requests that wait are refused before a stopping process ends

Now what waits is refused as not run 2.5 s before the end, with a return at once, and attempts without an answer are given up with one.

--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -204,6 +204,7 @@
     outlooks: HashMap<ModelId, LoadOutlook>,
     arrivals: BTreeMap<ModelId, u64>,
     entries: usize,
+    is_stopping: bool,
     next_key: u64,
     actions: Vec<DeskAction>,
 }
@@ -222,6 +223,7 @@
             outlooks: HashMap::new(),
             arrivals: BTreeMap::new(),
             entries: 1,
+            is_stopping: false,
             next_key: 0,
             actions: Vec::new(),
         }
@@ -232,6 +234,12 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// The process is about to end: requests do not wait any more.
+    pub fn stop(&mut self, now: Instant) {
+        self.is_stopping = true;
+        self.review(now);
+    }
+
     /// Sets the number of entries that share the budget of repeats.
     pub fn set_entries(&mut self, entries: usize) {
         self.entries = entries.max(1);
@@ -536,6 +544,11 @@
     }
 
     fn wait(&mut self, key: u64, reason: WaitReason, now: Instant) -> Verdict {
+        if self.is_stopping {
+            let reason = "the process is stopping";
+            let refusal = Refusal::until(ResultCode::ProcessStopping, Duration::ZERO, reason);
+            return self.refuse(key, refusal);
+        }
         let call = self.calls.get_mut(&key).expect("the caller found it");
         call.missing = reason == WaitReason::ModelMissing;
         let since = *call.since.get_or_insert(now);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,7 +8,6 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use platform::head_form::{self, ForwardHead, Urgency};
-use tokio::time;
 
 use crate::backends::Backends;
 
@@ -142,9 +141,11 @@
     let max_rest = if request.may_repeat { Duration::MAX } else { CAREFUL_REST };
     let mut lease = pool.lease(max_rest).await.map_err(|error| send_failure(&error))?;
     let sending = lease.send(build(request, assignment));
-    let response = match time::timeout_at(request.deadline, sending).await {
-        Ok(sent) => sent.map_err(|error| send_failure(&error))?,
-        Err(_) => return Err(FailedAttempt::new(AttemptFailure::Lost, "no answer in time")),
+    let response = tokio::select! {
+        sent = sending => sent.map_err(|error| send_failure(&error))?,
+        () = backends.expired(request.deadline) => {
+            return Err(FailedAttempt::new(AttemptFailure::Lost, "no answer in time"));
+        }
     };
     judge(backends, request, assignment, lease, response).await
 }
@@ -167,10 +168,10 @@
     let status = response.status();
     let answer = open(lease, response, &head);
     if head.is_not_run || status == StatusCode::MISDIRECTED_REQUEST {
-        return Err(refused(answer, status).await);
+        return Err(refused(backends, answer, status).await);
     }
     if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
-        return Err(failed(answer, request.deadline).await);
+        return Err(failed(backends, answer, request.deadline).await);
     }
     Ok(answer)
 }
@@ -186,10 +187,10 @@
 }
 
 /// The backend server did not run the request.
-async fn refused(answer: OpenAnswer, status: StatusCode) -> FailedAttempt {
+async fn refused(backends: &Backends, answer: OpenAnswer, status: StatusCode) -> FailedAttempt {
     // Reading the rest keeps the connection; it is short.
     let deadline = Instant::now() + CAREFUL_REST;
-    let _ = read_whole(answer, deadline).await;
+    let _ = read_whole(backends, answer, deadline).await;
     match status {
         StatusCode::MISDIRECTED_REQUEST => {
             FailedAttempt::new(AttemptFailure::Misdirected, "not held there")
@@ -199,9 +200,9 @@
 }
 
 /// The backend server ran the request and failed.
-async fn failed(answer: OpenAnswer, deadline: Instant) -> FailedAttempt {
+async fn failed(backends: &Backends, answer: OpenAnswer, deadline: Instant) -> FailedAttempt {
     let status = answer.status;
-    let whole = read_whole(answer, deadline).await.ok();
+    let whole = read_whole(backends, answer, deadline).await.ok();
     let reason = format!("failed with {}", status.as_u16());
     FailedAttempt { failure: AttemptFailure::Failed, reason, answer: whole }
 }
@@ -211,17 +212,27 @@
 /// # Errors
 ///
 /// Fails if the answer is cut or does not end in time.
-pub async fn read_whole(answer: OpenAnswer, deadline: Instant) -> Result<WholeAnswer> {
+pub async fn read_whole(
+    backends: &Backends,
+    answer: OpenAnswer,
+    deadline: Instant,
+) -> Result<WholeAnswer> {
     let OpenAnswer { status, headers, mut body } = answer;
     let limit = usize::try_from(MAX_WHOLE_ANSWER.0).unwrap_or(usize::MAX);
     let reading = Limited::new(&mut body.body, limit).collect();
-    match time::timeout_at(deadline, reading).await {
-        Ok(Ok(collected)) => {
+    let collected = tokio::select! {
+        collected = reading => collected,
+        () = backends.expired(deadline) => {
+            let reason = "the answer did not end in time";
+            return Err(FailedAttempt::new(AttemptFailure::Lost, reason));
+        }
+    };
+    match collected {
+        Ok(collected) => {
             let bytes = collected.to_bytes();
             body.finish();
             Ok(WholeAnswer { status, headers, body: bytes })
         }
-        Ok(Err(error)) => Err(FailedAttempt::new(AttemptFailure::Lost, error)),
-        Err(_) => Err(FailedAttempt::new(AttemptFailure::Lost, "the answer did not end in time")),
+        Err(error) => Err(FailedAttempt::new(AttemptFailure::Lost, error)),
     }
 }
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -11,7 +11,7 @@
 use dispatch::{Ask, AttemptFailure, Desk, DeskAction, ModelTarget, Refusal, Verdict};
 use roster::InstanceId;
 use tokio::{
-    sync::{Notify, oneshot},
+    sync::{Notify, oneshot, watch},
     time,
 };
 
@@ -45,6 +45,7 @@
     state: Arc<Mutex<BackendState>>,
     wish: Arc<AdapterWish>,
     has_waiting: Arc<Notify>,
+    ending: Arc<watch::Sender<bool>>,
 }
 
 impl Backends {
@@ -56,6 +57,7 @@
             state: Arc::new(Mutex::new(state)),
             wish: Arc::new(wish),
             has_waiting: Arc::default(),
+            ending: Arc::new(watch::Sender::new(false)),
         }
     }
 
@@ -90,6 +92,25 @@
         }
     }
 
+    /// The process is about to end: requests do not wait any more.
+    pub fn stop_waiting(&self) {
+        self.step(|desk, now| desk.stop(now));
+    }
+
+    /// The process ends: requests at backend servers are given up.
+    pub fn end(&self) {
+        self.ending.send_replace(true);
+    }
+
+    /// Returns at `deadline`, or when the process ends.
+    pub async fn expired(&self, deadline: Instant) {
+        let mut ending = self.ending.subscribe();
+        tokio::select! {
+            () = time::sleep_until(deadline) => {}
+            _ = ending.wait_for(|ending| *ending) => {}
+        }
+    }
+
     /// Sets the number of entries that share the backend servers.
     pub fn set_entries(&self, entries: usize) {
         let mut state = self.lock();
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -194,7 +194,7 @@
                     Ok(answer) if is_streaming && answer.status.is_success() => {
                         return stream(ticket, guard, request, assignment, answer);
                     }
-                    Ok(answer) => match whole(&request, answer).await {
+                    Ok(answer) => match attempt::read_whole(&gateway.backends, answer, request.deadline).await {
                         Ok(answer) => return finish(ticket, guard, answer),
                         Err(failed) => {
                             settle(&mut ticket, &guard.story, &assignment, failed, &mut last_answer)
@@ -209,10 +209,6 @@
     }
 }
 
-async fn whole(request: &ForwardRequest, answer: OpenAnswer) -> Result<WholeAnswer, FailedAttempt> {
-    attempt::read_whole(answer, request.deadline).await
-}
-
 fn settle(
     ticket: &mut Ticket,
     story: &CallStory,
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -28,6 +28,8 @@
 const TURN_AWAY: Duration = Duration::from_millis(2_600);
 /// Part of the grace time that is kept for the end of the process itself.
 const END_MARGIN: Duration = Duration::from_millis(700);
+/// Time before the end from which requests do not wait any more, so that others can serve them.
+const LAST_WAIT: Duration = Duration::from_millis(2_500);
 /// Time between looks at whether all requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(25);
 
@@ -191,13 +193,21 @@
         tokio::spawn(self.own.clone().leave());
         let earliest = began + TURN_AWAY;
         let latest = began + self.grace.saturating_sub(END_MARGIN);
+        let last_wait = latest - LAST_WAIT;
+        let mut may_wait = true;
         loop {
             let now = Instant::now();
             if now >= latest || (now >= earliest && in_flight() == 0) {
                 break;
             }
+            if may_wait && now >= last_wait {
+                may_wait = false;
+                self.gateway.backends.stop_waiting();
+            }
             time::sleep(DRAIN_POLL).await;
         }
+        self.gateway.backends.end();
+        time::sleep(DRAIN_POLL * 4).await;
         self.gateway.log.record(&DecisionEvent::Stopped { in_flight: in_flight() });
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,11 +6,10 @@
 use bytes::Bytes;
 use dispatch::{Assignment, AttemptFailure, Verdict};
 use events::DecisionEvent;
-use futures::{Stream, stream};
+use futures::{FutureExt, Stream, future::BoxFuture, stream};
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
-use tokio::time;
 
 use crate::{
     attempt::{self, AnswerRest, FailedAttempt, ForwardRequest, OpenAnswer},
@@ -30,6 +29,7 @@
     request: ForwardRequest,
     assignment: Assignment,
     rest: Option<AnswerRest>,
+    expired: BoxFuture<'static, ()>,
     splitter: Option<EventSplitter>,
     frames: u64,
     first: Option<Duration>,
@@ -55,12 +55,15 @@
         answer: OpenAnswer,
     ) -> Self {
         let splitter = request.may_repeat.then(EventSplitter::default);
+        let (backends, deadline) = (ticket.backends().clone(), request.deadline);
+        let expired = async move { backends.expired(deadline).await }.boxed();
         Self {
             ticket,
             story,
             request,
             assignment,
             rest: Some(answer.body),
+            expired,
             splitter,
             frames: 0,
             first: None,
@@ -119,16 +122,21 @@
     async fn read(&mut self) -> Step {
         let Some(rest) = &mut self.rest else { return Step::End };
         loop {
-            let frame = match time::timeout_at(self.request.deadline, rest.body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => return Step::Broken(error.to_string()),
-                Ok(None) => {
+            let frame = tokio::select! {
+                frame = rest.body.frame() => frame,
+                () = &mut self.expired => {
+                    return Step::Broken("the answer did not end in time".to_owned());
+                }
+            };
+            let frame = match frame {
+                Some(Ok(frame)) => frame,
+                Some(Err(error)) => return Step::Broken(error.to_string()),
+                None => {
                     if let Some(rest) = self.rest.take() {
                         rest.finish();
                     }
                     return Step::End;
                 }
-                Err(_) => return Step::Broken("the answer did not end in time".to_owned()),
             };
             if let Ok(data) = frame.into_data() {
                 return Step::Data(data);
