Side processes let prompts in one after the other

Weighed: entries telling each other what they sent (their waiting requests would all go when an engine gets free), one desk for all entries (one place to fail). The side process sees the requests of all entries for its engine, so it lets them in by goal, and asks for their adapters on the way; an entry that hears nothing goes without. An entry now goes by the time that callers wait for a first event.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -6,14 +6,18 @@
 };
 
 use base::prelude::*;
+use catalog::TokenCount;
 use events::{DecisionEvent, Dependency, EventLog, millis};
-use peers::{AdapterWanted, ChangeWanted, Datagram, DatagramBody, PeerSocket};
+use peers::{
+    ChangeWanted, Datagram, DatagramBody, PeerSocket, RunAnswer, RunAsk, RunEnd, RunVerdict,
+};
 use platform::PlatformStore;
 use residency::{
     EngineOrder, OrderCount,
     keeper::{Keeper, KeeperAction, KeeperIdentity, WantedChange},
+    prompts::{PromptAnswer, PromptAsk, PromptGate, PromptId},
 };
-use roster::IncarnationStart;
+use roster::{IncarnationStart, InstanceId};
 use snafu::Snafu;
 use tokio::{sync::Notify, time};
 use viz::{Request, RequestExt, Response, ResponseExt, Router, types::State};
@@ -57,6 +61,7 @@
 
 struct AgentState {
     keeper: Keeper,
+    gate: PromptGate,
     telling: Telling,
     lost: Option<Instant>,
 }
@@ -91,6 +96,7 @@
         let identity = KeeperIdentity { holder: settings.vm.clone(), fence: FENCE };
         let state = AgentState {
             keeper: Keeper::new(identity),
+            gate: PromptGate::default(),
             telling: Telling::new(incarnation.0 >> STATE_BITS),
             lost: None,
         };
@@ -133,10 +139,11 @@
         let actions = state.keeper.take_actions();
         let is_changed = actions.contains(&KeeperAction::Changed);
         if is_changed {
-            let AgentState { keeper, telling, .. } = &mut *state;
-            telling.tell_change(&self.socket, self.address, keeper);
+            let AgentState { keeper, gate, telling, .. } = &mut *state;
+            telling.tell_change(&self.socket, self.address, keeper, gate);
             self.note_change(keeper);
         }
+        self.let_in(&mut state);
         for action in actions {
             match action {
                 KeeperAction::Order(order) => {
@@ -155,6 +162,24 @@
         }
     }
 
+    /// Lets in the requests whose turn it is.
+    fn let_in(&self, state: &mut AgentState) {
+        let AgentState { keeper, gate, .. } = state;
+        let readiness =
+            |model: &ModelId, adapter: Option<&AdapterId>| keeper.readiness(model, adapter);
+        for answer in gate.step(readiness, Instant::now()) {
+            match answer {
+                PromptAnswer::LetIn(id) => self.answer(&id, RunVerdict::Goes),
+                PromptAnswer::Missing(id) => self.answer(&id, RunVerdict::Missing),
+            }
+        }
+    }
+
+    fn answer(&self, id: &PromptId, verdict: RunVerdict) {
+        let answer = RunAnswer { key: id.key, verdict: verdict.into() };
+        self.socket.send(id.entry, DatagramBody::RunAnswer(answer));
+    }
+
     fn note_change(&self, keeper: &Keeper) {
         let Some(report) = keeper.report() else { return };
         self.metrics.residents.set(i64::try_from(report.residents.len()).unwrap_or(i64::MAX));
@@ -202,9 +227,10 @@
             }
             let is_active = {
                 let mut state = self.lock();
-                let AgentState { keeper, telling, .. } = &mut *state;
-                telling.tell_load(&self.socket, keeper);
-                keeper.is_active()
+                self.let_in(&mut state);
+                let AgentState { keeper, gate, telling, .. } = &mut *state;
+                telling.tell_load(&self.socket, keeper, gate);
+                keeper.is_active() || gate.has_waiting()
             };
             let pause = if is_active { ACTIVE_POLL } else { CALM_POLL };
             tokio::select! {
@@ -265,22 +291,50 @@
             Some(DatagramBody::SideBeat(beat)) => {
                 let mut state = self.lock();
                 state.telling.subscribe(source, Instant::now());
-                let answer = state.telling.answer(beat.known_state, self.address, &state.keeper);
+                let AgentState { keeper, gate, telling, .. } = &*state;
+                let answer = telling.answer(beat.known_state, self.address, keeper, gate);
                 self.socket.send(source, answer);
             }
-            Some(DatagramBody::AdapterWanted(wanted)) => self.want_adapter(&wanted),
+            Some(DatagramBody::RunAsk(ask)) => self.take_ask(source, datagram.incarnation, &ask),
+            Some(DatagramBody::RunEnd(end)) => self.take_end(source, datagram.incarnation, end),
             Some(DatagramBody::ChangeWanted(wanted)) => self.want_change(wanted),
             _ => {}
         }
     }
 
-    fn want_adapter(&self, wanted: &AdapterWanted) {
-        let parsed = (wanted.instance.parse(), wanted.model.parse(), wanted.adapter.parse());
-        let (Ok(instance), Ok(model), Ok(adapter)) = parsed else {
-            log::warn!("agent: a wish for an adapter has a bad name");
+    fn take_ask(&self, source: SocketAddr, incarnation: u64, ask: &RunAsk) {
+        let now = Instant::now();
+        let id =
+            PromptId { entry: source, incarnation: ProcessIncarnation(incarnation), key: ask.key };
+        let Some((instance, prompt)) = read_ask(id, ask, now) else {
+            log::warn!("agent: a request of {source} has a bad name");
             return;
         };
-        self.step(|keeper, now| keeper.want_adapter(instance, model, adapter, now));
+        if let Some(adapter) = &prompt.adapter {
+            let (model, adapter) = (prompt.model.clone(), adapter.clone());
+            self.step(|keeper, now| keeper.want_adapter(instance, model, adapter, now));
+        }
+        let mut state = self.lock();
+        let is_reading = state.gate.is_reading(&id);
+        state.gate.ask(prompt, now);
+        self.let_in(&mut state);
+        // An entry that hears nothing takes this process for silent.
+        if is_reading {
+            self.answer(&id, RunVerdict::Goes);
+        } else if state.gate.is_waiting(&id) {
+            self.answer(&id, RunVerdict::Waits);
+        }
+        let AgentState { keeper, gate, telling, .. } = &mut *state;
+        telling.tell_load(&self.socket, keeper, gate);
+    }
+
+    fn take_end(&self, source: SocketAddr, incarnation: u64, end: RunEnd) {
+        let incarnation = ProcessIncarnation(incarnation);
+        let mut state = self.lock();
+        state.gate.end(&PromptId { entry: source, incarnation, key: end.key });
+        self.let_in(&mut state);
+        let AgentState { keeper, gate, telling, .. } = &mut *state;
+        telling.tell_load(&self.socket, keeper, gate);
     }
 
     fn want_change(&self, wanted: ChangeWanted) {
@@ -291,6 +345,21 @@
     }
 }
 
+fn read_ask(id: PromptId, ask: &RunAsk, now: Instant) -> Option<(InstanceId, PromptAsk)> {
+    let adapter = match ask.adapter.as_str() {
+        "" => None,
+        adapter => Some(adapter.parse().ok()?),
+    };
+    let prompt = PromptAsk {
+        id,
+        model: ask.model.parse().ok()?,
+        adapter,
+        tokens: TokenCount(ask.tokens),
+        due: now + Duration::from_millis(ask.due_in_ms.into()),
+    };
+    Some((ask.instance.parse().ok()?, prompt))
+}
+
 fn read_change(wanted: ChangeWanted) -> Option<WantedChange> {
     let unload = wanted.unload.iter().map(|model| model.parse().ok()).collect::<Option<_>>()?;
     let load = match wanted.load.as_str() {
--- a/crates/agent/src/telling.rs
+++ b/crates/agent/src/telling.rs
@@ -4,15 +4,18 @@
 
 use base::prelude::*;
 use peers::{DatagramBody, EngineLoad, EngineState, LoadingModel, PeerSocket, ResidentState};
-use residency::{EngineReport, keeper::Keeper};
+use residency::{EngineReport, keeper::Keeper, prompts::PromptGate};
 
 /// An entry that sends no beat for this time is not told any more; it sends one a second.
 const SUBSCRIPTION: Duration = Duration::from_millis(3_500);
 /// Least time between two datagrams that tell the load only.
-const LOAD_PACE: Duration = Duration::from_millis(400);
+const LOAD_PACE: Duration = Duration::from_millis(150);
 /// Requests by which the load must differ to be told.
 const LOAD_STEP: u32 = 2;
 
+/// Tokens by which the unread prompts must differ to be told; about one prompt.
+const UNREAD_STEP: u64 = 1_500;
+
 /// Who is told, and what was told last.
 #[derive(Debug, Default)]
 pub struct Telling {
@@ -26,15 +29,17 @@
     models.iter().map(ToString::to_string).collect()
 }
 
-fn load_of(report: Option<&EngineReport>, number: u64) -> EngineLoad {
+fn load_of(report: Option<&EngineReport>, gate: &PromptGate, number: u64) -> EngineLoad {
+    let unread = gate.unread().0;
     let Some(report) = report else {
-        return EngineLoad { state_number: number, ..EngineLoad::default() };
+        return EngineLoad { state_number: number, unread, ..EngineLoad::default() };
     };
     EngineLoad {
         running: report.running,
         waiting: report.waiting,
         tokens_used: report.tokens_used.0,
         state_number: number,
+        unread,
     }
 }
 
@@ -64,22 +69,29 @@
     }
 
     /// The state changed: tells it to all.
-    pub fn tell_change(&mut self, socket: &PeerSocket, engine: SocketAddr, keeper: &Keeper) {
+    pub fn tell_change(
+        &mut self,
+        socket: &PeerSocket,
+        engine: SocketAddr,
+        keeper: &Keeper,
+        gate: &PromptGate,
+    ) {
         self.number += 1;
         let now = Instant::now();
-        let state = self.state(engine, keeper, now);
+        let state = self.state(engine, keeper, gate, now);
         let subscribers = self.subscribers(now);
         self.load_told = Some(now);
-        self.load = load_of(keeper.report(), self.number);
+        self.load = load_of(keeper.report(), gate, self.number);
         socket.send_all(&subscribers, DatagramBody::EngineState(state));
     }
 
     /// Tells the load to all if it differs from what was told.
-    pub fn tell_load(&mut self, socket: &PeerSocket, keeper: &Keeper) {
+    pub fn tell_load(&mut self, socket: &PeerSocket, keeper: &Keeper, gate: &PromptGate) {
         let now = Instant::now();
-        let load = load_of(keeper.report(), self.number);
+        let load = load_of(keeper.report(), gate, self.number);
         let before = self.load.running + self.load.waiting;
-        let differs = (load.running + load.waiting).abs_diff(before) >= LOAD_STEP;
+        let differs = (load.running + load.waiting).abs_diff(before) >= LOAD_STEP
+            || load.unread.abs_diff(self.load.unread) >= UNREAD_STEP;
         let is_due =
             self.load_told.is_none_or(|told| now.saturating_duration_since(told) >= LOAD_PACE);
         if differs && is_due {
@@ -91,14 +103,26 @@
     }
 
     /// What one entry that knows the state with the number `known` is told.
-    pub fn answer(&self, known: u64, engine: SocketAddr, keeper: &Keeper) -> DatagramBody {
+    pub fn answer(
+        &self,
+        known: u64,
+        engine: SocketAddr,
+        keeper: &Keeper,
+        gate: &PromptGate,
+    ) -> DatagramBody {
         match known == self.number {
-            true => DatagramBody::EngineLoad(load_of(keeper.report(), self.number)),
-            false => DatagramBody::EngineState(self.state(engine, keeper, Instant::now())),
+            true => DatagramBody::EngineLoad(load_of(keeper.report(), gate, self.number)),
+            false => DatagramBody::EngineState(self.state(engine, keeper, gate, Instant::now())),
         }
     }
 
-    fn state(&self, engine: SocketAddr, keeper: &Keeper, now: Instant) -> EngineState {
+    fn state(
+        &self,
+        engine: SocketAddr,
+        keeper: &Keeper,
+        gate: &PromptGate,
+        now: Instant,
+    ) -> EngineState {
         let report = keeper.report();
         let loading = keeper.loading().map(|load| LoadingModel {
             model: load.model.to_string(),
@@ -115,7 +139,7 @@
             unloading: keeper.unloading().map(ToString::to_string).unwrap_or_default(),
             copies_in_memory: report.map(|r| names(&r.copies_in_memory)).unwrap_or_default(),
             copies_on_disk: report.map(|r| names(&r.copies_on_disk)).unwrap_or_default(),
-            load: Some(load_of(report, self.number)),
+            load: Some(load_of(report, gate, self.number)),
             takes_changes: keeper.takes_changes(),
         }
     }
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -25,7 +25,7 @@
 /// Time until an adapter is there.
 const ADAPTER_COST: Duration = Duration::from_millis(40);
 
-/// Tokens of prompts that an engine may have to read at a time.
+/// Tokens of prompts that this entry sends at a time to an engine whose side process is silent.
 ///
 /// An engine reads at most about 2,000 tokens in one step, and every stream that runs there waits
 /// for the step; an event takes three steps or four. More prompts at once stretch the pauses of
@@ -75,10 +75,22 @@
         .map(|((_, expected), server)| (server.id.clone(), expected))
 }
 
-/// Whether an engine can read another prompt without stretching the pauses of its streams.
+/// Whether an engine can read another prompt without stretching the pauses of its streams. Its
+/// side process decides that, if there is one.
 fn can_read(server: &ServerView, generation: &Generation) -> bool {
-    let unread = server.queued_prompts().0;
-    unread == 0 || unread + generation.prompt.0 <= READING_LIMIT.0
+    let unread = server.unread().0;
+    server.has_side() || unread == 0 || unread + generation.prompt.0 <= READING_LIMIT.0
+}
+
+/// Whether an engine can get the adapter that is asked for, if it does not hold it.
+fn can_adapt(server: &ServerView, generation: &Generation) -> bool {
+    server.has_side() || server.holds(&generation.target)
+}
+
+/// Time until an adapter is there; an engine that loads a model takes no other order before.
+fn adapter_time(server: &ServerView, now: Instant) -> Duration {
+    let loading = server.loading().map(|load| load.ready_at.saturating_duration_since(now));
+    ADAPTER_COST + loading.unwrap_or_default()
 }
 
 /// What the engines that hold a model say to a request.
@@ -99,8 +111,6 @@
     pub server: InstanceId,
     /// Expected time to the first event.
     pub expected: Duration,
-    /// Whether the adapter, if one is asked for, is there.
-    pub has_adapter: bool,
 }
 
 /// The best engine among those that hold the model.
@@ -112,18 +122,19 @@
 ) -> EngineOffer {
     let judge = |server: &ServerView| {
         let has_adapter = server.holds(&generation.target);
-        let adapter = if has_adapter { Duration::ZERO } else { ADAPTER_COST };
+        let adapter = if has_adapter { Duration::ZERO } else { adapter_time(server, view.now) };
         let excess = (server.load() + 1).saturating_sub(server.slots);
         let expected = server.first_event(generation) + SLOT_WAIT * excess + adapter;
         let company = COMPANY_COST * server.load();
-        let choice = EngineChoice { server: server.id.clone(), expected, has_adapter };
+        let choice = EngineChoice { server: server.id.clone(), expected };
         (expected + company + view.common_cost(server), choice)
     };
     let mut offer = EngineOffer::Missing;
     let mut least = Duration::MAX;
     let holders = servers
         .filter(|server| server.service == *service && view.is_open(server))
-        .filter(|server| server.holds_model(&generation.target.model));
+        .filter(|server| server.holds_model(&generation.target.model))
+        .filter(|server| can_adapt(server, generation));
     for server in holders {
         if !can_read(server, generation) {
             if offer == EngineOffer::Missing {
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -30,6 +30,8 @@
     pub arrived: Instant,
     /// Time within which its answer is on time.
     pub goal: Duration,
+    /// When its caller gives up without a first byte.
+    pub first_by: Instant,
     /// When it must be answered at the latest.
     pub deadline: Instant,
     /// Rank; zero is the most urgent.
@@ -53,6 +55,8 @@
     pub load_age: Duration,
     /// Expected time to the first byte.
     pub expected: Duration,
+    /// Whether a side process has to let the request in first.
+    pub needs_permit: bool,
 }
 
 /// Why a request waits.
@@ -62,8 +66,6 @@
     ModelMissing,
     /// The engines that hold the model have other prompts to read first.
     EnginesReading,
-    /// The engine does not hold the adapter yet.
-    AdapterMissing,
     /// No backend server can be reached at the moment.
     NoServer,
 }
@@ -74,7 +76,6 @@
         match self {
             WaitReason::ModelMissing => "model-missing",
             WaitReason::EnginesReading => "engines-reading",
-            WaitReason::AdapterMissing => "adapter-missing",
             WaitReason::NoServer => "no-server",
         }
     }
@@ -119,8 +120,6 @@
 pub enum DeskAction {
     /// A request that waited has a new verdict.
     Decide(u64, Verdict),
-    /// An engine should load an adapter, or keep it for a request that comes.
-    WantAdapter(InstanceId, ModelTarget),
 }
 
 /// How an attempt failed.
@@ -191,7 +190,6 @@
     sent: u32,
     ran: u32,
     since: Option<Instant>,
-    wanted_adapter: Option<(InstanceId, Instant)>,
 }
 
 /// The desk.
@@ -209,9 +207,6 @@
     actions: Vec<DeskAction>,
 }
 
-/// Time between two wishes for the same adapter; a datagram can be lost.
-const ADAPTER_REPEAT: Duration = Duration::from_millis(150);
-
 impl Desk {
     /// A desk that knows no backend server.
     pub fn new(settings: DeskSettings) -> Self {
@@ -289,9 +284,16 @@
     }
 
     /// Takes in the load that the side process beside `server` told.
-    pub fn hear_side_load(&mut self, server: &InstanceId, load: u32, now: Instant) {
+    pub fn hear_side_load(
+        &mut self,
+        server: &InstanceId,
+        load: u32,
+        unread: TokenCount,
+        now: Instant,
+    ) {
         if let Some(view) = self.servers.get_mut(server) {
             view.tell_load(load, now);
+            view.tell_unread(unread);
         }
     }
 
@@ -362,13 +364,40 @@
             sent: 0,
             ran: 0,
             since: None,
-            wanted_adapter: None,
         };
         self.calls.insert(key, call);
         let verdict = self.decide(key, now);
         (key, verdict)
     }
 
+    /// The request goes to the backend server that it was assigned to.
+    pub fn send(&mut self, key: u64, now: Instant) {
+        let Some(call) = self.calls.get_mut(&key) else { return };
+        call.sent += 1;
+        if let Some(view) = call.at.as_ref().and_then(|id| self.servers.get_mut(id)) {
+            view.send(key, now);
+        }
+        if call.sent == 1 {
+            let service = call.ask.service.clone();
+            self.budget(&service).budget.count_first(now);
+        }
+    }
+
+    /// The side process did not let the request in; says what happens next.
+    pub fn withdraw(&mut self, key: u64, is_missing: bool, now: Instant) -> Verdict {
+        let Some(call) = self.calls.get_mut(&key) else {
+            return Verdict::Refuse(Refusal::new(ResultCode::CallerCancelled, "unknown request"));
+        };
+        let target = call.ask.generation.as_ref().map(|generation| generation.target.clone());
+        if let Some(view) = call.at.take().and_then(|id| self.servers.get_mut(&id)) {
+            view.end(key);
+            if let Some(target) = target.filter(|_| is_missing) {
+                view.miss_model(&target.model);
+            }
+        }
+        self.decide(key, now)
+    }
+
     /// The first byte of the answer to `key` has come.
     pub fn start(&mut self, key: u64, now: Instant) {
         let Some(call) = self.calls.get(&key) else { return };
@@ -483,6 +512,10 @@
         if call.ask.deadline <= now {
             return self.refuse(key, Refusal::new(ResultCode::DeadlinePassed, "deadline passed"));
         }
+        if call.ask.generation.is_some() && call.ran == 0 && call.ask.first_by <= now {
+            let reason = "its caller does not wait longer for a first event";
+            return self.refuse(key, Refusal::new(ResultCode::DeadlinePassed, reason));
+        }
         match call.ask.generation.is_some() {
             true => self.decide_generation(key, now),
             false => self.decide_plain(key, now),
@@ -517,30 +550,7 @@
             EngineOffer::Reading => return self.wait(key, WaitReason::EnginesReading, now),
             EngineOffer::Chosen(choice) => choice,
         };
-        if choice.has_adapter {
-            if generation.target.adapter.is_some() {
-                // The side process learns that the adapter is in use.
-                let want =
-                    DeskAction::WantAdapter(choice.server.clone(), generation.target.clone());
-                self.actions.push(want);
-            }
-            return self.assign(key, &choice.server, choice.expected, now);
-        }
-        self.want_adapter(key, choice.server, now);
-        self.wait(key, WaitReason::AdapterMissing, now)
-    }
-
-    fn want_adapter(&mut self, key: u64, server: InstanceId, now: Instant) {
-        let Some(call) = self.calls.get_mut(&key) else { return };
-        let Some(generation) = &call.ask.generation else { return };
-        let is_recent = call.wanted_adapter.as_ref().is_some_and(|(wanted, at)| {
-            *wanted == server && now.saturating_duration_since(*at) < ADAPTER_REPEAT
-        });
-        if !is_recent {
-            let target = generation.target.clone();
-            call.wanted_adapter = Some((server.clone(), now));
-            self.actions.push(DeskAction::WantAdapter(server, target));
-        }
+        self.assign(key, &choice.server, choice.expected, now)
     }
 
     fn wait(&mut self, key: u64, reason: WaitReason, now: Instant) -> Verdict {
@@ -574,25 +584,20 @@
         let view = self.servers.get_mut(server).expect("it was chosen among them");
         call.since = None;
         call.missing = false;
-        call.sent += 1;
         call.at = Some(server.clone());
-        let attempt = call.sent;
+        let generation = call.ask.generation.as_ref();
         let assignment = Assignment {
             server: server.clone(),
             address: view.address,
-            attempt,
+            attempt: call.sent + 1,
             load: view.load(),
             load_age: view.load_age(now),
             expected,
+            needs_permit: generation.is_some() && view.has_side(),
         };
-        let generation = call.ask.generation.as_ref();
         let target = generation.map(|generation| generation.target.clone());
         let prompt = generation.map_or(TokenCount(0), |generation| generation.prompt);
-        view.send(key, target, prompt, now);
-        if attempt == 1 {
-            let service = call.ask.service.clone();
-            self.budget(&service).budget.count_first(now);
-        }
+        view.assign(key, target, prompt);
         Verdict::Send(assignment)
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,5 +19,5 @@
         Verdict, WaitReason,
     },
     servers::{EngineNews, LoadInProgress, ServerView},
-    waiting::LoadOutlook,
+    waiting::{LoadOutlook, first_patience},
 };
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -31,8 +31,8 @@
     pub prompt: TokenCount,
     /// Tokens of prompts that this entry had waiting there before it.
     pub queued_before: TokenCount,
-    /// When it was sent.
-    pub sent: Instant,
+    /// When it was sent; none while it waits for the side process to let it in.
+    pub sent: Option<Instant>,
     /// Whether its first event has come.
     pub has_started: bool,
 }
@@ -59,6 +59,8 @@
     pub running: u32,
     /// Requests that wait.
     pub waiting: u32,
+    /// Tokens of prompts that it has to read.
+    pub unread: TokenCount,
     /// Whether the engine answers its side process.
     pub is_reachable: bool,
 }
@@ -92,6 +94,8 @@
     has_side_news: bool,
     paces: HashMap<ModelId, EnginePace>,
     told: u32,
+    told_unread: TokenCount,
+    asked_since: TokenCount,
     told_at: Instant,
     own_at_told: u32,
     alive_at: Instant,
@@ -118,6 +122,8 @@
             has_side_news: false,
             paces: HashMap::new(),
             told: 0,
+            told_unread: TokenCount(0),
+            asked_since: TokenCount(0),
             told_at: now,
             own_at_told: 0,
             alive_at: now,
@@ -162,6 +168,18 @@
         self.unloading = news.unloading.clone();
         self.loading = news.loading.clone();
         self.tell_load(news.running + news.waiting, now);
+        self.tell_unread(news.unread);
+    }
+
+    /// Takes in the tokens of prompts that it has to read, as its side process tells.
+    pub fn tell_unread(&mut self, unread: TokenCount) {
+        self.told_unread = unread;
+        self.asked_since = TokenCount(0);
+    }
+
+    /// Whether a side process lets requests in.
+    pub fn has_side(&self) -> bool {
+        self.has_side_news
     }
 
     /// Goes by the entries of the store again, because the side process is silent.
@@ -209,12 +227,15 @@
                     adapters.remove(adapter);
                 }
             }
-            None => {
-                self.residents.remove(&target.model);
-            }
+            None => self.miss_model(&target.model),
         }
     }
 
+    /// The engine does not hold `model`, or is about to drop it.
+    pub fn miss_model(&mut self, model: &ModelId) {
+        self.residents.remove(model);
+    }
+
     /// Whether requests for `model` can go there.
     pub fn holds_model(&self, model: &ModelId) -> bool {
         self.residents.contains_key(model) && self.unloading.as_ref() != Some(model)
@@ -239,9 +260,10 @@
     /// Whether a request has had no answer for long, and nothing else was heard since.
     pub fn is_silent(&self, now: Instant) -> bool {
         let unanswered = self.calls.values().filter(|call| !call.has_started);
-        let Some(oldest) = unanswered.min_by_key(|call| call.sent) else { return false };
-        let patience = if oldest.target.is_some() { ENGINE_SILENCE } else { PLAIN_SILENCE };
-        now.saturating_duration_since(oldest.sent.max(self.alive_at)) > patience
+        let sent = unanswered.filter_map(|call| Some((call.sent?, call.target.is_some())));
+        let Some((oldest, is_stream)) = sent.min() else { return false };
+        let patience = if is_stream { ENGINE_SILENCE } else { PLAIN_SILENCE };
+        now.saturating_duration_since(oldest.max(self.alive_at)) > patience
     }
 
     fn own(&self) -> u32 {
@@ -259,34 +281,33 @@
         now.saturating_duration_since(self.told_at)
     }
 
-    /// Tokens of own prompts that have not had their first event.
-    pub fn queued_prompts(&self) -> TokenCount {
-        let waiting = self.calls.values().filter(|call| !call.has_started);
-        TokenCount(waiting.map(|call| call.prompt.0).sum())
+    /// Tokens of prompts that it has to read: what was told and what was asked for since, or the
+    /// own prompts that have not had their first event, whichever is more.
+    pub fn unread(&self) -> TokenCount {
+        let own = self.calls.values().filter(|call| !call.has_started);
+        let own: u64 = own.map(|call| call.prompt.0).sum();
+        TokenCount(own.max(self.told_unread.0 + self.asked_since.0))
     }
 
     /// Expected time to the first event of `generation`.
     pub fn first_event(&self, generation: &Generation) -> Duration {
         let pace = self.paces.get(&generation.target.model).copied().unwrap_or_default();
-        pace.first_event(self.queued_prompts(), generation.prompt)
+        pace.first_event(self.unread(), generation.prompt)
     }
 
-    /// Notes a request that was sent.
-    pub fn send(
-        &mut self,
-        key: u64,
-        target: Option<ModelTarget>,
-        prompt: TokenCount,
-        now: Instant,
-    ) {
-        let call = RunningCall {
-            target,
-            prompt,
-            queued_before: self.queued_prompts(),
-            sent: now,
-            has_started: false,
-        };
+    /// Notes a request that is to go there.
+    pub fn assign(&mut self, key: u64, target: Option<ModelTarget>, prompt: TokenCount) {
+        let queued_before = self.unread();
+        let call = RunningCall { target, prompt, queued_before, sent: None, has_started: false };
         self.calls.insert(key, call);
+        self.asked_since.0 += prompt.0;
+    }
+
+    /// Notes that a request is sent there.
+    pub fn send(&mut self, key: u64, now: Instant) {
+        if let Some(call) = self.calls.get_mut(&key) {
+            call.sent = Some(now);
+        }
     }
 
     /// Notes the first event of a request.
@@ -298,9 +319,12 @@
         call.has_started = true;
         self.alive_at = now;
         let Some(target) = &call.target else { return };
-        let took = now.saturating_duration_since(call.sent);
+        let Some(sent) = call.sent else { return };
+        let took = now.saturating_duration_since(sent);
+        // A side process lets one prompt in at a time.
+        let before = if self.has_side_news { TokenCount(0) } else { call.queued_before };
         let pace = self.paces.entry(target.model.clone()).or_default();
-        pace.observe(call.queued_before, call.prompt, took);
+        pace.observe(before, call.prompt, took);
     }
 
     /// Notes the end of a request.
--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -15,19 +15,25 @@
 pub(crate) const SHORT_RETURN: Duration = Duration::from_millis(150);
 /// Return when nobody can say when there will be room.
 const UNKNOWN_RETURN: Duration = Duration::from_millis(1_500);
-/// Longest wait for an adapter; one takes 5 to 19 ms, many at once longer.
-const ADAPTER_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Part of the goal for which a request waits for a plan that names a time.
 const UNPLANNED_PART: f64 = 0.125;
 /// Longest such wait.
 const UNPLANNED_PATIENCE: Duration = Duration::from_millis(600);
 /// Longest wait for a backend server that can be reached, as a part of the time left.
 const NO_SERVER_PART: f64 = 0.3;
-/// Part of the caller's time that must be left for the answer itself when the model is there.
-const ANSWER_PART: f64 = 0.25;
+/// Time to the first event once the model is there.
+const FIRST_EVENT: Duration = Duration::from_millis(200);
+/// Least time for which callers of streams wait for the first event.
+const MIN_FIRST_PATIENCE: Duration = Duration::from_secs(2);
 /// An outlook that is older than this is not trusted.
 const OUTLOOK_AGE: Duration = Duration::from_secs(2);
 
+/// How long callers of a stream wait for its first event, by the goals of its route.
+pub fn first_patience(goal: Duration, pause_goal: Option<Duration>) -> Duration {
+    let by_pause = pause_goal.map_or(Duration::ZERO, |pause| pause * 8);
+    MIN_FIRST_PATIENCE.max(goal * 4).max(by_pause)
+}
+
 /// When the planner expects a model to be loaded somewhere.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadOutlook {
@@ -69,14 +75,9 @@
 ) -> Result<Option<Instant>, Refusal> {
     match reason {
         WaitReason::ModelMissing => judge_model(ask, since, outlook, now),
-        WaitReason::AdapterMissing => {
-            let until = (since + ADAPTER_PATIENCE).min(ask.deadline);
-            within(until, now, ResultCode::LoadFailed, "the adapter did not come in time")
-        }
         WaitReason::EnginesReading => {
-            let patience = ask.deadline.saturating_duration_since(ask.arrived);
-            let until = ask.deadline - patience.mul_f64(ANSWER_PART);
-            within(until, now, ResultCode::QueueFull, "the engines have too much to read")
+            let reason = "the engines have too much to read";
+            within(ask.first_by, now, ResultCode::QueueFull, reason)
         }
         WaitReason::NoServer => {
             let left = ask.deadline.saturating_duration_since(since);
@@ -116,9 +117,7 @@
         let reason = "the model will not be loaded in time";
         return Err(Refusal::until(ResultCode::DeadlineUnmeetable, UNKNOWN_RETURN, reason));
     };
-    let patience = ask.deadline.saturating_duration_since(ask.arrived);
-    let latest = ask.deadline - patience.mul_f64(ANSWER_PART);
-    if ready_at > latest {
+    if ready_at + FIRST_EVENT > ask.first_by {
         let wait = ready_at.saturating_duration_since(now);
         let reason = "the model will be loaded too late";
         return Err(Refusal::until(ResultCode::DeadlineUnmeetable, wait, reason));
--- a/crates/dispatch/tests/common/replay.rs
+++ b/crates/dispatch/tests/common/replay.rs
@@ -62,11 +62,12 @@
         Self { desks, keys: BTreeMap::new(), ids: BTreeMap::new() }
     }
 
-    fn sent(&mut self) -> Vec<(u64, InstanceId)> {
+    fn sent(&mut self, now: Instant) -> Vec<(u64, InstanceId)> {
         let mut sent = Vec::new();
         for (entry, desk) in self.desks.iter_mut().enumerate() {
             for action in desk.take_actions() {
                 if let DeskAction::Decide(key, Verdict::Send(assignment)) = action {
+                    desk.send(key, now);
                     sent.push((self.ids[&(entry, key)], assignment.server));
                 }
             }
@@ -82,7 +83,10 @@
         self.keys.insert(id, (arrival.entry, key));
         self.ids.insert((arrival.entry, key), id);
         match verdict {
-            Verdict::Send(assignment) => Some(assignment.server),
+            Verdict::Send(assignment) => {
+                self.desks[arrival.entry].send(key, now);
+                Some(assignment.server)
+            }
             Verdict::Wait(..) | Verdict::Refuse(_) => None,
         }
     }
@@ -90,13 +94,13 @@
     fn start(&mut self, id: u64, now: Instant) -> Vec<(u64, InstanceId)> {
         let (entry, key) = self.keys[&id];
         self.desks[entry].start(key, now);
-        self.sent()
+        self.sent(now)
     }
 
     fn end(&mut self, id: u64, now: Instant) -> Vec<(u64, InstanceId)> {
         let (entry, key) = self.keys[&id];
         self.desks[entry].close(key, true, now);
-        self.sent()
+        self.sent(now)
     }
 }
 
--- a/crates/dispatch/tests/silence.rs
+++ b/crates/dispatch/tests/silence.rs
@@ -29,6 +29,7 @@
         };
         let (key, verdict) = desk.offer(ask, now);
         if let Some(server) = target(&verdict) {
+            desk.send(key, now);
             if server == "s-1" {
                 desk.start(key, now + Duration::from_millis(60));
                 desk.close(key, true, now + Duration::from_millis(80));
@@ -65,7 +66,8 @@
     let began = Instant::now();
     let mut desk = desk();
     desk.list(&server("s-2", ENGINES, &["m"]), began);
-    desk.offer(stream_ask("m", 600, began), began);
+    let (key, _) = desk.offer(stream_ask("m", 600, began), began);
+    desk.send(key, began);
     let later = began + Duration::from_secs(2);
     let (_, silent) = desk.offer(stream_ask("m", 600, later), later);
 
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -8,13 +8,14 @@
 
 use base::prelude::*;
 use connections::{ConnectSettings, ConnectionPool, PoolSettings};
-use dispatch::{Ask, AttemptFailure, Desk, DeskAction, ModelTarget, Refusal, Verdict};
-use roster::InstanceId;
+use dispatch::{Ask, Assignment, AttemptFailure, Desk, DeskAction, Generation, Refusal, Verdict};
 use tokio::{
     sync::{Notify, oneshot, watch},
     time,
 };
 
+use crate::permits::{Permit, PermitOutcome, Permits};
+
 /// Longest wait for a connection to a backend server in the same region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after which the kernel gives up on a backend server that acknowledges nothing.
@@ -29,9 +30,6 @@
 /// Time between two looks at the requests that wait, besides those that news cause.
 const REVIEW: Duration = Duration::from_millis(40);
 
-/// Carries wishes for adapters to side processes.
-pub type AdapterWish = Box<dyn Fn(&InstanceId, SocketAddr, &ModelTarget) + Send + Sync>;
-
 struct BackendState {
     desk: Desk,
     waiters: HashMap<u64, oneshot::Sender<Verdict>>,
@@ -43,19 +41,19 @@
 #[derive(Clone)]
 pub struct Backends {
     state: Arc<Mutex<BackendState>>,
-    wish: Arc<AdapterWish>,
+    permits: Permits,
     has_waiting: Arc<Notify>,
     ending: Arc<watch::Sender<bool>>,
 }
 
 impl Backends {
     /// Backends that `desk` decides about.
-    pub fn new(desk: Desk, wish: AdapterWish) -> Self {
+    pub fn new(desk: Desk, permits: Permits) -> Self {
         let state =
             BackendState { desk, waiters: HashMap::new(), pools: HashMap::new(), entries: 1 };
         Self {
             state: Arc::new(Mutex::new(state)),
-            wish: Arc::new(wish),
+            permits,
             has_waiting: Arc::default(),
             ending: Arc::new(watch::Sender::new(false)),
         }
@@ -84,11 +82,6 @@
                     let _ = waiter.send(verdict);
                 }
             }
-            DeskAction::WantAdapter(server, target) => {
-                if let Some(view) = state.desk.server(&server) {
-                    (self.wish)(&server, view.address, &target);
-                }
-            }
         }
     }
 
@@ -152,8 +145,12 @@
 
     /// Hands a request to the desk.
     pub fn offer(&self, ask: Ask) -> (Ticket, Verdict) {
+        let generation = ask.generation.clone();
+        let due = ask.arrived + ask.goal;
         let (key, verdict) = self.step(|desk, now| desk.offer(ask, now));
-        (Ticket { backends: self.clone(), key, is_open: true }, verdict)
+        let ticket =
+            Ticket { backends: self.clone(), key, generation, due, permit: None, is_open: true };
+        (ticket, verdict)
     }
 }
 
@@ -161,6 +158,9 @@
 pub struct Ticket {
     backends: Backends,
     key: u64,
+    generation: Option<Generation>,
+    due: Instant,
+    permit: Option<Permit>,
     is_open: bool,
 }
 
@@ -178,18 +178,45 @@
         })
     }
 
+    /// Gets the request to the backend server that it was assigned to.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is next if it is not let in there.
+    pub async fn go(&mut self, assignment: &Assignment) -> Result<(), Verdict> {
+        if let Some(generation) = self.generation.as_ref().filter(|_| assignment.needs_permit) {
+            let permits = self.backends.permits.clone();
+            let (outcome, permit) = permits.ask(self.key, assignment, generation, self.due).await;
+            let is_missing = outcome == PermitOutcome::Missing;
+            match outcome {
+                PermitOutcome::Goes | PermitOutcome::Silent => self.permit = Some(permit),
+                PermitOutcome::Missing | PermitOutcome::Later => {
+                    drop(permit);
+                    let next =
+                        self.backends.step(|desk, now| desk.withdraw(self.key, is_missing, now));
+                    return Err(next);
+                }
+            }
+        }
+        self.backends.step(|desk, now| desk.send(self.key, now));
+        Ok(())
+    }
+
     /// The attempt failed; says what is next.
     pub fn fail(&mut self, failure: AttemptFailure) -> Verdict {
+        self.permit = None;
         self.backends.step(|desk, now| desk.fail(self.key, failure, now))
     }
 
     /// The first byte of the answer came.
-    pub fn start(&self) {
+    pub fn start(&mut self) {
+        self.permit = None;
         self.backends.step(|desk, now| desk.start(self.key, now));
     }
 
     /// The request is answered or refused.
     pub fn finish(&mut self, is_success: bool) {
+        self.permit = None;
         if std::mem::take(&mut self.is_open) {
             self.backends.step(|desk, now| desk.close(self.key, is_success, now));
         }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -127,6 +127,7 @@
         generation: head.generation,
         arrived,
         goal: route.goal,
+        first_by: arrived.checked_add(first_patience(&route)).unwrap_or(deadline).min(deadline),
         deadline,
         priority: route.priority,
         attempts: route.attempts,
@@ -147,6 +148,14 @@
     Ok(Admitted { ask, request })
 }
 
+/// How long the caller waits for the first byte.
+fn first_patience(route: &Route) -> Duration {
+    match route.kind.is_streaming() {
+        true => dispatch::first_patience(route.goal, route.pause_goal),
+        false => Duration::MAX,
+    }
+}
+
 fn find_route(catalog: &Catalog, request: &Request<Incoming>) -> Result<Arc<Route>, Refusal> {
     let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| request.uri().host()).unwrap_or_default();
@@ -189,17 +198,28 @@
                 ticket.next().await
             }
             Verdict::Send(assignment) => {
+                if let Err(next) = ticket.go(&assignment).await {
+                    verdict = next;
+                    continue;
+                }
                 guard.story.assign(&assignment);
                 match attempt::send(&gateway.backends, &request, &assignment).await {
                     Ok(answer) if is_streaming && answer.status.is_success() => {
                         return stream(ticket, guard, request, assignment, answer);
                     }
-                    Ok(answer) => match attempt::read_whole(&gateway.backends, answer, request.deadline).await {
-                        Ok(answer) => return finish(ticket, guard, answer),
-                        Err(failed) => {
-                            settle(&mut ticket, &guard.story, &assignment, failed, &mut last_answer)
+                    Ok(answer) => {
+                        match attempt::read_whole(&gateway.backends, answer, request.deadline).await
+                        {
+                            Ok(answer) => return finish(ticket, guard, answer),
+                            Err(failed) => settle(
+                                &mut ticket,
+                                &guard.story,
+                                &assignment,
+                                failed,
+                                &mut last_answer,
+                            ),
                         }
-                    },
+                    }
                     Err(failed) => {
                         settle(&mut ticket, &guard.story, &assignment, failed, &mut last_answer)
                     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -7,7 +7,7 @@
 };
 
 use base::prelude::*;
-use catalog::Catalog;
+use catalog::{Catalog, TokenCount};
 use dispatch::{EngineNews, LoadInProgress, LoadOutlook, ModelUse};
 use events::{DecisionEvent, EventLog};
 use peers::{
@@ -24,7 +24,7 @@
     time,
 };
 
-use crate::{backends::Backends, metrics::GatewayMetrics};
+use crate::{backends::Backends, metrics::GatewayMetrics, permits::Permits};
 
 /// Time between two beats to other entries.
 const ENTRY_BEAT: Duration = Duration::from_millis(500);
@@ -64,6 +64,7 @@
     state: Arc<Mutex<FleetState>>,
     socket: Arc<PeerSocket>,
     backends: Backends,
+    permits: Permits,
     catalog: watch::Receiver<Option<Arc<Catalog>>>,
     log: EventLog,
     metrics: GatewayMetrics,
@@ -90,6 +91,7 @@
         identity: FleetIdentity,
         socket: Arc<PeerSocket>,
         backends: Backends,
+        permits: Permits,
         catalog: watch::Receiver<Option<Arc<Catalog>>>,
         log: EventLog,
         metrics: GatewayMetrics,
@@ -107,6 +109,7 @@
             state: Arc::new(Mutex::new(state)),
             socket,
             backends,
+            permits,
             catalog,
             log,
             metrics,
@@ -287,6 +290,7 @@
                 self.news.notify_one();
             }
             Some(DatagramBody::Outlooks(outlooks)) => self.take_outlooks(outlooks),
+            Some(DatagramBody::RunAnswer(answer)) => self.permits.answer(answer),
             _ => {}
         }
     }
@@ -348,7 +352,8 @@
         drop(state);
         self.backends.step(|desk, now| {
             if let Some(instance) = desk.server_at(engine, None).map(|view| view.id.clone()) {
-                desk.hear_side_load(&instance, load.running + load.waiting, now);
+                let unread = TokenCount(load.unread);
+                desk.hear_side_load(&instance, load.running + load.waiting, unread, now);
             }
         });
     }
@@ -529,6 +534,7 @@
         loading,
         running: load.running,
         waiting: load.waiting,
+        unread: TokenCount(load.unread),
         is_reachable: state.is_reachable,
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod ops;
 mod own_entry;
+mod permits;
 pub mod process;
 mod relay;
 pub mod settings;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -6,19 +6,20 @@
 use catalog::Catalog;
 use dispatch::{Desk, DeskSettings};
 use events::{DecisionEvent, EventLog};
-use peers::{AdapterWanted, DatagramBody, PeerSocket};
+use peers::PeerSocket;
 use platform::PlatformStore;
 use snafu::Snafu;
 use tokio::{sync::watch, time};
 use wire::{ListenError, listen::listen};
 
 use crate::{
-    backends::{AdapterWish, Backends},
+    backends::Backends,
     fleet::{Fleet, FleetIdentity},
     follow::{CatalogFollower, RosterFollower},
     front,
     metrics::GatewayMetrics,
     ops,
+    permits::Permits,
     own_entry::OwnEntry,
     settings::GatewaySettings,
 };
@@ -95,20 +96,6 @@
     grace: Duration,
 }
 
-fn adapter_wish(socket: &Arc<PeerSocket>, side_port: u16) -> AdapterWish {
-    let socket = Arc::clone(socket);
-    Box::new(move |server, address, target| {
-        let Some(adapter) = &target.adapter else { return };
-        let wanted = AdapterWanted {
-            model: target.model.to_string(),
-            adapter: adapter.to_string(),
-            instance: server.to_string(),
-        };
-        let side = std::net::SocketAddr::new(address.ip(), side_port);
-        socket.send(side, DatagramBody::AdapterWanted(wanted));
-    })
-}
-
 impl GatewayHandle {
     /// Starts all tasks.
     ///
@@ -133,8 +120,8 @@
             zone: settings.identity.zone.clone(),
             repeats: settings.limits.repeats,
         });
-        let wish = adapter_wish(&socket, settings.listen.peers.port());
-        let backends = Backends::new(desk, wish);
+        let permits = Permits::new(Arc::clone(&socket), settings.listen.peers.port());
+        let backends = Backends::new(desk, permits.clone());
         let (sender, catalog) = watch::channel(None);
         let identity = FleetIdentity {
             vm: settings.identity.vm.clone(),
@@ -145,6 +132,7 @@
             identity,
             socket,
             backends.clone(),
+            permits,
             catalog.clone(),
             log.clone(),
             metrics.clone(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -175,9 +175,12 @@
                     self.story.wait(reason, expected);
                     self.ticket.next().await
                 }
-                Verdict::Send(assignment) => match self.go_on(assignment).await {
-                    None => return Ok(()),
-                    Some(failure) => self.ticket.fail(failure),
+                Verdict::Send(assignment) => match self.ticket.go(&assignment).await {
+                    Err(next) => next,
+                    Ok(()) => match self.go_on(assignment).await {
+                        None => return Ok(()),
+                        Some(failure) => self.ticket.fail(failure),
+                    },
                 },
             }
         }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -10,9 +10,9 @@
 pub use crate::{
     book::{EntryPeer, PeerBook, PeerNews},
     messages::{
-        AdapterWanted, ChangeWanted, Datagram, DatagramBody, EngineLoad, EngineState, EntryBeat,
-        LoadDemand, LoadingModel, ModelDemand, ModelOutlook, Outlooks, PeerAddress, ResidentState,
-        RunsAtEngine, SideBeat,
+        ChangeWanted, Datagram, DatagramBody, EngineLoad, EngineState, EntryBeat, LoadDemand,
+        LoadingModel, ModelDemand, ModelOutlook, Outlooks, PeerAddress, ResidentState, RunAnswer,
+        RunAsk, RunEnd, RunVerdict, RunsAtEngine, SideBeat,
     },
     socket::PeerSocket,
 };
--- a/crates/peers/src/messages.rs
+++ b/crates/peers/src/messages.rs
@@ -13,7 +13,7 @@
     #[prost(uint64, tag = "3")]
     pub number: u64,
     /// Contents.
-    #[prost(oneof = "DatagramBody", tags = "4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "DatagramBody", tags = "4, 5, 6, 7, 9, 10, 11, 12, 13, 14")]
     pub body: Option<DatagramBody>,
 }
 
@@ -32,9 +32,6 @@
     /// A side process to the entries, when only the load changed.
     #[prost(message, tag = "7")]
     EngineLoad(EngineLoad),
-    /// An entry to a side process.
-    #[prost(message, tag = "8")]
-    AdapterWanted(AdapterWanted),
     /// The planner to a side process.
     #[prost(message, tag = "9")]
     ChangeWanted(ChangeWanted),
@@ -44,6 +41,15 @@
     /// The planner to the entries.
     #[prost(message, tag = "11")]
     Outlooks(Outlooks),
+    /// An entry to a side process: a request wants to go to the engine.
+    #[prost(message, tag = "12")]
+    RunAsk(RunAsk),
+    /// A side process to the entry that asked.
+    #[prost(message, tag = "13")]
+    RunAnswer(RunAnswer),
+    /// An entry to a side process: the prompt of a request is read, or it was given up.
+    #[prost(message, tag = "14")]
+    RunEnd(RunEnd),
 }
 
 /// An entry process and where it listens.
@@ -160,20 +166,63 @@
     /// Number of the whole state that this belongs to.
     #[prost(uint64, tag = "4")]
     pub state_number: u64,
+    /// Tokens of prompts that the engine has to read, or that wait for it.
+    #[prost(uint64, tag = "5")]
+    pub unread: u64,
 }
 
-/// A request needs an adapter at this engine.
+/// A request wants to go to an engine.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct AdapterWanted {
+pub struct RunAsk {
+    /// Number of the request at its entry.
+    #[prost(uint64, tag = "1")]
+    pub key: u64,
+    /// Name of the engine.
+    #[prost(string, tag = "2")]
+    pub instance: String,
     /// Model.
-    #[prost(string, tag = "1")]
+    #[prost(string, tag = "3")]
     pub model: String,
-    /// Adapter.
-    #[prost(string, tag = "2")]
+    /// Adapter; empty for the model itself.
+    #[prost(string, tag = "4")]
     pub adapter: String,
-    /// Name of the engine.
-    #[prost(string, tag = "3")]
-    pub instance: String,
+    /// Length of the prompt in tokens.
+    #[prost(uint64, tag = "5")]
+    pub tokens: u64,
+    /// Time until its first event is late; zero once it is.
+    #[prost(uint32, tag = "6")]
+    pub due_in_ms: u32,
+}
+
+/// What becomes of a request that wants to go to an engine.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct RunAnswer {
+    /// Number of the request at its entry.
+    #[prost(uint64, tag = "1")]
+    pub key: u64,
+    /// What the request does.
+    #[prost(enumeration = "RunVerdict", tag = "2")]
+    pub verdict: i32,
+}
+
+/// What a request does that wants to go to an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum RunVerdict {
+    /// It waits; another answer follows.
+    Waits = 0,
+    /// It goes to the engine.
+    Goes = 1,
+    /// The engine does not hold its model.
+    Missing = 2,
+}
+
+/// A request has had its first event, or was given up.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct RunEnd {
+    /// Number of the request at its entry.
+    #[prost(uint64, tag = "1")]
+    pub key: u64,
 }
 
 /// The planner wants an engine to hold something else.
--- a/crates/residency/src/keeper.rs
+++ b/crates/residency/src/keeper.rs
@@ -15,7 +15,10 @@
 use catalog::{EngineSpec, Megabytes};
 use roster::{IncarnationStart, InstanceId};
 
-use crate::engine::{EngineOrder, EngineReport, OrderAction, OrderAnswer, OrderCount};
+use crate::{
+    engine::{EngineOrder, EngineReport, OrderAction, OrderAnswer, OrderCount},
+    prompts::RunReadiness,
+};
 
 /// A change that a planner wants.
 #[derive(Debug, Clone, PartialEq)]
@@ -203,6 +206,22 @@
         self.plan.as_ref()?.unload.front()
     }
 
+    /// Whether the engine can run a request for `model` and `adapter`.
+    pub fn readiness(&self, model: &ModelId, adapter: Option<&AdapterId>) -> RunReadiness {
+        let held = self
+            .report
+            .as_ref()
+            .and_then(|report| report.residents.iter().find(|resident| resident.model == *model));
+        let is_leaving = self.unloading() == Some(model);
+        match held {
+            Some(held) if !is_leaving => match adapter {
+                Some(adapter) if !held.adapters.contains(adapter) => RunReadiness::Coming,
+                _ => RunReadiness::Ready,
+            },
+            _ => RunReadiness::Missing,
+        }
+    }
+
     /// Whether the sizes of models are known.
     pub fn knows_sizes(&self) -> bool {
         self.spec.is_some()
--- a/crates/residency/src/lib.rs
+++ b/crates/residency/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod keeper;
 pub mod planner;
+pub mod prompts;
 
 pub use crate::{
     demand::{DemandBook, DemandRow},
