--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -281,12 +281,15 @@
         now.saturating_duration_since(self.told_at)
     }
 
-    /// Tokens of prompts that it has to read: what was told and what was asked for since, or the
-    /// own prompts that have not had their first event, whichever is more.
+    /// Tokens of prompts that it has to read: the own ones that have not had their first event, or
+    /// what its side process told and what was asked for since, whichever is more.
     pub fn unread(&self) -> TokenCount {
         let own = self.calls.values().filter(|call| !call.has_started);
         let own: u64 = own.map(|call| call.prompt.0).sum();
-        TokenCount(own.max(self.told_unread.0 + self.asked_since.0))
+        match self.has_side_news {
+            true => TokenCount(own.max(self.told_unread.0 + self.asked_since.0)),
+            false => TokenCount(own),
+        }
     }
 
     /// Expected time to the first event of `generation`.
