--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -429,6 +429,7 @@
     fn plan_now(&self) {
         let Some(catalog) = self.catalog.borrow().clone() else { return };
         let now = Instant::now();
+        let listed = self.listed_engines();
         let mut outlooks = Vec::new();
         let mut changes = Vec::new();
         let listeners: Vec<SocketAddr> = {
@@ -441,6 +442,7 @@
                 let spec = catalog.service(service).and_then(|found| found.engine.clone());
                 let Some(spec) = spec else { continue };
                 planner.learn(spec);
+                planner.set_listed(listed.get(service).copied().unwrap_or(0));
                 let outcome = planner.plan(demand, now);
                 outlooks.extend(outcome.outlooks);
                 changes.extend(outcome.changes);
@@ -453,6 +455,17 @@
         self.tell_outlooks(&listeners, outlooks, now);
     }
 
+    /// Backend servers that take work, by service.
+    fn listed_engines(&self) -> HashMap<ServiceName, usize> {
+        self.backends.step(|desk, _| {
+            let mut listed = HashMap::new();
+            for view in desk.servers().filter(|view| !view.is_leaving) {
+                *listed.entry(view.service.clone()).or_insert(0) += 1;
+            }
+            listed
+        })
+    }
+
     fn ask_for(&self, planned: &PlannedChange) {
         let change = &planned.change;
         let address =
--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -118,10 +118,17 @@
     pub outlooks: Vec<(ModelId, Option<Instant>)>,
 }
 
-/// Loads that the weight store serves together at full speed.
+/// Loads that read from the weight store at once.
 ///
-/// It is nowhere told; more at once only take longer in proportion.
-const FULL_SPEED_LOADS: usize = 4;
+/// It serves two to four at full speed on the users' deployments, and more only take longer in
+/// proportion, while each keeps its engine from other loads.
+const STORE_LOADS: usize = 3;
+/// Part of the listed engines that must have been heard before the weight store is used.
+const HEARD_PART: f64 = 0.75;
+/// Time in which engines are heard after a start.
+const HEAR_TIME: Duration = Duration::from_millis(500);
+/// Time by which another load must be faster than one that is under way.
+const FASTER: Duration = Duration::from_millis(1_500);
 /// A change that was asked for and is not seen after this time was lost on the way.
 const PENDING: Duration = Duration::from_millis(500);
 /// Time from an order to its execution, and from the end of a load to the first request.
@@ -159,6 +166,7 @@
 pub struct Planner {
     spec: Option<Arc<EngineSpec>>,
     engines: BTreeMap<InstanceId, EngineFacts>,
+    listed: usize,
     pending: HashMap<InstanceId, Pending>,
     arrived: HashMap<(InstanceId, ModelId), Instant>,
 }
@@ -237,6 +245,11 @@
         self.spec = Some(spec);
     }
 
+    /// Takes in how many engines are listed; not all of them have been heard after a start.
+    pub fn set_listed(&mut self, listed: usize) {
+        self.listed = listed;
+    }
+
     /// Takes in the state of an engine.
     pub fn hear(&mut self, facts: EngineFacts, now: Instant) {
         let instance = facts.instance.clone();
@@ -367,15 +380,16 @@
 
     fn serve_waiting(&mut self, outcome: &mut PlanOutcome) {
         for (model, demand) in self.waiting_models() {
-            if let Some(ready_at) = self.expected(&model) {
-                outcome.outlooks.push((model, Some(ready_at)));
-                continue;
-            }
-            if self.holders(&model) > 0 {
+            let expected = self.expected(&model);
+            if expected.is_none() && self.holders(&model) > 0 {
                 continue;
             }
-            let Some(best) = self.best_candidate(&model) else {
-                outcome.outlooks.push((model, None));
+            let is_faster = |found: &Candidate| {
+                expected.is_none_or(|ready_at| found.ready_at + FASTER < ready_at)
+            };
+            let Some(best) = self.best_candidate(&model).filter(is_faster) else {
+                let outlook = expected.or_else(|| self.first_outlook(&model));
+                outcome.outlooks.push((model, outlook));
                 continue;
             };
             outcome.outlooks.push((model.clone(), Some(best.ready_at)));
@@ -475,6 +489,22 @@
         self.candidates(model).into_iter().min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
+    /// Whether most of the listed engines have been heard.
+    fn knows_fleet(&self) -> bool {
+        self.planner.engines.len() as f64 >= self.planner.listed as f64 * HEARD_PART
+    }
+
+    /// Whether another load may read from the weight store.
+    fn may_use_store(&self) -> bool {
+        self.store_loads < STORE_LOADS && self.knows_fleet()
+    }
+
+    /// When a model can be there that an engine not heard yet has probably on its disk.
+    fn first_outlook(&self, model: &ModelId) -> Option<Instant> {
+        let spec = self.spec.model(model).filter(|_| !self.knows_fleet())?;
+        Some(self.now + HEAR_TIME + spec.disk_load)
+    }
+
     /// Engines that can load `model`: those with a copy, and the others if the weight store would
     /// be faster.
     fn candidates(&self, model: &ModelId) -> Vec<Candidate> {
@@ -487,7 +517,8 @@
             .filter_map(|engine| self.candidate(engine, spec))
             .collect();
         let first = found.iter().map(|candidate| candidate.ready_at).min();
-        if first.is_none_or(|at| at > self.now + spec.store_load) {
+        let is_slow = first.is_none_or(|at| at > self.now + spec.store_load);
+        if is_slow && self.may_use_store() {
             let others = self.planner.engines.values().filter(|engine| !engine.has_copy(model));
             found.extend(others.filter_map(|engine| self.candidate(engine, spec)));
         }
@@ -501,8 +532,7 @@
         if engine.copies_on_disk.contains(&model.id) {
             return (WeightSource::Disk, model.disk_load);
         }
-        let together = (self.store_loads + 1) as f64 / FULL_SPEED_LOADS as f64;
-        (WeightSource::Store, model.store_load.mul_f64(together.max(1.0)))
+        (WeightSource::Store, model.store_load)
     }
 
     /// When the engine can begin with another change.
--- a/crates/residency/tests/planner.rs
+++ b/crates/residency/tests/planner.rs
@@ -195,3 +195,50 @@
 
     assert_eq!(changes(&outcome), ["i-1: - +f from disk"]);
 }
+
+/// Load pattern: all processes and engines start anew. The engine that is heard first has no copy
+/// of the busiest model; others, heard a moment later, have one on disk.
+#[test]
+fn the_weight_store_is_not_used_before_most_engines_are_heard() {
+    let now = Instant::now();
+    let mut planner = planner(vec![engine("i-1", &[], &[])], now);
+    planner.set_listed(4);
+    let demand = book(vec![waiting("d", 3)], now);
+
+    let early = planner.plan(&demand, now);
+    for name in ["i-2", "i-3", "i-4"] {
+        planner.hear(engine(name, &[], &["d"]), now);
+    }
+    let later = planner.plan(&demand, now);
+
+    assert!(early.changes.is_empty(), "{:?}", changes(&early));
+    assert_eq!(changes(&later), ["i-2: - +d from disk"]);
+}
+
+#[test]
+fn a_load_from_the_weight_store_does_not_keep_a_model_from_a_faster_one() {
+    let now = Instant::now();
+    let mut slow = engine("i-1", &[], &[]);
+    slow.takes_changes = false;
+    let ready_at = now + Duration::from_secs(20);
+    slow.loading = Some(CurrentLoad { model: model("d"), ready_at, is_from_store: true });
+    let mut planner = planner(vec![slow, engine("i-2", &["a"], &["d"])], now);
+
+    let outcome = planner.plan(&book(vec![waiting("d", 3)], now), now);
+
+    assert_eq!(changes(&outcome), ["i-2: - +d from disk"]);
+    let (_, outlook) = &outcome.outlooks[0];
+    assert!(outlook.is_some_and(|at| at < now + Duration::from_secs(3)));
+}
+
+#[test]
+fn few_loads_read_from_the_weight_store_at_once() {
+    let now = Instant::now();
+    let names = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"];
+    let mut planner = planner(names.map(|name| engine(name, &[], &[])).to_vec(), now);
+    let rows = MODELS.iter().map(|name| waiting(name, 1)).collect();
+
+    let outcome = planner.plan(&book(rows, now), now);
+
+    assert_eq!(outcome.changes.len(), 3, "{:?}", changes(&outcome));
+}
