--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -150,6 +150,11 @@
 const RUNS_PER_ENGINE: f64 = 20.0;
 /// Rate from which on one engine more should hold a model than have to, in case one is lost.
 const SPARE_RATE: EventRate = EventRate(1.5);
+/// Rate from which on a model counts as busy.
+const BUSY_RATE: f64 = 1.0;
+/// What a load of a rare model costs for each request a second for busy models at the engine, in
+/// seconds: half of the short requests ask for adapters, and those wait until it has ended.
+const DISTURBANCE: f64 = 0.2;
 /// What an engine counts for that holds a model beyond those that have to, in seconds of waiting.
 const SPARE_VALUE: f64 = 0.3;
 
@@ -613,6 +618,16 @@
         })
     }
 
+    /// What it costs that the engine takes no order for an adapter while it loads `model`.
+    fn disturbance(&self, engine: &EngineFacts, model: &ModelId) -> f64 {
+        let rate = |model: &ModelId| self.book.rate(model, self.now).0;
+        if rate(model) >= BUSY_RATE {
+            return 0.0;
+        }
+        let busy = engine.residents.iter().map(|(held, _)| rate(held));
+        busy.filter(|rate| *rate >= BUSY_RATE).sum::<f64>() * DISTURBANCE
+    }
+
     /// What has to go for `model`: idle models of least worth first.
     fn make_room(&self, engine: &EngineFacts, model: &ModelSpec) -> Option<Room> {
         let mut room = Room::default();
