--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -98,7 +98,7 @@
         in_force: &mut CatalogInForce,
         since: RosterRevision,
     ) -> Result<Option<RosterRevision>, StoreError> {
-        match self.store.watch_catalog(since, self.settings.watch_wait).await? {
+        match self.store.watch_catalog(since, self.settings.watch_wait()).await? {
             WatchOutcome::HistoryGone => Ok(None),
             WatchOutcome::Changes { changes, revision } => {
                 let is_changed = !changes.is_empty();
@@ -106,7 +106,7 @@
                     self.adopt(in_force, catalog);
                 }
                 if is_changed {
-                    time::sleep(self.settings.watch_pace).await;
+                    time::sleep(self.settings.watch_pace()).await;
                 }
                 Ok(Some(revision))
             }
@@ -169,7 +169,7 @@
 
     /// A watch ends when an entry is due to expire.
     fn wait(&self, roster: &Roster, now: Instant) -> Duration {
-        let wait = self.settings.watch_wait;
+        let wait = self.settings.watch_wait();
         roster.next_expiry().map_or(wait, |at| wait.min(at.saturating_duration_since(now)))
     }
 
@@ -198,7 +198,7 @@
                     changes.into_iter().filter_map(|change| roster.apply(change, now)).collect();
                 self.tell(roster, news, revision);
                 if is_changed {
-                    time::sleep(self.settings.watch_pace).await;
+                    time::sleep(self.settings.watch_pace()).await;
                 }
                 Ok(Some(revision))
             }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -45,10 +45,27 @@
     pub address: SocketAddr,
     /// Longest wait for an answer; a watch takes its own wait on top.
     pub call_timeout: Duration,
-    /// Longest wait of a watch. A connection that went silent is noticed after both.
-    pub watch_wait: Duration,
-    /// Least time between two calls of a watch, so that changes are gathered.
-    pub watch_pace: Duration,
+    /// Time within which a change in the store must be known here.
+    pub known_within: Duration,
+}
+
+/// Part of the time within which changes must be known for which a watch waits. A connection that
+/// went silent is noticed after this and the call's own time.
+const WAIT_PART: f64 = 0.6;
+/// Part of that time between two calls of a watch, so that changes are gathered: each call is
+/// priced, and models come and go all the time.
+const PACE_PART: f64 = 0.45;
+
+impl StoreSettings {
+    /// Longest wait of a watch.
+    pub fn watch_wait(&self) -> Duration {
+        self.known_within.mul_f64(WAIT_PART)
+    }
+
+    /// Least time between two calls of a watch that brought changes.
+    pub fn watch_pace(&self) -> Duration {
+        self.known_within.mul_f64(PACE_PART)
+    }
 }
 
 /// Limits of requests and of a planned stop.
@@ -75,11 +92,6 @@
 
 /// Answers of the store take milliseconds, and 60 times as long on bad days.
 const DEFAULT_CALL_TIMEOUT: TimeSpan = TimeSpan(Duration::from_millis(700));
-/// A leaving backend server must be known within two seconds of its word in the store.
-const DEFAULT_WATCH_WAIT: TimeSpan = TimeSpan(Duration::from_millis(1_500));
-/// Changes of residency come in quick succession and are also told by side processes.
-const DEFAULT_WATCH_PACE: TimeSpan = TimeSpan(Duration::from_millis(400));
-
 fn read_identity(section: &mut SectionReader<'_>) -> Option<IdentitySettings> {
     let vm = section.required("vm", "the name of this VM");
     let zone = section.required("zone", "the name of this availability zone");
@@ -99,9 +111,12 @@
 fn read_store(section: &mut SectionReader<'_>) -> Option<StoreSettings> {
     let address = section.required("address", ADDRESS);
     let call_timeout = section.optional("call-timeout", SPAN, DEFAULT_CALL_TIMEOUT).0;
-    let watch_wait = section.optional("watch-wait", SPAN, DEFAULT_WATCH_WAIT).0;
-    let watch_pace = section.optional("watch-pace", SPAN, DEFAULT_WATCH_PACE).0;
-    Some(StoreSettings { address: address?, call_timeout, watch_wait, watch_pace })
+    let known_within = section.values::<TimeSpan>("known-within", SPAN);
+    let Some(shortest) = known_within.into_iter().min() else {
+        section.fault(0, "known-within", SPAN);
+        return None;
+    };
+    Some(StoreSettings { address: address?, call_timeout, known_within: shortest.0 })
 }
 
 fn read_limits(section: &mut SectionReader<'_>) -> Option<GatewayLimits> {
--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -606,7 +606,10 @@
         let occupied = ORDER_TIME + room.wait + load_time;
         let ready_at = free_at + occupied;
         let wait = ready_at.saturating_duration_since(self.now);
-        let cost = wait.as_secs_f64() + self.pressure * occupied.as_secs_f64() + room.loss;
+        let cost = wait.as_secs_f64()
+            + self.pressure * occupied.as_secs_f64()
+            + room.loss
+            + self.disturbance(engine, &model.id);
         Some(Candidate {
             instance: engine.instance.clone(),
             unload: room.unload,
