--- a/crates/residency/tests/planner.rs
+++ b/crates/residency/tests/planner.rs
@@ -268,3 +268,21 @@
     };
     assert!(dropping(&first) + dropping(&second) <= 1, "{:?}", changes(&first));
 }
+
+/// Load pattern: half of the short requests ask for adapters of busy models, and an engine takes no
+/// order for an adapter while it loads a rare model.
+#[test]
+fn a_rare_model_is_loaded_away_from_busy_ones() {
+    let now = Instant::now();
+    let engines =
+        vec![engine("i-1", &["f", "a", "b"], &["d"]), engine("i-2", &["c", "g", "h"], &["d"])];
+    let mut planner = planner(engines, now);
+    let busy = |arrivals| DemandRow { arrivals, ..running("f", "i-1") };
+    let mut demand = book(vec![busy(1)], now - Duration::from_secs(1));
+    let rows = vec![busy(20), waiting("d", 1)];
+    demand.tell("entry-1".parse().expect("a valid name"), rows, now);
+
+    let outcome = planner.plan(&demand, now);
+
+    assert!(changes(&outcome)[0].starts_with("i-2"), "{:?}", changes(&outcome));
+}
