--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -297,7 +297,7 @@
             }
             Some(DatagramBody::RunAsk(ask)) => self.take_ask(source, datagram.incarnation, &ask),
             Some(DatagramBody::RunEnd(end)) => self.take_end(source, datagram.incarnation, end),
-            Some(DatagramBody::ChangeWanted(wanted)) => self.want_change(wanted),
+            Some(DatagramBody::ChangeWanted(wanted)) => self.want_change(&wanted),
             _ => {}
         }
     }
@@ -337,7 +337,7 @@
         telling.tell_load(&self.socket, keeper, gate);
     }
 
-    fn want_change(&self, wanted: ChangeWanted) {
+    fn want_change(&self, wanted: &ChangeWanted) {
         match read_change(wanted) {
             Some(change) => self.step(|keeper, now| keeper.want_change(change, now)),
             None => log::warn!("agent: a wanted change has a bad name"),
@@ -360,7 +360,7 @@
     Some((ask.instance.parse().ok()?, prompt))
 }
 
-fn read_change(wanted: ChangeWanted) -> Option<WantedChange> {
+fn read_change(wanted: &ChangeWanted) -> Option<WantedChange> {
     let unload = wanted.unload.iter().map(|model| model.parse().ok()).collect::<Option<_>>()?;
     let load = match wanted.load.as_str() {
         "" => None,
@@ -379,7 +379,7 @@
 
 async fn render(mut request: Request) -> viz::Result<Response> {
     let State(agent) = request.extract::<State<Agent>>().await?;
-    let dropped = i64::try_from(agent.log.dropped()).unwrap_or(i64::MAX);
+    let dropped = i64::try_from(agent.log.dropped_lines()).unwrap_or(i64::MAX);
     agent.metrics.dropped_lines.set(dropped);
     Ok(Response::text(agent.metrics.render()))
 }
--- a/crates/connections/src/connect.rs
+++ b/crates/connections/src/connect.rs
@@ -37,11 +37,11 @@
 pub type Result<T, E = SendError> = std::result::Result<T, E>;
 
 impl SendError {
-    fn not_sent(reason: impl ToString) -> Self {
+    fn not_sent(reason: &(impl ToString + ?Sized)) -> Self {
         SendError::NotSent { reason: reason.to_string() }
     }
 
-    fn no_answer(reason: impl ToString) -> Self {
+    fn no_answer(reason: &(impl ToString + ?Sized)) -> Self {
         SendError::NoAnswer { reason: reason.to_string() }
     }
 
@@ -89,13 +89,13 @@
         let stream = time::timeout(settings.connect_timeout, opening)
             .await
             .map_err(|_| SendError::not_sent("the connection was not accepted in time"))?
-            .map_err(SendError::not_sent)?;
+            .map_err(|error| SendError::not_sent(&error))?;
         let buffer = usize::try_from(settings.read_buffer.0).unwrap_or(usize::MAX);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(buffer)
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(SendError::not_sent)?;
+            .map_err(|error| SendError::not_sent(&error))?;
         let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("connections: the connection to {address} ended: {error}");
@@ -135,8 +135,8 @@
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut failure) => match failure.take_message() {
-                Some(_) => Err(SendError::not_sent(failure.into_error())),
-                None => Err(SendError::no_answer(failure.into_error())),
+                Some(_) => Err(SendError::not_sent(&failure.into_error())),
+                None => Err(SendError::no_answer(&failure.into_error())),
             },
         }
     }
--- a/crates/events/src/sink.rs
+++ b/crates/events/src/sink.rs
@@ -39,7 +39,7 @@
     lines: Vec<u8>,
     number: u64,
     dropped: u64,
-    dropped_total: u64,
+    dropped_ever: u64,
     tokens: f64,
     filled: Instant,
     is_closed: bool,
@@ -95,7 +95,7 @@
         state.number += 1;
         if !self.admit(&mut state) {
             state.dropped += 1;
-            state.dropped_total += 1;
+            state.dropped_ever += 1;
             return;
         }
         let was_empty = state.lines.is_empty();
@@ -181,7 +181,7 @@
             lines: Vec::new(),
             number: 0,
             dropped: 0,
-            dropped_total: 0,
+            dropped_ever: 0,
             tokens: limits.burst.into(),
             filled: Instant::now(),
             is_closed: false,
@@ -213,8 +213,8 @@
     }
 
     /// Lines dropped so far.
-    pub fn dropped(&self) -> u64 {
-        self.sink.lock().dropped_total
+    pub fn dropped_lines(&self) -> u64 {
+        self.sink.lock().dropped_ever
     }
 
     /// Ends the log; the thread ends once all lines are written.
@@ -239,7 +239,7 @@
 fn write_lines(sink: &Sink, mut output: impl Write) {
     while let Some(lines) = sink.take() {
         if output.write_all(&lines).and_then(|()| output.flush()).is_err() {
-            sink.lock().dropped_total += 1;
+            sink.lock().dropped_ever += 1;
         }
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -55,7 +55,7 @@
 }
 
 impl FailedAttempt {
-    fn new(failure: AttemptFailure, reason: impl ToString) -> Self {
+    fn new(failure: AttemptFailure, reason: &(impl ToString + ?Sized)) -> Self {
         Self { failure, reason: reason.to_string(), answer: None }
     }
 }
@@ -195,7 +195,7 @@
         StatusCode::MISDIRECTED_REQUEST => {
             FailedAttempt::new(AttemptFailure::Misdirected, "not held there")
         }
-        _ => FailedAttempt::new(AttemptFailure::Full, format!("refused with {}", status.as_u16())),
+        _ => FailedAttempt::new(AttemptFailure::Full, &format!("refused with {}", status.as_u16())),
     }
 }
 
@@ -233,6 +233,6 @@
             body.finish();
             Ok(WholeAnswer { status, headers, body: bytes })
         }
-        Err(error) => Err(FailedAttempt::new(AttemptFailure::Lost, error)),
+        Err(error) => Err(FailedAttempt::new(AttemptFailure::Lost, &error)),
     }
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -51,7 +51,7 @@
     let guard = CallGuard::new(&gateway, story);
     match admit(&gateway, request, head, &guard.story).await {
         Ok(admitted) => run(&gateway, admitted, guard).await,
-        Err(refused) => guard.refuse(refused),
+        Err(refused) => guard.refuse(&refused),
     }
 }
 
@@ -68,9 +68,9 @@
         Self { gateway: Arc::clone(gateway), story, is_open: true }
     }
 
-    fn refuse(mut self, refused: Refused) -> Response<AnswerBody> {
+    fn refuse(mut self, refused: &Refused) -> Response<AnswerBody> {
         self.is_open = false;
-        let response = refusal_response(&self.story, &refused);
+        let response = refusal_response(&self.story, refused);
         self.story.refuse(&refused.refusal, response.status().as_u16());
         response
     }
@@ -190,7 +190,7 @@
         verdict = match verdict {
             Verdict::Refuse(refusal) => {
                 ticket.finish(false);
-                return guard.refuse(Refused { refusal, answer: last_answer });
+                return guard.refuse(&Refused { refusal, answer: last_answer });
             }
             Verdict::Wait(reason, expected) => {
                 guard.story.wait(reason, expected);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -285,7 +285,7 @@
             Some(DatagramBody::EngineState(state)) => self.take_state(&state),
             Some(DatagramBody::EngineLoad(load)) => self.take_load(source, load),
             Some(DatagramBody::LoadDemand(demand)) => {
-                let rows = demand.models.into_iter().filter_map(read_row).collect();
+                let rows = demand.models.iter().filter_map(read_row).collect();
                 self.lock().demand.tell(vm, rows, Instant::now());
                 self.news.notify_one();
             }
@@ -618,7 +618,7 @@
     }
 }
 
-fn read_row(row: ModelDemand) -> Option<DemandRow> {
+fn read_row(row: &ModelDemand) -> Option<DemandRow> {
     let runs = row.runs.iter().filter_map(|runs| Some((runs.instance.parse().ok()?, runs.runs)));
     Some(DemandRow {
         model: Some(row.model.parse().ok()?),
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -147,7 +147,7 @@
         loop {
             let now = Instant::now();
             let expired = roster.expire(now);
-            self.tell(&roster, expired, since.unwrap_or_default());
+            self.tell(&roster, &expired, since.unwrap_or_default());
             let wait = self.wait(&roster, now);
             let step = match since {
                 None => self.list(&mut roster).await,
@@ -178,7 +178,7 @@
         let now = Instant::now();
         roster.regain_store(now);
         let news = roster.replace(servers, now);
-        self.tell(roster, news, revision);
+        self.tell(roster, &news, revision);
         Ok(Some(revision))
     }
 
@@ -194,9 +194,9 @@
                 let now = Instant::now();
                 roster.regain_store(now);
                 let is_changed = !changes.is_empty();
-                let news =
+                let news: Vec<RosterNews> =
                     changes.into_iter().filter_map(|change| roster.apply(change, now)).collect();
-                self.tell(roster, news, revision);
+                self.tell(roster, &news, revision);
                 if is_changed {
                     time::sleep(self.settings.watch_pace()).await;
                 }
@@ -205,15 +205,15 @@
         }
     }
 
-    fn tell(&self, roster: &Roster, news: Vec<RosterNews>, revision: RosterRevision) {
+    fn tell(&self, roster: &Roster, news: &[RosterNews], revision: RosterRevision) {
         if news.is_empty() {
             return;
         }
-        for item in &news {
+        for item in news {
             self.record(item, revision);
         }
         self.backends.step(|desk, now| {
-            for item in &news {
+            for item in news {
                 match item {
                     RosterNews::Joined(id) | RosterNews::Changed(id) | RosterNews::Draining(id) => {
                         if let Some((server, _)) = roster.get(id) {
@@ -226,7 +226,7 @@
             }
             desk.review(now);
         });
-        for item in &news {
+        for item in news {
             if let RosterNews::Draining(id) | RosterNews::Gone(id) = item {
                 self.fleet.forget_engine(id);
             }
--- a/crates/gateway/src/ops.rs
+++ b/crates/gateway/src/ops.rs
@@ -23,7 +23,7 @@
 
 async fn metrics(mut request: Request) -> viz::Result<Response> {
     let gateway = gateway_of(&mut request).await?;
-    let dropped = i64::try_from(gateway.log.dropped()).unwrap_or(i64::MAX);
+    let dropped = i64::try_from(gateway.log.dropped_lines()).unwrap_or(i64::MAX);
     gateway.metrics.dropped_lines.set(dropped);
     Ok(Response::text(gateway.metrics.render()))
 }
