fescuewalk explain tells the story of one request from the logs of the processes

Lines of one process go by their numbers, lines of different ones by what caused what. Refusals name the expected load that decided them and the age of that knowledge; orders name their engine.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -204,6 +204,7 @@
         let answer = self.engine.order(&order).await;
         self.metrics.count_order(answer);
         self.log.record(&DecisionEvent::OrderGiven {
+            server: &order.instance,
             action: &order.action,
             orders: order.expected,
             answer,
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -90,17 +90,24 @@
     pub retry_after: Option<Duration>,
     /// What decided it.
     pub reason: &'static str,
+    /// What was known of the load of its model, where that decided.
+    pub outlook: Option<LoadOutlook>,
 }
 
 impl Refusal {
     /// A refusal that says nothing about when to come back.
     pub fn new(code: ResultCode, reason: &'static str) -> Self {
-        Self { code, retry_after: None, reason }
+        Self { code, retry_after: None, reason, outlook: None }
+    }
+
+    /// The same refusal with what was known of the load of its model.
+    pub fn because_of(self, outlook: LoadOutlook) -> Self {
+        Self { outlook: Some(outlook), ..self }
     }
 
     /// A refusal that names when to come back.
     pub fn until(code: ResultCode, retry_after: Duration, reason: &'static str) -> Self {
-        Self { code, retry_after: Some(retry_after), reason }
+        Self { code, retry_after: Some(retry_after), reason, outlook: None }
     }
 }
 
@@ -478,7 +485,7 @@
     fn truthful(&self, key: u64, refusal: Refusal) -> Refusal {
         let has_run = self.calls.get(&key).is_some_and(|call| call.ran > 0);
         match has_run && refusal.code.run_state() == RunState::NotRun {
-            true => Refusal::new(ResultCode::BackendLost, refusal.reason),
+            true => Refusal { code: ResultCode::BackendLost, retry_after: None, ..refusal },
             false => refusal,
         }
     }
--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -115,12 +115,14 @@
     };
     let Some(ready_at) = outlook.ready_at else {
         let reason = "the model will not be loaded in time";
-        return Err(Refusal::until(ResultCode::DeadlineUnmeetable, UNKNOWN_RETURN, reason));
+        let refusal = Refusal::until(ResultCode::DeadlineUnmeetable, UNKNOWN_RETURN, reason);
+        return Err(refusal.because_of(outlook));
     };
     if ready_at + FIRST_EVENT > ask.first_by {
         let wait = ready_at.saturating_duration_since(now);
         let reason = "the model will be loaded too late";
-        return Err(Refusal::until(ResultCode::DeadlineUnmeetable, wait, reason));
+        let refusal = Refusal::until(ResultCode::DeadlineUnmeetable, wait, reason);
+        return Err(refusal.because_of(outlook));
     }
     Ok(Some(ready_at))
 }
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -194,6 +194,10 @@
         reason: &'a str,
         /// When the caller may come back.
         retry_after_ms: Option<u64>,
+        /// When its model was expected to be loaded; none if that did not matter.
+        expected_ms: Option<u64>,
+        /// Age of that knowledge.
+        expected_age_ms: Option<u64>,
         /// How long the request was here.
         held_ms: u64,
         /// Backend servers that it was sent to.
@@ -278,6 +282,9 @@
     },
     /// A side process gave its engine an order.
     OrderGiven {
+        /// Engine.
+        #[serde(serialize_with = "text")]
+        server: &'a InstanceId,
         /// Order.
         #[serde(serialize_with = "text")]
         action: &'a OrderAction,
--- a/crates/fescuewalk/src/cmd.rs
+++ b/crates/fescuewalk/src/cmd.rs
@@ -6,6 +6,7 @@
 pub mod check;
 pub mod diff;
 pub mod entry;
+pub mod explain;
 pub mod gateway;
 pub mod quarantine;
 pub mod standin;
--- a/crates/fescuewalk/src/main.rs
+++ b/crates/fescuewalk/src/main.rs
@@ -25,6 +25,7 @@
         .subcommand(cmd::check::command())
         .subcommand(cmd::diff::command())
         .subcommand(cmd::entry::command())
+        .subcommand(cmd::explain::command())
         .subcommand(cmd::gateway::command())
         .subcommand(cmd::quarantine::command())
         .subcommand(cmd::standin::command())
@@ -40,6 +41,7 @@
         Some(("check", args)) => cmd::check::run(args),
         Some(("diff", args)) => cmd::diff::run(args),
         Some(("entry", args)) => cmd::entry::run(args),
+        Some(("explain", args)) => cmd::explain::run(args),
         Some(("gateway", args)) => cmd::gateway::run(args),
         Some(("quarantine", args)) => cmd::quarantine::run(args),
         Some(("standin", args)) => cmd::standin::run(args),
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -80,12 +80,17 @@
     /// The request is refused or given up.
     pub fn refuse(&self, refusal: &Refusal, status: u16) {
         self.metrics.count(refusal.code);
+        let now = Instant::now();
+        let ready_at = refusal.outlook.and_then(|outlook| outlook.ready_at);
+        let expected = ready_at.map(|at| at.saturating_duration_since(now));
         self.log.record(&DecisionEvent::CallRefused {
             call: &self.call,
             code: refusal.code.number(),
             status,
             reason: refusal.reason,
             retry_after_ms: refusal.retry_after.map(millis),
+            expected_ms: expected.map(millis),
+            expected_age_ms: refusal.outlook.map(|outlook| millis(outlook.told.elapsed())),
             held_ms: millis(self.held()),
             attempts: self.attempts,
         });
--- /dev/null
+++ b/crates/report/src/explain/story.rs
@@ -0,0 +1,135 @@
+//! The story of one request.
+
+use std::{collections::BTreeSet, fmt};
+
+use super::{
+    line::{LogLine, LogText},
+    order::by_cause,
+};
+
+/// Time before a request within which plans and loads are shown, in milliseconds.
+const BEFORE_MS: u64 = 10_000;
+/// Time after it, in milliseconds.
+const AFTER_MS: u64 = 1_000;
+
+/// One request with the beliefs that decided about it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CallStory {
+    /// The caller's name for the try.
+    pub call: String,
+    /// Lines about the request.
+    pub own: Vec<LogLine>,
+    /// All lines of the story, causes first.
+    pub lines: Vec<LogLine>,
+    /// What became of the request; empty if the logs do not tell.
+    pub outcome: String,
+}
+
+/// Tells the story of `call`; `None` if no log names it.
+pub fn explain(logs: &LogText, call: &str) -> Option<CallStory> {
+    let own: Vec<LogLine> =
+        logs.lines.iter().filter(|line| line.text("call") == call).cloned().collect();
+    let first = own.iter().map(|line| line.at_ms).min()?;
+    let last = own.iter().map(|line| line.at_ms).max()?;
+    let mut places: BTreeSet<usize> = own.iter().map(|line| line.place).collect();
+    let target = own.iter().map(|line| line.text("target")).find(|target| !target.is_empty());
+    if let Some(target) = target {
+        let model = target.split('/').next().unwrap_or(target);
+        let span = first.saturating_sub(BEFORE_MS)..last + AFTER_MS;
+        let about = logs.lines.iter().filter(|line| span.contains(&line.at_ms));
+        places.extend(about.filter(|line| is_about(line, model)).map(|line| line.place));
+    }
+    for line in own.iter().filter(|line| !line.text("server").is_empty()) {
+        places.extend(beliefs(logs, line));
+    }
+    places.extend(own.first().into_iter().flat_map(|line| outages(logs, line)));
+    let lines: Vec<LogLine> =
+        logs.lines.iter().filter(|line| places.contains(&line.place)).cloned().collect();
+    let outcome = outcome(&own);
+    Some(CallStory { call: call.to_owned(), own, lines: by_cause(&lines), outcome })
+}
+
+/// Whether a line tells of plans, orders or loads of `model`.
+fn is_about(line: &LogLine, model: &str) -> bool {
+    let names = |text: &str| text.split([' ', '/', '(']).any(|word| word == model);
+    match line.event.as_str() {
+        "change-planned" => names(line.text("load")) || names(line.text("unload")),
+        "change-declined" => names(line.text("load")),
+        "order-given" => names(line.text("action")),
+        _ => false,
+    }
+}
+
+/// What the process last believed of the backend server that `line` names.
+fn beliefs(logs: &LogText, line: &LogLine) -> Option<usize> {
+    let server = line.text("server");
+    let earlier = logs
+        .lines
+        .iter()
+        .filter(|other| other.vm == line.vm && other.run == line.run && other.n < line.n);
+    earlier
+        .filter(|other| other.event == "server-changed" && other.text("server") == server)
+        .next_back()
+        .map(|other| other.place)
+}
+
+/// Outages that the process knew of when it wrote `line`.
+fn outages(logs: &LogText, line: &LogLine) -> Vec<usize> {
+    let mut open: Vec<(&str, usize)> = Vec::new();
+    let earlier = logs
+        .lines
+        .iter()
+        .filter(|other| other.vm == line.vm && other.run == line.run && other.n < line.n);
+    for other in earlier {
+        let dependency = other.text("dependency");
+        match other.event.as_str() {
+            "dependency-lost" => open.push((dependency, other.place)),
+            "dependency-regained" => open.retain(|(lost, _)| *lost != dependency),
+            _ => {}
+        }
+    }
+    open.into_iter().map(|(_, place)| place).collect()
+}
+
+fn outcome(own: &[LogLine]) -> String {
+    let ends = ["call-answered", "call-refused", "answer-broken", "caller-left"];
+    let last = own.iter().rfind(|line| ends.contains(&line.event.as_str()));
+    let Some(line) = last else {
+        return "the logs do not tell its end: its process may have died".to_owned();
+    };
+    let number = |name: &str| line.number(name).unwrap_or_default();
+    match line.event.as_str() {
+        "call-answered" => format!(
+            "answered with {} after {} ms, the first byte after {} ms, the longest pause {} ms",
+            number("status"),
+            number("total_ms"),
+            number("first_ms"),
+            number("pause_ms")
+        ),
+        "call-refused" => format!(
+            "refused with code {} after {} ms: {}",
+            number("code"),
+            number("held_ms"),
+            line.text("reason")
+        ),
+        "answer-broken" => {
+            format!("broken off by {}: {}", line.text("server"), line.text("reason"))
+        }
+        _ => format!("its caller left after {} ms", number("held_ms")),
+    }
+}
+
+impl fmt::Display for CallStory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "request {}: {}", self.call, self.outcome)?;
+        let own: BTreeSet<usize> = self.own.iter().map(|line| line.place).collect();
+        let start = self.own.first().map_or(0, |line| line.at_ms);
+        for line in &self.lines {
+            let mark = if own.contains(&line.place) { '*' } else { ' ' };
+            let offset = line.at_ms as i128 - i128::from(start);
+            let (event, details) = (&line.event, line.details());
+            writeln!(f, "{mark} {offset:>7} ms  {}#{}  {event}  {details}", line.vm, line.n)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod account;
 pub mod burn;
+pub mod explain;
 pub mod html;
 pub mod outcome;
 pub mod plot;
