--- a/crates/report/src/explain/story.rs
+++ b/crates/report/src/explain/story.rs
@@ -63,23 +63,21 @@
 /// What the process last believed of the backend server that `line` names.
 fn beliefs(logs: &LogText, line: &LogLine) -> Option<usize> {
     let server = line.text("server");
-    let earlier = logs
-        .lines
-        .iter()
-        .filter(|other| other.vm == line.vm && other.run == line.run && other.n < line.n);
-    earlier
-        .filter(|other| other.event == "server-changed" && other.text("server") == server)
-        .next_back()
-        .map(|other| other.place)
+    let mut earlier = logs.lines.iter().filter(|other| is_earlier(other, line));
+    let last =
+        earlier.rfind(|other| other.event == "server-changed" && other.text("server") == server);
+    last.map(|other| other.place)
+}
+
+/// Whether the same run of the same process wrote `other` before `line`.
+fn is_earlier(other: &LogLine, line: &LogLine) -> bool {
+    other.vm == line.vm && other.run == line.run && other.n < line.n
 }
 
 /// Outages that the process knew of when it wrote `line`.
 fn outages(logs: &LogText, line: &LogLine) -> Vec<usize> {
     let mut open: Vec<(&str, usize)> = Vec::new();
-    let earlier = logs
-        .lines
-        .iter()
-        .filter(|other| other.vm == line.vm && other.run == line.run && other.n < line.n);
+    let earlier = logs.lines.iter().filter(|other| is_earlier(other, line));
     for other in earlier {
         let dependency = other.text("dependency");
         match other.event.as_str() {
