--- /dev/null
+++ b/crates/events/tests/log.rs
@@ -0,0 +1,135 @@
+//! The log of decisions under load.
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Condvar, Mutex},
+};
+
+use base::prelude::*;
+use dispatch::CallId;
+use events::{DecisionEvent, EventLog, LogLimits};
+use serde_json::Value;
+
+/// An output that keeps what is written, and can be held up.
+#[derive(Clone, Default)]
+struct Output {
+    state: Arc<(Mutex<(Vec<u8>, bool)>, Condvar)>,
+}
+
+impl Output {
+    fn hold_up(&self, is_held: bool) {
+        self.state.0.lock().expect("no holder panics").1 = is_held;
+        self.state.1.notify_all();
+    }
+
+    fn lines(&self) -> Vec<Value> {
+        let bytes = self.state.0.lock().expect("no holder panics").0.clone();
+        let text = String::from_utf8(bytes).expect("the log is text");
+        text.lines().map(|line| serde_json::from_str(line).expect("each line is JSON")).collect()
+    }
+}
+
+impl Write for Output {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let (lock, changed) = &*self.state;
+        let mut state = changed
+            .wait_while(lock.lock().expect("no holder panics"), |state| state.1)
+            .expect("no holder panics");
+        state.0.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn vm() -> VmId {
+    "entry-1".parse().expect("a valid name")
+}
+
+fn left(call: &CallId, held_ms: u64) -> DecisionEvent<'_> {
+    DecisionEvent::CallerLeft { call, held_ms }
+}
+
+#[test]
+fn each_event_is_one_line_with_a_number_and_a_time() {
+    let output = Output::default();
+    let (log, thread) = EventLog::start(&vm(), LogLimits::default(), output.clone());
+    let call = CallId("c-1".to_owned());
+
+    log.record(&left(&call, 7));
+    log.record(&left(&call, 8));
+    log.close();
+    thread.join().expect("the writer ends");
+
+    let lines = output.lines();
+    assert_eq!(lines.len(), 2);
+    assert_eq!((lines[0]["n"].as_u64(), lines[1]["n"].as_u64()), (Some(1), Some(2)));
+    assert_eq!(lines[0]["event"], "caller-left");
+    assert_eq!(lines[0]["call"], "c-1");
+    assert_eq!(lines[0]["vm"], "entry-1");
+    assert!(lines[0]["at_ms"].as_u64().is_some_and(|at| at > 0));
+}
+
+#[test]
+fn lines_beyond_the_burst_are_dropped_and_counted() {
+    let output = Output::default();
+    let limits = LogLimits { rate: EventRate(0.0), burst: 10, buffer: ByteSize::mib(1) };
+    let (log, thread) = EventLog::start(&vm(), limits, output.clone());
+    let call = CallId("c-1".to_owned());
+
+    for number in 0..100 {
+        log.record(&left(&call, number));
+    }
+    log.close();
+    thread.join().expect("the writer ends");
+
+    assert_eq!(output.lines().len(), 10);
+    assert_eq!(log.dropped_lines(), 90);
+}
+
+#[test]
+fn a_line_tells_how_many_were_dropped_before_it() {
+    let output = Output::default();
+    output.hold_up(true);
+    let limits = LogLimits { rate: EventRate(1e6), burst: 1_000_000, buffer: ByteSize(2_000) };
+    let (log, thread) = EventLog::start(&vm(), limits, output.clone());
+    let call = CallId("c-1".to_owned());
+    for number in 0..200 {
+        log.record(&left(&call, number));
+    }
+    let dropped = log.dropped_lines();
+
+    output.hold_up(false);
+    while output.lines().is_empty() {
+        std::thread::yield_now();
+    }
+    log.record(&left(&call, 999));
+    log.close();
+    thread.join().expect("the writer ends");
+
+    let lines = output.lines();
+    let notes: Vec<&Value> = lines.iter().filter(|line| line["event"] == "lines-dropped").collect();
+    assert!(dropped > 0);
+    assert_eq!(notes.len(), 1, "{lines:?}");
+    assert_eq!(notes[0]["lines"].as_u64(), Some(dropped));
+}
+
+#[test]
+fn an_output_that_takes_nothing_holds_up_nobody() {
+    let output = Output::default();
+    output.hold_up(true);
+    let limits = LogLimits { buffer: ByteSize(10_000), ..LogLimits::default() };
+    let (log, thread) = EventLog::start(&vm(), limits, output.clone());
+    let call = CallId("c-1".to_owned());
+
+    for number in 0..10_000 {
+        log.record(&left(&call, number));
+    }
+
+    assert!(log.dropped_lines() > 9_000);
+    output.hold_up(false);
+    log.close();
+    thread.join().expect("the writer ends");
+}
--- /dev/null
+++ b/crates/fescuewalk/tests/gateway.rs
@@ -0,0 +1,74 @@
+//! `fescuewalk gateway` and `fescuewalk explain` on the command line.
+
+mod support;
+
+use std::path::Path;
+
+use rstest::rstest;
+use support::{
+    WorkDir,
+    desk::{stderr, stdout},
+    run,
+};
+
+fn example(name: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name);
+    std::fs::read_to_string(path).expect("the example is there")
+}
+
+fn check(text: &str) -> std::process::Output {
+    let dir = WorkDir::new("gateway");
+    let path = dir.write("gateway.ini", text);
+    run(&["gateway", "--check", path.to_str().expect("a path of this test")])
+}
+
+#[rstest]
+#[case("slatina/gateway.ini")]
+#[case("toy-desk/gateway.ini")]
+fn the_examples_have_no_faults(#[case] name: &str) {
+    let output = check(&example(name));
+
+    assert!(output.status.success(), "{}", stderr(&output));
+}
+
+#[test]
+fn every_fault_is_named_with_its_line() {
+    let text = example("slatina/gateway.ini")
+        .replace("grace = 8s", "grace = soon")
+        .replace("ready = 10.1.0.38:8141\n", "");
+
+    let output = check(&text);
+
+    assert_eq!(output.status.code(), Some(3));
+    let errors = stderr(&output);
+    assert!(errors.contains("gateway.ini:7: [listen] ready"), "{errors}");
+    assert!(errors.contains("[limits] grace"), "{errors}");
+}
+
+#[test]
+fn settings_that_nobody_names_are_asked_for() {
+    let output = run(&["gateway", "--check"]);
+
+    assert_eq!(output.status.code(), Some(2));
+    assert!(stderr(&output).contains("FESCUEWALK_SETTINGS"));
+}
+
+const LOG: &str = r#"{"at_ms":2000,"vm":"entry-1","n":4,"event":"call-received","call":"c-1","target":null}
+{"at_ms":2009,"vm":"entry-1","n":5,"event":"call-refused","call":"c-1","code":1011,"status":503,"held_ms":9,"reason":"no backend server can be reached"}
+{"at_ms":2010,"vm":"ent"#;
+
+#[test]
+fn a_request_is_explained_from_its_log() {
+    let dir = WorkDir::new("explain");
+    let log = dir.write("entry-1.log", LOG);
+    let log = log.to_str().expect("a path of this test");
+
+    let found = run(&["explain", "c-1", log]);
+    let missing = run(&["explain", "c-2", log]);
+
+    assert!(found.status.success());
+    let text = stdout(&found);
+    assert!(text.starts_with("request c-1: refused with code 1011 after 9 ms"), "{text}");
+    assert!(stderr(&found).contains("1 torn lines"), "{}", stderr(&found));
+    assert_eq!(missing.status.code(), Some(1));
+}
