--- a/crates/events/tests/log.rs
+++ b/crates/events/tests/log.rs
@@ -10,32 +10,43 @@
 use events::{DecisionEvent, EventLog, LogLimits};
 use serde_json::Value;
 
+#[derive(Default)]
+struct OutputState {
+    bytes: Mutex<OutputBytes>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct OutputBytes {
+    written: Vec<u8>,
+    is_held: bool,
+}
+
 /// An output that keeps what is written, and can be held up.
 #[derive(Clone, Default)]
 struct Output {
-    state: Arc<(Mutex<(Vec<u8>, bool)>, Condvar)>,
+    state: Arc<OutputState>,
 }
 
 impl Output {
     fn hold_up(&self, is_held: bool) {
-        self.state.0.lock().expect("no holder panics").1 = is_held;
-        self.state.1.notify_all();
+        self.state.bytes.lock().expect("no holder panics").is_held = is_held;
+        self.state.changed.notify_all();
     }
 
     fn lines(&self) -> Vec<Value> {
-        let bytes = self.state.0.lock().expect("no holder panics").0.clone();
-        let text = String::from_utf8(bytes).expect("the log is text");
+        let written = self.state.bytes.lock().expect("no holder panics").written.clone();
+        let text = String::from_utf8(written).expect("the log is text");
         text.lines().map(|line| serde_json::from_str(line).expect("each line is JSON")).collect()
     }
 }
 
 impl Write for Output {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let (lock, changed) = &*self.state;
-        let mut state = changed
-            .wait_while(lock.lock().expect("no holder panics"), |state| state.1)
-            .expect("no holder panics");
-        state.0.extend_from_slice(bytes);
+        let state = self.state.bytes.lock().expect("no holder panics");
+        let mut state =
+            self.state.changed.wait_while(state, |state| state.is_held).expect("no holder panics");
+        state.written.extend_from_slice(bytes);
         Ok(bytes.len())
     }
 
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -15,8 +15,9 @@
 };
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::{
-    io::{AsyncBufReadExt, BufReader},
-    process::{Child, Command},
+    fs::OpenOptions,
+    io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines},
+    process::{Child, ChildStdout, Command},
     time,
 };
 
@@ -97,12 +98,29 @@
         let mut lines = BufReader::new(stdout).lines();
         let line = time::timeout(START_TIMEOUT, lines.next_line()).await;
         let line = line.ok().and_then(Result::ok).flatten().context(NoAddressSnafu { name })?;
-        tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+        let output = self.directory.join(format!("{name}.out"));
+        tokio::spawn(keep_lines(line.clone(), lines, output));
         let addresses = read_addresses(&line);
         Ok(ManagedProcess { name: name.clone(), child, addresses, is_frozen: false })
     }
 }
 
+/// Keeps what a process writes to its standard output beside its log.
+async fn keep_lines(first: String, mut lines: Lines<BufReader<ChildStdout>>, path: PathBuf) {
+    let Ok(mut file) = OpenOptions::new().create(true).append(true).open(path).await else {
+        return;
+    };
+    let mut next = Some(first);
+    while let Some(line) = next {
+        if file.write_all(format!("{line}\n").as_bytes()).await.is_err() {
+            return;
+        }
+        next = lines.next_line().await.ok().flatten();
+    }
+    // The test that reads the file waits for the end of the process.
+    let _ = file.flush().await;
+}
+
 fn read_addresses(line: &str) -> Vec<NamedAddress> {
     let words = line.split_whitespace().collect::<Vec<_>>();
     let pairs = words.windows(2).filter_map(|pair| {
--- a/crates/proof/src/relay.rs
+++ b/crates/proof/src/relay.rs
@@ -1,8 +1,9 @@
 //! A TCP relay that can cut connections or hold them half-open.
 
 use std::{
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex},
+    time::Duration,
 };
 
 use tokio::{
@@ -13,6 +14,7 @@
     },
     sync::watch,
     task::JoinHandle,
+    time,
 };
 
 /// Bytes moved at once.
@@ -27,6 +29,36 @@
     Cut,
     /// Connections stay open, but nothing is moved.
     Silent,
+    /// What callers send is moved, what comes back is not.
+    OneWay,
+    /// Everything is moved this much later.
+    Delayed(Duration),
+}
+
+/// From callers to the address, or back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    Up,
+    Down,
+}
+
+impl RelayMode {
+    fn moves(self, direction: Direction) -> bool {
+        match self {
+            RelayMode::Open | RelayMode::Cut | RelayMode::Delayed(_) => true,
+            RelayMode::Silent => false,
+            RelayMode::OneWay => direction == Direction::Up,
+        }
+    }
+
+    fn delay(self) -> Duration {
+        match self {
+            RelayMode::Delayed(delay) => delay,
+            RelayMode::Open | RelayMode::Cut | RelayMode::Silent | RelayMode::OneWay => {
+                Duration::ZERO
+            }
+        }
+    }
 }
 
 /// A relay to one address; dropping it ends its connections.
@@ -53,7 +85,16 @@
     ///
     /// Fails if no port is free.
     pub async fn start(upstream: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::start_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), upstream).await
+    }
+
+    /// Starts a relay to `upstream` that listens on `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address is taken.
+    pub async fn start_at(address: SocketAddr, upstream: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let mode = watch::Sender::new(RelayMode::Open);
         let upstream = Arc::new(Mutex::new(upstream));
@@ -84,7 +125,7 @@
 }
 
 async fn relay(caller: TcpStream, upstream: SocketAddr, mut mode: watch::Receiver<RelayMode>) {
-    if mode.wait_for(|mode| *mode != RelayMode::Silent).await.is_err() {
+    if mode.wait_for(|mode| mode.moves(Direction::Up)).await.is_err() {
         return;
     }
     if *mode.borrow() == RelayMode::Cut {
@@ -97,8 +138,8 @@
     let (caller_read, caller_write) = caller.into_split();
     let (server_read, server_write) = server.into_split();
     let mut watched = mode.clone();
-    let up = move_bytes(caller_read, server_write, mode.clone());
-    let down = move_bytes(server_read, caller_write, mode);
+    let up = move_bytes(caller_read, server_write, mode.clone(), Direction::Up);
+    let down = move_bytes(server_read, caller_write, mode, Direction::Down);
     tokio::select! {
         _ = watched.wait_for(|mode| *mode == RelayMode::Cut) => {}
         _ = async { tokio::join!(up, down) } => {}
@@ -110,13 +151,16 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut mode: watch::Receiver<RelayMode>,
+    direction: Direction,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let count = from.read(&mut buffer).await.unwrap_or(0);
-        if mode.wait_for(|mode| *mode != RelayMode::Silent).await.is_err() {
-            return;
-        }
+        let delay = match mode.wait_for(|mode| mode.moves(direction)).await {
+            Ok(mode) => mode.delay(),
+            Err(_) => return,
+        };
+        time::sleep(delay).await;
         if count == 0 {
             let _closed = to.shutdown().await;
             return;
--- /dev/null
+++ b/crates/soak/tests/soak.rs
@@ -0,0 +1,140 @@
+//! Runs the soak.
+//!
+//! ```text
+//! cargo test -p soak --test soak                      # the short part, as in CI
+//! cargo test -p soak --test soak -- --seeds 1-50      # these seeds
+//! cargo test -p soak --test soak -- --fresh 20        # this many fresh seeds
+//! cargo test -p soak --test soak -- --large 7         # a run near the limits of the machine
+//! ```
+
+use std::{collections::BTreeSet, fs, path::Path, process::ExitCode};
+
+use base::{ids::ProcessIncarnation, prelude::*};
+use futures::{StreamExt, stream};
+use proof::binaries::ProgramPaths;
+use soak::{SoakPlan, run::RunOutcome, run_plan};
+
+/// Seeds of the short part besides those that ever failed.
+const SHORT_SEEDS: [u64; 3] = [1, 2, 3];
+/// Runs at the same time.
+const PARALLEL_RUNS: usize = 3;
+/// Beginning of a line of `KNOWN-RED.txt` that names a seed.
+const KNOWN_PREFIX: &str = "soak ";
+
+/// Seeds that ever failed, each with a line on its cause.
+fn regression_seeds() -> Vec<u64> {
+    let text = include_str!("../seeds.txt");
+    let seeds = text.lines().filter_map(|line| line.split([' ', ':']).next()?.parse().ok());
+    seeds.collect()
+}
+
+fn known_red() -> BTreeSet<u64> {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../KNOWN-RED.txt");
+    let text = fs::read_to_string(path).unwrap_or_default();
+    let names = text.lines().filter_map(|line| line.strip_prefix(KNOWN_PREFIX));
+    names.filter_map(|rest| rest.split([':', ' ']).next()?.parse().ok()).collect()
+}
+
+fn wanted(arguments: &[String]) -> Result<Vec<SoakPlan>, String> {
+    let number = |text: &str| text.parse::<u64>().map_err(|_| format!("{text:?} is no number"));
+    let plans = |seeds: Vec<u64>| seeds.into_iter().map(SoakPlan::of_seed).collect();
+    match arguments {
+        [] => Ok(plans(SHORT_SEEDS.into_iter().chain(regression_seeds()).collect())),
+        [option, value] if option == "--seeds" => {
+            let (first, last) = value.split_once('-').unwrap_or((value, value));
+            Ok(plans((number(first)?..=number(last)?).collect()))
+        }
+        [option, value] if option == "--fresh" => {
+            let count = number(value)?;
+            Ok(plans((0..count).map(|_| ProcessIncarnation::random().0 >> 20).collect()))
+        }
+        [option, value] if option == "--large" => Ok(vec![SoakPlan::large(number(value)?)]),
+        _ => Err("see the head of this file for the options".to_owned()),
+    }
+}
+
+async fn run_one(
+    plan: &SoakPlan,
+    programs: &ProgramPaths,
+    number: usize,
+) -> Result<RunOutcome, String> {
+    let directory =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{}-{number}", plan.seed));
+    // Logs of an earlier run of the seed would only confuse.
+    let _ = fs::remove_dir_all(&directory);
+    let net = (number % 250) as u8 + 1;
+    let outcome =
+        run_plan(plan, programs, &directory, net).await.map_err(|error| error.to_string())?;
+    if outcome.broken.is_empty() {
+        let _ = fs::remove_dir_all(&directory);
+    }
+    Ok(outcome)
+}
+
+fn print(plan: &SoakPlan, outcome: &RunOutcome, is_known: bool) {
+    let (served, requests) = (outcome.served, outcome.requests);
+    let size = format!("{} gateways, {} engines", plan.gateways, plan.engines);
+    let verdict = match (outcome.broken.is_empty(), is_known) {
+        (true, _) => "passed",
+        (false, true) => "failed, listed in KNOWN-RED.txt",
+        (false, false) => "FAILED",
+    };
+    println!("seed {}: {verdict} ({size}, {served} of {requests} served)", plan.seed);
+    if !outcome.broken.is_empty() {
+        outcome.broken.iter().take(8).for_each(|broken| println!("    {broken}"));
+        println!("    {} in all; faults:", outcome.broken.len());
+        for strike in &plan.strikes {
+            println!("      {:?} for {:?}: {:?}", strike.at, strike.span, strike.fault);
+        }
+    }
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let plans = match wanted(&arguments) {
+        Ok(plans) => plans,
+        Err(message) => {
+            eprintln!("soak: {message}");
+            return ExitCode::from(2);
+        }
+    };
+    let programs = match ProgramPaths::build() {
+        Ok(programs) => programs,
+        Err(error) => {
+            eprintln!("soak: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let began = Instant::now();
+    let known = known_red();
+    let runs = stream::iter(plans.into_iter().enumerate()).map(|(number, plan)| {
+        let programs = programs.clone();
+        async move {
+            let outcome = run_one(&plan, &programs, number).await;
+            (plan, outcome)
+        }
+    });
+    let mut runs = runs.buffer_unordered(PARALLEL_RUNS);
+    let (mut passed, mut failed, mut not_run, mut unknown) = (0, 0, 0, 0);
+    while let Some((plan, outcome)) = runs.next().await {
+        match outcome {
+            Ok(outcome) => {
+                let is_known = known.contains(&plan.seed);
+                print(&plan, &outcome, is_known);
+                match outcome.broken.is_empty() {
+                    true => passed += 1,
+                    false => failed += 1,
+                }
+                unknown += usize::from(!outcome.broken.is_empty() && !is_known);
+            }
+            Err(error) => {
+                println!("seed {}: not run: {error}", plan.seed);
+                not_run += 1;
+            }
+        }
+    }
+    let took = began.elapsed().as_secs();
+    println!("soak {passed} passed, {failed} failed, {not_run} not run, {took} s");
+    if unknown > 0 || not_run > 0 { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
