Connections are served until the balancer has noticed a planned stop

Answers now say that the connection closes; idle ones close when requests are refused. The test of the path fails without the change.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -3,6 +3,7 @@
 use std::{convert::Infallible, io, sync::Arc};
 
 use base::prelude::*;
+use http::{HeaderValue, Response, header};
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
@@ -38,6 +39,14 @@
     stream.set_nodelay(true)
 }
 
+/// Tells the caller to open its next connection, which the balancer brings to another VM.
+fn close_if_draining<B>(mut response: Response<B>, gateway: &Gateway) -> Response<B> {
+    if gateway.is_draining() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
 async fn serve_connection(stream: TcpStream, gateway: Arc<Gateway>) {
     if let Err(error) = prepare(&stream) {
         log::debug!("front: a connection ended at once: {error}");
@@ -48,7 +57,10 @@
     let serving = Arc::clone(&gateway);
     let service = service_fn(move |request| {
         let gateway = Arc::clone(&serving);
-        async move { Ok::<_, Infallible>(call::serve(gateway, request).await) }
+        async move {
+            let response = call::serve(Arc::clone(&gateway), request).await;
+            Ok::<_, Infallible>(close_if_draining(response, &gateway))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -58,7 +70,8 @@
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = gateway.stop_begun() => {
+        // A connection accepted later still carries one request to its refusal.
+        () = gateway.turned_away(), if !gateway.refuses_new() => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -73,14 +73,22 @@
 impl Gateway {
     /// Whether the balancer should send new connections.
     pub fn is_ready(&self) -> bool {
-        self.draining.borrow().is_none() && self.catalog.borrow().is_some()
+        !self.is_draining() && self.catalog.borrow().is_some()
     }
 
-    /// Waits until a planned stop begins.
-    pub async fn stop_begun(&self) {
+    /// Whether a planned stop has begun.
+    pub fn is_draining(&self) -> bool {
+        self.draining.borrow().is_some()
+    }
+
+    /// Waits until new requests are refused because the process is about to end.
+    pub async fn turned_away(&self) {
         let mut draining = self.draining.subscribe();
         // The sender lives as long as this gateway.
-        let _ = draining.wait_for(Option::is_some).await;
+        let began = draining.wait_for(Option::is_some).await.ok().and_then(|began| *began);
+        if let Some(began) = began {
+            time::sleep_until(began + TURN_AWAY).await;
+        }
     }
 
     /// Whether new requests are refused because the process is about to end.
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -299,3 +299,27 @@
     assert_eq!(running.body(), whole_stream("c-1", 100));
     assert_eq!(waiting.status(), 503, "{waiting:?}");
 }
+
+#[tokio::test]
+async fn connections_are_served_until_the_balancer_has_noticed_a_planned_stop() {
+    let mut fleet = TestFleet::start().await;
+    fleet.add_service("i-1").await;
+    fleet.add_gateway().await;
+    let (handle, callers) = &fleet.gateways[0];
+    let (mut kept, first) =
+        support::send(*callers, plain("GET", "/read/a", "c-1")).await.expect("it is served");
+    support::read(first).await;
+
+    let calls = async {
+        time::sleep(Duration::from_millis(300)).await;
+        let new = support::call(*callers, plain("GET", "/read/a", "c-2")).await;
+        let again = kept.send(plain("GET", "/read/a", "c-3")).await.expect("it is served");
+        (new, support::read(again).await)
+    };
+    let ((new, again), ()) = tokio::join!(calls, handle.stop());
+
+    for outcome in [new, again] {
+        assert_eq!(outcome.status(), 200, "{outcome:?}");
+        assert_eq!(outcome.header("connection"), Some("close"), "callers go elsewhere next");
+    }
+}
