Requests that wait to be let in are refused while their callers still wait

Now the wait ends 120 ms before, with 'not run' and a time to come back, and the log has each denied permit, the length of prompts and where the longest pause was.

--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -57,6 +57,8 @@
     pub expected: Duration,
     /// Whether a side process has to let the request in first.
     pub needs_permit: bool,
+    /// Time until which the request waits to be let in there.
+    pub let_in_by: Instant,
 }
 
 /// Why a request waits.
@@ -160,6 +162,8 @@
     pub repeats: RepeatLimits,
 }
 
+/// Longest wait to be let in at one engine before another one is looked for.
+const ENGINE_PATIENCE: Duration = Duration::from_millis(450);
 /// Time for which a backend server without room is left out.
 const FULL_SUSPENSION: Duration = Duration::from_millis(50);
 
@@ -199,6 +203,15 @@
     since: Option<Instant>,
 }
 
+impl OpenCall {
+    /// Time until which the request may wait. Callers of a stream that has begun have stopped
+    /// waiting for a first event.
+    fn last_wait(&self) -> Instant {
+        let waits_for_first = self.ask.generation.is_some() && self.ran == 0;
+        if waits_for_first { self.ask.first_by } else { self.ask.deadline }
+    }
+}
+
 /// The desk.
 #[derive(Debug)]
 pub struct Desk {
@@ -519,9 +532,11 @@
         if call.ask.deadline <= now {
             return self.refuse(key, Refusal::new(ResultCode::DeadlinePassed, "deadline passed"));
         }
-        if call.ask.generation.is_some() && call.ran == 0 && call.ask.first_by <= now {
+        if call.last_wait() <= now {
             let reason = "its caller does not wait longer for a first event";
-            return self.refuse(key, Refusal::new(ResultCode::DeadlinePassed, reason));
+            let refusal =
+                Refusal::until(ResultCode::DeadlinePassed, waiting::UNKNOWN_RETURN, reason);
+            return self.refuse(key, refusal);
         }
         match call.ask.generation.is_some() {
             true => self.decide_generation(key, now),
@@ -601,6 +616,7 @@
             load_age: view.load_age(now),
             expected,
             needs_permit: generation.is_some() && view.has_side(),
+            let_in_by: call.last_wait().min(now + ENGINE_PATIENCE),
         };
         let target = generation.map(|generation| generation.target.clone());
         let prompt = generation.map_or(TokenCount(0), |generation| generation.prompt);
--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -14,7 +14,7 @@
 /// Return after a refusal that a moment can mend.
 pub(crate) const SHORT_RETURN: Duration = Duration::from_millis(150);
 /// Return when nobody can say when there will be room.
-const UNKNOWN_RETURN: Duration = Duration::from_millis(1_500);
+pub(crate) const UNKNOWN_RETURN: Duration = Duration::from_millis(1_500);
 /// Part of the goal for which a request waits for a plan that names a time.
 const UNPLANNED_PART: f64 = 0.125;
 /// Longest such wait.
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -134,6 +134,8 @@
         /// Model and adapter.
         #[serde(serialize_with = "some_text")]
         target: Option<&'a ModelTarget>,
+        /// Length of the prompt; none for plain services.
+        prompt_tokens: Option<u64>,
         /// How long the caller waits.
         patience_ms: u64,
     },
@@ -166,6 +168,25 @@
         /// How long the request has waited here.
         waited_ms: u64,
     },
+    /// A side process did not let a request in to its engine.
+    PermitDenied {
+        /// Request.
+        #[serde(serialize_with = "text")]
+        call: &'a CallId,
+        /// Engine.
+        #[serde(serialize_with = "text")]
+        server: &'a InstanceId,
+        /// What the side process said, if anything.
+        outcome: &'static str,
+        /// Requests believed to be at the engine.
+        load: u32,
+        /// Age of that belief when the side process was asked.
+        load_age_ms: u64,
+        /// Expected time to the first event when the side process was asked.
+        expected_ms: u64,
+        /// How long it was asked.
+        asked_ms: u64,
+    },
     /// An attempt ended without an answer that could be passed on.
     AttemptFailed {
         /// Request.
@@ -216,6 +237,8 @@
         total_ms: u64,
         /// Longest pause between two parts of the answer.
         pause_ms: u64,
+        /// Time from the request to the end of that pause.
+        pause_end_ms: u64,
         /// Attempts.
         attempts: u32,
     },
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -14,7 +14,10 @@
     time,
 };
 
-use crate::permits::{Permit, PermitOutcome, Permits};
+use crate::{
+    permits::{Permit, PermitOutcome, Permits},
+    story::CallStory,
+};
 
 /// Longest wait for a connection to a backend server in the same region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -183,11 +186,15 @@
     /// # Errors
     ///
     /// Returns what is next if it is not let in there.
-    pub async fn go(&mut self, assignment: &Assignment) -> Result<(), Verdict> {
+    pub async fn go(&mut self, assignment: &Assignment, story: &CallStory) -> Result<(), Verdict> {
         if let Some(generation) = self.generation.as_ref().filter(|_| assignment.needs_permit) {
             let permits = self.backends.permits.clone();
+            let began = Instant::now();
             let (outcome, permit) = permits.ask(self.key, assignment, generation, self.due).await;
             let is_missing = outcome == PermitOutcome::Missing;
+            if outcome != PermitOutcome::Goes {
+                story.deny(assignment, outcome, began.elapsed());
+            }
             match outcome {
                 PermitOutcome::Goes | PermitOutcome::Silent => self.permit = Some(permit),
                 PermitOutcome::Missing | PermitOutcome::Later => {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -20,7 +20,7 @@
     backends::Ticket,
     process::Gateway,
     relay::StreamRelay,
-    story::CallStory,
+    story::{CallStory, LongestPause},
 };
 
 /// Body of an answer.
@@ -28,6 +28,10 @@
 
 /// Time before the caller's deadline at which an answer must be on its way.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
+/// Time before the caller of a stream stops waiting for its first event at which a refusal must be
+/// on its way: the caller's time began before the request was read, and a VM that shares its core
+/// can stand still for a tenth of a second.
+const FIRST_MARGIN: Duration = Duration::from_millis(120);
 /// Return after a refusal for want of a configuration, which usually comes within this time.
 const CATALOG_RETURN: Duration = Duration::from_millis(500);
 /// Most urgent and least urgent rank at an engine.
@@ -113,6 +117,7 @@
         route: &route.name,
         catalog: catalog.version(),
         target: head.generation.as_ref().map(|generation| &generation.target),
+        prompt_tokens: head.generation.as_ref().map(|generation| generation.prompt.0),
         patience_ms: millis(patience),
     });
     let (parts, body) = request.into_parts();
@@ -151,7 +156,7 @@
 /// How long the caller waits for the first byte.
 fn first_patience(route: &Route) -> Duration {
     match route.kind.is_streaming() {
-        true => dispatch::first_patience(route.goal, route.pause_goal),
+        true => dispatch::first_patience(route.goal, route.pause_goal).saturating_sub(FIRST_MARGIN),
         false => Duration::MAX,
     }
 }
@@ -198,7 +203,7 @@
                 ticket.next().await
             }
             Verdict::Send(assignment) => {
-                if let Err(next) = ticket.go(&assignment).await {
+                if let Err(next) = ticket.go(&assignment, &guard.story).await {
                     verdict = next;
                     continue;
                 }
@@ -247,7 +252,7 @@
     ticket.start();
     ticket.finish(true);
     guard.is_open = false;
-    guard.story.answer(answer.status.as_u16(), guard.story.held(), Duration::ZERO);
+    guard.story.answer(answer.status.as_u16(), guard.story.held(), LongestPause::default());
     whole_response(answer)
 }
 
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -18,8 +18,6 @@
 const FIRST_ASKS: usize = 3;
 /// Time after which a request that waits tells that it still does; any datagram can be lost.
 const ASK_AGAIN: Duration = Duration::from_millis(200);
-/// Longest wait at one engine before another one is looked for.
-const ENGINE_PATIENCE: Duration = Duration::from_millis(450);
 
 /// What became of a request that asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,6 +32,18 @@
     Later,
 }
 
+impl PermitOutcome {
+    /// One word for logs.
+    pub fn text(self) -> &'static str {
+        match self {
+            PermitOutcome::Goes => "goes",
+            PermitOutcome::Silent => "silent",
+            PermitOutcome::Missing => "missing",
+            PermitOutcome::Later => "later",
+        }
+    }
+}
+
 type Pending = HashMap<u64, mpsc::UnboundedSender<RunVerdict>>;
 
 /// All requests that ask; clones share them.
@@ -80,7 +90,7 @@
         }
     }
 
-    /// Asks for the request `key`, whose first event is late at `due`, to be let in.
+    /// Asks for the request `key` to be let in.
     pub async fn ask(
         &self,
         key: u64,
@@ -92,9 +102,9 @@
         let permit = Permit { permits: self.clone(), side, key };
         let (sender, mut answers) = mpsc::unbounded_channel();
         self.lock().insert(key, sender);
-        let until = Instant::now() + ENGINE_PATIENCE;
         let asking = self.ask_again(key, side, assignment, generation, due, &mut answers);
-        let outcome = time::timeout_at(until, asking).await.unwrap_or(PermitOutcome::Later);
+        let outcome =
+            time::timeout_at(assignment.let_in_by, asking).await.unwrap_or(PermitOutcome::Later);
         self.lock().remove(&key);
         (outcome, permit)
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,7 +15,7 @@
     attempt::{self, AnswerRest, FailedAttempt, ForwardRequest, OpenAnswer},
     backends::Ticket,
     sse::EventSplitter,
-    story::CallStory,
+    story::{CallStory, LongestPause},
 };
 
 /// Bytes of an answer, or the reason why it ends early. An error makes the connection to the caller
@@ -34,7 +34,7 @@
     frames: u64,
     first: Option<Duration>,
     last: Option<Instant>,
-    pause: Duration,
+    pause: LongestPause,
     status: StatusCode,
     is_done: bool,
 }
@@ -68,7 +68,7 @@
             frames: 0,
             first: None,
             last: None,
-            pause: Duration::ZERO,
+            pause: LongestPause::default(),
             status: answer.status,
             is_done: false,
         }
@@ -148,7 +148,7 @@
         let now = Instant::now();
         match self.last.replace(now) {
             Some(last) => {
-                self.pause = self.pause.max(now.saturating_duration_since(last));
+                self.pause.note(now.saturating_duration_since(last), self.story.held());
             }
             None => {
                 self.first = Some(self.story.held());
@@ -175,7 +175,7 @@
                     self.story.wait(reason, expected);
                     self.ticket.next().await
                 }
-                Verdict::Send(assignment) => match self.ticket.go(&assignment).await {
+                Verdict::Send(assignment) => match self.ticket.go(&assignment, &self.story).await {
                     Err(next) => next,
                     Ok(()) => match self.go_on(assignment).await {
                         None => return Ok(()),
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -5,7 +5,7 @@
 use events::{DecisionEvent, EventLog, millis};
 use roster::InstanceId;
 
-use crate::{attempt::FailedAttempt, metrics::GatewayMetrics};
+use crate::{attempt::FailedAttempt, metrics::GatewayMetrics, permits::PermitOutcome};
 
 /// Name of a request whose caller gave none.
 const NO_CALL: &str = "-";
@@ -21,6 +21,24 @@
     sent: Instant,
 }
 
+/// The longest pause between two parts of an answer.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LongestPause {
+    /// How long it was.
+    pub span: Duration,
+    /// Time from the request to its end.
+    pub end: Duration,
+}
+
+impl LongestPause {
+    /// Takes in a pause.
+    pub fn note(&mut self, span: Duration, end: Duration) {
+        if span > self.span {
+            *self = Self { span, end };
+        }
+    }
+}
+
 impl CallStory {
     /// The story of a request that has just been read.
     pub fn new(log: EventLog, metrics: GatewayMetrics, call: Option<CallId>) -> Self {
@@ -65,6 +83,19 @@
         });
     }
 
+    /// A side process did not let the request in.
+    pub fn deny(&self, assignment: &Assignment, outcome: PermitOutcome, asked: Duration) {
+        self.log.record(&DecisionEvent::PermitDenied {
+            call: &self.call,
+            server: &assignment.server,
+            outcome: outcome.text(),
+            load: assignment.load,
+            load_age_ms: millis(assignment.load_age),
+            expected_ms: millis(assignment.expected),
+            asked_ms: millis(asked),
+        });
+    }
+
     /// An attempt failed.
     pub fn fail(&self, server: &InstanceId, failed: &FailedAttempt) {
         self.metrics.failed_attempts.inc();
@@ -96,9 +127,8 @@
         });
     }
 
-    /// The request is answered in full; its first byte came after `first`, and no two parts of it
-    /// more than `pause` apart.
-    pub fn answer(&self, status: u16, first: Duration, pause: Duration) {
+    /// The request is answered in full; its first byte came after `first`.
+    pub fn answer(&self, status: u16, first: Duration, pause: LongestPause) {
         self.metrics.count(ResultCode::Success);
         self.metrics.first_byte.observe(first.as_secs_f64());
         self.log.record(&DecisionEvent::CallAnswered {
@@ -106,7 +136,8 @@
             status,
             first_ms: millis(first),
             total_ms: millis(self.held()),
-            pause_ms: millis(pause),
+            pause_ms: millis(pause.span),
+            pause_end_ms: millis(pause.end),
             attempts: self.attempts,
         });
     }
--- a/crates/soak/src/strike.rs
+++ b/crates/soak/src/strike.rs
@@ -82,6 +82,7 @@
             let born = 2 + u64::try_from(began.elapsed().as_nanos()).unwrap_or(0);
             let world = scene.world.lock().await;
             world.engines[index].engine.crash(born + world.engines[index].engine.orders());
+            world.list_engine(index);
         }
         Fault::EngineSilent(index) => {
             let fault = EngineFault { is_silent: true, ..EngineFault::default() };
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -33,7 +33,7 @@
 pub const GRACE: Duration = Duration::from_secs(5);
 /// Port for datagrams on every VM.
 const PEER_PORT: u16 = 7380;
-/// Port of an engine itself; callers reach it through a relay.
+/// Port of an engine itself; everybody reaches it through a relay.
 const ENGINE_PORT: u16 = 8000;
 /// Port of that relay.
 const RELAY_PORT: u16 = 8001;
@@ -185,12 +185,18 @@
         };
         let engine = EngineStandin::start(listener, options)?;
         let link = TcpRelay::start_at(SocketAddr::new(ip, RELAY_PORT), engine.address()).await?;
-        let entry = engine.entry(ENGINES, "zone-a", link.address);
-        self.store.write("servers", &format!("i-{index}"), &entry);
         self.engines.push(EngineSeat { engine, link });
+        self.list_engine(index);
         Ok(())
     }
 
+    /// Writes the entry of an engine, as it is now.
+    pub fn list_engine(&self, index: usize) {
+        let seat = &self.engines[index];
+        let entry = seat.engine.entry(ENGINES, "zone-a", seat.link.address);
+        self.store.write("servers", &format!("i-{index}"), &entry);
+    }
+
     /// Adds a plain backend server.
     ///
     /// # Errors
@@ -220,7 +226,7 @@
     fn agent_settings(&self, index: usize) -> String {
         let ip = self.engine_ip(index);
         format!(
-            "[process]\nvm = side-{index}\n[engine]\naddress = {ip}:{ENGINE_PORT}\n\
+            "[process]\nvm = side-{index}\n[engine]\naddress = {ip}:{RELAY_PORT}\n\
              service = {ENGINES}\n[listen]\npeers = {ip}:{PEER_PORT}\nmetrics = {ip}:9464\n"
         )
     }
