--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -20,10 +20,16 @@
 /// Rest of a connection as long as no configuration says more.
 const DEFAULT_IDLE: Duration = Duration::from_secs(60);
 
-/// Accepts connections until the process ends.
+/// Accepts connections until the end of a planned stop. The listener closes first, so that callers
+/// who come later know that nothing read their requests.
 pub async fn serve(listener: TcpListener, gateway: Arc<Gateway>) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = gateway.closed() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::spawn(serve_connection(stream, Arc::clone(&gateway)));
             }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -31,6 +31,8 @@
 const END_MARGIN: Duration = Duration::from_millis(700);
 /// Time before the end from which requests do not wait any more, so that others can serve them.
 const LAST_WAIT: Duration = Duration::from_millis(2_500);
+/// Time for the requests on connections that were accepted before no more are.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
 /// Time between looks at whether all requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(25);
 
@@ -68,6 +70,8 @@
     pub fleet: Fleet,
     /// When a planned stop began.
     pub draining: watch::Sender<Option<Instant>>,
+    /// Whether connections are not accepted any more.
+    pub closing: watch::Sender<bool>,
 }
 
 impl Gateway {
@@ -91,6 +95,13 @@
         }
     }
 
+    /// Waits until connections are not accepted any more.
+    pub async fn closed(&self) {
+        let mut closing = self.closing.subscribe();
+        // The sender lives as long as this gateway.
+        let _ = closing.wait_for(|closing| *closing).await;
+    }
+
     /// Whether new requests are refused because the process is about to end.
     pub fn refuses_new(&self) -> bool {
         self.draining.borrow().is_some_and(|began| began.elapsed() > TURN_AWAY)
@@ -152,6 +163,7 @@
             backends: backends.clone(),
             fleet: fleet.clone(),
             draining: watch::Sender::new(None),
+            closing: watch::Sender::new(false),
         });
         let catalog_follower = CatalogFollower {
             store: store.clone(),
@@ -202,8 +214,12 @@
             }
             time::sleep(DRAIN_POLL).await;
         }
+        self.gateway.closing.send_replace(true);
         self.gateway.backends.end();
-        time::sleep(DRAIN_POLL * 4).await;
+        let closed = Instant::now();
+        while closed.elapsed() < LAST_ANSWERS || (in_flight() > 0 && Instant::now() < latest) {
+            time::sleep(DRAIN_POLL).await;
+        }
         self.gateway.log.record(&DecisionEvent::Stopped { in_flight: in_flight() });
     }
 }
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -322,4 +322,6 @@
         assert_eq!(outcome.status(), 200, "{outcome:?}");
         assert_eq!(outcome.header("connection"), Some("close"), "callers go elsewhere next");
     }
+    let late = support::call(*callers, plain("GET", "/read/a", "c-4")).await;
+    assert!(matches!(&late, CallOutcome::None(reason) if reason.contains("refused")), "{late:?}");
 }
