--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -13,7 +13,7 @@
 const ADDRESS: &str = "an IP address with a port, such as 127.0.0.1:7000";
 
 /// All settings of the agent.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct AgentSettings {
     /// VM that the process runs on.
     pub vm: VmId,
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod metrics;
 pub mod prelude;
 pub mod rates;
+pub mod signals;
 pub mod sizes;
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -63,6 +63,11 @@
         Self { limits, first: WindowCount::default(), repeated: WindowCount::default() }
     }
 
+    /// Changes the limits; what was counted stays counted.
+    pub fn set_limits(&mut self, limits: RepeatLimits) {
+        self.limits = limits;
+    }
+
     /// Counts a request that is sent for the first time.
     pub fn count_first(&mut self, now: Instant) {
         self.first.add(self.limits.window / STEPS, now);
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -255,6 +255,12 @@
         self.review(now);
     }
 
+    /// Sets the budget of repeats that all entries share.
+    pub fn set_repeats(&mut self, limits: RepeatLimits) {
+        self.settings.repeats = limits;
+        self.budgets.values_mut().for_each(|budget| budget.set_limits(limits));
+    }
+
     /// Sets the number of entries that share the budget of repeats.
     pub fn set_entries(&mut self, entries: usize) {
         self.entries = entries.max(1);
--- a/crates/fescuewalk-side/src/cmd/agent.rs
+++ b/crates/fescuewalk-side/src/cmd/agent.rs
@@ -7,13 +7,11 @@
 use std::{env, fs, path::PathBuf};
 
 use agent::{Agent, AgentSettings};
+use base::signals::{SettingsWatch, stop_requested};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use events::{EventLog, LogLimits};
+use events::{DecisionEvent, EventLog, LogLimits};
 use log::LevelFilter;
-use tokio::{
-    runtime::Builder,
-    signal::unix::{SignalKind, signal},
-};
+use tokio::runtime::Builder;
 
 use crate::error::{Result, UsageSnafu};
 
@@ -63,7 +61,8 @@
 pub fn run(args: &ArgMatches) -> Result<()> {
     let path = settings_path(args)?;
     let name = path.display().to_string();
-    let settings = AgentSettings::parse(&name, &fs::read_to_string(&path)?)?;
+    let text = fs::read_to_string(&path)?;
+    let settings = AgentSettings::parse(&name, &text)?;
     if args.get_flag("check") {
         println!("{name}: no faults");
         return Ok(());
@@ -71,21 +70,52 @@
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let (log, writer) = EventLog::start(&settings.vm, LogLimits::default(), std::io::stdout());
     let _notes = log.take_notes(LevelFilter::Info)?;
-    let outcome = runtime.block_on(serve(settings, log.clone()));
+    let outcome = runtime.block_on(async {
+        let watch = SettingsWatch::start(&path, text)?;
+        serve(settings, watch, &name, log.clone()).await
+    });
     log.close();
     // The writer only fails if standard output does, and then nobody can be told.
     let _ = writer.join();
     outcome
 }
 
-async fn serve(settings: AgentSettings, log: EventLog) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let agent = Agent::start(settings, log).await?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+async fn serve(
+    settings: AgentSettings,
+    mut watch: SettingsWatch,
+    name: &str,
+    log: EventLog,
+) -> Result<()> {
+    let agent = Agent::start(settings.clone(), log.clone()).await?;
+    let stop = stop_requested();
+    tokio::pin!(stop);
+    loop {
+        tokio::select! {
+            stopped = &mut stop => {
+                stopped?;
+                break;
+            }
+            text = watch.reread() => note_reload(&settings, name, text, &log),
+        }
     }
     agent.stop();
     Ok(())
 }
+
+/// Writes what the settings file holds now; every change of it needs a restart.
+fn note_reload(
+    settings: &AgentSettings,
+    name: &str,
+    text: std::io::Result<String>,
+    log: &EventLog,
+) {
+    let read = text
+        .map_err(|error| format!("{name}: {error}"))
+        .and_then(|text| AgentSettings::parse(name, &text).map_err(|error| error.to_string()));
+    let (accepted, detail) = match read {
+        Ok(read) if read == *settings => (true, "nothing changed".to_owned()),
+        Ok(_) => (true, "the changes need a restart".to_owned()),
+        Err(fault) => (false, fault),
+    };
+    log.record(&DecisionEvent::SettingsReloaded { accepted, detail: &detail });
+}
--- a/crates/fescuewalk-side/src/cmd/side.rs
+++ b/crates/fescuewalk-side/src/cmd/side.rs
@@ -6,9 +6,9 @@
 
 use std::{fs, path::PathBuf};
 
+use base::signals::stop_requested;
 use clap::ArgMatches;
 use side::{SideHandle, SideSettings};
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::error::Result;
 
@@ -26,14 +26,9 @@
         return Ok(());
     }
     let _logger = settings.log.start()?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
     let handle = SideHandle::start(settings).await?;
     println!("listening peers {} http {}", handle.peer_address(), handle.http_address());
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    stop_requested().await?;
     handle.stop().await;
     Ok(())
 }
--- a/crates/fescuewalk/src/cmd/entry.rs
+++ b/crates/fescuewalk/src/cmd/entry.rs
@@ -10,7 +10,6 @@
 use crate::{
     config::{self, InputConfig},
     error::CliResult,
-    signals,
 };
 
 /// Describes the subcommand.
@@ -58,7 +57,7 @@
     let _logger = settings.log.start()?;
     let handle = EntryHandle::start(settings).await?;
     println!("listening peers {} http {}", handle.peer_address(), handle.http_address());
-    signals::stop_requested().await?;
+    base::signals::stop_requested().await?;
     handle.stop().await;
     Ok(())
 }
--- a/crates/fescuewalk/src/cmd/gateway.rs
+++ b/crates/fescuewalk/src/cmd/gateway.rs
@@ -6,6 +6,7 @@
 
 use std::{env, path::PathBuf};
 
+use base::signals::{SettingsWatch, stop_requested};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use events::{EventLog, LogLimits};
 use gateway::{GatewayHandle, GatewaySettings};
@@ -15,7 +16,6 @@
 use crate::{
     config::InputConfig,
     error::{CliError, CliResult},
-    signals,
 };
 
 /// Variable that names the settings file where no argument does.
@@ -68,25 +68,44 @@
 /// Fails if the settings have faults or the process cannot start.
 pub fn run(args: &ArgMatches) -> CliResult<()> {
     let args = GatewayArgs::new(args)?;
-    let settings = GatewaySettings::parse(&args.settings.name(), &args.settings.text()?)?;
+    let (name, text) = (args.settings.name(), args.settings.text()?);
+    let settings = GatewaySettings::parse(&name, &text)?;
     if args.check {
-        println!("{}: no faults", args.settings.name());
+        println!("{name}: no faults");
         return Ok(());
     }
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let (log, writer) =
         EventLog::start(&settings.identity.vm, LogLimits::default(), std::io::stdout());
     let _notes = log.take_notes(LevelFilter::Info)?;
-    let outcome = runtime.block_on(serve(settings, log.clone()));
+    let outcome = runtime.block_on(async {
+        let watch = SettingsWatch::start(&name, text)?;
+        serve(settings, watch, &name, log.clone()).await
+    });
     log.close();
     // The writer only fails if standard output does, and then nobody can be told.
     let _ = writer.join();
     outcome
 }
 
-async fn serve(settings: GatewaySettings, log: EventLog) -> CliResult<()> {
-    let handle = GatewayHandle::start(settings, log).await?;
-    signals::stop_requested().await?;
+async fn serve(
+    settings: GatewaySettings,
+    mut watch: SettingsWatch,
+    name: &str,
+    log: EventLog,
+) -> CliResult<()> {
+    let mut handle = GatewayHandle::start(settings, log).await?;
+    let stop = stop_requested();
+    tokio::pin!(stop);
+    loop {
+        tokio::select! {
+            stopped = &mut stop => {
+                stopped?;
+                break;
+            }
+            text = watch.reread() => handle.reload(name, text),
+        }
+    }
     handle.stop().await;
     Ok(())
 }
--- a/crates/fescuewalk/src/cmd/standin.rs
+++ b/crates/fescuewalk/src/cmd/standin.rs
@@ -22,7 +22,6 @@
 use crate::{
     config::{self, InputConfig},
     error::{CliError, CliResult},
-    signals,
 };
 
 /// Describes the subcommand.
@@ -107,7 +106,7 @@
             .map_err(|error| CliError::usage(format!("{}: {error}", input.name())))?;
     }
     let _handle = platform::serve(listener, options)?;
-    Ok(signals::stop_requested().await?)
+    Ok(base::signals::stop_requested().await?)
 }
 
 async fn run_weights(listener: TcpListener, args: &ArgMatches) -> CliResult<()> {
@@ -115,7 +114,7 @@
     set(args, "rate", &mut options.rate)?;
     set(args, "full-speed", &mut options.full_speed)?;
     let _handle = weights::serve(listener, options)?;
-    Ok(signals::stop_requested().await?)
+    Ok(base::signals::stop_requested().await?)
 }
 
 async fn run_engine(listener: TcpListener, args: &ArgMatches) -> CliResult<()> {
@@ -130,7 +129,7 @@
     }
     options.checks_fencing = !args.get_flag("ignores-fencing");
     let _handle = engine::serve(listener, options)?;
-    Ok(signals::stop_requested().await?)
+    Ok(base::signals::stop_requested().await?)
 }
 
 async fn run_service(listener: TcpListener, args: &ArgMatches) -> CliResult<()> {
@@ -139,7 +138,7 @@
     set(args, "call-time", &mut call_time)?;
     options.call_time = call_time.0;
     let _handle = service::serve(listener, options)?;
-    Ok(signals::stop_requested().await?)
+    Ok(base::signals::stop_requested().await?)
 }
 
 fn set<T: std::str::FromStr>(args: &ArgMatches, name: &str, value: &mut T) -> CliResult<()> {
--- a/crates/fescuewalk/src/main.rs
+++ b/crates/fescuewalk/src/main.rs
@@ -5,7 +5,6 @@
 mod error;
 mod fetch;
 mod local_fleet;
-mod signals;
 
 use std::process::ExitCode;
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,6 +1,6 @@
 //! Start and planned stop of the gateway.
 
-use std::sync::Arc;
+use std::{io, sync::Arc};
 
 use base::prelude::*;
 use catalog::Catalog;
@@ -112,7 +112,7 @@
 pub struct GatewayHandle {
     gateway: Arc<Gateway>,
     own: OwnEntry,
-    grace: Duration,
+    settings: GatewaySettings,
 }
 
 impl GatewayHandle {
@@ -122,6 +122,7 @@
     ///
     /// Fails if an address is taken.
     pub async fn start(settings: GatewaySettings, log: EventLog) -> Result<Self> {
+        let kept = settings.clone();
         let incarnation = ProcessIncarnation::random();
         log.record(&DecisionEvent::Started {
             program: "gateway",
@@ -187,7 +188,31 @@
         tokio::spawn(front::serve(callers, Arc::clone(&gateway)));
         tokio::spawn(ops::serve_ready(ready, Arc::clone(&gateway)));
         tokio::spawn(ops::serve_metrics(metrics_listener, Arc::clone(&gateway)));
-        Ok(Self { gateway, own, grace: settings.limits.grace })
+        Ok(Self { gateway, own, settings: kept })
+    }
+
+    /// Takes in what the settings file called `name` holds now, as far as that needs no restart.
+    pub fn reload(&mut self, name: &str, text: io::Result<String>) {
+        let read = text
+            .map_err(|error| format!("{name}: {error}"))
+            .and_then(|text| GatewaySettings::parse(name, &text).map_err(|e| e.to_string()));
+        let (accepted, detail) = match read {
+            Ok(settings) => (true, self.apply(&settings).to_owned()),
+            Err(fault) => (false, fault),
+        };
+        let event = DecisionEvent::SettingsReloaded { accepted, detail: &detail };
+        self.gateway.log.record(&event);
+    }
+
+    fn apply(&mut self, settings: &GatewaySettings) -> &'static str {
+        let limits = settings.limits;
+        let before = std::mem::replace(&mut self.settings.limits, limits);
+        self.gateway.backends.step(|desk, _| desk.set_repeats(limits.repeats));
+        match (*settings == self.settings, before == limits) {
+            (true, true) => "nothing changed",
+            (true, false) => "the limits are in force",
+            (false, _) => "the limits are in force, the rest needs a restart",
+        }
     }
 
     /// Turns new requests away, lets those in flight end, and returns when they have, or when the
@@ -200,7 +225,7 @@
         self.gateway.fleet.drain();
         tokio::spawn(self.own.clone().leave());
         let earliest = began + TURN_AWAY;
-        let latest = began + self.grace.saturating_sub(END_MARGIN);
+        let latest = began + self.settings.limits.grace.saturating_sub(END_MARGIN);
         let last_wait = latest - LAST_WAIT;
         let mut may_wait = true;
         loop {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -15,7 +15,7 @@
 const SPAN: &str = "a time such as 250ms, 13s or 10min";
 
 /// Who the process is.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct IdentitySettings {
     /// VM that the process runs on.
     pub vm: VmId,
@@ -26,7 +26,7 @@
 }
 
 /// Where the process listens.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ListenSettings {
     /// Callers.
     pub callers: SocketAddr,
@@ -39,7 +39,7 @@
 }
 
 /// The platform's store.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct StoreSettings {
     /// Where it listens.
     pub address: SocketAddr,
@@ -69,7 +69,7 @@
 }
 
 /// Limits of requests and of a planned stop.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct GatewayLimits {
     /// Budget of repeats that all entries share.
     pub repeats: RepeatLimits,
@@ -78,7 +78,7 @@
 }
 
 /// All settings of the gateway.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
     /// Who the process is.
     pub identity: IdentitySettings,
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -207,6 +207,15 @@
         self.signal(Signal::SIGTERM)
     }
 
+    /// Tells the process that its settings changed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process does not run.
+    pub fn hang_up(&self) -> Result<()> {
+        self.signal(Signal::SIGHUP)
+    }
+
     /// Waits for the end of the process; `None` after `limit`, else whether it succeeded.
     pub async fn ended(&mut self, limit: Duration) -> Option<bool> {
         let ended = time::timeout(limit, self.child.wait()).await.ok()?;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -95,6 +95,8 @@
     Leaving(usize),
     /// The operators add a route.
     NewRoute,
+    /// The process is told that its settings changed.
+    HangUp(Target),
 }
 
 /// A fault with its time.
@@ -141,6 +143,7 @@
                 fault: draw(&mut random, gateways, engines, services),
             })
             .collect();
+        strikes.extend(hang_ups(seed, gateways, engines));
         strikes.sort_by_key(|strike| strike.at);
         Self { seed, gateways, engines, services, rate, strikes }
     }
@@ -158,6 +161,21 @@
     }
 }
 
+/// Signals have numbers of their own, so that the other faults of a seed stay as they are.
+fn hang_ups(seed: u64, gateways: usize, engines: usize) -> Vec<Strike> {
+    let mut random = ChaCha8Rng::seed_from_u64(!seed);
+    let count = random.random_range(0..=3);
+    let strike = |_| {
+        let target = match random.random_bool(0.5) {
+            true => Target::Gateway(random.random_range(0..gateways)),
+            false => Target::Agent(random.random_range(0..engines)),
+        };
+        let at = FIRST_STRIKE + STRIKE_SPAN.mul_f64(random.random_range(0.0..1.0));
+        Strike { at, span: Duration::ZERO, fault: Fault::HangUp(target) }
+    };
+    (0..count).map(strike).collect()
+}
+
 fn draw(random: &mut ChaCha8Rng, gateways: usize, engines: usize, services: usize) -> Fault {
     let gateway = Target::Gateway(random.random_range(0..gateways));
     let engine = random.random_range(0..engines);
--- a/crates/soak/src/strike.rs
+++ b/crates/soak/src/strike.rs
@@ -118,6 +118,12 @@
         }
         Fault::Leaving(index) => leave(&scene, index).await,
         Fault::NewRoute => add_route(&scene).await,
+        Fault::HangUp(target) => {
+            if let Some(process) = &scene.world.lock().await.member_mut(target).process {
+                // Another fault may have ended it; a process that ends by itself is found later.
+                let _ = process.hang_up();
+            }
+        }
     }
     if touches_backends(strike.fault) {
         let ended = Instant::now() + Duration::from_secs(1);
