Engines known only from the store that miss one model have none

Each entry sent a request for each model to engines that had started anew, empty, while the store still listed what they had been (686 and 392 answers 'not held there'), and callers were told to come back after 150 ms, before any load could end. Ruled out: lost side processes. The rest is that each entry finds out by itself; open.

--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -645,9 +645,13 @@
 /// The refusal of a request whose last attempt failed.
 fn final_failure(failure: AttemptFailure, reason: &'static str) -> Refusal {
     match failure {
-        AttemptFailure::Unreachable | AttemptFailure::Full | AttemptFailure::Misdirected => {
+        AttemptFailure::Unreachable | AttemptFailure::Full => {
             Refusal::until(ResultCode::NoReplica, waiting::SHORT_RETURN, reason)
         }
+        // Its model has to be loaded first.
+        AttemptFailure::Misdirected => {
+            Refusal::until(ResultCode::NoReplica, waiting::UNKNOWN_RETURN, reason)
+        }
         AttemptFailure::Failed => Refusal::new(ResultCode::BackendFailed, reason),
         AttemptFailure::Lost => Refusal::new(ResultCode::BackendLost, reason),
     }
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -219,7 +219,8 @@
             .collect();
     }
 
-    /// The engine said that it does not hold `target`.
+    /// The engine said that it does not hold `target`. One that is known only from the store has
+    /// started anew, empty, or another one has its address.
     pub fn miss(&mut self, target: &ModelTarget) {
         match &target.adapter {
             Some(adapter) => {
@@ -227,7 +228,8 @@
                     adapters.remove(adapter);
                 }
             }
-            None => self.miss_model(&target.model),
+            None if self.has_side_news => self.miss_model(&target.model),
+            None => self.residents.clear(),
         }
     }
 
