--- a/crates/base/src/signals.rs
+++ b/crates/base/src/signals.rs
@@ -25,6 +25,25 @@
     Ok(())
 }
 
+/// Waits for SIGTERM or SIGINT, and hands what the settings file holds to `reload` meanwhile.
+///
+/// # Errors
+///
+/// Fails if signals cannot be received.
+pub async fn reload_until_stopped(
+    mut watch: SettingsWatch,
+    mut reload: impl FnMut(io::Result<String>),
+) -> io::Result<()> {
+    let stop = stop_requested();
+    tokio::pin!(stop);
+    loop {
+        tokio::select! {
+            stopped = &mut stop => return stopped,
+            text = watch.reread() => reload(text),
+        }
+    }
+}
+
 /// Watches the settings file of a process. SIGHUP no longer ends the process once this exists.
 #[derive(Debug)]
 pub struct SettingsWatch {
--- a/crates/fescuewalk-side/src/cmd/agent.rs
+++ b/crates/fescuewalk-side/src/cmd/agent.rs
@@ -7,7 +7,7 @@
 use std::{env, fs, path::PathBuf};
 
 use agent::{Agent, AgentSettings};
-use base::signals::{SettingsWatch, stop_requested};
+use base::signals::{SettingsWatch, reload_until_stopped};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use events::{DecisionEvent, EventLog, LogLimits};
 use log::LevelFilter;
@@ -82,22 +82,12 @@
 
 async fn serve(
     settings: AgentSettings,
-    mut watch: SettingsWatch,
+    watch: SettingsWatch,
     name: &str,
     log: EventLog,
 ) -> Result<()> {
     let agent = Agent::start(settings.clone(), log.clone()).await?;
-    let stop = stop_requested();
-    tokio::pin!(stop);
-    loop {
-        tokio::select! {
-            stopped = &mut stop => {
-                stopped?;
-                break;
-            }
-            text = watch.reread() => note_reload(&settings, name, text, &log),
-        }
-    }
+    reload_until_stopped(watch, |text| note_reload(&settings, name, text, &log)).await?;
     agent.stop();
     Ok(())
 }
--- a/crates/fescuewalk/src/cmd/gateway.rs
+++ b/crates/fescuewalk/src/cmd/gateway.rs
@@ -6,7 +6,7 @@
 
 use std::{env, path::PathBuf};
 
-use base::signals::{SettingsWatch, stop_requested};
+use base::signals::{SettingsWatch, reload_until_stopped};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use events::{EventLog, LogLimits};
 use gateway::{GatewayHandle, GatewaySettings};
@@ -90,22 +90,12 @@
 
 async fn serve(
     settings: GatewaySettings,
-    mut watch: SettingsWatch,
+    watch: SettingsWatch,
     name: &str,
     log: EventLog,
 ) -> CliResult<()> {
     let mut handle = GatewayHandle::start(settings, log).await?;
-    let stop = stop_requested();
-    tokio::pin!(stop);
-    loop {
-        tokio::select! {
-            stopped = &mut stop => {
-                stopped?;
-                break;
-            }
-            text = watch.reread() => handle.reload(name, text),
-        }
-    }
+    reload_until_stopped(watch, |text| handle.reload(name, text)).await?;
     handle.stop().await;
     Ok(())
 }
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use base::prelude::*;
-use platform_standin::{EngineFault, EngineOptions, ServiceFault, StoreFault};
+use platform_standin::{EngineFault, EngineOptions, ServiceFault, StoreFault, caller};
 use support::{CallOutcome, TestFleet, catalog, eventually, plain, stream, whole_stream};
 use tokio::time;
 
@@ -35,8 +35,8 @@
     let outcome = fleet.call(plain("POST", "/order/dam/7?urgent=1", "c-1")).await;
 
     assert_eq!(outcome.status(), 200, "{outcome:?}");
-    assert_eq!(outcome.header("attempt-id"), Some("c-1"));
-    assert!(outcome.header("server-seal").is_some());
+    assert_eq!(outcome.headers().and_then(caller::answered_call), Some("c-1"));
+    assert!(outcome.headers().and_then(caller::signature_in).is_some());
     let records: Vec<_> = fleet.services.iter().flat_map(|service| service.records()).collect();
     assert_eq!(records.len(), 1);
     assert_eq!(records[0].line, "POST /order/dam/7?urgent=1");
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -18,7 +18,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use platform_standin::{
-    CatalogBuilder, EngineOptions, EngineStandin, RouteSpec, ServiceStandin, StoreStandin,
+    CatalogBuilder, EngineOptions, EngineStandin, RouteSpec, ServiceStandin, StoreStandin, caller,
 };
 use tokio::{net::TcpListener, time};
 
@@ -198,12 +198,16 @@
         }
     }
 
-    pub fn header(&self, name: &str) -> Option<&str> {
+    pub fn headers(&self) -> Option<&http::HeaderMap> {
         match self {
-            CallOutcome::Whole { headers, .. } => headers.get(name)?.to_str().ok(),
+            CallOutcome::Whole { headers, .. } => Some(headers),
             CallOutcome::Cut(_) | CallOutcome::None(_) => None,
         }
     }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers()?.get(name)?.to_str().ok()
+    }
 }
 
 pub fn connect_settings() -> ConnectSettings {
@@ -247,8 +251,7 @@
 }
 
 pub fn request(method: &str, path: &str, call: &str) -> http::request::Builder {
-    let builder = Request::builder().method(method).uri(path).header("host", HOST);
-    builder.header("attempt-id", call).header("deadline-ms", "3000")
+    caller::request(method, HOST, path, call, Duration::from_secs(3))
 }
 
 pub fn plain(method: &str, path: &str, call: &str) -> Request<Full<Bytes>> {
@@ -256,9 +259,7 @@
 }
 
 pub fn stream(path: &str, model: &str, call: &str) -> Request<Full<Bytes>> {
-    request("POST", path, call)
-        .header("model", model)
-        .header("token-count", "600,60")
+    caller::for_model(request("POST", path, call), model, 600, 60)
         .body(Full::from("a prompt"))
         .expect("a valid request")
 }
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -13,7 +13,7 @@
 use connections::{ConnectSettings, Connection};
 use http::{HeaderMap, Request};
 use http_body_util::{BodyExt, Full};
-use platform_standin::{engine::event_text, service::signature};
+use platform_standin::{caller, engine::event_text, service::signature};
 use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 use tokio::{sync::mpsc, time};
@@ -22,6 +22,9 @@
 
 /// How long callers wait.
 pub const PATIENCE: Duration = Duration::from_millis(3_000);
+/// Tokens of each prompt, and most tokens of its answer.
+const PROMPT: u64 = 600;
+const OUTPUT: u64 = 60;
 /// Requests that a connection carries before its caller opens another one.
 const REQUESTS_PER_CONNECTION: u32 = 8;
 
@@ -173,15 +176,11 @@
 
 /// The request `call`.
 pub fn request(call: &str, method: &str, path: &str, target: Option<&str>) -> Request<Full<Bytes>> {
-    let mut builder = Request::builder()
-        .method(method)
-        .uri(path)
-        .header("host", HOST)
-        .header("attempt-id", call)
-        .header("deadline-ms", PATIENCE.as_millis().to_string());
-    if let Some(target) = target {
-        builder = builder.header("model", target).header("token-count", "600,60");
-    }
+    let head = caller::request(method, HOST, path, call, PATIENCE);
+    let builder = match target {
+        Some(target) => caller::for_model(head, target, PROMPT, OUTPUT),
+        None => head,
+    };
     builder.body(Full::from("a request of the soak")).expect("all parts are valid")
 }
 
@@ -229,9 +228,8 @@
 
 /// Whether an answer is the whole answer of one backend server to this request.
 fn is_genuine(kind: CallKind, call: &str, status: u16, headers: &HeaderMap, body: &[u8]) -> bool {
-    let header = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-    let is_own = header("attempt-id").is_none_or(|named| named == call);
-    let Some(seal) = header("server-seal") else {
+    let is_own = caller::answered_call(headers).is_none_or(|named| named == call);
+    let Some(seal) = caller::signature_in(headers) else {
         // Without a signature only a failure of the system's own is allowed.
         return is_own && status >= 400;
     };
