A busy model spares the only holder of one that is asked for

Ruled out: the demand at the planner (rates of both models were right), the holders' ledger, the keeper's order. Change: spreading weighs what goes against what it brings: the requests that the present holders don't bear, and a spare in case one is lost. Test: four loads on two full engines; all four failed before.

--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -197,6 +197,8 @@
     source: WeightSource,
     ready_at: Instant,
     starts_now: bool,
+    /// What is lost with the models that go, in time of waiting requests.
+    loss: f64,
     cost: f64,
 }
 
@@ -431,12 +433,29 @@
         }
     }
 
-    /// Engines that have to hold a model for the requests that it gets.
-    fn needed_holders(&self, model: &ModelId) -> usize {
+    /// How many engines the requests for a model fill.
+    fn filled_engines(&self, model: &ModelId) -> f64 {
         let runs = self.demand.get(model).map_or(0, ModelDemand::all_runs);
         let by_runs = f64::from(runs) / RUNS_PER_ENGINE;
         let by_rate = self.book.rate(model, self.now).0 / RATE_PER_ENGINE;
-        by_runs.max(by_rate).ceil() as usize
+        by_runs.max(by_rate)
+    }
+
+    /// Engines that have to hold a model for the requests that it gets.
+    fn needed_holders(&self, model: &ModelId) -> usize {
+        self.filled_engines(model).ceil() as usize
+    }
+
+    /// What one more engine brings to a model that `holders` hold, in time of waiting requests: the
+    /// requests that those don't bear, and that it isn't missed if one is lost.
+    fn spread_gain(&self, model: &ModelId, holders: usize) -> f64 {
+        let excess = (self.filled_engines(model) - holders as f64).max(0.0);
+        excess * RATE_PER_ENGINE * LOSS_SPAN + self.spare_value(model, holders + 1)
+    }
+
+    /// What the last of `holders` is worth that hold a model beyond those that have to.
+    fn spare_value(&self, model: &ModelId, holders: usize) -> f64 {
+        SPARE_VALUE + self.book.rate(model, self.now).0 * SPARE_VALUE / holders as f64
     }
 
     /// Engines that should hold it, in case one is lost.
@@ -446,7 +465,7 @@
     }
 
     /// Lets another engine hold a model whose engines have too much to do, or that would be missed
-    /// if its engine were lost and nothing else waits.
+    /// if its engine were lost and nothing else waits. Models that bring more stay.
     fn spread_busy(&mut self, outcome: &mut PlanOutcome) {
         let models: Vec<ModelId> = self.demand.keys().cloned().collect();
         for model in models {
@@ -461,6 +480,7 @@
             if let Some(best) = self.best_candidate(&model)
                 && best.starts_now
                 && best.source != WeightSource::Store
+                && best.loss < self.spread_gain(&model, holders)
             {
                 self.take(outcome, model, best, ChangeReason::Busy, 0);
             }
@@ -617,6 +637,7 @@
             source,
             ready_at,
             starts_now: free_at <= self.now,
+            loss: room.loss,
             cost,
         })
     }
@@ -694,7 +715,7 @@
             // Which of several goes is told by how much it is asked for.
             rate * SPARE_VALUE / holders as f64
         } else if holders > self.needed_holders(model).max(1) {
-            SPARE_VALUE + rate * SPARE_VALUE / holders as f64
+            self.spare_value(model, holders)
         } else {
             rate * LOSS_SPAN
         };
--- a/crates/residency/tests/planner.rs
+++ b/crates/residency/tests/planner.rs
@@ -286,3 +286,59 @@
 
     assert!(changes(&outcome)[0].starts_with("i-2"), "{:?}", changes(&outcome));
 }
+
+/// Demand of `entry-1` for models that run at one engine each: name, engine, and the requests of
+/// the last second, a fifth of which is their rate over the planner's span.
+fn fresh_demand(models: &[(&str, &str, u64)], now: Instant) -> DemandBook {
+    let rows = |is_later: bool| -> Vec<DemandRow> {
+        let row = |(name, engine, arrivals): &(&str, &str, u64)| DemandRow {
+            arrivals: 1 + if is_later { *arrivals } else { 0 },
+            ..running(name, engine)
+        };
+        models.iter().map(row).collect()
+    };
+    let mut demand = book(rows(false), now - Duration::from_secs(1));
+    demand.tell("entry-1".parse().expect("a valid name"), rows(true), now);
+    demand
+}
+
+/// Load pattern: two engines are full, and every model that they hold is asked for. One of the
+/// models is asked for so much that another engine should hold it, or has to.
+#[rstest::rstest]
+#[case::should_and_is_as_busy(8, 8)]
+#[case::should_and_is_busier(8, 4)]
+#[case::has_to_and_is_as_busy(30, 30)]
+#[case::has_to_and_is_busier(30, 10)]
+fn a_busy_model_does_not_push_out_the_only_holder_of_one_that_is_asked_for(
+    #[case] busy: u64,
+    #[case] others: u64,
+) {
+    let now = Instant::now();
+    let all = ["a", "b", "c", "d", "e", "f"];
+    let mut planner = planner(
+        vec![engine("i-1", &["a", "c", "d"], &all), engine("i-2", &["b", "e", "f"], &all)],
+        now,
+    );
+    let beside = ["c", "d"].map(|name| (name, "i-1", others));
+    let more = ["b", "e", "f"].map(|name| (name, "i-2", others));
+    let models: Vec<_> = [("a", "i-1", busy)].into_iter().chain(beside).chain(more).collect();
+
+    let outcome = planner.plan(&fresh_demand(&models, now), now);
+
+    assert!(outcome.changes.is_empty(), "{:?}", changes(&outcome));
+}
+
+#[test]
+fn a_busy_model_takes_the_place_of_one_that_is_not_asked_for() {
+    let now = Instant::now();
+    let all = ["a", "b", "c", "d", "e", "f"];
+    let mut planner = planner(
+        vec![engine("i-1", &["a", "c", "d"], &all), engine("i-2", &["b", "e", "f"], &all)],
+        now,
+    );
+    let models = [("a", "i-1", 30), ("b", "i-2", 4), ("c", "i-1", 4), ("e", "i-2", 4)];
+
+    let outcome = planner.plan(&fresh_demand(&models, now), now);
+
+    assert_eq!(changes(&outcome), ["i-2: -f +a from disk"]);
+}
