An engine that started anew has no prompts to read

Change: the gate hears the start of the engine's incarnation with each report, and forgets what was being read when that changes; requests that wait keep their place, as the model can be loaded again. Test: failed with the clearing taken out, passes with it.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -219,6 +219,9 @@
             match self.engine.report().await {
                 Ok(report) => {
                     self.regain();
+                    if let Some(started) = report.started {
+                        self.lock().gate.hear_engine(started);
+                    }
                     self.step(|keeper, now| keeper.hear(report, now));
                 }
                 Err(reason) => {
--- a/crates/residency/src/prompts.rs
+++ b/crates/residency/src/prompts.rs
@@ -10,6 +10,7 @@
 
 use base::prelude::*;
 use catalog::TokenCount;
+use roster::IncarnationStart;
 
 /// Tokens of prompts that an engine may have to read at a time.
 pub const READING_LIMIT: TokenCount = TokenCount(2_100);
@@ -82,6 +83,7 @@
 pub struct PromptGate {
     waiting: BTreeMap<PromptId, Waiting>,
     reading: BTreeMap<PromptId, Reading>,
+    started: Option<IncarnationStart>,
 }
 
 impl PromptGate {
@@ -111,10 +113,13 @@
         self.reading.remove(id);
     }
 
-    /// The engine has started anew.
-    pub fn clear(&mut self) {
-        self.waiting.clear();
-        self.reading.clear();
+    /// Takes in when the engine's incarnation started. One that has started anew has no prompt to
+    /// read; requests that wait go on waiting for it.
+    pub fn hear_engine(&mut self, started: IncarnationStart) {
+        if self.started.is_some_and(|before| before != started) {
+            self.reading.clear();
+        }
+        self.started = Some(started);
     }
 
     /// Tokens that the engine has to read, let in or not.
--- a/crates/residency/tests/prompts.rs
+++ b/crates/residency/tests/prompts.rs
@@ -8,6 +8,7 @@
 use catalog::TokenCount;
 use common::{adapter, model};
 use residency::prompts::{PromptAnswer, PromptAsk, PromptGate, PromptId, RunReadiness};
+use roster::IncarnationStart;
 
 fn id(entry: u16, key: u64) -> PromptId {
     let entry = SocketAddr::from(([10, 0, 0, 1], entry));
@@ -137,3 +138,24 @@
     assert!(gate.is_reading(&id(1, 1)));
     assert!(gate.step(ready, now).is_empty());
 }
+
+/// Load pattern: an engine is killed while it reads prompts, and is back within a second. Callers
+/// who wait for it would wait for the prompts of requests that are gone.
+#[test]
+fn prompts_of_an_engine_that_started_anew_do_not_hold_up_those_that_wait() {
+    let now = Instant::now();
+    let due = now + Duration::from_millis(500);
+    let mut gate = PromptGate::default();
+    gate.hear_engine(IncarnationStart(1));
+    gate.ask(ask(id(1, 1), 1_900, due), now);
+    gate.ask(ask(id(2, 1), 1_900, due), now);
+    gate.step(ready, now);
+
+    gate.hear_engine(IncarnationStart(1));
+    let same = let_in(&gate.step(ready, now));
+    gate.hear_engine(IncarnationStart(2));
+    let anew = let_in(&gate.step(ready, now));
+
+    assert!(same.is_empty(), "{same:?}");
+    assert_eq!(anew, [id(2, 1)]);
+}
