Waiting requests push out models only for what they bring

Ruled out: loads that fail (every order was accepted), the store's pace. Change: a load may cause at most three times the loss of the value that it brings; if no engine with a copy can do that, the weight store is an alternative for engines without one. Test: the pattern failed before (-a +d at i-1); its counterpart, many waiting requests, passes before and after.

--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -143,6 +143,10 @@
 const KEEP: Duration = Duration::from_millis(700);
 /// What a request a second for a model that is dropped counts for, in time of waiting requests.
 const LOSS_SPAN: f64 = 4.0;
+/// Loss, in time of waiting requests, that a load may cause for each request that it serves. A
+/// model that is dropped is away for one to two seconds if another engine has a copy, and longer
+/// while its requests end; rare models would starve if each loss counted in full.
+const LOSS_PER_VALUE: f64 = 3.0;
 /// Requests a second for one model that one engine bears: it reads a prompt of the users' sheets in
 /// 60 to 80 ms, and above a third of its time in reading prompts come together too often.
 const RATE_PER_ENGINE: f64 = 5.0;
@@ -397,18 +401,27 @@
     }
 
     fn rank(&self, model: &ModelId, demand: &ModelDemand) -> LoadRank {
-        let load = self.spec.model(model).map_or(Duration::ZERO, |spec| spec.disk_load);
-        let due = demand.due.unwrap_or(self.now);
-        let is_late = due < self.now + load;
-        let waiting = f64::from(demand.waiting) * if is_late { LATE_VALUE } else { 1.0 };
-        let value = waiting + self.book.rate(model, self.now).0 * HORIZON.as_secs_f64();
-        match (value >= GREAT_VALUE, is_late) {
+        let value = self.load_value(model, demand);
+        match (value >= GREAT_VALUE, self.is_late(model, demand)) {
             (true, _) => LoadRank::Great(Reverse((value * 1000.0) as u64)),
-            (false, false) => LoadRank::InTime(due),
+            (false, false) => LoadRank::InTime(demand.due.unwrap_or(self.now)),
             (false, true) => LoadRank::Late(Reverse((value * 1000.0) as u64)),
         }
     }
 
+    /// Whether the first request that waits for a model is late even if a load begins now.
+    fn is_late(&self, model: &ModelId, demand: &ModelDemand) -> bool {
+        let load = self.spec.model(model).map_or(Duration::ZERO, |spec| spec.disk_load);
+        demand.due.unwrap_or(self.now) < self.now + load
+    }
+
+    /// What a load of a model brings, in requests.
+    fn load_value(&self, model: &ModelId, demand: &ModelDemand) -> f64 {
+        let part = if self.is_late(model, demand) { LATE_VALUE } else { 1.0 };
+        let coming = self.book.rate(model, self.now).0 * HORIZON.as_secs_f64();
+        f64::from(demand.waiting) * part + coming
+    }
+
     fn serve_waiting(&mut self, outcome: &mut PlanOutcome) {
         for (model, demand) in self.waiting_models() {
             let expected = self.expected(&model);
@@ -418,7 +431,8 @@
             let is_faster = |found: &Candidate| {
                 expected.is_none_or(|ready_at| found.ready_at + FASTER < ready_at)
             };
-            let Some(best) = self.best_candidate(&model).filter(is_faster) else {
+            let most_loss = self.load_value(&model, &demand) * LOSS_PER_VALUE;
+            let Some(best) = self.best_candidate(&model, most_loss).filter(is_faster) else {
                 let outlook = expected.or_else(|| self.first_outlook(&model));
                 outcome.outlooks.push((model, outlook));
                 continue;
@@ -477,10 +491,10 @@
             if holders == 0 || holders >= wanted || self.is_coming(&model) {
                 continue;
             }
-            if let Some(best) = self.best_candidate(&model)
+            let gain = self.spread_gain(&model, holders);
+            if let Some(best) = self.best_candidate(&model, gain)
                 && best.starts_now
                 && best.source != WeightSource::Store
-                && best.loss < self.spread_gain(&model, holders)
             {
                 self.take(outcome, model, best, ChangeReason::Busy, 0);
             }
@@ -498,7 +512,7 @@
                 continue;
             }
             let best = self
-                .candidates(&model)
+                .candidates(&model, f64::INFINITY)
                 .into_iter()
                 .filter(|found| found.starts_now && found.unload.is_empty())
                 .filter(|found| found.source != WeightSource::Store)
@@ -551,8 +565,8 @@
         outcome.changes.push(PlannedChange { change, reason, source, waiting });
     }
 
-    fn best_candidate(&self, model: &ModelId) -> Option<Candidate> {
-        self.candidates(model).into_iter().min_by(|a, b| a.cost.total_cmp(&b.cost))
+    fn best_candidate(&self, model: &ModelId, most_loss: f64) -> Option<Candidate> {
+        self.candidates(model, most_loss).into_iter().min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
     /// Whether most of the listed engines have been heard.
@@ -571,22 +585,20 @@
         Some(self.now + HEAR_TIME + spec.disk_load)
     }
 
-    /// Engines that can load `model`: those with a copy, and the others if the weight store would
-    /// be faster.
-    fn candidates(&self, model: &ModelId) -> Vec<Candidate> {
+    /// Engines that can load `model` and lose less than `most_loss` by it: those with a copy, and
+    /// the others if the weight store would be faster.
+    fn candidates(&self, model: &ModelId, most_loss: f64) -> Vec<Candidate> {
         let Some(spec) = self.spec.model(model) else { return Vec::new() };
-        let mut found: Vec<Candidate> = self
-            .planner
-            .engines
-            .values()
-            .filter(|engine| engine.has_copy(model))
-            .filter_map(|engine| self.candidate(engine, spec))
-            .collect();
+        let candidate =
+            |engine| self.candidate(engine, spec).filter(|candidate| candidate.loss < most_loss);
+        let engines = self.planner.engines.values();
+        let mut found: Vec<Candidate> =
+            engines.filter(|engine| engine.has_copy(model)).filter_map(candidate).collect();
         let first = found.iter().map(|candidate| candidate.ready_at).min();
         let is_slow = first.is_none_or(|at| at > self.now + spec.store_load);
         if is_slow && self.may_use_store() {
             let others = self.planner.engines.values().filter(|engine| !engine.has_copy(model));
-            found.extend(others.filter_map(|engine| self.candidate(engine, spec)));
+            found.extend(others.filter_map(candidate));
         }
         found
     }
--- a/crates/residency/tests/planner.rs
+++ b/crates/residency/tests/planner.rs
@@ -342,3 +342,32 @@
 
     assert_eq!(changes(&outcome), ["i-2: -f +a from disk"]);
 }
+
+/// Load pattern: after a power loss each engine holds what was asked for first. One request waits
+/// for a rare model whose only copy is beside the only holder of the busiest one.
+#[test]
+fn a_rare_model_does_not_push_out_the_only_holder_of_a_busy_one() {
+    let now = Instant::now();
+    let busy = [("a", "i-1", 20), ("b", "i-1", 20), ("c", "i-1", 20)];
+    let mut planner =
+        planner(vec![engine("i-1", &["a", "b", "c"], &["d"]), engine("i-2", &["e"], &[])], now);
+    let mut demand = fresh_demand(&busy, now);
+    demand.tell("entry-2".parse().expect("a valid name"), vec![waiting("d", 1)], now);
+
+    let outcome = planner.plan(&demand, now);
+
+    assert_eq!(changes(&outcome), ["i-2: - +d from store"]);
+}
+
+#[test]
+fn many_requests_for_a_model_push_out_the_only_holder_of_one_that_is_asked_for_less() {
+    let now = Instant::now();
+    let busy = [("a", "i-1", 20), ("b", "i-1", 20), ("c", "i-1", 10)];
+    let mut planner = planner(vec![engine("i-1", &["a", "b", "c"], &["d"])], now);
+    let mut demand = fresh_demand(&busy, now);
+    demand.tell("entry-2".parse().expect("a valid name"), vec![waiting("d", 8)], now);
+
+    let outcome = planner.plan(&demand, now);
+
+    assert_eq!(changes(&outcome), ["i-1: -c +d from disk"]);
+}
