Models whose requests are all refused are loaded for those that come back

Change: a model that nobody holds and whose requests to come count for one or more (0.5 a second) is planned for like one that requests wait for. Test: failed before (no change); its counterpart with one request passes.

--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -139,6 +139,9 @@
 const LATE_VALUE: f64 = 0.3;
 /// Requests from which on a load goes before those of rare models.
 const GREAT_VALUE: f64 = 2.0;
+/// Requests to come from which on a load is planned though none waits: while loads are planned for
+/// seconds ahead, requests are refused at once with a time to come back.
+const REFUSED_VALUE: f64 = 1.0;
 /// A model that was loaded is kept at least this long, for the requests that waited for it.
 const KEEP: Duration = Duration::from_millis(700);
 /// What a request a second for a model that is dropped counts for, in time of waiting requests.
@@ -390,10 +393,12 @@
         self.holders.get(model).copied().unwrap_or(0)
     }
 
-    /// Models that requests wait for: first those that bring most, then those whose goal can still
-    /// be met, by the time that is left, then the others.
+    /// Models that requests wait for, or come back for: first those that bring most, then those
+    /// whose goal can still be met, by the time that is left, then the others.
     fn waiting_models(&self) -> Vec<(ModelId, ModelDemand)> {
-        let waiting = self.demand.iter().filter(|(_, demand)| demand.waiting > 0);
+        let waiting = self.demand.iter().filter(|(model, demand)| {
+            demand.waiting > 0 || self.load_value(model, demand) >= REFUSED_VALUE
+        });
         let mut ranked: Vec<(LoadRank, &ModelId, &ModelDemand)> =
             waiting.map(|(model, demand)| (self.rank(model, demand), model, demand)).collect();
         ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.cmp(b.1)));
--- a/crates/residency/tests/planner.rs
+++ b/crates/residency/tests/planner.rs
@@ -371,3 +371,30 @@
 
     assert_eq!(changes(&outcome), ["i-1: -c +d from disk"]);
 }
+
+/// Load pattern: demand moves to a model that no engine holds while loads for others are planned
+/// for seconds ahead. Its requests are refused with a time to come back, so none waits.
+#[test]
+fn a_model_whose_requests_are_all_refused_is_loaded_for_those_that_come_back() {
+    let now = Instant::now();
+    let mut planner = planner(vec![engine("i-1", &["a", "b", "c"], &["d"])], now);
+    let entry: VmId = "entry-1".parse().expect("a valid name");
+    let row = |arrivals| DemandRow { arrivals, ..waiting("d", 0) };
+    let mut demand = book(vec![row(1)], now - Duration::from_secs(1));
+    demand.tell(entry, vec![row(9)], now);
+
+    let outcome = planner.plan(&demand, now);
+
+    assert_eq!(changes(&outcome), ["i-1: -a +d from disk"]);
+}
+
+#[test]
+fn a_model_that_was_asked_for_once_is_not_loaded_if_nobody_waits() {
+    let now = Instant::now();
+    let mut planner = planner(vec![engine("i-1", &["a", "b", "c"], &["d"])], now);
+    let demand = book(vec![DemandRow { arrivals: 1, ..waiting("d", 0) }], now);
+
+    let outcome = planner.plan(&demand, now);
+
+    assert!(outcome.changes.is_empty(), "{:?}", changes(&outcome));
+}
