What may be dropped is told by demand over a longer time

Change: the loss of an only holder is told by the greater of the averages over 5 s and 30 s. Test: failed before (-a, the model with 24 requests 26 s ago, went).

--- a/crates/residency/src/demand.rs
+++ b/crates/residency/src/demand.rs
@@ -9,6 +9,9 @@
 ///
 /// Demand moves to other models within about five seconds on the users' busiest days.
 const RATE_SPAN: Duration = Duration::from_secs(5);
+/// Time over which arrivals are averaged for what may be dropped: demand that moves between a few
+/// models comes back to each within about half a minute on the users' busiest days.
+const LONG_SPAN: Duration = Duration::from_secs(30);
 /// An entry that tells nothing for this time has no demand any more; it tells it each quarter of a
 /// second while there is any.
 const SILENCE: Duration = Duration::from_secs(2);
@@ -50,23 +53,37 @@
     }
 }
 
+/// Arrivals, averaged over the last seconds and over a longer time.
 #[derive(Debug, Clone)]
 struct ArrivalRate {
-    events: f64,
+    recent: f64,
+    long: f64,
     updated: Instant,
 }
 
 impl ArrivalRate {
-    fn decay(&mut self, now: Instant) {
+    fn new(now: Instant) -> Self {
+        Self { recent: 0.0, long: 0.0, updated: now }
+    }
+
+    /// What is left of an average over `span`.
+    fn decay(&self, span: Duration, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
-        self.events *= (-elapsed / RATE_SPAN.as_secs_f64()).exp();
+        (-elapsed / span.as_secs_f64()).exp()
+    }
+
+    fn count(&mut self, arrivals: u64, now: Instant) {
+        self.recent = self.recent * self.decay(RATE_SPAN, now) + arrivals as f64;
+        self.long = self.long * self.decay(LONG_SPAN, now) + arrivals as f64;
         self.updated = now;
     }
 
-    fn at(&self, now: Instant) -> EventRate {
-        let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
-        let span = RATE_SPAN.as_secs_f64();
-        EventRate(self.events * (-elapsed / span).exp() / span)
+    fn recent(&self, now: Instant) -> EventRate {
+        EventRate(self.recent * self.decay(RATE_SPAN, now) / RATE_SPAN.as_secs_f64())
+    }
+
+    fn long(&self, now: Instant) -> EventRate {
+        EventRate(self.long * self.decay(LONG_SPAN, now) / LONG_SPAN.as_secs_f64())
     }
 }
 
@@ -99,10 +116,8 @@
                     Some(before) => row.arrivals.saturating_sub(before),
                     None => 1,
                 };
-                let rate =
-                    self.rates.entry(model).or_insert(ArrivalRate { events: 0.0, updated: now });
-                rate.decay(now);
-                rate.events += new as f64;
+                let rate = self.rates.entry(model).or_insert_with(|| ArrivalRate::new(now));
+                rate.count(new, now);
             }
             known.rows.push((row, now));
         }
@@ -110,7 +125,13 @@
 
     /// Requests a second for `model`, averaged over the last seconds.
     pub fn rate(&self, model: &ModelId, now: Instant) -> EventRate {
-        self.rates.get(model).map_or(EventRate(0.0), |rate| rate.at(now))
+        self.rates.get(model).map_or(EventRate(0.0), |rate| rate.recent(now))
+    }
+
+    /// Requests a second that a model would miss: demand that has moved away comes back.
+    pub fn lasting_rate(&self, model: &ModelId, now: Instant) -> EventRate {
+        let Some(rate) = self.rates.get(model) else { return EventRate(0.0) };
+        EventRate(rate.recent(now).0.max(rate.long(now).0))
     }
 
     /// Demand by model.
--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -734,7 +734,7 @@
         } else if holders > self.needed_holders(model).max(1) {
             self.spare_value(model, holders)
         } else {
-            rate * LOSS_SPAN
+            self.book.lasting_rate(model, self.now).0 * LOSS_SPAN
         };
         Some((loss, wait))
     }
--- a/crates/residency/tests/planner.rs
+++ b/crates/residency/tests/planner.rs
@@ -398,3 +398,23 @@
 
     assert!(outcome.changes.is_empty(), "{:?}", changes(&outcome));
 }
+
+/// Load pattern: demand moves between a few models every few seconds, and comes back. A rare model
+/// that was asked for once just now is missed less than one that many asked for a while ago.
+#[test]
+fn a_model_whose_demand_moved_away_stays_rather_than_one_that_was_asked_for_once() {
+    let now = Instant::now();
+    let mut planner = planner(vec![engine("i-1", &["a", "b", "c"], &["d"])], now);
+    let entry: VmId = "entry-1".parse().expect("a valid name");
+    let row = |name, arrivals| DemandRow { arrivals, ..waiting(name, 0) };
+    let mut demand = DemandBook::default();
+    for second in 0..5 {
+        let then = now - Duration::from_secs(30 - second);
+        demand.tell(entry.clone(), vec![row("a", 1 + 6 * second)], then);
+    }
+    demand.tell(entry, vec![row("b", 1), row("c", 1), waiting("d", 1)], now);
+
+    let outcome = planner.plan(&demand, now);
+
+    assert_eq!(changes(&outcome), ["i-1: -b +d from disk"]);
+}
