Loads wait for a model that becomes idle

The log of orders: between 12 and 24 s engines spent 40% of their time in waiting for the requests of a model that they had been told to drop (up to 5.5 s each, ten of 65 over 1 s), and an engine carries out one order at a time, so no other load or adapter went in. Ruled out: the weight store (4 loads), the time of loads from disk (0.8 s). Change: a model with running requests is dropped only if requests have waited 1.5 s for the load; until then the planner looks for a model that has become idle, at any engine.

--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -132,6 +132,9 @@
 /// Expected time until the requests of a model that is to be dropped have ended: a stream of the
 /// users' sheets lasts two to eight seconds.
 const RUN_TIME: Duration = Duration::from_millis(2_500);
+/// Time for which a load waits for a model that becomes idle. An engine that drops one with running
+/// requests carries out no other order until they have ended.
+const IDLE_WAIT: Duration = Duration::from_millis(1_500);
 /// Time for which requests that are still to come count when loads are ranked.
 const HORIZON: Duration = Duration::from_secs(2);
 /// What a request that is late whatever is done counts for, beside one that can be in time. The
@@ -184,6 +187,8 @@
     store_pace: StorePace,
     pending: HashMap<InstanceId, Pending>,
     arrived: HashMap<(InstanceId, ModelId), Instant>,
+    /// Since when requests wait for a model that no engine holds or loads.
+    unmet: HashMap<ModelId, Instant>,
 }
 
 /// Order in which loads are planned.
@@ -323,6 +328,7 @@
     pub fn plan(&mut self, book: &DemandBook, now: Instant) -> PlanOutcome {
         let Some(spec) = self.spec.clone() else { return PlanOutcome::default() };
         self.pending.retain(|_, pending| pending.until > now);
+        self.note_unmet(book, now);
         let mut look = Look::new(self, &spec, book, now);
         let mut outcome = PlanOutcome::default();
         look.serve_waiting(&mut outcome);
@@ -334,6 +340,21 @@
         outcome
     }
 
+    fn note_unmet(&mut self, book: &DemandBook, now: Instant) {
+        let (holders, coming) = (holders(self), coming(self, now));
+        let unmet: HashMap<ModelId, Instant> = book
+            .by_model(now)
+            .into_iter()
+            .filter(|(_, demand)| demand.waiting > 0)
+            .filter(|(model, _)| !holders.contains_key(model) && !coming.contains_key(model))
+            .map(|(model, _)| {
+                let since = self.unmet.get(&model).copied().unwrap_or(now);
+                (model, since)
+            })
+            .collect();
+        self.unmet = unmet;
+    }
+
     fn note(&mut self, change: &WantedChange, now: Instant) {
         let pending = Pending {
             until: now + PENDING,
@@ -352,7 +373,8 @@
         let under_way = planner.engines.values().filter_map(|engine| engine.loading.as_ref());
         let store_loads = under_way.filter(|load| load.is_from_store).count()
             + planner.pending.values().filter(|pending| pending.is_from_store).count();
-        let mut look = Self {
+        let unmet = planner.unmet.len() as f64;
+        Self {
             planner,
             spec,
             book,
@@ -362,21 +384,16 @@
             coming: coming(planner, now),
             planned: BTreeSet::new(),
             store_loads,
-            pressure: 0.0,
+            pressure: unmet / planner.engines.len().max(1) as f64,
             now,
-        };
-        let unmet = look.unmet_models().len() as f64;
-        look.pressure = unmet / planner.engines.len().max(1) as f64;
-        look
+        }
     }
 
-    /// Models that requests wait for and that nobody holds or loads.
-    fn unmet_models(&self) -> Vec<&ModelId> {
-        let waiting = self.demand.iter().filter(|(_, demand)| demand.waiting > 0);
-        waiting
-            .map(|(model, _)| model)
-            .filter(|model| self.holders(model) == 0 && self.expected(model).is_none())
-            .collect()
+    /// Whether requests have waited for `model` so long that the requests of another one are cut
+    /// off from their engine for it.
+    fn is_overdue(&self, model: &ModelId) -> bool {
+        let unmet = self.planner.unmet.get(model);
+        unmet.is_some_and(|since| self.now.saturating_duration_since(*since) >= IDLE_WAIT)
     }
 
     /// When a load of `model` that is under way ends.
@@ -653,7 +670,7 @@
             load_time,
             source,
             ready_at,
-            starts_now: free_at <= self.now,
+            starts_now: free_at <= self.now && (room.wait.is_zero() || self.is_overdue(&model.id)),
             loss: room.loss,
             cost,
         })
