--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -134,7 +134,7 @@
 const RUN_TIME: Duration = Duration::from_millis(2_500);
 /// Time for which a load waits for a model that becomes idle. An engine that drops one with running
 /// requests carries out no other order until they have ended.
-const IDLE_WAIT: Duration = Duration::from_millis(1_500);
+const IDLE_WAIT: Duration = Duration::from_millis(3_000);
 /// Time for which requests that are still to come count when loads are ranked.
 const HORIZON: Duration = Duration::from_secs(2);
 /// What a request that is late whatever is done counts for, beside one that can be in time. The
