Empty engines load busy models from the weight store

Change: a busy model may also go to an engine that holds nothing, from the weight store, as long as that can serve one load more for requests that wait. Tests: both failed before.

--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -514,10 +514,11 @@
                 continue;
             }
             let gain = self.spread_gain(&model, holders);
-            if let Some(best) = self.best_candidate(&model, gain)
-                && best.starts_now
-                && best.source != WeightSource::Store
-            {
+            let best = self
+                .best_candidate(&model, gain)
+                .filter(|best| best.starts_now && best.source != WeightSource::Store)
+                .or_else(|| self.fresh_candidate(&model));
+            if let Some(best) = best {
                 self.take(outcome, model, best, ChangeReason::Busy, 0);
             }
         }
@@ -591,6 +592,21 @@
         self.candidates(model, most_loss).into_iter().min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
+    /// An engine that holds nothing and has no copy yet, if the weight store can serve a load and
+    /// one more for requests that wait.
+    fn fresh_candidate(&self, model: &ModelId) -> Option<Candidate> {
+        if self.store_loads + 1 >= self.planner.store_pace.limit() || !self.knows_fleet() {
+            return None;
+        }
+        let spec = self.spec.model(model)?;
+        let engines = self.planner.engines.values();
+        engines
+            .filter(|engine| engine.residents.is_empty() && !engine.has_copy(model))
+            .filter_map(|engine| self.candidate(engine, spec))
+            .filter(|found| found.starts_now)
+            .min_by(|a, b| a.cost.total_cmp(&b.cost))
+    }
+
     /// Whether most of the listed engines have been heard.
     fn knows_fleet(&self) -> bool {
         self.planner.engines.len() as f64 >= self.planner.listed as f64 * HEARD_PART
--- a/crates/residency/tests/planner.rs
+++ b/crates/residency/tests/planner.rs
@@ -471,3 +471,30 @@
     let first = looks.iter().position(|changes| *changes > 0);
     assert_eq!(first, Some(30), "{looks:?}");
 }
+
+/// Load pattern: engines are replaced by fresh ones without any copy, or such ones are added, while
+/// one engine reads all prompts of a busy model.
+#[test]
+fn a_fresh_engine_loads_a_busy_model_from_the_weight_store() {
+    let now = Instant::now();
+    let mut planner =
+        planner(vec![engine("i-1", &["a", "b", "c"], &["a"]), engine("i-2", &[], &[])], now);
+
+    let outcome = planner.plan(&fresh_demand(&[("a", "i-1", 10), ("b", "i-1", 2)], now), now);
+
+    assert_eq!(changes(&outcome), ["i-2: - +a from store"]);
+}
+
+#[test]
+fn fresh_engines_leave_a_load_from_the_weight_store_to_those_that_wait() {
+    let now = Instant::now();
+    let names = ["i-2", "i-3", "i-4", "i-5"];
+    let mut engines = vec![engine("i-1", &["a", "b", "c"], &["a"])];
+    engines.extend(names.map(|name| engine(name, &[], &[])));
+    let mut planner = planner(engines, now);
+    let demand = [("a", "i-1", 10), ("b", "i-1", 10), ("c", "i-1", 10)];
+
+    let outcome = planner.plan(&fresh_demand(&demand, now), now);
+
+    assert_eq!(outcome.changes.len(), 2, "{:?}", changes(&outcome));
+}
