Stopping entries serve what ends in time

Its log: all four entries were stopped within 3 s (a restart one second after the other), and each refused from 2.6 s after its stop, though the balancer had no other entry; with a Retry-After of 0 callers came back at once to the next refusal. Ruled out: engines (none left), the balancer (it asked no entry that was ready). Change: a stopping entry serves requests whose deadline lies before its latest end, and tells the others to come back at that end. Test: failed before (503).

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -101,11 +101,6 @@
     story: &CallStory,
 ) -> Result<Admitted, Refused> {
     let arrived = Instant::now();
-    if gateway.refuses_new() {
-        let reason = "the process is stopping";
-        let refusal = Refusal::until(ResultCode::ProcessStopping, Duration::ZERO, reason);
-        return Err(refusal.into());
-    }
     let Some(catalog) = gateway.catalog.borrow().clone() else {
         let reason = "no configuration has been read yet";
         return Err(Refusal::until(ResultCode::ListsMissing, CATALOG_RETURN, reason).into());
@@ -120,9 +115,14 @@
         prompt_tokens: head.generation.as_ref().map(|generation| generation.prompt.0),
         patience_ms: millis(patience),
     });
+    let deadline = arrived + patience.saturating_sub(ANSWER_MARGIN);
+    if let Some(ends_at) = gateway.refuses_new(deadline) {
+        let reason = "the process is stopping";
+        let wait = ends_at.saturating_duration_since(Instant::now());
+        return Err(Refusal::until(ResultCode::ProcessStopping, wait, reason).into());
+    }
     let (parts, body) = request.into_parts();
     let body = read_body(body, catalog.limits().body).await?;
-    let deadline = arrived + patience.saturating_sub(ANSWER_MARGIN);
     let service = choose_service(&route, &head)?;
     let max_connections =
         catalog.service(&service).map_or(usize::MAX, |service| service.max_connections);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -76,8 +76,8 @@
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        // A connection accepted later still carries one request to its refusal.
-        () = gateway.turned_away(), if !gateway.refuses_new() => {
+        // A connection accepted later still carries one request.
+        () = gateway.turned_away(), if !gateway.turns_away() => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -56,6 +56,22 @@
 /// Result of starting.
 pub type Result<T, E = StartError> = std::result::Result<T, E>;
 
+/// A planned stop that has begun.
+#[derive(Debug, Clone, Copy)]
+pub struct PlannedStop {
+    /// When it began.
+    pub began: Instant,
+    /// When the process ends at the latest.
+    pub latest: Instant,
+}
+
+impl PlannedStop {
+    /// From when on callers are told to go elsewhere.
+    fn turns_away_at(&self) -> Instant {
+        self.began + TURN_AWAY
+    }
+}
+
 /// What the requests of the process share.
 pub struct Gateway {
     /// Log of decisions.
@@ -68,8 +84,8 @@
     pub backends: Backends,
     /// Other processes of the system.
     pub fleet: Fleet,
-    /// When a planned stop began.
-    pub draining: watch::Sender<Option<Instant>>,
+    /// The planned stop that has begun.
+    pub draining: watch::Sender<Option<PlannedStop>>,
     /// Whether connections are not accepted any more.
     pub closing: watch::Sender<bool>,
 }
@@ -85,13 +101,13 @@
         self.draining.borrow().is_some()
     }
 
-    /// Waits until new requests are refused because the process is about to end.
+    /// Waits until callers are told to go elsewhere because the process is about to end.
     pub async fn turned_away(&self) {
         let mut draining = self.draining.subscribe();
         // The sender lives as long as this gateway.
-        let began = draining.wait_for(Option::is_some).await.ok().and_then(|began| *began);
-        if let Some(began) = began {
-            time::sleep_until(began + TURN_AWAY).await;
+        let stop = draining.wait_for(Option::is_some).await.ok().and_then(|stop| *stop);
+        if let Some(stop) = stop {
+            time::sleep_until(stop.turns_away_at()).await;
         }
     }
 
@@ -102,9 +118,19 @@
         let _ = closing.wait_for(|closing| *closing).await;
     }
 
-    /// Whether new requests are refused because the process is about to end.
-    pub fn refuses_new(&self) -> bool {
-        self.draining.borrow().is_some_and(|began| began.elapsed() > TURN_AWAY)
+    /// Whether callers are told to go elsewhere because the process is about to end.
+    pub fn turns_away(&self) -> bool {
+        self.draining.borrow().is_some_and(|stop| Instant::now() > stop.turns_away_at())
+    }
+
+    /// Whether a request with this deadline is refused because the process is about to end; if so,
+    /// when it ends at the latest.
+    ///
+    /// A balancer that still sends requests has nobody else to send them to. Those that end in time
+    /// are served, the others find another process then.
+    pub fn refuses_new(&self, deadline: Instant) -> Option<Instant> {
+        let stop = (*self.draining.borrow())?;
+        (self.turns_away() && deadline > stop.latest).then_some(stop.latest)
     }
 }
 
@@ -220,12 +246,12 @@
     pub async fn stop(&self) {
         let in_flight = || u64::try_from(self.gateway.metrics.in_flight.get()).unwrap_or(0);
         let began = Instant::now();
+        let latest = began + self.settings.limits.grace.saturating_sub(END_MARGIN);
         self.gateway.log.record(&DecisionEvent::Stopping { in_flight: in_flight() });
-        self.gateway.draining.send_replace(Some(began));
+        self.gateway.draining.send_replace(Some(PlannedStop { began, latest }));
         self.gateway.fleet.drain();
         tokio::spawn(self.own.clone().leave());
         let earliest = began + TURN_AWAY;
-        let latest = began + self.settings.limits.grace.saturating_sub(END_MARGIN);
         let last_wait = latest - LAST_WAIT;
         let mut may_wait = true;
         loop {
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -325,3 +325,34 @@
     let late = support::call(*callers, plain("GET", "/read/a", "c-4")).await;
     assert!(matches!(&late, CallOutcome::None(reason) if reason.contains("refused")), "{late:?}");
 }
+
+/// All entries are stopped within a few seconds: the balancer has no other to send requests to.
+#[tokio::test]
+async fn requests_that_end_before_a_planned_stop_does_are_served_to_the_end() {
+    let mut fleet = TestFleet::start().await;
+    let long = EngineOptions { events: 2_000, ..engine("i-1", &["m1"], &[]) };
+    fleet.add_engine(long).await;
+    fleet.add_agent(0).await;
+    fleet.add_service("i-2").await;
+    fleet.add_gateway().await;
+    let (handle, callers) = &fleet.gateways[0];
+
+    let patience = Duration::from_secs(10);
+    let running = support::call(*callers, support::patient_stream("/chat/", "m1", "c-1", patience));
+    let late = async {
+        time::sleep(Duration::from_millis(3_000)).await;
+        let short = support::call(*callers, plain("GET", "/read/a", "c-2")).await;
+        let long = support::call(*callers, stream("/chat/", "m1", "c-3")).await;
+        (short, long)
+    };
+    let stop = async {
+        time::sleep(Duration::from_millis(150)).await;
+        handle.stop().await;
+    };
+    let (_, (short, long), ()) = tokio::join!(running, late, stop);
+
+    assert_eq!(short.status(), 200, "{short:?}");
+    assert_eq!(long.status(), 503, "{long:?}");
+    let wait: f64 = long.header("retry-after").and_then(|wait| wait.parse().ok()).expect("a time");
+    assert!((0.5..1.6).contains(&wait), "callers come back when the process has ended: {wait}");
+}
