Spreading never pushes out an only holder that is busy

Its log: six models, each asked for 20 times a second, fill two engines. One engine had been cut off, so its models had no running requests; a busier model pushed out m3 there, the only holder, since what it lacked by the rate that one engine should bear (5 a second, of the users' prompts) counted for more than m3. When m3 came back it pushed out m1, an only holder too, though m2 had two: the second of two holders that are needed counted as if no other were left. Change: what another engine brings is capped at the worth of an only holder that just counts as busy, and one of several holders counts for what it adds. In the test of only holders the models beside the full engine no longer have running requests, which had hidden the case.

--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -162,6 +162,9 @@
 const SPARE_RATE: EventRate = EventRate(1.5);
 /// Rate from which on a model counts as busy.
 const BUSY_RATE: f64 = 1.0;
+/// Most that another engine brings to a model that others hold, as much as an only holder of a
+/// model is worth that just counts as busy.
+const MAX_SPREAD_GAIN: f64 = BUSY_RATE * LOSS_SPAN;
 /// What a load of a rare model costs for each request a second for busy models at the engine, in
 /// seconds: half of the short requests ask for adapters, and those wait until it has ended.
 const DISTURBANCE: f64 = 0.2;
@@ -486,12 +489,9 @@
     /// requests that those don't bear, and that it isn't missed if one is lost.
     fn spread_gain(&self, model: &ModelId, holders: usize) -> f64 {
         let excess = (self.filled_engines(model) - holders as f64).max(0.0);
-        excess * RATE_PER_ENGINE * LOSS_SPAN + self.spare_value(model, holders + 1)
-    }
-
-    /// What the last of `holders` is worth that hold a model beyond those that have to.
-    fn spare_value(&self, model: &ModelId, holders: usize) -> f64 {
-        SPARE_VALUE + self.book.rate(model, self.now).0 * SPARE_VALUE / holders as f64
+        let rate = self.book.rate(model, self.now).0;
+        let spare = SPARE_VALUE + rate * SPARE_VALUE / (holders + 1) as f64;
+        (excess * RATE_PER_ENGINE * LOSS_SPAN + spare).min(MAX_SPREAD_GAIN)
     }
 
     /// Engines that should hold it, in case one is lost.
@@ -764,8 +764,8 @@
         let loss = if holders > self.wanted_holders(model).max(1) {
             // Which of several goes is told by how much it is asked for.
             rate * SPARE_VALUE / holders as f64
-        } else if holders > self.needed_holders(model).max(1) {
-            self.spare_value(model, holders)
+        } else if holders > 1 {
+            self.spread_gain(model, holders - 1)
         } else {
             self.book.lasting_rate(model, self.now).0 * LOSS_SPAN
         };
