Requests that come when a planned stop has ended are refused as not run

They show a request that came 109 ms before a stopping gateway ended, after it had given up what ran: since stopping entries serve what ends in time, it was sent to two backend servers, given up at once, and answered with 502 though it should never have been sent. Change: once connections are not accepted any more, new requests on those that were are refused. Test: failed before with that 502.

--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -127,9 +127,12 @@
     /// when it ends at the latest.
     ///
     /// A balancer that still sends requests has nobody else to send them to. Those that end in time
-    /// are served, the others find another process then.
+    /// are served as long as connections are accepted, the others find another process then.
     pub fn refuses_new(&self, deadline: Instant) -> Option<Instant> {
         let stop = (*self.draining.borrow())?;
+        if *self.closing.borrow() {
+            return Some(Instant::now());
+        }
         (self.turns_away() && deadline > stop.latest).then_some(stop.latest)
     }
 }
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -356,3 +356,37 @@
     let wait: f64 = long.header("retry-after").and_then(|wait| wait.parse().ok()).expect("a time");
     assert!((0.5..1.6).contains(&wait), "callers come back when the process has ended: {wait}");
 }
+
+/// The connection is accepted before the listener closes, its request comes after.
+#[tokio::test]
+async fn requests_that_come_when_a_planned_stop_has_ended_are_refused_as_not_run() {
+    let mut fleet = TestFleet::start().await;
+    let long = EngineOptions { events: 285, ..engine("i-1", &["m1"], &[]) };
+    fleet.add_engine(long).await;
+    fleet.add_agent(0).await;
+    fleet.add_service("i-2").await;
+    fleet.add_gateway().await;
+    let (handle, callers) = &fleet.gateways[0];
+
+    let patience = Duration::from_secs(10);
+    let running = support::call(*callers, support::patient_stream("/chat/", "m1", "c-1", patience));
+    let late = async {
+        time::sleep(Duration::from_millis(2_850)).await;
+        let mut accepted = Vec::new();
+        while let Ok(connection) = support::connect(*callers).await {
+            accepted.push(connection);
+            time::sleep(Duration::from_millis(10)).await;
+        }
+        // The last one may not have been accepted.
+        let mut connection = accepted.swap_remove(accepted.len() - 2);
+        let answer = connection.send(plain("GET", "/read/a", "c-2")).await.expect("an answer");
+        support::read(answer).await
+    };
+    let stop = async {
+        time::sleep(Duration::from_millis(150)).await;
+        handle.stop().await;
+    };
+    let (_, late, ()) = tokio::join!(running, late, stop);
+
+    assert_eq!(late.status(), 503, "{late:?}");
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -228,12 +228,17 @@
     }
 }
 
+/// Opens a connection that carries no request yet.
+pub async fn connect(address: SocketAddr) -> Result<Connection, SendError> {
+    Connection::open(address, &connect_settings()).await
+}
+
 /// Sends a request and returns the head of its answer with the connection.
 pub async fn send(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<(Connection, Response<Incoming>), SendError> {
-    let mut connection = Connection::open(address, &connect_settings()).await?;
+    let mut connection = connect(address).await?;
     let response = connection.send(request).await?;
     Ok((connection, response))
 }
