The planner reads the demand once a look

What requests wait for unmet was worked out before the look, from demand, holders and loads that the look then worked out again, up to 33 times a second. The look now does it from its own, and one function reads a rate. Behaviour and tests are as they were.

--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -190,7 +190,7 @@
     store_pace: StorePace,
     pending: HashMap<InstanceId, Pending>,
     arrived: HashMap<(InstanceId, ModelId), Instant>,
-    /// Since when requests wait for a model that no engine holds or loads.
+    /// What the last look found unmet.
     unmet: HashMap<ModelId, Instant>,
 }
 
@@ -261,6 +261,8 @@
     holders: HashMap<&'a ModelId, usize>,
     /// Models whose load is under way, and when it ends.
     coming: HashMap<&'a ModelId, Instant>,
+    /// Since when requests wait for a model that no engine holds or loads.
+    unmet: HashMap<ModelId, Instant>,
     /// Models whose load is planned in this look.
     planned: BTreeSet<ModelId>,
     store_loads: usize,
@@ -331,33 +333,18 @@
     pub fn plan(&mut self, book: &DemandBook, now: Instant) -> PlanOutcome {
         let Some(spec) = self.spec.clone() else { return PlanOutcome::default() };
         self.pending.retain(|_, pending| pending.until > now);
-        self.note_unmet(book, now);
         let mut look = Look::new(self, &spec, book, now);
         let mut outcome = PlanOutcome::default();
         look.serve_waiting(&mut outcome);
         look.spread_busy(&mut outcome);
         look.fill_spare(&mut outcome);
+        self.unmet = look.unmet;
         for planned in &outcome.changes {
             self.note(&planned.change, now);
         }
         outcome
     }
 
-    fn note_unmet(&mut self, book: &DemandBook, now: Instant) {
-        let (holders, coming) = (holders(self), coming(self, now));
-        let unmet: HashMap<ModelId, Instant> = book
-            .by_model(now)
-            .into_iter()
-            .filter(|(_, demand)| demand.waiting > 0)
-            .filter(|(model, _)| !holders.contains_key(model) && !coming.contains_key(model))
-            .map(|(model, _)| {
-                let since = self.unmet.get(&model).copied().unwrap_or(now);
-                (model, since)
-            })
-            .collect();
-        self.unmet = unmet;
-    }
-
     fn note(&mut self, change: &WantedChange, now: Instant) {
         let pending = Pending {
             until: now + PENDING,
@@ -376,18 +363,27 @@
         let under_way = planner.engines.values().filter_map(|engine| engine.loading.as_ref());
         let store_loads = under_way.filter(|load| load.is_from_store).count()
             + planner.pending.values().filter(|pending| pending.is_from_store).count();
-        let unmet = planner.unmet.len() as f64;
+        let (demand, holders, coming) =
+            (book.by_model(now), holders(planner), coming(planner, now));
+        let unmet: HashMap<ModelId, Instant> = demand
+            .iter()
+            .filter(|(_, demand)| demand.waiting > 0)
+            .filter(|(model, _)| !holders.contains_key(model) && !coming.contains_key(model))
+            .map(|(model, _)| (model.clone(), planner.unmet.get(model).copied().unwrap_or(now)))
+            .collect();
+        let pressure = unmet.len() as f64 / planner.engines.len().max(1) as f64;
         Self {
             planner,
             spec,
             book,
-            demand: book.by_model(now),
+            demand,
             taken: BTreeMap::new(),
-            holders: holders(planner),
-            coming: coming(planner, now),
+            holders,
+            coming,
+            unmet,
             planned: BTreeSet::new(),
             store_loads,
-            pressure: unmet / planner.engines.len().max(1) as f64,
+            pressure,
             now,
         }
     }
@@ -395,7 +391,7 @@
     /// Whether requests have waited for `model` so long that the requests of another one are cut
     /// off from their engine for it.
     fn is_overdue(&self, model: &ModelId) -> bool {
-        let unmet = self.planner.unmet.get(model);
+        let unmet = self.unmet.get(model);
         unmet.is_some_and(|since| self.now.saturating_duration_since(*since) >= IDLE_WAIT)
     }
 
@@ -409,6 +405,11 @@
         self.planned.contains(model) || self.expected(model).is_some()
     }
 
+    /// Requests a second for `model`.
+    fn rate(&self, model: &ModelId) -> f64 {
+        self.book.rate(model, self.now).0
+    }
+
     fn holders(&self, model: &ModelId) -> usize {
         self.holders.get(model).copied().unwrap_or(0)
     }
@@ -443,7 +444,7 @@
     /// What a load of a model brings, in requests.
     fn load_value(&self, model: &ModelId, demand: &ModelDemand) -> f64 {
         let part = if self.is_late(model, demand) { LATE_VALUE } else { 1.0 };
-        let coming = self.book.rate(model, self.now).0 * HORIZON.as_secs_f64();
+        let coming = self.rate(model) * HORIZON.as_secs_f64();
         f64::from(demand.waiting) * part + coming
     }
 
@@ -476,7 +477,7 @@
     fn filled_engines(&self, model: &ModelId) -> f64 {
         let runs = self.demand.get(model).map_or(0, ModelDemand::all_runs);
         let by_runs = f64::from(runs) / RUNS_PER_ENGINE;
-        let by_rate = self.book.rate(model, self.now).0 / RATE_PER_ENGINE;
+        let by_rate = self.rate(model) / RATE_PER_ENGINE;
         by_runs.max(by_rate)
     }
 
@@ -489,7 +490,7 @@
     /// requests that those don't bear, and that it isn't missed if one is lost.
     fn spread_gain(&self, model: &ModelId, holders: usize) -> f64 {
         let excess = (self.filled_engines(model) - holders as f64).max(0.0);
-        let rate = self.book.rate(model, self.now).0;
+        let rate = self.rate(model);
         let spare = SPARE_VALUE + rate * SPARE_VALUE / (holders + 1) as f64;
         (excess * RATE_PER_ENGINE * LOSS_SPAN + spare).min(MAX_SPREAD_GAIN)
     }
@@ -694,11 +695,10 @@
 
     /// What it costs that the engine takes no order for an adapter while it loads `model`.
     fn disturbance(&self, engine: &EngineFacts, model: &ModelId) -> f64 {
-        let rate = |model: &ModelId| self.book.rate(model, self.now).0;
-        if rate(model) >= BUSY_RATE {
+        if self.rate(model) >= BUSY_RATE {
             return 0.0;
         }
-        let busy = engine.residents.iter().map(|(held, _)| rate(held));
+        let busy = engine.residents.iter().map(|(held, _)| self.rate(held));
         busy.filter(|rate| *rate >= BUSY_RATE).sum::<f64>() * DISTURBANCE
     }
 
@@ -759,7 +759,7 @@
         }
         let runs = demand.and_then(|demand| demand.runs.get(&engine.instance)).copied();
         let wait = if runs.unwrap_or(0) > 0 { RUN_TIME } else { Duration::ZERO };
-        let rate = self.book.rate(model, self.now).0;
+        let rate = self.rate(model);
         let holders = self.holders(model);
         let loss = if holders > self.wanted_holders(model).max(1) {
             // Which of several goes is told by how much it is asked for.
