Planned stops: one fixture for two tests, and a name that says what it gives

Two tests set up the same fleet and stop; a function does it for both, with their assertions as they were. Gateway::refuses_new gave a time; it is called ends_before.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -116,7 +116,7 @@
         patience_ms: millis(patience),
     });
     let deadline = arrived + patience.saturating_sub(ANSWER_MARGIN);
-    if let Some(ends_at) = gateway.refuses_new(deadline) {
+    if let Some(ends_at) = gateway.ends_before(deadline) {
         let reason = "the process is stopping";
         let wait = ends_at.saturating_duration_since(Instant::now());
         return Err(Refusal::until(ResultCode::ProcessStopping, wait, reason).into());
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -123,12 +123,11 @@
         self.draining.borrow().is_some_and(|stop| Instant::now() > stop.turns_away_at())
     }
 
-    /// Whether a request with this deadline is refused because the process is about to end; if so,
-    /// when it ends at the latest.
+    /// When the process ends, if that is too early for a new request with this deadline.
     ///
     /// A balancer that still sends requests has nobody else to send them to. Those that end in time
     /// are served as long as connections are accepted, the others find another process then.
-    pub fn refuses_new(&self, deadline: Instant) -> Option<Instant> {
+    pub fn ends_before(&self, deadline: Instant) -> Option<Instant> {
         let stop = (*self.draining.borrow())?;
         if *self.closing.borrow() {
             return Some(Instant::now());
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::net::SocketAddr;
+
 use base::prelude::*;
 use platform_standin::{EngineFault, EngineOptions, ServiceFault, StoreFault, caller};
 use support::{CallOutcome, TestFleet, catalog, eventually, plain, stream, whole_stream};
@@ -326,11 +328,11 @@
     assert!(matches!(&late, CallOutcome::None(reason) if reason.contains("refused")), "{late:?}");
 }
 
-/// All entries are stopped within a few seconds: the balancer has no other to send requests to.
-#[tokio::test]
-async fn requests_that_end_before_a_planned_stop_does_are_served_to_the_end() {
+/// Stops a gateway while it relays a stream of `events`; returns what `meanwhile` does with the
+/// gateway's address.
+async fn stop_beside_a_stream<T>(events: u64, meanwhile: impl AsyncFnOnce(SocketAddr) -> T) -> T {
     let mut fleet = TestFleet::start().await;
-    let long = EngineOptions { events: 2_000, ..engine("i-1", &["m1"], &[]) };
+    let long = EngineOptions { events, ..engine("i-1", &["m1"], &[]) };
     fleet.add_engine(long).await;
     fleet.add_agent(0).await;
     fleet.add_service("i-2").await;
@@ -339,17 +341,24 @@
 
     let patience = Duration::from_secs(10);
     let running = support::call(*callers, support::patient_stream("/chat/", "m1", "c-1", patience));
-    let late = async {
-        time::sleep(Duration::from_millis(3_000)).await;
-        let short = support::call(*callers, plain("GET", "/read/a", "c-2")).await;
-        let long = support::call(*callers, stream("/chat/", "m1", "c-3")).await;
-        (short, long)
-    };
     let stop = async {
         time::sleep(Duration::from_millis(150)).await;
         handle.stop().await;
     };
-    let (_, (short, long), ()) = tokio::join!(running, late, stop);
+    let (_, seen, ()) = tokio::join!(running, meanwhile(*callers), stop);
+    seen
+}
+
+/// All entries are stopped within a few seconds: the balancer has no other to send requests to.
+#[tokio::test]
+async fn requests_that_end_before_a_planned_stop_does_are_served_to_the_end() {
+    let (short, long) = stop_beside_a_stream(2_000, async |callers| {
+        time::sleep(Duration::from_millis(3_000)).await;
+        let short = support::call(callers, plain("GET", "/read/a", "c-2")).await;
+        let long = support::call(callers, stream("/chat/", "m1", "c-3")).await;
+        (short, long)
+    })
+    .await;
 
     assert_eq!(short.status(), 200, "{short:?}");
     assert_eq!(long.status(), 503, "{long:?}");
@@ -360,20 +369,10 @@
 /// The connection is accepted before the listener closes, its request comes after.
 #[tokio::test]
 async fn requests_that_come_when_a_planned_stop_has_ended_are_refused_as_not_run() {
-    let mut fleet = TestFleet::start().await;
-    let long = EngineOptions { events: 285, ..engine("i-1", &["m1"], &[]) };
-    fleet.add_engine(long).await;
-    fleet.add_agent(0).await;
-    fleet.add_service("i-2").await;
-    fleet.add_gateway().await;
-    let (handle, callers) = &fleet.gateways[0];
-
-    let patience = Duration::from_secs(10);
-    let running = support::call(*callers, support::patient_stream("/chat/", "m1", "c-1", patience));
-    let late = async {
+    let late = stop_beside_a_stream(285, async |callers| {
         time::sleep(Duration::from_millis(2_850)).await;
         let mut accepted = Vec::new();
-        while let Ok(connection) = support::connect(*callers).await {
+        while let Ok(connection) = support::connect(callers).await {
             accepted.push(connection);
             time::sleep(Duration::from_millis(10)).await;
         }
@@ -381,12 +380,8 @@
         let mut connection = accepted.swap_remove(accepted.len() - 2);
         let answer = connection.send(plain("GET", "/read/a", "c-2")).await.expect("an answer");
         support::read(answer).await
-    };
-    let stop = async {
-        time::sleep(Duration::from_millis(150)).await;
-        handle.stop().await;
-    };
-    let (_, late, ()) = tokio::join!(running, late, stop);
+    })
+    .await;
 
     assert_eq!(late.status(), 503, "{late:?}");
 }
