--- a/crates/soak/src/strike.rs
+++ b/crates/soak/src/strike.rs
@@ -86,35 +86,35 @@
         }
         Fault::EngineSilent(index) => {
             let fault = EngineFault { is_silent: true, ..EngineFault::default() };
-            scene.world.lock().await.engines[index].engine.set_fault(fault);
+            spoil_engine(&scene, index, fault).await;
             time::sleep(span).await;
-            scene.world.lock().await.engines[index].engine.set_fault(EngineFault::default());
+            spoil_engine(&scene, index, EngineFault::default()).await;
         }
         Fault::BrokenStreams(index) => {
             let fault = EngineFault { broken_streams: SPOILED, ..EngineFault::default() };
-            scene.world.lock().await.engines[index].engine.set_fault(fault);
+            spoil_engine(&scene, index, fault).await;
         }
         Fault::LostOrders(index) => {
             let fault = EngineFault { lost_orders: SPOILED, ..EngineFault::default() };
-            scene.world.lock().await.engines[index].engine.set_fault(fault);
+            spoil_engine(&scene, index, fault).await;
         }
         Fault::ServiceSilent(index) => {
             let fault = ServiceFault { is_silent: true, ..ServiceFault::default() };
-            scene.world.lock().await.services[index].service.set_fault(fault);
+            spoil_service(&scene, index, fault).await;
             time::sleep(span).await;
-            scene.world.lock().await.services[index].service.set_fault(ServiceFault::default());
+            spoil_service(&scene, index, ServiceFault::default()).await;
         }
         Fault::LostAnswers(index) => {
             let fault = ServiceFault { lost_answers: SPOILED, ..ServiceFault::default() };
-            scene.world.lock().await.services[index].service.set_fault(fault);
+            spoil_service(&scene, index, fault).await;
         }
         Fault::CrossedAnswers(index) => {
             let fault = ServiceFault { crossed: SPOILED, ..ServiceFault::default() };
-            scene.world.lock().await.services[index].service.set_fault(fault);
+            spoil_service(&scene, index, fault).await;
         }
         Fault::Refusals(index) => {
             let fault = ServiceFault { refusals: SPOILED, ..ServiceFault::default() };
-            scene.world.lock().await.services[index].service.set_fault(fault);
+            spoil_service(&scene, index, fault).await;
         }
         Fault::Leaving(index) => leave(&scene, index).await,
         Fault::NewRoute => add_route(&scene).await,
@@ -228,6 +228,14 @@
     }
 }
 
+async fn spoil_engine(scene: &Scene, index: usize, fault: EngineFault) {
+    scene.world.lock().await.engines[index].engine.set_fault(fault);
+}
+
+async fn spoil_service(scene: &Scene, index: usize, fault: ServiceFault) {
+    scene.world.lock().await.services[index].service.set_fault(fault);
+}
+
 async fn leave(scene: &Scene, index: usize) {
     let mut world = scene.world.lock().await;
     let mut chronicle = scene.chronicle.lock().await;
