One start-up of a process that writes the log of decisions

The gateway's and the agent's commands repeated how a runtime and the log start and how the log ends; events::run_logged does it for both, in the same order.

--- a/crates/fescuewalk-side/src/cmd/agent.rs
+++ b/crates/fescuewalk-side/src/cmd/agent.rs
@@ -9,9 +9,7 @@
 use agent::{Agent, AgentSettings};
 use base::signals::{SettingsWatch, reload_until_stopped};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use events::{DecisionEvent, EventLog, LogLimits};
-use log::LevelFilter;
-use tokio::runtime::Builder;
+use events::{DecisionEvent, EventLog, run_logged};
 
 use crate::error::{Result, UsageSnafu};
 
@@ -67,17 +65,11 @@
         println!("{name}: no faults");
         return Ok(());
     }
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    let (log, writer) = EventLog::start(&settings.vm, LogLimits::default(), std::io::stdout());
-    let _notes = log.take_notes(LevelFilter::Info)?;
-    let outcome = runtime.block_on(async {
+    let vm = settings.vm.clone();
+    run_logged(&vm, async move |log| {
         let watch = SettingsWatch::start(&path, text)?;
-        serve(settings, watch, &name, log.clone()).await
-    });
-    log.close();
-    // The writer only fails if standard output does, and then nobody can be told.
-    let _ = writer.join();
-    outcome
+        serve(settings, watch, &name, log).await
+    })
 }
 
 async fn serve(
--- a/crates/fescuewalk/src/cmd/gateway.rs
+++ b/crates/fescuewalk/src/cmd/gateway.rs
@@ -8,10 +8,8 @@
 
 use base::signals::{SettingsWatch, reload_until_stopped};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use events::{EventLog, LogLimits};
+use events::{EventLog, run_logged};
 use gateway::{GatewayHandle, GatewaySettings};
-use log::LevelFilter;
-use tokio::runtime::Builder;
 
 use crate::{
     config::InputConfig,
@@ -74,18 +72,11 @@
         println!("{name}: no faults");
         return Ok(());
     }
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    let (log, writer) =
-        EventLog::start(&settings.identity.vm, LogLimits::default(), std::io::stdout());
-    let _notes = log.take_notes(LevelFilter::Info)?;
-    let outcome = runtime.block_on(async {
+    let vm = settings.identity.vm.clone();
+    run_logged(&vm, async move |log| {
         let watch = SettingsWatch::start(&name, text)?;
-        serve(settings, watch, &name, log.clone()).await
-    });
-    log.close();
-    // The writer only fails if standard output does, and then nobody can be told.
-    let _ = writer.join();
-    outcome
+        serve(settings, watch, &name, log).await
+    })
 }
 
 async fn serve(
