The head of a stream is passed on with its first event

The head was passed on at once, so the caller got a broken connection instead of an answer, and a request that may be repeated was resumed behind a head that had promised success. Ruled out: the relay's resumption (it never saw an event), the connection pool. Test: a stand-in that breaks off before the first event; the caller now gets 502, before it got a cut answer. The soak's broken streams include such a one.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -85,13 +85,30 @@
 /// The body of an answer, with the connection that brings it.
 #[derive(Debug)]
 pub struct AnswerRest {
-    /// Body.
-    pub body: Incoming,
+    body: Incoming,
+    first: Option<Bytes>,
     lease: Lease,
     max_rest: Duration,
 }
 
 impl AnswerRest {
+    /// The next bytes; none at the end of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer is cut.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, hyper::Error> {
+        if let Some(first) = self.first.take() {
+            return Ok(Some(first));
+        }
+        while let Some(frame) = self.body.frame().await {
+            if let Ok(data) = frame?.into_data() {
+                return Ok(Some(data));
+            }
+        }
+        Ok(None)
+    }
+
     /// Gives the connection back after the last byte.
     pub fn finish(self) {
         self.lease.give_back(self.max_rest);
@@ -182,7 +199,7 @@
     head_form::remove_hop_headers(&mut headers);
     let stated = head.max_rest.map_or(Duration::MAX, |rest| rest.mul_f64(REST_PART));
     let max_rest = if head.is_last { Duration::ZERO } else { stated };
-    let body = AnswerRest { body, lease, max_rest };
+    let body = AnswerRest { body, first: None, lease, max_rest };
     OpenAnswer { status: parts.status, headers, body }
 }
 
@@ -207,6 +224,27 @@
     FailedAttempt { failure: AttemptFailure::Failed, reason, answer: whole }
 }
 
+/// Waits for the first bytes of a streamed answer, so that its head is not passed on before it is
+/// known that there is more.
+///
+/// # Errors
+///
+/// Fails if the answer is cut before, or its first bytes do not come in time.
+pub async fn await_first(
+    backends: &Backends,
+    mut answer: OpenAnswer,
+    deadline: Instant,
+) -> Result<OpenAnswer> {
+    let first = tokio::select! {
+        first = answer.body.next() => first,
+        () = backends.expired(deadline) => {
+            return Err(FailedAttempt::new(AttemptFailure::Lost, "no first event in time"));
+        }
+    };
+    answer.body.first = first.map_err(|error| FailedAttempt::new(AttemptFailure::Lost, &error))?;
+    Ok(answer)
+}
+
 /// Reads an answer to its end.
 ///
 /// # Errors
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -208,23 +208,11 @@
                     continue;
                 }
                 guard.story.assign(&assignment);
-                match attempt::send(&gateway.backends, &request, &assignment).await {
-                    Ok(answer) if is_streaming && answer.status.is_success() => {
+                match exchange(gateway, &request, &assignment, is_streaming).await {
+                    Ok(Answered::Stream(answer)) => {
                         return stream(ticket, guard, request, assignment, answer);
                     }
-                    Ok(answer) => {
-                        match attempt::read_whole(&gateway.backends, answer, request.deadline).await
-                        {
-                            Ok(answer) => return finish(ticket, guard, answer),
-                            Err(failed) => settle(
-                                &mut ticket,
-                                &guard.story,
-                                &assignment,
-                                failed,
-                                &mut last_answer,
-                            ),
-                        }
-                    }
+                    Ok(Answered::Whole(answer)) => return finish(ticket, guard, answer),
                     Err(failed) => {
                         settle(&mut ticket, &guard.story, &assignment, failed, &mut last_answer)
                     }
@@ -234,6 +222,26 @@
     }
 }
 
+enum Answered {
+    Stream(OpenAnswer),
+    Whole(WholeAnswer),
+}
+
+/// One attempt, up to the point from which on its answer is the caller's.
+async fn exchange(
+    gateway: &Gateway,
+    request: &ForwardRequest,
+    assignment: &Assignment,
+    is_streaming: bool,
+) -> attempt::Result<Answered> {
+    let (backends, deadline) = (&gateway.backends, request.deadline);
+    let answer = attempt::send(backends, request, assignment).await?;
+    match is_streaming && answer.status.is_success() {
+        true => attempt::await_first(backends, answer, deadline).await.map(Answered::Stream),
+        false => attempt::read_whole(backends, answer, deadline).await.map(Answered::Whole),
+    }
+}
+
 fn settle(
     ticket: &mut Ticket,
     story: &CallStory,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,6 @@
 use events::DecisionEvent;
 use futures::{FutureExt, Stream, future::BoxFuture, stream};
 use http::StatusCode;
-use http_body_util::BodyExt;
 use hyper::body::Frame;
 
 use crate::{
@@ -121,26 +120,21 @@
 
     async fn read(&mut self) -> Step {
         let Some(rest) = &mut self.rest else { return Step::End };
-        loop {
-            let frame = tokio::select! {
-                frame = rest.body.frame() => frame,
-                () = &mut self.expired => {
-                    return Step::Broken("the answer did not end in time".to_owned());
-                }
-            };
-            let frame = match frame {
-                Some(Ok(frame)) => frame,
-                Some(Err(error)) => return Step::Broken(error.to_string()),
-                None => {
-                    if let Some(rest) = self.rest.take() {
-                        rest.finish();
-                    }
-                    return Step::End;
+        let read = tokio::select! {
+            read = rest.next() => read,
+            () = &mut self.expired => {
+                return Step::Broken("the answer did not end in time".to_owned());
+            }
+        };
+        match read {
+            Ok(Some(data)) => Step::Data(data),
+            Ok(None) => {
+                if let Some(rest) = self.rest.take() {
+                    rest.finish();
                 }
-            };
-            if let Ok(data) = frame.into_data() {
-                return Step::Data(data);
+                Step::End
             }
+            Err(error) => Step::Broken(error.to_string()),
         }
     }
 
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -158,6 +158,40 @@
     assert_eq!(fleet.engines[0].runs().len(), 1);
 }
 
+#[tokio::test]
+async fn a_stream_that_breaks_off_before_its_first_event_is_answered_with_a_failure() {
+    let mut fleet = TestFleet::start().await;
+    fleet.add_engine(engine("i-1", &["m1"], &[])).await;
+    fleet.add_agent(0).await;
+    fleet.add_gateway().await;
+    fleet.engines[0].set_fault(EngineFault { broken_heads: 1, ..EngineFault::default() });
+
+    let outcome = fleet.call(stream("/chat/", "m1", "c-1")).await;
+
+    assert_eq!(outcome.status(), 502, "{outcome:?}");
+    assert_eq!(outcome.header("retry-after"), None);
+    assert_eq!(fleet.engines[0].runs().len(), 1);
+}
+
+#[tokio::test]
+async fn a_resumable_stream_that_breaks_off_before_its_first_event_runs_elsewhere() {
+    let mut fleet = TestFleet::start().await;
+    for (index, name) in ["i-1", "i-2"].into_iter().enumerate() {
+        fleet.add_engine(engine(name, &["m1"], &[])).await;
+        fleet.add_agent(index).await;
+    }
+    let fault = EngineFault { broken_heads: 1, ..EngineFault::default() };
+    fleet.engines[0].set_fault(fault);
+    fleet.add_gateway().await;
+
+    let first = fleet.call(stream("/report/", "m1", "c-1")).await;
+    let second = fleet.call(stream("/report/", "m1", "c-2")).await;
+
+    assert_eq!((first.status(), second.status()), (200, 200), "{first:?} {second:?}");
+    assert_eq!(first.body(), whole_stream("c-1", 12));
+    assert_eq!(second.body(), whole_stream("c-2", 12));
+}
+
 #[tokio::test]
 async fn a_missing_model_is_loaded_once_for_all_that_wait() {
     let mut fleet = TestFleet::start().await;
--- a/crates/soak/src/strike.rs
+++ b/crates/soak/src/strike.rs
@@ -91,7 +91,8 @@
             spoil_engine(&scene, index, EngineFault::default()).await;
         }
         Fault::BrokenStreams(index) => {
-            let fault = EngineFault { broken_streams: SPOILED, ..EngineFault::default() };
+            let fault =
+                EngineFault { broken_streams: SPOILED, broken_heads: 1, ..EngineFault::default() };
             spoil_engine(&scene, index, fault).await;
         }
         Fault::LostOrders(index) => {
