Refusals leave before the caller's own patience ends, not only the route's

The margin of 120 ms was taken from the route's patience only; where the caller's own time ends first, 30 ms were left. Ruled out: the side process (it answered all the while), loss of datagrams. Test: a caller with a second, an adapter that never fits; refused after 970 ms before, 880 ms now.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -28,9 +28,9 @@
 
 /// Time before the caller's deadline at which an answer must be on its way.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
-/// Time before the caller of a stream stops waiting for its first event at which a refusal must be
-/// on its way: the caller's time began before the request was read, and a VM that shares its core
-/// can stand still for a tenth of a second.
+/// Time before the caller of a stream stops waiting for its first event, or for anything, at which
+/// a refusal must be on its way: the caller's time began before the request was read, and a VM that
+/// shares its core can stand still for a tenth of a second.
 const FIRST_MARGIN: Duration = Duration::from_millis(120);
 /// Return after a refusal for want of a configuration, which usually comes within this time.
 const CATALOG_RETURN: Duration = Duration::from_millis(500);
@@ -132,7 +132,7 @@
         generation: head.generation,
         arrived,
         goal: route.goal,
-        first_by: arrived.checked_add(first_patience(&route)).unwrap_or(deadline).min(deadline),
+        first_by: first_by(&route, arrived, patience).unwrap_or(deadline),
         deadline,
         priority: route.priority,
         attempts: route.attempts,
@@ -153,12 +153,10 @@
     Ok(Admitted { ask, request })
 }
 
-/// How long the caller waits for the first byte.
-fn first_patience(route: &Route) -> Duration {
-    match route.kind.is_streaming() {
-        true => dispatch::first_patience(route.goal, route.pause_goal).saturating_sub(FIRST_MARGIN),
-        false => Duration::MAX,
-    }
+/// When the caller of a stream is told at the latest that there is no first event.
+fn first_by(route: &Route, arrived: Instant, patience: Duration) -> Option<Instant> {
+    let waits = dispatch::first_patience(route.goal, route.pause_goal).min(patience);
+    route.kind.is_streaming().then(|| arrived + waits.saturating_sub(FIRST_MARGIN))
 }
 
 fn find_route(catalog: &Catalog, request: &Request<Incoming>) -> Result<Arc<Route>, Refusal> {
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -6,7 +6,9 @@
 
 use base::prelude::*;
 use platform_standin::{EngineFault, EngineOptions, ServiceFault, StoreFault, caller};
-use support::{CallOutcome, TestFleet, catalog, eventually, plain, stream, whole_stream};
+use support::{
+    CallOutcome, TestFleet, catalog, eventually, patient_stream, plain, stream, whole_stream,
+};
 use tokio::time;
 
 fn engine(instance: &str, residents: &[&str], on_disk: &[&str]) -> EngineOptions {
@@ -192,6 +194,23 @@
     assert_eq!(second.body(), whole_stream("c-2", 12));
 }
 
+#[tokio::test]
+async fn a_stream_that_cannot_begin_is_refused_while_its_caller_still_waits() {
+    let mut fleet = TestFleet::start().await;
+    let full = EngineOptions { adapter_slots: 0, ..engine("i-1", &["m1"], &[]) };
+    fleet.add_engine(full).await;
+    fleet.add_agent(0).await;
+    fleet.add_gateway().await;
+    let patience = Duration::from_secs(1);
+    let began = Instant::now();
+
+    let outcome = fleet.call(patient_stream("/report/", "m1/a1", "c-1", patience)).await;
+
+    assert_eq!(outcome.status(), 503, "{outcome:?}");
+    assert!(outcome.header("retry-after").is_some());
+    assert!(began.elapsed() < patience - Duration::from_millis(100), "{:?}", began.elapsed());
+}
+
 #[tokio::test]
 async fn a_missing_model_is_loaded_once_for_all_that_wait() {
     let mut fleet = TestFleet::start().await;
