Processes that have just started greet each other at once

Beats went out each 500 ms only, so a gateway learned of engines and entries that were listed after its first beat half a second late; it went by what the store had said of engines before, and refused 33 requests because no load was planned. Ruled out: the start of the engines (listed by 35.5 s), the store (answered in 15 ms), the agents (running by 35.53 s). Change: entries and side processes that have not answered yet get a datagram when they are listed, when the configuration comes, and every 150 ms; the first beat of an entry is answered at once. Test: a gateway that started 150 ms ago serves a model that has to be loaded; refused before (three of three runs), served now.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -28,6 +28,11 @@
 
 /// Time between two beats to other entries.
 const ENTRY_BEAT: Duration = Duration::from_millis(500);
+/// Time between two looks for processes that have not answered yet; each is sent one datagram.
+const GREETING_PACE: Duration = Duration::from_millis(150);
+/// Time between news of other processes and the look for those that are not known, so that
+/// listings that come together are greeted together.
+const GREETING_GATHER: Duration = Duration::from_millis(5);
 /// Time between two beats to side processes.
 const SIDE_BEAT: Duration = Duration::from_secs(1);
 /// A side process that was not heard for this time is sent further beats.
@@ -72,6 +77,7 @@
     core_share: u32,
     side_port: u16,
     demand_changed: Arc<Notify>,
+    strangers: Arc<Notify>,
     news: Arc<Notify>,
 }
 
@@ -117,6 +123,7 @@
             core_share,
             side_port,
             demand_changed: Arc::default(),
+            strangers: Arc::default(),
             news: Arc::default(),
         }
     }
@@ -136,6 +143,12 @@
     /// Another process told of an entry.
     pub fn meet(&self, vm: VmId, address: SocketAddr) {
         self.lock().book.meet(vm, address, Instant::now());
+        self.strangers.notify_one();
+    }
+
+    /// Backend servers were listed that may have a side process that is not known yet.
+    pub fn note_listed(&self) {
+        self.strangers.notify_one();
     }
 
     /// A planned stop begins: this entry plans no more.
@@ -157,11 +170,42 @@
     }
 
     async fn beat(self) {
+        let mut catalog = self.catalog.clone();
         loop {
             self.review();
             self.send_entry_beats();
             self.send_side_beats();
-            time::sleep(ENTRY_BEAT).await;
+            let next = Instant::now() + ENTRY_BEAT;
+            // The sender of configurations lives as long as the process.
+            while time::timeout_at(next, self.meet_strangers(&mut catalog)).await.is_ok() {
+                self.greet();
+            }
+        }
+    }
+
+    /// Waits until somebody should be greeted.
+    async fn meet_strangers(&self, catalog: &mut watch::Receiver<Option<Arc<Catalog>>>) {
+        tokio::select! {
+            () = self.strangers.notified() => {}
+            Ok(()) = catalog.changed() => {}
+            () = time::sleep(GREETING_PACE) => {}
+        }
+        time::sleep(GREETING_GATHER).await;
+    }
+
+    /// Sends beats to the processes that have not answered any. Until the side processes have, a
+    /// process that has just started knows of engines what the store said before, and plans nothing.
+    fn greet(&self) {
+        let entries = self.lock().book.unheard();
+        if !entries.is_empty() {
+            self.send_entry_beats_to(&entries);
+        }
+        let engines = self.engine_addresses();
+        let state = self.lock();
+        for engine in engines {
+            if state.sides.get(&engine).is_none_or(|side| side.number == 0) {
+                self.send_side_beat(engine, 0);
+            }
         }
     }
 
@@ -221,16 +265,26 @@
     }
 
     fn send_entry_beats(&self) {
-        let (addresses, known, is_draining) = {
+        let addresses = self.lock().book.addresses();
+        self.send_entry_beats_to(&addresses);
+    }
+
+    fn send_entry_beats_to(&self, addresses: &[SocketAddr]) {
+        let (known, is_draining) = {
             let state = self.lock();
             let known = state.book.live().map(|(vm, address)| PeerAddress {
                 vm: vm.to_string(),
                 address: address.to_string(),
             });
-            (state.book.addresses(), known.collect(), state.book.is_draining())
+            (known.collect(), state.book.is_draining())
         };
         let beat = EntryBeat { core_share: self.core_share, is_draining, known };
-        self.socket.send_all(&addresses, DatagramBody::EntryBeat(beat));
+        self.socket.send_all(addresses, DatagramBody::EntryBeat(beat));
+    }
+
+    fn send_side_beat(&self, engine: SocketAddr, known_state: u64) {
+        let side = SocketAddr::new(engine.ip(), self.side_port);
+        self.socket.send(side, DatagramBody::SideBeat(SideBeat { known_state }));
     }
 
     fn send_side_beats(&self) {
@@ -245,9 +299,7 @@
             let is_doubtful =
                 side.is_none_or(|side| now.saturating_duration_since(side.heard) > SIDE_DOUBT);
             if is_due || known == 0 || is_doubtful {
-                let side = SocketAddr::new(engine.ip(), self.side_port);
-                let beat = SideBeat { known_state: known };
-                self.socket.send(side, DatagramBody::SideBeat(beat));
+                self.send_side_beat(engine, known);
             }
         }
         if is_due {
@@ -297,13 +349,21 @@
 
     fn take_entry_beat(&self, vm: VmId, source: SocketAddr, incarnation: u64, beat: &EntryBeat) {
         let now = Instant::now();
-        let mut state = self.lock();
-        let incarnation = ProcessIncarnation(incarnation);
-        state.book.hear(vm, source, incarnation, beat.core_share, beat.is_draining, now);
-        for known in &beat.known {
-            if let (Ok(vm), Ok(address)) = (known.vm.parse(), known.address.parse()) {
-                state.book.meet(vm, address, now);
+        let is_new = {
+            let mut state = self.lock();
+            let incarnation = ProcessIncarnation(incarnation);
+            let is_new =
+                state.book.hear(vm, source, incarnation, beat.core_share, beat.is_draining, now);
+            for known in &beat.known {
+                if let (Ok(vm), Ok(address)) = (known.vm.parse(), known.address.parse()) {
+                    state.book.meet(vm, address, now);
+                }
             }
+            is_new
+        };
+        if is_new {
+            self.send_entry_beats_to(&[source]);
+            self.review();
         }
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -226,6 +226,7 @@
             }
             desk.review(now);
         });
+        self.fleet.note_listed();
         for item in news {
             if let RosterNews::Draining(id) | RosterNews::Gone(id) = item {
                 self.fleet.forget_engine(id);
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -227,6 +227,20 @@
     assert!(fleet.engines[0].violations().is_empty());
 }
 
+#[tokio::test]
+async fn a_gateway_that_has_just_started_plans_loads_at_once() {
+    let mut fleet = TestFleet::start().await;
+    fleet.add_engine(engine("i-1", &["m1", "m2", "m3"], &["m4"])).await;
+    fleet.add_agent(0).await;
+    time::sleep(Duration::from_millis(300)).await;
+    fleet.start_gateway().await;
+    time::sleep(Duration::from_millis(150)).await;
+
+    let outcome = fleet.call(stream("/chat/", "m4", "c-1")).await;
+
+    assert_eq!(outcome.status(), 200, "{outcome:?}");
+}
+
 #[tokio::test]
 async fn an_order_whose_answer_is_lost_is_carried_out_once() {
     let mut fleet = TestFleet::start().await;
--- a/crates/peers/src/book.rs
+++ b/crates/peers/src/book.rs
@@ -82,7 +82,7 @@
         self.entries.entry(vm).or_insert(peer);
     }
 
-    /// Takes in a beat.
+    /// Takes in a beat, and returns whether it is the first of its process.
     pub fn hear(
         &mut self,
         vm: VmId,
@@ -91,13 +91,20 @@
         core_share: u32,
         is_draining: bool,
         now: Instant,
-    ) {
+    ) -> bool {
         if vm == self.own {
-            return;
+            return false;
         }
         let heard = Some(now);
         let peer = EntryPeer { address, incarnation, core_share, is_draining, heard, met: now };
-        self.entries.insert(vm, peer);
+        let before = self.entries.insert(vm, peer);
+        before.is_none_or(|before| before.incarnation != incarnation)
+    }
+
+    /// Entries that were told of and have not been heard.
+    pub fn unheard(&self) -> Vec<SocketAddr> {
+        let unheard = self.entries.values().filter(|peer| peer.heard.is_none());
+        unheard.map(|peer| peer.address).collect()
     }
 
     /// Compares who is live with what was told before, and forgets those lost for long.
--- a/crates/peers/tests/book.rs
+++ b/crates/peers/tests/book.rs
@@ -77,3 +77,28 @@
     assert!(stopping.is_draining());
     assert_eq!(other.planner(), None);
 }
+
+#[test]
+fn only_the_first_beat_of_a_process_is_news() {
+    let now = Instant::now();
+    let mut book = PeerBook::new(vm("a"), 190);
+    let mut hear = |incarnation| {
+        book.hear(vm("b"), address(1), ProcessIncarnation(incarnation), 190, false, now)
+    };
+
+    let news = [hear(1), hear(1), hear(2)];
+
+    assert_eq!(news, [true, false, true]);
+}
+
+#[test]
+fn entries_are_unheard_until_their_first_beat() {
+    let now = Instant::now();
+    let mut book = PeerBook::new(vm("a"), 190);
+    book.meet(vm("b"), address(1), now);
+    book.meet(vm("c"), address(2), now);
+
+    hear(&mut book, "b", 190, false, now);
+
+    assert_eq!(book.unheard(), [address(2)]);
+}
