A planner that takes over is told the demand of the past

Entries told it arrivals since their last telling only, to whoever planned then, so all rates were near zero for five seconds and an only holder of a busy model could be dropped for a rare one. Ruled out: telling two entries all the time (a planner that is killed comes back empty and takes the duty again), keeping rates in the store (writes for what lasts seconds). Change: each entry keeps the rates of its own requests and sends them with each row; a planner that hears of a model from an entry for the first time takes them over. When the planner, or its incarnation, changes, the busiest models are told again. What is told is decided in a module of its own, without input and output.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,22 +1,22 @@
 //! The other processes of the system: entries, side processes, and the duty of the planner.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
 };
 
 use base::prelude::*;
 use catalog::{Catalog, TokenCount};
-use dispatch::{EngineNews, LoadInProgress, LoadOutlook, ModelUse};
+use dispatch::{EngineNews, LoadInProgress, LoadOutlook};
 use events::{DecisionEvent, EventLog};
 use peers::{
     ChangeWanted, Datagram, DatagramBody, EngineLoad, EngineState, EntryBeat, LoadDemand,
-    ModelDemand, ModelOutlook, Outlooks, PeerAddress, PeerBook, PeerNews, PeerSocket, RunsAtEngine,
-    SideBeat,
+    ModelDemand, ModelOutlook, Outlooks, PastRates, PeerAddress, PeerBook, PeerNews, PeerSocket,
+    RunsAtEngine, SideBeat,
 };
 use residency::{
-    CurrentLoad, DemandBook, DemandRow, EngineFacts, OrderCount, PlannedChange, Planner,
+    CurrentLoad, DemandBook, DemandPast, DemandRow, EngineFacts, OrderCount, PlannedChange, Planner,
 };
 use roster::{IncarnationStart, InstanceId, ResidentModel};
 use tokio::{
@@ -24,7 +24,9 @@
     time,
 };
 
-use crate::{backends::Backends, metrics::GatewayMetrics, permits::Permits};
+use crate::{
+    backends::Backends, metrics::GatewayMetrics, permits::Permits, telling::DemandTelling,
+};
 
 /// Time between two beats to other entries.
 const ENTRY_BEAT: Duration = Duration::from_millis(500);
@@ -59,7 +61,7 @@
     sides: HashMap<SocketAddr, SideView>,
     demand: DemandBook,
     planners: HashMap<ServiceName, Planner>,
-    told: BTreeMap<ModelId, ModelUse>,
+    telling: DemandTelling,
     side_beat: Option<Instant>,
 }
 
@@ -108,7 +110,7 @@
             sides: HashMap::new(),
             demand: DemandBook::default(),
             planners: HashMap::new(),
-            told: BTreeMap::new(),
+            telling: DemandTelling::new(vm.clone()),
             side_beat: None,
         };
         Self {
@@ -453,21 +455,17 @@
     fn tell_demand_now(&self) {
         let uses = self.backends.step(|desk, now| desk.demand(now));
         let mut state = self.lock();
-        let rows = changed_rows(&uses, &state.told);
-        let was_quiet =
-            state.told.values().all(|model| model.waiting == 0 && model.runs.is_empty());
-        state.told = uses;
-        if rows.is_empty() && was_quiet {
-            return;
-        }
-        match state.book.planner() {
+        let (planner, now) = (state.book.planner(), Instant::now());
+        let Some(rows) = state.telling.rows(uses, planner, now) else { return };
+        match planner {
             Some(planner) => {
                 let models = rows.into_iter().map(write_row).collect();
-                self.socket.send(planner, DatagramBody::LoadDemand(LoadDemand { models }));
+                let demand = LoadDemand { models };
+                self.socket.send(planner.address, DatagramBody::LoadDemand(demand));
             }
             None => {
                 let vm = self.vm.clone();
-                state.demand.tell(vm, rows, Instant::now());
+                state.demand.tell(vm, rows, now);
                 drop(state);
                 self.news.notify_one();
             }
@@ -641,29 +639,6 @@
     }
 }
 
-/// The models of which something is asked, or whose arrivals changed since they were told.
-fn changed_rows(
-    uses: &BTreeMap<ModelId, ModelUse>,
-    told: &BTreeMap<ModelId, ModelUse>,
-) -> Vec<DemandRow> {
-    let is_told = |model: &ModelId, now: &ModelUse| {
-        now.waiting == 0
-            && now.runs.is_empty()
-            && told.get(model).is_some_and(|before| before.arrivals == now.arrivals)
-    };
-    uses.iter()
-        .filter(|(model, now)| !is_told(model, now))
-        .map(|(model, now)| DemandRow {
-            model: Some(model.clone()),
-            arrivals: now.arrivals,
-            waiting: now.waiting,
-            slack: now.slack,
-            priority: now.priority,
-            runs: now.runs.iter().map(|(engine, runs)| (engine.clone(), *runs)).collect(),
-        })
-        .collect()
-}
-
 fn write_row(row: DemandRow) -> ModelDemand {
     let runs = row.runs.into_iter();
     ModelDemand {
@@ -675,6 +650,7 @@
             .map(|(engine, runs)| RunsAtEngine { instance: engine.to_string(), runs })
             .collect(),
         priority: row.priority,
+        past: row.past.map(|past| PastRates { recent: past.recent.0, long: past.long.0 }),
     }
 }
 
@@ -687,5 +663,8 @@
         slack: Duration::from_millis(row.slack_ms.into()),
         priority: row.priority,
         runs: runs.collect(),
+        past: row
+            .past
+            .map(|past| DemandPast { recent: EventRate(past.recent), long: EventRate(past.long) }),
     })
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod settings;
 pub mod sse;
 mod story;
+pub mod telling;
 
 pub use crate::{
     process::{GatewayHandle, StartError},
--- a/crates/peers/src/book.rs
+++ b/crates/peers/src/book.rs
@@ -31,6 +31,15 @@
     }
 }
 
+/// The process that plans.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlannerIdentity {
+    /// Address for datagrams.
+    pub address: SocketAddr,
+    /// Incarnation; a later one knows nothing of what an earlier one was told.
+    pub incarnation: ProcessIncarnation,
+}
+
 /// A belief that changed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PeerNews {
@@ -145,13 +154,14 @@
     ///
     /// Two entries that both plan for a while waste loads and break nothing, because each side
     /// process decides for its engine.
-    pub fn planner(&self) -> Option<SocketAddr> {
+    pub fn planner(&self) -> Option<PlannerIdentity> {
         let own = (self.own_share, &self.own);
         let others = self.live.iter().filter_map(|vm| {
             let peer = self.entries.get(vm)?;
-            Some(((peer.core_share, vm), peer.address))
+            Some(((peer.core_share, vm), peer))
         });
-        let (best, address) = others.max_by(|(a, _), (b, _)| a.cmp(b))?;
-        (self.is_draining || best > own).then_some(address)
+        let (best, peer) = others.max_by(|(a, _), (b, _)| a.cmp(b))?;
+        let identity = PlannerIdentity { address: peer.address, incarnation: peer.incarnation };
+        (self.is_draining || best > own).then_some(identity)
     }
 }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -8,11 +8,11 @@
 pub mod socket;
 
 pub use crate::{
-    book::{EntryPeer, PeerBook, PeerNews},
+    book::{EntryPeer, PeerBook, PeerNews, PlannerIdentity},
     messages::{
         ChangeWanted, Datagram, DatagramBody, EngineLoad, EngineState, EntryBeat, LoadDemand,
-        LoadingModel, ModelDemand, ModelOutlook, Outlooks, PeerAddress, ResidentState, RunAnswer,
-        RunAsk, RunEnd, RunVerdict, RunsAtEngine, SideBeat,
+        LoadingModel, ModelDemand, ModelOutlook, Outlooks, PastRates, PeerAddress, ResidentState,
+        RunAnswer, RunAsk, RunEnd, RunVerdict, RunsAtEngine, SideBeat,
     },
     socket::PeerSocket,
 };
--- a/crates/peers/src/messages.rs
+++ b/crates/peers/src/messages.rs
@@ -283,6 +283,20 @@
     /// Most urgent priority among those that wait.
     #[prost(uint32, tag = "6")]
     pub priority: u32,
+    /// Demand until now.
+    #[prost(message, optional, tag = "7")]
+    pub past: Option<PastRates>,
+}
+
+/// Requests a second for one model at one entry until now.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct PastRates {
+    /// Averaged over the last seconds.
+    #[prost(double, tag = "1")]
+    pub recent: f64,
+    /// Averaged over a longer time.
+    #[prost(double, tag = "2")]
+    pub long: f64,
 }
 
 /// Demand at one entry.
--- a/crates/peers/tests/book.rs
+++ b/crates/peers/tests/book.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use peers::{PeerBook, PeerNews};
+use peers::{PeerBook, PeerNews, PlannerIdentity};
 
 fn vm(name: &str) -> VmId {
     name.parse().expect("a valid name")
@@ -13,6 +13,10 @@
     SocketAddr::from(([10, 0, 0, 1], port))
 }
 
+fn planner(port: u16) -> PlannerIdentity {
+    PlannerIdentity { address: address(port), incarnation: ProcessIncarnation(1) }
+}
+
 fn hear(book: &mut PeerBook, name: &str, core_share: u32, is_draining: bool, now: Instant) {
     let incarnation = ProcessIncarnation(1);
     book.hear(vm(name), address(1), incarnation, core_share, is_draining, now);
@@ -57,7 +61,7 @@
     small.review(now);
     large.review(now);
 
-    assert_eq!(small.planner(), Some(address(1)));
+    assert_eq!(small.planner(), Some(planner(1)));
     assert_eq!(large.planner(), None);
 }
 
@@ -73,7 +77,7 @@
     other.review(now);
     stopping.drain();
 
-    assert_eq!(stopping.planner(), Some(address(1)));
+    assert_eq!(stopping.planner(), Some(planner(1)));
     assert!(stopping.is_draining());
     assert_eq!(other.planner(), None);
 }
--- a/crates/residency/src/demand.rs
+++ b/crates/residency/src/demand.rs
@@ -16,8 +16,17 @@
 /// second while there is any.
 const SILENCE: Duration = Duration::from_secs(2);
 
+/// Requests a second until now.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct DemandPast {
+    /// Averaged over the last seconds.
+    pub recent: EventRate,
+    /// Averaged over a longer time.
+    pub long: EventRate,
+}
+
 /// Demand for one model at one entry.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct DemandRow {
     /// Model.
     pub model: Option<ModelId>,
@@ -31,6 +40,8 @@
     pub priority: u32,
     /// Requests at engines.
     pub runs: Vec<(InstanceId, u32)>,
+    /// Demand until now, for a planner that has not been told of it before.
+    pub past: Option<DemandPast>,
 }
 
 /// Demand for one model at all entries.
@@ -78,6 +89,14 @@
         self.updated = now;
     }
 
+    /// Takes in what an entry counted before it told any of it; at least one request.
+    fn take_over(&mut self, past: DemandPast, now: Instant) {
+        let sum = |rate: EventRate, span: Duration| (rate.0 * span.as_secs_f64()).max(1.0);
+        self.count(0, now);
+        self.recent += sum(past.recent, RATE_SPAN);
+        self.long += sum(past.long, LONG_SPAN);
+    }
+
     fn recent(&self, now: Instant) -> EventRate {
         EventRate(self.recent * self.decay(RATE_SPAN, now) / RATE_SPAN.as_secs_f64())
     }
@@ -111,13 +130,12 @@
             let Some(model) = row.model.clone() else { continue };
             if row.arrivals > 0 {
                 let before = known.arrivals.insert(model.clone(), row.arrivals);
-                // An entry that restarted counts from zero again.
-                let new = match before {
-                    Some(before) => row.arrivals.saturating_sub(before),
-                    None => 1,
-                };
                 let rate = self.rates.entry(model).or_insert_with(|| ArrivalRate::new(now));
-                rate.count(new, now);
+                match before {
+                    // An entry that restarted counts from zero again.
+                    Some(before) => rate.count(row.arrivals.saturating_sub(before), now),
+                    None => rate.take_over(row.past.unwrap_or_default(), now),
+                }
             }
             known.rows.push((row, now));
         }
@@ -134,6 +152,15 @@
         EventRate(rate.recent(now).0.max(rate.long(now).0))
     }
 
+    /// Demand for `model` until now.
+    pub fn past(&self, model: &ModelId, now: Instant) -> DemandPast {
+        let rate = self.rates.get(model);
+        rate.map_or_else(DemandPast::default, |rate| DemandPast {
+            recent: rate.recent(now),
+            long: rate.long(now),
+        })
+    }
+
     /// Demand by model.
     pub fn by_model(&self, now: Instant) -> BTreeMap<ModelId, ModelDemand> {
         let mut all: BTreeMap<ModelId, ModelDemand> = BTreeMap::new();
--- a/crates/residency/src/lib.rs
+++ b/crates/residency/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod store_pace;
 
 pub use crate::{
-    demand::{DemandBook, DemandRow},
+    demand::{DemandBook, DemandPast, DemandRow},
     engine::{EngineOrder, EngineReport, OrderAction, OrderAnswer, OrderCount, PendingAdapter},
     keeper::{CurrentLoad, WantedChange},
     planner::{EngineFacts, PlannedChange, Planner},
--- a/crates/residency/tests/planner.rs
+++ b/crates/residency/tests/planner.rs
@@ -7,7 +7,7 @@
 use base::prelude::*;
 use common::{engine_spec, instance, model};
 use residency::{
-    CurrentLoad, DemandBook, DemandRow, EngineFacts, OrderCount, Planner,
+    CurrentLoad, DemandBook, DemandPast, DemandRow, EngineFacts, OrderCount, Planner,
     planner::{PlanOutcome, WeightSource},
 };
 use roster::IncarnationStart;
@@ -517,3 +517,35 @@
 
     assert_eq!(changes(&outcome), ["i-1: -a +d from disk"]);
 }
+
+/// Load pattern: the entry that plans is killed, and another one takes over while requests wait.
+#[test]
+fn a_planner_that_takes_over_spares_what_was_asked_for_before() {
+    let now = Instant::now();
+    let mut planner = planner(vec![engine("i-1", &["f", "g", "h"], &["d"])], now);
+    let past = DemandPast { recent: EventRate(4.0), long: EventRate(4.0) };
+    let busy = DemandRow {
+        model: Some(model("f")),
+        arrivals: 900,
+        past: Some(past),
+        ..DemandRow::default()
+    };
+    let rare = |name| DemandRow { model: Some(model(name)), arrivals: 1, ..DemandRow::default() };
+    let demand = book(vec![busy, rare("g"), rare("h"), waiting("d", 1)], now);
+
+    let outcome = planner.plan(&demand, now);
+
+    assert_eq!(changes(&outcome), ["i-1: -g +d from disk"]);
+}
+
+#[test]
+fn the_past_of_an_entry_counts_once() {
+    let now = Instant::now();
+    let past = DemandPast { recent: EventRate(2.0), long: EventRate(1.0) };
+    let row = |arrivals| DemandRow { arrivals, past: Some(past), ..waiting("d", 0) };
+    let mut demand = book(vec![row(50)], now);
+
+    demand.tell("entry-1".parse().expect("a valid name"), vec![row(50)], now);
+
+    assert_eq!(demand.past(&model("d"), now), past);
+}
