Empty engines wait for the first requests to tell what is asked for

Ruled out: what engines held before by the store's entries (stale after each order). Change: for 0.3 s after its first look the planner loads nothing that nobody asks for while all engines are empty, and free memory is filled first with what was asked for most. Tests: empty engines at the first look, with a request after 100 ms; one busy model among others.

--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -147,6 +147,8 @@
     arrived: HashMap<(InstanceId, ModelId), Instant>,
     /// What the last look found unmet.
     unmet: HashMap<ModelId, Instant>,
+    /// When the first look was.
+    began: Option<Instant>,
 }
 
 impl Planner {
@@ -211,6 +213,7 @@
     pub fn plan(&mut self, book: &DemandBook, now: Instant) -> PlanOutcome {
         let Some(spec) = self.spec.clone() else { return PlanOutcome::default() };
         self.pending.retain(|_, pending| pending.until > now);
+        self.began.get_or_insert(now);
         let mut look = Look::new(self, &spec, book, now);
         let mut outcome = PlanOutcome::default();
         look.serve_waiting(&mut outcome);
--- a/crates/residency/src/planner/look.rs
+++ b/crates/residency/src/planner/look.rs
@@ -21,6 +21,10 @@
 const HEARD_PART: f64 = 0.75;
 /// Time in which engines are heard after a start.
 const HEAR_TIME: Duration = Duration::from_millis(500);
+/// Time after the first look in which nothing is loaded that nobody asks for, if all engines are
+/// empty: all of them and this process have just started, and the requests of this time tell which
+/// models are asked for most. The busy deployments of the users get ten to forty in it.
+const FIRST_REQUESTS: Duration = Duration::from_millis(300);
 /// Time by which another load must be faster than one that is under way.
 const FASTER: Duration = Duration::from_millis(1_500);
 /// Expected time until the requests of a model that is to be dropped have ended: a stream of the
@@ -316,10 +320,13 @@
 
     /// Fills free memory with models that nobody holds, from copies only.
     pub(super) fn fill_spare(&mut self, outcome: &mut PlanOutcome) {
-        if self.pressure > 0.0 || !self.has_room() {
+        if self.pressure > 0.0 || !self.has_room() || self.awaits_requests() {
             return;
         }
-        let models: Vec<ModelId> = self.spec.models.iter().map(|spec| spec.id.clone()).collect();
+        let mut models: Vec<ModelId> =
+            self.spec.models.iter().map(|spec| spec.id.clone()).collect();
+        let asked = |model: &ModelId| self.book.lasting_rate(model, self.now).0;
+        models.sort_by(|a, b| asked(b).total_cmp(&asked(a)));
         for model in models {
             if self.holders(&model) > 0 || self.is_coming(&model) {
                 continue;
@@ -336,6 +343,13 @@
         }
     }
 
+    /// Whether all engines are empty and there was no time yet to see what is asked for.
+    fn awaits_requests(&self) -> bool {
+        let began = self.planner.began.unwrap_or(self.now);
+        self.now.saturating_duration_since(began) < FIRST_REQUESTS
+            && self.planner.engines.values().all(|engine| engine.residents.is_empty())
+    }
+
     /// Whether an engine that takes changes has room for the smallest model.
     fn has_room(&self) -> bool {
         let sizes = self.spec.models.iter().map(|spec| spec.weights.0);
--- a/crates/residency/tests/planner.rs
+++ b/crates/residency/tests/planner.rs
@@ -549,3 +549,38 @@
 
     assert_eq!(demand.past(&model("d"), now), past);
 }
+
+/// Load pattern: all VMs lose power and come back with empty engines, while callers go on.
+#[test]
+fn empty_engines_wait_for_the_first_requests_to_tell_what_is_asked_for() {
+    let now = Instant::now();
+    let engines = vec![engine("i-1", &[], &MODELS), engine("i-2", &[], &MODELS)];
+    let mut planner = planner(engines, now);
+    let nothing = DemandBook::default();
+
+    let at_once = planner.plan(&nothing, now);
+    let asked = book(vec![waiting("g", 9)], now);
+    let first_request = planner.plan(&asked, now + Duration::from_millis(100));
+    let later = planner.plan(&nothing, now + Duration::from_millis(400));
+
+    assert_eq!(changes(&at_once), [""; 0]);
+    assert_eq!(changes(&first_request), ["i-1: - +g from disk"]);
+    assert_eq!(changes(&later), ["i-2: - +a from disk"], "the rest is filled with what there is");
+}
+
+#[test]
+fn free_memory_is_filled_first_with_what_was_asked_for_most() {
+    let now = Instant::now();
+    let mut planner = planner(vec![engine("i-1", &["a", "b"], &MODELS)], now);
+    let past = DemandPast { recent: EventRate(0.0), long: EventRate(0.4) };
+    let row = DemandRow {
+        model: Some(model("e")),
+        arrivals: 40,
+        past: Some(past),
+        ..DemandRow::default()
+    };
+
+    let outcome = planner.plan(&book(vec![row], now), now);
+
+    assert_eq!(changes(&outcome), ["i-1: - +e from disk"]);
+}
