--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -4,7 +4,7 @@
 //! engine holds.
 
 mod engine;
-mod metrics;
+pub mod metrics;
 pub mod process;
 pub mod settings;
 mod telling;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,7 @@
 mod fleet;
 mod follow;
 mod front;
-mod metrics;
+pub mod metrics;
 mod ops;
 mod own_entry;
 mod permits;
