Beats between entries tell of a few others at a time

A gateway's traffic grew with the power 1.3 of the fleet, to 1,066 KB/s; the busiest gateway took 27.8 % of a core; bytes between zones cost more than all that was earned. Ruled out: heartbeats to side processes and the demand (they grow with the fleet to the power 0.3 to 0.5), the store's watches. Change: a beat tells of eight entries, the next beats of those that follow. The store tells of all, so this only bridges its outages. Test: a hundred entries; each beat tells of eight at most, thirteen beats of all.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -273,8 +273,8 @@
 
     fn send_entry_beats_to(&self, addresses: &[SocketAddr]) {
         let (known, is_draining) = {
-            let state = self.lock();
-            let known = state.book.live().map(|(vm, address)| PeerAddress {
+            let mut state = self.lock();
+            let known = state.book.next_told().into_iter().map(|(vm, address)| PeerAddress {
                 vm: vm.to_string(),
                 address: address.to_string(),
             });
--- a/crates/peers/src/book.rs
+++ b/crates/peers/src/book.rs
@@ -7,6 +7,9 @@
 /// An entry that is silent for this time counts as lost; it sends a beat each half second, and one
 /// may be lost on the way.
 pub const SILENCE: Duration = Duration::from_millis(1_700);
+/// Entries that one beat tells of; those of the next beats follow. The store tells of all, so that
+/// this only has to bridge its outages.
+const TOLD_AT_ONCE: usize = 8;
 /// A lost entry is still sent beats for this time, in case only the way was cut.
 const REMEMBER: Duration = Duration::from_secs(30);
 
@@ -57,12 +60,20 @@
     is_draining: bool,
     entries: BTreeMap<VmId, EntryPeer>,
     live: Vec<VmId>,
+    told: usize,
 }
 
 impl PeerBook {
     /// A book of the entry on `own` with this share of a core, in thousandths.
     pub fn new(own: VmId, own_share: u32) -> Self {
-        Self { own, own_share, is_draining: false, entries: BTreeMap::new(), live: Vec::new() }
+        Self {
+            own,
+            own_share,
+            is_draining: false,
+            entries: BTreeMap::new(),
+            live: Vec::new(),
+            told: 0,
+        }
     }
 
     /// This entry stops; it does not plan any more.
@@ -150,6 +161,19 @@
         self.live.iter().filter_map(|vm| Some((vm, self.entries.get(vm)?.address)))
     }
 
+    /// The live entries that the next beat tells of.
+    pub fn next_told(&mut self) -> Vec<(VmId, SocketAddr)> {
+        let count = self.live.len();
+        let indexes = (0..count.min(TOLD_AT_ONCE)).map(|offset| (self.told + offset) % count);
+        let told = indexes.filter_map(|index| {
+            let vm = &self.live[index];
+            Some((vm.clone(), self.entries.get(vm)?.address))
+        });
+        let told = told.collect();
+        self.told = (self.told + TOLD_AT_ONCE) % count.max(1);
+        told
+    }
+
     /// The live entry that plans, if it is not this one: the one with the most processor time.
     ///
     /// Two entries that both plan for a while waste loads and break nothing, because each side
--- a/crates/peers/tests/book.rs
+++ b/crates/peers/tests/book.rs
@@ -106,3 +106,23 @@
 
     assert_eq!(book.unheard(), [address(2)]);
 }
+
+/// Load pattern: a fleet of hundreds of entries. What a beat tells must not grow with them.
+#[test]
+fn beats_tell_of_a_few_entries_at_a_time_and_of_all_in_turn() {
+    let now = Instant::now();
+    let mut book = PeerBook::new(vm("own"), 190);
+    let names: Vec<String> = (0..100).map(|number| format!("entry-{number:02}")).collect();
+    names.iter().for_each(|name| hear(&mut book, name, 190, false, now));
+    book.review(now);
+
+    let beats: Vec<Vec<String>> = (0..13)
+        .map(|_| book.next_told().into_iter().map(|(vm, _)| vm.to_string()).collect())
+        .collect();
+
+    assert!(beats.iter().all(|told| told.len() <= 8));
+    let mut told: Vec<String> = beats.into_iter().flatten().collect();
+    told.sort();
+    told.dedup();
+    assert_eq!(told, names);
+}
