--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -1,7 +1,9 @@
 //! Chat completions, plain and streamed, and their cancellation.
 
+use std::io;
+
 use bytes::Bytes;
-use futures::{Stream, StreamExt, stream};
+use futures::{Stream, stream};
 use http::{HeaderValue, StatusCode, header};
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
@@ -128,24 +130,33 @@
 }
 
 fn streamed(events: EventReceiver, writer: AnswerWriter) -> Response {
-    let chunks = stream_chunks(events, writer).map(Ok::<_, std::io::Error>);
-    let mut response = Response::new(Body::from_stream(chunks));
+    let mut response = Response::new(Body::from_stream(stream_chunks(events, writer)));
     let kind = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(header::CONTENT_TYPE, kind);
     response
 }
 
-fn stream_chunks(events: EventReceiver, writer: AnswerWriter) -> impl Stream<Item = Bytes> {
+/// A crash breaks the connection off here too: the tasks that drop its connections can come after
+/// the end of its streams.
+fn stream_chunks(
+    events: EventReceiver,
+    writer: AnswerWriter,
+) -> impl Stream<Item = io::Result<Bytes>> {
     stream::unfold(Some((events, writer)), |state| async move {
         let (mut events, writer) = state?;
         match events.recv().await {
             Some(SequenceEvent::Token(index)) if writer.is_cut_at(index) => None,
             Some(SequenceEvent::Token(index)) => {
                 let chunk = writer.chunk(index);
-                Some((chunk, Some((events, writer))))
+                Some((Ok(chunk), Some((events, writer))))
+            }
+            Some(SequenceEvent::Ended(ExecutionEnd::Finished)) => {
+                Some((Ok(writer.last_chunk()), None))
+            }
+            Some(SequenceEvent::Ended(ExecutionEnd::Crashed)) | None => {
+                Some((Err(io::Error::other("the engine crashed")), None))
             }
-            Some(SequenceEvent::Ended(ExecutionEnd::Finished)) => Some((writer.last_chunk(), None)),
-            Some(SequenceEvent::Ended(_)) | None => None,
+            Some(SequenceEvent::Ended(_)) => None,
         }
     })
 }
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -223,6 +223,27 @@
     assert_eq!((listing.life, listing.models.len()), (1, 0));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn no_stream_ends_as_if_it_were_whole_when_the_engine_crashes() {
+    let options = EngineOptions { restart_time: Duration::from_millis(1), ..options() };
+    let server = started(options).await;
+    let mut seen = Vec::new();
+
+    for _ in 0..40 {
+        load(&server, MODEL).await;
+        let streams = chats(8, 1000, true);
+        let (verdicts, ()) = futures::join!(verdicts(&server, &streams), async {
+            time::sleep(Duration::from_millis(30)).await;
+            server.state.crash("r1");
+        });
+        seen.extend(verdicts);
+        time::sleep(Duration::from_millis(5)).await;
+    }
+
+    let cut = seen.iter().filter(|verdict| **verdict == CallVerdict::Cut).count();
+    assert_eq!(cut, 0, "of {} streams", seen.len());
+}
+
 #[tokio::test]
 async fn an_engine_restarting_after_a_crash_drops_connections_but_keeps_its_records() {
     let server = started(options()).await;
