gateway: a planned stop answers what callers may still send on open connections

Cause: at 2.6 s of a planned stop, connections without a request were closed like idle ones, although their callers were about to send; and the process ended 100 ms after it closed the listener, whether or not connections were open. Connections in the listener's backlog that the runtime had not polled for were reset with it.

Now the process ends when all connections of callers are closed or its grace is over. A connection without a request is left open for one. An idle connection is closed only after the kernel was asked for unread bytes; a request found there is answered.

Ruled out: an unsolicited 408 on idle connections, which callers may take for the answer of their next request. A request that leaves the caller while the close is on its way still gets none; the caller sees an orderly close.

--- /dev/null
+++ b/crates/gateway/src/caller_connection.rs
@@ -0,0 +1,205 @@
+//! One connection of a caller, from its first request to its close.
+
+use std::{
+    convert::Infallible,
+    future, io,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use base::prelude::*;
+use bytes::Bytes;
+use http::{HeaderValue, Response, header};
+use hyper::{
+    Request,
+    body::Incoming,
+    server::conn::http1::{self, Parts},
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
+    net::TcpStream,
+    sync::watch,
+    time,
+};
+
+use crate::{
+    call::{self, AnswerBody},
+    process::Gateway,
+};
+
+/// Longest request head that is buffered; the configuration may allow less.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Idle timeout of a connection that was accepted before the first configuration was read.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time in which a caller closes its half of a connection that a stopping process has closed. A
+/// process that closes its half at once resets the connection if the caller sends more, and the
+/// caller then loses an answer that it has not read.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+
+/// Number of open connections of callers, counting the listener as one.
+#[derive(Debug, Default)]
+pub struct OpenConnections {
+    count: watch::Sender<usize>,
+}
+
+impl OpenConnections {
+    /// Counts one connection until the guard is dropped.
+    pub fn guard(self: &Arc<Self>) -> ConnectionGuard {
+        self.count.send_modify(|count| *count += 1);
+        ConnectionGuard { connections: Arc::clone(self) }
+    }
+
+    /// Waits until no connection is open and the listener is closed.
+    pub async fn wait_until_none(&self) {
+        // Waiting fails only without a sender, and this value holds it.
+        let _ = self.count.subscribe().wait_for(|count| *count == 0).await;
+    }
+
+    /// Number of open connections, the listener included.
+    pub fn count(&self) -> usize {
+        *self.count.borrow()
+    }
+}
+
+/// Counts a connection as open until it is dropped.
+#[derive(Debug)]
+pub struct ConnectionGuard {
+    connections: Arc<OpenConnections>,
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.connections.count.send_modify(|count| *count -= 1);
+    }
+}
+
+/// What the requests of a connection have established.
+#[derive(Debug, Default)]
+struct ConnectionState {
+    /// Whether a request has been read.
+    has_request: AtomicBool,
+    /// Whether an answer has told the caller to send nothing more.
+    close_announced: AtomicBool,
+}
+
+/// Serves the requests of a connection until it is closed. `guard` counts it as open.
+pub async fn serve(stream: TcpStream, gateway: Arc<Gateway>, guard: ConnectionGuard) {
+    let _guard = guard;
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("front: failed to set up a connection, closing it: {error}");
+        return;
+    }
+    let state = Arc::new(ConnectionState::default());
+    let Some((mut stream, read)) = serve_requests(stream, &gateway, &state).await else { return };
+    if !gateway.is_draining() {
+        return;
+    }
+    let is_announced = state.close_announced.load(Ordering::Relaxed);
+    if !is_announced && (!read.is_empty() || has_unread_bytes(&stream)) {
+        serve_last_request(&mut stream, read, &gateway).await;
+    }
+    close_draining(stream).await;
+}
+
+/// Serves requests until the connection has no more; returns the stream, still open, and the bytes
+/// that were read after the last request.
+async fn serve_requests<I>(
+    stream: I,
+    gateway: &Arc<Gateway>,
+    state: &Arc<ConnectionState>,
+) -> Option<(I, Bytes)>
+where
+    I: AsyncRead + AsyncWrite + Unpin,
+{
+    let limits = gateway.catalog.borrow().as_ref().map(|catalog| *catalog.limits());
+    let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
+    let service = service_fn(|request| {
+        let serving = serve_request(Arc::clone(gateway), Arc::clone(state), request);
+        Box::pin(async move { Ok::<_, Infallible>(serving.await) })
+    });
+    let mut connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle_timeout)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let serving = future::poll_fn(|context| connection.poll_without_shutdown(context));
+    let mut result = tokio::select! {
+        result = serving => Some(result),
+        // A connection that is accepted after this time still serves one request.
+        () = gateway.wait_until_connections_close(), if !gateway.closes_connections() => None,
+    };
+    if result.is_none() {
+        // The caller of a connection without a request is about to send one, and the answer to
+        // that announces the close.
+        if state.has_request.load(Ordering::Relaxed) {
+            std::pin::Pin::new(&mut connection).graceful_shutdown();
+        }
+        result = Some(future::poll_fn(|context| connection.poll_without_shutdown(context)).await);
+    }
+    match result? {
+        Ok(()) => {
+            let Parts { io, read_buf, .. } = connection.into_parts();
+            Some((io.into_inner(), read_buf))
+        }
+        Err(error) => {
+            log::debug!("front: a connection failed: {error}");
+            None
+        }
+    }
+}
+
+async fn serve_request(
+    gateway: Arc<Gateway>,
+    state: Arc<ConnectionState>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    state.has_request.store(true, Ordering::Relaxed);
+    let mut response = call::serve(Arc::clone(&gateway), request).await;
+    if gateway.is_draining() {
+        // The balancer sends the caller's next connection to another VM.
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        state.close_announced.store(true, Ordering::Relaxed);
+    }
+    response
+}
+
+/// Whether the kernel holds bytes of the caller that the process has not read. Asks the kernel
+/// directly, because the runtime learns of them only when it polls for events.
+fn has_unread_bytes(stream: &TcpStream) -> bool {
+    let mut byte = [std::mem::MaybeUninit::uninit()];
+    SockRef::from(stream).peek(&mut byte).is_ok_and(|length| length > 0)
+}
+
+/// Serves a request that arrived while its connection, then idle, was being closed. `read` holds
+/// its first bytes.
+async fn serve_last_request(stream: &mut TcpStream, read: Bytes, gateway: &Arc<Gateway>) {
+    let (reader, writer) = stream.split();
+    let stream = tokio::io::join(read.chain(reader), writer);
+    // A new state: this request announces the close.
+    serve_requests(stream, gateway, &Arc::default()).await;
+}
+
+/// Closes a connection in a planned stop, and waits for the caller to close its half.
+async fn close_draining(mut stream: TcpStream) {
+    let closing = async {
+        stream.shutdown().await?;
+        tokio::io::copy(&mut stream, &mut tokio::io::sink()).await
+    };
+    match time::timeout(LINGER_TIME, closing).await {
+        Ok(Ok(0)) | Err(_) => {}
+        Ok(Ok(bytes)) => log::info!(
+            "front: {bytes} bytes of a caller arrived after its connection was closed in a planned \
+             stop; they were not read and have not run"
+        ),
+        Ok(Err(error)) => log_close_error(&error),
+    }
+}
+
+fn log_close_error(error: &io::Error) {
+    log::debug!("front: a connection was not closed in order: {error}");
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod attempt;
 pub mod backends;
 mod call;
+mod caller_connection;
 pub mod demand;
 mod fleet;
 mod follow;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     backends::Backends,
+    caller_connection::OpenConnections,
     fleet::{Fleet, FleetIdentity},
     follow::{CatalogFollower, RosterFollower},
     front,
@@ -32,8 +33,8 @@
 /// Time before the deadline of a planned stop from which requests that wait for a backend server
 /// are refused, so that their callers can still reach another entry.
 const QUEUE_REFUSAL_MARGIN: Duration = Duration::from_millis(2_500);
-/// Time to answer requests that arrive on connections accepted just before the listener closed.
-const LAST_REQUESTS_TIME: Duration = Duration::from_millis(100);
+/// Time to send the answers of requests that are aborted at the deadline of a planned stop.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
 /// Time between two checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -87,6 +88,8 @@
     pub fleet: Fleet,
     /// The planned stop in progress, if any.
     pub draining: watch::Sender<Option<PlannedStop>>,
+    /// Open connections of callers.
+    pub connections: Arc<OpenConnections>,
     /// Whether the listener for callers is closed.
     pub listener_closed: watch::Sender<bool>,
 }
@@ -197,6 +200,7 @@
             backends: backends.clone(),
             fleet: fleet.clone(),
             draining: watch::Sender::new(None),
+            connections: Arc::default(),
             listener_closed: watch::Sender::new(false),
         });
         let catalog_follower = CatalogFollower {
@@ -218,7 +222,8 @@
         tokio::spawn(catalog_follower.run());
         tokio::spawn(roster_follower.run());
         tokio::spawn(gateway.backends.clone().review_waiting());
-        tokio::spawn(front::serve(callers, Arc::clone(&gateway)));
+        let listener_guard = gateway.connections.guard();
+        tokio::spawn(front::serve(callers, Arc::clone(&gateway), listener_guard));
         tokio::spawn(ops::serve_ready(ready, Arc::clone(&gateway)));
         tokio::spawn(ops::serve_metrics(metrics_listener, Arc::clone(&gateway)));
         Ok(Self { gateway, registration, settings: initial_settings })
@@ -251,9 +256,9 @@
         }
     }
 
-    /// Drains the process: asks callers to go to other entries, waits for the requests in flight,
-    /// and returns when they have ended. Requests that are still in flight when the grace time is
-    /// nearly over are aborted.
+    /// Drains the process: asks callers to go to other entries, waits for the requests in flight and
+    /// for those that callers may still send on open connections, and returns when all connections
+    /// are closed. Requests that are still in flight when the grace time is nearly over are aborted.
     pub async fn stop(&self) {
         let in_flight = || u64::try_from(self.gateway.metrics.in_flight.get()).unwrap_or(0);
         let began = Instant::now();
@@ -278,11 +283,14 @@
         }
         self.gateway.listener_closed.send_replace(true);
         self.gateway.backends.abort_calls();
-        let closed = Instant::now();
-        while closed.elapsed() < LAST_REQUESTS_TIME
-            || (in_flight() > 0 && Instant::now() < deadline)
-        {
-            time::sleep(DRAIN_POLL_INTERVAL).await;
+        let limit = deadline.max(Instant::now() + LAST_ANSWERS_TIME);
+        let connections = &self.gateway.connections;
+        if time::timeout_at(limit, connections.wait_until_none()).await.is_err() {
+            log::info!(
+                "process: {} connections of callers are still open at the deadline of the planned \
+                 stop, closing them",
+                connections.count()
+            );
         }
         self.gateway.log.record(&DecisionEvent::Stopped { in_flight: in_flight() });
     }
