gateway: entries read the store from copies that may lag, checked against one reader

The store answers reads that may be old at a tenth of the price and outside its rate limit, but they do not show how old they are. Heartbeats now carry the newest revision that a read without lag has shown, and its age. The planner makes such reads for all, twice a second; the others read from copies as long as that observation is younger than half of the time within which a change must be known, and an answer below its revision shows that the copy lags: then they read without lag for 15 s, as after a failure.

Agents read the configuration once, from a copy.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -18,7 +18,7 @@
     controller::{ControllerAction, ControllerIdentity, EngineChange, EngineController},
     prefill::{PrefillLimiter, PromptDecision, PromptId, PromptRequest},
 };
-use roster::{IncarnationStart, InstanceId};
+use roster::{IncarnationStart, InstanceId, ReadMode};
 use snafu::Snafu;
 use tokio::{sync::Notify, time};
 use viz::{Request, RequestExt, Response, ResponseExt, Router, types::State};
@@ -278,7 +278,8 @@
 
     async fn read_engine_spec(self, store: PlatformStore, service: ServiceName) {
         loop {
-            match store.read_catalog().await {
+            // What a service states about its engines does not change while they run.
+            match store.read_catalog(ReadMode::MayLag).await {
                 Ok((Some(catalog), _)) => {
                     let engine = catalog.service(&service).and_then(|found| found.engine.clone());
                     if let Some(engine) = engine {
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -13,6 +13,7 @@
     Assignment, AttemptFailure, CallDispatcher, DispatchAction, DispatchDecision, DispatchRequest,
     Generation, Refusal,
 };
+use peers::PermitReply;
 use tokio::{
     sync::{Notify, oneshot, watch},
     time,
@@ -94,6 +95,11 @@
         }
     }
 
+    /// Passes the reply of a side process to the request that waits for a permit.
+    pub fn apply_permit_reply(&self, reply: PermitReply) {
+        self.permits.apply_reply(reply);
+    }
+
     /// Refuses all requests that wait, now and later, because the process is about to end.
     pub fn refuse_waiting(&self) {
         self.with_dispatcher(|dispatcher, now| dispatcher.stop(now));
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -27,7 +27,7 @@
 };
 
 use crate::{
-    backends::Backends, demand::DemandReporter, metrics::GatewayMetrics, permits::PermitClient,
+    backends::Backends, demand::DemandReporter, metrics::GatewayMetrics, store_reads::StoreReads,
 };
 
 /// Time between two heartbeats to other entries.
@@ -75,8 +75,8 @@
 pub struct Fleet {
     state: Arc<Mutex<FleetState>>,
     socket: Arc<PeerSocket>,
+    reads: StoreReads,
     backends: Backends,
-    permits: PermitClient,
     catalog: watch::Receiver<Option<Arc<Catalog>>>,
     log: EventLog,
     metrics: GatewayMetrics,
@@ -103,8 +103,8 @@
     pub fn new(
         identity: FleetIdentity,
         socket: Arc<PeerSocket>,
+        reads: StoreReads,
         backends: Backends,
-        permits: PermitClient,
         catalog: watch::Receiver<Option<Arc<Catalog>>>,
         log: EventLog,
         metrics: GatewayMetrics,
@@ -121,8 +121,8 @@
         Self {
             state: Arc::new(Mutex::new(state)),
             socket,
+            reads,
             backends,
-            permits,
             catalog,
             log,
             metrics,
@@ -225,11 +225,12 @@
 
     fn update_live_entries(&self) {
         let now = Instant::now();
-        let (updates, live_entries) = {
+        let (updates, live_entries, is_planner) = {
             let mut state = self.lock();
             let updates = state.peers.update_live(now);
-            (updates, state.peers.live_count())
+            (updates, state.peers.live_count(), state.peers.planner().is_none())
         };
+        self.reads.set_observer(is_planner);
         for update in &updates {
             let (peer, is_live) = match update {
                 PeerUpdate::Found(vm) => (vm, true),
@@ -298,7 +299,8 @@
             });
             (known.collect(), state.peers.is_draining())
         };
-        let heartbeat = EntryHeartbeat { core_share: self.core_share, is_draining, known };
+        let store = self.reads.sighting();
+        let heartbeat = EntryHeartbeat { core_share: self.core_share, is_draining, known, store };
         self.socket.send_all(addresses, DatagramBody::EntryHeartbeat(heartbeat));
     }
 
@@ -364,7 +366,7 @@
                 self.plan_inputs_changed.notify_one();
             }
             Some(DatagramBody::LoadEstimates(estimates)) => self.apply_load_estimates(estimates),
-            Some(DatagramBody::PermitReply(reply)) => self.permits.apply_reply(reply),
+            Some(DatagramBody::PermitReply(reply)) => self.backends.apply_permit_reply(reply),
             _ => {}
         }
     }
@@ -376,6 +378,9 @@
         incarnation: u64,
         heartbeat: &EntryHeartbeat,
     ) {
+        if let Some(store) = heartbeat.store {
+            self.reads.apply_sighting(store);
+        }
         let now = Instant::now();
         let is_new = {
             let mut state = self.lock();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,11 +4,11 @@
 use catalog::{AdoptOutcome, Catalog, CurrentCatalog};
 use events::{DecisionEvent, Dependency, EventLog, millis};
 use platform::{PlatformStore, StoreError, WatchOutcome};
-use roster::{Roster, RosterRevision, RosterUpdate};
+use roster::{ReadMode, ReadPlan, Roster, RosterRevision, RosterUpdate};
 use std::sync::Arc;
 use tokio::{sync::watch, time};
 
-use crate::{backends::Backends, fleet::Fleet, metrics::GatewayMetrics, settings::StoreSettings};
+use crate::{backends::Backends, fleet::Fleet, metrics::GatewayMetrics, store_reads::StoreReads};
 
 /// Delay before the next call to the store after one that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -48,8 +48,8 @@
 pub struct CatalogFollower {
     /// Client of the store.
     pub store: PlatformStore,
-    /// Settings of the store, which hold the intervals of the watch.
-    pub settings: StoreSettings,
+    /// Plans the calls of the watch.
+    pub reads: StoreReads,
     /// Decision log.
     pub log: EventLog,
     /// Metrics, for the version of the configuration.
@@ -76,6 +76,7 @@
                 }
                 Err(error) => {
                     dependency.record_loss(&error);
+                    self.reads.record_failure();
                     time::sleep(RETRY_DELAY).await;
                 }
             }
@@ -86,7 +87,9 @@
         &self,
         current: &mut CurrentCatalog,
     ) -> Result<Option<RosterRevision>, StoreError> {
-        let (catalog, revision) = self.store.read_catalog().await?;
+        let sent = Instant::now();
+        let (catalog, revision) = self.store.read_catalog(ReadMode::Latest).await?;
+        self.reads.record_listing(revision, sent);
         if let Some(catalog) = catalog {
             self.adopt(current, catalog);
         }
@@ -98,17 +101,17 @@
         current: &mut CurrentCatalog,
         since: RosterRevision,
     ) -> Result<Option<RosterRevision>, StoreError> {
-        match self.store.watch_catalog(since, self.settings.watch_wait()).await? {
+        let (plan, sent) = (self.reads.plan(), Instant::now());
+        match self.store.watch_catalog(since, plan.wait, plan.mode).await? {
             WatchOutcome::HistoryExpired => Ok(None),
             WatchOutcome::Changes { changes, revision } => {
-                let is_changed = !changes.is_empty();
+                let has_changes = !changes.is_empty();
                 for catalog in changes {
                     self.adopt(current, catalog);
                 }
-                if is_changed {
-                    time::sleep(self.settings.watch_interval()).await;
-                }
-                Ok(Some(revision))
+                let answer = (revision, has_changes);
+                self.reads.finish_watch(&plan, sent, since, answer).await;
+                Ok(Some(revision.max(since)))
             }
         }
     }
@@ -128,8 +131,8 @@
 pub struct RosterFollower {
     /// Client of the store.
     pub store: PlatformStore,
-    /// Settings of the store, which hold the intervals of the watch.
-    pub settings: StoreSettings,
+    /// Plans the calls of the watch.
+    pub reads: StoreReads,
     /// Decision log.
     pub log: EventLog,
     /// Dispatcher that gets the changes of the roster.
@@ -149,10 +152,10 @@
             let now = Instant::now();
             let expired = roster.expire(now);
             self.publish(&roster, &expired, since.unwrap_or_default());
-            let wait = self.watch_wait(&roster, now);
+            let plan = self.plan_watch(&roster, now);
             let step = match since {
                 None => self.list(&mut roster).await,
-                Some(revision) => self.watch(&mut roster, revision, wait).await,
+                Some(revision) => self.watch(&mut roster, revision, &plan).await,
             };
             match step {
                 Ok(revision) => {
@@ -161,6 +164,7 @@
                 }
                 Err(error) => {
                     dependency.record_loss(&error);
+                    self.reads.record_failure();
                     roster.record_store_loss(Instant::now());
                     time::sleep(RETRY_DELAY).await;
                 }
@@ -168,15 +172,19 @@
         }
     }
 
-    /// Longest wait of the next watch, which ends at the latest when a server of the roster
-    /// expires.
-    fn watch_wait(&self, roster: &Roster, now: Instant) -> Duration {
-        let wait = self.settings.watch_wait();
-        roster.next_expiry().map_or(wait, |at| wait.min(at.saturating_duration_since(now)))
+    /// Plans the next watch, which ends at the latest when a server of the roster expires.
+    fn plan_watch(&self, roster: &Roster, now: Instant) -> ReadPlan {
+        let mut plan = self.reads.plan();
+        if let Some(at) = roster.next_expiry() {
+            plan.wait = plan.wait.min(at.saturating_duration_since(now));
+        }
+        plan
     }
 
     async fn list(&self, roster: &mut Roster) -> Result<Option<RosterRevision>, StoreError> {
+        let sent = Instant::now();
         let (servers, revision) = self.store.list_servers().await?;
+        self.reads.record_listing(revision, sent);
         let now = Instant::now();
         roster.record_store_recovery(now);
         let updates = roster.apply_snapshot(servers, now);
@@ -188,23 +196,22 @@
         &self,
         roster: &mut Roster,
         since: RosterRevision,
-        wait: Duration,
+        plan: &ReadPlan,
     ) -> Result<Option<RosterRevision>, StoreError> {
-        match self.store.watch_servers(since, wait).await? {
+        let sent = Instant::now();
+        match self.store.watch_servers(since, plan.wait, plan.mode).await? {
             WatchOutcome::HistoryExpired => Ok(None),
             WatchOutcome::Changes { changes, revision } => {
                 let now = Instant::now();
                 roster.record_store_recovery(now);
-                let is_changed = !changes.is_empty();
+                let has_changes = !changes.is_empty();
                 let updates: Vec<RosterUpdate> = changes
                     .into_iter()
                     .filter_map(|change| roster.apply_change(change, now))
                     .collect();
                 self.publish(roster, &updates, revision);
-                if is_changed {
-                    time::sleep(self.settings.watch_interval()).await;
-                }
-                Ok(Some(revision))
+                self.reads.finish_watch(plan, sent, since, (revision, has_changes)).await;
+                Ok(Some(revision.max(since)))
             }
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod relay;
 pub mod settings;
 pub mod sse;
+mod store_reads;
 mod trace;
 
 pub use crate::{
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -23,6 +23,7 @@
     permits::PermitClient,
     registration::EntryRegistration,
     settings::GatewaySettings,
+    store_reads::StoreReads,
 };
 
 /// Time after the stop signal for which all new requests are still served: the balancer checks
@@ -177,18 +178,19 @@
             retry_limits: settings.limits.retry_limits,
         });
         let permits = PermitClient::new(Arc::clone(&socket), settings.listen.peers.port());
-        let backends = Backends::new(dispatcher, permits.clone());
+        let backends = Backends::new(dispatcher, permits);
         let (sender, catalog) = watch::channel(None);
         let identity = FleetIdentity {
             vm: settings.identity.vm.clone(),
             core_share: settings.identity.core_share,
             side_port: settings.listen.peers.port(),
         };
+        let reads = StoreReads::new(settings.store.known_within);
         let fleet = Fleet::new(
             identity,
             socket,
+            reads.clone(),
             backends.clone(),
-            permits,
             catalog.clone(),
             log.clone(),
             metrics.clone(),
@@ -205,7 +207,7 @@
         });
         let catalog_follower = CatalogFollower {
             store: store.clone(),
-            settings: settings.store,
+            reads: reads.clone(),
             log: log.clone(),
             metrics,
             sender,
@@ -217,8 +219,7 @@
         };
         tokio::spawn(registration.clone().register(fleet.clone()));
         fleet.start();
-        let roster_follower =
-            RosterFollower { store, settings: settings.store, log, backends, fleet };
+        let roster_follower = RosterFollower { store, reads, log, backends, fleet };
         tokio::spawn(catalog_follower.run());
         tokio::spawn(roster_follower.run());
         tokio::spawn(gateway.backends.clone().review_waiting());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -49,25 +49,6 @@
     pub known_within: Duration,
 }
 
-/// Fraction of `known_within` for which a watch waits. A connection that hangs is noticed after
-/// this time plus the timeout of the call.
-const WATCH_WAIT_FRACTION: f64 = 0.6;
-/// Fraction of `known_within` between two calls of a watch, so that several changes arrive in one
-/// call: the platform charges for each call, and the models of engines change all the time.
-const WATCH_INTERVAL_FRACTION: f64 = 0.45;
-
-impl StoreSettings {
-    /// Longest time that a watch waits for changes.
-    pub fn watch_wait(&self) -> Duration {
-        self.known_within.mul_f64(WATCH_WAIT_FRACTION)
-    }
-
-    /// Shortest time between a call of a watch that returned changes and the next call.
-    pub fn watch_interval(&self) -> Duration {
-        self.known_within.mul_f64(WATCH_INTERVAL_FRACTION)
-    }
-}
-
 /// Limits of retries and of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct GatewayLimits {
--- a/crates/gateway/tests/planned_stop.rs
+++ b/crates/gateway/tests/planned_stop.rs
@@ -9,6 +9,7 @@
 };
 
 use base::prelude::*;
+use socket2::SockRef;
 use support::TestFleet;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -58,10 +59,11 @@
     text + "\r\n"
 }
 
-/// Whether the other side has closed the connection, as a caller sees it before it sends.
+/// Whether the other side has closed the connection before the caller sends. Asks the kernel: the
+/// runtime learns of a close only when it polls for events.
 fn is_closed(stream: &TcpStream) -> bool {
-    let mut byte = [0];
-    !matches!(stream.try_read(&mut byte), Err(error) if error.kind() == ErrorKind::WouldBlock)
+    let mut byte = [std::mem::MaybeUninit::uninit()];
+    SockRef::from(stream).peek(&mut byte).is_ok()
 }
 
 async fn read_head(stream: &mut TcpStream) -> io::Result<String> {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -49,6 +49,8 @@
     pub services: Vec<ServiceStandin>,
     pub gateways: Vec<(GatewayHandle, SocketAddr)>,
     pub ready_addresses: Vec<SocketAddr>,
+    /// Time within which gateways that are started later must know a change in the store.
+    pub known_within: Duration,
     agents: Vec<Agent>,
     number: u16,
 }
@@ -75,6 +77,7 @@
             services: Vec::new(),
             gateways: Vec::new(),
             ready_addresses: Vec::new(),
+            known_within: Duration::from_millis(400),
             agents: Vec::new(),
             number,
         }
@@ -148,10 +151,11 @@
         let text = format!(
             "[process]\nvm = entry-{index}\nzone = zone-a\ncore-share = 0.5\n[listen]\n\
              callers = {callers}\nready = {ready}\nmetrics = {ip}:0\npeers = {ip}:{}\n[store]\n\
-             address = {}\nknown-within = 400ms\n[limits]\nrepeat-ratio = 0.2\n\
+             address = {}\nknown-within = {}ms\n[limits]\nrepeat-ratio = 0.2\n\
              repeat-allowance = 50\nrepeat-window = 10s\ngrace = 5s\n",
             self.side_port(),
-            self.store.address()
+            self.store.address(),
+            self.known_within.as_millis()
         );
         let settings = GatewaySettings::parse("gateway.ini", &text).expect("valid settings");
         let handle =
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -12,7 +12,7 @@
         ChangeRequest, Datagram, DatagramBody, DemandReport, EngineLoad, EngineState,
         EntryHeartbeat, LoadEstimates, LoadingModel, ModelDemand, ModelEstimate, PastRates,
         PeerAddress, PermitDecision, PermitRelease, PermitReply, PermitRequest, ResidentState,
-        RunningRequests, SideHeartbeat,
+        RunningRequests, SideHeartbeat, StoreSighting,
     },
     socket::PeerSocket,
     table::{EntryPeer, PeerTable, PeerUpdate, PlannerIdentity},
--- a/crates/peers/src/messages.rs
+++ b/crates/peers/src/messages.rs
@@ -77,6 +77,20 @@
     /// Some of the other live entries that the sender knows.
     #[prost(message, repeated, tag = "3")]
     pub known: Vec<PeerAddress>,
+    /// The newest observation of the platform's store that the sender knows of.
+    #[prost(message, optional, tag = "4")]
+    pub store: Option<StoreSighting>,
+}
+
+/// A revision that the platform's store had reached.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct StoreSighting {
+    /// The revision.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Time since the store had reached it, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
 
 /// Sent by an entry to subscribe to the state of a side process's engine.
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -1,9 +1,11 @@
 //! The roster of backend servers: registered, draining, lapsed and removed ones.
 
+pub mod read_policy;
 pub mod server;
 pub mod table;
 
 pub use crate::{
+    read_policy::{ReadMode, ReadPlan, ReadPolicy, StoreObservation},
     server::{
         BackendServer, IncarnationStart, InstanceId, ResidentModel, RosterChange, RosterRevision,
         ServerState,
