gateway: answers that are buffered share bounded memory; a body that does not arrive is refused

Cause: each answer was buffered up to 8 MiB for itself. A caller that sent its body byte by byte held its request without a limit of time, beyond its own deadline.

Now answers above 64 KiB take from 32 MiB that all requests of the process share; an answer that finds none is a failed attempt, and ordinary answers need nothing of it. A body must arrive by the request's deadline; else it is refused as not run (new code 1019, status 408).

Not covered: streams, whose bytes are passed on until the deadline; heads of callers, which the idle time-out of a connection ends; the own interface.

--- a/crates/base/src/codes.rs
+++ b/crates/base/src/codes.rs
@@ -92,6 +92,8 @@
     OwnerUnreachable = 1017, 503, "the owner of the model does not answer";
     /// The caller cancelled the request before it was sent to a backend server.
     CallerCancelled = 1018, 499, "the caller cancelled the request";
+    /// The caller did not send the whole body before its deadline.
+    BodyTimeout = 1019, 408, "the body did not arrive in time";
     /// The backend server was lost after the request had been sent to it.
     BackendLost = 2001, 502, "the backend server was lost";
     /// The answer was not complete before its deadline.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,14 +5,12 @@
 use connections::{Lease, SendError};
 use dispatch::{AnswerHead, Assignment, AttemptFailure, CallId};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use platform::header_format::{self, ForwardHead, RequestPriority};
 
 use crate::backends::Backends;
 
-/// Size limit of an answer that is buffered; streams are relayed and have no such limit.
-const MAX_BUFFERED_ANSWER: ByteSize = ByteSize::mib(8);
 /// Fraction of the idle timeout stated by a backend server after which an idle connection is no
 /// longer reused.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.75;
@@ -268,25 +266,23 @@
 /// # Errors
 ///
 /// Fails if the connection ends before the answer is complete, if the answer is not complete by
-/// `deadline`, if its body is longer than 8 MiB, or if the process aborts its requests.
+/// `deadline`, if its body needs more memory than there is, or if the process aborts its requests.
 pub async fn buffer_answer(
     backends: &Backends,
     answer: StreamingAnswer,
     deadline: Instant,
 ) -> Result<BufferedAnswer> {
     let StreamingAnswer { status, headers, mut body } = answer;
-    let limit = usize::try_from(MAX_BUFFERED_ANSWER.0).unwrap_or(usize::MAX);
-    let reading = Limited::new(&mut body.body, limit).collect();
-    let collected = tokio::select! {
-        collected = reading => collected,
+    let reading = backends.answer_memory().buffer(&mut body.body);
+    let buffered = tokio::select! {
+        buffered = reading => buffered,
         () = backends.wait_for_deadline(deadline) => {
             let reason = "the answer did not end in time";
             return Err(FailedAttempt::new(AttemptFailure::Lost, reason));
         }
     };
-    match collected {
-        Ok(collected) => {
-            let bytes = collected.to_bytes();
+    match buffered {
+        Ok(bytes) => {
             body.finish();
             Ok(BufferedAnswer { status, headers, body: bytes })
         }
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -20,6 +20,7 @@
 };
 
 use crate::{
+    answer_memory::AnswerMemory,
     permits::{Permit, PermitClient, PermitOutcome},
     trace::CallTrace,
 };
@@ -50,6 +51,7 @@
 pub struct Backends {
     state: Arc<Mutex<BackendState>>,
     permits: PermitClient,
+    answer_memory: AnswerMemory,
     has_waiting: Arc<Notify>,
     aborting: Arc<watch::Sender<bool>>,
 }
@@ -62,6 +64,7 @@
         Self {
             state: Arc::new(Mutex::new(state)),
             permits,
+            answer_memory: AnswerMemory::default(),
             has_waiting: Arc::default(),
             aborting: Arc::new(watch::Sender::new(false)),
         }
@@ -95,6 +98,11 @@
         }
     }
 
+    /// Memory for answers that are buffered.
+    pub fn answer_memory(&self) -> &AnswerMemory {
+        &self.answer_memory
+    }
+
     /// Passes the reply of a side process to the request that waits for a permit.
     pub fn apply_permit_reply(&self, reply: PermitReply) {
         self.permits.apply_reply(reply);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -13,6 +13,7 @@
 };
 use hyper::body::Incoming;
 use platform::header_format::{self, RequestPriority};
+use tokio::time;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -128,7 +129,7 @@
         return Err(Refusal::with_retry_after(ResultCode::ProcessStopping, wait, reason).into());
     }
     let (parts, body) = request.into_parts();
-    let body = read_body(body, catalog.limits().max_body).await?;
+    let body = read_body(body, catalog.limits().max_body, deadline).await?;
     let service = choose_service(&route, &head)?;
     let max_connections =
         catalog.service(&service).map_or(usize::MAX, |service| service.max_connections);
@@ -185,14 +186,15 @@
     service.ok_or_else(|| Refusal::new(ResultCode::NoReplica, "the route has no service"))
 }
 
-async fn read_body(body: Incoming, limit: ByteSize) -> Result<Bytes, Refusal> {
+async fn read_body(body: Incoming, limit: ByteSize, deadline: Instant) -> Result<Bytes, Refusal> {
     let limit = usize::try_from(limit.0).unwrap_or(usize::MAX);
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
+    match time::timeout_at(deadline, Limited::new(body, limit).collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
             Err(Refusal::new(ResultCode::BodyTooLarge, "the body is too large"))
         }
-        Err(_) => Err(Refusal::new(ResultCode::MalformedRequest, "the body is cut")),
+        Ok(Err(_)) => Err(Refusal::new(ResultCode::MalformedRequest, "the body is cut")),
+        Err(_) => Err(Refusal::new(ResultCode::BodyTimeout, "the body did not arrive in time")),
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! It accepts requests from callers, has the dispatcher choose a backend server for each, and
 //! relays the answers.
 
+pub mod answer_memory;
 pub mod attempt;
 pub mod backends;
 mod call;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -120,6 +120,14 @@
         self.agents.push(agent);
     }
 
+    /// Registers a backend server of the service [`PLAIN_SERVICE`] in the store.
+    pub fn register_service(&self, instance: &str, address: SocketAddr) {
+        let entry = serde_json::json!({ "service": PLAIN_SERVICE, "zone": "zone-a", "version": "v1",
+            "address": address.to_string(), "slots": 6, "state": "ready",
+            "cold-left-ms": 0, "sequence": 1, "born": 1 });
+        self.store.write("servers", instance, &entry);
+    }
+
     /// Starts a backend server of the service [`PLAIN_SERVICE`] and registers it in the store.
     pub async fn add_service(&mut self, instance: &str) -> usize {
         let index = self.services.len();
@@ -127,10 +135,7 @@
         let service =
             ServiceStandin::start(listen(address).await, instance, Duration::from_millis(3))
                 .expect("it listens");
-        let entry = serde_json::json!({ "service": PLAIN_SERVICE, "zone": "zone-a", "version": "v1",
-            "address": service.address().to_string(), "slots": 6, "state": "ready",
-            "cold-left-ms": 0, "sequence": 1, "born": 1 });
-        self.store.write("servers", instance, &entry);
+        self.register_service(instance, service.address());
         self.services.push(service);
         index
     }
