--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -278,7 +278,7 @@
 
     async fn read_engine_spec(self, store: PlatformStore, service: ServiceName) {
         loop {
-            // What a service states about its engines does not change while they run.
+            // Versions of the configuration change routes, not what a service states of its engines.
             match store.read_catalog(ReadMode::MayLag).await {
                 Ok((Some(catalog), _)) => {
                     let engine = catalog.service(&service).and_then(|found| found.engine.clone());
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -83,7 +83,7 @@
 struct ConnectionState {
     /// Whether a request has been read.
     has_request: AtomicBool,
-    /// Whether an answer has told the caller to send nothing more.
+    /// Whether an answer has announced that the connection closes.
     close_announced: AtomicBool,
 }
 
--- a/crates/peers/src/messages.rs
+++ b/crates/peers/src/messages.rs
@@ -85,10 +85,10 @@
 /// A revision that the platform's store had reached.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct StoreSighting {
-    /// The revision.
+    /// Revision that covers all changes acknowledged up to the time of the observation.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
-    /// Time since the store had reached it, in milliseconds.
+    /// Age of the observation, in milliseconds.
     #[prost(uint64, tag = "2")]
     pub age_ms: u64,
 }
--- a/crates/roster/src/read_policy.rs
+++ b/crates/roster/src/read_policy.rs
@@ -10,20 +10,19 @@
 
 use crate::RosterRevision;
 
-/// Oldest observation, as a fraction of the time within which a change must be known, with which a
-/// read may lag. A lag shorter than its age is not noticed.
+/// Largest age of an observation with which a read may lag, as a fraction of the time within which a
+/// change must be known, like all fractions here. A lag shorter than that age is not noticed.
 const OBSERVATION_LIFE_FRACTION: f64 = 0.5;
-/// Time between two reads that may lag, and longest wait of such a watch, as a fraction. Twice this
-/// time after a change, the change is known whatever the lag: an observation that is younger than
-/// the first read is at hand for the second.
+/// Time between two reads that may lag, and longest wait of such a watch. A change is known after two
+/// of them, whatever the lag: the observation of the second read is made after the change.
 const LAGGING_INTERVAL_FRACTION: f64 = 0.35;
-/// The same for the reads without lag of the entry that reads for all. With the interval of
-/// heartbeats, its observations stay within their life at the other entries.
+/// Time between two reads, and longest wait, of the entry that reads without lag for all. Together
+/// with the interval of heartbeats it is shorter than the largest age at the other entries.
 const OBSERVER_INTERVAL_FRACTION: f64 = 0.2;
-/// The same for the other reads without lag: the longest wait of a watch. A connection that hangs
-/// is noticed after this time plus the timeout of the call.
+/// Longest wait of a watch without lag of any other entry. A connection that hangs is noticed after
+/// this time plus the timeout of the call.
 const LATEST_WAIT_FRACTION: f64 = 0.6;
-/// The time between two such reads, so that several changes arrive in one call.
+/// Time between two reads without lag of any other entry, so that several changes arrive in one call.
 const LATEST_INTERVAL_FRACTION: f64 = 0.45;
 /// Time without reads that may lag after a lag was seen or the store was not reached: what the
 /// store lists after an outage must be known at once.
@@ -41,9 +40,9 @@
 /// What an answer without lag has shown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StoreObservation {
-    /// Revision that the store had reached.
+    /// Revision of the store in the answer.
     pub revision: RosterRevision,
-    /// When it had reached it, at the latest.
+    /// The revision covers all changes that the store had acknowledged by this time.
     pub as_of: Instant,
 }
 
