--- /dev/null
+++ b/crates/dispatch/src/decision.rs
@@ -0,0 +1,144 @@
+//! Requests, decisions and failures that pass between the dispatcher and its driver.
+
+use base::prelude::*;
+use catalog::RouteKind;
+use roster::InstanceId;
+
+use crate::{call::Generation, waiting::LoadEstimate};
+
+/// A request to be dispatched.
+#[derive(Debug, Clone)]
+pub struct DispatchRequest {
+    /// Form of the answer and whether the request may be retried.
+    pub kind: RouteKind,
+    /// Service that handles it.
+    pub service: ServiceName,
+    /// Generation parameters; none for plain services.
+    pub generation: Option<Generation>,
+    /// When the entry received it.
+    pub arrived: Instant,
+    /// Latency goal of its route.
+    pub goal: Duration,
+    /// When its caller gives up if no first byte has come.
+    pub first_byte_deadline: Instant,
+    /// Deadline of its answer.
+    pub deadline: Instant,
+    /// Priority; zero is the most urgent.
+    pub priority: u32,
+    /// Maximum number of backend servers on which it may run.
+    pub max_attempts: u32,
+}
+
+/// The backend server of one attempt.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Assignment {
+    /// Name of the backend server.
+    pub server: InstanceId,
+    /// Address of the backend server.
+    pub address: std::net::SocketAddr,
+    /// Number of the attempt, starting from one.
+    pub attempt: u32,
+    /// Estimated number of requests there, without this one.
+    pub load: u32,
+    /// Age of the last reported load there.
+    pub load_age: Duration,
+    /// Expected time from now to the first byte.
+    pub expected_first_byte: Duration,
+    /// Whether a permit of the side process is needed before the request is sent.
+    pub needs_permit: bool,
+    /// When the wait for the permit ends.
+    pub permit_deadline: Instant,
+}
+
+/// Why a request waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum WaitReason {
+    /// No engine holds the model.
+    ModelMissing,
+    /// The engines that hold the model are busy with the prefill of other prompts.
+    PrefillBusy,
+    /// No backend server is usable at the moment.
+    NoServer,
+}
+
+impl WaitReason {
+    /// Name in the decision log.
+    pub fn text(self) -> &'static str {
+        match self {
+            WaitReason::ModelMissing => "model-missing",
+            WaitReason::PrefillBusy => "engines-reading",
+            WaitReason::NoServer => "no-server",
+        }
+    }
+}
+
+/// Refusal of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Refusal {
+    /// Result code of the answer.
+    pub code: ResultCode,
+    /// Time after which the caller may retry; none if unspecified.
+    pub retry_after: Option<Duration>,
+    /// Cause, for the decision log and the caller.
+    pub reason: &'static str,
+    /// Load estimate of its model, if the refusal is based on it.
+    pub estimate: Option<LoadEstimate>,
+}
+
+impl Refusal {
+    /// A refusal without a retry-after.
+    pub fn new(code: ResultCode, reason: &'static str) -> Self {
+        Self { code, retry_after: None, reason, estimate: None }
+    }
+
+    /// Adds the load estimate on which the refusal is based.
+    pub fn with_estimate(self, estimate: LoadEstimate) -> Self {
+        Self { estimate: Some(estimate), ..self }
+    }
+
+    /// A refusal with a retry-after.
+    pub fn with_retry_after(code: ResultCode, retry_after: Duration, reason: &'static str) -> Self {
+        Self { code, retry_after: Some(retry_after), reason, estimate: None }
+    }
+}
+
+/// Next step of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum DispatchDecision {
+    /// It is sent to a backend server.
+    Send(Assignment),
+    /// It waits, about until the given time if that is known; another decision follows.
+    Wait(WaitReason, Option<Instant>),
+    /// It is refused or has failed for good.
+    Refuse(Refusal),
+}
+
+/// An action that the driver has to carry out.
+#[derive(Debug, Clone, PartialEq)]
+pub enum DispatchAction {
+    /// The waiting request with this key has a new decision.
+    Decide(u64, DispatchDecision),
+}
+
+/// How an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptFailure {
+    /// No connection could be opened.
+    Unreachable,
+    /// The backend server states that it did not run the request because it has no free capacity.
+    Full,
+    /// The backend server states that it does not hold the model or the adapter, or that it is not
+    /// the expected one.
+    Misdirected,
+    /// The backend server ran the request and reports a failure.
+    Failed,
+    /// The outcome is unknown; the request may have run.
+    Lost,
+}
+
+impl AttemptFailure {
+    /// Whether the backend server may have run the request.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, AttemptFailure::Failed | AttemptFailure::Lost)
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod budget;
 pub mod call;
 mod choice;
+pub mod decision;
 pub mod dispatcher;
 pub mod health;
 pub mod prefill_speed;
@@ -15,10 +16,11 @@
     call::{
         AnswerHead, CallHead, CallId, Generation, ModelTarget, PromptPart, PromptPartId, ServerLoad,
     },
-    dispatcher::{
-        Assignment, AttemptFailure, CallDispatcher, DispatchAction, DispatchDecision,
-        DispatchRequest, DispatchSettings, ModelUsage, Refusal, WaitReason,
+    decision::{
+        Assignment, AttemptFailure, DispatchAction, DispatchDecision, DispatchRequest, Refusal,
+        WaitReason,
     },
+    dispatcher::{CallDispatcher, DispatchSettings, ModelUsage},
     servers::{EngineUpdate, LoadInProgress, ServerView},
     waiting::{LoadEstimate, first_event_timeout},
 };
--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -7,7 +7,7 @@
 use base::prelude::*;
 
 use crate::{
-    dispatcher::{DispatchRequest, Refusal, WaitReason},
+    decision::{DispatchRequest, Refusal, WaitReason},
     servers::ServerView,
 };
 
