gateway: the log tells which requests were broken off when a backend server ended

Observability for the incident of requests that crash servers; no decision changes. Before, nothing connected the failed attempt, the retry under a new call id and the end of the server.

- attempt-failed has the kind of the failure and the keys of the request (a hash of method, host, target and body).

--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use catalog::RouteKind;
 use roster::InstanceId;
+use suspects::SuspectKeys;
 
 use crate::{call::Generation, waiting::LoadEstimate};
 
@@ -27,6 +28,8 @@
     pub priority: u32,
     /// Maximum number of backend servers on which it may run.
     pub max_attempts: u32,
+    /// Keys by which it is recognized if it crashes backend servers.
+    pub suspect_keys: SuspectKeys,
 }
 
 /// The backend server of one attempt.
@@ -118,6 +121,13 @@
 pub enum DispatchAction {
     /// The waiting request with this key has a new decision.
     Decide(u64, DispatchDecision),
+    /// Requests broke off at this backend server before their answers began; it has to be probed.
+    Probe {
+        /// Name of the backend server.
+        server: InstanceId,
+        /// Address of the backend server.
+        address: std::net::SocketAddr,
+    },
 }
 
 /// How an attempt failed.
@@ -132,13 +142,27 @@
     Misdirected,
     /// The backend server ran the request and reports a failure.
     Failed,
-    /// The outcome is unknown; the request may have run.
+    /// The connection broke before the answer began: the backend server may have crashed.
+    Severed,
+    /// The outcome is unknown for another reason; the request may have run.
     Lost,
 }
 
 impl AttemptFailure {
+    /// Name in the decision log.
+    pub fn text(self) -> &'static str {
+        match self {
+            AttemptFailure::Unreachable => "unreachable",
+            AttemptFailure::Full => "full",
+            AttemptFailure::Misdirected => "misdirected",
+            AttemptFailure::Failed => "failed",
+            AttemptFailure::Severed => "severed",
+            AttemptFailure::Lost => "lost",
+        }
+    }
+
     /// Whether the backend server may have run the request.
     pub fn may_have_run(self) -> bool {
-        matches!(self, AttemptFailure::Failed | AttemptFailure::Lost)
+        matches!(self, AttemptFailure::Failed | AttemptFailure::Severed | AttemptFailure::Lost)
     }
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -8,6 +8,7 @@
 use base::prelude::*;
 use catalog::TokenCount;
 use roster::{BackendServer, IncarnationStart, InstanceId};
+use suspects::{SeveredAttempt, SeveredAttempts};
 
 use crate::{
     budget::{RetryBudget, RetryLimits},
@@ -91,6 +92,7 @@
     calls: BTreeMap<u64, OpenCall>,
     budgets: HashMap<ServiceName, RetryBudget>,
     load_estimates: HashMap<ModelId, LoadEstimate>,
+    severed: SeveredAttempts,
     arrivals: BTreeMap<ModelId, u64>,
     entries: usize,
     is_stopping: bool,
@@ -107,6 +109,7 @@
             calls: BTreeMap::new(),
             budgets: HashMap::new(),
             load_estimates: HashMap::new(),
+            severed: SeveredAttempts::default(),
             arrivals: BTreeMap::new(),
             entries: 1,
             is_stopping: false,
@@ -352,11 +355,30 @@
         let target = call.request.generation.as_ref().map(|generation| generation.target.clone());
         if let Some(server) = server {
             call.failed_servers.push(server.clone());
+            if failure == AttemptFailure::Severed {
+                self.record_severed(&server, key, now);
+            }
             self.charge_failure(&server, key, failure, target.as_ref(), now);
         }
         self.retry_or_refuse(key, failure, now)
     }
 
+    fn record_severed(&mut self, server: &InstanceId, key: u64, now: Instant) {
+        let Some(view) = self.servers.get(server) else { return };
+        let Some(call) = self.calls.get(&key) else { return };
+        let Some(sent) = view.calls.get(&key).and_then(|running| running.sent) else { return };
+        let keys = call.request.suspect_keys.clone();
+        if self.severed.record(server, SeveredAttempt { keys, sent, severed: now }) {
+            let probe = DispatchAction::Probe { server: server.clone(), address: view.address };
+            self.actions.push(probe);
+        }
+    }
+
+    /// Takes the attempts that broke off at `server` before its probe ended.
+    pub fn take_severed(&mut self, server: &InstanceId) -> Vec<SeveredAttempt> {
+        self.severed.take(server)
+    }
+
     fn charge_failure(
         &mut self,
         server: &InstanceId,
@@ -368,7 +390,9 @@
         let Some(view) = self.servers.get_mut(server) else { return };
         view.remove_call(key);
         match failure {
-            AttemptFailure::Unreachable | AttemptFailure::Lost => view.health.record_loss(now),
+            AttemptFailure::Unreachable | AttemptFailure::Severed | AttemptFailure::Lost => {
+                view.health.record_loss(now)
+            }
             AttemptFailure::Failed => view.health.record_failure(now),
             AttemptFailure::Full => view.health.suspend(FULL_SUSPENSION, now),
             AttemptFailure::Misdirected => match target {
@@ -567,6 +591,8 @@
             Refusal::with_retry_after(ResultCode::NoReplica, waiting::UNKNOWN_RETRY_AFTER, reason)
         }
         AttemptFailure::Failed => Refusal::new(ResultCode::BackendFailed, reason),
-        AttemptFailure::Lost => Refusal::new(ResultCode::BackendLost, reason),
+        AttemptFailure::Severed | AttemptFailure::Lost => {
+            Refusal::new(ResultCode::BackendLost, reason)
+        }
     }
 }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -11,6 +11,7 @@
     CallDispatcher, DispatchRequest, DispatchSettings, Generation, ModelTarget, RetryLimits,
 };
 use roster::{BackendServer, IncarnationStart, InstanceId, ResidentModel, ServerState};
+use suspects::SuspectKeys;
 
 pub const ENGINES: &str = "reports";
 pub const PLAIN: &str = "orders";
@@ -81,6 +82,7 @@
         deadline: now + Duration::from_secs(15),
         priority: 1,
         max_attempts: 1,
+        suspect_keys: SuspectKeys::default(),
     }
 }
 
@@ -95,5 +97,6 @@
         deadline: now + Duration::from_secs(1),
         priority: 2,
         max_attempts,
+        suspect_keys: SuspectKeys::default(),
     }
 }
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -6,6 +6,7 @@
 use residency::{OrderAction, OrderAnswer, OrderCount};
 use roster::InstanceId;
 use serde::{Serialize, Serializer};
+use suspects::SuspectKeys;
 
 /// Another system that a process depends on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -196,6 +197,12 @@
         /// Backend server of the attempt.
         #[serde(serialize_with = "text")]
         server: &'a InstanceId,
+        /// Kind of the failure: `unreachable`, `full`, `misdirected`, `failed`, `severed` if the
+        /// connection broke before the answer began, or `lost`.
+        failure: &'static str,
+        /// Keys of the request, separated by blanks; retries of the caller have the same ones.
+        #[serde(serialize_with = "text")]
+        keys: &'a SuspectKeys,
         /// Whether the backend server may have run the request.
         may_have_run: bool,
         /// The failure, as text.
@@ -256,6 +263,18 @@
         /// Number of events forwarded before.
         events: u64,
     },
+    /// A backend server was probed because connections to it broke before answers began.
+    ServerProbed {
+        /// The backend server.
+        #[serde(serialize_with = "text")]
+        server: &'a InstanceId,
+        /// Whether it has ended: its address refuses connections.
+        has_ended: bool,
+        /// Number of requests of this entry that were broken off.
+        severed: usize,
+        /// Keys of these requests, separated by commas between requests.
+        keys: &'a str,
+    },
     /// A stream resumes at another engine.
     StreamResumed {
         /// Identifier of the request.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use platform::header_format::{self, ForwardHead, RequestPriority};
 
-use crate::backends::Backends;
+use crate::{answer_memory::BufferError, backends::Backends};
 
 /// Fraction of the idle timeout stated by a backend server after which an idle connection is no
 /// longer reused.
@@ -122,7 +122,7 @@
 
 fn failed_send(error: &SendError) -> FailedAttempt {
     let failure = match error.may_have_run() {
-        true => AttemptFailure::Lost,
+        true => AttemptFailure::Severed,
         false => AttemptFailure::Unreachable,
     };
     FailedAttempt::new(failure, error)
@@ -257,7 +257,7 @@
         }
     };
     answer.body.first_chunk =
-        first.map_err(|error| FailedAttempt::new(AttemptFailure::Lost, &error))?;
+        first.map_err(|error| FailedAttempt::new(AttemptFailure::Severed, &error))?;
     Ok(answer)
 }
 
@@ -286,6 +286,9 @@
             body.finish();
             Ok(BufferedAnswer { status, headers, body: bytes })
         }
+        Err(error @ BufferError::Broken { .. }) => {
+            Err(FailedAttempt::new(AttemptFailure::Severed, &error))
+        }
         Err(error) => Err(FailedAttempt::new(AttemptFailure::Lost, &error)),
     }
 }
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -13,6 +13,7 @@
     Assignment, AttemptFailure, CallDispatcher, DispatchAction, DispatchDecision, DispatchRequest,
     Generation, Refusal,
 };
+use events::EventLog;
 use peers::PermitReply;
 use tokio::{
     sync::{Notify, oneshot, watch},
@@ -21,6 +22,7 @@
 
 use crate::{
     answer_memory::AnswerMemory,
+    crash_probe,
     permits::{Permit, PermitClient, PermitOutcome},
     trace::CallTrace,
 };
@@ -51,6 +53,7 @@
 pub struct Backends {
     state: Arc<Mutex<BackendState>>,
     permits: PermitClient,
+    log: EventLog,
     answer_memory: AnswerMemory,
     has_waiting: Arc<Notify>,
     aborting: Arc<watch::Sender<bool>>,
@@ -58,12 +61,13 @@
 
 impl Backends {
     /// Backend servers that `dispatcher` assigns requests to.
-    pub fn new(dispatcher: CallDispatcher, permits: PermitClient) -> Self {
+    pub fn new(dispatcher: CallDispatcher, permits: PermitClient, log: EventLog) -> Self {
         let state =
             BackendState { dispatcher, waiters: HashMap::new(), pools: HashMap::new(), entries: 1 };
         Self {
             state: Arc::new(Mutex::new(state)),
             permits,
+            log,
             answer_memory: AnswerMemory::default(),
             has_waiting: Arc::default(),
             aborting: Arc::new(watch::Sender::new(false)),
@@ -95,6 +99,9 @@
                     let _ = waiter.send(decision);
                 }
             }
+            DispatchAction::Probe { server, address } => {
+                tokio::spawn(crash_probe::run(self.clone(), self.log.clone(), server, address));
+            }
         }
     }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,12 +7,16 @@
 use catalog::{Catalog, Route};
 use dispatch::{Assignment, CallHead, DispatchDecision, DispatchRequest, Refusal};
 use events::{DecisionEvent, millis};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http::{
+    HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts,
+    uri::PathAndQuery,
+};
 use http_body_util::{
     BodyExt, Either, Full, LengthLimitError, Limited, StreamBody, combinators::UnsyncBoxBody,
 };
 use hyper::body::Incoming;
 use platform::header_format::{self, RequestPriority};
+use suspects::{SuspectKey, SuspectKeys};
 use tokio::time;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -53,8 +57,8 @@
 pub async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
     let head = header_format::read_call(request.headers());
     let trace = CallTrace::new(gateway.log.clone(), gateway.metrics.clone(), head.call.clone());
-    let guard = CallGuard::new(&gateway, trace);
-    match admit(&gateway, request, head, &guard.trace).await {
+    let mut guard = CallGuard::new(&gateway, trace);
+    match admit(&gateway, request, head, &mut guard.trace).await {
         Ok(admitted) => dispatch(&gateway, admitted, guard).await,
         Err(refused) => guard.refuse(&refused),
     }
@@ -100,7 +104,7 @@
     gateway: &Gateway,
     request: Request<Incoming>,
     head: CallHead,
-    trace: &CallTrace,
+    trace: &mut CallTrace,
 ) -> Result<AdmittedCall, RefusedCall> {
     let arrived = Instant::now();
     let Some(catalog) = gateway.catalog.borrow().clone() else {
@@ -112,7 +116,8 @@
         )
         .into());
     };
-    let route = find_route(&catalog, &request)?;
+    let host = request_host(&request).to_owned();
+    let route = find_route(&catalog, &host, request.uri().path())?;
     let timeout = head.caller_timeout.unwrap_or(route.timeout).min(route.timeout);
     trace.record(&DecisionEvent::CallReceived {
         call: trace.call(),
@@ -131,6 +136,8 @@
     let (parts, body) = request.into_parts();
     let body = read_body(body, catalog.limits().max_body, deadline).await?;
     let service = choose_service(&route, &head)?;
+    let suspect_keys = suspect_keys(&host, &parts, &body);
+    trace.set_keys(&suspect_keys);
     let max_connections =
         catalog.service(&service).map_or(usize::MAX, |service| service.max_connections);
     let dispatch_request = DispatchRequest {
@@ -143,6 +150,7 @@
         deadline,
         priority: route.priority,
         max_attempts: route.max_attempts,
+        suspect_keys,
     };
     let is_generation = dispatch_request.generation.is_some();
     let request = ForwardRequest {
@@ -171,10 +179,19 @@
         .then(|| arrived + first_event_timeout.saturating_sub(FIRST_EVENT_MARGIN))
 }
 
-fn find_route(catalog: &Catalog, request: &Request<Incoming>) -> Result<Arc<Route>, Refusal> {
+/// Keys by which the request is recognized if it crashes backend servers.
+fn suspect_keys(host: &str, parts: &Parts, body: &[u8]) -> SuspectKeys {
+    let target = parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
+    [SuspectKey::of_request(parts.method.as_str(), host, target, body)].into_iter().collect()
+}
+
+fn request_host(request: &Request<Incoming>) -> &str {
     let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| request.uri().host()).unwrap_or_default();
-    let route = catalog.route(host, request.uri().path()).cloned();
+    host.or_else(|| request.uri().host()).unwrap_or_default()
+}
+
+fn find_route(catalog: &Catalog, host: &str, path: &str) -> Result<Arc<Route>, Refusal> {
+    let route = catalog.route(host, path).cloned();
     route.ok_or_else(|| Refusal::new(ResultCode::UnknownModel, "no route for this host and path"))
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod backends;
 mod call;
 mod caller_connection;
+mod crash_probe;
 pub mod demand;
 mod fleet;
 mod follow;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -178,7 +178,7 @@
             retry_limits: settings.limits.retry_limits,
         });
         let permits = PermitClient::new(Arc::clone(&socket), settings.listen.peers.port());
-        let backends = Backends::new(dispatcher, permits);
+        let backends = Backends::new(dispatcher, permits, log.clone());
         let (sender, catalog) = watch::channel(None);
         let identity = FleetIdentity {
             vm: settings.identity.vm.clone(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,7 +13,7 @@
 use crate::{
     attempt::{self, AnswerBodyReader, FailedAttempt, ForwardRequest, StreamingAnswer},
     backends::DispatchTicket,
-    sse::EventSplitter,
+    sse::{self, EventSplitter},
     trace::{CallTrace, LongestPause},
 };
 
@@ -31,6 +31,7 @@
     deadline_reached: BoxFuture<'static, ()>,
     splitter: Option<EventSplitter>,
     frames: u64,
+    has_begun: bool,
     first_byte: Option<Duration>,
     last_data: Option<Instant>,
     longest_pause: LongestPause,
@@ -66,6 +67,7 @@
             deadline_reached,
             splitter,
             frames: 0,
+            has_begun: false,
             first_byte: None,
             last_data: None,
             longest_pause: LongestPause::default(),
@@ -96,7 +98,7 @@
         loop {
             match self.read().await {
                 ReadOutcome::Data(data) => {
-                    self.record_data();
+                    self.record_data(&data);
                     let complete = match &mut self.splitter {
                         Some(splitter) => splitter.push(&data),
                         None => data,
@@ -139,8 +141,10 @@
         }
     }
 
-    fn record_data(&mut self) {
+    fn record_data(&mut self, data: &[u8]) {
         let now = Instant::now();
+        // An engine that crashes as it begins to answer may have sent a part of the first event.
+        self.has_begun |= self.last_data.is_some() || sse::ends_event(data);
         match self.last_data.replace(now) {
             Some(last) => {
                 self.longest_pause
@@ -155,15 +159,21 @@
 
     async fn resume(&mut self, reason: String) -> Result<(), String> {
         self.body = None;
-        let Some(splitter) = &mut self.splitter else { return Err(reason) };
         if Instant::now() >= self.request.deadline {
             return Err(reason);
         }
+        let failure = if self.has_begun { AttemptFailure::Lost } else { AttemptFailure::Severed };
+        let Some(splitter) = &mut self.splitter else {
+            if !self.has_begun {
+                self.ticket.record_failure(failure);
+            }
+            return Err(reason);
+        };
         splitter.discard_partial();
         self.request.last_event_id = splitter.last_id().cloned();
-        let failed = FailedAttempt { failure: AttemptFailure::Lost, reason, answer: None };
+        let failed = FailedAttempt { failure, reason, answer: None };
         self.trace.record_failure(&self.assignment.server, &failed);
-        let mut decision = self.ticket.record_failure(AttemptFailure::Lost);
+        let mut decision = self.ticket.record_failure(failure);
         loop {
             decision = match decision {
                 DispatchDecision::Refuse(refusal) => return Err(refusal.reason.to_owned()),
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -65,6 +65,11 @@
     }
 }
 
+/// Whether an event ends within `bytes`.
+pub fn ends_event(bytes: &[u8]) -> bool {
+    last_event_end(bytes).is_some()
+}
+
 /// Index after the blank line that ends the last complete event; `None` without such a line.
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
     let lf = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -4,6 +4,7 @@
 use dispatch::{Assignment, CallId, Refusal, WaitReason};
 use events::{DecisionEvent, EventLog, millis};
 use roster::InstanceId;
+use suspects::SuspectKeys;
 
 use crate::{attempt::FailedAttempt, metrics::GatewayMetrics, permits::PermitOutcome};
 
@@ -17,6 +18,7 @@
     metrics: GatewayMetrics,
     call: CallId,
     arrived_at: Instant,
+    keys: SuspectKeys,
     attempts: u32,
     sent_at: Instant,
 }
@@ -44,7 +46,13 @@
     pub fn new(log: EventLog, metrics: GatewayMetrics, call: Option<CallId>) -> Self {
         let now = Instant::now();
         let call = call.unwrap_or_else(|| CallId(NO_CALL_ID.to_owned()));
-        Self { log, metrics, call, arrived_at: now, attempts: 0, sent_at: now }
+        let keys = SuspectKeys::default();
+        Self { log, metrics, call, arrived_at: now, keys, attempts: 0, sent_at: now }
+    }
+
+    /// Sets the keys of the request, which are known once its body was read.
+    pub fn set_keys(&mut self, keys: &SuspectKeys) {
+        self.keys = keys.clone();
     }
 
     /// The call id that the caller gave, or `-`.
@@ -107,6 +115,8 @@
         self.log.record(&DecisionEvent::AttemptFailed {
             call: &self.call,
             server,
+            failure: failed.failure.text(),
+            keys: &self.keys,
             may_have_run: failed.failure.may_have_run(),
             reason: &failed.reason,
             after_ms: millis(self.sent_at.elapsed()),
--- /dev/null
+++ b/crates/suspects/src/key.rs
@@ -0,0 +1,68 @@
+//! Keys by which requests that crash backend servers are recognized when they come again.
+
+use std::{fmt, num::ParseIntError, str::FromStr};
+
+use xxhash_rust::xxh3::Xxh3;
+
+/// Identifies a property of a request that other requests may share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SuspectKey(pub u64);
+
+impl SuspectKey {
+    /// The key of a request by its contents. Retries of a caller have the same one, although each
+    /// has a call id of its own.
+    pub fn of_request(method: &str, host: &str, target: &str, body: &[u8]) -> Self {
+        let mut hash = Xxh3::new();
+        for part in [method.as_bytes(), host.as_bytes(), target.as_bytes(), body] {
+            hash.update(&(part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        Self(hash.digest())
+    }
+}
+
+impl fmt::Display for SuspectKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for SuspectKey {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// The keys of one request, in ascending order and without duplicates.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct SuspectKeys(Vec<SuspectKey>);
+
+impl SuspectKeys {
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// The keys in ascending order.
+    pub fn iter(&self) -> impl Iterator<Item = SuspectKey> + '_ {
+        self.0.iter().copied()
+    }
+}
+
+impl FromIterator<SuspectKey> for SuspectKeys {
+    fn from_iter<I: IntoIterator<Item = SuspectKey>>(keys: I) -> Self {
+        let mut keys: Vec<SuspectKey> = keys.into_iter().collect();
+        keys.sort_unstable();
+        keys.dedup();
+        Self(keys)
+    }
+}
+
+impl fmt::Display for SuspectKeys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let keys: Vec<String> = self.iter().map(|key| key.to_string()).collect();
+        f.write_str(&keys.join(" "))
+    }
+}
