--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -104,6 +104,14 @@
         index
     }
 
+    /// Registers all engines in the store again, as they are now.
+    pub fn publish_engines(&self) {
+        for engine in &self.engines {
+            let entry = engine.store_entry(ENGINE_SERVICE, "zone-a", engine.address());
+            self.store.write("servers", &engine.instance(), &entry);
+        }
+    }
+
     /// Starts the agent of the engine with the index `engine`.
     pub async fn add_agent(&mut self, engine: usize) {
         let address = self.engines[engine].address();
@@ -294,6 +302,17 @@
         .expect("a valid request")
 }
 
+/// A request for a stream whose prompt has these parts, as `ID:TOKENS`.
+pub fn stream_with_parts(
+    path: &str,
+    model: &str,
+    call: &str,
+    parts: &[&str],
+) -> Request<Full<Bytes>> {
+    let request = caller::with_model(request("POST", path, call), model, 600, 60);
+    caller::with_parts(request, parts).body(Full::from(call.to_owned())).expect("a valid request")
+}
+
 /// Text of a complete stream with `events` events.
 pub fn complete_stream(call: &str, events: u64) -> String {
     (1..=events).map(|number| platform_standin::engine::event_text(call, number)).collect()
