gateway: a prompt part that crashes engines is found and blocked, and sound requests are spared

Cause: requests were recognized by their contents only, so that each one with the deadly part was the first of its kind. Evidence: a trial that prints heads shows one part in all of them and in no other request.

Now the parts of a prompt but its last are keys of a request, too. Several of these requests also share the route's and a customer's part, as sound ones do, so an answer clears keys: what crashes an engine does so whatever else the request holds. An entry keeps when it last had an answer for a key and reports that with a crash; a key that was answered after the first crash counted against it starts anew. A block applies to requests with all of its keys; each entry takes out those that it has seen answered since, so that a block that holds a customer's part narrows to the deadly one.

Ruled out: blocking all parts that were in flight (refuses the customer's and at worst the route's sound requests; seen in the new test as 503 for the whole route); the intersection of the requests at each crash (a sound request that was in flight by chance narrows it to the route's part).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -349,9 +349,9 @@
     }
 
     /// Records that the answer to `key` has begun: its first event or its whole body has arrived.
-    pub fn record_answer_begun(&mut self, key: u64) {
+    pub fn record_answer_begun(&mut self, key: u64, now: Instant) {
         if let Some(call) = self.calls.get(&key) {
-            self.suspects.record_answer(&call.request.suspect_keys);
+            self.suspects.record_answer(&call.request.suspect_keys, now);
         }
     }
 
@@ -381,7 +381,7 @@
             ));
         };
         if failure == AttemptFailure::Failed {
-            self.suspects.record_answer(&call.request.suspect_keys);
+            self.suspects.record_answer(&call.request.suspect_keys, now);
         }
         let server = call.assigned_to.take();
         if failure.may_have_run() {
--- a/crates/dispatch/tests/crashing_requests.rs
+++ b/crates/dispatch/tests/crashing_requests.rs
@@ -25,7 +25,7 @@
 }
 
 fn apply_block(dispatcher: &mut CallDispatcher, now: Instant) {
-    let block = RequestBlock::new(suspect_keys(), now);
+    let block = RequestBlock::new(suspect_keys(), now, now);
     assert!(dispatcher.suspects_mut().apply_block(&block, now));
     dispatcher.review_waiting(now);
 }
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -293,7 +293,8 @@
 
     /// Records that the answer has begun, which shows that the request does not crash the server.
     pub fn record_answer_begun(&mut self) {
-        self.backends.with_dispatcher(|dispatcher, _| dispatcher.record_answer_begun(self.key));
+        self.backends
+            .with_dispatcher(|dispatcher, now| dispatcher.record_answer_begun(self.key, now));
     }
 
     /// Records that the request is answered or refused; further calls do nothing.
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use bytes::Bytes;
 use catalog::{Catalog, Route};
-use dispatch::{Assignment, CallHead, DispatchDecision, DispatchRequest, Refusal};
+use dispatch::{Assignment, CallHead, DispatchDecision, DispatchRequest, Generation, Refusal};
 use events::{DecisionEvent, millis};
 use http::{
     HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts,
@@ -42,6 +42,9 @@
 /// Least urgent priority at an engine; zero is the most urgent one.
 const MAX_ENGINE_PRIORITY: u32 = 9;
 
+/// Most parts of a prompt that serve as keys of a request.
+const MAX_SUSPECT_PARTS: usize = 24;
+
 struct RefusedCall {
     refusal: Refusal,
     answer: Option<BufferedAnswer>,
@@ -136,7 +139,7 @@
     let (parts, body) = request.into_parts();
     let body = read_body(body, catalog.limits().max_body, deadline).await?;
     let service = choose_service(&route, &head)?;
-    let suspect_keys = suspect_keys(&host, &parts, &body);
+    let suspect_keys = suspect_keys(&host, &parts, &body, head.generation.as_ref());
     trace.set_keys(&suspect_keys);
     let max_connections =
         catalog.service(&service).map_or(usize::MAX, |service| service.max_connections);
@@ -180,9 +183,21 @@
 }
 
 /// Keys by which the request is recognized if it crashes backend servers.
-fn suspect_keys(host: &str, parts: &Parts, body: &[u8]) -> SuspectKeys {
+///
+/// The last part of a prompt is the request's own, and so adds nothing to its contents.
+fn suspect_keys(
+    host: &str,
+    parts: &Parts,
+    body: &[u8],
+    generation: Option<&Generation>,
+) -> SuspectKeys {
     let target = parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
-    [SuspectKey::of_request(parts.method.as_str(), host, target, body)].into_iter().collect()
+    let contents = SuspectKey::of_request(parts.method.as_str(), host, target, body);
+    let prompt_parts = generation.map_or(&[][..], |generation| &generation.parts);
+    let shared = prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let shared = shared.iter().take(MAX_SUSPECT_PARTS);
+    let shared = shared.map(|part| SuspectKey::of_prompt_part(part.id.0));
+    shared.chain([contents]).collect()
 }
 
 fn request_host(request: &Request<Incoming>) -> &str {
--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -6,7 +6,6 @@
 use base::prelude::*;
 use events::{DecisionEvent, EventLog};
 use roster::InstanceId;
-use suspects::{CrashSighting, SeveredAttempt};
 use tokio::{net::TcpStream, time};
 
 use crate::backends::Backends;
@@ -30,14 +29,10 @@
         keys: &keys.join(","),
     });
     if has_ended {
-        backends.report_crash(severed.into_iter().map(sighting).collect());
+        backends.report_crash(severed);
     }
 }
 
-fn sighting(attempt: SeveredAttempt) -> CrashSighting {
-    CrashSighting { keys: attempt.keys, sent: attempt.sent, crashed: attempt.severed }
-}
-
 /// Whether no process listens at `address`. A VM that does not answer may only be unreachable.
 async fn refuses_connections(address: SocketAddr) -> bool {
     match time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
--- a/crates/gateway/src/fleet/crashes.rs
+++ b/crates/gateway/src/fleet/crashes.rs
@@ -9,7 +9,9 @@
 
 use base::prelude::*;
 use events::{DecisionEvent, millis};
-use peers::{BlockQuery, BlockReport, BlockState, CrashReport, DatagramBody, SuspectRequest};
+use peers::{
+    BlockQuery, BlockReport, BlockState, CrashReport, DatagramBody, KeyAnswer, SuspectRequest,
+};
 use suspects::{BlockDigest, CrashSighting, RequestBlock, SuspectKey, SuspectKeys};
 use tokio::sync::mpsc;
 
@@ -110,6 +112,7 @@
                 keys: block.keys.iter().map(|SuspectKey(key)| key).collect(),
                 remaining_ms: saturating_millis(block.until.saturating_duration_since(now)),
                 renewals: block.renewals,
+                since_ms_ago: saturating_millis(now.saturating_duration_since(block.since)),
             })
             .collect();
         self.socket.send_all(addresses, DatagramBody::BlockReport(BlockReport { blocks }));
@@ -118,9 +121,13 @@
     pub(super) fn apply_block_report(&self, report: &BlockReport) {
         let now = Instant::now();
         for state in &report.blocks {
-            let until = now + Duration::from_millis(state.remaining_ms.into());
-            let block =
-                RequestBlock { keys: decode_keys(&state.keys), until, renewals: state.renewals };
+            let since_age = Duration::from_millis(state.since_ms_ago.into());
+            let block = RequestBlock {
+                keys: decode_keys(&state.keys),
+                since: now.checked_sub(since_age).unwrap_or(now),
+                until: now + Duration::from_millis(state.remaining_ms.into()),
+                renewals: state.renewals,
+            };
             let is_new = self.backends.with_dispatcher(|dispatcher, now| {
                 let is_new = dispatcher.suspects_mut().apply_block(&block, now);
                 if is_new {
@@ -157,6 +164,11 @@
     let age = |at: Instant| saturating_millis(now.saturating_duration_since(at));
     SuspectRequest {
         keys: sighting.keys.iter().map(|SuspectKey(key)| key).collect(),
+        answered: sighting
+            .answered
+            .iter()
+            .map(|(key, at)| KeyAnswer { key: key.0, ms_ago: age(*at) })
+            .collect(),
         sent_ms_ago: age(sighting.sent),
         crashed_ms_ago: age(sighting.crashed),
     }
@@ -165,8 +177,11 @@
 /// The reported crash by the clock of this process; none if it lies before the clock's start.
 fn decode_sighting(request: &SuspectRequest, now: Instant) -> Option<CrashSighting> {
     let at = |ms_ago: u32| now.checked_sub(Duration::from_millis(ms_ago.into()));
+    let answered = request.answered.iter().take(MAX_KEYS);
+    let answered = answered.filter_map(|answer| Some((SuspectKey(answer.key), at(answer.ms_ago)?)));
     Some(CrashSighting {
         keys: decode_keys(&request.keys),
+        answered: answered.collect(),
         sent: at(request.sent_ms_ago)?,
         crashed: at(request.crashed_ms_ago)?,
     })
--- a/crates/gateway/tests/deadly_parts.rs
+++ b/crates/gateway/tests/deadly_parts.rs
@@ -76,7 +76,6 @@
 }
 
 #[tokio::test]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn part_that_crashes_engines_is_kept_from_the_others() {
     let fleet = start_fleet(3).await;
 
--- a/crates/peers/src/messages.rs
+++ b/crates/peers/src/messages.rs
@@ -266,6 +266,20 @@
     /// Time since the crash, in milliseconds.
     #[prost(uint32, tag = "3")]
     pub crashed_ms_ago: u32,
+    /// Answers that the sender has received to requests with some of the keys.
+    #[prost(message, repeated, tag = "4")]
+    pub answered: Vec<KeyAnswer>,
+}
+
+/// The last answer to a request with a key.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct KeyAnswer {
+    /// The key.
+    #[prost(fixed64, tag = "1")]
+    pub key: u64,
+    /// Time since the answer began, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub ms_ago: u32,
 }
 
 /// Reports requests that were in flight at a crash.
@@ -292,6 +306,10 @@
     /// How often it was renewed.
     #[prost(uint32, tag = "3")]
     pub renewals: u32,
+    /// Time since the first request with the keys was sent that was in flight at a crash, in
+    /// milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub since_ms_ago: u32,
 }
 
 /// Blocks that are in force at the sender.
--- a/crates/suspects/src/evidence.rs
+++ b/crates/suspects/src/evidence.rs
@@ -4,7 +4,10 @@
 
 use base::prelude::*;
 
-use crate::key::{SuspectKey, SuspectKeys};
+use crate::{
+    answered::AnsweredKeys,
+    key::{SuspectKey, SuspectKeys},
+};
 
 /// Crashes after which requests with a key are blocked. The platform bounds what reaches servers
 /// after the third crash under one request.
@@ -19,18 +22,38 @@
 pub struct CrashSighting {
     /// Keys of the request.
     pub keys: SuspectKeys,
+    /// When the entry that saw the crash last received answers to requests with some of the keys.
+    pub answered: Vec<(SuspectKey, Instant)>,
     /// When it was sent to the backend server.
     pub sent: Instant,
     /// When the backend server crashed.
     pub crashed: Instant,
 }
 
+impl CrashSighting {
+    /// When a request with `key` was last answered, as far as the entry that saw the crash knows.
+    pub fn last_answer(&self, key: SuspectKey) -> Option<Instant> {
+        self.answered.iter().find(|(answered, _)| *answered == key).map(|(_, at)| *at)
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct KeyEvidence {
     crashes: u32,
+    /// When the request of the first crash was sent.
+    first_sent: Instant,
     last_crash: Instant,
 }
 
+/// Keys that were in flight at enough crashes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FoundSuspects {
+    /// The keys.
+    pub keys: SuspectKeys,
+    /// When the first request with one of them was sent that was in flight at a crash.
+    pub since: Instant,
+}
+
 /// Evidence by key.
 #[derive(Debug, Default)]
 pub struct EvidenceTable {
@@ -38,29 +61,62 @@
 }
 
 impl EvidenceTable {
-    /// Counts a crash for each key of the request. Returns the keys that have been in flight at
-    /// enough crashes now; empty if none has.
+    /// Counts a crash for each key of the request. Returns those of its keys that have been in
+    /// flight at enough crashes by now; none if there are none.
     ///
     /// A request crashes one backend server after the other: a crash counts only if the request
     /// was sent after the crash that was counted before it. All requests that are in flight when
-    /// many servers fail together therefore count once.
-    pub fn record_crash(&mut self, sighting: &CrashSighting, now: Instant) -> SuspectKeys {
+    /// many servers fail together therefore count once. An answer after the first crash, here or at
+    /// the entry that saw this crash, clears a key.
+    pub fn record_crash(
+        &mut self,
+        sighting: &CrashSighting,
+        answered: &AnsweredKeys,
+        now: Instant,
+    ) -> Option<FoundSuspects> {
         self.remove_expired(now);
-        sighting.keys.iter().filter(|key| self.count_crash(*key, sighting)).collect()
+        for key in sighting.keys.iter() {
+            let last_answer = sighting.last_answer(key).max(answered.last_answer(key));
+            self.count_crash(key, sighting, last_answer);
+        }
+        let found: Vec<(SuspectKey, Instant)> = sighting
+            .keys
+            .iter()
+            .filter_map(|key| Some((key, self.keys.get(&key)?)))
+            .filter(|(_, evidence)| evidence.crashes >= CRASHES_TO_BLOCK)
+            .map(|(key, evidence)| (key, evidence.first_sent))
+            .collect();
+        let since = found.iter().map(|(_, first_sent)| *first_sent).min()?;
+        Some(FoundSuspects { keys: found.into_iter().map(|(key, _)| key).collect(), since })
     }
 
-    fn count_crash(&mut self, key: SuspectKey, sighting: &CrashSighting) -> bool {
-        let Some(evidence) = self.keys.get_mut(&key) else {
-            self.make_room();
-            self.keys.insert(key, KeyEvidence { crashes: 1, last_crash: sighting.crashed });
-            return CRASHES_TO_BLOCK <= 1;
-        };
-        if sighting.sent < evidence.last_crash {
-            return false;
+    fn count_crash(
+        &mut self,
+        key: SuspectKey,
+        sighting: &CrashSighting,
+        last_answer: Option<Instant>,
+    ) {
+        if last_answer.is_some_and(|at| at >= sighting.sent) {
+            self.keys.remove(&key);
+            return;
+        }
+        let is_cleared = |known: &KeyEvidence| last_answer.is_some_and(|at| at >= known.first_sent);
+        match self.keys.get_mut(&key).filter(|known| !is_cleared(known)) {
+            Some(known) if sighting.sent < known.last_crash => {}
+            Some(known) => {
+                known.crashes += 1;
+                known.last_crash = sighting.crashed;
+            }
+            None => {
+                self.make_room();
+                let evidence = KeyEvidence {
+                    crashes: 1,
+                    first_sent: sighting.sent,
+                    last_crash: sighting.crashed,
+                };
+                self.keys.insert(key, evidence);
+            }
         }
-        evidence.crashes += 1;
-        evidence.last_crash = sighting.crashed;
-        evidence.crashes >= CRASHES_TO_BLOCK
     }
 
     /// Number of crashes counted for `key`.
@@ -76,11 +132,6 @@
         }
     }
 
-    /// Drops the evidence against `keys`, because requests with them are blocked.
-    pub fn remove(&mut self, keys: &SuspectKeys) {
-        self.record_answer(keys);
-    }
-
     fn remove_expired(&mut self, now: Instant) {
         self.keys.retain(|_, evidence| {
             now.saturating_duration_since(evidence.last_crash) < EVIDENCE_TIME
--- a/crates/suspects/src/key.rs
+++ b/crates/suspects/src/key.rs
@@ -19,6 +19,14 @@
         }
         Self(hash.digest())
     }
+
+    /// The key of a part of a prompt, which requests for different models may share.
+    pub fn of_prompt_part(part: u64) -> Self {
+        let mut hash = Xxh3::new();
+        hash.update(b"prompt part");
+        hash.update(&part.to_be_bytes());
+        Self(hash.digest())
+    }
 }
 
 impl From<u64> for SuspectKey {
@@ -51,9 +59,14 @@
         self.0.is_empty()
     }
 
+    /// Whether `key` is among them.
+    pub fn contains(&self, key: SuspectKey) -> bool {
+        self.0.binary_search(&key).is_ok()
+    }
+
     /// Whether all of `others` are among them.
     pub fn contains_all(&self, others: &SuspectKeys) -> bool {
-        others.iter().all(|key| self.0.binary_search(&key).is_ok())
+        others.iter().all(|key| self.contains(key))
     }
 
     /// The keys in ascending order.
--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -1,9 +1,12 @@
 //! Requests that may crash the backend servers that run them.
 //!
 //! A request whose answer has not begun when its backend server crashes is a suspect. Its keys tell
-//! whether another request is like it. Requests like those that were in flight at several crashes
-//! are blocked for a while, at all entries. Nothing here does I/O.
+//! what it has in common with others: its contents, and the parts of its prompt. An answer clears
+//! all keys of its request, because what crashes a server does so whatever else the request holds.
+//! Requests that have all keys that were in flight at several crashes, one after the other, are
+//! blocked for a while, at all entries. Nothing here does I/O.
 
+pub mod answered;
 pub mod blocks;
 pub mod board;
 pub mod evidence;
@@ -11,9 +14,10 @@
 pub mod severed;
 
 pub use crate::{
+    answered::AnsweredKeys,
     blocks::{BlockDigest, BlockList, RequestBlock},
     board::SuspectBoard,
-    evidence::{CRASHES_TO_BLOCK, CrashSighting, EvidenceTable},
+    evidence::{CRASHES_TO_BLOCK, CrashSighting, EvidenceTable, FoundSuspects},
     key::{SuspectKey, SuspectKeys},
     severed::{SeveredAttempt, SeveredAttempts},
 };
--- a/crates/suspects/tests/blocks.rs
+++ b/crates/suspects/tests/blocks.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{keys, seconds, sighting};
-use suspects::{BlockDigest, BlockList, RequestBlock, SuspectBoard};
+use suspects::{AnsweredKeys, BlockDigest, BlockList, RequestBlock, SuspectBoard};
 use tokio::time::Instant;
 
 /// Counts crashes under one request until it is blocked; returns the block and its time.
@@ -60,15 +60,16 @@
 #[test]
 fn entries_with_the_same_blocks_have_the_same_digest() {
     let now = Instant::now();
-    let blocks = [1, 2, 3].map(|number| RequestBlock::new(keys(&[number]), now));
+    let blocks = [1, 2, 3].map(|number| RequestBlock::new(keys(&[number]), now, now));
+    let unknown = AnsweredKeys::default();
     let (mut one, mut other) = (BlockList::default(), BlockList::default());
 
-    blocks.iter().for_each(|block| assert!(one.apply(block, now)));
-    blocks.iter().rev().for_each(|block| assert!(other.apply(block, now)));
+    blocks.iter().for_each(|block| assert!(one.apply(block, &unknown, now)));
+    blocks.iter().rev().for_each(|block| assert!(other.apply(block, &unknown, now)));
 
     assert_eq!(one.digest(now), other.digest(now));
     assert_ne!(one.digest(now), BlockDigest::default());
-    assert!(!one.apply(&blocks[0], now), "it is known");
+    assert!(!one.apply(&blocks[0], &unknown, now), "it is known");
     assert_eq!(one.digest(blocks[0].until), BlockDigest::default(), "all have ended");
 }
 
@@ -77,7 +78,7 @@
     let now = Instant::now();
     let mut list = BlockList::default();
 
-    assert!(!list.apply(&RequestBlock::new(keys(&[]), now), now));
+    assert!(!list.apply(&RequestBlock::new(keys(&[]), now, now), &AnsweredKeys::default(), now));
     assert_eq!(list.blocked_until(&keys(&[1]), now), None);
 }
 
@@ -87,9 +88,51 @@
     let mut list = BlockList::default();
 
     for number in 0..1_000 {
-        list.apply(&RequestBlock::new(keys(&[number]), now), now);
+        let block = RequestBlock::new(keys(&[number]), now, now);
+        list.apply(&block, &AnsweredKeys::default(), now);
     }
 
     assert_eq!(list.active(now).count(), 64);
     assert!(list.blocked_until(&keys(&[999]), now).is_some(), "the newest is kept");
 }
+
+#[test]
+fn key_of_an_answered_request_is_no_suspect_any_more() {
+    let now = Instant::now();
+    let (customer, deadly) = (1, 7);
+    let mut board = SuspectBoard::default();
+    board.apply_block(&RequestBlock::new(keys(&[customer, deadly]), now, now), now);
+    assert_eq!(board.blocked_until(&keys(&[customer, 30]), now), None, "it has one key only");
+
+    board.record_answer(&keys(&[customer, 30]), now + seconds(1.0));
+
+    let later = now + seconds(2.0);
+    assert!(board.blocked_until(&keys(&[deadly, 31]), later).is_some(), "whoever sends it");
+    assert_eq!(board.blocked_until(&keys(&[customer, 31]), later), None);
+}
+
+#[test]
+fn block_is_void_once_a_request_with_all_of_its_keys_was_answered() {
+    let now = Instant::now();
+    let mut board = SuspectBoard::default();
+    board.apply_block(&RequestBlock::new(keys(&[1, 2]), now, now), now);
+
+    board.record_answer(&keys(&[1, 2, 3]), now + seconds(1.0));
+
+    assert_eq!(board.blocked_until(&keys(&[1, 2]), now + seconds(2.0)), None);
+}
+
+#[test]
+fn block_decided_elsewhere_spares_what_was_answered_here() {
+    let now = Instant::now();
+    let (route, deadly) = (1, 7);
+    let mut board = SuspectBoard::default();
+    board.record_answer(&keys(&[route, 30]), now + seconds(1.0));
+    let decided = now + seconds(2.0);
+
+    board.apply_block(&RequestBlock::new(keys(&[route]), now, decided), decided);
+    board.apply_block(&RequestBlock::new(keys(&[route, deadly]), now, decided), decided);
+
+    assert_eq!(board.blocked_until(&keys(&[route, 31]), decided), None);
+    assert!(board.blocked_until(&keys(&[route, deadly]), decided).is_some());
+}
--- a/crates/suspects/tests/common/mod.rs
+++ b/crates/suspects/tests/common/mod.rs
@@ -12,7 +12,7 @@
 }
 
 pub fn sighting(numbers: &[u64], sent: Instant, crashed: Instant) -> CrashSighting {
-    CrashSighting { keys: keys(numbers), sent, crashed }
+    CrashSighting { keys: keys(numbers), answered: Vec::new(), sent, crashed }
 }
 
 pub fn seconds(count: f64) -> Duration {
