gateway: a stream that ends inside an event, or without any, is not passed on as complete

Callers got a 200 that ended like a whole answer, with half an event at its end, when an engine's answer had neither a length nor chunks and its connection closed within an event (or right after the head).

Cause: the relay took the end of the body as the end of the stream and passed on the buffered rest. Now a stream of events is whole only if it ends with a blank line. Otherwise it goes on elsewhere if it may, and else its connection breaks off; a stream without a first event is a failed attempt (502, or another engine).

Streams whose answer names another content type are passed on as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -243,7 +243,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the connection ends before the first chunk, if the chunk does not come by `deadline`,
+/// Fails if the answer ends before the first chunk, if the chunk does not come by `deadline`,
 /// or if the process aborts its requests.
 pub async fn await_first_chunk(
     backends: &Backends,
@@ -256,9 +256,17 @@
             return Err(FailedAttempt::new(AttemptFailure::Lost, "no first event in time"));
         }
     };
-    answer.body.first_chunk =
-        first.map_err(|error| FailedAttempt::new(AttemptFailure::Severed, &error))?;
-    Ok(answer)
+    match first {
+        Ok(Some(chunk)) => {
+            answer.body.first_chunk = Some(chunk);
+            Ok(answer)
+        }
+        Ok(None) => {
+            let reason = "the stream ended before its first event";
+            Err(FailedAttempt::new(AttemptFailure::Severed, reason))
+        }
+        Err(error) => Err(FailedAttempt::new(AttemptFailure::Severed, &error)),
+    }
 }
 
 /// Reads an answer completely.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,13 +7,13 @@
 use dispatch::{Assignment, AttemptFailure, DispatchDecision};
 use events::DecisionEvent;
 use futures::{FutureExt, Stream, future::BoxFuture, stream};
-use http::StatusCode;
+use http::{HeaderMap, StatusCode, header};
 use hyper::body::Frame;
 
 use crate::{
     attempt::{self, AnswerBodyReader, FailedAttempt, ForwardRequest, StreamingAnswer},
     backends::DispatchTicket,
-    sse::{self, EventSplitter},
+    sse::{self, EventSplitter, StreamTail},
     trace::{CallTrace, LongestPause},
 };
 
@@ -30,6 +30,8 @@
     body: Option<AnswerBodyReader>,
     deadline_reached: BoxFuture<'static, ()>,
     splitter: Option<EventSplitter>,
+    tail: StreamTail,
+    has_events: bool,
     frames: u64,
     has_begun: bool,
     first_byte: Option<Duration>,
@@ -66,6 +68,8 @@
             body: Some(answer.body),
             deadline_reached,
             splitter,
+            tail: StreamTail::default(),
+            has_events: has_events(&answer.headers),
             frames: 0,
             has_begun: false,
             first_byte: None,
@@ -108,6 +112,12 @@
                         return ReadOutcome::Data(complete);
                     }
                 }
+                ReadOutcome::End if self.has_events && !self.tail.ends_event() => {
+                    let reason = "the stream ended inside an event".to_owned();
+                    if let Err(reason) = self.resume(reason).await {
+                        return ReadOutcome::Interrupted(reason);
+                    }
+                }
                 ReadOutcome::End => match self.splitter.as_mut().map(EventSplitter::take_partial) {
                     Some(partial) if !partial.is_empty() => return ReadOutcome::Data(partial),
                     _ => return ReadOutcome::End,
@@ -142,6 +152,7 @@
     }
 
     fn record_data(&mut self, data: &[u8]) {
+        self.tail.push(data);
         let now = Instant::now();
         // An engine that crashes as it begins to answer may have sent a part of the first event.
         let begins = !self.has_begun && (self.last_data.is_some() || sse::ends_event(data));
@@ -161,6 +172,7 @@
         }
     }
 
+    /// Resumes the stream elsewhere after it broke off, if it may be resumed.
     async fn resume(&mut self, reason: String) -> Result<(), String> {
         self.body = None;
         if Instant::now() >= self.request.deadline {
@@ -174,6 +186,7 @@
             return Err(reason);
         };
         splitter.discard_partial();
+        self.tail.discard_partial(self.frames > 0);
         self.request.last_event_id = splitter.last_id().cloned();
         let failed = FailedAttempt { failure, reason, answer: None };
         self.trace.record_failure(&self.assignment.server, &failed);
@@ -245,6 +258,12 @@
     }
 }
 
+/// Whether the answer consists of events; so it does unless its headers name another type.
+fn has_events(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    content_type.is_none_or(|content_type| content_type.trim().starts_with("text/event-stream"))
+}
+
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         if !self.is_finished {
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -65,6 +65,41 @@
     }
 }
 
+/// The last bytes of a stream, which show whether it ends between two events.
+#[derive(Debug, Default)]
+pub struct StreamTail {
+    last: Vec<u8>,
+}
+
+impl StreamTail {
+    /// Bytes of two line ends, the longest end of an event.
+    const MAX_BYTES: usize = 4;
+
+    /// Discards the bytes of an incomplete event after whole ones.
+    pub fn discard_partial(&mut self, has_events: bool) {
+        self.last = if has_events { b"\n\n".to_vec() } else { Vec::new() };
+    }
+
+    /// Adds bytes of the stream.
+    pub fn push(&mut self, data: &[u8]) {
+        let data = &data[data.len().saturating_sub(Self::MAX_BYTES)..];
+        let excess = (self.last.len() + data.len()).saturating_sub(Self::MAX_BYTES);
+        self.last.drain(..excess);
+        self.last.extend_from_slice(data);
+    }
+
+    /// Whether the bytes so far end with a blank line, as a whole event does.
+    pub fn ends_event(&self) -> bool {
+        let line = without_line_end(&self.last);
+        line.is_some_and(|line| without_line_end(line).is_some())
+    }
+}
+
+fn without_line_end(bytes: &[u8]) -> Option<&[u8]> {
+    let ends: [&[u8]; 3] = [b"\r\n", b"\n", b"\r"];
+    ends.iter().find_map(|end| bytes.strip_suffix(*end))
+}
+
 /// Whether an event ends within `bytes`.
 pub fn ends_event(bytes: &[u8]) -> bool {
     last_event_end(bytes).is_some()
--- a/crates/gateway/tests/sse.rs
+++ b/crates/gateway/tests/sse.rs
@@ -1,6 +1,6 @@
 //! Splitting of streams into events.
 
-use gateway::sse::EventSplitter;
+use gateway::sse::{EventSplitter, StreamTail};
 use rstest::rstest;
 
 const STREAM: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
@@ -47,3 +47,19 @@
     assert!(!complete.is_empty());
     assert_eq!(splitter.last_id().map(|id| id.as_bytes()), Some(&b"9"[..]));
 }
+
+#[rstest]
+#[case::line_feeds(&["id: 1\ndata: a\n\n"], true)]
+#[case::carriage_returns(&["id: 1\rdata: a\r\r"], true)]
+#[case::both(&["id: 1\r\ndata: a\r\n\r\n"], true)]
+#[case::in_pieces(&["id: 1\r\ndata: a\r", "\n", "\r", "\n"], true)]
+#[case::without_blank_line(&["id: 1\r\ndata: a\r\n"], false)]
+#[case::inside_an_event(&["id: 1\n\n", "id: 2"], false)]
+#[case::empty(&[], false)]
+fn stream_ends_between_events_after_a_blank_line(#[case] pieces: &[&str], #[case] expected: bool) {
+    let mut tail = StreamTail::default();
+
+    pieces.iter().for_each(|piece| tail.push(piece.as_bytes()));
+
+    assert_eq!(tail.ends_event(), expected);
+}
