gateway: a refusal without a call id on a connection in use before is not believed

Reported by an operator of a similar system: a faulty server wrote an earlier refusal once more on a kept connection. Callers were told 'not run' for requests that a server ran, or these ran at a second server.

It could happen here for a repeated refusal without a call id: the gateway compared ids only if the answer had one. Servers echo the id in all answers, so an answer without one, on a connection that carried requests before, counts as an unknown outcome now; on a new connection it can only be the request's own. Refusals with the id of the earlier request were told apart before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -178,8 +178,14 @@
     response: Response<Incoming>,
 ) -> Result<StreamingAnswer> {
     let head = header_format::read_answer(response.headers());
-    if head.call.is_some() && head.call != request.call {
-        let reason = "the answer belongs to another request";
+    // On a connection that carried requests before, an answer without a call id may be one of
+    // theirs, repeated.
+    let is_own = match &head.call {
+        Some(call) => request.call.as_ref() == Some(call),
+        None => request.call.is_none() || !lease.is_reused(),
+    };
+    if !is_own {
+        let reason = "the answer may belong to another request";
         return Err(FailedAttempt::new(AttemptFailure::Lost, reason));
     }
     if let Some(load) = head.load {
