suspects: sound requests are spared when several engines crash at once

- Of the requests in flight at a crash, the one with the most suspect keys explains it: a block with fewer of these keys, decided for the same crash, counts only if a later crash shows that it is needed.
- A key that was in requests answered in the last two seconds is not found yet.
Entries that have seen keys of it answered object to the one that decided it, which passes that on.
Delays of objections are distributed so that about one comes, however many entries have the same.

--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use catalog::RouteKind;
 use roster::InstanceId;
-use suspects::SuspectKeys;
+use suspects::{RequestBlock, SuspectKeys};
 
 use crate::{call::Generation, waiting::LoadEstimate};
 
@@ -121,6 +121,8 @@
 pub enum DispatchAction {
     /// The waiting request with this key has a new decision.
     Decide(u64, DispatchDecision),
+    /// An answer has cleared keys of these blocks; the other entries have to know.
+    ShareBlocks(Vec<RequestBlock>),
     /// Requests broke off at this backend server before their answers began; it has to be probed.
     Probe {
         /// Name of the backend server.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -350,8 +350,10 @@
 
     /// Records that the answer to `key` has begun: its first event or its whole body has arrived.
     pub fn record_answer_begun(&mut self, key: u64, now: Instant) {
-        if let Some(call) = self.calls.get(&key) {
-            self.suspects.record_answer(&call.request.suspect_keys, now);
+        let Some(call) = self.calls.get(&key) else { return };
+        let narrowed = self.suspects.record_answer(&call.request.suspect_keys, now);
+        if !narrowed.is_empty() {
+            self.actions.push(DispatchAction::ShareBlocks(narrowed));
         }
     }
 
@@ -374,15 +376,15 @@
         failure: AttemptFailure,
         now: Instant,
     ) -> DispatchDecision {
+        if failure == AttemptFailure::Failed {
+            self.record_answer_begun(key, now);
+        }
         let Some(call) = self.calls.get_mut(&key) else {
             return DispatchDecision::Refuse(Refusal::new(
                 ResultCode::CallerCancelled,
                 "unknown request",
             ));
         };
-        if failure == AttemptFailure::Failed {
-            self.suspects.record_answer(&call.request.suspect_keys, now);
-        }
         let server = call.assigned_to.take();
         if failure.may_have_run() {
             call.run_attempts += 1;
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -287,16 +287,19 @@
         /// Where the crash was seen: `own` or `peer`.
         source: &'static str,
     },
-    /// Requests with all of these keys are refused from now on.
+    /// Requests with all of these keys that are not cleared are refused from now on.
     RequestsBlocked {
         /// The keys, separated by blanks.
         #[serde(serialize_with = "text")]
         keys: &'a SuspectKeys,
+        /// Those of the keys that are no suspects, because requests with them were answered.
+        #[serde(serialize_with = "text")]
+        cleared: &'a SuspectKeys,
         /// Time until the block ends.
         remaining_ms: u64,
         /// How often it was renewed.
         renewals: u32,
-        /// Where it was decided: `own` or `peer`.
+        /// Where it was decided or narrowed: `own` or `peer`.
         source: &'static str,
     },
     /// A stream resumes at another engine.
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -15,7 +15,7 @@
 };
 use events::EventLog;
 use peers::PermitReply;
-use suspects::CrashSighting;
+use suspects::{CrashSighting, RequestBlock};
 use tokio::{
     sync::{Notify, mpsc, oneshot, watch},
     time,
@@ -42,6 +42,15 @@
 /// Time between two reviews of the requests that wait; updates cause further reviews.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(40);
 
+/// What other entries have to know of requests that crash backend servers.
+#[derive(Debug)]
+pub enum SuspectReport {
+    /// Requests of this entry that were in flight when a backend server crashed.
+    Crash(Vec<CrashSighting>),
+    /// Blocks that have fewer suspect keys, because requests with the others were answered here.
+    Narrowed(Vec<RequestBlock>),
+}
+
 struct BackendState {
     dispatcher: CallDispatcher,
     waiters: HashMap<u64, oneshot::Sender<DispatchDecision>>,
@@ -55,20 +64,20 @@
     state: Arc<Mutex<BackendState>>,
     permits: PermitClient,
     log: EventLog,
-    crashes: mpsc::Sender<Vec<CrashSighting>>,
+    reports: mpsc::Sender<SuspectReport>,
     answer_memory: AnswerMemory,
     has_waiting: Arc<Notify>,
     aborting: Arc<watch::Sender<bool>>,
 }
 
 impl Backends {
-    /// Backend servers that `dispatcher` assigns requests to. The requests that were in flight at
-    /// crashes are sent to `crashes`.
+    /// Backend servers that `dispatcher` assigns requests to. What other entries have to know of
+    /// requests that crash them is sent to `reports`.
     pub fn new(
         dispatcher: CallDispatcher,
         permits: PermitClient,
         log: EventLog,
-        crashes: mpsc::Sender<Vec<CrashSighting>>,
+        reports: mpsc::Sender<SuspectReport>,
     ) -> Self {
         let state =
             BackendState { dispatcher, waiters: HashMap::new(), pools: HashMap::new(), entries: 1 };
@@ -76,7 +85,7 @@
             state: Arc::new(Mutex::new(state)),
             permits,
             log,
-            crashes,
+            reports,
             answer_memory: AnswerMemory::default(),
             has_waiting: Arc::default(),
             aborting: Arc::new(watch::Sender::new(false)),
@@ -108,16 +117,17 @@
                     let _ = waiter.send(decision);
                 }
             }
+            DispatchAction::ShareBlocks(blocks) => self.report(SuspectReport::Narrowed(blocks)),
             DispatchAction::Probe { server, address } => {
                 tokio::spawn(crash_probe::run(self.clone(), self.log.clone(), server, address));
             }
         }
     }
 
-    /// Passes on which requests were in flight when a backend server crashed.
-    pub fn report_crash(&self, sightings: Vec<CrashSighting>) {
-        if let Err(error) = self.crashes.try_send(sightings) {
-            log::warn!("backends: a crash is not reported to the other entries: {error}");
+    /// Passes on what other entries have to know.
+    pub fn report(&self, report: SuspectReport) {
+        if let Err(error) = self.reports.try_send(report) {
+            log::warn!("backends: dropping a report for the other entries: {error}");
         }
     }
 
--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -8,7 +8,7 @@
 use roster::InstanceId;
 use tokio::{net::TcpStream, time};
 
-use crate::backends::Backends;
+use crate::backends::{Backends, SuspectReport};
 
 /// Delay of the probe, so that all connections to the backend server have broken by then.
 const PROBE_DELAY: Duration = Duration::from_millis(20);
@@ -29,7 +29,7 @@
         keys: &keys.join(","),
     });
     if has_ended {
-        backends.report_crash(severed);
+        backends.report(SuspectReport::Crash(severed));
     }
 }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -23,14 +23,17 @@
     Planner,
 };
 use roster::{IncarnationStart, InstanceId, ResidentModel};
-use suspects::{BlockDigest, CrashSighting};
+use suspects::BlockDigest;
 use tokio::{
     sync::{Notify, mpsc, watch},
     time,
 };
 
 use crate::{
-    backends::Backends, demand::DemandReporter, metrics::GatewayMetrics, store_reads::StoreReads,
+    backends::{Backends, SuspectReport},
+    demand::DemandReporter,
+    metrics::GatewayMetrics,
+    store_reads::StoreReads,
 };
 
 /// Time between two heartbeats to other entries.
@@ -140,10 +143,10 @@
         }
     }
 
-    /// Starts the tasks that receive datagrams, send heartbeats, report demand and `crashes`, and
+    /// Starts the tasks that receive datagrams, send heartbeats, send demand and `reports`, and
     /// plan.
-    pub fn start(&self, crashes: mpsc::Receiver<Vec<CrashSighting>>) {
-        tokio::spawn(self.clone().report_crashes(crashes));
+    pub fn start(&self, reports: mpsc::Receiver<SuspectReport>) {
+        tokio::spawn(self.clone().send_suspect_reports(reports));
         tokio::spawn(self.clone().receive());
         tokio::spawn(self.clone().send_heartbeats());
         tokio::spawn(self.clone().report_demand());
@@ -379,7 +382,7 @@
             Some(DatagramBody::PermitReply(reply)) => self.backends.apply_permit_reply(reply),
             Some(DatagramBody::CrashReport(report)) => self.apply_crash_report(&report),
             Some(DatagramBody::BlockQuery(_)) => self.send_blocks(&[source]),
-            Some(DatagramBody::BlockReport(report)) => self.apply_block_report(&report),
+            Some(DatagramBody::BlockReport(report)) => self.apply_block_report(source, &report),
             _ => {}
         }
     }
--- a/crates/gateway/src/fleet/crashes.rs
+++ b/crates/gateway/src/fleet/crashes.rs
@@ -2,8 +2,9 @@
 //!
 //! A request that was in flight at a crash is reported to two entries for each of its keys, chosen
 //! by rendezvous hashing, which count the crashes from all entries. A block goes to all entries
-//! once; heartbeats carry a digest of the active blocks, and an entry that lacks some asks for
-//! them.
+//! once. An entry that has seen some of its keys answered objects to the one that decided it, which
+//! passes that on. Heartbeats carry a digest of the active blocks, and an entry that knows others
+//! asks for them.
 
 use std::{collections::BTreeSet, net::SocketAddr};
 
@@ -12,10 +13,12 @@
 use peers::{
     BlockQuery, BlockReport, BlockState, CrashReport, DatagramBody, KeyAnswer, SuspectRequest,
 };
-use suspects::{BlockDigest, CrashSighting, RequestBlock, SuspectKey, SuspectKeys};
-use tokio::sync::mpsc;
+use rand::RngExt;
+use suspects::{BlockDigest, CrashSighting, RequestBlock, SuspectKey, SuspectKeys, feedback_delay};
+use tokio::{sync::mpsc, time};
 
 use super::{Fleet, saturating_millis};
+use crate::backends::SuspectReport;
 
 /// Entries that count the crashes for one key; a second one in case the first has just failed.
 const COUNTING_ENTRIES: usize = 2;
@@ -25,12 +28,20 @@
 const MAX_KEYS: usize = 32;
 
 impl Fleet {
-    /// Counts and reports the crashes of this entry, until the process ends.
-    pub(super) async fn report_crashes(self, mut crashes: mpsc::Receiver<Vec<CrashSighting>>) {
-        while let Some(sightings) = crashes.recv().await {
-            for sighting in &sightings {
-                self.count_crash(sighting, "own");
-                self.report_crash(sighting);
+    /// Counts the crashes of this entry and sends reports to other entries, until the process ends.
+    pub(super) async fn send_suspect_reports(self, mut reports: mpsc::Receiver<SuspectReport>) {
+        while let Some(report) = reports.recv().await {
+            match report {
+                SuspectReport::Crash(sightings) => {
+                    for sighting in &sightings {
+                        self.count_crash(sighting, "own");
+                        self.report_crash(sighting);
+                    }
+                }
+                SuspectReport::Narrowed(blocks) => {
+                    blocks.iter().for_each(|block| self.record_block(block, "own"));
+                    self.send_to_live(&blocks);
+                }
             }
         }
     }
@@ -66,9 +77,6 @@
     fn count_crash(&self, sighting: &CrashSighting, source: &'static str) {
         let (block, crashes) = self.backends.with_dispatcher(|dispatcher, now| {
             let block = dispatcher.suspects_mut().record_crash(sighting, now);
-            if block.is_some() {
-                dispatcher.review_waiting(now);
-            }
             (block, dispatcher.suspects().crashes(&sighting.keys))
         });
         let age_ms = millis(sighting.crashed.elapsed());
@@ -80,9 +88,7 @@
         });
         if let Some(block) = block {
             self.record_block(&block, "own");
-            let addresses: Vec<SocketAddr> =
-                self.lock().peers.live().map(|(_, address)| address).collect();
-            self.send_block_report(&addresses, &[block]);
+            self.send_to_live(&[block]);
         }
     }
 
@@ -90,6 +96,7 @@
         let remaining = block.until.saturating_duration_since(Instant::now());
         self.log.record(&DecisionEvent::RequestsBlocked {
             keys: &block.keys,
+            cleared: &block.cleared,
             remaining_ms: millis(remaining),
             renewals: block.renewals,
             source,
@@ -104,40 +111,49 @@
         self.send_block_report(addresses, &blocks);
     }
 
+    fn send_to_live(&self, blocks: &[RequestBlock]) {
+        let addresses: Vec<SocketAddr> =
+            self.lock().peers.live().map(|(_, address)| address).collect();
+        self.send_block_report(&addresses, blocks);
+    }
+
     fn send_block_report(&self, addresses: &[SocketAddr], blocks: &[RequestBlock]) {
         let now = Instant::now();
-        let blocks = blocks
-            .iter()
-            .map(|block| BlockState {
-                keys: block.keys.iter().map(|SuspectKey(key)| key).collect(),
-                remaining_ms: saturating_millis(block.until.saturating_duration_since(now)),
-                renewals: block.renewals,
-                since_ms_ago: saturating_millis(now.saturating_duration_since(block.since)),
-            })
-            .collect();
+        let blocks = blocks.iter().map(|block| encode_block(block, now)).collect();
         self.socket.send_all(addresses, DatagramBody::BlockReport(BlockReport { blocks }));
     }
 
-    pub(super) fn apply_block_report(&self, report: &BlockReport) {
+    pub(super) fn apply_block_report(&self, source: SocketAddr, report: &BlockReport) {
         let now = Instant::now();
         for state in &report.blocks {
-            let since_age = Duration::from_millis(state.since_ms_ago.into());
-            let block = RequestBlock {
-                keys: decode_keys(&state.keys),
-                since: now.checked_sub(since_age).unwrap_or(now),
-                until: now + Duration::from_millis(state.remaining_ms.into()),
-                renewals: state.renewals,
-            };
-            let is_new = self.backends.with_dispatcher(|dispatcher, now| {
-                let is_new = dispatcher.suspects_mut().apply_block(&block, now);
-                if is_new {
-                    dispatcher.review_waiting(now);
-                }
-                is_new
+            let block = decode_block(state, now);
+            let applied = self.backends.with_dispatcher(|dispatcher, now| {
+                dispatcher.suspects_mut().apply_block(&block, now)
             });
-            if is_new {
+            if applied.is_new {
                 self.record_block(&block, "peer");
             }
+            if applied.has_objection {
+                tokio::spawn(self.clone().object(source, block.keys));
+            }
+            if let Some(narrowed) = applied.narrowed {
+                self.record_block(&narrowed, "peer");
+                self.send_to_live(&[narrowed]);
+            }
+        }
+    }
+
+    /// Sends the cleared keys of a block to the entry at `source`, unless another entry has told
+    /// them by then.
+    async fn object(self, source: SocketAddr, keys: SuspectKeys) {
+        let entries = self.lock().peers.live_count();
+        let delay = feedback_delay(rand::rng().random(), entries);
+        time::sleep(delay).await;
+        let objection = self
+            .backends
+            .with_dispatcher(|dispatcher, _| dispatcher.suspects_mut().objection(&keys));
+        if let Some(objection) = objection {
+            self.send_block_report(&[source], &[objection]);
         }
     }
 
@@ -187,6 +203,33 @@
     })
 }
 
+fn encode_block(block: &RequestBlock, now: Instant) -> BlockState {
+    let age = |at: Instant| saturating_millis(now.saturating_duration_since(at));
+    BlockState {
+        keys: block.keys.iter().map(|SuspectKey(key)| key).collect(),
+        cleared: block.cleared.iter().map(|SuspectKey(key)| key).collect(),
+        remaining_ms: saturating_millis(block.until.saturating_duration_since(now)),
+        renewals: block.renewals,
+        since_ms_ago: age(block.since),
+        decided_ms_ago: age(block.decided),
+    }
+}
+
+fn decode_block(state: &BlockState, now: Instant) -> RequestBlock {
+    let at = |ms_ago: u32| {
+        // A time before the clock's start is cut off: all answers here are later.
+        now.checked_sub(Duration::from_millis(ms_ago.into())).unwrap_or(now)
+    };
+    RequestBlock {
+        keys: decode_keys(&state.keys),
+        cleared: decode_keys(&state.cleared),
+        since: at(state.since_ms_ago),
+        decided: at(state.decided_ms_ago),
+        until: now + Duration::from_millis(state.remaining_ms.into()),
+        renewals: state.renewals,
+    }
+}
+
 fn decode_keys(keys: &[u64]) -> SuspectKeys {
     keys.iter().take(MAX_KEYS).copied().map(SuspectKey).collect()
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -42,8 +42,8 @@
 /// Time between two checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Most crashes that wait to be reported to other entries.
-const MAX_CRASHES_QUEUED: usize = 64;
+/// Most reports on requests that crash backend servers that wait to be sent to other entries.
+const MAX_REPORTS_QUEUED: usize = 64;
 
 /// The gateway cannot start.
 #[derive(Debug, Snafu)]
@@ -183,9 +183,9 @@
             zone: settings.identity.zone.clone(),
             retry_limits: settings.limits.retry_limits,
         });
-        let (crash_sender, crashes) = mpsc::channel(MAX_CRASHES_QUEUED);
+        let (report_sender, reports) = mpsc::channel(MAX_REPORTS_QUEUED);
         let permits = PermitClient::new(Arc::clone(&socket), settings.listen.peers.port());
-        let backends = Backends::new(dispatcher, permits, log.clone(), crash_sender);
+        let backends = Backends::new(dispatcher, permits, log.clone(), report_sender);
         let (sender, catalog) = watch::channel(None);
         let identity = FleetIdentity {
             vm: settings.identity.vm.clone(),
@@ -225,7 +225,7 @@
             address: settings.listen.peers,
         };
         tokio::spawn(registration.clone().register(fleet.clone()));
-        fleet.start(crashes);
+        fleet.start(reports);
         let roster_follower = RosterFollower { store, reads, log, backends, fleet };
         tokio::spawn(catalog_follower.run());
         tokio::spawn(roster_follower.run());
--- a/crates/peers/src/messages.rs
+++ b/crates/peers/src/messages.rs
@@ -310,6 +310,12 @@
     /// milliseconds.
     #[prost(uint32, tag = "4")]
     pub since_ms_ago: u32,
+    /// Time since it was decided, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub decided_ms_ago: u32,
+    /// Those of the keys that are no suspects, because requests with them were answered since.
+    #[prost(fixed64, repeated, tag = "6")]
+    pub cleared: Vec<u64>,
 }
 
 /// Blocks that are in force at the sender.
--- a/crates/suspects/src/answered.rs
+++ b/crates/suspects/src/answered.rs
@@ -26,6 +26,11 @@
         self.newer.extend(keys.iter().map(|key| (key, now)));
     }
 
+    /// Those of `keys` that were in a request answered at `since` or later.
+    pub fn answered_since(&self, keys: &SuspectKeys, since: Instant) -> SuspectKeys {
+        keys.iter().filter(|key| self.last_answer(*key).is_some_and(|at| at >= since)).collect()
+    }
+
     /// When a request with `key` was last answered; none if never or too long ago to be known.
     pub fn last_answer(&self, key: SuspectKey) -> Option<Instant> {
         self.newer.get(&key).or_else(|| self.older.get(&key)).copied()
--- a/crates/suspects/src/board.rs
+++ b/crates/suspects/src/board.rs
@@ -5,7 +5,8 @@
 
 use crate::{
     answered::AnsweredKeys,
-    blocks::{BlockDigest, BlockList, RequestBlock},
+    block::RequestBlock,
+    blocks::{AppliedBlock, BlockDigest, BlockList},
     evidence::{CrashSighting, EvidenceTable},
     key::SuspectKeys,
     severed::{SeveredAttempt, SeveredAttempts},
@@ -48,20 +49,21 @@
         }
     }
 
-    /// Records that a backend server answered a request with `keys`, or began to.
-    pub fn record_answer(&mut self, keys: &SuspectKeys, now: Instant) {
+    /// Records that a backend server answered a request with `keys`, or began to. Returns the
+    /// blocks that have fewer suspect keys now, which the other entries have to know.
+    pub fn record_answer(&mut self, keys: &SuspectKeys, now: Instant) -> Vec<RequestBlock> {
         self.answered.record(keys, now);
         self.evidence.record_answer(keys);
-        self.blocks.record_answer(keys);
+        self.blocks.record_answer(keys, now)
     }
 
-    /// Counts a crash; returns the block that follows from it, which is in force here.
+    /// Counts a crash; returns the block that follows from it, which the other entries have to know.
     pub fn record_crash(&mut self, sighting: &CrashSighting, now: Instant) -> Option<RequestBlock> {
         let found = self.evidence.record_crash(sighting, &self.answered, now);
         let renewal = self.blocks.renewal(sighting, now);
-        let first = || found.map(|found| RequestBlock::new(found.keys, found.since, now));
-        let block = renewal.or_else(first)?;
-        self.blocks.apply(&block, &self.answered, now).then_some(block)
+        let block = renewal.or_else(|| self.blocks.block_for(&found?, now))?;
+        self.blocks.add_own(block.clone(), now);
+        Some(block)
     }
 
     /// Number of crashes counted for the key of `keys` with the most.
@@ -69,22 +71,27 @@
         keys.iter().map(|key| self.evidence.crashes(key)).max().unwrap_or(0)
     }
 
-    /// Applies a block that another entry has decided. Returns whether it was not known here.
-    pub fn apply_block(&mut self, block: &RequestBlock, now: Instant) -> bool {
+    /// Applies what another entry knows of a block.
+    pub fn apply_block(&mut self, block: &RequestBlock, now: Instant) -> AppliedBlock {
         self.blocks.apply(block, &self.answered, now)
     }
 
+    /// The block with `keys`, if keys of it are cleared here and the other entries do not know.
+    pub fn objection(&mut self, keys: &SuspectKeys) -> Option<RequestBlock> {
+        self.blocks.objection(keys)
+    }
+
     /// When the block of a request with `keys` ends; none if the request is not blocked.
     pub fn blocked_until(&self, keys: &SuspectKeys, now: Instant) -> Option<Instant> {
         self.blocks.blocked_until(keys, now)
     }
 
-    /// The blocks in force.
+    /// The blocks that have not ended.
     pub fn active_blocks(&self, now: Instant) -> Vec<RequestBlock> {
         self.blocks.active(now).cloned().collect()
     }
 
-    /// Digest of the blocks in force.
+    /// Digest of the blocks that have not ended.
     pub fn digest(&self, now: Instant) -> BlockDigest {
         self.blocks.digest(now)
     }
--- a/crates/suspects/src/evidence.rs
+++ b/crates/suspects/src/evidence.rs
@@ -14,6 +14,11 @@
 pub const CRASHES_TO_BLOCK: u32 = 3;
 /// Time after the last crash for which evidence is kept.
 const EVIDENCE_TIME: Duration = Duration::from_secs(600);
+/// Time without an answer after which a key that was in requests answered before can be found.
+/// Several engines may crash before the next answer to requests that many callers send.
+const RECENT_ANSWER_TIME: Duration = Duration::from_secs(2);
+/// Time in which the entries see one crash, by the age that they report.
+const SAME_CRASH_TIME: Duration = Duration::from_millis(100);
 /// Most keys with evidence; the one whose last crash is the oldest is dropped for a new one.
 const MAX_KEYS: usize = 1_024;
 
@@ -45,12 +50,21 @@
     last_crash: Instant,
 }
 
+impl KeyEvidence {
+    fn is_of_same_crash(&self, sighting: &CrashSighting) -> bool {
+        let (earlier, later) =
+            (self.last_crash.min(sighting.crashed), self.last_crash.max(sighting.crashed));
+        later - earlier < SAME_CRASH_TIME
+    }
+}
+
 /// Keys that were in flight at enough crashes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FoundSuspects {
     /// The keys.
     pub keys: SuspectKeys,
-    /// When the first request with one of them was sent that was in flight at a crash.
+    /// When the first request with one of them was sent that was in flight at a crash, or before:
+    /// keys that were in requests answered since are no suspects.
     pub since: Instant,
 }
 
@@ -61,8 +75,8 @@
 }
 
 impl EvidenceTable {
-    /// Counts a crash for each key of the request. Returns those of its keys that have been in
-    /// flight at enough crashes by now; none if there are none.
+    /// Counts a crash for each key of the request. Returns those that have been in flight at enough
+    /// crashes with this one; none if there are none.
     ///
     /// A request crashes one backend server after the other: a crash counts only if the request
     /// was sent after the crash that was counted before it. All requests that are in flight when
@@ -75,48 +89,51 @@
         now: Instant,
     ) -> Option<FoundSuspects> {
         self.remove_expired(now);
+        let mut found: Vec<(SuspectKey, Instant)> = Vec::new();
         for key in sighting.keys.iter() {
             let last_answer = sighting.last_answer(key).max(answered.last_answer(key));
-            self.count_crash(key, sighting, last_answer);
+            let counted = self.count_crash(key, sighting, last_answer);
+            let enough = counted.filter(|evidence| evidence.crashes >= CRASHES_TO_BLOCK);
+            let is_recent = last_answer.is_some_and(|at| at + RECENT_ANSWER_TIME > now);
+            found.extend(enough.filter(|_| !is_recent).map(|evidence| (key, evidence.first_sent)));
         }
-        let found: Vec<(SuspectKey, Instant)> = sighting
-            .keys
-            .iter()
-            .filter_map(|key| Some((key, self.keys.get(&key)?)))
-            .filter(|(_, evidence)| evidence.crashes >= CRASHES_TO_BLOCK)
-            .map(|(key, evidence)| (key, evidence.first_sent))
-            .collect();
         let since = found.iter().map(|(_, first_sent)| *first_sent).min()?;
-        Some(FoundSuspects { keys: found.into_iter().map(|(key, _)| key).collect(), since })
+        // The time does not lie before the clock's start unless the process is that young.
+        let quiet_since = now.checked_sub(RECENT_ANSWER_TIME).unwrap_or(since);
+        let keys = found.into_iter().map(|(key, _)| key).collect();
+        Some(FoundSuspects { keys, since: since.min(quiet_since) })
     }
 
+    /// Counts a crash for `key`; returns its evidence, or none if the crash does not count. Another
+    /// request with the key that was in flight at the same crash counts as this one.
     fn count_crash(
         &mut self,
         key: SuspectKey,
         sighting: &CrashSighting,
         last_answer: Option<Instant>,
-    ) {
+    ) -> Option<KeyEvidence> {
         if last_answer.is_some_and(|at| at >= sighting.sent) {
             self.keys.remove(&key);
-            return;
+            return None;
         }
         let is_cleared = |known: &KeyEvidence| last_answer.is_some_and(|at| at >= known.first_sent);
-        match self.keys.get_mut(&key).filter(|known| !is_cleared(known)) {
-            Some(known) if sighting.sent < known.last_crash => {}
+        let known = self.keys.get(&key).copied().filter(|known| !is_cleared(known));
+        let evidence = match known {
+            Some(known) if sighting.sent < known.last_crash => {
+                return known.is_of_same_crash(sighting).then_some(known);
+            }
             Some(known) => {
-                known.crashes += 1;
-                known.last_crash = sighting.crashed;
+                KeyEvidence { crashes: known.crashes + 1, last_crash: sighting.crashed, ..known }
             }
             None => {
-                self.make_room();
-                let evidence = KeyEvidence {
-                    crashes: 1,
-                    first_sent: sighting.sent,
-                    last_crash: sighting.crashed,
-                };
-                self.keys.insert(key, evidence);
+                KeyEvidence { crashes: 1, first_sent: sighting.sent, last_crash: sighting.crashed }
             }
+        };
+        if known.is_none() {
+            self.make_room();
         }
+        self.keys.insert(key, evidence);
+        Some(evidence)
     }
 
     /// Number of crashes counted for `key`.
--- a/crates/suspects/src/key.rs
+++ b/crates/suspects/src/key.rs
@@ -69,6 +69,11 @@
         others.iter().all(|key| self.contains(key))
     }
 
+    /// Those that are not among `others`.
+    pub fn without(&self, others: &SuspectKeys) -> SuspectKeys {
+        self.iter().filter(|key| !others.contains(*key)).collect()
+    }
+
     /// The keys in ascending order.
     pub fn iter(&self) -> impl Iterator<Item = SuspectKey> + '_ {
         self.0.iter().copied()
--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -7,17 +7,21 @@
 //! blocked for a while, at all entries. Nothing here does I/O.
 
 pub mod answered;
+pub mod block;
 pub mod blocks;
 pub mod board;
 pub mod evidence;
+pub mod feedback;
 pub mod key;
 pub mod severed;
 
 pub use crate::{
     answered::AnsweredKeys,
-    blocks::{BlockDigest, BlockList, RequestBlock},
+    block::RequestBlock,
+    blocks::{AppliedBlock, BlockDigest, BlockList},
     board::SuspectBoard,
     evidence::{CRASHES_TO_BLOCK, CrashSighting, EvidenceTable, FoundSuspects},
+    feedback::feedback_delay,
     key::{SuspectKey, SuspectKeys},
     severed::{SeveredAttempt, SeveredAttempts},
 };
