gateway: a broken stream does not go on with a page of another type

Reported by an operator of a similar system: a stream broke off and the next server answered with an error, whose text callers found in their stream. Played with nine such answers. Errors, refusals and bytes that are no answer could not reach callers; a page with status 200 and blank lines could: the relay compared the status only. The answer that goes on must consist of events if the first one did.

Before: 1 of 9 cases of the new test failed (the page's text within a stream that looked complete). After: they pass.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -218,7 +218,10 @@
         let sent = attempt::send(&backends, &self.request, &assignment).await;
         self.assignment = assignment;
         match sent {
-            Ok(answer) if answer.status == self.status => {
+            Ok(answer)
+                if answer.status == self.status
+                    && has_events(&answer.headers) == self.has_events =>
+            {
                 let event = self.request.last_event_id.as_ref();
                 let after_event = event.and_then(|event| event.to_str().ok()).unwrap_or_default();
                 self.trace.record(&DecisionEvent::StreamResumed {
