gateway: a server that says in an answer that it leaves gets nothing more

The header counts from its arrival, for streams, errors and refusals, by the incarnation that the request was assigned to: for the first choice, retries, resumptions, requests that wait and those that wait for a permit; the planner takes the engine out. It outlives a roster that drops the server and lists it again, and a store that is away; a new incarnation starts clean. Other entries learn of it by their own answers.

Log: server-changed with standing leaving, source answer.

--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -124,4 +124,6 @@
     pub max_idle: Option<Duration>,
     /// Whether the connection is closed after this answer.
     pub closes_connection: bool,
+    /// Whether the backend server leaves and is to get no further requests.
+    pub is_leaving: bool,
 }
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -47,7 +47,7 @@
 
 impl ChoiceView<'_> {
     fn is_usable(&self, server: &ServerView) -> bool {
-        !server.is_draining
+        !server.is_draining()
             && !server.is_down()
             && !server.is_unresponsive(self.now)
             && !server.health.is_suspended(self.now)
--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use catalog::RouteKind;
-use roster::InstanceId;
+use roster::{IncarnationStart, InstanceId};
 use suspects::{RequestBlock, SuspectKeys};
 
 use crate::{call::Generation, waiting::LoadEstimate};
@@ -37,6 +37,8 @@
 pub struct Assignment {
     /// Name of the backend server.
     pub server: InstanceId,
+    /// Start of its incarnation; none if it is not registered with one.
+    pub started: Option<IncarnationStart>,
     /// Address of the backend server.
     pub address: std::net::SocketAddr,
     /// Number of the attempt, starting from one.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,7 +3,7 @@
 //! It does no I/O. A driver passes requests, results and updates to it, and carries out its
 //! decisions.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, btree_map::Entry};
 
 use base::prelude::*;
 use catalog::TokenCount;
@@ -11,6 +11,7 @@
 use suspects::{SeveredAttempt, SuspectBoard};
 
 use crate::{
+    announcements::ServerAnnouncements,
     budget::{RetryBudget, RetryLimits},
     call::{ModelTarget, ServerLoad},
     choice::{ChoiceView, EngineOffer, choose_engine, choose_plain},
@@ -93,6 +94,7 @@
     budgets: HashMap<ServiceName, RetryBudget>,
     load_estimates: HashMap<ModelId, LoadEstimate>,
     suspects: SuspectBoard,
+    announcements: ServerAnnouncements,
     arrivals: BTreeMap<ModelId, u64>,
     entries: usize,
     is_stopping: bool,
@@ -110,6 +112,7 @@
             budgets: HashMap::new(),
             load_estimates: HashMap::new(),
             suspects: SuspectBoard::default(),
+            announcements: ServerAnnouncements::default(),
             arrivals: BTreeMap::new(),
             entries: 1,
             is_stopping: false,
@@ -142,12 +145,15 @@
 
     /// Adds a backend server or applies its changed registration.
     pub fn upsert_server(&mut self, server: &BackendServer, now: Instant) {
-        match self.servers.get_mut(&server.id) {
-            Some(view) => view.apply_listing(server, now),
-            None => {
-                self.servers.insert(server.id.clone(), ServerView::new(server, now));
+        let view = match self.servers.entry(server.id.clone()) {
+            Entry::Occupied(view) => {
+                let view = view.into_mut();
+                view.apply_listing(server, now);
+                view
             }
-        }
+            Entry::Vacant(view) => view.insert(ServerView::new(server, now)),
+        };
+        view.announcement = self.announcements.of(&server.id, server.started);
     }
 
     /// Removes a backend server that is no longer in the roster.
@@ -155,11 +161,20 @@
         self.servers.remove(server);
     }
 
-    /// Sends no new requests to a backend server.
-    pub fn drain_server(&mut self, server: &InstanceId) {
+    /// Records that an incarnation of `server` says in an answer that it leaves. It gets no new
+    /// requests from now on, also if the roster drops it and lists it again. Returns whether that
+    /// was not known.
+    pub fn record_leaving(
+        &mut self,
+        server: &InstanceId,
+        started: Option<IncarnationStart>,
+        now: Instant,
+    ) -> bool {
+        let is_new = self.announcements.record_leaving(server, started, now);
         if let Some(view) = self.servers.get_mut(server) {
-            view.is_draining = true;
+            view.announcement = self.announcements.of(server, view.started);
         }
+        is_new
     }
 
     /// Applies the engine state reported by the side process of `server`.
@@ -288,18 +303,29 @@
         (key, decision)
     }
 
-    /// Decides whether an assigned request may be sent now, and records that it is. Returns the
-    /// refusal if it was blocked while it waited for a permit.
+    /// Decides whether an assigned request may be sent now, and records that it is. Returns the next
+    /// decision if it may not: while it waited for a permit, it was blocked, or its server announced
+    /// that it takes no more requests.
     pub fn confirm_send(&mut self, key: u64, now: Instant) -> Option<DispatchDecision> {
-        let Some(refusal) = self.block_refusal(key, now) else {
+        let refusal = self.block_refusal(key, now);
+        if refusal.is_none() && self.accepts_requests(key) {
             self.mark_sent(key, now);
             return None;
-        };
+        }
         let server = self.calls.get_mut(&key).and_then(|call| call.assigned_to.take());
         if let Some(view) = server.and_then(|id| self.servers.get_mut(&id)) {
             view.remove_call(key);
         }
-        Some(self.refuse(key, refusal))
+        Some(match refusal {
+            Some(refusal) => self.refuse(key, refusal),
+            None => self.decide(key, now),
+        })
+    }
+
+    /// Whether the server to which a request is assigned has not announced the contrary.
+    fn accepts_requests(&self, key: u64) -> bool {
+        let server = self.calls.get(&key).and_then(|call| call.assigned_to.as_ref());
+        server.and_then(|id| self.servers.get(id)).is_none_or(|view| !view.is_draining())
     }
 
     /// Records that the request is sent to the backend server to which it was assigned.
@@ -599,6 +625,7 @@
         let generation = call.request.generation.as_ref();
         let assignment = Assignment {
             server: server.clone(),
+            started: view.started,
             address: view.address,
             attempt: call.sent_attempts + 1,
             load: view.load(),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,6 +1,7 @@
 //! Dispatch: picks the backend server of a request, and decides how long it waits and when it is
 //! refused.
 
+pub mod announcements;
 pub mod budget;
 pub mod call;
 mod choice;
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -10,6 +10,7 @@
 use roster::{BackendServer, IncarnationStart, InstanceId, ResidentModel, ServerState};
 
 use crate::{
+    announcements::ServerAnnouncement,
     call::{Generation, ModelTarget, ServerLoad},
     health::ServerHealth,
     prefill_speed::PrefillSpeed,
@@ -80,8 +81,9 @@
     pub slots: u32,
     /// Start of its incarnation; none if it is not registered with one.
     pub started: Option<IncarnationStart>,
-    /// Whether it accepts no new requests.
-    pub is_draining: bool,
+    /// What it announced in its answers.
+    pub announcement: Option<ServerAnnouncement>,
+    is_listed_draining: bool,
     /// Health by the results of this entry's requests.
     pub health: ServerHealth,
     /// Requests of this entry that are assigned to it, by key.
@@ -111,7 +113,8 @@
             zone: server.zone.clone(),
             slots: server.slots,
             started: server.started,
-            is_draining: false,
+            announcement: None,
+            is_listed_draining: false,
             health: ServerHealth::new(now),
             calls: HashMap::new(),
             listed_residents: Vec::new(),
@@ -142,15 +145,21 @@
         self.zone = server.zone.clone();
         self.slots = server.slots;
         self.started = server.started;
-        self.is_draining = matches!(server.state, ServerState::Draining { .. });
+        self.is_listed_draining = matches!(server.state, ServerState::Draining { .. });
         self.listed_residents.clone_from(&server.residents);
         if !self.has_side_updates {
             self.set_residents(&server.residents);
         }
     }
 
+    /// Whether it accepts no new requests, by the roster or its own answers.
+    pub fn is_draining(&self) -> bool {
+        self.is_listed_draining || self.announcement.is_some_and(|announced| announced.is_leaving)
+    }
+
     /// Discards the state of the previous incarnation; a new one starts without models.
     fn reset(&mut self, now: Instant) {
+        self.announcement = None;
         self.last_response_at = now;
         self.health = ServerHealth::new(now);
         self.residents.clear();
--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -52,7 +52,7 @@
     now: Instant,
 ) -> Option<LoadEstimate> {
     let loads = servers
-        .filter(|server| !server.is_draining)
+        .filter(|server| !server.is_draining())
         .filter_map(ServerView::loading)
         .filter(|loading| loading.model == *model)
         .map(|loading| loading.ready_at.max(now));
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -106,7 +106,7 @@
         server: &'a InstanceId,
         /// Its state now, such as `joined`, `changed`, `gone` or `side-silent`.
         standing: &'static str,
-        /// Where the change was reported: `store` or `side`.
+        /// Where the change was reported: `store`, `side` or `answer`.
         source: &'static str,
         /// Revision of the store with the change; zero for other sources.
         revision: u64,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -193,6 +193,9 @@
             dispatcher.record_answer_load(&assignment.server, load, now)
         });
     }
+    if head.is_leaving {
+        backends.record_leaving(&assignment.server, assignment.started);
+    }
     let status = response.status();
     let answer = start_answer(lease, response, &head);
     if head.is_not_run || status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -13,8 +13,9 @@
     Assignment, AttemptFailure, CallDispatcher, DispatchAction, DispatchDecision, DispatchRequest,
     Generation, Refusal,
 };
-use events::EventLog;
+use events::{DecisionEvent, EventLog};
 use peers::PermitReply;
+use roster::{IncarnationStart, InstanceId};
 use suspects::{CrashSighting, RequestBlock};
 use tokio::{
     sync::{Notify, mpsc, oneshot, watch},
@@ -124,6 +125,24 @@
         }
     }
 
+    /// Records that an incarnation of a backend server says in an answer that it leaves. The planner of this entry
+    /// learns of it with the next state of its engine.
+    pub fn record_leaving(&self, server: &InstanceId, started: Option<IncarnationStart>) {
+        let is_new = self.with_dispatcher(|dispatcher, now| {
+            let is_new = dispatcher.record_leaving(server, started, now);
+            dispatcher.review_waiting(now);
+            is_new
+        });
+        if is_new {
+            self.log.record(&DecisionEvent::ServerChanged {
+                server,
+                standing: "leaving",
+                source: "answer",
+                revision: 0,
+            });
+        }
+    }
+
     /// Passes on what other entries have to know.
     pub fn report(&self, report: SuspectReport) {
         if let Err(error) = self.reports.try_send(report) {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -432,7 +432,7 @@
         let listed = self.backends.with_dispatcher(|dispatcher, now| {
             let view = dispatcher.server_at(address, started)?;
             let (instance, service, is_draining) =
-                (view.id.clone(), view.service.clone(), view.is_draining);
+                (view.id.clone(), view.service.clone(), view.is_draining());
             dispatcher.apply_engine_update(&instance, &update, now);
             dispatcher.review_waiting(now);
             Some((instance, service, is_draining))
@@ -580,7 +580,7 @@
     fn listed_engines(&self) -> HashMap<ServiceName, usize> {
         self.backends.with_dispatcher(|dispatcher, _| {
             let mut counts = HashMap::new();
-            for view in dispatcher.servers().filter(|view| !view.is_draining) {
+            for view in dispatcher.servers().filter(|view| !view.is_draining()) {
                 *counts.entry(view.service.clone()).or_insert(0) += 1;
             }
             counts
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -130,9 +130,15 @@
 
     /// Registers a backend server of the service [`PLAIN_SERVICE`] in the store.
     pub fn register_service(&self, instance: &str, address: SocketAddr) {
+        self.register_incarnation(instance, address, 1);
+    }
+
+    /// Registers an incarnation of a backend server that was started at `born`, in Unix
+    /// milliseconds.
+    pub fn register_incarnation(&self, instance: &str, address: SocketAddr, born: u64) {
         let entry = serde_json::json!({ "service": PLAIN_SERVICE, "zone": "zone-a", "version": "v1",
             "address": address.to_string(), "slots": 6, "state": "ready",
-            "cold-left-ms": 0, "sequence": 1, "born": 1 });
+            "cold-left-ms": 0, "sequence": 1, "born": born });
         self.store.write("servers", instance, &entry);
     }
 
