gateway: a server that refuses with a Retry-After gets nothing until its time is over

An entry set such a server aside for 50 ms: 35 requests reached it within 2 s.

The pause counts from the answer's arrival, for each way in which a request reaches a server, by incarnation; the latest end of several counts. What an engine holds stays in use: its pause is no missing model, so the planner moves nothing. An entry that restarts may send again.

Log: server-paused and server-changed with standing resumed; metrics for both, for servers found ended and for blocks.

--- a/crates/dispatch/src/announcements.rs
+++ b/crates/dispatch/src/announcements.rs
@@ -19,6 +19,8 @@
     announced: Instant,
     /// Whether it leaves.
     pub is_leaving: bool,
+    /// Until when it wants no requests of this entry; none if it never refused any with a time.
+    pub paused_until: Option<Instant>,
 }
 
 /// The announcements that an entry knows.
@@ -39,6 +41,24 @@
         !std::mem::replace(&mut announcement.is_leaving, true)
     }
 
+    /// Records that an incarnation of `server` wants no requests for `pause`. Of several pauses the
+    /// latest end counts. Returns the end if it is later than the one known.
+    pub fn record_pause(
+        &mut self,
+        server: &InstanceId,
+        started: Option<IncarnationStart>,
+        pause: Duration,
+        now: Instant,
+    ) -> Option<Instant> {
+        let until = now + pause;
+        let announcement = self.announcement_mut(server, started, now);
+        let is_later = announcement.paused_until.is_none_or(|known| known < until);
+        is_later.then(|| {
+            announcement.paused_until = Some(until);
+            until
+        })
+    }
+
     /// The announcements of an incarnation of `server`; none if it made none.
     pub fn of(
         &self,
@@ -57,7 +77,8 @@
         if !self.by_server.contains_key(server) {
             self.make_room(now);
         }
-        let new = ServerAnnouncement { started, announced: now, is_leaving: false };
+        let new =
+            ServerAnnouncement { started, announced: now, is_leaving: false, paused_until: None };
         let known = self.by_server.entry(server.clone()).or_insert(new);
         if known.started != started {
             *known = new;
--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -126,4 +126,6 @@
     pub closes_connection: bool,
     /// Whether the backend server leaves and is to get no further requests.
     pub is_leaving: bool,
+    /// Time for which it wants no requests, if it refuses this one; none if not stated.
+    pub pause: Option<Duration>,
 }
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -7,7 +7,10 @@
 use catalog::TokenCount;
 use roster::InstanceId;
 
-use crate::{call::Generation, servers::ServerView};
+use crate::{
+    call::{Generation, ModelTarget},
+    servers::ServerView,
+};
 
 /// Cost of sending a request to another availability zone, as time to the first byte.
 ///
@@ -47,9 +50,8 @@
 
 impl ChoiceView<'_> {
     fn is_usable(&self, server: &ServerView) -> bool {
-        !server.is_draining()
-            && !server.is_down()
-            && !server.is_unresponsive(self.now)
+        is_in_service(server, self.now)
+            && server.paused_until(self.now).is_none()
             && !server.health.is_suspended(self.now)
             && !self.failed_servers.contains(&server.id)
     }
@@ -81,6 +83,26 @@
         .map(|((_, expected), server)| (server.id.clone(), expected))
 }
 
+/// Whether a server takes requests, apart from what followed from the results of some.
+fn is_in_service(server: &ServerView, now: Instant) -> bool {
+    !server.is_draining() && !server.is_down() && !server.is_unresponsive(now)
+}
+
+/// When the first pause ends of the backend servers that could take a request if they had not asked
+/// for a pause; none if there is no such server. `target` is the model of a generation.
+pub(crate) fn earliest_pause_end<'a>(
+    servers: impl Iterator<Item = &'a ServerView>,
+    service: &ServiceName,
+    target: Option<&ModelTarget>,
+    now: Instant,
+) -> Option<Instant> {
+    servers
+        .filter(|server| server.service == *service && is_in_service(server, now))
+        .filter(|server| target.is_none_or(|target| server.holds_model(&target.model)))
+        .filter_map(|server| server.paused_until(now))
+        .min()
+}
+
 /// Whether an engine can prefill another prompt without stretching the gaps between events of its
 /// streams; always true with a reachable side process, which decides that itself.
 fn can_prefill(server: &ServerView, generation: &Generation) -> bool {
--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -64,6 +64,8 @@
     PrefillBusy,
     /// No backend server is usable at the moment.
     NoServer,
+    /// All backend servers that could take the request want none for a moment.
+    ServersPaused,
 }
 
 impl WaitReason {
@@ -73,6 +75,7 @@
             WaitReason::ModelMissing => "model-missing",
             WaitReason::PrefillBusy => "engines-reading",
             WaitReason::NoServer => "no-server",
+            WaitReason::ServersPaused => "servers-paused",
         }
     }
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -14,7 +14,7 @@
     announcements::ServerAnnouncements,
     budget::{RetryBudget, RetryLimits},
     call::{ModelTarget, ServerLoad},
-    choice::{ChoiceView, EngineOffer, choose_engine, choose_plain},
+    choice::{ChoiceView, EngineOffer, choose_engine, choose_plain, earliest_pause_end},
     decision::{
         Assignment, AttemptFailure, DispatchAction, DispatchDecision, DispatchRequest, Refusal,
         WaitReason,
@@ -177,6 +177,22 @@
         is_new
     }
 
+    /// Records that an incarnation of `server` wants no requests for `pause`. What it holds stays in
+    /// use. Returns the end of the pause if it is later than the one known.
+    pub fn record_pause(
+        &mut self,
+        server: &InstanceId,
+        started: Option<IncarnationStart>,
+        pause: Duration,
+        now: Instant,
+    ) -> Option<Instant> {
+        let end = self.announcements.record_pause(server, started, pause, now);
+        if let Some(view) = self.servers.get_mut(server) {
+            view.announcement = self.announcements.of(server, view.started);
+        }
+        end
+    }
+
     /// Applies the engine state reported by the side process of `server`.
     pub fn apply_engine_update(
         &mut self,
@@ -308,7 +324,7 @@
     /// that it takes no more requests.
     pub fn confirm_send(&mut self, key: u64, now: Instant) -> Option<DispatchDecision> {
         let refusal = self.block_refusal(key, now);
-        if refusal.is_none() && self.accepts_requests(key) {
+        if refusal.is_none() && self.accepts_requests(key, now) {
             self.mark_sent(key, now);
             return None;
         }
@@ -323,9 +339,11 @@
     }
 
     /// Whether the server to which a request is assigned has not announced the contrary.
-    fn accepts_requests(&self, key: u64) -> bool {
+    fn accepts_requests(&self, key: u64, now: Instant) -> bool {
         let server = self.calls.get(&key).and_then(|call| call.assigned_to.as_ref());
-        server.and_then(|id| self.servers.get(id)).is_none_or(|view| !view.is_draining())
+        server
+            .and_then(|id| self.servers.get(id))
+            .is_none_or(|view| !view.is_draining() && view.paused_until(now).is_none())
     }
 
     /// Records that the request is sent to the backend server to which it was assigned.
@@ -562,7 +580,7 @@
             ChoiceView { zone: &self.settings.zone, failed_servers: &call.failed_servers, now };
         match choose_plain(self.servers.values(), &call.request.service, &choice_view) {
             Some((server, expected)) => self.assign(key, &server, expected, now),
-            None => self.wait(key, WaitReason::NoServer, now),
+            None => self.wait_or_pause(key, WaitReason::NoServer, now),
         }
     }
 
@@ -576,13 +594,31 @@
         let offer =
             choose_engine(self.servers.values(), &call.request.service, generation, &choice_view);
         let choice = match offer {
-            EngineOffer::ModelMissing => return self.wait(key, WaitReason::ModelMissing, now),
+            EngineOffer::ModelMissing => {
+                return self.wait_or_pause(key, WaitReason::ModelMissing, now);
+            }
             EngineOffer::PrefillBusy => return self.wait(key, WaitReason::PrefillBusy, now),
             EngineOffer::Chosen(choice) => choice,
         };
         self.assign(key, &choice.server, choice.expected, now)
     }
 
+    /// Lets a request wait for `reason`, unless its backend servers have only asked for a pause. It
+    /// waits for a pause that ends within moments; then no load of the model is planned for it.
+    fn wait_or_pause(&mut self, key: u64, reason: WaitReason, now: Instant) -> DispatchDecision {
+        let call = &self.calls[&key];
+        let target = call.request.generation.as_ref().map(|generation| &generation.target);
+        let service = &call.request.service;
+        let pause_end = earliest_pause_end(self.servers.values(), service, target, now);
+        match pause_end {
+            None => self.wait(key, reason, now),
+            Some(end) if end < now + waiting::SHORT_RETRY_AFTER => {
+                self.wait(key, WaitReason::ServersPaused, now)
+            }
+            Some(end) => self.refuse(key, waiting::pause_refusal(key, end, now)),
+        }
+    }
+
     fn wait(&mut self, key: u64, reason: WaitReason, now: Instant) -> DispatchDecision {
         if self.is_stopping {
             let reason = "the process is stopping";
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -157,6 +157,11 @@
         self.is_listed_draining || self.announcement.is_some_and(|announced| announced.is_leaving)
     }
 
+    /// Until when it wants no requests of this entry; none if it wants some now.
+    pub fn paused_until(&self, now: Instant) -> Option<Instant> {
+        self.announcement?.paused_until.filter(|until| now < *until)
+    }
+
     /// Discards the state of the previous incarnation; a new one starts without models.
     fn reset(&mut self, now: Instant) {
         self.announcement = None;
--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -25,6 +25,12 @@
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(200);
 /// Minimum time for which callers of streams wait for the first event.
 const MIN_FIRST_EVENT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Share of a pause over which the callers that were refused return after it.
+const RETURN_SPREAD_SHARE: f64 = 0.25;
+/// Longest time over which they return.
+const MAX_RETURN_SPREAD: Duration = Duration::from_secs(2);
+/// Multiples of it have fractions that are spread evenly.
+const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
 /// Older load estimates are ignored.
 const MAX_ESTIMATE_AGE: Duration = Duration::from_secs(2);
 
@@ -83,6 +89,8 @@
             let reason = "the engines have too much to read";
             wait_until(request.first_byte_deadline, now, ResultCode::QueueFull, reason)
         }
+        // The dispatcher has checked that the pause ends soon.
+        WaitReason::ServersPaused => Ok(None),
         WaitReason::NoServer => {
             let left = request.deadline.saturating_duration_since(since);
             let until = since + left.mul_f64(NO_SERVER_WAIT_SHARE);
@@ -91,6 +99,18 @@
     }
 }
 
+/// Refusal of a request that no backend server wants until `pause_end`.
+///
+/// Callers that return at the same moment would make the servers refuse again, so their times are
+/// spread over a quarter of the pause, by the number of the request.
+pub(crate) fn pause_refusal(key: u64, pause_end: Instant, now: Instant) -> Refusal {
+    let wait = pause_end.saturating_duration_since(now);
+    let spread = wait.mul_f64(RETURN_SPREAD_SHARE).min(MAX_RETURN_SPREAD);
+    let share = (key as f64 * GOLDEN_RATIO).fract();
+    let reason = "the backend servers want no requests for a while";
+    Refusal::with_retry_after(ResultCode::NoReplica, wait + spread.mul_f64(share), reason)
+}
+
 fn wait_until(
     until: Instant,
     now: Instant,
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -111,6 +111,14 @@
         /// Revision of the store with the change; zero for other sources.
         revision: u64,
     },
+    /// A backend server refused a request and wants none of this entry for a while.
+    ServerPaused {
+        /// The backend server.
+        #[serde(serialize_with = "text")]
+        server: &'a InstanceId,
+        /// For how long it wants none.
+        pause_ms: u64,
+    },
     /// Another entry process became live or was lost.
     PeerChanged {
         /// VM of that process.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -197,6 +197,10 @@
         backends.record_leaving(&assignment.server, assignment.started);
     }
     let status = response.status();
+    let pause = head.pause.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+    if let Some(pause) = pause.filter(|pause| !pause.is_zero()) {
+        backends.record_pause(&assignment.server, assignment.started, pause);
+    }
     let answer = start_answer(lease, response, &head);
     if head.is_not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return Err(rejected_attempt(backends, answer, status).await);
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -13,7 +13,7 @@
     Assignment, AttemptFailure, CallDispatcher, DispatchAction, DispatchDecision, DispatchRequest,
     Generation, Refusal,
 };
-use events::{DecisionEvent, EventLog};
+use events::{DecisionEvent, EventLog, millis};
 use peers::PermitReply;
 use roster::{IncarnationStart, InstanceId};
 use suspects::{CrashSighting, RequestBlock};
@@ -25,6 +25,7 @@
 use crate::{
     answer_memory::AnswerMemory,
     crash_probe,
+    metrics::GatewayMetrics,
     permits::{Permit, PermitClient, PermitOutcome},
     trace::CallTrace,
 };
@@ -65,6 +66,7 @@
     state: Arc<Mutex<BackendState>>,
     permits: PermitClient,
     log: EventLog,
+    metrics: GatewayMetrics,
     reports: mpsc::Sender<SuspectReport>,
     answer_memory: AnswerMemory,
     has_waiting: Arc<Notify>,
@@ -78,6 +80,7 @@
         dispatcher: CallDispatcher,
         permits: PermitClient,
         log: EventLog,
+        metrics: GatewayMetrics,
         reports: mpsc::Sender<SuspectReport>,
     ) -> Self {
         let state =
@@ -86,6 +89,7 @@
             state: Arc::new(Mutex::new(state)),
             permits,
             log,
+            metrics,
             reports,
             answer_memory: AnswerMemory::default(),
             has_waiting: Arc::default(),
@@ -120,7 +124,8 @@
             }
             DispatchAction::ShareBlocks(blocks) => self.report(SuspectReport::Narrowed(blocks)),
             DispatchAction::Probe { server, address } => {
-                tokio::spawn(crash_probe::run(self.clone(), self.log.clone(), server, address));
+                let (log, metrics) = (self.log.clone(), self.metrics.clone());
+                tokio::spawn(crash_probe::run(self.clone(), log, metrics, server, address));
             }
         }
     }
@@ -134,6 +139,7 @@
             is_new
         });
         if is_new {
+            self.metrics.leaving_servers.inc();
             self.log.record(&DecisionEvent::ServerChanged {
                 server,
                 standing: "leaving",
@@ -143,6 +149,39 @@
         }
     }
 
+    /// Records that an incarnation of a backend server wants no requests of this entry for `pause`,
+    /// and when the pause is over.
+    pub fn record_pause(
+        &self,
+        server: &InstanceId,
+        started: Option<IncarnationStart>,
+        pause: Duration,
+    ) {
+        let end = self.with_dispatcher(|dispatcher, now| {
+            dispatcher.record_pause(server, started, pause, now)
+        });
+        let Some(end) = end else { return };
+        self.metrics.server_pauses.inc();
+        self.log.record(&DecisionEvent::ServerPaused { server, pause_ms: millis(pause) });
+        tokio::spawn(self.clone().record_pause_end(server.clone(), end));
+    }
+
+    async fn record_pause_end(self, server: InstanceId, end: Instant) {
+        time::sleep_until(end).await;
+        let is_over = self.with_dispatcher(|dispatcher, now| {
+            dispatcher.review_waiting(now);
+            dispatcher.server(&server).is_some_and(|view| view.paused_until(now).is_none())
+        });
+        if is_over {
+            self.log.record(&DecisionEvent::ServerChanged {
+                server: &server,
+                standing: "resumed",
+                source: "answer",
+                revision: 0,
+            });
+        }
+    }
+
     /// Passes on what other entries have to know.
     pub fn report(&self, report: SuspectReport) {
         if let Err(error) = self.reports.try_send(report) {
--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -8,7 +8,10 @@
 use roster::InstanceId;
 use tokio::{net::TcpStream, time};
 
-use crate::backends::{Backends, SuspectReport};
+use crate::{
+    backends::{Backends, SuspectReport},
+    metrics::GatewayMetrics,
+};
 
 /// Delay of the probe, so that all connections to the backend server have broken by then.
 const PROBE_DELAY: Duration = Duration::from_millis(20);
@@ -16,7 +19,13 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Probes `server`, records which requests were broken off, and reports them if it has ended.
-pub async fn run(backends: Backends, log: EventLog, server: InstanceId, address: SocketAddr) {
+pub async fn run(
+    backends: Backends,
+    log: EventLog,
+    metrics: GatewayMetrics,
+    server: InstanceId,
+    address: SocketAddr,
+) {
     time::sleep(PROBE_DELAY).await;
     let has_ended = refuses_connections(address).await;
     let severed =
@@ -29,6 +38,7 @@
         keys: &keys.join(","),
     });
     if has_ended {
+        metrics.ended_servers.inc();
         backends.report(SuspectReport::Crash(severed));
     }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -310,8 +310,12 @@
             (known.collect(), state.peers.is_draining())
         };
         let store = self.reads.sighting();
-        let BlockDigest(block_digest) =
-            self.backends.with_dispatcher(|dispatcher, now| dispatcher.suspects().digest(now));
+        let (BlockDigest(block_digest), blocks) =
+            self.backends.with_dispatcher(|dispatcher, now| {
+                let suspects = dispatcher.suspects();
+                (suspects.digest(now), suspects.active_blocks(now).len())
+            });
+        self.metrics.request_blocks.set(i64::try_from(blocks).unwrap_or(i64::MAX));
         let core_share = self.core_share;
         let heartbeat = EntryHeartbeat { core_share, is_draining, known, store, block_digest };
         self.socket.send_all(addresses, DatagramBody::EntryHeartbeat(heartbeat));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,14 @@
     pub live_entries: IntGauge,
     /// Lines of the decision log dropped since the start.
     pub dropped_log_lines: IntGauge,
+    /// Backend servers that said in an answer that they leave.
+    pub leaving_servers: IntCounter,
+    /// Times that a backend server wanted no requests for a while.
+    pub server_pauses: IntCounter,
+    /// Backend servers that had ended when they were probed.
+    pub ended_servers: IntCounter,
+    /// Blocks of requests that crash backend servers, as of the last heartbeat.
+    pub request_blocks: IntGauge,
 }
 
 impl Default for GatewayMetrics {
@@ -67,6 +75,22 @@
             gauge("fescuewalk_gateway_live_entries", "Entries that count as live, with this one");
         let dropped_log_lines =
             gauge("fescuewalk_gateway_dropped_log_lines", "Log lines dropped since the start");
+        let leaving_servers = counter(
+            "fescuewalk_gateway_leaving_servers_total",
+            "Backend servers that said in an answer that they leave",
+        );
+        let server_pauses = counter(
+            "fescuewalk_gateway_server_pauses_total",
+            "Times that a backend server wanted no requests for a while",
+        );
+        let ended_servers = counter(
+            "fescuewalk_gateway_ended_servers_total",
+            "Backend servers that had ended when they were probed",
+        );
+        let request_blocks = gauge(
+            "fescuewalk_gateway_request_blocks",
+            "Blocks of requests that crash backend servers",
+        );
         let registry = metrics::registry(vec![
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
@@ -76,6 +100,10 @@
             Box::new(catalog_version.clone()),
             Box::new(live_entries.clone()),
             Box::new(dropped_log_lines.clone()),
+            Box::new(leaving_servers.clone()),
+            Box::new(server_pauses.clone()),
+            Box::new(ended_servers.clone()),
+            Box::new(request_blocks.clone()),
         ]);
         Self {
             registry,
@@ -87,6 +115,10 @@
             catalog_version,
             live_entries,
             dropped_log_lines,
+            leaving_servers,
+            server_pauses,
+            ended_servers,
+            request_blocks,
         }
     }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -185,7 +185,8 @@
         });
         let (report_sender, reports) = mpsc::channel(MAX_REPORTS_QUEUED);
         let permits = PermitClient::new(Arc::clone(&socket), settings.listen.peers.port());
-        let backends = Backends::new(dispatcher, permits, log.clone(), report_sender);
+        let backends =
+            Backends::new(dispatcher, permits, log.clone(), metrics.clone(), report_sender);
         let (sender, catalog) = watch::channel(None);
         let identity = FleetIdentity {
             vm: settings.identity.vm.clone(),
