gateway: blocks outlive a loss of all entries

Entries write the blocks that they decide (and what objections take out of them) to the store, one object each; an entry that starts reads them before its first configuration, for 200 ms at most. The rest of a block follows from the time of day at the write, and is bounded by the longest block; heartbeats correct what was narrowed since.

One listing more at the start of an entry, one write for each block.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -31,6 +31,7 @@
 
 use crate::{
     backends::{Backends, SuspectReport},
+    block_archive::BlockArchive,
     demand::DemandReporter,
     metrics::GatewayMetrics,
     store_reads::StoreReads,
@@ -84,6 +85,7 @@
     socket: Arc<PeerSocket>,
     reads: StoreReads,
     backends: Backends,
+    archive: BlockArchive,
     catalog: watch::Receiver<Option<Arc<Catalog>>>,
     log: EventLog,
     metrics: GatewayMetrics,
@@ -112,6 +114,7 @@
         socket: Arc<PeerSocket>,
         reads: StoreReads,
         backends: Backends,
+        archive: BlockArchive,
         catalog: watch::Receiver<Option<Arc<Catalog>>>,
         log: EventLog,
         metrics: GatewayMetrics,
@@ -131,6 +134,7 @@
             socket,
             reads,
             backends,
+            archive,
             catalog,
             log,
             metrics,
--- a/crates/gateway/src/fleet/crashes.rs
+++ b/crates/gateway/src/fleet/crashes.rs
@@ -88,6 +88,7 @@
         });
         if let Some(block) = block {
             self.record_block(&block, "own");
+            tokio::spawn(self.archive.clone().write(block.clone()));
             self.send_to_live(&[block]);
         }
     }
@@ -138,6 +139,7 @@
             }
             if let Some(narrowed) = applied.narrowed {
                 self.record_block(&narrowed, "peer");
+                tokio::spawn(self.archive.clone().write(narrowed.clone()));
                 self.send_to_live(&[narrowed]);
             }
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer_memory;
 pub mod attempt;
 pub mod backends;
+mod block_archive;
 mod call;
 mod caller_connection;
 mod crash_probe;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     backends::Backends,
+    block_archive::BlockArchive,
     caller_connection::OpenConnections,
     fleet::{Fleet, FleetIdentity},
     follow::{CatalogFollower, RosterFollower},
@@ -45,6 +46,9 @@
 /// Most reports on requests that crash backend servers that wait to be sent to other entries.
 const MAX_REPORTS_QUEUED: usize = 64;
 
+/// Longest time for which the first configuration waits until the stored blocks are read.
+const MAX_RESTORE_TIME: Duration = Duration::from_millis(200);
+
 /// The gateway cannot start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -194,11 +198,13 @@
             side_port: settings.listen.peers.port(),
         };
         let reads = StoreReads::new(settings.store.known_within);
+        let archive = BlockArchive { store: store.clone() };
         let fleet = Fleet::new(
             identity,
             socket,
             reads.clone(),
             backends.clone(),
+            archive.clone(),
             catalog.clone(),
             log.clone(),
             metrics.clone(),
@@ -227,8 +233,15 @@
         };
         tokio::spawn(registration.clone().register(fleet.clone()));
         fleet.start(reports);
+        let restored = backends.clone();
         let roster_follower = RosterFollower { store, reads, log, backends, fleet };
-        tokio::spawn(catalog_follower.run());
+        // Requests are served once the configuration is known, and so not before the blocks are,
+        // unless the store does not answer.
+        tokio::spawn(async move {
+            let restoring = tokio::spawn(async move { archive.restore(&restored).await });
+            let _ = time::timeout(MAX_RESTORE_TIME, restoring).await;
+            catalog_follower.run().await;
+        });
         tokio::spawn(roster_follower.run());
         tokio::spawn(gateway.backends.clone().review_waiting());
         let listener_guard = gateway.connections.guard();
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -105,6 +105,26 @@
     assert_eq!(crash_count(&fleet), crashes);
 }
 
+/// All entries are killed at once: none is left that another could ask.
+#[tokio::test]
+async fn blocks_outlive_all_entries() {
+    let before = start_fleet(8, 2).await;
+    send_again_and_again(&before, "POST", "/order/dam").await;
+    let crashes = crash_count(&before);
+    for entry in ["entry-0", "entry-1"] {
+        before.store.remove("fescuewalk-entries", entry);
+    }
+
+    let mut after = TestFleet::start().await;
+    after.store = before.store.clone();
+    after.add_gateway().await;
+    let refused = after.call(deadly_request("POST", "/order/dam", "again")).await;
+
+    assert_eq!(refused.status(), 503, "{refused:?}");
+    assert!(refused.body().starts_with("1013"), "{refused:?}");
+    assert_eq!(crash_count(&before), crashes);
+}
+
 #[tokio::test]
 async fn requests_whose_answers_are_lost_by_sound_servers_are_not_blocked() {
     let fleet = start_fleet(4, 2).await;
--- a/crates/suspects/src/block.rs
+++ b/crates/suspects/src/block.rs
@@ -1,5 +1,7 @@
 //! One block: which requests are refused, and until when.
 
+use std::{fmt, num::ParseIntError, str::FromStr};
+
 use base::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -8,12 +10,28 @@
 /// Duration of the first block of a set of keys. After it one crash is enough for the next block,
 /// which lasts twice as long: a fault that was repaired costs little, one that stays few crashes.
 const FIRST_BLOCK_TIME: Duration = Duration::from_secs(60);
-/// Longest duration of a block.
-const MAX_BLOCK_TIME: Duration = Duration::from_secs(3_600);
 /// Time from the decision until requests are refused, in which other entries report the keys that
 /// they have seen answered; a datagram there and back takes a few milliseconds.
 const OBJECTION_TIME: Duration = Duration::from_millis(50);
 
+/// Identifies a block.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BlockId(pub u64);
+
+impl fmt::Display for BlockId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for BlockId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// A block of the requests that have all of its suspect keys.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestBlock {
@@ -32,6 +50,9 @@
 }
 
 impl RequestBlock {
+    /// Longest duration of a block.
+    pub const MAX_TIME: Duration = Duration::from_secs(3_600);
+
     /// The first block of requests with `keys`, which are suspects since `since`.
     pub fn new(keys: SuspectKeys, since: Instant, now: Instant) -> Self {
         let cleared = SuspectKeys::default();
@@ -44,11 +65,17 @@
         let doubled = FIRST_BLOCK_TIME.saturating_mul(1 << renewals.min(16));
         Self {
             renewals,
-            until: now + doubled.min(MAX_BLOCK_TIME),
+            until: now + doubled.min(Self::MAX_TIME),
             ..Self::new(self.keys.clone(), since, now)
         }
     }
 
+    /// Its identity, which follows from its keys.
+    pub fn id(&self) -> BlockId {
+        let bytes: Vec<u8> = self.keys.iter().flat_map(|key| key.0.to_be_bytes()).collect();
+        BlockId(xxh3_64(&bytes))
+    }
+
     /// The keys that a refused request has; empty if the block is void.
     pub fn suspects(&self) -> SuspectKeys {
         self.keys.without(&self.cleared)
--- a/crates/suspects/src/blocks.rs
+++ b/crates/suspects/src/blocks.rs
@@ -60,6 +60,15 @@
         self.insert(KnownBlock { block, shared, is_own: true }, now);
     }
 
+    /// Adds a block that was stored, also one that has ended, unless a newer one is known.
+    pub fn restore(&mut self, block: &RequestBlock, now: Instant) {
+        let known = self.known.iter().find(|known| known.block.keys == block.keys);
+        if known.is_none_or(|known| known.block.renewals < block.renewals) {
+            let shared = block.cleared.clone();
+            self.insert(KnownBlock { block: block.clone(), shared, is_own: false }, now);
+        }
+    }
+
     /// Applies a block of another entry, except for the keys that were in requests answered here.
     pub fn apply(
         &mut self,
--- a/crates/suspects/src/board.rs
+++ b/crates/suspects/src/board.rs
@@ -76,6 +76,11 @@
         self.blocks.apply(block, &self.answered, now)
     }
 
+    /// Adds a block that was stored, also one that has ended.
+    pub fn restore_block(&mut self, block: &RequestBlock, now: Instant) {
+        self.blocks.restore(block, now);
+    }
+
     /// The block with `keys`, if keys of it are cleared here and the other entries do not know.
     pub fn objection(&mut self, keys: &SuspectKeys) -> Option<RequestBlock> {
         self.blocks.objection(keys)
--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use crate::{
     answered::AnsweredKeys,
-    block::RequestBlock,
+    block::{BlockId, RequestBlock},
     blocks::{AppliedBlock, BlockDigest, BlockList},
     board::SuspectBoard,
     evidence::{CRASHES_TO_BLOCK, CrashSighting, EvidenceTable, FoundSuspects},
