--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,23 +3,26 @@
 //! It does no I/O. A driver passes requests, results and updates to it, and carries out its
 //! decisions.
 
-use std::collections::{BTreeMap, HashMap, btree_map::Entry};
+mod servers;
+mod suspects;
 
+use std::collections::{BTreeMap, HashMap};
+
+use ::suspects::SuspectBoard;
 use base::prelude::*;
 use catalog::TokenCount;
-use roster::{BackendServer, IncarnationStart, InstanceId};
-use suspects::{SeveredAttempt, SuspectBoard};
+use roster::InstanceId;
 
 use crate::{
     announcements::ServerAnnouncements,
     budget::{RetryBudget, RetryLimits},
-    call::{ModelTarget, ServerLoad},
+    call::ModelTarget,
     choice::{ChoiceView, EngineOffer, choose_engine, choose_plain, earliest_pause_end},
     decision::{
         Assignment, AttemptFailure, DispatchAction, DispatchDecision, DispatchRequest, Refusal,
         WaitReason,
     },
-    servers::{EngineUpdate, ServerView},
+    servers::ServerView,
     waiting::{self, LoadEstimate},
 };
 
@@ -143,161 +146,6 @@
         self.entries = entries.max(1);
     }
 
-    /// Adds a backend server or applies its changed registration.
-    pub fn upsert_server(&mut self, server: &BackendServer, now: Instant) {
-        let view = match self.servers.entry(server.id.clone()) {
-            Entry::Occupied(view) => {
-                let view = view.into_mut();
-                view.apply_listing(server, now);
-                view
-            }
-            Entry::Vacant(view) => view.insert(ServerView::new(server, now)),
-        };
-        view.announcement = self.announcements.of(&server.id, server.started);
-    }
-
-    /// Removes a backend server that is no longer in the roster.
-    pub fn remove_server(&mut self, server: &InstanceId) {
-        self.servers.remove(server);
-    }
-
-    /// Records that an incarnation of `server` says in an answer that it leaves. It gets no new
-    /// requests from now on, also if the roster drops it and lists it again. Returns whether that
-    /// was not known.
-    pub fn record_leaving(
-        &mut self,
-        server: &InstanceId,
-        started: Option<IncarnationStart>,
-        now: Instant,
-    ) -> bool {
-        let is_new = self.announcements.record_leaving(server, started, now);
-        if let Some(view) = self.servers.get_mut(server) {
-            view.announcement = self.announcements.of(server, view.started);
-        }
-        is_new
-    }
-
-    /// Records that an incarnation of `server` wants no requests for `pause`. What it holds stays in
-    /// use. Returns the end of the pause if it is later than the one known.
-    pub fn record_pause(
-        &mut self,
-        server: &InstanceId,
-        started: Option<IncarnationStart>,
-        pause: Duration,
-        now: Instant,
-    ) -> Option<Instant> {
-        let end = self.announcements.record_pause(server, started, pause, now);
-        if let Some(view) = self.servers.get_mut(server) {
-            view.announcement = self.announcements.of(server, view.started);
-        }
-        end
-    }
-
-    /// Applies the engine state reported by the side process of `server`.
-    pub fn apply_engine_update(
-        &mut self,
-        server: &InstanceId,
-        update: &EngineUpdate,
-        now: Instant,
-    ) {
-        if let Some(view) = self.servers.get_mut(server) {
-            view.apply_engine_update(update, now);
-        }
-    }
-
-    /// Records that the side process of `server` is unreachable.
-    pub fn mark_side_unreachable(&mut self, server: &InstanceId) {
-        if let Some(view) = self.servers.get_mut(server) {
-            view.mark_side_unreachable();
-        }
-    }
-
-    /// Records the load reported in an answer of `server`.
-    pub fn record_answer_load(&mut self, server: &InstanceId, load: ServerLoad, now: Instant) {
-        if let Some(view) = self.servers.get_mut(server) {
-            view.record_answer_load(load, now);
-        }
-    }
-
-    /// Records the load reported by the side process of `server`: running and waiting requests, and
-    /// prompt tokens queued for prefill.
-    pub fn record_side_load(
-        &mut self,
-        server: &InstanceId,
-        load: u32,
-        queued_prefill: TokenCount,
-        now: Instant,
-    ) {
-        if let Some(view) = self.servers.get_mut(server) {
-            view.record_load(load, now);
-            view.record_queued_prefill(queued_prefill);
-        }
-    }
-
-    /// Sets the planner's load estimate of `model`.
-    pub fn set_load_estimate(&mut self, model: ModelId, estimate: LoadEstimate) {
-        self.load_estimates.insert(model, estimate);
-    }
-
-    /// What this entry knows of requests that crash backend servers.
-    pub fn suspects(&self) -> &SuspectBoard {
-        &self.suspects
-    }
-
-    /// What this entry knows of requests that crash backend servers, to be updated. Waiting
-    /// requests are to be reviewed after a new block.
-    pub fn suspects_mut(&mut self) -> &mut SuspectBoard {
-        &mut self.suspects
-    }
-
-    /// All known backend servers.
-    pub fn servers(&self) -> impl Iterator<Item = &ServerView> {
-        self.servers.values()
-    }
-
-    /// The backend server at `address`. Incarnations are compared if both sides state theirs.
-    pub fn server_at(
-        &self,
-        address: std::net::SocketAddr,
-        started: Option<IncarnationStart>,
-    ) -> Option<&ServerView> {
-        self.servers.values().find(|view| {
-            let is_same_incarnation =
-                view.started.is_none() || started.is_none() || view.started == started;
-            view.address == address && is_same_incarnation
-        })
-    }
-
-    /// Whether a request waits for a model that no engine holds.
-    pub fn has_call_missing_model(&self) -> bool {
-        self.calls.values().any(|call| call.is_model_missing)
-    }
-
-    /// The backend server named `id`.
-    pub fn server(&self, id: &InstanceId) -> Option<&ServerView> {
-        self.servers.get(id)
-    }
-
-    /// This entry's use of each model that was requested since its start.
-    pub fn model_usage(&self, now: Instant) -> BTreeMap<ModelId, ModelUsage> {
-        let mut usages: BTreeMap<ModelId, ModelUsage> = BTreeMap::new();
-        for (model, arrivals) in &self.arrivals {
-            usages.entry(model.clone()).or_default().arrivals = *arrivals;
-        }
-        for call in self.calls.values() {
-            let Some(generation) = &call.request.generation else { continue };
-            let usage = usages.entry(generation.target.model.clone()).or_default();
-            match (&call.assigned_to, call.is_model_missing) {
-                (Some(server), _) => {
-                    *usage.running.entry(server.clone()).or_default() += 1;
-                }
-                (None, true) => usage.add_waiting(&call.request, now),
-                (None, false) => {}
-            }
-        }
-        usages
-    }
-
     /// Accepts a request, and returns its key and the first decision.
     pub fn submit(&mut self, request: DispatchRequest, now: Instant) -> (u64, DispatchDecision) {
         self.last_key += 1;
@@ -319,33 +167,6 @@
         (key, decision)
     }
 
-    /// Decides whether an assigned request may be sent now, and records that it is. Returns the next
-    /// decision if it may not: while it waited for a permit, it was blocked, or its server announced
-    /// that it takes no more requests.
-    pub fn confirm_send(&mut self, key: u64, now: Instant) -> Option<DispatchDecision> {
-        let refusal = self.block_refusal(key, now);
-        if refusal.is_none() && self.accepts_requests(key, now) {
-            self.mark_sent(key, now);
-            return None;
-        }
-        let server = self.calls.get_mut(&key).and_then(|call| call.assigned_to.take());
-        if let Some(view) = server.and_then(|id| self.servers.get_mut(&id)) {
-            view.remove_call(key);
-        }
-        Some(match refusal {
-            Some(refusal) => self.refuse(key, refusal),
-            None => self.decide(key, now),
-        })
-    }
-
-    /// Whether the server to which a request is assigned has not announced the contrary.
-    fn accepts_requests(&self, key: u64, now: Instant) -> bool {
-        let server = self.calls.get(&key).and_then(|call| call.assigned_to.as_ref());
-        server
-            .and_then(|id| self.servers.get(id))
-            .is_none_or(|view| !view.is_draining() && view.paused_until(now).is_none())
-    }
-
     /// Records that the request is sent to the backend server to which it was assigned.
     pub fn mark_sent(&mut self, key: u64, now: Instant) {
         let Some(call) = self.calls.get_mut(&key) else { return };
@@ -392,15 +213,6 @@
         self.review_waiting(now);
     }
 
-    /// Records that the answer to `key` has begun: its first event or its whole body has arrived.
-    pub fn record_answer_begun(&mut self, key: u64, now: Instant) {
-        let Some(call) = self.calls.get(&key) else { return };
-        let narrowed = self.suspects.record_answer(&call.request.suspect_keys, now);
-        if !narrowed.is_empty() {
-            self.actions.push(DispatchAction::ShareBlocks(narrowed));
-        }
-    }
-
     /// Removes a request that is answered or refused, or whose caller has disconnected.
     pub fn finish(&mut self, key: u64, is_success: bool, now: Instant) {
         let Some(call) = self.calls.remove(&key) else { return };
@@ -444,18 +256,6 @@
         self.retry_or_refuse(key, failure, now)
     }
 
-    fn record_severed(&mut self, server: &InstanceId, key: u64, now: Instant) {
-        let Some(view) = self.servers.get(server) else { return };
-        let Some(call) = self.calls.get(&key) else { return };
-        let Some(sent) = view.calls.get(&key).and_then(|running| running.sent) else { return };
-        let keys = call.request.suspect_keys.clone();
-        let attempt = SeveredAttempt { keys, sent, severed: now };
-        if self.suspects.record_severed(server, attempt) {
-            let probe = DispatchAction::Probe { server: server.clone(), address: view.address };
-            self.actions.push(probe);
-        }
-    }
-
     fn charge_failure(
         &mut self,
         server: &InstanceId,
@@ -558,15 +358,6 @@
         }
     }
 
-    /// The refusal of a request that is blocked because requests like it crash backend servers.
-    fn block_refusal(&self, key: u64, now: Instant) -> Option<Refusal> {
-        let keys = &self.calls.get(&key)?.request.suspect_keys;
-        let until = self.suspects.blocked_until(keys, now)?;
-        let wait = until.saturating_duration_since(now);
-        let reason = "requests like it crashed backend servers";
-        Some(Refusal::with_retry_after(ResultCode::RequestQuarantined, wait, reason))
-    }
-
     fn refuse(&mut self, key: u64, refusal: Refusal) -> DispatchDecision {
         if let Some(call) = self.calls.get_mut(&key) {
             call.waiting_since = None;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -2,6 +2,8 @@
 //! and the planning of loads if this entry is the planner.
 
 mod crashes;
+mod engines;
+mod planning;
 
 use std::{
     collections::HashMap,
@@ -10,19 +12,14 @@
 };
 
 use base::prelude::*;
-use catalog::{Catalog, TokenCount};
-use dispatch::{EngineUpdate, LoadEstimate, LoadInProgress};
+use catalog::Catalog;
 use events::{DecisionEvent, EventLog};
 use peers::{
-    ChangeRequest, Datagram, DatagramBody, DemandReport, EngineLoad, EngineState, EntryHeartbeat,
-    LoadEstimates, ModelDemand, ModelEstimate, PastRates, PeerAddress, PeerSocket, PeerTable,
-    PeerUpdate, RunningRequests, SideHeartbeat,
+    Datagram, DatagramBody, EntryHeartbeat, PeerAddress, PeerSocket, PeerTable, PeerUpdate,
+    SideHeartbeat,
 };
-use residency::{
-    CurrentLoad, DemandRates, DemandRow, DemandTracker, EngineSnapshot, OrderCount, PlannedChange,
-    Planner,
-};
-use roster::{IncarnationStart, InstanceId, ResidentModel};
+use residency::{DemandTracker, Planner};
+use roster::InstanceId;
 use suspects::BlockDigest;
 use tokio::{
     sync::{Notify, mpsc, watch},
@@ -50,15 +47,6 @@
 const SIDE_PROBE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time without a datagram of a side process after which it counts as unreachable.
 const SIDE_TIMEOUT: Duration = Duration::from_millis(2_200);
-/// Time between two demand reports; without demand they are skipped.
-const DEMAND_INTERVAL: Duration = Duration::from_millis(200);
-/// Delay between a request that starts to wait and the demand report, so that a burst of requests
-/// is reported together.
-const DEMAND_DELAY: Duration = Duration::from_millis(10);
-/// Longest time between two planning passes.
-const MAX_PLAN_INTERVAL: Duration = Duration::from_millis(400);
-/// Shortest time between two planning passes, so that a burst of updates is handled in one pass.
-const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(30);
 
 struct SideStatus {
     last_received: Instant,
@@ -107,19 +95,28 @@
     pub side_port: u16,
 }
 
+/// What this entry uses to reach the other processes and the store.
+pub struct FleetLinks {
+    /// Socket for datagrams.
+    pub socket: Arc<PeerSocket>,
+    /// Plans the reads of the store.
+    pub reads: StoreReads,
+    /// Blocks of requests in the store.
+    pub archive: BlockArchive,
+}
+
 impl Fleet {
     /// A fleet without known processes.
     pub fn new(
         identity: FleetIdentity,
-        socket: Arc<PeerSocket>,
-        reads: StoreReads,
+        links: FleetLinks,
         backends: Backends,
-        archive: BlockArchive,
         catalog: watch::Receiver<Option<Arc<Catalog>>>,
         log: EventLog,
         metrics: GatewayMetrics,
     ) -> Self {
         let FleetIdentity { vm, core_share, side_port } = identity;
+        let FleetLinks { socket, reads, archive } = links;
         let state = FleetState {
             peers: PeerTable::new(vm.clone(), core_share),
             sides: HashMap::new(),
@@ -382,7 +379,7 @@
             Some(DatagramBody::EngineState(state)) => self.apply_engine_state(&state),
             Some(DatagramBody::EngineLoad(load)) => self.apply_engine_load(source, load),
             Some(DatagramBody::DemandReport(demand)) => {
-                let rows = demand.models.iter().filter_map(decode_row).collect();
+                let rows = demand.models.iter().filter_map(planning::decode_row).collect();
                 self.lock().demand.apply_report(vm, rows, Instant::now());
                 self.plan_inputs_changed.notify_one();
             }
@@ -430,324 +427,8 @@
             self.update_live_entries();
         }
     }
-
-    fn apply_engine_state(&self, state: &EngineState) {
-        let Ok(address) = state.engine.parse::<SocketAddr>() else { return };
-        let now = Instant::now();
-        let started = (state.started != 0).then_some(IncarnationStart(state.started));
-        let state_number = state.load.map_or(0, |load| load.state_number);
-        let update = engine_update(state, now);
-        let listed = self.backends.with_dispatcher(|dispatcher, now| {
-            let view = dispatcher.server_at(address, started)?;
-            let (instance, service, is_draining) =
-                (view.id.clone(), view.service.clone(), view.is_draining());
-            dispatcher.apply_engine_update(&instance, &update, now);
-            dispatcher.review_waiting(now);
-            Some((instance, service, is_draining))
-        });
-        // If the engine is not listed yet, number 0 makes the next heartbeat request the state
-        // again.
-        let state_number = if listed.is_some() { state_number } else { 0 };
-        let mut fleet = self.lock();
-        fleet.sides.insert(
-            address,
-            SideStatus { last_received: now, state_number, is_unreachable: false },
-        );
-        let Some((instance, service, is_draining)) = listed else { return };
-        let planner = fleet.planners.entry(service).or_default();
-        if is_draining || !state.is_reachable {
-            planner.remove(&instance);
-        } else {
-            planner.update_engine(engine_snapshot(instance, started, state, &update, now), now);
-        }
-        drop(fleet);
-        self.plan_inputs_changed.notify_one();
-    }
-
-    fn apply_engine_load(&self, source: SocketAddr, load: EngineLoad) {
-        let now = Instant::now();
-        let mut state = self.lock();
-        let found = state.sides.iter_mut().find(|(engine, _)| engine.ip() == source.ip());
-        let Some((engine, side)) = found else { return };
-        let engine = *engine;
-        side.last_received = now;
-        side.is_unreachable = false;
-        if side.state_number != load.state_number {
-            side.state_number = 0;
-            let heartbeat = SideHeartbeat { known_state: 0 };
-            self.socket.send(source, DatagramBody::SideHeartbeat(heartbeat));
-        }
-        drop(state);
-        self.backends.with_dispatcher(|dispatcher, now| {
-            if let Some(instance) = dispatcher.server_at(engine, None).map(|view| view.id.clone()) {
-                let queued_prefill = TokenCount(load.queued_prefill);
-                dispatcher.record_side_load(
-                    &instance,
-                    load.running + load.waiting,
-                    queued_prefill,
-                    now,
-                );
-            }
-        });
-    }
-
-    fn apply_load_estimates(&self, estimates: LoadEstimates) {
-        let now = Instant::now();
-        let estimates = estimates.models.into_iter().filter_map(|estimate| {
-            let ready_at = estimate.ready_in_ms.map(|ms| now + Duration::from_millis(ms.into()));
-            Some((estimate.model.parse().ok()?, LoadEstimate { ready_at, estimated_at: now }))
-        });
-        let estimates: Vec<(ModelId, LoadEstimate)> = estimates.collect();
-        self.set_load_estimates(estimates);
-    }
-
-    fn set_load_estimates(&self, estimates: Vec<(ModelId, LoadEstimate)>) {
-        if estimates.is_empty() {
-            return;
-        }
-        self.backends.with_dispatcher(|dispatcher, now| {
-            for (model, estimate) in estimates {
-                dispatcher.set_load_estimate(model, estimate);
-            }
-            dispatcher.review_waiting(now);
-        });
-    }
-
-    async fn report_demand(self) {
-        loop {
-            tokio::select! {
-                () = time::sleep(DEMAND_INTERVAL) => {}
-                () = self.demand_changed.notified() => time::sleep(DEMAND_DELAY).await,
-            }
-            self.send_demand_report();
-        }
-    }
-
-    fn send_demand_report(&self) {
-        let usage = self.backends.with_dispatcher(|dispatcher, now| dispatcher.model_usage(now));
-        let mut state = self.lock();
-        let (planner, now) = (state.peers.planner(), Instant::now());
-        let Some(rows) = state.demand_reporter.rows(usage, planner, now) else { return };
-        match planner {
-            Some(planner) => {
-                let models = rows.into_iter().map(encode_row).collect();
-                let demand = DemandReport { models };
-                self.socket.send(planner.address, DatagramBody::DemandReport(demand));
-            }
-            None => {
-                let vm = self.vm.clone();
-                state.demand.apply_report(vm, rows, now);
-                drop(state);
-                self.plan_inputs_changed.notify_one();
-            }
-        }
-    }
-
-    async fn run_planner(self) {
-        loop {
-            tokio::select! {
-                () = time::sleep(MAX_PLAN_INTERVAL) => {}
-                () = self.plan_inputs_changed.notified() => {}
-            }
-            self.run_planning_pass();
-            time::sleep(MIN_PLAN_INTERVAL).await;
-        }
-    }
-
-    /// Runs a planning pass if this entry is the planner.
-    fn run_planning_pass(&self) {
-        let Some(catalog) = self.catalog.borrow().clone() else { return };
-        let now = Instant::now();
-        let engine_counts = self.listed_engines();
-        let mut estimates = Vec::new();
-        let mut changes = Vec::new();
-        let live_addresses: Vec<SocketAddr> = {
-            let mut state = self.lock();
-            if state.peers.planner().is_some() {
-                return;
-            }
-            let FleetState { planners, demand, .. } = &mut *state;
-            for (service, planner) in planners.iter_mut() {
-                let spec = catalog.service(service).and_then(|found| found.engine.clone());
-                let Some(spec) = spec else { continue };
-                planner.set_spec(spec);
-                planner.set_listed(engine_counts.get(service).copied().unwrap_or(0));
-                let outcome = planner.plan(demand, now);
-                estimates.extend(outcome.load_estimates);
-                changes.extend(outcome.changes);
-            }
-            state.peers.live().map(|(_, address)| address).collect()
-        };
-        for planned in &changes {
-            self.request_change(planned);
-        }
-        self.send_load_estimates(&live_addresses, estimates, now);
-    }
-
-    /// Number of backend servers that are not draining, by service.
-    fn listed_engines(&self) -> HashMap<ServiceName, usize> {
-        self.backends.with_dispatcher(|dispatcher, _| {
-            let mut counts = HashMap::new();
-            for view in dispatcher.servers().filter(|view| !view.is_draining()) {
-                *counts.entry(view.service.clone()).or_insert(0) += 1;
-            }
-            counts
-        })
-    }
-
-    fn request_change(&self, planned: &PlannedChange) {
-        let change = &planned.change;
-        let address = self.backends.with_dispatcher(|dispatcher, _| {
-            dispatcher.server(&change.instance).map(|view| view.address)
-        });
-        let Some(address) = address else { return };
-        let load = change.load.as_ref().map(ToString::to_string).unwrap_or_default();
-        let unload: Vec<String> = change.unload.iter().map(ToString::to_string).collect();
-        self.log.record(&DecisionEvent::ChangePlanned {
-            server: &change.instance,
-            load: &load,
-            unload: &unload.join(" "),
-            reason: planned.reason.text(),
-            weights: planned.source.text(),
-            waiting: planned.waiting,
-            orders: change.orders,
-        });
-        let request = ChangeRequest {
-            instance: change.instance.to_string(),
-            started: change.started.map_or(0, |started| started.0),
-            orders: change.orders.0,
-            unload,
-            load,
-            load_ms: saturating_millis(change.load_time),
-            is_from_store: change.is_from_store,
-        };
-        let side = SocketAddr::new(address.ip(), self.side_port);
-        self.socket.send(side, DatagramBody::ChangeRequest(request));
-    }
-
-    fn send_load_estimates(
-        &self,
-        addresses: &[SocketAddr],
-        estimates: Vec<(ModelId, Option<Instant>)>,
-        now: Instant,
-    ) {
-        if estimates.is_empty() {
-            return;
-        }
-        let models = estimates
-            .iter()
-            .map(|(model, ready_at)| ModelEstimate {
-                model: model.to_string(),
-                ready_in_ms: ready_at
-                    .map(|at| saturating_millis(at.saturating_duration_since(now))),
-            })
-            .collect();
-        self.socket.send_all(addresses, DatagramBody::LoadEstimates(LoadEstimates { models }));
-        let own_estimates = estimates
-            .into_iter()
-            .map(|(model, ready_at)| (model, LoadEstimate { ready_at, estimated_at: now }))
-            .collect();
-        self.set_load_estimates(own_estimates);
-    }
 }
 
 fn saturating_millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
-
-fn parse_models(names: &[String]) -> impl Iterator<Item = ModelId> {
-    names.iter().filter_map(|name| name.parse().ok())
-}
-
-fn engine_update(state: &EngineState, now: Instant) -> EngineUpdate {
-    let residents = state.residents.iter().filter_map(|resident| {
-        Some(ResidentModel {
-            model: resident.model.parse().ok()?,
-            weights_version: resident.weights_version,
-            adapters: resident.adapters.iter().filter_map(|name| name.parse().ok()).collect(),
-        })
-    });
-    let loading = state.loading.as_ref().and_then(|load| {
-        let ready_at = now + Duration::from_millis(load.ready_in_ms.into());
-        Some(LoadInProgress { model: load.model.parse().ok()?, ready_at })
-    });
-    let load = state.load.unwrap_or_default();
-    EngineUpdate {
-        residents: residents.collect(),
-        unloading: state.unloading.parse().ok(),
-        loading,
-        running: load.running,
-        waiting: load.waiting,
-        queued_prefill: TokenCount(load.queued_prefill),
-        is_reachable: state.is_reachable,
-    }
-}
-
-fn engine_snapshot(
-    instance: InstanceId,
-    started: Option<IncarnationStart>,
-    state: &EngineState,
-    update: &EngineUpdate,
-    now: Instant,
-) -> EngineSnapshot {
-    let loading = state.loading.as_ref().and_then(|load| {
-        Some(CurrentLoad {
-            model: load.model.parse().ok()?,
-            ready_at: now + Duration::from_millis(load.ready_in_ms.into()),
-            is_from_store: load.is_from_store,
-        })
-    });
-    let residents = update
-        .residents
-        .iter()
-        .map(|resident| (resident.model.clone(), resident.adapters.len()))
-        .collect();
-    EngineSnapshot {
-        instance,
-        started,
-        orders: OrderCount(state.orders),
-        residents,
-        loading,
-        unloading: update.unloading.clone(),
-        copies_in_memory: parse_models(&state.copies_in_memory).collect(),
-        copies_on_disk: parse_models(&state.copies_on_disk).collect(),
-        takes_changes: state.takes_changes,
-    }
-}
-
-fn encode_row(row: DemandRow) -> ModelDemand {
-    let running = row.running.into_iter();
-    ModelDemand {
-        model: row.model.map(String::from).unwrap_or_default(),
-        arrivals: row.arrivals,
-        waiting: row.waiting,
-        slack_ms: saturating_millis(row.slack),
-        running: running
-            .map(|(engine, requests)| RunningRequests {
-                instance: engine.to_string(),
-                count: requests,
-            })
-            .collect(),
-        priority: row.priority,
-        past_rates: row
-            .past_rates
-            .map(|past| PastRates { recent: past.recent.0, long_term: past.long_term.0 }),
-    }
-}
-
-fn decode_row(row: &ModelDemand) -> Option<DemandRow> {
-    let running =
-        row.running.iter().filter_map(|engine| Some((engine.instance.parse().ok()?, engine.count)));
-    Some(DemandRow {
-        model: Some(row.model.parse().ok()?),
-        arrivals: row.arrivals,
-        waiting: row.waiting,
-        slack: Duration::from_millis(row.slack_ms.into()),
-        priority: row.priority,
-        running: running.collect(),
-        past_rates: row.past_rates.map(|past| DemandRates {
-            recent: EventRate(past.recent),
-            long_term: EventRate(past.long_term),
-        }),
-    })
-}
--- /dev/null
+++ b/crates/gateway/src/fleet/engines.rs
@@ -0,0 +1,134 @@
+//! State and load of the engines, as their side processes report them.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use catalog::TokenCount;
+use dispatch::{EngineUpdate, LoadInProgress};
+use peers::{DatagramBody, EngineLoad, EngineState, SideHeartbeat};
+use residency::{CurrentLoad, EngineSnapshot, OrderCount};
+use roster::{IncarnationStart, InstanceId, ResidentModel};
+
+use super::{Fleet, SideStatus};
+
+impl Fleet {
+    pub(super) fn apply_engine_state(&self, state: &EngineState) {
+        let Ok(address) = state.engine.parse::<SocketAddr>() else { return };
+        let now = Instant::now();
+        let started = (state.started != 0).then_some(IncarnationStart(state.started));
+        let state_number = state.load.map_or(0, |load| load.state_number);
+        let update = engine_update(state, now);
+        let listed = self.backends.with_dispatcher(|dispatcher, now| {
+            let view = dispatcher.server_at(address, started)?;
+            let (instance, service, is_draining) =
+                (view.id.clone(), view.service.clone(), view.is_draining());
+            dispatcher.apply_engine_update(&instance, &update, now);
+            dispatcher.review_waiting(now);
+            Some((instance, service, is_draining))
+        });
+        // If the engine is not listed yet, number 0 makes the next heartbeat request the state
+        // again.
+        let state_number = if listed.is_some() { state_number } else { 0 };
+        let mut fleet = self.lock();
+        fleet.sides.insert(
+            address,
+            SideStatus { last_received: now, state_number, is_unreachable: false },
+        );
+        let Some((instance, service, is_draining)) = listed else { return };
+        let planner = fleet.planners.entry(service).or_default();
+        if is_draining || !state.is_reachable {
+            planner.remove(&instance);
+        } else {
+            planner.update_engine(engine_snapshot(instance, started, state, &update, now), now);
+        }
+        drop(fleet);
+        self.plan_inputs_changed.notify_one();
+    }
+
+    pub(super) fn apply_engine_load(&self, source: SocketAddr, load: EngineLoad) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let found = state.sides.iter_mut().find(|(engine, _)| engine.ip() == source.ip());
+        let Some((engine, side)) = found else { return };
+        let engine = *engine;
+        side.last_received = now;
+        side.is_unreachable = false;
+        if side.state_number != load.state_number {
+            side.state_number = 0;
+            let heartbeat = SideHeartbeat { known_state: 0 };
+            self.socket.send(source, DatagramBody::SideHeartbeat(heartbeat));
+        }
+        drop(state);
+        self.backends.with_dispatcher(|dispatcher, now| {
+            if let Some(instance) = dispatcher.server_at(engine, None).map(|view| view.id.clone()) {
+                let queued_prefill = TokenCount(load.queued_prefill);
+                dispatcher.record_side_load(
+                    &instance,
+                    load.running + load.waiting,
+                    queued_prefill,
+                    now,
+                );
+            }
+        });
+    }
+}
+
+fn parse_models(names: &[String]) -> impl Iterator<Item = ModelId> {
+    names.iter().filter_map(|name| name.parse().ok())
+}
+
+fn engine_update(state: &EngineState, now: Instant) -> EngineUpdate {
+    let residents = state.residents.iter().filter_map(|resident| {
+        Some(ResidentModel {
+            model: resident.model.parse().ok()?,
+            weights_version: resident.weights_version,
+            adapters: resident.adapters.iter().filter_map(|name| name.parse().ok()).collect(),
+        })
+    });
+    let loading = state.loading.as_ref().and_then(|load| {
+        let ready_at = now + Duration::from_millis(load.ready_in_ms.into());
+        Some(LoadInProgress { model: load.model.parse().ok()?, ready_at })
+    });
+    let load = state.load.unwrap_or_default();
+    EngineUpdate {
+        residents: residents.collect(),
+        unloading: state.unloading.parse().ok(),
+        loading,
+        running: load.running,
+        waiting: load.waiting,
+        queued_prefill: TokenCount(load.queued_prefill),
+        is_reachable: state.is_reachable,
+    }
+}
+
+fn engine_snapshot(
+    instance: InstanceId,
+    started: Option<IncarnationStart>,
+    state: &EngineState,
+    update: &EngineUpdate,
+    now: Instant,
+) -> EngineSnapshot {
+    let loading = state.loading.as_ref().and_then(|load| {
+        Some(CurrentLoad {
+            model: load.model.parse().ok()?,
+            ready_at: now + Duration::from_millis(load.ready_in_ms.into()),
+            is_from_store: load.is_from_store,
+        })
+    });
+    let residents = update
+        .residents
+        .iter()
+        .map(|resident| (resident.model.clone(), resident.adapters.len()))
+        .collect();
+    EngineSnapshot {
+        instance,
+        started,
+        orders: OrderCount(state.orders),
+        residents,
+        loading,
+        unloading: update.unloading.clone(),
+        copies_in_memory: parse_models(&state.copies_in_memory).collect(),
+        copies_on_disk: parse_models(&state.copies_on_disk).collect(),
+        takes_changes: state.takes_changes,
+    }
+}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -19,7 +19,7 @@
     backends::Backends,
     block_archive::BlockArchive,
     caller_connection::OpenConnections,
-    fleet::{Fleet, FleetIdentity},
+    fleet::{Fleet, FleetIdentity, FleetLinks},
     follow::{CatalogFollower, RosterFollower},
     front,
     metrics::GatewayMetrics,
@@ -199,12 +199,11 @@
         };
         let reads = StoreReads::new(settings.store.known_within);
         let archive = BlockArchive { store: store.clone() };
+        let links = FleetLinks { socket, reads: reads.clone(), archive: archive.clone() };
         let fleet = Fleet::new(
             identity,
-            socket,
-            reads.clone(),
+            links,
             backends.clone(),
-            archive.clone(),
             catalog.clone(),
             log.clone(),
             metrics.clone(),
