soak, peers, suspects: pauses and leaving answers as faults; ranking and delays tested

The soak draws servers that pause and servers that say in their answers that they leave while the store lists them as ready, from a generator of their own, so that the other faults of a seed stay. Tests for the ranking of counting entries and for the delays of objections.

--- a/crates/dispatch/src/dispatcher/servers.rs
+++ b/crates/dispatch/src/dispatcher/servers.rs
@@ -1,4 +1,4 @@
-//! What the dispatcher is told of the backend servers, and what others ask it about them.
+//! Updates of the backend servers, and queries about them.
 
 use std::collections::{BTreeMap, btree_map::Entry};
 
--- a/crates/gateway/src/crash_probe.rs
+++ b/crates/gateway/src/crash_probe.rs
@@ -1,5 +1,5 @@
-//! Probes a backend server after connections to it broke, to tell a crash from a failure of the
-//! connections.
+//! Probes a backend server after connections to it broke, to distinguish a crash from a failure of
+//! the connections.
 
 use std::{io, net::SocketAddr};
 
--- a/crates/gateway/src/fleet/crashes.rs
+++ b/crates/gateway/src/fleet/crashes.rs
@@ -1,4 +1,4 @@
-//! Requests that crash backend servers: what this entry tells other entries of them, and learns.
+//! Exchange with other entries about requests that crash backend servers.
 //!
 //! A request that was in flight at a crash is reported to two entries for each of its keys, chosen
 //! by rendezvous hashing, which count the crashes from all entries. A block goes to all entries
@@ -145,8 +145,8 @@
         }
     }
 
-    /// Sends the cleared keys of a block to the entry at `source`, unless another entry has told
-    /// them by then.
+    /// Sends the cleared keys of a block to the entry at `source`, unless another entry has
+    /// reported them by then.
     async fn object(self, source: SocketAddr, keys: SuspectKeys) {
         let entries = self.lock().peers.live_count();
         let delay = feedback_delay(rand::rng().random(), entries);
--- a/crates/peers/tests/table.rs
+++ b/crates/peers/tests/table.rs
@@ -139,3 +139,47 @@
     announced.dedup();
     assert_eq!(announced, names);
 }
+
+/// Tables of the entries a to d, each of which knows the others.
+fn tables(now: Instant) -> Vec<(SocketAddr, PeerTable)> {
+    let names = ["a", "b", "c", "d"];
+    let port = |name: &str| u16::from(name.as_bytes()[0]);
+    let table = |own: &str| {
+        let mut table = PeerTable::new(vm(own), 190);
+        for other in names.iter().filter(|other| **other != own) {
+            let incarnation = ProcessIncarnation(1);
+            table.record_heartbeat(vm(other), address(port(other)), incarnation, 190, false, now);
+        }
+        table.update_live(now);
+        (address(port(own)), table)
+    };
+    names.map(table).into_iter().collect()
+}
+
+#[test]
+fn entries_with_the_same_live_entries_rank_alike() {
+    let now = Instant::now();
+    let tables = tables(now);
+
+    for key in 0..50 {
+        let rankings: Vec<Vec<SocketAddr>> = tables
+            .iter()
+            .map(|(own, table)| {
+                table.ranked_for(key, 2).into_iter().map(|found| found.unwrap_or(*own)).collect()
+            })
+            .collect();
+        assert_eq!(rankings[0].len(), 2);
+        assert!(rankings.iter().all(|ranking| *ranking == rankings[0]), "key {key}: {rankings:?}");
+    }
+}
+
+#[test]
+fn keys_are_spread_over_the_entries() {
+    let now = Instant::now();
+    let tables = tables(now);
+    let (_, table) = &tables[0];
+
+    let own = (0..400).filter(|key| table.ranked_for(*key, 1) == [None]).count();
+
+    assert!((50..=150).contains(&own), "{own} of 400 keys, about a quarter is its share");
+}
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -124,6 +124,20 @@
             let fault = ServiceFault { refusals: FAULT_COUNT, ..ServiceFault::default() };
             set_service_fault(&run, index, fault).await;
         }
+        Fault::Pause(index) => {
+            let fault = ServiceFault {
+                refusals: FAULT_COUNT,
+                retry_after: Some("1"),
+                ..ServiceFault::default()
+            };
+            set_service_fault(&run, index, fault).await;
+        }
+        Fault::LeavingAnswers(index) => {
+            let fault = ServiceFault { is_leaving: true, ..ServiceFault::default() };
+            set_service_fault(&run, index, fault).await;
+            time::sleep(duration).await;
+            drain_server(&run, index).await;
+        }
         Fault::Leaving(index) => drain_server(&run, index).await,
         Fault::NewRoute => add_route(&run).await,
         Fault::HangUp(target) => {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -93,6 +93,11 @@
     Refusals(usize),
     /// A plain backend server drains, and a new one is added.
     Leaving(usize),
+    /// A plain backend server refuses its next calls and wants none for a second.
+    Pause(usize),
+    /// A plain backend server says in its answers that it leaves, which the store lists only at the
+    /// end of the fault.
+    LeavingAnswers(usize),
     /// A route is added to the configuration.
     NewRoute,
     /// The process receives SIGHUP, on which it reloads its settings.
@@ -144,6 +149,7 @@
             })
             .collect();
         faults.extend(hang_up_faults(seed, gateways, engines));
+        faults.extend(announcement_faults(seed, services));
         faults.sort_by_key(|scheduled| scheduled.at);
         Self { seed, gateways, engines, services, rate, faults }
     }
@@ -177,6 +183,23 @@
     (0..count).map(scheduled).collect()
 }
 
+/// Draws faults of what backend servers announce from a generator of their own.
+fn announcement_faults(seed: u64, services: usize) -> Vec<ScheduledFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
+    let count = random.random_range(0..=3);
+    let scheduled = |_| {
+        let service = random.random_range(0..services);
+        let fault = match random.random_bool(0.6) {
+            true => Fault::Pause(service),
+            false => Fault::LeavingAnswers(service),
+        };
+        let at = FIRST_FAULT_DELAY + FAULT_WINDOW.mul_f64(random.random_range(0.0..1.0));
+        let duration = Duration::from_millis(random.random_range(100..3_000));
+        ScheduledFault { at, duration, fault }
+    };
+    (0..count).map(scheduled).collect()
+}
+
 fn random_fault(
     random: &mut ChaCha8Rng,
     gateways: usize,
--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -1,6 +1,6 @@
 //! Requests that may crash the backend servers that run them.
 //!
-//! A request whose answer has not begun when its backend server crashes is a suspect. Its keys tell
+//! A request whose answer has not begun when its backend server crashes is a suspect. Its keys show
 //! what it has in common with others: its contents, and the parts of its prompt. An answer clears
 //! all keys of its request, because what crashes a server does so whatever else the request holds.
 //! Requests that have all keys that were in flight at several crashes, one after the other, are
--- a/crates/suspects/src/severed.rs
+++ b/crates/suspects/src/severed.rs
@@ -1,7 +1,7 @@
 //! Attempts whose connection broke before their answer began.
 //!
 //! A broken connection alone does not show that the backend server has crashed: links fail and
-//! servers reset connections. A probe tells the two apart.
+//! servers reset connections. A probe distinguishes the two.
 
 use std::collections::HashMap;
 
--- a/crates/suspects/tests/evidence.rs
+++ b/crates/suspects/tests/evidence.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use common::{keys, seconds, sighting};
-use suspects::{AnsweredKeys, CRASHES_TO_BLOCK, CrashSighting, EvidenceTable, SuspectKeys};
+use suspects::{
+    AnsweredKeys, CRASHES_TO_BLOCK, CrashSighting, EvidenceTable, SuspectKeys,
+    feedback::{MAX_FEEDBACK_DELAY, feedback_delay},
+};
 use tokio::time::Instant;
 
 /// Counts a crash without any answers; returns the keys that are found.
@@ -110,3 +113,16 @@
 
     assert_eq!(table.crashes(1.into()), 0);
 }
+
+#[test]
+fn delays_of_many_entries_leave_few_short_ones() {
+    let count = 2_600;
+    let delays: Vec<Duration> = (1..=count)
+        .map(|entry| feedback_delay(f64::from(entry) / f64::from(count), count as usize))
+        .collect();
+
+    let first = delays.iter().min().expect("there are some");
+    let early = delays.iter().filter(|delay| **delay < *first + Duration::from_millis(4)).count();
+    assert!(early <= 10, "{early} objections before the first can be passed on");
+    assert!(delays.iter().all(|delay| *delay <= MAX_FEEDBACK_DELAY));
+}
