suspects: a block that was wrong is not renewed after its end

Now they clear its keys at the entry that sees them, and other entries object to a renewal if they have seen answers since the end of the block before. Both new tests fail on the code before.

--- a/crates/suspects/src/blocks.rs
+++ b/crates/suspects/src/blocks.rs
@@ -132,7 +132,7 @@
             let is_remembered = block.until <= now && now < block.until + MEMORY_TIME;
             is_remembered && block.concerns(&sighting.keys)
         });
-        ended.map(|block| block.renewed(sighting.sent, now))
+        ended.map(|block| block.renewed(block.until, now))
     }
 
     /// The block of requests with the keys in `found`, or its renewal if it has ended, is void or
@@ -163,12 +163,13 @@
         })
     }
 
-    /// Records that a request with `keys` was answered, which clears them. Returns the blocks that
-    /// have fewer suspect keys now.
+    /// Records that a request with `keys` was answered, which clears them. Returns the active blocks
+    /// that have fewer suspect keys now; one that has ended is not renewed once it is void.
     pub fn record_answer(&mut self, keys: &SuspectKeys, now: Instant) -> Vec<RequestBlock> {
-        let active = self.known.iter_mut().filter(|known| now < known.block.until);
-        let narrowed =
-            active.filter_map(|known| known.block.clear(keys).then(|| known.block.clone()));
+        let narrowed = self.known.iter_mut().filter_map(|known| {
+            let is_narrowed = known.block.clear(keys);
+            (is_narrowed && now < known.block.until).then(|| known.block.clone())
+        });
         narrowed.collect()
     }
 
--- a/crates/suspects/tests/blocks.rs
+++ b/crates/suspects/tests/blocks.rs
@@ -50,6 +50,35 @@
     assert_eq!(renewed.until - crashed, (first.until - decided) * 2);
 }
 
+#[test]
+fn block_of_a_request_that_was_answered_after_its_end_is_not_renewed() {
+    let mut board = SuspectBoard::default();
+    let (first, _) = block(&mut board, &[7], Instant::now());
+    let later = first.until + seconds(1.0);
+
+    board.record_answer(&keys(&[7]), later);
+    let crashed = later + seconds(9.1);
+    let renewed = board.record_crash(&sighting(&[7], later + seconds(9.0), crashed), crashed);
+
+    assert_eq!(renewed, None);
+}
+
+#[test]
+fn entry_that_saw_an_answer_after_the_end_objects_to_a_renewal() {
+    let mut renewing = SuspectBoard::default();
+    let mut other = SuspectBoard::default();
+    let (first, decided) = block(&mut renewing, &[7], Instant::now());
+    other.apply_block(&first, decided);
+    let later = first.until + seconds(1.0);
+    other.record_answer(&keys(&[7, 8]), later);
+
+    let crashed = later + seconds(1.0);
+    let report = sighting(&[7], later + seconds(0.5), crashed);
+    let renewed = renewing.record_crash(&report, crashed).expect("it saw no answer");
+
+    assert!(other.apply_block(&renewed, crashed).has_objection);
+}
+
 #[test]
 fn blocks_last_an_hour_at_most() {
     let mut board = SuspectBoard::default();
