--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -165,8 +165,7 @@
     pub async fn start_gateway(&mut self) -> usize {
         let index = self.gateways.len();
         let ip = self.loopback(1 + index as u8);
-        let callers = free_address(ip).await;
-        let ready = free_address(ip).await;
+        let [callers, ready] = free_addresses(ip).await;
         let text = format!(
             "[process]\nvm = entry-{index}\nzone = zone-a\ncore-share = 0.5\n[listen]\n\
              callers = {callers}\nready = {ready}\nmetrics = {ip}:0\npeers = {ip}:{}\n[store]\n\
@@ -195,8 +194,11 @@
     }
 }
 
-async fn free_address(ip: IpAddr) -> SocketAddr {
-    listen(ip).await.local_addr().expect("it is bound")
+/// Two addresses that nothing listens at. Both are bound while they are chosen, because the kernel
+/// may give a port again that was just closed.
+async fn free_addresses(ip: IpAddr) -> [SocketAddr; 2] {
+    let listeners = [listen(ip).await, listen(ip).await];
+    listeners.each_ref().map(|listener| listener.local_addr().expect("it is bound"))
 }
 
 /// The answer as its caller sees it.
