--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,6 +11,7 @@
 mod left_while_connecting;
 mod net;
 mod replica;
+mod seal;
 mod store;
 mod world;
 
@@ -82,6 +83,7 @@
         let world = World::new(&PathBuf::from(folder).canonicalize().unwrap());
         match case.as_str() {
             "left-while-connecting" => left_while_connecting::run(world),
+            "seal" => seal::run(world),
             _ => world.give_up("unknown case"),
         }
     });
