--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 //! and with 2 if the case could not run. With `TROUBLE=0` it leaves the disruption out.
 
 mod engine;
+mod gone;
 mod late_order;
 mod left_while_connecting;
 mod net;
@@ -83,6 +84,7 @@
     let outcome = std::panic::catch_unwind(|| {
         let world = World::new(&PathBuf::from(folder).canonicalize().unwrap());
         match case.as_str() {
+            "gone" => gone::run(world),
             "late-order" => late_order::run(world),
             "left-while-connecting" => left_while_connecting::run(world),
             "seal" => seal::run(world),
