--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,6 +12,7 @@
 mod late_order;
 mod left_while_connecting;
 mod net;
+mod odd_entry;
 mod replica;
 mod seal;
 mod store;
@@ -87,6 +88,7 @@
             "gone" => gone::run(world),
             "late-order" => late_order::run(world),
             "left-while-connecting" => left_while_connecting::run(world),
+            "odd-entry" => odd_entry::run(world),
             "seal" => seal::run(world),
             _ => world.give_up("unknown case"),
         }
