review: blocks of deadly requests that are not read again (case 4, BUDGET)

Shown with a script: a part of prompts crashes model servers, the entries block it, and all entries are killed while the store is busy. They list the stored blocks once, fail, and go on without; the part crashes four more servers after each such start.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 //! and with 2 if the case could not run. With `TROUBLE=0` it leaves the disruption out.
 
 mod engine;
+mod forgotten_block;
 mod gone;
 mod late_order;
 mod left_while_connecting;
@@ -85,6 +86,7 @@
     let outcome = std::panic::catch_unwind(|| {
         let world = World::new(&PathBuf::from(folder).canonicalize().unwrap());
         match case.as_str() {
+            "forgotten-block" => forgotten_block::run(world),
             "gone" => gone::run(world),
             "late-order" => late_order::run(world),
             "left-while-connecting" => left_while_connecting::run(world),
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, TcpListener},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -30,6 +33,8 @@
 pub struct Store {
     shared: Arc<(Mutex<State>, Condvar)>,
     pub address: SocketAddr,
+    /// Whether it answers all calls with 503.
+    pub is_busy: Arc<AtomicBool>,
 }
 
 fn object(name: &str, revision: u64, spec: &str) -> String {
@@ -85,7 +90,8 @@
     pub fn start(listener: TcpListener) -> Self {
         let address = listener.local_addr().expect("it is bound");
         let state = State { revision: 1, ..State::default() };
-        let store = Self { shared: Arc::new((Mutex::new(state), Condvar::new())), address };
+        let shared = Arc::new((Mutex::new(state), Condvar::new()));
+        let store = Self { shared, address, is_busy: Arc::default() };
         let served = store.clone();
         net::serve(listener, move |connection| served.serve(connection));
         store
@@ -104,7 +110,10 @@
 
     fn serve(&self, mut connection: Connection) {
         while let Ok(request) = connection.read_message(false) {
-            let (status, body) = self.handle(&request);
+            let (status, body) = match self.is_busy.load(Ordering::SeqCst) {
+                true => ("503 Service Unavailable", String::new()),
+                false => self.handle(&request),
+            };
             let head = "Content-Type: application/json\r\nStore-Era: 1\r\n";
             if connection.write(&net::answer(status, head, body.as_bytes())).is_err() {
                 return;
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -195,6 +195,20 @@
 
     /// Starts a gateway on `host`, and returns its address for callers once it is ready.
     pub fn start_gateway(&self, name: &str, zone: &str, host: u8, store: SocketAddr) -> SocketAddr {
+        let (callers, ready) = self.begin_gateway(name, zone, host, store);
+        self.wait_until_ready(name, ready);
+        callers
+    }
+
+    /// Starts a gateway on `host`; returns its addresses for callers and for questions whether it is
+    /// ready.
+    pub fn begin_gateway(
+        &self,
+        name: &str,
+        zone: &str,
+        host: u8,
+        store: SocketAddr,
+    ) -> (SocketAddr, SocketAddr) {
         // Both are held until both are known, so that they differ.
         let held = [self.listen(host), self.listen(host)];
         let [callers, ready] = held.each_ref().map(|listener| listener.local_addr().unwrap());
@@ -210,10 +224,14 @@
             ("platform.address", store.to_string()),
         ];
         self.start("gateway", name, &values);
+        (callers, ready)
+    }
+
+    pub fn wait_until_ready(&self, name: &str, ready: SocketAddr) {
         let deadline = Instant::now() + Duration::from_secs(10);
         while Instant::now() < deadline {
             if is_ready(ready) {
-                return callers;
+                return;
             }
             thread::sleep(Duration::from_millis(50));
         }
