gateway: answers that no backend server has signed are not passed on

Cause: classify_response compared the call id only; the signature was decoded and never read. The same path let through other final statuses, a 101 that no caller had asked for, and encoded bodies.

Change: an answer counts only if it is signed, final and not encoded. The exception is an error status with which a server states that it did not run the request. Anything else is an unknown outcome: idempotent requests are repeated, others end with 502. A signed 408 is treated like 429 and 503, as callers conclude 'not run' from it.

Why this works: a faulty server may send anything; what it has not signed is never taken for its answer, whichever status it bears, for plain answers, streams and streams that are resumed (all start in attempt::send).

Tests changed: the sound answers in cut_answers, endless_bytes, open_ended_streams and errors_after_broken_streams bear a signature now, without which they would pass for another reason than the one they test.

--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -116,8 +116,10 @@
     pub call: Option<CallId>,
     /// Whether the backend server states that it did not run the request.
     pub is_not_run: bool,
-    /// Whether the answer comes from a backend server rather than from an intermediary.
-    pub is_from_backend: bool,
+    /// Whether it bears the signature of a backend server, as all answers to requests that ran do.
+    pub is_signed: bool,
+    /// Whether its body is encoded, so that it is not the body that the backend server signed.
+    pub is_encoded: bool,
     /// Load of the backend server; none if the service does not report it.
     pub load: Option<ServerLoad>,
     /// How long the connection may stay idle; none if the answer does not say.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -204,6 +204,11 @@
         backends.record_leaving(&assignment.server, assignment.started);
     }
     let status = response.status();
+    let is_refusal = status.is_client_error() || status.is_server_error();
+    let is_not_run = is_refusal && (head.is_not_run || status == StatusCode::MISDIRECTED_REQUEST);
+    if !is_not_run && let Some(defect) = find_defect(status, &head) {
+        return Err(FailedAttempt::new(AttemptFailure::Lost, defect));
+    }
     // Only an answer that shows that the request was run shows that the limit is over.
     if head.limit.is_some() || status.is_success() {
         backends.record_limit(&assignment.server, assignment.started, head.limit, sent);
@@ -213,15 +218,33 @@
         backends.record_pause(&assignment.server, assignment.started, pause);
     }
     let answer = start_answer(lease, response, &head);
-    if head.is_not_run || status == StatusCode::MISDIRECTED_REQUEST {
+    if is_not_run {
         return Err(rejected_attempt(backends, answer, status).await);
     }
-    if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
+    if status.is_server_error()
+        || matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT)
+    {
         return Err(failed_attempt(backends, answer, request.deadline).await);
     }
     Ok(answer)
 }
 
+/// Why the bytes received are not a backend server's answer to a request that ran; `None` if they
+/// are. A faulty server may send anything, so only what it has signed counts.
+fn find_defect(status: StatusCode, head: &AnswerHead) -> Option<&'static str> {
+    if status.is_informational() {
+        Some("an interim answer in place of the final one")
+    } else if head.is_not_run {
+        Some("a success that says the request did not run")
+    } else if !head.is_signed {
+        Some("the answer is not signed")
+    } else if head.is_encoded {
+        Some("the body of the answer is encoded")
+    } else {
+        None
+    }
+}
+
 fn start_answer(lease: Lease, response: Response<Incoming>, head: &AnswerHead) -> StreamingAnswer {
     let (parts, body) = response.into_parts();
     let mut headers = parts.headers;
--- a/crates/gateway/tests/cut_answers.rs
+++ b/crates/gateway/tests/cut_answers.rs
@@ -15,10 +15,11 @@
     time,
 };
 
-const WITH_LENGTH: &str = "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n0123456789";
-const CHUNKED: &str =
-    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\n0123\r\n6\r\n456789\r\n0\r\n\r\n";
-const UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n0123456789";
+const WITH_LENGTH: &str =
+    "HTTP/1.1 200 OK\r\nserver-seal: seal\r\ncontent-length: 10\r\n\r\n0123456789";
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nserver-seal: seal\r\ntransfer-encoding: chunked\r\n\r\n4\r\n0123\r\n6\r\n456789\r\n0\r\n\r\n";
+const UNTIL_CLOSE: &str =
+    "HTTP/1.1 200 OK\r\nserver-seal: seal\r\nconnection: close\r\n\r\n0123456789";
 const BODY: &str = "0123456789";
 const STREAM: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nattempt-id: c-1\r\n\
     server-seal: seal\r\ntransfer-encoding: chunked\r\n\r\n14\r\nid: 1\ndata: first\n\n\n\r\n0\r\n\r\n";
--- a/crates/gateway/tests/endless_bytes.rs
+++ b/crates/gateway/tests/endless_bytes.rs
@@ -60,10 +60,16 @@
 #[case::header_line("HTTP/1.1 200 OK\r\nx-long: ", "a")]
 #[case::headers("HTTP/1.1 200 OK\r\n", "x-many: a\r\n")]
 #[case::interim_answers("", "HTTP/1.1 103 Early Hints\r\n\r\n")]
-#[case::chunk_size("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "0")]
-#[case::chunk_extension("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;", "a")]
-#[case::trailers("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "x-more: a\r\n")]
-#[case::body("HTTP/1.1 200 OK\r\n\r\n", "abcdefgh")]
+#[case::chunk_size("HTTP/1.1 200 OK\r\nserver-seal: s\r\ntransfer-encoding: chunked\r\n\r\n", "0")]
+#[case::chunk_extension(
+    "HTTP/1.1 200 OK\r\nserver-seal: s\r\ntransfer-encoding: chunked\r\n\r\n1;",
+    "a"
+)]
+#[case::trailers(
+    "HTTP/1.1 200 OK\r\nserver-seal: s\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+    "x-more: a\r\n"
+)]
+#[case::body("HTTP/1.1 200 OK\r\nserver-seal: s\r\n\r\n", "abcdefgh")]
 #[case::no_answer("", "abcdefgh")]
 #[tokio::test]
 async fn request_at_a_server_without_end_is_answered_in_time(
@@ -89,7 +95,7 @@
 #[tokio::test]
 async fn answer_is_not_extended_by_bytes_beyond_its_length() {
     let mut fleet = TestFleet::start().await;
-    let prefix = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc";
+    let prefix = "HTTP/1.1 200 OK\r\nserver-seal: s\r\ncontent-length: 3\r\n\r\nabc";
     fleet.register_service("i-1", start_endless_server(prefix, "HTTP/1.1 200 OK\r\n\r\n").await);
     fleet.add_gateway().await;
 
@@ -103,7 +109,8 @@
 async fn memory_is_bounded_while_many_servers_send_without_end() {
     let mut fleet = TestFleet::start().await;
     for index in 0..ENDLESS_SERVERS {
-        let address = start_endless_server("HTTP/1.1 200 OK\r\n\r\n", "abcdefgh").await;
+        let address =
+            start_endless_server("HTTP/1.1 200 OK\r\nserver-seal: s\r\n\r\n", "abcdefgh").await;
         fleet.register_service(&format!("i-{index}"), address);
     }
     fleet.add_gateway().await;
@@ -129,7 +136,7 @@
 }
 
 #[rstest]
-#[case::body("HTTP/1.1 200 OK\r\n\r\n", "abcdefgh")]
+#[case::body("HTTP/1.1 200 OK\r\nserver-seal: s\r\n\r\n", "abcdefgh")]
 #[case::interim_answers("", "HTTP/1.1 103 Early Hints\r\n\r\n")]
 #[tokio::test]
 async fn other_requests_are_not_slowed_by_a_server_without_end(
--- a/crates/gateway/tests/errors_after_broken_streams.rs
+++ b/crates/gateway/tests/errors_after_broken_streams.rs
@@ -18,7 +18,7 @@
 const CALL: &str = "c-1";
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 const SOUND_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
-    attempt-id: c-1\r\ntransfer-encoding: chunked\r\n\r\n";
+    attempt-id: c-1\r\nserver-seal: s\r\ntransfer-encoding: chunked\r\n\r\n";
 
 /// An engine that sends one event and a half and breaks off, unless the request resumes a stream:
 /// then it sends `error`.
@@ -46,21 +46,27 @@
 }
 
 #[rstest]
-#[case::server_error("HTTP/1.1 500 x\r\nattempt-id: c-1\r\ncontent-length: 9\r\n\r\nan error\n")]
-#[case::server_error_until_close("HTTP/1.1 500 x\r\nattempt-id: c-1\r\n\r\nan error\n")]
+#[case::server_error(
+    "HTTP/1.1 500 x\r\nattempt-id: c-1\r\nserver-seal: s\r\ncontent-length: 9\r\n\r\nan error\n"
+)]
+#[case::server_error_until_close(
+    "HTTP/1.1 500 x\r\nattempt-id: c-1\r\nserver-seal: s\r\n\r\nan error\n"
+)]
 #[case::refusal(
     "HTTP/1.1 503 x\r\nattempt-id: c-1\r\nnot-executed: 1\r\ncontent-length: 9\r\n\r\nan error\n"
 )]
 #[case::misdirected("HTTP/1.1 421 x\r\nattempt-id: c-1\r\ncontent-length: 9\r\n\r\nan error\n")]
-#[case::bad_request("HTTP/1.1 400 x\r\nattempt-id: c-1\r\ncontent-length: 9\r\n\r\nan error\n")]
-#[case::not_found("HTTP/1.1 404 x\r\nattempt-id: c-1\r\n\r\nan error\n")]
+#[case::bad_request(
+    "HTTP/1.1 400 x\r\nattempt-id: c-1\r\nserver-seal: s\r\ncontent-length: 9\r\n\r\nan error\n"
+)]
+#[case::not_found("HTTP/1.1 404 x\r\nattempt-id: c-1\r\nserver-seal: s\r\n\r\nan error\n")]
 #[case::head_as_body("an error\r\n\r\n")]
 #[case::page_as_success(
-    "HTTP/1.1 200 OK\r\nattempt-id: c-1\r\ncontent-type: text/html\r\ncontent-length: 9\r\n\r\n\
+    "HTTP/1.1 200 OK\r\nattempt-id: c-1\r\nserver-seal: s\r\ncontent-type: text/html\r\ncontent-length: 9\r\n\r\n\
      an error\n"
 )]
 #[case::page_with_blank_lines_as_success(
-    "HTTP/1.1 200 OK\r\nattempt-id: c-1\r\ncontent-type: text/html\r\ncontent-length: 10\r\n\r\n\
+    "HTTP/1.1 200 OK\r\nattempt-id: c-1\r\nserver-seal: s\r\ncontent-type: text/html\r\ncontent-length: 10\r\n\r\n\
      an error\n\n"
 )]
 #[tokio::test]
--- a/crates/gateway/tests/open_ended_streams.rs
+++ b/crates/gateway/tests/open_ended_streams.rs
@@ -16,8 +16,7 @@
     time,
 };
 
-const HEAD: &str =
-    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
+const HEAD: &str = "HTTP/1.1 200 OK\r\nserver-seal: s\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
 const EVENTS: u64 = 3;
 /// Length of one event of [`complete_stream`] for a call id of one byte.
 const EVENT_BYTES: usize = "id: 1\ndata: c token 1\n\n".len();
