residency: a load is checked against the memory each time it is sent

Cause: EngineController checked the memory as a change was requested, but sent its load with the order count of the latest report. That count covered an order of an earlier process, carried out late, which the check had not seen.

Change: the memory is checked whenever a load is due, against the report whose count it names; a load that does not fit ends the change with change-declined (no-room).

Why this works: the engine carries out an order only if its count equals the expected one, so what was checked against the report with that count still holds when the order is carried out, however late.

Ruled out: loads of adapters (checked each time before), stale reports (their count makes the engine refuse).

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -15,7 +15,8 @@
 use platform::PlatformStore;
 use residency::{
     EngineOrder, OrderCount,
-    controller::{ControllerAction, ControllerIdentity, EngineChange, EngineController},
+    change::{ControllerAction, ControllerIdentity, EngineChange},
+    controller::EngineController,
     prefill::{PrefillLimiter, PromptDecision, PromptId, PromptRequest},
 };
 use roster::{IncarnationStart, InstanceId, ReadMode};
--- a/crates/residency/src/controller.rs
+++ b/crates/residency/src/controller.rs
@@ -4,7 +4,7 @@
 //! and an order without an answer may be carried out seconds later. Therefore the controller sends
 //! one order at a time, and each order names the number of orders that the engine must have
 //! accepted so far, so that the engine refuses a delayed copy. Every load is checked against the
-//! memory that is free according to the engine's last report.
+//! memory that is free according to the report whose order count it names, each time it is sent.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -13,91 +13,15 @@
 
 use base::prelude::*;
 use catalog::{EngineSpec, Megabytes};
-use roster::{IncarnationStart, InstanceId};
+use roster::InstanceId;
 
 use crate::{
-    engine::{EngineOrder, EngineReport, OrderAction, OrderAnswer, OrderCount},
+    change::{ControllerAction, ControllerIdentity, CurrentLoad, DeclineReason, EngineChange},
+    engine::{EngineOrder, EngineReport, OrderAction, OrderAnswer},
+    memory,
     prefill::RunReadiness,
 };
 
-/// A change of an engine's resident models, requested by a planner.
-#[derive(Debug, Clone, PartialEq)]
-pub struct EngineChange {
-    /// Engine to change.
-    pub instance: InstanceId,
-    /// Start of the engine's incarnation as known to the planner; the change is declined if it
-    /// differs.
-    pub started: Option<IncarnationStart>,
-    /// Orders that the engine had accepted when the change was planned; the change is declined if
-    /// the number differs.
-    pub orders: OrderCount,
-    /// Models to unload before the load.
-    pub unload: Vec<ModelId>,
-    /// Model to load; `None` to unload only.
-    pub load: Option<ModelId>,
-    /// Expected duration of the load.
-    pub load_time: Duration,
-    /// Whether the weights come from the weight store.
-    pub is_from_store: bool,
-}
-
-/// Why the controller declines a change.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DeclineReason {
-    /// The planner used an older state of the engine.
-    Outdated,
-    /// Another change is in progress.
-    Busy,
-    /// The models would not fit into the engine's memory.
-    InsufficientMemory,
-    /// The engine has not reported or is unreachable, or the size of a model is not known.
-    NotKnown,
-}
-
-impl DeclineReason {
-    /// Label in decision logs.
-    pub fn text(self) -> &'static str {
-        match self {
-            DeclineReason::Outdated => "outdated",
-            DeclineReason::Busy => "busy",
-            DeclineReason::InsufficientMemory => "no-room",
-            DeclineReason::NotKnown => "not-known",
-        }
-    }
-}
-
-/// An action that the caller of the controller has to carry out.
-#[derive(Debug, Clone, PartialEq)]
-pub enum ControllerAction {
-    /// Send this order and pass the answer to [`EngineController::apply_answer`].
-    Order(EngineOrder),
-    /// Record that a change was declined; contains the model that it would have loaded.
-    Decline(Option<ModelId>, DeclineReason),
-    /// Publish the engine's state to the entries.
-    StateChanged,
-}
-
-/// The load in progress at an engine.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct CurrentLoad {
-    /// Model that is being loaded.
-    pub model: ModelId,
-    /// When the model is expected to be ready.
-    pub ready_at: Instant,
-    /// Whether the weights come from the weight store.
-    pub is_from_store: bool,
-}
-
-/// The sender of an engine's orders, as named in them.
-#[derive(Debug, Clone)]
-pub struct ControllerIdentity {
-    /// VM of the side process.
-    pub holder: VmId,
-    /// Fencing number of its orders. It need not rise, since a side process is the only sender of
-    /// orders to the engine on its VM, and engines refuse lower numbers only.
-    pub fence: FencingNumber,
-}
-
 #[derive(Debug, Clone)]
 struct ActiveChange {
     unload: VecDeque<ModelId>,
@@ -311,16 +235,9 @@
             return Err(DeclineReason::Outdated);
         }
         let kept = |model: &ModelId| !change.unload.contains(model);
-        let used = used_memory(report, spec, kept).ok_or(DeclineReason::NotKnown)?;
         match &change.load {
-            Some(model) => {
-                let size = spec.model(model).ok_or(DeclineReason::NotKnown)?.weights;
-                match used.0 + size.0 <= spec.weights_capacity.0 {
-                    true => Ok(()),
-                    false => Err(DeclineReason::InsufficientMemory),
-                }
-            }
-            None => Ok(()),
+            Some(model) => memory::check_load(model, report, spec, kept),
+            None => memory::used(report, spec, kept).map(drop).ok_or(DeclineReason::NotKnown),
         }
     }
 
@@ -400,6 +317,7 @@
             }
             self.open_order = None;
         }
+        self.decline_unfit_load();
         let action = self.next_adapter(now).or_else(|| self.next_of_change());
         if let Some(action) = action {
             self.send_order(action, now);
@@ -438,6 +356,25 @@
         }
     }
 
+    /// Ends the change in progress if its load is due and does not fit any more. An order without an
+    /// answer, perhaps of an earlier process, may have been carried out since the change was checked,
+    /// and the order count that the load would be sent with covers that order.
+    fn decline_unfit_load(&mut self) {
+        let (Some(change), Some(report), Some(spec)) = (&self.change, &self.report, &self.spec)
+        else {
+            return;
+        };
+        let Some(model) = change.load.as_ref().filter(|_| change.unload.is_empty()) else { return };
+        if report.is_busy {
+            return;
+        }
+        if let Err(reason) = memory::check_load(model, report, spec, |_| true) {
+            self.actions.push(ControllerAction::Decline(Some(model.clone()), reason));
+            self.change = None;
+            self.actions.push(ControllerAction::StateChanged);
+        }
+    }
+
     fn next_of_change(&self) -> Option<OrderAction> {
         let (change, report) = (self.change.as_ref()?, self.report.as_ref()?);
         if report.is_busy {
@@ -461,7 +398,7 @@
         }
         let held: usize = report.residents.iter().map(|held| held.adapters.len()).sum();
         let size = spec.model(model)?.adapter_size;
-        let used = used_memory(report, spec, |_| true)?;
+        let used = memory::used(report, spec, |_| true)?;
         let planned = self.planned_size(spec)?;
         let fits = used.0 + planned.0 + size.0 <= spec.weights_capacity.0;
         if held + report.pending.len() < spec.adapter_slots && fits {
@@ -504,24 +441,6 @@
     }
 }
 
-/// Memory of the models that satisfy `kept` with their loaded and pending adapters; `None` if a
-/// size is not known.
-fn used_memory(
-    report: &EngineReport,
-    spec: &EngineSpec,
-    kept: impl Fn(&ModelId) -> bool,
-) -> Option<Megabytes> {
-    let mut total = 0.0;
-    for held in report.residents.iter().filter(|held| kept(&held.model)) {
-        let model = spec.model(&held.model)?;
-        total += model.weights.0 + model.adapter_size.0 * held.adapters.len() as f64;
-    }
-    for pending in report.pending.iter().filter(|pending| kept(&pending.model)) {
-        total += spec.model(&pending.model)?.adapter_size.0;
-    }
-    Some(Megabytes(total))
-}
-
 /// Whether two reports are equal except for the numbers of requests and tokens.
 fn is_same_state(a: &EngineReport, b: &EngineReport) -> bool {
     a.started == b.started
--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -21,7 +21,7 @@
 
 use self::pass::PlanningPass;
 use crate::{
-    controller::{CurrentLoad, EngineChange},
+    change::{CurrentLoad, EngineChange},
     demand::DemandTracker,
     engine::OrderCount,
     store_concurrency::StoreConcurrency,
--- a/crates/residency/src/planner/pass.rs
+++ b/crates/residency/src/planner/pass.rs
@@ -15,7 +15,7 @@
     capacity::{HeldCapacity, held_capacities},
 };
 use crate::{
-    controller::EngineChange,
+    change::EngineChange,
     demand::{DemandTracker, ModelDemand},
 };
 
--- a/crates/residency/tests/common/mod.rs
+++ b/crates/residency/tests/common/mod.rs
@@ -8,7 +8,8 @@
 use catalog::{EngineSpec, Megabytes, ModelSpec, TokenCount};
 use residency::{
     EngineReport, OrderCount,
-    controller::{ControllerAction, ControllerIdentity, EngineController},
+    change::{ControllerAction, ControllerIdentity},
+    controller::EngineController,
 };
 use roster::{IncarnationStart, InstanceId, ResidentModel};
 
--- a/crates/residency/tests/controller.rs
+++ b/crates/residency/tests/controller.rs
@@ -6,7 +6,7 @@
 use common::{adapter, controller, instance, model, orders, report, resident};
 use residency::{
     OrderAnswer, OrderCount,
-    controller::{ControllerAction, DeclineReason, EngineChange},
+    change::{ControllerAction, DeclineReason, EngineChange},
 };
 use roster::IncarnationStart;
 
