gateway: stored blocks are read and written until the store answers

Cause: BlockArchive::restore listed the stored blocks once at the start, and went on without them for good if that call failed. Writing had the same fault: a block was given up after three attempts in two seconds.

Change: the list is read again every 250 ms until the store answers. Blocks to be written are queued by their id and written by one task until that succeeds or the block has ended, so that an earlier state cannot replace a later one.

Why this works: whoever starts reads the blocks as soon as the store answers, well within the time that an entry needs to be in touch, and what was decided while the store was away is in it once it is back.

Ruled out: kills without a busy store (held before); odd objects among the blocks (a new test, passed before too).

--- a/crates/gateway/src/block_archive.rs
+++ b/crates/gateway/src/block_archive.rs
@@ -1,17 +1,22 @@
 //! Blocks of requests that crash backend servers, in the platform's store, for entries that start
 //! when no other entry knows them any more.
 
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
 use base::{clock, prelude::*};
-use platform::{ObjectKind, PlatformStore};
+use platform::{ObjectKind, PlatformStore, StoreError};
 use serde::{Deserialize, Serialize};
-use suspects::{RequestBlock, SuspectKey, SuspectKeys};
-use tokio::time;
+use suspects::{BlockId, RequestBlock, SuspectKey, SuspectKeys};
+use tokio::{sync::Notify, time};
 
 use crate::backends::Backends;
 
-/// Attempts to write a block.
-const WRITE_ATTEMPTS: u32 = 3;
-/// Delay between two of them.
+/// Delay before the next attempt to read the blocks after one that failed.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Delay before the next attempt to write a block after one that failed.
 const WRITE_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time after its end for which a block stays in the store.
 const RETENTION: Duration = Duration::from_secs(3_600);
@@ -26,44 +31,104 @@
     renewals: u32,
 }
 
-/// Writes and reads the stored blocks; clones share the client of the store.
+/// Writes and reads the stored blocks; clones share the client of the store and the blocks to write.
 #[derive(Clone)]
 pub struct BlockArchive {
-    /// Client of the store.
-    pub store: PlatformStore,
+    store: PlatformStore,
+    unwritten: Arc<Mutex<BTreeMap<BlockId, RequestBlock>>>,
+    has_unwritten: Arc<Notify>,
 }
 
 impl BlockArchive {
-    /// Writes a block that this entry has decided or narrowed.
-    pub async fn write(self, block: RequestBlock) {
-        let stored = encode(&block, Instant::now(), clock::since_epoch());
-        let contents = match serde_json::to_string(&stored) {
-            Ok(contents) => contents,
-            Err(error) => {
-                log::error!("blocks: a block cannot be encoded, it is not stored: {error}");
-                return;
+    /// An archive in `store`. [`BlockArchive::run`] writes what is added to it.
+    pub fn new(store: PlatformStore) -> Self {
+        Self { store, unwritten: Arc::default(), has_unwritten: Arc::default() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<BlockId, RequestBlock>> {
+        self.unwritten.lock().expect("no thread panics while holding the lock")
+    }
+
+    /// Adds a block that this entry has decided or narrowed. It replaces the same block of an
+    /// earlier state that is not written yet.
+    pub fn add(&self, block: RequestBlock) {
+        let progress = |block: &RequestBlock| (block.renewals, block.cleared.iter().count());
+        let mut unwritten = self.lock();
+        let known = unwritten.get(&block.id());
+        if known.is_none_or(|known| progress(known) <= progress(&block)) {
+            unwritten.insert(block.id(), block);
+        }
+        self.has_unwritten.notify_one();
+    }
+
+    /// Writes the added blocks until the process ends. A block whose writing fails is written again
+    /// until that succeeds or the block has ended.
+    pub async fn run(self) {
+        loop {
+            let blocks: Vec<RequestBlock> = self.lock().values().cloned().collect();
+            if blocks.is_empty() {
+                self.has_unwritten.notified().await;
+                continue;
             }
-        };
-        let name = block.id();
-        for attempt in 1..=WRITE_ATTEMPTS {
-            let kind = ObjectKind::RequestBlocks;
-            let written = self.store.write_system_object(kind, &name.to_string(), &contents).await;
-            let Err(error) = written else { return };
-            log::warn!("blocks: writing block {name} failed, try {attempt}: {error}");
-            time::sleep(WRITE_RETRY_DELAY).await;
+            let mut has_failed = false;
+            for block in blocks {
+                match self.write(&block).await {
+                    Ok(()) => self.remove(&block),
+                    Err(error) if block.until <= Instant::now() => {
+                        log::warn!(
+                            "blocks: block {} has ended unwritten, dropping it: {error}",
+                            block.id()
+                        );
+                        self.remove(&block);
+                    }
+                    Err(error) => {
+                        log::warn!(
+                            "blocks: writing block {} failed, retrying: {error}",
+                            block.id()
+                        );
+                        has_failed = true;
+                    }
+                }
+            }
+            if has_failed {
+                time::sleep(WRITE_RETRY_DELAY).await;
+            }
+        }
+    }
+
+    /// Removes a block that is done with, unless a later state of it was added meanwhile.
+    fn remove(&self, block: &RequestBlock) {
+        let mut unwritten = self.lock();
+        if unwritten.get(&block.id()) == Some(block) {
+            unwritten.remove(&block.id());
         }
-        log::warn!("blocks: block {name} is not stored; entries that start ask other entries");
     }
 
-    /// Applies the stored blocks that have not ended, and deletes those that ended long ago.
+    async fn write(&self, block: &RequestBlock) -> Result<(), StoreError> {
+        let stored = encode(block, Instant::now(), clock::since_epoch());
+        let contents = serde_json::json!(stored).to_string();
+        let name = block.id().to_string();
+        self.store.write_system_object(ObjectKind::RequestBlocks, &name, &contents).await
+    }
+
+    /// Reads the stored blocks, trying again until the store lists them. Applies those that have not
+    /// ended, and deletes those that ended long ago.
     pub async fn restore(&self, backends: &Backends) {
-        let listed = match self.store.list_system_objects(ObjectKind::RequestBlocks).await {
-            Ok(listed) => listed,
-            Err(error) => {
-                log::warn!("blocks: cannot list the stored blocks, going on without: {error}");
-                return;
+        let mut failures = 0_u32;
+        let listed = loop {
+            match self.store.list_system_objects(ObjectKind::RequestBlocks).await {
+                Ok(listed) => break listed,
+                Err(error) if failures == 0 => {
+                    log::warn!("blocks: cannot list the stored blocks, retrying: {error}");
+                }
+                Err(error) => log::debug!("blocks: cannot list the stored blocks: {error}"),
             }
+            failures += 1;
+            time::sleep(READ_RETRY_DELAY).await;
         };
+        if failures > 0 {
+            log::info!("blocks: listed the stored blocks after {failures} failed calls");
+        }
         for (name, contents) in listed {
             let stored = match serde_json::from_str::<StoredBlock>(&contents) {
                 Ok(stored) => stored,
--- a/crates/gateway/src/fleet/crashes.rs
+++ b/crates/gateway/src/fleet/crashes.rs
@@ -45,7 +45,7 @@
 
     /// Writes the active blocks to the store again, which may have lost them. Of the entries that know
     /// a block, the first in rank does that.
-    pub async fn store_blocks_again(&self) {
+    pub fn store_blocks_again(&self) {
         let blocks = self
             .backends
             .with_dispatcher(|dispatcher, now| dispatcher.suspects().active_blocks(now));
@@ -53,7 +53,7 @@
             let BlockId(key) = block.id();
             let first = self.lock().peers.ranked_for(key, 1).first().copied().flatten();
             if first.is_none() {
-                self.archive.clone().write(block).await;
+                self.archive.add(block);
             }
         }
     }
@@ -100,7 +100,7 @@
         });
         if let Some(block) = block {
             self.record_block(&block, "own");
-            tokio::spawn(self.archive.clone().write(block.clone()));
+            self.archive.add(block.clone());
             self.send_to_live(&[block]);
         }
     }
@@ -151,7 +151,7 @@
             }
             if let Some(narrowed) = applied.narrowed {
                 self.record_block(&narrowed, "peer");
-                tokio::spawn(self.archive.clone().write(narrowed.clone()));
+                self.archive.add(narrowed.clone());
                 self.send_to_live(&[narrowed]);
             }
         }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -199,7 +199,7 @@
             side_port: settings.listen.peers.port(),
         };
         let reads = StoreReads::new(settings.store.known_within);
-        let archive = BlockArchive { store: store.clone() };
+        let archive = BlockArchive::new(store.clone());
         let links = FleetLinks { socket, reads: reads.clone(), archive: archive.clone() };
         let fleet = Fleet::new(
             identity,
@@ -233,6 +233,7 @@
             vm: settings.identity.vm,
             address: settings.listen.peers,
         };
+        tokio::spawn(archive.clone().run());
         tokio::spawn(registration.clone().register(fleet.clone()));
         fleet.start(reports);
         let restores = RestoreFollower {
@@ -246,7 +247,7 @@
         let restored = backends.clone();
         let roster_follower = RosterFollower { store, reads, log, backends, fleet };
         // Requests are served once the configuration is known, and so not before the blocks are,
-        // unless the store does not answer.
+        // unless the store does not answer; then they are read as soon as it does.
         tokio::spawn(async move {
             let restoring = tokio::spawn(async move { archive.restore(&restored).await });
             let _ = time::timeout(MAX_RESTORE_TIME, restoring).await;
--- a/crates/gateway/src/restores.rs
+++ b/crates/gateway/src/restores.rs
@@ -41,7 +41,7 @@
                 let delay = MAX_WRITE_DELAY.mul_f64(rand::rng().random());
                 time::sleep(delay).await;
                 self.registration.renew(&self.fleet).await;
-                self.fleet.store_blocks_again().await;
+                self.fleet.store_blocks_again();
             }
             before = era;
         }
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use platform_standin::ServiceFault;
+use platform_standin::{ServiceFault, StoreFault};
+use rstest::rstest;
+use serde_json::json;
 use support::{TestFleet, call, plain, request};
 use tokio::time;
 
@@ -19,6 +21,8 @@
 /// Backend servers that a request may crash: three crashes show that it is the cause, and three
 /// further runs may be on their way until all entries know.
 const MAX_CRASHES: usize = 6;
+/// Time after which an entry that reaches the store must know what it holds.
+const CONTACT: Duration = Duration::from_secs(3);
 
 fn deadly_request(method: &str, path: &str, call: &str) -> Request<Full<Bytes>> {
     request(method, path, call).body(Full::from(DEADLY_TEXT)).expect("a valid request")
@@ -125,6 +129,81 @@
     assert_eq!(crash_count(&before), crashes);
 }
 
+/// Guards against blocks that were never read because the store did not answer when the entry
+/// started.
+#[rstest]
+#[case::busy(StoreFault::Busy)]
+#[case::unresponsive(StoreFault::Unresponsive)]
+#[case::reset(StoreFault::Reset)]
+#[tokio::test]
+async fn blocks_are_read_once_the_store_answers(#[case] fault: StoreFault) {
+    let before = start_fleet(8, 2).await;
+    send_again_and_again(&before, "POST", "/order/dam").await;
+    let crashes = crash_count(&before);
+    for entry in ["entry-0", "entry-1"] {
+        before.store.remove("fescuewalk-entries", entry);
+    }
+    before.store.set_fault(fault);
+
+    let mut after = TestFleet::start().await;
+    after.store = before.store.clone();
+    after.add_gateway().await;
+    time::sleep(Duration::from_secs(2)).await;
+    before.store.set_fault(StoreFault::None);
+    time::sleep(CONTACT).await;
+    let refused = after.call(deadly_request("POST", "/order/dam", "again")).await;
+
+    assert_eq!(refused.status(), 503, "{refused:?}");
+    assert!(refused.body().starts_with("1013"), "{refused:?}");
+    assert_eq!(crash_count(&before), crashes);
+}
+
+/// Guards against blocks that were given up as unwritten after a few seconds without the store.
+#[tokio::test]
+async fn block_decided_while_the_store_is_away_is_stored_once_it_is_back() {
+    let before = start_fleet(8, 2).await;
+    before.store.set_fault(StoreFault::Busy);
+    send_again_and_again(&before, "POST", "/order/dam").await;
+    time::sleep(Duration::from_secs(4)).await;
+    before.store.set_fault(StoreFault::None);
+    time::sleep(CONTACT).await;
+    let crashes = crash_count(&before);
+    for entry in ["entry-0", "entry-1"] {
+        before.store.remove("fescuewalk-entries", entry);
+    }
+
+    let mut after = TestFleet::start().await;
+    after.store = before.store.clone();
+    after.add_gateway().await;
+    let refused = after.call(deadly_request("POST", "/order/dam", "again")).await;
+
+    assert_eq!(refused.status(), 503, "{refused:?}");
+    assert!(refused.body().starts_with("1013"), "{refused:?}");
+    assert_eq!(crash_count(&before), crashes);
+}
+
+/// Objects of another writer may lie among the blocks.
+#[tokio::test]
+async fn odd_objects_among_the_blocks_do_not_keep_the_others_from_being_read() {
+    let before = start_fleet(8, 2).await;
+    for (name, contents) in [("0", json!(null)), ("zz", json!({ "keys": 3 }))] {
+        before.store.write("fescuewalk-blocks", name, &contents);
+    }
+    send_again_and_again(&before, "POST", "/order/dam").await;
+    let crashes = crash_count(&before);
+    for entry in ["entry-0", "entry-1"] {
+        before.store.remove("fescuewalk-entries", entry);
+    }
+
+    let mut after = TestFleet::start().await;
+    after.store = before.store.clone();
+    after.add_gateway().await;
+    let refused = after.call(deadly_request("POST", "/order/dam", "again")).await;
+
+    assert_eq!(refused.status(), 503, "{refused:?}");
+    assert_eq!(crash_count(&before), crashes);
+}
+
 /// The copy was made before the block; then all entries are killed.
 #[tokio::test]
 async fn blocks_outlive_a_restore_of_the_store_and_all_entries() {
