gateway: an event without end costs neither quadratic time nor a MiB a stream

Reported by an operator of a similar system: bytes without end used up the memory of the machine that had called.

Cause found: a stream that may be resumed is split at the ends of its events. The splitter searched the whole incomplete event with each piece, so that an event sent in small pieces cost quadratic time on the VM's one core, and it kept up to 1 MiB of it for each stream. Beyond that it passed bytes on and still resumed the stream elsewhere, which could have joined pieces of two runs within an event.

Change: only bytes that were not searched before are searched; 64 KiB of an event are kept; a stream with a longer one is passed on as it comes and is not resumed any more.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -103,10 +103,7 @@
             match self.read().await {
                 ReadOutcome::Data(data) => {
                     self.record_data(&data);
-                    let complete = match &mut self.splitter {
-                        Some(splitter) => splitter.push(&data),
-                        None => data,
-                    };
+                    let complete = self.split(data);
                     if !complete.is_empty() {
                         self.frames += 1;
                         return ReadOutcome::Data(complete);
@@ -131,6 +128,19 @@
         }
     }
 
+    /// The bytes that are passed on now. A stream with an event that is too long to be buffered is
+    /// passed on as it comes, and is not resumed any more if it breaks off.
+    fn split(&mut self, data: Bytes) -> Bytes {
+        let Some(splitter) = &mut self.splitter else { return data };
+        let complete = splitter.push(&data);
+        if !splitter.is_too_long() {
+            return complete;
+        }
+        let partial = splitter.take_partial();
+        self.splitter = None;
+        [complete, partial].concat().into()
+    }
+
     async fn read(&mut self) -> ReadOutcome {
         let Some(body) = &mut self.body else { return ReadOutcome::End };
         let read = tokio::select! {
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -4,13 +4,18 @@
 use bytes::{Bytes, BytesMut};
 use http::HeaderValue;
 
-/// Longest event that is buffered until it is complete, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Longest event that is buffered until it is complete, in bytes. Events hold a few tokens, and a
+/// VM buffers one for each of its streams.
+const MAX_EVENT_BYTES: usize = 64 * 1024;
+/// Bytes of the longest end of an event.
+const MAX_END_BYTES: usize = 4;
 
 /// Buffers the bytes of an event until it is complete.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
+    /// Length of the start of `partial` in which no event ends.
+    searched: usize,
     last_id: Option<HeaderValue>,
     events: u64,
 }
@@ -19,25 +24,32 @@
     /// Adds bytes and returns the events that are complete now; may be empty.
     pub fn push(&mut self, data: &[u8]) -> Bytes {
         self.partial.extend_from_slice(data);
-        let Some(end) = last_event_end(&self.partial) else {
-            // No engine sends events of this size. Their bytes are passed on at once, although the
-            // stream cannot be resumed correctly in the middle of the event.
-            let is_too_long = self.partial.len() > MAX_EVENT_BYTES;
-            return if is_too_long { self.partial.split().freeze() } else { Bytes::new() };
+        let searched = self.searched.saturating_sub(MAX_END_BYTES);
+        let Some(end) = last_event_end(&self.partial[searched..]) else {
+            self.searched = self.partial.len();
+            return Bytes::new();
         };
-        let complete = self.partial.split_to(end).freeze();
+        let complete = self.partial.split_to(searched + end).freeze();
+        self.searched = self.partial.len();
         self.record_ids(&complete);
         complete
     }
 
+    /// Whether the incomplete event is longer than one that is buffered.
+    pub fn is_too_long(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+
     /// Takes the buffered bytes of an incomplete event.
     pub fn take_partial(&mut self) -> Bytes {
+        self.searched = 0;
         self.partial.split().freeze()
     }
 
     /// Discards the buffered bytes of an incomplete event; the engine that resumes the stream sends
     /// the event from its start.
     pub fn discard_partial(&mut self) {
+        self.searched = 0;
         self.partial.clear();
     }
 
@@ -72,9 +84,6 @@
 }
 
 impl StreamTail {
-    /// Bytes of two line ends, the longest end of an event.
-    const MAX_BYTES: usize = 4;
-
     /// Discards the bytes of an incomplete event after whole ones.
     pub fn discard_partial(&mut self, has_events: bool) {
         self.last = if has_events { b"\n\n".to_vec() } else { Vec::new() };
@@ -82,8 +91,8 @@
 
     /// Adds bytes of the stream.
     pub fn push(&mut self, data: &[u8]) {
-        let data = &data[data.len().saturating_sub(Self::MAX_BYTES)..];
-        let excess = (self.last.len() + data.len()).saturating_sub(Self::MAX_BYTES);
+        let data = &data[data.len().saturating_sub(MAX_END_BYTES)..];
+        let excess = (self.last.len() + data.len()).saturating_sub(MAX_END_BYTES);
         self.last.drain(..excess);
         self.last.extend_from_slice(data);
     }
--- a/crates/gateway/tests/sse.rs
+++ b/crates/gateway/tests/sse.rs
@@ -38,6 +38,17 @@
     assert_eq!(splitter.last_id().map(|id| id.as_bytes()), Some(&b"1"[..]));
 }
 
+#[test]
+fn event_that_follows_a_discarded_one_is_split() {
+    let mut splitter = EventSplitter::default();
+
+    splitter.push(b"id: 1\ndata: a long event that breaks off");
+    splitter.discard_partial();
+    let complete = splitter.push(b"id: 1\ndata: a\n\n");
+
+    assert_eq!(&complete[..], b"id: 1\ndata: a\n\n");
+}
+
 #[test]
 fn crlf_ends_lines() {
     let mut splitter = EventSplitter::default();
