--- a/crates/gateway/tests/endless_streams.rs
+++ b/crates/gateway/tests/endless_streams.rs
@@ -150,7 +150,7 @@
 #[test]
 fn long_event_in_small_pieces_is_split_in_linear_time() {
     let event = format!("id: 1\ndata: {}\n\n", "a".repeat(60_000));
-    let started = std::time::Instant::now();
+    let started = Instant::now();
 
     for _ in 0..4 {
         let mut splitter = EventSplitter::default();
