connections: a connection abandoned while it is opened is not counted as open

Cause: ConnectionPool::lease counted a connection before it was open, and took the count back only if opening failed, not if the caller left meanwhile.

Change: each connection holds a permit for its place from before it is opened; whoever drops it frees the place.

Why this works: there is no count left to forget, for pools to backend servers, engines and the store alike.

Evidence: the new test failed before (the fifth of eight abandoned attempts was refused).

--- a/crates/connections/src/pool.rs
+++ b/crates/connections/src/pool.rs
@@ -10,6 +10,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use crate::connect::{ConnectSettings, Connection, Result, SendError};
 
@@ -24,17 +25,18 @@
     pub max_idle: Duration,
 }
 
+/// A connection with its place among those that may be open, which is free again once it is dropped.
 #[derive(Debug)]
-struct IdleConnection {
+struct OpenConnection {
     connection: Connection,
-    since: Instant,
-    max_idle: Duration,
+    _place: OwnedSemaphorePermit,
 }
 
-#[derive(Debug, Default)]
-struct PoolState {
-    idle: Vec<IdleConnection>,
-    open: usize,
+#[derive(Debug)]
+struct IdleConnection {
+    open: OpenConnection,
+    since: Instant,
+    max_idle: Duration,
 }
 
 /// A pool of connections to one address; clones share the connections.
@@ -42,13 +44,17 @@
 pub struct ConnectionPool {
     address: SocketAddr,
     settings: PoolSettings,
-    state: Arc<Mutex<PoolState>>,
+    idle: Arc<Mutex<Vec<IdleConnection>>>,
+    places: Arc<Semaphore>,
+    max_open: usize,
 }
 
 impl ConnectionPool {
     /// Creates an empty pool for `address`.
     pub fn new(address: SocketAddr, settings: PoolSettings) -> Self {
-        Self { address, settings, state: Arc::default() }
+        let max_open = settings.max_open.min(Semaphore::MAX_PERMITS);
+        let places = Arc::new(Semaphore::new(max_open));
+        Self { address, settings, idle: Arc::default(), places, max_open }
     }
 
     /// Remote address of the connections.
@@ -56,9 +62,9 @@
         self.address
     }
 
-    /// Number of open connections, in use or idle.
+    /// Number of connections that are open, in use or idle, or being opened.
     pub fn open_connections(&self) -> usize {
-        self.lock().open
+        self.max_open - self.places.available_permits()
     }
 
     /// Takes an idle connection, or opens a new one.
@@ -70,57 +76,40 @@
     /// Fails with [`SendError::NotSent`] if no connection can be opened or `max_open` connections
     /// are open.
     pub async fn lease(&self, max_idle: Duration) -> Result<Lease> {
-        if let Some(connection) = self.take_idle(max_idle) {
-            return Ok(Lease::new(self.clone(), connection, true));
-        }
-        self.reserve()?;
-        match Connection::open(self.address, &self.settings.connect).await {
-            Ok(connection) => Ok(Lease::new(self.clone(), connection, false)),
-            Err(error) => {
-                self.lock().open -= 1;
-                Err(error)
-            }
+        if let Some(open) = self.take_idle(max_idle) {
+            return Ok(Lease::new(self.clone(), open, true));
         }
+        let place = Arc::clone(&self.places).try_acquire_owned().map_err(|_| {
+            let reason = format!("{} connections are open, the limit of the pool", self.max_open);
+            SendError::NotSent { reason }
+        })?;
+        let connection = Connection::open(self.address, &self.settings.connect).await?;
+        Ok(Lease::new(self.clone(), OpenConnection { connection, _place: place }, false))
     }
 
     /// Closes all idle connections.
     pub fn close_idle(&self) {
-        let mut state = self.lock();
-        let count = state.idle.len();
-        state.idle.clear();
-        state.open -= count;
-    }
-
-    fn reserve(&self) -> Result<()> {
-        let mut state = self.lock();
-        if state.open >= self.settings.max_open {
-            let reason = "too many connections are open".to_owned();
-            return Err(SendError::NotSent { reason });
-        }
-        state.open += 1;
-        Ok(())
+        self.lock().clear();
     }
 
-    fn take_idle(&self, max_idle: Duration) -> Option<Connection> {
+    fn take_idle(&self, max_idle: Duration) -> Option<OpenConnection> {
         let now = Instant::now();
-        let mut state = self.lock();
-        while let Some(idle) = state.idle.pop() {
+        let mut connections = self.lock();
+        while let Some(idle) = connections.pop() {
             let idle_time = now.saturating_duration_since(idle.since);
-            if idle_time <= idle.max_idle.min(max_idle) && idle.connection.is_usable() {
-                return Some(idle.connection);
+            if idle_time <= idle.max_idle.min(max_idle) && idle.open.connection.is_usable() {
+                return Some(idle.open);
             }
-            state.open -= 1;
         }
         None
     }
 
-    fn add_idle(&self, connection: Connection, max_idle: Duration) {
-        let idle = IdleConnection { connection, since: Instant::now(), max_idle };
-        self.lock().idle.push(idle);
+    fn add_idle(&self, open: OpenConnection, max_idle: Duration) {
+        self.lock().push(IdleConnection { open, since: Instant::now(), max_idle });
     }
 
-    fn lock(&self) -> MutexGuard<'_, PoolState> {
-        self.state.lock().expect("no thread panics while holding the lock")
+    fn lock(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
+        self.idle.lock().expect("no thread panics while holding the lock")
     }
 }
 
@@ -128,13 +117,13 @@
 #[derive(Debug)]
 pub struct Lease {
     pool: ConnectionPool,
-    connection: Option<Connection>,
+    open: Option<OpenConnection>,
     is_reused: bool,
 }
 
 impl Lease {
-    fn new(pool: ConnectionPool, connection: Connection, is_reused: bool) -> Self {
-        Self { pool, connection: Some(connection), is_reused }
+    fn new(pool: ConnectionPool, open: OpenConnection, is_reused: bool) -> Self {
+        Self { pool, open: Some(open), is_reused }
     }
 
     /// Whether the connection carried another request before.
@@ -148,8 +137,8 @@
     ///
     /// The error says whether the server may have read the request.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
-        match &mut self.connection {
-            Some(connection) => connection.send(request).await,
+        match &mut self.open {
+            Some(open) => open.connection.send(request).await,
             None => Err(SendError::NotSent { reason: "the connection was given back".to_owned() }),
         }
     }
@@ -160,26 +149,17 @@
     /// A connection that is not ready for another request yet is returned once it is, or closed if
     /// it fails. Until it is used again it is watched for bytes beyond the answer.
     pub fn release(mut self, max_idle: Duration) {
-        let Some(mut connection) = self.connection.take() else { return };
+        let Some(mut open) = self.open.take() else { return };
         let pool = self.pool.clone();
         let max_idle = max_idle.min(pool.settings.max_idle);
-        if connection.is_usable() {
-            pool.add_idle(connection, max_idle);
+        if open.connection.is_usable() {
+            pool.add_idle(open, max_idle);
             return;
         }
         tokio::spawn(async move {
-            match connection.wait_until_ready().await {
-                true => pool.add_idle(connection, max_idle),
-                false => pool.lock().open -= 1,
+            if open.connection.wait_until_ready().await {
+                pool.add_idle(open, max_idle);
             }
         });
     }
 }
-
-impl Drop for Lease {
-    fn drop(&mut self) {
-        if self.connection.is_some() {
-            self.pool.lock().open -= 1;
-        }
-    }
-}
--- a/crates/connections/tests/abandoned_request.rs
+++ b/crates/connections/tests/abandoned_request.rs
@@ -41,3 +41,39 @@
     assert_eq!(kind, std::io::ErrorKind::ConnectionReset);
     assert_eq!(pool.open_connections(), 0);
 }
+
+/// Guards against connections that count as open for good after callers left while they were opened.
+#[tokio::test]
+async fn connection_abandoned_while_it_is_opened_is_not_counted() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+    let pool = ConnectionPool::new(listener.local_addr().expect("it is bound"), settings());
+
+    for _ in 0..2 * settings().max_open {
+        let outcome = tokio::select! {
+            biased;
+            lease = pool.lease(Duration::MAX) => Some(lease),
+            () = std::future::ready(()) => None,
+        };
+        assert!(outcome.is_none(), "abandoned before it is open: {outcome:?}");
+    }
+
+    assert_eq!(pool.open_connections(), 0);
+    pool.lease(Duration::MAX).await.expect("no connection is open");
+}
+
+#[tokio::test]
+async fn connections_beyond_the_limit_are_refused_until_one_is_closed() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+    let pool = ConnectionPool::new(listener.local_addr().expect("it is bound"), settings());
+    let mut leases = Vec::new();
+    for _ in 0..settings().max_open {
+        leases.push(pool.lease(Duration::MAX).await.expect("below the limit"));
+    }
+
+    let beyond = pool.lease(Duration::MAX).await;
+    leases.pop();
+    let after = pool.lease(Duration::MAX).await;
+
+    assert!(beyond.is_err());
+    assert!(after.is_ok());
+}
