roster: what another entry saw of the store counts 500 ms after a failed read at the earliest

The whole tests of the gateway failed once: server_that_lapsed_while_the_store_was_away_is_used_until_it_is_back got 503. Beside ten busy processes it failed again (1 of 2 runs), with a trace: the entry took an outage of the store for its own cut, because a sighting told by the other entry looked 0.7 to 2.1 ms younger than its own first failed read. The age in a heartbeat lacks the time that the datagram waits.

Change: a sighting must be more than 500 ms younger than the first failed read. Without one the grace period is at most two seconds from the last failed read, as before.

--- a/crates/roster/src/outage.rs
+++ b/crates/roster/src/outage.rs
@@ -10,6 +10,10 @@
 /// may have passed before.
 const MIN_EXPIRY_OUTAGE: Duration = Duration::from_secs(2);
 
+/// Time by which what another entry has seen may look too recent: its datagram may wait on a VM that
+/// shares its core.
+const MAX_SIGHTING_DELAY: Duration = Duration::from_millis(500);
+
 /// A read of the store that failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FailedRead {
@@ -54,7 +58,8 @@
         });
         failed.last_sent = sent;
         // The store answered another entry between two failed reads of this one.
-        failed.is_own_cut |= last_seen.is_some_and(|seen| failed.first_failed_at < seen);
+        let seen_after = failed.first_failed_at + MAX_SIGHTING_DELAY;
+        failed.is_own_cut |= last_seen.is_some_and(|seen| seen_after < seen);
     }
 
     /// Records an answer, and returns the outage that it ends, if reads had failed before.
--- a/crates/roster/tests/outages.rs
+++ b/crates/roster/tests/outages.rs
@@ -62,6 +62,7 @@
 #[rstest]
 #[case::seen_between_two_failed_reads(1_500, RosterUpdate::Removed(id()))]
 #[case::seen_before_the_first_failed(600, RosterUpdate::Lapsed(id()))]
+#[case::told_late_by_another_entry(900, RosterUpdate::Lapsed(id()))]
 fn outage_in_which_another_entry_read_the_store_excuses_none(
     #[case] seen_ms: u64,
     #[case] expected: RosterUpdate,
