--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -258,7 +258,7 @@
                 guard.trace.record_assignment(&assignment);
                 match attempt_call(gateway, &request, &assignment, is_streaming).await {
                     Ok(Answered::Streaming(answer)) => {
-                        return start_stream(ticket, guard, request, assignment, answer);
+                        return start_stream(ticket, guard, request, assignment, *answer);
                     }
                     Ok(Answered::Buffered(answer)) => {
                         return finish_buffered(ticket, guard, answer);
@@ -277,7 +277,7 @@
 }
 
 enum Answered {
-    Streaming(StreamingAnswer),
+    Streaming(Box<StreamingAnswer>),
     Buffered(BufferedAnswer),
 }
 
@@ -293,7 +293,8 @@
     let answer = attempt::send(backends, request, assignment).await?;
     match is_streaming && answer.status.is_success() {
         true => {
-            attempt::await_first_chunk(backends, answer, deadline).await.map(Answered::Streaming)
+            let answer = attempt::await_first_chunk(backends, answer, deadline).await?;
+            Ok(Answered::Streaming(Box::new(answer)))
         }
         false => attempt::buffer_answer(backends, answer, deadline).await.map(Answered::Buffered),
     }
