platform: an entry of the roster with missing fields names no server

PROTOCOL.md lists the fields of an entry (service, address, zone, version, slots, state, cold-left-ms, sequence) and says that one of another writer, with fields missing or of another type, names no replica to use.

An entry without it says nothing of a server whose known incarnation has one.

--- a/crates/gateway/tests/cut_answers.rs
+++ b/crates/gateway/tests/cut_answers.rs
@@ -84,7 +84,7 @@
     let address = start_cut_server(answer, length, end).await;
     let models = json!([{ "name": "m1", "version": 1, "adapters": [] }]);
     let entry = json!({ "service": ENGINE_SERVICE, "zone": "zone-a", "version": "v1",
-        "address": address.to_string(), "slots": 64, "state": "ready", "models": models,
+        "address": address.to_string(), "slots": 64, "state": "ready", "cold-left-ms": 0, "models": models,
         "sequence": 1, "born": 1 });
     fleet.store.write("servers", "i-1", &entry);
     fleet.add_gateway().await;
--- a/crates/roster/src/table.rs
+++ b/crates/roster/src/table.rs
@@ -190,7 +190,7 @@
     }
 
     fn upsert_server(&mut self, server: BackendServer) -> Option<RosterUpdate> {
-        if self.is_superseded(&server) {
+        if self.is_superseded(&server) || self.lacks_start(&server) {
             return None;
         }
         let id = server.id.clone();
@@ -234,6 +234,14 @@
         removed.is_some() || draining.is_some()
     }
 
+    /// Whether a listed server names no start although the known one of its name did: another
+    /// writer's object, which says nothing of the server.
+    fn lacks_start(&self, listed: &BackendServer) -> bool {
+        let known = self.entries.get(&listed.id).map(|entry| entry.server.started);
+        let removed = self.removed.get(&listed.id).map(|removed| removed.started);
+        listed.started.is_none() && known.or(removed).flatten().is_some()
+    }
+
     fn remove_server(&mut self, id: &InstanceId, now: Instant) -> Option<RosterUpdate> {
         let entry = self.entries.get_mut(id)?;
         let grace_ends = self.grace_ends.filter(|ends| now < *ends);
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -278,3 +278,22 @@
 
     assert_eq!(update, Some(RosterUpdate::Joined(id("a"))));
 }
+
+/// Guards against another writer's object that brought back a server that had left.
+#[rstest]
+#[case::that_is_gone(true)]
+#[case::that_is_known(false)]
+fn listing_without_a_start_says_nothing_of_a_known_server(#[case] is_gone: bool) {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    roster.apply_snapshot(vec![ready("a")], now);
+    if is_gone {
+        roster.apply_change(RosterChange::Removed(id("a")), now);
+    }
+    let odd = BackendServer { started: None, slots: 1, ..ready("a") };
+
+    let update = roster.apply_change(RosterChange::Listed(Box::new(odd)), now);
+
+    assert_eq!(update, None);
+    assert_eq!(status(&roster, "a").is_none(), is_gone);
+}
