gateway: the log says which requests a planned stop aborted or left unanswered

Now the reason ends with 'before the process ends', and the runtime is dropped before the log is closed, so that each such request writes call-unanswered; explain shows it.

--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -350,6 +350,14 @@
         /// Time from the arrival of the request until now.
         held_ms: u64,
     },
+    /// The process ends before the answer is complete.
+    CallUnanswered {
+        /// Identifier of the request.
+        #[serde(serialize_with = "text")]
+        call: &'a CallId,
+        /// Time from the arrival of the request until now.
+        held_ms: u64,
+    },
     /// The planner sends a change request to a side process.
     ChangePlanned {
         /// Engine to be changed.
--- a/crates/events/src/run.rs
+++ b/crates/events/src/run.rs
@@ -26,6 +26,8 @@
     let (log, writer) = EventLog::start(vm, LogLimits::default(), io::stdout());
     let _logger = log.capture_log_records(LevelFilter::Info)?;
     let outcome = runtime.block_on(task(log.clone()));
+    // Tasks that are still running record what they leave undone.
+    drop(runtime);
     log.close();
     // Joining fails only if the writer thread has panicked, and then nothing can be logged.
     let _ = writer.join();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -164,8 +164,9 @@
     let sending = lease.send(build_request(request, assignment));
     let response = tokio::select! {
         answered = sending => answered.map_err(|error| failed_send(&error))?,
-        () = backends.wait_for_deadline(request.deadline) => {
-            return Err(FailedAttempt::new(AttemptFailure::Lost, "no answer in time"));
+        end = backends.wait_for_deadline(request.deadline) => {
+            let reason = format!("no answer {end}");
+            return Err(FailedAttempt::new(AttemptFailure::Lost, &reason));
         }
     };
     classify_response(backends, request, assignment, SentRequest { lease, sent }, response).await
@@ -299,8 +300,9 @@
 ) -> Result<StreamingAnswer> {
     let first = tokio::select! {
         first = answer.body.next() => first,
-        () = backends.wait_for_deadline(deadline) => {
-            return Err(FailedAttempt::new(AttemptFailure::Lost, "no first event in time"));
+        end = backends.wait_for_deadline(deadline) => {
+            let reason = format!("no first event {end}");
+            return Err(FailedAttempt::new(AttemptFailure::Lost, &reason));
         }
     };
     match first {
@@ -331,9 +333,9 @@
     let reading = backends.answer_memory().buffer(&mut body.body);
     let buffered = tokio::select! {
         buffered = reading => buffered,
-        () = backends.wait_for_deadline(deadline) => {
-            let reason = "the answer did not end in time";
-            return Err(FailedAttempt::new(AttemptFailure::Lost, reason));
+        end = backends.wait_for_deadline(deadline) => {
+            let reason = format!("the answer did not end {end}");
+            return Err(FailedAttempt::new(AttemptFailure::Lost, &reason));
         }
     };
     match buffered {
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::HashMap,
+    fmt,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
 };
@@ -56,6 +57,24 @@
     Limit(LimitQuery),
 }
 
+/// Why a wait for a backend server ends without a result; displayed as the end of a reason.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaitEnd {
+    /// The deadline of the request has passed.
+    DeadlinePassed,
+    /// The process is about to end.
+    ProcessEnds,
+}
+
+impl fmt::Display for WaitEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            WaitEnd::DeadlinePassed => "in time",
+            WaitEnd::ProcessEnds => "before the process ends",
+        })
+    }
+}
+
 struct BackendState {
     dispatcher: CallDispatcher,
     waiters: HashMap<u64, oneshot::Sender<DispatchDecision>>,
@@ -259,12 +278,17 @@
         self.aborting.send_replace(true);
     }
 
+    /// Whether the requests at backend servers were aborted.
+    pub fn is_aborting(&self) -> bool {
+        *self.aborting.borrow()
+    }
+
     /// Waits until `deadline`, or until `abort_calls`.
-    pub async fn wait_for_deadline(&self, deadline: Instant) {
+    pub async fn wait_for_deadline(&self, deadline: Instant) -> WaitEnd {
         let mut aborting = self.aborting.subscribe();
         tokio::select! {
-            () = time::sleep_until(deadline) => {}
-            _ = aborting.wait_for(|aborting| *aborting) => {}
+            () = time::sleep_until(deadline) => WaitEnd::DeadlinePassed,
+            _ = aborting.wait_for(|aborting| *aborting) => WaitEnd::ProcessEnds,
         }
     }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -68,7 +68,7 @@
 }
 
 /// Counts a request as in flight until the guard is dropped. If the request has not been answered
-/// by then, its caller has left, which is recorded.
+/// by then, its caller has left or the process ends, which is recorded.
 struct CallGuard {
     gateway: Arc<Gateway>,
     trace: CallTrace,
@@ -93,7 +93,7 @@
     fn drop(&mut self) {
         self.gateway.metrics.in_flight.dec();
         if self.is_unanswered {
-            self.trace.record_caller_left();
+            self.trace.record_dropped(self.gateway.backends.is_aborting());
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     attempt::{self, AnswerBodyReader, FailedAttempt, ForwardRequest, StreamingAnswer},
-    backends::DispatchTicket,
+    backends::{DispatchTicket, WaitEnd},
     sse::{self, EventSplitter, StreamTail},
     trace::{CallTrace, LongestPause},
 };
@@ -28,7 +28,7 @@
     request: ForwardRequest,
     assignment: Assignment,
     body: Option<AnswerBodyReader>,
-    deadline_reached: BoxFuture<'static, ()>,
+    wait_end: BoxFuture<'static, WaitEnd>,
     splitter: Option<EventSplitter>,
     tail: StreamTail,
     has_events: bool,
@@ -59,14 +59,14 @@
     ) -> Self {
         let splitter = request.may_retry.then(EventSplitter::default);
         let (backends, deadline) = (ticket.backends().clone(), request.deadline);
-        let deadline_reached = async move { backends.wait_for_deadline(deadline).await }.boxed();
+        let wait_end = async move { backends.wait_for_deadline(deadline).await }.boxed();
         Self {
             ticket,
             trace,
             request,
             assignment,
             body: Some(answer.body),
-            deadline_reached,
+            wait_end,
             splitter,
             tail: StreamTail::default(),
             has_events: has_events(&answer.headers),
@@ -145,8 +145,8 @@
         let Some(body) = &mut self.body else { return ReadOutcome::End };
         let read = tokio::select! {
             read = body.next() => read,
-            () = &mut self.deadline_reached => {
-                return ReadOutcome::Interrupted("the answer did not end in time".to_owned());
+            end = &mut self.wait_end => {
+                return ReadOutcome::Interrupted(format!("the answer did not end {end}"));
             }
         };
         match read {
@@ -280,7 +280,7 @@
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         if !self.is_finished {
-            self.trace.record_caller_left();
+            self.trace.record_dropped(self.ticket.backends().is_aborting());
         }
     }
 }
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -166,10 +166,15 @@
         self.log.record(&DecisionEvent::AnswerBroken { call, server, reason, events });
     }
 
-    /// Records that the caller left before its answer was complete.
-    pub fn record_caller_left(&self) {
-        self.metrics.count_request(ResultCode::CallerCancelled);
+    /// Records that the request was dropped before its answer was complete: because the process
+    /// ends if its requests were aborted, and otherwise because its caller left.
+    pub fn record_dropped(&self, is_aborted: bool) {
         let held_ms = millis(self.elapsed());
+        if is_aborted {
+            self.log.record(&DecisionEvent::CallUnanswered { call: &self.call, held_ms });
+            return;
+        }
+        self.metrics.count_request(ResultCode::CallerCancelled);
         self.log.record(&DecisionEvent::CallerLeft { call: &self.call, held_ms });
     }
 
--- a/crates/report/src/explain/trace.rs
+++ b/crates/report/src/explain/trace.rs
@@ -92,7 +92,7 @@
 }
 
 fn outcome(own: &[LogLine]) -> String {
-    let ends = ["call-answered", "call-refused", "answer-broken", "caller-left"];
+    let ends = ["call-answered", "call-refused", "answer-broken", "caller-left", "call-unanswered"];
     let last = own.iter().rfind(|line| ends.contains(&line.event.as_str()));
     let Some(line) = last else {
         return "the logs do not contain its end: its process may have crashed".to_owned();
@@ -115,6 +115,9 @@
         "answer-broken" => {
             format!("answer of {} broke off: {}", line.text("server"), line.text("reason"))
         }
+        "call-unanswered" => {
+            format!("not answered before its process ended, after {} ms", number("held_ms"))
+        }
         _ => format!("caller disconnected after {} ms", number("held_ms")),
     }
 }
--- a/crates/report/tests/explain.rs
+++ b/crates/report/tests/explain.rs
@@ -104,3 +104,16 @@
         "the state known to the earlier run must not show up"
     );
 }
+
+#[test]
+fn request_that_its_process_left_unanswered_is_shown_as_such() {
+    let log = r#"
+{"at_ms":1000,"vm":"entry-1","n":1,"event":"call-received","call":"c-1","target":"m7"}
+{"at_ms":1450,"vm":"entry-1","n":2,"event":"permit-denied","call":"c-1","server":"i-1","outcome":"later"}
+{"at_ms":1500,"vm":"entry-1","n":3,"event":"call-unanswered","call":"c-1","held_ms":500}
+"#;
+
+    let trace = explain(&logs(&[log]), "c-1").expect("the log names it");
+
+    assert_eq!(trace.outcome, "not answered before its process ended, after 500 ms");
+}
