--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -6,8 +6,13 @@
 pub mod store_path;
 
 use std::{
+    io,
     net::{IpAddr, Ipv4Addr, SocketAddr},
-    sync::atomic::{AtomicU16, Ordering},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU16, Ordering},
+    },
+    thread,
 };
 
 use agent::{Agent, AgentSettings};
@@ -22,7 +27,7 @@
 use platform_standin::{
     CatalogBuilder, EngineOptions, EngineStandin, RouteSpec, ServiceStandin, StoreStandin, caller,
 };
-use tokio::{net::TcpListener, time};
+use tokio::{net::TcpListener, runtime::Builder, sync::oneshot, time};
 
 /// Timeout that callers state in their requests.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -173,9 +178,9 @@
         index
     }
 
-    /// Starts a gateway without waiting for its first configuration.
-    pub async fn start_gateway(&mut self) -> usize {
-        let index = self.gateways.len();
+    /// Settings of the gateway with the index `index`, and its addresses for callers and for
+    /// questions whether it is ready.
+    async fn gateway_settings(&self, index: usize) -> (GatewaySettings, [SocketAddr; 2]) {
         let ip = self.loopback(1 + index as u8);
         let [callers, ready] = free_addresses(ip).await;
         let text = format!(
@@ -188,6 +193,13 @@
             self.known_within.as_millis()
         );
         let settings = GatewaySettings::parse("gateway.ini", &text).expect("valid settings");
+        (settings, [callers, ready])
+    }
+
+    /// Starts a gateway without waiting for its first configuration.
+    pub async fn start_gateway(&mut self) -> usize {
+        let index = self.gateways.len();
+        let (settings, [callers, ready]) = self.gateway_settings(index).await;
         let handle =
             GatewayHandle::start(settings, discarding_log("entry")).await.expect("free addresses");
         self.gateways.push((handle, callers));
@@ -195,6 +207,15 @@
         index
     }
 
+    /// Starts a gateway that ends like a process, and waits until it has read the configuration and
+    /// the backend servers. No other gateway of the fleet has the same index.
+    pub async fn add_gateway_process(&self, index: usize) -> GatewayProcess {
+        let (settings, [callers, _]) = self.gateway_settings(index).await;
+        let gateway = GatewayProcess::start(settings, callers);
+        time::sleep(Duration::from_millis(400)).await;
+        gateway
+    }
+
     /// Address for callers of the gateway with the index `gateway`.
     pub fn callers(&self, gateway: usize) -> SocketAddr {
         self.gateways[gateway].1
@@ -206,6 +227,63 @@
     }
 }
 
+/// A gateway on a runtime of its own, which is dropped at the end of the planned stop. What the
+/// gateway leaves undone then stays so, as at the end of a process.
+pub struct GatewayProcess {
+    pub callers: SocketAddr,
+    stop: oneshot::Sender<()>,
+    thread: thread::JoinHandle<()>,
+    log: Arc<Mutex<Vec<u8>>>,
+}
+
+impl GatewayProcess {
+    fn start(settings: GatewaySettings, callers: SocketAddr) -> Self {
+        let (stop, stopped) = oneshot::channel();
+        let log = SharedLog::default();
+        let lines = Arc::clone(&log.0);
+        let thread = thread::spawn(move || run_gateway(settings, log, stopped));
+        Self { callers, stop, thread, log: lines }
+    }
+
+    /// Stops the gateway as planned; returns the lines of its decision log once it has ended.
+    pub async fn stop(self) -> Vec<serde_json::Value> {
+        self.stop.send(()).expect("the gateway runs");
+        let ended = tokio::task::spawn_blocking(|| self.thread.join()).await;
+        ended.expect("the wait does not panic").expect("the gateway does not panic");
+        let log = self.log.lock().expect("the writer does not panic");
+        let lines = log.split(|byte| *byte == b'\n').filter(|line| !line.is_empty());
+        lines.map(|line| serde_json::from_slice(line).expect("a line of JSON")).collect()
+    }
+}
+
+fn run_gateway(settings: GatewaySettings, output: SharedLog, stopped: oneshot::Receiver<()>) {
+    let vm = "entry".parse().expect("a valid name");
+    let (log, writer) = EventLog::start(&vm, LogLimits::default(), output);
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let handle = GatewayHandle::start(settings, log.clone()).await.expect("free addresses");
+        stopped.await.expect("the gateway is stopped before it is dropped");
+        handle.stop().await;
+    });
+    drop(runtime);
+    log.close();
+    writer.join().expect("the writer does not panic");
+}
+
+/// Lines of a decision log in memory.
+#[derive(Default)]
+struct SharedLog(Arc<Mutex<Vec<u8>>>);
+
+impl io::Write for SharedLog {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("no reader panics").write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Two addresses that nothing listens at. Both are bound while they are chosen, because the kernel
 /// may give a port again that was just closed.
 async fn free_addresses(ip: IpAddr) -> [SocketAddr; 2] {
