gateway: a planned stop answers what waits for a permit, and repeats nothing at its end

Cause: the end of a planned stop reached only requests that waited for a server or were at one. A request with a server that waits for the permit of its side process is neither: it asked for permits again and again, up to the ten seconds its caller waits for a first event, and the process ended under it. Besides, an attempt aborted at the end looked like a lost one and was repeated elsewhere, in the last 0.1 s of the process, where it waited for a permit too, or was sent and answered with 502 although it need not have run. Opening a connection and reading a body were not interrupted either.

Now the stop has stages that the dispatcher knows: first nothing waits, permits included, then nothing is sent. Requests without an attempt get 503 and return at once, to another entry; the others get 502. Each wait of a request before its answer ends with the abort.

--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -99,6 +99,12 @@
 }
 
 impl Refusal {
+    /// Refusal because the process is stopping. The caller may return after `retry_after`, to
+    /// another entry.
+    pub fn stopping(retry_after: Duration) -> Self {
+        Self::with_retry_after(ResultCode::ProcessStopping, retry_after, "the process is stopping")
+    }
+
     /// A refusal without a retry-after.
     pub fn new(code: ResultCode, reason: &'static str) -> Self {
         Self { code, retry_after: None, reason, estimate: None }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -36,6 +36,18 @@
 /// Time for which a backend server without free capacity gets no requests.
 const FULL_SUSPENSION: Duration = Duration::from_millis(50);
 
+/// How far a planned stop of the process has come.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopStage {
+    /// Requests are sent or wait.
+    #[default]
+    Serving,
+    /// Requests that would wait are refused.
+    NoWaits,
+    /// Nothing more is sent.
+    NoSends,
+}
+
 /// Use of one model by the requests of an entry.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ModelUsage {
@@ -101,7 +113,7 @@
     allowances: LimitAllowances,
     arrivals: BTreeMap<ModelId, u64>,
     entries: usize,
-    is_stopping: bool,
+    stop_stage: StopStage,
     last_key: u64,
     actions: Vec<DispatchAction>,
 }
@@ -120,7 +132,7 @@
             allowances: LimitAllowances::default(),
             arrivals: BTreeMap::new(),
             entries: 1,
-            is_stopping: false,
+            stop_stage: StopStage::default(),
             last_key: 0,
             actions: Vec::new(),
         }
@@ -131,9 +143,9 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Stops all waits, because the process is about to end: requests that would wait are refused.
-    pub fn stop(&mut self, now: Instant) {
-        self.is_stopping = true;
+    /// Enters a stage of the planned stop, and decides again on all requests that wait.
+    pub fn enter_stop_stage(&mut self, stage: StopStage, now: Instant) {
+        self.stop_stage = stage;
         self.review_waiting(now);
     }
 
@@ -205,6 +217,10 @@
         if let (Some(view), Some(target)) = (view, target.filter(|_| is_model_missing)) {
             view.remove_model(&target.model);
         }
+        // A request without a permit would be assigned again, and wait for the next one.
+        if !is_model_missing && self.stop_stage >= StopStage::NoWaits {
+            return self.refuse(key, Refusal::stopping(Duration::ZERO));
+        }
         self.decide(key, now)
     }
 
@@ -341,6 +357,9 @@
     }
 
     fn decide(&mut self, key: u64, now: Instant) -> DispatchDecision {
+        if self.stop_stage == StopStage::NoSends {
+            return self.refuse(key, Refusal::stopping(Duration::ZERO));
+        }
         let call = &self.calls[&key];
         if call.request.deadline <= now {
             return self.refuse(key, Refusal::new(ResultCode::DeadlinePassed, "deadline passed"));
--- a/crates/dispatch/src/dispatcher/assigning.rs
+++ b/crates/dispatch/src/dispatcher/assigning.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use catalog::TokenCount;
 
-use super::CallDispatcher;
+use super::{CallDispatcher, StopStage};
 use crate::{
     choice::{
         ChoiceView, EngineOffer, ServerChoice, choose_engine, choose_plain, earliest_pause_end,
@@ -70,11 +70,8 @@
     }
 
     pub(super) fn wait(&mut self, key: u64, reason: WaitReason, now: Instant) -> DispatchDecision {
-        if self.is_stopping {
-            let reason = "the process is stopping";
-            let refusal =
-                Refusal::with_retry_after(ResultCode::ProcessStopping, Duration::ZERO, reason);
-            return self.refuse(key, refusal);
+        if self.stop_stage >= StopStage::NoWaits {
+            return self.refuse(key, Refusal::stopping(Duration::ZERO));
         }
         let call = self.calls.get_mut(&key).expect("the key is that of an open request");
         call.is_model_missing = reason == WaitReason::ModelMissing;
--- a/crates/dispatch/src/dispatcher/suspects.rs
+++ b/crates/dispatch/src/dispatcher/suspects.rs
@@ -4,7 +4,7 @@
 use roster::InstanceId;
 use suspects::{SeveredAttempt, SuspectBoard};
 
-use super::CallDispatcher;
+use super::{CallDispatcher, StopStage};
 use crate::decision::{DispatchAction, DispatchDecision, Refusal};
 
 impl CallDispatcher {
@@ -20,11 +20,12 @@
     }
 
     /// Decides whether an assigned request may be sent now, and records that it is. Returns the next
-    /// decision if it may not: while it waited for a permit, it was blocked, or its server announced
-    /// that it takes no more requests or only a limited number.
+    /// decision if it may not: while it waited for a permit, it was blocked, its server announced
+    /// that it takes no more requests or only a limited number, or the process is about to end.
     pub fn confirm_send(&mut self, key: u64, now: Instant) -> Option<DispatchDecision> {
         let refusal = self.block_refusal(key, now);
-        if refusal.is_none() && self.accepts_requests(key, now) {
+        let may_send = self.stop_stage < StopStage::NoSends && self.accepts_requests(key, now);
+        if refusal.is_none() && may_send {
             self.mark_sent(key, now);
             return None;
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,7 +21,7 @@
         Assignment, AttemptFailure, DispatchAction, DispatchDecision, DispatchRequest, Refusal,
         WaitReason,
     },
-    dispatcher::{CallDispatcher, DispatchSettings, ModelUsage},
+    dispatcher::{CallDispatcher, DispatchSettings, ModelUsage, StopStage},
     servers::{EngineUpdate, LoadInProgress, ServerView},
     waiting::{LoadEstimate, first_event_timeout},
 };
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -159,7 +159,14 @@
 ) -> Result<StreamingAnswer> {
     let pool = backends.pool(assignment.address, request.max_connections);
     let max_idle = if request.may_retry { Duration::MAX } else { MAX_IDLE_WITHOUT_RETRY };
-    let mut lease = pool.lease(max_idle).await.map_err(|error| failed_send(&error))?;
+    let mut lease = tokio::select! {
+        biased;
+        end = backends.wait_for_deadline(request.deadline) => {
+            let reason = format!("no connection {end}");
+            return Err(FailedAttempt::new(AttemptFailure::Unreachable, &reason));
+        }
+        lease = pool.lease(max_idle) => lease.map_err(|error| failed_send(&error))?,
+    };
     let sent = Instant::now();
     let sending = lease.send(build_request(request, assignment));
     let response = tokio::select! {
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -12,7 +12,7 @@
 use connections::{ConnectSettings, ConnectionPool, PoolSettings};
 use dispatch::{
     Assignment, AttemptFailure, CallDispatcher, DispatchAction, DispatchDecision, DispatchRequest,
-    Generation, Refusal,
+    Generation, Refusal, StopStage,
 };
 use events::{DecisionEvent, EventLog, millis};
 use limits::{LimitQuery, LimitSighting};
@@ -270,11 +270,17 @@
 
     /// Refuses all requests that wait, now and later, because the process is about to end.
     pub fn refuse_waiting(&self) {
-        self.with_dispatcher(|dispatcher, now| dispatcher.stop(now));
+        self.with_dispatcher(|dispatcher, now| {
+            dispatcher.enter_stop_stage(StopStage::NoWaits, now)
+        });
     }
 
-    /// Aborts all requests at backend servers, because the process ends.
+    /// Aborts all requests, at backend servers and on their way there, because the process ends.
+    /// Nothing more is sent.
     pub fn abort_calls(&self) {
+        self.with_dispatcher(|dispatcher, now| {
+            dispatcher.enter_stop_stage(StopStage::NoSends, now)
+        });
         self.aborting.send_replace(true);
     }
 
@@ -283,12 +289,18 @@
         *self.aborting.borrow()
     }
 
+    /// Waits until `abort_calls`.
+    async fn wait_for_abort(&self) {
+        let mut aborting = self.aborting.subscribe();
+        // Waiting fails only without a sender, and this value holds it.
+        let _ = aborting.wait_for(|aborting| *aborting).await;
+    }
+
     /// Waits until `deadline`, or until `abort_calls`.
     pub async fn wait_for_deadline(&self, deadline: Instant) -> WaitEnd {
-        let mut aborting = self.aborting.subscribe();
         tokio::select! {
+            () = self.wait_for_abort() => WaitEnd::ProcessEnds,
             () = time::sleep_until(deadline) => WaitEnd::DeadlinePassed,
-            _ = aborting.wait_for(|aborting| *aborting) => WaitEnd::ProcessEnds,
         }
     }
 
@@ -389,8 +401,9 @@
         if let Some(generation) = self.generation.as_ref().filter(|_| assignment.needs_permit) {
             let permits = self.backends.permits.clone();
             let requested_at = Instant::now();
+            let aborted = self.backends.wait_for_abort();
             let (outcome, permit) =
-                permits.request(self.key, assignment, generation, self.due).await;
+                permits.request(self.key, assignment, generation, self.due, aborted).await;
             let is_model_missing = outcome == PermitOutcome::ModelMissing;
             if outcome != PermitOutcome::Admitted {
                 trace.record_permit_denial(assignment, outcome, requested_at.elapsed());
@@ -399,7 +412,7 @@
                 PermitOutcome::Admitted | PermitOutcome::SideUnreachable => {
                     self.permit = Some(permit)
                 }
-                PermitOutcome::ModelMissing | PermitOutcome::TimedOut => {
+                PermitOutcome::ModelMissing | PermitOutcome::TimedOut | PermitOutcome::Aborted => {
                     drop(permit);
                     let next = self.backends.with_dispatcher(|dispatcher, now| {
                         dispatcher.handle_permit_refusal(self.key, is_model_missing, now)
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -17,12 +17,11 @@
 use hyper::body::Incoming;
 use platform::header_format::{self, RequestPriority};
 use suspects::{SuspectKey, SuspectKeys};
-use tokio::time;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     attempt::{self, BufferedAnswer, FailedAttempt, ForwardRequest, StreamingAnswer},
-    backends::DispatchTicket,
+    backends::{DispatchTicket, WaitEnd},
     process::Gateway,
     relay::StreamRelay,
     trace::{CallTrace, LongestPause},
@@ -132,12 +131,12 @@
     });
     let deadline = arrived + timeout.saturating_sub(ANSWER_MARGIN);
     if let Some(ends_at) = gateway.end_before(deadline) {
-        let reason = "the process is stopping";
         let wait = ends_at.saturating_duration_since(Instant::now());
-        return Err(Refusal::with_retry_after(ResultCode::ProcessStopping, wait, reason).into());
+        return Err(Refusal::stopping(wait).into());
     }
     let (parts, body) = request.into_parts();
-    let body = read_body(body, catalog.limits().max_body, deadline).await?;
+    let end = gateway.backends.wait_for_deadline(deadline);
+    let body = read_body(body, catalog.limits().max_body, end).await?;
     let service = choose_service(&route, &head)?;
     let suspect_keys = suspect_keys(&host, &parts, &body, head.generation.as_ref());
     trace.set_keys(&suspect_keys);
@@ -218,15 +217,28 @@
     service.ok_or_else(|| Refusal::new(ResultCode::NoReplica, "the route has no service"))
 }
 
-async fn read_body(body: Incoming, limit: ByteSize, deadline: Instant) -> Result<Bytes, Refusal> {
+/// Reads the body of a request, until `end`.
+async fn read_body(
+    body: Incoming,
+    limit: ByteSize,
+    end: impl Future<Output = WaitEnd>,
+) -> Result<Bytes, Refusal> {
     let limit = usize::try_from(limit.0).unwrap_or(usize::MAX);
-    match time::timeout_at(deadline, Limited::new(body, limit).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+    let read = tokio::select! {
+        read = Limited::new(body, limit).collect() => read,
+        end = end => return Err(match end {
+            WaitEnd::DeadlinePassed => {
+                Refusal::new(ResultCode::BodyTimeout, "the body did not arrive in time")
+            }
+            WaitEnd::ProcessEnds => Refusal::stopping(Duration::ZERO),
+        }),
+    };
+    match read {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
             Err(Refusal::new(ResultCode::BodyTooLarge, "the body is too large"))
         }
-        Ok(Err(_)) => Err(Refusal::new(ResultCode::MalformedRequest, "the body is cut")),
-        Err(_) => Err(Refusal::new(ResultCode::BodyTimeout, "the body did not arrive in time")),
+        Err(_) => Err(Refusal::new(ResultCode::MalformedRequest, "the body is cut")),
     }
 }
 
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -30,6 +30,8 @@
     ModelMissing,
     /// No permit was given by [`Assignment::permit_deadline`].
     TimedOut,
+    /// No permit was given before the process ends.
+    Aborted,
 }
 
 impl PermitOutcome {
@@ -40,6 +42,7 @@
             PermitOutcome::SideUnreachable => "silent",
             PermitOutcome::ModelMissing => "missing",
             PermitOutcome::TimedOut => "later",
+            PermitOutcome::Aborted => "aborted",
         }
     }
 }
@@ -94,15 +97,16 @@
         }
     }
 
-    /// Requests a permit for the request `key`, whose first byte is due at `due`. Returns the
-    /// outcome and the permit, which is dropped at the first byte of the answer, or at once if the
-    /// request is not sent.
+    /// Requests a permit for the request `key`, whose first byte is due at `due`, until `aborted`.
+    /// Returns the outcome and the permit, which is dropped at the first byte of the answer, or at
+    /// once if the request is not sent.
     pub async fn request(
         &self,
         key: u64,
         assignment: &Assignment,
         generation: &Generation,
         due: Instant,
+        aborted: impl Future<Output = ()>,
     ) -> (PermitOutcome, Permit) {
         let side = SocketAddr::new(assignment.address.ip(), self.side_port);
         let permit = Permit { client: self.clone(), side, key };
@@ -110,9 +114,13 @@
         self.lock().insert(key, sender);
         let requesting =
             self.request_until_decided(key, side, assignment, generation, due, &mut replies);
-        let outcome = time::timeout_at(assignment.permit_deadline, requesting)
-            .await
-            .unwrap_or(PermitOutcome::TimedOut);
+        let outcome = tokio::select! {
+            biased;
+            () = aborted => PermitOutcome::Aborted,
+            outcome = time::timeout_at(assignment.permit_deadline, requesting) => {
+                outcome.unwrap_or(PermitOutcome::TimedOut)
+            }
+        };
         self.lock().remove(&key);
         (outcome, permit)
     }
