gateway: tests in two work trees no longer take each other's addresses

Two whole runs side by side failed with 'Address already in use' (9 tests in all, the same code, 127.7.*:20*): the fixture gave every test process the same addresses. The second byte now comes from the process id. No check is changed.

--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -106,7 +106,9 @@
 
     fn loopback(&self, host: u8) -> IpAddr {
         let [_, fleet] = self.number.to_be_bytes();
-        IpAddr::V4(Ipv4Addr::new(127, 7, fleet, host))
+        // Test processes that run side by side, as in two work trees, differ in the second byte.
+        let process = 100 + (std::process::id() % 100) as u8;
+        IpAddr::V4(Ipv4Addr::new(127, process, fleet, host))
     }
 
     /// Starts an engine without an agent and registers it in the store.
