gateway: the log names the software version of each attempt and the streams that callers take up

The version in a server's registration and the header Resumes are decoded; call-assigned has software, call-received has resumes. No decision uses them yet.

--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -83,6 +83,13 @@
     pub parts: Vec<PromptPart>,
 }
 
+/// A stream that its caller takes up again after the last event that it has received.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResumedStream {
+    /// The try of the caller that brought the first event; none if the caller does not name it.
+    pub first_call: Option<CallId>,
+}
+
 /// Metadata in the head of a request.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct CallHead {
@@ -92,8 +99,8 @@
     pub caller_timeout: Option<Duration>,
     /// Generation parameters; none for plain services.
     pub generation: Option<Generation>,
-    /// Whether the caller resumes a stream after the last event that it received.
-    pub is_resumed: bool,
+    /// The stream that the caller takes up again; none for a new request.
+    pub resumed: Option<ResumedStream>,
 }
 
 /// Load of a backend server, as reported in the head of its answer.
--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use catalog::RouteKind;
 use limits::LimitQuery;
-use roster::{IncarnationStart, InstanceId};
+use roster::{IncarnationStart, InstanceId, SoftwareVersion};
 use suspects::{RequestBlock, SuspectKeys};
 
 use crate::{call::Generation, waiting::LoadEstimate};
@@ -40,6 +40,8 @@
     pub server: InstanceId,
     /// Start of its incarnation; none if it is not registered with one.
     pub started: Option<IncarnationStart>,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Address of the backend server.
     pub address: std::net::SocketAddr,
     /// Number of the attempt, starting from one.
--- a/crates/dispatch/src/dispatcher/assigning.rs
+++ b/crates/dispatch/src/dispatcher/assigning.rs
@@ -110,6 +110,7 @@
         let assignment = Assignment {
             server: server.clone(),
             started: view.started,
+            software: view.software.clone(),
             address: view.address,
             attempt: call.sent_attempts + 1,
             load: view.load(),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,7 +15,8 @@
 pub use crate::{
     budget::RetryLimits,
     call::{
-        AnswerHead, CallHead, CallId, Generation, ModelTarget, PromptPart, PromptPartId, ServerLoad,
+        AnswerHead, CallHead, CallId, Generation, ModelTarget, PromptPart, PromptPartId,
+        ResumedStream, ServerLoad,
     },
     decision::{
         Assignment, AttemptFailure, DispatchAction, DispatchDecision, DispatchRequest, Refusal,
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -7,7 +7,9 @@
 
 use base::prelude::*;
 use catalog::TokenCount;
-use roster::{BackendServer, IncarnationStart, InstanceId, ResidentModel, ServerState};
+use roster::{
+    BackendServer, IncarnationStart, InstanceId, ResidentModel, ServerState, SoftwareVersion,
+};
 
 use crate::{
     announcements::ServerAnnouncement,
@@ -73,6 +75,8 @@
     pub id: InstanceId,
     /// Service for which it is registered.
     pub service: ServiceName,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Address on which it accepts requests.
     pub address: SocketAddr,
     /// Availability zone of its VM.
@@ -109,6 +113,7 @@
         let mut view = Self {
             id: server.id.clone(),
             service: server.service.clone(),
+            software: server.software.clone(),
             address: server.address,
             zone: server.zone.clone(),
             slots: server.slots,
@@ -141,6 +146,7 @@
             self.reset(now);
         }
         self.service = server.service.clone();
+        self.software = server.software.clone();
         self.address = server.address;
         self.zone = server.zone.clone();
         self.slots = server.slots;
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -52,6 +52,7 @@
         started: Some(IncarnationStart(1)),
         check_ins: None,
         service: service(service_name),
+        software: "v1".parse().expect("any text"),
         address: format!("10.0.0.1:{}", number.max(1)).parse().expect("an address"),
         zone: zone("a"),
         slots: 64,
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -166,6 +166,9 @@
         target: Option<&'a ModelTarget>,
         /// Length of the prompt in tokens; none for plain services.
         prompt_tokens: Option<u64>,
+        /// The try that began the stream that the caller takes up again; empty if the caller does
+        /// not name it, none for a new request.
+        resumes: Option<&'a str>,
         /// The caller's timeout.
         patience_ms: u64,
     },
@@ -187,6 +190,8 @@
         /// Backend server of the attempt.
         #[serde(serialize_with = "text")]
         server: &'a InstanceId,
+        /// Version of its software.
+        software: &'a str,
         /// Number of the attempt, starting at one.
         attempt: u32,
         /// Estimated number of requests running or waiting there.
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,7 +5,9 @@
 use base::prelude::*;
 use bytes::Bytes;
 use catalog::{Catalog, Route};
-use dispatch::{Assignment, CallHead, DispatchDecision, DispatchRequest, Generation, Refusal};
+use dispatch::{
+    Assignment, CallHead, CallId, DispatchDecision, DispatchRequest, Generation, Refusal,
+};
 use events::{DecisionEvent, millis};
 use http::{
     HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts,
@@ -127,6 +129,10 @@
         catalog: catalog.version(),
         target: head.generation.as_ref().map(|generation| &generation.target),
         prompt_tokens: head.generation.as_ref().map(|generation| generation.prompt.0),
+        resumes: head
+            .resumed
+            .as_ref()
+            .map(|stream| stream.first_call.as_ref().map_or("", |CallId(call)| call.as_str())),
         patience_ms: millis(timeout),
     });
     let deadline = arrived + timeout.saturating_sub(ANSWER_MARGIN);
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -83,6 +83,7 @@
         self.log.record(&DecisionEvent::CallAssigned {
             call: &self.call,
             server: &assignment.server,
+            software: assignment.software.as_str(),
             attempt: assignment.attempt,
             load: assignment.load,
             load_age_ms: millis(assignment.load_age),
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -10,7 +10,7 @@
     read_policy::{ReadMode, ReadPlan, ReadPolicy, StoreObservation},
     server::{
         BackendServer, CheckInCount, IncarnationStart, InstanceId, ResidentModel, RosterChange,
-        RosterRevision, ServerState, StoreEra, StorePosition,
+        RosterRevision, ServerState, SoftwareVersion, StoreEra, StorePosition,
     },
     table::{Roster, RosterStatus, RosterUpdate},
 };
--- a/crates/roster/src/server.rs
+++ b/crates/roster/src/server.rs
@@ -1,6 +1,6 @@
 //! A backend server's registration in the platform's store.
 
-use std::{fmt, net::SocketAddr, num::ParseIntError, str::FromStr};
+use std::{convert::Infallible, fmt, net::SocketAddr, num::ParseIntError, str::FromStr};
 
 use base::{ids::IdError, prelude::*};
 
@@ -53,6 +53,32 @@
     }
 }
 
+/// Version of the software that a backend server runs; unrelated to the weights of its models. What
+/// two versions write does not fit together in one stream.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SoftwareVersion(String);
+
+impl SoftwareVersion {
+    /// The version as the server registers it.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Infallible> {
+        Ok(Self(text.to_owned()))
+    }
+}
+
 /// Number of times that an incarnation of a backend server has written its registration.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CheckInCount(pub u64);
@@ -157,6 +183,8 @@
     pub check_ins: Option<CheckInCount>,
     /// Service whose requests it handles.
     pub service: ServiceName,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Address on which it accepts requests.
     pub address: SocketAddr,
     /// Availability zone of its VM.
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -17,6 +17,7 @@
         started: Some(IncarnationStart(1)),
         check_ins: None,
         service: "reports".parse().expect("a valid name"),
+        software: "v1".parse().expect("any text"),
         address: "10.0.0.1:80".parse().expect("an address"),
         zone: "a".parse().expect("a valid name"),
         slots: 8,
