gateway: requests that a planned stop aborts are answered on a busy VM too

What callers saw: connections that end without an answer around SIGTERM (LOST).

Cause: the process waited 0.1 s of wall time for the answers of the requests it aborts. On a VM that gets little of its core that passes before their tasks have run: the runtime runs 61 tasks, then the timer, and the process ends.

Now it waits 0.5 s, and then for as many turns as the requests need, until 0.1 s before the grace is over.

--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -11,7 +11,7 @@
 use snafu::Snafu;
 use tokio::{
     sync::{mpsc, watch},
-    time,
+    task, time,
 };
 use wire::{ListenError, listen::listen};
 
@@ -39,8 +39,11 @@
 /// Time before the deadline of a planned stop from which requests that wait for a backend server
 /// are refused, so that their callers can still reach another entry.
 const QUEUE_REFUSAL_MARGIN: Duration = Duration::from_millis(2_500);
-/// Time to send the answers of requests that are aborted at the deadline of a planned stop.
-const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
+/// Time to send the answers of requests that are aborted at the deadline of a planned stop. A VM
+/// that shares its core can stall for a tenth of a second.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(500);
+/// Part of the grace time that is reserved for writing the log.
+const LOG_MARGIN: Duration = Duration::from_millis(100);
 /// Time between two checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -316,7 +319,8 @@
         }
         self.gateway.listener_closed.send_replace(true);
         self.gateway.backends.abort_calls();
-        let limit = deadline.max(Instant::now() + LAST_ANSWERS_TIME);
+        let last = began + self.settings.limits.grace.saturating_sub(LOG_MARGIN);
+        let limit = deadline.max(Instant::now() + LAST_ANSWERS_TIME).min(last);
         let connections = &self.gateway.connections;
         if time::timeout_at(limit, connections.wait_until_none()).await.is_err() {
             log::info!(
@@ -325,6 +329,10 @@
                 connections.count()
             );
         }
+        // The time may have passed before the tasks of all requests ran.
+        while in_flight() > 0 && Instant::now() < last {
+            task::yield_now().await;
+        }
         self.gateway.log.record(&DecisionEvent::Stopped { in_flight: in_flight() });
     }
 }
--- a/crates/gateway/tests/planned_stop.rs
+++ b/crates/gateway/tests/planned_stop.rs
@@ -269,3 +269,19 @@
         }
     }
 }
+
+#[tokio::test]
+async fn request_whose_body_is_still_on_its_way_at_the_end_of_a_stop_is_refused() {
+    let fleet = fleet_with_service().await;
+    let (handle, callers) = &fleet.gateways[0];
+    let half = raw_head("POST", "/report/a", "c-1") + "content-length: 5\r\n\r\nbo";
+    let stream = open(*callers).await;
+    let at = Instant::now() + Duration::from_millis(1_500);
+    let call = tokio::spawn(async move { send_text_at(stream, &half, at).await });
+
+    handle.stop().await;
+    let outcome = call.await.expect("the caller does not panic");
+
+    let RawOutcome::Answered(status) = outcome else { panic!("{outcome:?}") };
+    assert!(status.contains(" 503 "), "{status}");
+}
--- a/crates/gateway/tests/streams_at_the_end_of_a_stop.rs
+++ b/crates/gateway/tests/streams_at_the_end_of_a_stop.rs
@@ -6,9 +6,12 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use platform_standin::EngineOptions;
+use platform_standin::{EngineOptions, RouteSpec, ServiceFault};
 use rstest::rstest;
-use support::{CallOutcome, TestFleet, stream_with_timeout};
+use support::{
+    CallOutcome, GatewayProcess, PLAIN_SERVICE, StopLoad, TestFleet, catalog, plain_with_timeout,
+    stream_with_timeout,
+};
 use tokio::{task::JoinHandle, time};
 
 /// Longer than the grace of the gateway, which is five seconds.
@@ -78,3 +81,48 @@
         unanswered.len()
     );
 }
+
+/// When a gateway of these tests aborts its requests, counted from the stop: its grace less the
+/// margin for the shutdown of the process.
+const ABORT_AFTER: Duration = Duration::from_millis(4_300);
+
+/// A fleet of plain servers that never answer, and a gateway with `count` requests at them.
+async fn fleet_with_requests_at_servers(
+    count: u32,
+) -> (TestFleet, GatewayProcess, Vec<JoinHandle<CallOutcome>>) {
+    let mut fleet = TestFleet::start().await;
+    let route = RouteSpec::streaming("/watch/", PLAIN_SERVICE, true);
+    fleet.store.write("config", "main", &catalog().route(route).build(2));
+    // A gateway opens at most 76 connections to one of them.
+    for index in 0..count.div_ceil(60) {
+        let service = fleet.add_service(&format!("s-{index}")).await;
+        let fault = ServiceFault { is_unresponsive: true, ..ServiceFault::default() };
+        fleet.services[service].set_fault(fault);
+    }
+    let gateway = fleet.add_gateway_process(0).await;
+    let calls = (0..count).map(|number| {
+        let call = format!("w-{number}");
+        let request = plain_with_timeout("GET", "/watch/a", &call, CALLER_TIMEOUT);
+        tokio::spawn(support::call(gateway.callers, request))
+    });
+    let calls = calls.collect();
+    time::sleep(Duration::from_millis(500)).await;
+    (fleet, gateway, calls)
+}
+
+#[tokio::test]
+async fn request_at_a_server_is_answered_at_the_end_of_a_stop_on_a_busy_vm() {
+    let (_fleet, gateway, calls) = fleet_with_requests_at_servers(240).await;
+    let load = StopLoad {
+        from: ABORT_AFTER - Duration::from_millis(200),
+        tasks: 40,
+        slice: Duration::from_millis(5),
+    };
+
+    gateway.stop_with(load).await;
+    let outcomes = futures::future::join_all(calls).await;
+
+    let outcomes = outcomes.into_iter().map(|outcome| outcome.expect("no caller panics"));
+    let unanswered = outcomes.filter(|outcome| outcome.status() == 0).count();
+    assert_eq!(unanswered, 0, "of 240");
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -229,11 +229,36 @@
     }
 }
 
+/// Tasks that use up the time of a gateway in its stop, as on a VM whose core others use.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StopLoad {
+    /// When they begin, counted from the stop.
+    pub from: Duration,
+    /// Number of tasks.
+    pub tasks: u32,
+    /// Time that each one takes in a turn of the runtime.
+    pub slice: Duration,
+}
+
+impl StopLoad {
+    async fn run(self) {
+        time::sleep(self.from).await;
+        for _ in 0..self.tasks {
+            tokio::spawn(async move {
+                loop {
+                    thread::sleep(self.slice);
+                    tokio::task::yield_now().await;
+                }
+            });
+        }
+    }
+}
+
 /// A gateway on a runtime of its own, which is dropped at the end of the planned stop. What the
 /// gateway leaves undone then stays so, as at the end of a process.
 pub struct GatewayProcess {
     pub callers: SocketAddr,
-    stop: oneshot::Sender<()>,
+    stop: oneshot::Sender<StopLoad>,
     thread: thread::JoinHandle<()>,
     log: Arc<Mutex<Vec<u8>>>,
 }
@@ -249,7 +274,12 @@
 
     /// Stops the gateway as planned; returns the lines of its decision log once it has ended.
     pub async fn stop(self) -> Vec<serde_json::Value> {
-        self.stop.send(()).expect("the gateway runs");
+        self.stop_with(StopLoad::default()).await
+    }
+
+    /// The same for a gateway that gets little of its core in the stop.
+    pub async fn stop_with(self, load: StopLoad) -> Vec<serde_json::Value> {
+        self.stop.send(load).expect("the gateway runs");
         let ended = tokio::task::spawn_blocking(|| self.thread.join()).await;
         ended.expect("the wait does not panic").expect("the gateway does not panic");
         let log = self.log.lock().expect("the writer does not panic");
@@ -258,13 +288,14 @@
     }
 }
 
-fn run_gateway(settings: GatewaySettings, output: SharedLog, stopped: oneshot::Receiver<()>) {
+fn run_gateway(settings: GatewaySettings, output: SharedLog, stopped: oneshot::Receiver<StopLoad>) {
     let vm = "entry".parse().expect("a valid name");
     let (log, writer) = EventLog::start(&vm, LogLimits::default(), output);
     let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
     runtime.block_on(async {
         let handle = GatewayHandle::start(settings, log.clone()).await.expect("free addresses");
-        stopped.await.expect("the gateway is stopped before it is dropped");
+        let load = stopped.await.expect("the gateway is stopped before it is dropped");
+        tokio::spawn(load.run());
         handle.stop().await;
     });
     drop(runtime);
@@ -385,6 +416,17 @@
     request(method, path, call).body(Full::from("a dam check")).expect("a valid request")
 }
 
+/// A request of the plain service whose caller states `timeout`.
+pub fn plain_with_timeout(
+    method: &str,
+    path: &str,
+    call: &str,
+    timeout: Duration,
+) -> Request<Full<Bytes>> {
+    let request = caller::request(method, HOST, path, call, timeout);
+    request.body(Full::from("a dam check")).expect("a valid request")
+}
+
 pub fn stream(path: &str, model: &str, call: &str) -> Request<Full<Bytes>> {
     stream_with_timeout(path, model, call, CALLER_TIMEOUT)
 }
