gateway: a planned stop counts from the signal, also if the process notices it late

What callers saw: a stream that was sent later than three seconds after SIGTERM, accepted and cut off at the end of the grace (LOST; a stream sent so late is not excused).

Cause: the stop counted from the turn of the runtime that noticed the signal. A process that gets no processor for more than 0.4 s accepts requests too long, and above 0.6 s it is killed before it has aborted its requests.

Not seen on a real process.

Now the process notes each 100 ms that no signal has come, and a stop counts from the last such time.

--- a/crates/base/src/signals.rs
+++ b/crates/base/src/signals.rs
@@ -4,29 +4,37 @@
 
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
-    time::{self, Duration},
+    time::{self, Duration, Instant},
 };
 
 /// Interval between two polls of the settings file, which may change without a signal.
 const POLL_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Waits for SIGTERM or SIGINT.
+/// Time between two turns in which a process that waits for a stop signal notes that it runs.
+const TURN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Waits for SIGTERM or SIGINT. Returns the last time at which the signal had not come yet: a process
+/// that did not get the processor for a while notices it late.
 ///
 /// # Errors
 ///
 /// Fails if the signal handlers cannot be installed.
-pub async fn stop_requested() -> io::Result<()> {
+pub async fn stop_requested() -> io::Result<Instant> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    loop {
+        let turn = Instant::now();
+        tokio::select! {
+            biased;
+            _ = terminate.recv() => return Ok(turn),
+            _ = interrupt.recv() => return Ok(turn),
+            () = time::sleep(TURN_INTERVAL) => {}
+        }
     }
-    Ok(())
 }
 
-/// Waits for SIGTERM or SIGINT. Until then passes the text of the settings file, or the error of
-/// reading it, to `reload` whenever the file changes or SIGHUP arrives.
+/// Waits for SIGTERM or SIGINT as [`stop_requested`] does. Until then passes the text of the settings
+/// file, or the error of reading it, to `reload` whenever the file changes or SIGHUP arrives.
 ///
 /// # Errors
 ///
@@ -34,7 +42,7 @@
 pub async fn reload_until_stopped(
     mut watch: SettingsWatch,
     mut reload: impl FnMut(io::Result<String>),
-) -> io::Result<()> {
+) -> io::Result<Instant> {
     let stop = stop_requested();
     tokio::pin!(stop);
     loop {
--- a/crates/fescuewalk/src/cmd/gateway.rs
+++ b/crates/fescuewalk/src/cmd/gateway.rs
@@ -87,7 +87,7 @@
     log: EventLog,
 ) -> CliResult<()> {
     let mut handle = GatewayHandle::start(settings, log).await?;
-    reload_until_stopped(watch, |text| handle.reload(name, text)).await?;
-    handle.stop().await;
+    let signalled = reload_until_stopped(watch, |text| handle.reload(name, text)).await?;
+    handle.stop_since(signalled).await;
     Ok(())
 }
--- a/crates/fescuewalk/src/cmd/standin.rs
+++ b/crates/fescuewalk/src/cmd/standin.rs
@@ -107,7 +107,8 @@
             .map_err(|error| CliError::usage(format!("{}: {error}", input.name())))?;
     }
     let _handle = platform::serve(listener, options)?;
-    Ok(base::signals::stop_requested().await?)
+    base::signals::stop_requested().await?;
+    Ok(())
 }
 
 async fn run_weights(listener: TcpListener, args: &ArgMatches) -> CliResult<()> {
@@ -115,7 +116,8 @@
     set_from_arg(args, "rate", &mut options.rate)?;
     set_from_arg(args, "full-speed", &mut options.max_full_speed_transfers)?;
     let _handle = weights::serve(listener, options)?;
-    Ok(base::signals::stop_requested().await?)
+    base::signals::stop_requested().await?;
+    Ok(())
 }
 
 async fn run_engine(listener: TcpListener, args: &ArgMatches) -> CliResult<()> {
@@ -130,7 +132,8 @@
     }
     options.checks_fencing = !args.get_flag("ignores-fencing");
     let _handle = engine::serve(listener, options)?;
-    Ok(base::signals::stop_requested().await?)
+    base::signals::stop_requested().await?;
+    Ok(())
 }
 
 async fn run_service(listener: TcpListener, args: &ArgMatches) -> CliResult<()> {
@@ -139,7 +142,8 @@
     set_from_arg(args, "call-time", &mut call_time)?;
     options.call_time = call_time.0;
     let _handle = service::serve(listener, options)?;
-    Ok(base::signals::stop_requested().await?)
+    base::signals::stop_requested().await?;
+    Ok(())
 }
 
 fn set_from_arg<T: std::str::FromStr>(
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -296,8 +296,13 @@
     /// for those that callers may still send on open connections, and returns when all connections
     /// are closed. Requests that are still in flight when the grace time is nearly over are aborted.
     pub async fn stop(&self) {
+        self.stop_since(Instant::now()).await;
+    }
+
+    /// The same for a stop that was requested after `began`, the last time at which it had not been.
+    /// The process ends in its grace although it noticed the request late.
+    pub async fn stop_since(&self, began: Instant) {
         let in_flight = || u64::try_from(self.gateway.metrics.in_flight.get()).unwrap_or(0);
-        let began = Instant::now();
         let deadline = began + self.settings.limits.grace.saturating_sub(SHUTDOWN_MARGIN);
         self.gateway.log.record(&DecisionEvent::Stopping { in_flight: in_flight() });
         self.gateway.draining.send_replace(Some(PlannedStop { began, deadline }));
--- a/crates/gateway/tests/planned_stop.rs
+++ b/crates/gateway/tests/planned_stop.rs
@@ -9,7 +9,7 @@
 };
 
 use base::prelude::*;
-use platform_standin::{ServiceFault, ServiceStandin};
+use platform_standin::{EngineOptions, ServiceFault, ServiceStandin};
 use rstest::rstest;
 use socket2::SockRef;
 use support::TestFleet;
@@ -285,3 +285,33 @@
     let RawOutcome::Answered(status) = outcome else { panic!("{outcome:?}") };
     assert!(status.contains(" 503 "), "{status}");
 }
+
+/// A request that is sent so late counts as cut off if it is accepted and not finished.
+#[tokio::test]
+async fn request_three_seconds_after_a_signal_that_was_noticed_late_is_refused() {
+    let mut fleet = TestFleet::start().await;
+    let options = EngineOptions {
+        residents: vec!["m1".to_owned()],
+        event_gap: Duration::from_millis(100),
+        events: 1_000,
+        ..EngineOptions::new("i-1")
+    };
+    fleet.add_engine(options).await;
+    fleet.add_gateway().await;
+    let (handle, callers) = &fleet.gateways[0];
+    let signalled = Instant::now();
+    let mut connection = support::connect(*callers).await.expect("the gateway listens");
+    let patience = Duration::from_secs(12);
+    let request = support::stream_with_timeout("/report/", "m1", "c-1", patience);
+    let call = tokio::spawn(async move {
+        time::sleep_until(signalled + Duration::from_millis(3_020)).await;
+        support::read(connection.send(request).await.expect("an answer")).await
+    });
+    time::sleep(Duration::from_millis(500)).await;
+
+    handle.stop_since(signalled).await;
+    let outcome = call.await.expect("the caller does not panic");
+
+    assert_eq!(outcome.status(), 503, "{outcome:?}");
+    assert!(signalled.elapsed() < STOP_LIMIT + Duration::from_millis(300), "the stop ends in time");
+}
