gateway: a planned stop with a short grace does not abort requests before its last sixth

Found by reading after the review: the abort comes 0.7 s before the end, which lies before the last sixth of a grace below 4.2 s, so that a cut stream would not be excused. Test: requests_are_aborted_in_the_last_sixth (1 s and 3 s fail on the code before by arithmetic, 0.3 s and 2.3 s; not run there).

--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -34,8 +34,11 @@
 /// Time after the stop signal for which all new requests are still served: the balancer checks
 /// readiness once a second and removes the process after two failed checks.
 const DRAIN_ACCEPT_TIME: Duration = Duration::from_millis(2_600);
-/// Part of the grace time that is reserved for the shutdown of the process itself.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(700);
+/// Longest part of the grace time that is reserved for the shutdown of the process itself.
+const MAX_SHUTDOWN_MARGIN: Duration = Duration::from_millis(700);
+/// The same as a share of the grace time: requests at work are not to be aborted before its last
+/// sixth.
+const SHUTDOWN_SHARE: f64 = 0.125;
 /// Time before the deadline of a planned stop from which requests that wait for a backend server
 /// are refused, so that their callers can still reach another entry.
 const QUEUE_REFUSAL_MARGIN: Duration = Duration::from_millis(2_500);
@@ -159,6 +162,11 @@
     }
 }
 
+/// Time from the start of a planned stop until the requests that are still at work are aborted.
+pub fn time_to_abort(grace: Duration) -> Duration {
+    grace - MAX_SHUTDOWN_MARGIN.min(grace.mul_f64(SHUTDOWN_SHARE))
+}
+
 /// A running gateway.
 pub struct GatewayHandle {
     gateway: Arc<Gateway>,
@@ -303,7 +311,7 @@
     /// The process ends in its grace although it noticed the request late.
     pub async fn stop_since(&self, began: Instant) {
         let in_flight = || u64::try_from(self.gateway.metrics.in_flight.get()).unwrap_or(0);
-        let deadline = began + self.settings.limits.grace.saturating_sub(SHUTDOWN_MARGIN);
+        let deadline = began + time_to_abort(self.settings.limits.grace);
         self.gateway.log.record(&DecisionEvent::Stopping { in_flight: in_flight() });
         self.gateway.draining.send_replace(Some(PlannedStop { began, deadline }));
         self.gateway.fleet.drain();
--- a/crates/gateway/tests/planned_stop.rs
+++ b/crates/gateway/tests/planned_stop.rs
@@ -315,3 +315,16 @@
     assert_eq!(outcome.status(), 503, "{outcome:?}");
     assert!(signalled.elapsed() < STOP_LIMIT + Duration::from_millis(300), "the stop ends in time");
 }
+
+#[rstest]
+#[case::one_second(1)]
+#[case::three_seconds(3)]
+#[case::eight_seconds(8)]
+#[case::a_minute(60)]
+fn requests_are_aborted_in_the_last_sixth_of_the_grace(#[case] seconds: u64) {
+    let grace = Duration::from_secs(seconds);
+
+    let aborted = gateway::process::time_to_abort(grace);
+
+    assert!(aborted > grace * 5 / 6 && aborted < grace, "{aborted:?}");
+}
