tests: engines of several software versions, agents and gateways that are killed

GatewayProcess::kill and AgentProcess end at once, and the same index can be started again. A GatewayProcess that is dropped without a stop now ends at once too; before, its thread panicked. support/streams.rs sends requests with Last-Event-Id and Resumes, and reads the first events of a stream.

--- a/crates/gateway/tests/streams_at_the_end_of_a_stop.rs
+++ b/crates/gateway/tests/streams_at_the_end_of_a_stop.rs
@@ -9,8 +9,9 @@
 use platform_standin::{EngineOptions, RouteSpec, ServiceFault};
 use rstest::rstest;
 use support::{
-    CallOutcome, GatewayProcess, PLAIN_SERVICE, StopLoad, TestFleet, catalog, plain_with_timeout,
-    stream_with_timeout,
+    CallOutcome, PLAIN_SERVICE, TestFleet, catalog,
+    gateway_process::{GatewayProcess, StopLoad},
+    plain_with_timeout, stream_with_timeout,
 };
 use tokio::{task::JoinHandle, time};
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,31 +3,31 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub mod agent_process;
+pub mod gateway_process;
 pub mod store_path;
+pub mod streams;
 
 use std::{
-    io,
     net::{IpAddr, Ipv4Addr, SocketAddr},
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU16, Ordering},
-    },
-    thread,
+    sync::atomic::{AtomicU16, Ordering},
 };
 
 use agent::{Agent, AgentSettings};
+use agent_process::AgentProcess;
 use base::prelude::*;
 use bytes::Bytes;
 use connections::{ConnectSettings, Connection, SendError};
 use events::{EventLog, LogLimits};
 use gateway::{GatewayHandle, GatewaySettings};
+use gateway_process::GatewayProcess;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use platform_standin::{
     CatalogBuilder, EngineOptions, EngineStandin, RouteSpec, ServiceStandin, StoreStandin, caller,
 };
-use tokio::{net::TcpListener, runtime::Builder, sync::oneshot, time};
+use tokio::{net::TcpListener, time};
 
 /// Timeout that callers state in their requests.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -131,8 +131,7 @@
         }
     }
 
-    /// Starts the agent of the engine with the index `engine`.
-    pub async fn add_agent(&mut self, engine: usize) {
+    fn agent_settings(&self, engine: usize) -> AgentSettings {
         let address = self.engines[engine].address();
         let ip = address.ip();
         let text = format!(
@@ -142,11 +141,22 @@
             self.side_port(),
             self.store.address()
         );
-        let settings = AgentSettings::parse("agent.ini", &text).expect("valid settings");
+        AgentSettings::parse("agent.ini", &text).expect("valid settings")
+    }
+
+    /// Starts the agent of the engine with the index `engine`.
+    pub async fn add_agent(&mut self, engine: usize) {
+        let settings = self.agent_settings(engine);
         let agent = Agent::start(settings, discarding_log("side")).await.expect("free addresses");
         self.agents.push(agent);
     }
 
+    /// Starts the agent of the engine with the index `engine`; it ends like a process, and may be
+    /// started again.
+    pub async fn add_agent_process(&self, engine: usize) -> AgentProcess {
+        AgentProcess::start(self.agent_settings(engine)).await
+    }
+
     /// Registers a backend server of the service [`PLAIN_SERVICE`] in the store.
     pub fn register_service(&self, instance: &str, address: SocketAddr) {
         self.register_incarnation(instance, address, 1);
@@ -210,7 +220,7 @@
     }
 
     /// Starts a gateway that ends like a process, and waits until it has read the configuration and
-    /// the backend servers. No other gateway of the fleet has the same index.
+    /// the backend servers. No other running gateway of the fleet has the same index.
     pub async fn add_gateway_process(&self, index: usize) -> GatewayProcess {
         let (settings, [callers, _]) = self.gateway_settings(index).await;
         let gateway = GatewayProcess::start(settings, callers);
@@ -229,94 +239,6 @@
     }
 }
 
-/// Tasks that use up the time of a gateway in its stop, as on a VM whose core others use.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct StopLoad {
-    /// When they begin, counted from the stop.
-    pub from: Duration,
-    /// Number of tasks.
-    pub tasks: u32,
-    /// Time that each one takes in a turn of the runtime.
-    pub slice: Duration,
-}
-
-impl StopLoad {
-    async fn run(self) {
-        time::sleep(self.from).await;
-        for _ in 0..self.tasks {
-            tokio::spawn(async move {
-                loop {
-                    thread::sleep(self.slice);
-                    tokio::task::yield_now().await;
-                }
-            });
-        }
-    }
-}
-
-/// A gateway on a runtime of its own, which is dropped at the end of the planned stop. What the
-/// gateway leaves undone then stays so, as at the end of a process.
-pub struct GatewayProcess {
-    pub callers: SocketAddr,
-    stop: oneshot::Sender<StopLoad>,
-    thread: thread::JoinHandle<()>,
-    log: Arc<Mutex<Vec<u8>>>,
-}
-
-impl GatewayProcess {
-    fn start(settings: GatewaySettings, callers: SocketAddr) -> Self {
-        let (stop, stopped) = oneshot::channel();
-        let log = SharedLog::default();
-        let lines = Arc::clone(&log.0);
-        let thread = thread::spawn(move || run_gateway(settings, log, stopped));
-        Self { callers, stop, thread, log: lines }
-    }
-
-    /// Stops the gateway as planned; returns the lines of its decision log once it has ended.
-    pub async fn stop(self) -> Vec<serde_json::Value> {
-        self.stop_with(StopLoad::default()).await
-    }
-
-    /// The same for a gateway that gets little of its core in the stop.
-    pub async fn stop_with(self, load: StopLoad) -> Vec<serde_json::Value> {
-        self.stop.send(load).expect("the gateway runs");
-        let ended = tokio::task::spawn_blocking(|| self.thread.join()).await;
-        ended.expect("the wait does not panic").expect("the gateway does not panic");
-        let log = self.log.lock().expect("the writer does not panic");
-        let lines = log.split(|byte| *byte == b'\n').filter(|line| !line.is_empty());
-        lines.map(|line| serde_json::from_slice(line).expect("a line of JSON")).collect()
-    }
-}
-
-fn run_gateway(settings: GatewaySettings, output: SharedLog, stopped: oneshot::Receiver<StopLoad>) {
-    let vm = "entry".parse().expect("a valid name");
-    let (log, writer) = EventLog::start(&vm, LogLimits::default(), output);
-    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
-    runtime.block_on(async {
-        let handle = GatewayHandle::start(settings, log.clone()).await.expect("free addresses");
-        let load = stopped.await.expect("the gateway is stopped before it is dropped");
-        tokio::spawn(load.run());
-        handle.stop().await;
-    });
-    drop(runtime);
-    log.close();
-    writer.join().expect("the writer does not panic");
-}
-
-/// Lines of a decision log in memory.
-#[derive(Default)]
-struct SharedLog(Arc<Mutex<Vec<u8>>>);
-
-impl io::Write for SharedLog {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().expect("no reader panics").write(bytes)
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 /// Two addresses that nothing listens at. Both are bound while they are chosen, because the kernel
 /// may give a port again that was just closed.
 async fn free_addresses(ip: IpAddr) -> [SocketAddr; 2] {
