dispatch: a stream goes on only at the software version that began it

What callers saw: one answer whose events come from backend servers of two software versions, which do not fit together (ORDER), with nothing in the answer to show it.

Cause: registrations carry the version and nothing read it, so the engine at which a broken stream was resumed was chosen as if all were alike.

From the first byte on, a request is bound to the version of its server. Servers of other versions are not chosen, their loads are not waited for, and if no server of the version is listed the stream ends at once. Before the first byte any version may answer.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -6,7 +6,7 @@
 use base::prelude::*;
 use catalog::TokenCount;
 use limits::LimitAllowances;
-use roster::InstanceId;
+use roster::{InstanceId, SoftwareVersion};
 
 use crate::{
     call::{Generation, ModelTarget},
@@ -45,6 +45,8 @@
     pub zone: &'a ZoneName,
     /// Backend servers where an attempt of this request failed; they are excluded.
     pub failed_servers: &'a [InstanceId],
+    /// Software version that began the stream; none for a stream that has not begun.
+    pub software: Option<&'a SoftwareVersion>,
     /// Slots at the backend servers that name a limit.
     pub allowances: &'a LimitAllowances,
     /// Time at which the choice is made.
@@ -55,6 +57,7 @@
     /// Whether a server takes requests, apart from its limit.
     fn is_usable(&self, server: &ServerView) -> bool {
         is_in_service(server, self.now)
+            && server.fits(self.software)
             && server.paused_until(self.now).is_none()
             && !server.health.is_suspended(self.now)
             && !self.failed_servers.contains(&server.id)
--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -17,6 +17,9 @@
     pub service: ServiceName,
     /// Generation parameters; none for plain services.
     pub generation: Option<Generation>,
+    /// Software version that began the stream, the only one that may go on with it; none for a
+    /// stream that has not begun, and for other answers.
+    pub software: Option<SoftwareVersion>,
     /// When the entry received it.
     pub arrived: Instant,
     /// Latency goal of its route.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -13,7 +13,7 @@
 use ::limits::{LimitAllowances, SendSlot};
 use ::suspects::SuspectBoard;
 use base::prelude::*;
-use roster::InstanceId;
+use roster::{InstanceId, SoftwareVersion};
 
 use crate::{
     announcements::ServerAnnouncements,
@@ -79,6 +79,8 @@
     request: DispatchRequest,
     is_model_missing: bool,
     assigned_to: Option<InstanceId>,
+    /// Software version of the server that it was assigned to last.
+    assigned_software: Option<SoftwareVersion>,
     failed_servers: Vec<InstanceId>,
     sent_attempts: u32,
     /// Number of failed attempts that a backend server may have run.
@@ -171,6 +173,7 @@
             request,
             is_model_missing: false,
             assigned_to: None,
+            assigned_software: None,
             failed_servers: Vec::new(),
             sent_attempts: 0,
             run_attempts: 0,
@@ -224,9 +227,13 @@
         self.decide(key, now)
     }
 
-    /// Records the first byte of the answer to `key`.
+    /// Records the first byte of the answer to `key`. From then on, only servers of the same
+    /// software version may go on with it.
     pub fn record_first_byte(&mut self, key: u64, now: Instant) {
-        let Some(call) = self.calls.get(&key) else { return };
+        let Some(call) = self.calls.get_mut(&key) else { return };
+        if call.request.software.is_none() {
+            call.request.software.clone_from(&call.assigned_software);
+        }
         if let Some(view) = call.assigned_to.as_ref().and_then(|id| self.servers.get_mut(id)) {
             view.record_first_byte(key, now);
         }
@@ -376,12 +383,26 @@
         if let Some(refusal) = self.block_refusal(key, now) {
             return self.refuse(key, refusal);
         }
+        if !self.has_server_for(&self.calls[&key].request) {
+            let reason = "no backend server has the software version of the stream";
+            return self.refuse(key, Refusal::new(ResultCode::NoReplica, reason));
+        }
         match self.calls[&key].request.generation.is_some() {
             true => self.decide_generation(key, now),
             false => self.decide_plain(key, now),
         }
     }
 
+    /// Whether a server is listed that may go on with the stream; true for a stream that has not
+    /// begun.
+    fn has_server_for(&self, request: &DispatchRequest) -> bool {
+        request.software.as_ref().is_none_or(|software| {
+            self.servers.values().any(|view| {
+                view.service == request.service && view.software == *software && !view.is_draining()
+            })
+        })
+    }
+
     fn refuse(&mut self, key: u64, refusal: Refusal) -> DispatchDecision {
         if let Some(call) = self.calls.get_mut(&key) {
             call.waiting_since = None;
--- a/crates/dispatch/src/dispatcher/assigning.rs
+++ b/crates/dispatch/src/dispatcher/assigning.rs
@@ -40,9 +40,11 @@
     }
 
     pub(super) fn choice_view(&self, key: u64, now: Instant) -> ChoiceView<'_> {
+        let call = &self.calls[&key];
         ChoiceView {
             zone: &self.settings.zone,
-            failed_servers: &self.calls[&key].failed_servers,
+            failed_servers: &call.failed_servers,
+            software: call.request.software.as_ref(),
             allowances: &self.allowances,
             now,
         }
@@ -58,8 +60,9 @@
     ) -> DispatchDecision {
         let call = &self.calls[&key];
         let target = call.request.generation.as_ref().map(|generation| &generation.target);
-        let service = &call.request.service;
-        let pause_end = earliest_pause_end(self.servers.values(), service, target, now);
+        let request = &call.request;
+        let servers = self.servers.values().filter(|view| view.fits(request.software.as_ref()));
+        let pause_end = earliest_pause_end(servers, &request.service, target, now);
         match pause_end {
             None => self.wait(key, reason, now),
             Some(end) if end < now + waiting::SHORT_RETRY_AFTER => {
@@ -81,14 +84,14 @@
         let waiting_since = *call.waiting_since.get_or_insert(now);
         let target = call.request.generation.as_ref().map(|generation| &generation.target);
         let estimate = target.and_then(|target| {
-            let service_servers =
-                self.servers.values().filter(|view| view.service == call.request.service);
-            waiting::best_estimate(
-                service_servers,
-                &target.model,
-                self.load_estimates.get(&target.model),
-                now,
-            )
+            let software = call.request.software.as_ref();
+            let able_servers = self
+                .servers
+                .values()
+                .filter(|view| view.service == call.request.service && view.fits(software));
+            // The planner's loads are for any version.
+            let planned = self.load_estimates.get(&target.model).filter(|_| software.is_none());
+            waiting::best_estimate(able_servers, &target.model, planned, now)
         });
         match waiting::check_wait(&call.request, reason, waiting_since, estimate, now) {
             Ok(expected_end) => DispatchDecision::Wait(reason, expected_end),
@@ -105,6 +108,7 @@
         call.awaits_slot_of = None;
         call.is_model_missing = false;
         call.assigned_to = Some(server.clone());
+        call.assigned_software = Some(view.software.clone());
         call.slot = self.allowances.take_slot(server, now);
         let generation = call.request.generation.as_ref();
         let assignment = Assignment {
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -158,6 +158,11 @@
         }
     }
 
+    /// Whether it may go on with a stream that a server of version `software` began.
+    pub(crate) fn fits(&self, software: Option<&SoftwareVersion>) -> bool {
+        software.is_none_or(|software| self.software == *software)
+    }
+
     /// Whether it accepts no new requests, by the roster or its own answers.
     pub fn is_draining(&self) -> bool {
         self.is_listed_draining || self.announcement.is_some_and(|announced| announced.is_leaving)
--- /dev/null
+++ b/crates/dispatch/tests/software_versions.rs
@@ -0,0 +1,125 @@
+//! Streams in a service whose backend servers have two software versions.
+//!
+//! What two versions write does not fit together, so a stream goes on only at the version that
+//! began it.
+
+mod common;
+
+use base::prelude::*;
+use catalog::RouteKind;
+use common::{ENGINES, dispatcher, instance, model, server, stream_request};
+use dispatch::{
+    AttemptFailure, CallDispatcher, DispatchDecision, DispatchRequest, EngineUpdate,
+    LoadInProgress, WaitReason,
+};
+use roster::{BackendServer, ServerState, SoftwareVersion};
+
+fn version(text: &str) -> SoftwareVersion {
+    text.parse().expect("any text")
+}
+
+fn engine(name: &str, software: &str, models: &[&str]) -> BackendServer {
+    BackendServer { software: version(software), ..server(name, ENGINES, models) }
+}
+
+fn dispatcher_with(engines: &[BackendServer], now: Instant) -> CallDispatcher {
+    let mut dispatcher = dispatcher();
+    engines.iter().for_each(|engine| dispatcher.upsert_server(engine, now));
+    dispatcher
+}
+
+fn resumable_request(now: Instant) -> DispatchRequest {
+    DispatchRequest {
+        kind: RouteKind::Streaming { is_resumable: true },
+        max_attempts: 3,
+        ..stream_request("m", 600, now)
+    }
+}
+
+fn server_of(decision: &DispatchDecision) -> String {
+    match decision {
+        DispatchDecision::Send(assignment) => assignment.server.to_string(),
+        other => panic!("expected an assignment, got {other:?}"),
+    }
+}
+
+/// Begins a stream at the only engine, which then breaks it off while `others` are listed.
+fn broken_stream(others: &[BackendServer], now: Instant) -> (CallDispatcher, DispatchDecision) {
+    let mut dispatcher = dispatcher_with(&[engine("i-1", "v1", &["m"])], now);
+    let (key, _) = dispatcher.submit(resumable_request(now), now);
+    dispatcher.mark_sent(key, now);
+    dispatcher.record_first_byte(key, now);
+    others.iter().for_each(|engine| dispatcher.upsert_server(engine, now));
+    let next = dispatcher.record_failure(key, AttemptFailure::Lost, now);
+    (dispatcher, next)
+}
+
+#[test]
+fn stream_goes_on_at_the_version_that_began_it() {
+    let others = [engine("i-2", "v2", &["m"]), engine("i-3", "v1", &["m"])];
+
+    let (_, next) = broken_stream(&others, Instant::now());
+
+    assert_eq!(server_of(&next), "i-3");
+}
+
+#[test]
+fn stream_does_not_go_on_at_another_version() {
+    let (_, next) = broken_stream(&[engine("i-2", "v2", &["m"])], Instant::now());
+
+    assert!(
+        matches!(next, DispatchDecision::Wait(WaitReason::ModelMissing, _)),
+        "i-1 may load the model again: {next:?}"
+    );
+}
+
+#[test]
+fn request_without_an_answer_is_sent_to_any_version() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher_with(&[engine("i-1", "v1", &["m"])], now);
+    let (key, _) = dispatcher.submit(resumable_request(now), now);
+    dispatcher.mark_sent(key, now);
+    dispatcher.upsert_server(&engine("i-2", "v2", &["m"]), now);
+
+    let next = dispatcher.record_failure(key, AttemptFailure::Severed, now);
+
+    assert_eq!(server_of(&next), "i-2");
+}
+
+#[test]
+fn stream_of_a_version_without_servers_is_refused_at_once() {
+    let now = Instant::now();
+    let leaving = ServerState::Draining { remaining: None };
+    let leaving = BackendServer { state: leaving, ..engine("i-1", "v1", &["m"]) };
+    let mut dispatcher = dispatcher_with(&[leaving, engine("i-2", "v2", &["m"])], now);
+    let request = DispatchRequest { software: Some(version("v1")), ..resumable_request(now) };
+
+    let (_, decision) = dispatcher.submit(request, now);
+
+    let DispatchDecision::Refuse(refusal) = decision else { panic!("{decision:?}") };
+    assert_eq!(refusal.code.run_state(), RunState::NotRun);
+}
+
+#[test]
+fn stream_waits_for_a_load_at_its_own_version_only() {
+    let now = Instant::now();
+    let ready_at = now + Duration::from_millis(900);
+    let loading = EngineUpdate {
+        loading: Some(LoadInProgress { model: model("m"), ready_at }),
+        is_reachable: true,
+        ..EngineUpdate::default()
+    };
+    let expected_end = |loads_at: &str| {
+        let engines = [engine("i-1", "v1", &[]), engine("i-2", "v2", &[])];
+        let mut dispatcher = dispatcher_with(&engines, now);
+        dispatcher.apply_engine_update(&instance(loads_at), &loading, now);
+        let request = DispatchRequest { software: Some(version("v1")), ..resumable_request(now) };
+        match dispatcher.submit(request, now).1 {
+            DispatchDecision::Wait(_, end) => end,
+            other => panic!("expected a wait, got {other:?}"),
+        }
+    };
+
+    assert_eq!(expected_end("i-1"), Some(ready_at));
+    assert_eq!(expected_end("i-2"), None);
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -152,6 +152,7 @@
         kind: route.kind,
         service,
         generation: head.generation,
+        software: None,
         arrived,
         goal: route.goal,
         first_byte_deadline: first_event_deadline(&route, arrived, timeout).unwrap_or(deadline),
