residency: loads are planned at the software version that began a waiting stream

Cause: by the log, most were refused because no engine holds the model. Entries notice a loss of power only when their callers give up, ten seconds later, and the models are gone by then. The planner loads a model once, at any engine; one that an engine of another version holds was not missing for it, so that streams bound to a version waited for nothing.

Demand for a model now tells how many streams wait for an engine of each version, and loads for them are planned first, at engines of that version; estimates name the version. If all servers have one version, nothing changes.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -48,6 +48,15 @@
     NoSends,
 }
 
+/// What a load is planned for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct LoadTarget {
+    /// Model to load.
+    pub model: ModelId,
+    /// Software version of the engine; none if any will do.
+    pub software: Option<SoftwareVersion>,
+}
+
 /// Use of one model by the requests of an entry.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ModelUsage {
@@ -59,11 +68,19 @@
     pub slack: Duration,
     /// Most urgent priority among the waiting requests.
     pub priority: u32,
+    /// Number of streams that wait for an engine of the software version that began them; they are
+    /// not among `waiting`.
+    pub streams: BTreeMap<SoftwareVersion, u32>,
     /// Number of requests assigned to each engine.
     pub running: BTreeMap<InstanceId, u32>,
 }
 
 impl ModelUsage {
+    /// Whether no request waits for it or runs.
+    pub fn is_idle(&self) -> bool {
+        self.waiting == 0 && self.streams.is_empty() && self.running.is_empty()
+    }
+
     fn add_waiting(&mut self, request: &DispatchRequest, now: Instant) {
         let slack = (request.arrived + request.goal).saturating_duration_since(now);
         let is_first = self.waiting == 0;
@@ -109,7 +126,7 @@
     servers: BTreeMap<InstanceId, ServerView>,
     calls: BTreeMap<u64, OpenCall>,
     budgets: HashMap<ServiceName, RetryBudget>,
-    load_estimates: HashMap<ModelId, LoadEstimate>,
+    load_estimates: HashMap<LoadTarget, LoadEstimate>,
     suspects: SuspectBoard,
     announcements: ServerAnnouncements,
     allowances: LimitAllowances,
@@ -403,6 +420,16 @@
         })
     }
 
+    /// Software version that the servers of the request must have; none if all have it or if any
+    /// will do.
+    fn required_software<'a>(&self, request: &'a DispatchRequest) -> Option<&'a SoftwareVersion> {
+        let software = request.software.as_ref()?;
+        let mut others = self.servers.values().filter(|view| {
+            view.service == request.service && view.software != *software && !view.is_draining()
+        });
+        others.next().map(|_| software)
+    }
+
     fn refuse(&mut self, key: u64, refusal: Refusal) -> DispatchDecision {
         if let Some(call) = self.calls.get_mut(&key) {
             call.waiting_since = None;
--- a/crates/dispatch/src/dispatcher/assigning.rs
+++ b/crates/dispatch/src/dispatcher/assigning.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use catalog::TokenCount;
 
-use super::{CallDispatcher, StopStage};
+use super::{CallDispatcher, LoadTarget, StopStage};
 use crate::{
     choice::{
         ChoiceView, EngineOffer, ServerChoice, choose_engine, choose_plain, earliest_pause_end,
@@ -82,6 +82,7 @@
             call.awaits_slot_of = None;
         }
         let waiting_since = *call.waiting_since.get_or_insert(now);
+        let call = &self.calls[&key];
         let target = call.request.generation.as_ref().map(|generation| &generation.target);
         let estimate = target.and_then(|target| {
             let software = call.request.software.as_ref();
@@ -89,8 +90,11 @@
                 .servers
                 .values()
                 .filter(|view| view.service == call.request.service && view.fits(software));
-            // The planner's loads are for any version.
-            let planned = self.load_estimates.get(&target.model).filter(|_| software.is_none());
+            let load = LoadTarget {
+                model: target.model.clone(),
+                software: self.required_software(&call.request).cloned(),
+            };
+            let planned = self.load_estimates.get(&load);
             waiting::best_estimate(able_servers, &target.model, planned, now)
         });
         match waiting::check_wait(&call.request, reason, waiting_since, estimate, now) {
--- a/crates/dispatch/src/dispatcher/servers.rs
+++ b/crates/dispatch/src/dispatcher/servers.rs
@@ -6,7 +6,7 @@
 use catalog::TokenCount;
 use roster::{BackendServer, IncarnationStart, InstanceId};
 
-use super::{CallDispatcher, ModelUsage};
+use super::{CallDispatcher, LoadTarget, ModelUsage};
 use crate::{
     call::ServerLoad,
     servers::{EngineUpdate, ServerView},
@@ -105,9 +105,9 @@
         }
     }
 
-    /// Sets the planner's load estimate of `model`.
-    pub fn set_load_estimate(&mut self, model: ModelId, estimate: LoadEstimate) {
-        self.load_estimates.insert(model, estimate);
+    /// Sets the planner's estimate of a load.
+    pub fn set_load_estimate(&mut self, load: LoadTarget, estimate: LoadEstimate) {
+        self.load_estimates.insert(load, estimate);
     }
 
     /// All known backend servers.
@@ -151,7 +151,10 @@
                 (Some(server), _) => {
                     *usage.running.entry(server.clone()).or_default() += 1;
                 }
-                (None, true) => usage.add_waiting(&call.request, now),
+                (None, true) => match self.required_software(&call.request) {
+                    Some(software) => *usage.streams.entry(software.clone()).or_default() += 1,
+                    None => usage.add_waiting(&call.request, now),
+                },
                 (None, false) => {}
             }
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,7 +22,7 @@
         Assignment, AttemptFailure, DispatchAction, DispatchDecision, DispatchRequest, Refusal,
         WaitReason,
     },
-    dispatcher::{CallDispatcher, DispatchSettings, ModelUsage, StopStage},
+    dispatcher::{CallDispatcher, DispatchSettings, LoadTarget, ModelUsage, StopStage},
     servers::{EngineUpdate, LoadInProgress, ServerView},
     waiting::{LoadEstimate, first_event_timeout},
 };
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -40,8 +40,7 @@
         planner: Option<PlannerIdentity>,
         now: Instant,
     ) -> Option<Vec<DemandRow>> {
-        let was_idle =
-            self.reported.values().all(|model| model.waiting == 0 && model.running.is_empty());
+        let was_idle = self.reported.values().all(ModelUsage::is_idle);
         let changed = changed_rows(&usage, &self.reported);
         let stays_idle = changed.is_empty() && was_idle;
         self.demand.apply_report(self.own.clone(), changed.clone(), now);
@@ -61,10 +60,9 @@
         usage: &BTreeMap<ModelId, ModelUsage>,
         now: Instant,
     ) -> Vec<DemandRow> {
-        let is_idle = |usage: &&ModelUsage| usage.waiting == 0 && usage.running.is_empty();
         let mut idle: Vec<(EventRate, &ModelId)> = usage
             .iter()
-            .filter(|(_, usage)| is_idle(usage))
+            .filter(|(_, usage)| usage.is_idle())
             .map(|(model, _)| (self.demand.sustained_rate(model, now), model))
             .collect();
         idle.sort_by(|(a, _), (b, _)| b.0.total_cmp(&a.0));
@@ -81,9 +79,7 @@
     reported: &BTreeMap<ModelId, ModelUsage>,
 ) -> Vec<DemandRow> {
     let is_reported = |model: &ModelId, now: &ModelUsage| {
-        now.waiting == 0
-            && now.running.is_empty()
-            && reported.get(model).is_some_and(|before| before.arrivals == now.arrivals)
+        now.is_idle() && reported.get(model).is_some_and(|before| before.arrivals == now.arrivals)
     };
     let changed = usage.iter().filter(|(model, now)| !is_reported(model, now));
     changed.map(|(model, now)| demand_row(model, now)).collect()
@@ -96,6 +92,7 @@
         waiting: usage.waiting,
         slack: usage.slack,
         priority: usage.priority,
+        streams: usage.streams.iter().map(|(software, count)| (software.clone(), *count)).collect(),
         running: usage.running.iter().map(|(engine, count)| (engine.clone(), *count)).collect(),
         past_rates: None,
     }
--- a/crates/gateway/src/fleet/engines.rs
+++ b/crates/gateway/src/fleet/engines.rs
@@ -7,7 +7,7 @@
 use dispatch::{EngineUpdate, LoadInProgress};
 use peers::{DatagramBody, EngineLoad, EngineState, SideHeartbeat};
 use residency::{CurrentLoad, EngineSnapshot, OrderCount};
-use roster::{IncarnationStart, InstanceId, ResidentModel};
+use roster::{IncarnationStart, InstanceId, ResidentModel, SoftwareVersion};
 
 use super::{Fleet, SideStatus};
 
@@ -20,11 +20,11 @@
         let update = engine_update(state, now);
         let listed = self.backends.with_dispatcher(|dispatcher, now| {
             let view = dispatcher.server_at(address, started)?;
-            let (instance, service, is_draining) =
-                (view.id.clone(), view.service.clone(), view.is_draining());
+            let (instance, service) = (view.id.clone(), view.service.clone());
+            let (software, is_draining) = (view.software.clone(), view.is_draining());
             dispatcher.apply_engine_update(&instance, &update, now);
             dispatcher.review_waiting(now);
-            Some((instance, service, is_draining))
+            Some((instance, service, software, is_draining))
         });
         // If the engine is not listed yet, number 0 makes the next heartbeat request the state
         // again.
@@ -34,12 +34,13 @@
             address,
             SideStatus { last_received: now, state_number, is_unreachable: false },
         );
-        let Some((instance, service, is_draining)) = listed else { return };
+        let Some((instance, service, software, is_draining)) = listed else { return };
         let planner = fleet.planners.entry(service).or_default();
         if is_draining || !state.is_reachable {
             planner.remove(&instance);
         } else {
-            planner.update_engine(engine_snapshot(instance, started, state, &update, now), now);
+            let identity = EngineIdentity { instance, started, software };
+            planner.update_engine(engine_snapshot(identity, state, &update, now), now);
         }
         drop(fleet);
         self.plan_inputs_changed.notify_one();
@@ -101,9 +102,15 @@
     }
 }
 
-fn engine_snapshot(
+/// What the roster says of an engine.
+struct EngineIdentity {
     instance: InstanceId,
     started: Option<IncarnationStart>,
+    software: SoftwareVersion,
+}
+
+fn engine_snapshot(
+    identity: EngineIdentity,
     state: &EngineState,
     update: &EngineUpdate,
     now: Instant,
@@ -121,8 +128,9 @@
         .map(|resident| (resident.model.clone(), resident.adapters.len()))
         .collect();
     EngineSnapshot {
-        instance,
-        started,
+        instance: identity.instance,
+        started: identity.started,
+        software: identity.software,
         orders: OrderCount(state.orders),
         residents,
         loading,
--- a/crates/gateway/src/fleet/planning.rs
+++ b/crates/gateway/src/fleet/planning.rs
@@ -3,11 +3,11 @@
 use std::{collections::HashMap, net::SocketAddr};
 
 use base::prelude::*;
-use dispatch::LoadEstimate;
+use dispatch::{LoadEstimate, LoadTarget};
 use events::DecisionEvent;
 use peers::{
     ChangeRequest, DatagramBody, DemandReport, LoadEstimates, ModelDemand, ModelEstimate,
-    PastRates, RunningRequests,
+    PastRates, RunningRequests, WaitingStreams,
 };
 use residency::{DemandRates, DemandRow, PlannedChange};
 use roster::InstanceId;
@@ -30,19 +30,24 @@
         let now = Instant::now();
         let estimates = estimates.models.into_iter().filter_map(|estimate| {
             let ready_at = estimate.ready_in_ms.map(|ms| now + Duration::from_millis(ms.into()));
-            Some((estimate.model.parse().ok()?, LoadEstimate { ready_at, estimated_at: now }))
+            let software = Some(estimate.software).filter(|software| !software.is_empty());
+            let load = LoadTarget {
+                model: estimate.model.parse().ok()?,
+                software: software.and_then(|software| software.parse().ok()),
+            };
+            Some((load, LoadEstimate { ready_at, estimated_at: now }))
         });
-        let estimates: Vec<(ModelId, LoadEstimate)> = estimates.collect();
+        let estimates: Vec<(LoadTarget, LoadEstimate)> = estimates.collect();
         self.set_load_estimates(estimates);
     }
 
-    fn set_load_estimates(&self, estimates: Vec<(ModelId, LoadEstimate)>) {
+    fn set_load_estimates(&self, estimates: Vec<(LoadTarget, LoadEstimate)>) {
         if estimates.is_empty() {
             return;
         }
         self.backends.with_dispatcher(|dispatcher, now| {
-            for (model, estimate) in estimates {
-                dispatcher.set_load_estimate(model, estimate);
+            for (load, estimate) in estimates {
+                dispatcher.set_load_estimate(load, estimate);
             }
             dispatcher.review_waiting(now);
         });
@@ -110,7 +115,16 @@
                 planner.set_listed(engine_counts.get(service).copied().unwrap_or(0));
                 planner.set_limits(limits.clone());
                 let outcome = planner.plan(demand, now);
-                estimates.extend(outcome.load_estimates);
+                estimates.extend(
+                    outcome
+                        .load_estimates
+                        .into_iter()
+                        .map(|(model, ready_at)| (LoadTarget { model, software: None }, ready_at)),
+                );
+                let streams = outcome.stream_estimates.into_iter();
+                estimates.extend(streams.map(|(model, software, ready_at)| {
+                    (LoadTarget { model, software: Some(software) }, ready_at)
+                }));
                 changes.extend(outcome.changes);
             }
             state.peers.live().map(|(_, address)| address).collect()
@@ -176,7 +190,7 @@
     fn send_load_estimates(
         &self,
         addresses: &[SocketAddr],
-        estimates: Vec<(ModelId, Option<Instant>)>,
+        estimates: Vec<(LoadTarget, Option<Instant>)>,
         now: Instant,
     ) {
         if estimates.is_empty() {
@@ -184,8 +198,9 @@
         }
         let models = estimates
             .iter()
-            .map(|(model, ready_at)| ModelEstimate {
-                model: model.to_string(),
+            .map(|(load, ready_at)| ModelEstimate {
+                model: load.model.to_string(),
+                software: load.software.as_ref().map(ToString::to_string).unwrap_or_default(),
                 ready_in_ms: ready_at
                     .map(|at| saturating_millis(at.saturating_duration_since(now))),
             })
@@ -193,7 +208,7 @@
         self.socket.send_all(addresses, DatagramBody::LoadEstimates(LoadEstimates { models }));
         let own_estimates = estimates
             .into_iter()
-            .map(|(model, ready_at)| (model, LoadEstimate { ready_at, estimated_at: now }))
+            .map(|(load, ready_at)| (load, LoadEstimate { ready_at, estimated_at: now }))
             .collect();
         self.set_load_estimates(own_estimates);
     }
@@ -213,6 +228,11 @@
             })
             .collect(),
         priority: row.priority,
+        streams: row
+            .streams
+            .into_iter()
+            .map(|(software, count)| WaitingStreams { software: software.to_string(), count })
+            .collect(),
         past_rates: row
             .past_rates
             .map(|past| PastRates { recent: past.recent.0, long_term: past.long_term.0 }),
@@ -228,6 +248,11 @@
         waiting: row.waiting,
         slack: Duration::from_millis(row.slack_ms.into()),
         priority: row.priority,
+        streams: row
+            .streams
+            .iter()
+            .filter_map(|streams| Some((streams.software.parse().ok()?, streams.count)))
+            .collect(),
         running: running.collect(),
         past_rates: row.past_rates.map(|past| DemandRates {
             recent: EventRate(past.recent),
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -16,7 +16,7 @@
         DemandReport, EngineLoad, EngineState, EntryHeartbeat, KeyAnswer, LoadEstimates,
         LoadingModel, ModelDemand, ModelEstimate, PastRates, PeerAddress, PermitDecision,
         PermitRelease, PermitReply, PermitRequest, ResidentState, RunningRequests, SideHeartbeat,
-        StoreSighting, SuspectRequest,
+        StoreSighting, SuspectRequest, WaitingStreams,
     },
     origin_messages::{OriginQuery, OriginReply, OriginReport, OriginState},
     socket::PeerSocket,
--- a/crates/peers/src/messages.rs
+++ b/crates/peers/src/messages.rs
@@ -395,6 +395,17 @@
     pub count: u32,
 }
 
+/// Streams that wait for an engine of the software version that began them.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WaitingStreams {
+    /// The version.
+    #[prost(string, tag = "1")]
+    pub software: String,
+    /// Number of streams.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+}
+
 /// Demand for one model at one entry.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ModelDemand {
@@ -420,6 +431,9 @@
     /// it treats missing rates as zero.
     #[prost(message, optional, tag = "7")]
     pub past_rates: Option<PastRates>,
+    /// Streams that wait at the entry for an engine of one software version.
+    #[prost(message, repeated, tag = "8")]
+    pub streams: Vec<WaitingStreams>,
 }
 
 /// Arrival rates of one model's requests at one entry up to now, in requests per second.
@@ -450,6 +464,9 @@
     /// Time until it is loaded, in milliseconds; none if no load is expected soon.
     #[prost(uint32, optional, tag = "2")]
     pub ready_in_ms: Option<u32>,
+    /// Software version of the engine, if streams wait for one; empty if any will do.
+    #[prost(string, tag = "3")]
+    pub software: String,
 }
 
 /// Estimates for the models that requests wait for.
--- a/crates/residency/src/demand.rs
+++ b/crates/residency/src/demand.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use base::prelude::*;
-use roster::InstanceId;
+use roster::{InstanceId, SoftwareVersion};
 
 /// Time constant of the recent arrival rate; on the users' busiest days demand moves to other
 /// models within about five seconds.
@@ -37,6 +37,9 @@
     pub slack: Duration,
     /// Most urgent priority among them; lower is more urgent.
     pub priority: u32,
+    /// Streams that wait for an engine of the software version that began them. They are not among
+    /// `waiting`.
+    pub streams: Vec<(SoftwareVersion, u32)>,
     /// Requests running at each engine.
     pub running: Vec<(InstanceId, u32)>,
     /// Arrival rates at the entry; used only in the first report of the entry on this model, so
@@ -53,6 +56,8 @@
     pub due: Option<Instant>,
     /// Most urgent priority among those that wait; lower is more urgent.
     pub priority: u32,
+    /// Streams that wait for an engine of the software version that began them.
+    pub streams: BTreeMap<SoftwareVersion, u32>,
     /// Requests running at each engine.
     pub running: BTreeMap<InstanceId, u32>,
 }
@@ -181,6 +186,9 @@
             for (engine, count) in &row.running {
                 *demand.running.entry(engine.clone()).or_default() += count;
             }
+            for (software, count) in &row.streams {
+                *demand.streams.entry(software.clone()).or_default() += count;
+            }
             if row.waiting > 0 {
                 let due = *reported_at + row.slack;
                 demand.due = Some(demand.due.map_or(due, |first| first.min(due)));
--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -9,6 +9,7 @@
 mod candidates;
 mod capacity;
 mod pass;
+mod streams;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -17,7 +18,7 @@
 
 use base::prelude::*;
 use catalog::EngineSpec;
-use roster::{IncarnationStart, InstanceId};
+use roster::{IncarnationStart, InstanceId, SoftwareVersion};
 
 use self::pass::PlanningPass;
 use crate::{
@@ -34,6 +35,8 @@
     pub instance: InstanceId,
     /// Start of its incarnation; `None` if the engine does not report it.
     pub started: Option<IncarnationStart>,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Orders accepted in this incarnation.
     pub orders: OrderCount,
     /// Resident models, with the number of adapters of each.
@@ -122,6 +125,8 @@
     /// When each model that requests wait for is expected to be loaded; `None` if no time
     /// can be estimated.
     pub load_estimates: Vec<(ModelId, Option<Instant>)>,
+    /// The same for streams that wait for an engine of the software version that began them.
+    pub stream_estimates: Vec<(ModelId, SoftwareVersion, Option<Instant>)>,
 }
 
 /// A requested change that no report of the engine shows after this time counts as lost.
@@ -231,6 +236,7 @@
         self.first_pass.get_or_insert(now);
         let mut pass = PlanningPass::new(self, &spec, tracker, now);
         let mut outcome = PlanOutcome::default();
+        pass.plan_for_streams(&mut outcome);
         pass.plan_for_waiting(&mut outcome);
         pass.plan_for_busy(&mut outcome);
         pass.plan_for_spare(&mut outcome);
--- a/crates/residency/src/planner/candidates.rs
+++ b/crates/residency/src/planner/candidates.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use catalog::ModelSpec;
-use roster::InstanceId;
+use roster::{InstanceId, SoftwareVersion};
 
 use super::{
     EngineSnapshot, ORDER_LATENCY, WeightSource,
@@ -24,9 +24,11 @@
 
 /// Which engines a load is planned for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum EngineChoice {
+pub(super) enum EngineChoice<'a> {
     /// All that have reported.
     All,
+    /// Those of one software version.
+    OfVersion(&'a SoftwareVersion),
     /// Those that name no limit of requests.
     WithoutLimit,
 }
@@ -96,13 +98,14 @@
         &self,
         model: &ModelId,
         max_loss: f64,
-        choice: EngineChoice,
+        choice: EngineChoice<'_>,
     ) -> Vec<Candidate> {
         let Some(spec) = self.spec.model(model) else { return Vec::new() };
         let candidate =
             |engine| self.candidate(engine, spec).filter(|candidate| candidate.loss < max_loss);
         let is_eligible = |engine: &&EngineSnapshot| match choice {
             EngineChoice::All => true,
+            EngineChoice::OfVersion(software) => engine.software == *software,
             EngineChoice::WithoutLimit => !self.planner.limits.contains_key(&engine.instance),
         };
         let (with_copy, others): (Vec<_>, Vec<_>) = self
@@ -236,7 +239,8 @@
             .get(&key)
             .is_some_and(|at| self.now.saturating_duration_since(*at) < MIN_RESIDENCY);
         let demand = self.demand.get(model);
-        let is_requested = demand.is_some_and(|demand| demand.waiting > 0);
+        let is_requested =
+            demand.is_some_and(|demand| demand.waiting > 0 || !demand.streams.is_empty());
         if is_new || is_requested || engine.unloading.as_ref() == Some(model) {
             return None;
         }
--- a/crates/residency/src/planner/pass.rs
+++ b/crates/residency/src/planner/pass.rs
@@ -45,7 +45,7 @@
 /// Loss that a load may cause for each request that it serves, in request-seconds of waiting. An
 /// unloaded model is missing for one to two seconds if another engine has a copy, and longer while
 /// its requests end; rare models would starve if each loss counted in full.
-const MAX_LOSS_PER_VALUE: f64 = 3.0;
+pub(super) const MAX_LOSS_PER_VALUE: f64 = 3.0;
 /// Requests per second for one model that one engine can serve. Prefill of a prompt in the users'
 /// workloads takes 60 to 80 ms; once prefill takes more than a third of the engine's time, prompts
 /// too often arrive during the prefill of another.
@@ -229,7 +229,9 @@
     pub(super) fn plan_for_waiting(&mut self, outcome: &mut PlanOutcome) {
         for (model, demand) in self.waiting_models() {
             let expected = self.expected_load(&model);
-            if expected.is_none() && self.holders(&model) > 0 {
+            let is_held = expected.is_none() && self.holders(&model) > 0;
+            // A load that was planned for streams also serves other requests.
+            if is_held || self.planned.contains(&model) {
                 continue;
             }
             let is_faster = |found: &Candidate| {
@@ -355,7 +357,7 @@
         })
     }
 
-    fn plan_change(
+    pub(super) fn plan_change(
         &mut self,
         outcome: &mut PlanOutcome,
         model: ModelId,
--- a/crates/residency/tests/planner.rs
+++ b/crates/residency/tests/planner.rs
@@ -27,6 +27,7 @@
 fn engine(name: &str, held: &[&str], on_disk: &[&str]) -> EngineSnapshot {
     EngineSnapshot {
         instance: instance(name),
+        software: "v1".parse().expect("any text"),
         started: Some(IncarnationStart(1)),
         orders: OrderCount(0),
         residents: held.iter().map(|name| (model(name), 0)).collect(),
