--- a/crates/residency/src/planner/streams.rs
+++ b/crates/residency/src/planner/streams.rs
@@ -14,6 +14,10 @@
     pass::{MAX_LOSS_PER_VALUE, MIN_RESIDENCY, PlanningPass},
 };
 
+/// Value of a load for one waiting stream, in requests: besides the request, the part of the answer
+/// that its caller has already is lost if the stream does not go on.
+const STREAM_VALUE: f64 = 2.0;
+
 impl PlanningPass<'_> {
     pub(super) fn plan_for_streams(&mut self, outcome: &mut PlanOutcome) {
         let demand = self.demand.iter();
@@ -31,7 +35,7 @@
                 outcome.stream_estimates.push((model, software, Some(ready_at)));
                 continue;
             }
-            let max_loss = f64::from(count) * MAX_LOSS_PER_VALUE;
+            let max_loss = f64::from(count) * STREAM_VALUE * MAX_LOSS_PER_VALUE;
             let best = self
                 .candidates(&model, max_loss, EngineChoice::OfVersion(&software))
                 .into_iter()
