--- a/crates/origins/src/holders.rs
+++ b/crates/origins/src/holders.rs
@@ -1,6 +1,6 @@
 //! Which processes keep the origin of a stream.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -14,7 +14,14 @@
     processes: impl IntoIterator<Item = SocketAddr>,
     count: usize,
 ) -> Vec<SocketAddr> {
-    let rank = |address: &SocketAddr| xxh3_64_with_seed(address.to_string().as_bytes(), key.0);
+    let rank = |address: &SocketAddr| {
+        let number = match address.ip() {
+            IpAddr::V4(ip) => u128::from(u32::from(ip)),
+            IpAddr::V6(ip) => u128::from(ip),
+        };
+        let seed = key.0 ^ u64::from(address.port());
+        xxh3_64_with_seed(&number.to_le_bytes(), seed)
+    };
     let mut ranking: Vec<(u64, SocketAddr)> =
         processes.into_iter().map(|address| (rank(&address), address)).collect();
     ranking.sort_unstable();
