soak: a share of the streams comes from callers that wait 8 to 12 s

All callers waited 3 s, less than a planned stop takes (5 s), so none could be left at its end. Four in ten series of streams now state a longer time, drawn from a generator of its own; the other draws of a seed stay. Outcomes are checked against the caller's own time. At the end of a run the reports of all callers are awaited, at least 4 s as before.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    ops::RangeInclusive,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -20,8 +21,14 @@
 
 use crate::fleet::{EVENTS_PER_STREAM, HOST, MODELS};
 
-/// Longest wait of a caller for a complete answer; sent with each request.
+/// Longest wait of most callers for a complete answer; sent with each request.
 pub const CALLER_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Share of the series of streams whose callers wait longer than a planned stop takes.
+const PATIENT_SHARE: f64 = 0.4;
+/// Longest wait of a patient caller, in milliseconds.
+const PATIENT_TIMEOUT_MS: RangeInclusive<u64> = 8_000..=12_000;
+/// Longest wait of any caller.
+pub const MAX_CALLER_TIMEOUT: Duration = Duration::from_millis(*PATIENT_TIMEOUT_MS.end());
 const PROMPT_TOKENS: u64 = 600;
 const MAX_OUTPUT_TOKENS: u64 = 60;
 /// Upper limit of requests per connection.
@@ -93,6 +100,8 @@
     pub gateway: usize,
     /// Path of the request.
     pub path: String,
+    /// Longest wait of its caller, as stated in the request.
+    pub timeout: Duration,
     /// When it was sent.
     pub sent: Instant,
     /// When its outcome was known.
@@ -112,6 +121,7 @@
     reports: mpsc::UnboundedSender<CallReport>,
 ) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut patience = PatienceDraw::new(seed);
     let mut number = 0_u64;
     let mean_interval = Duration::from_secs_f64(1.0 / rate.max(0.1));
     let mut next_send = Instant::now();
@@ -129,6 +139,7 @@
         let leave_after_ms = random.random_bool(0.05).then(|| random.random_range(20..400));
         let request_count = random.random_range(1..=REQUESTS_PER_CONNECTION.min(3));
         let call = format!("g{gateway}-{number}");
+        let timeout = patience.next(kind);
         let reports = reports.clone();
         tokio::spawn(async move {
             send_series(
@@ -137,6 +148,7 @@
                 &call,
                 kind,
                 &target,
+                timeout,
                 leave_after_ms,
                 request_count,
                 &reports,
@@ -146,6 +158,27 @@
     }
 }
 
+/// Draws the timeouts of callers from a generator of its own, so that the other draws of a seed do
+/// not change.
+struct PatienceDraw {
+    random: ChaCha8Rng,
+}
+
+impl PatienceDraw {
+    fn new(seed: u64) -> Self {
+        Self { random: ChaCha8Rng::seed_from_u64(seed.rotate_left(24)) }
+    }
+
+    fn next(&mut self, kind: CallKind) -> Duration {
+        let is_patient = self.random.random_bool(PATIENT_SHARE);
+        let timeout_ms = self.random.random_range(PATIENT_TIMEOUT_MS);
+        match is_patient && kind.is_stream() {
+            true => Duration::from_millis(timeout_ms),
+            false => CALLER_TIMEOUT,
+        }
+    }
+}
+
 /// Sends `request_count` requests one after the other on one connection.
 #[expect(clippy::too_many_arguments, reason = "one request is described by all of them")]
 async fn send_series(
@@ -154,6 +187,7 @@
     call: &str,
     kind: CallKind,
     target: &str,
+    timeout: Duration,
     leave_after_ms: Option<u64>,
     request_count: u32,
     reports: &mpsc::UnboundedSender<CallReport>,
@@ -162,15 +196,15 @@
     for part in 0..request_count {
         let call = format!("{call}-{part}");
         let sent = Instant::now();
-        let caller_timeout = leave_after_ms.map_or(CALLER_TIMEOUT, Duration::from_millis);
-        let exchange = exchange(&mut connection, address, &call, kind, target);
-        let outcome =
-            time::timeout(caller_timeout, exchange).await.unwrap_or(CallOutcome::Abandoned);
+        let wait = leave_after_ms.map_or(timeout, Duration::from_millis);
+        let exchange = exchange(&mut connection, address, &call, kind, target, timeout);
+        let outcome = time::timeout(wait, exchange).await.unwrap_or(CallOutcome::Abandoned);
         let is_closed = !matches!(outcome, CallOutcome::Complete { .. });
         let path = kind.path().to_owned();
         let ended = Instant::now();
         // The receiver may be closed already at the end of the run.
-        let _ = reports.send(CallReport { call, kind, gateway, path, sent, ended, outcome });
+        let _ =
+            reports.send(CallReport { call, kind, gateway, path, timeout, sent, ended, outcome });
         if is_closed {
             return;
         }
@@ -185,10 +219,16 @@
     }
 }
 
-/// Builds the request with call ID `call`; `target` is the model, with its adapter if any, of a
-/// stream.
-pub fn request(call: &str, method: &str, path: &str, target: Option<&str>) -> Request<Full<Bytes>> {
-    let head = caller::request(method, HOST, path, call, CALLER_TIMEOUT);
+/// Builds the request with call ID `call`, whose caller waits for `timeout`; `target` is the model,
+/// with its adapter if any, of a stream.
+pub fn request(
+    call: &str,
+    method: &str,
+    path: &str,
+    target: Option<&str>,
+    timeout: Duration,
+) -> Request<Full<Bytes>> {
+    let head = caller::request(method, HOST, path, call, timeout);
     let builder = match target {
         Some(target) => caller::with_model(head, target, PROMPT_TOKENS, MAX_OUTPUT_TOKENS),
         None => head,
@@ -202,6 +242,7 @@
     call: &str,
     kind: CallKind,
     target: &str,
+    timeout: Duration,
 ) -> CallOutcome {
     if connection.as_ref().is_none_or(|connection| !connection.is_usable()) {
         match Connection::open(address, &connect_settings()).await {
@@ -214,7 +255,7 @@
     };
     let method = if kind == CallKind::Read { "GET" } else { "POST" };
     let target = kind.is_stream().then_some(target);
-    let sent = open.send(request(call, method, kind.path(), target)).await;
+    let sent = open.send(request(call, method, kind.path(), target, timeout)).await;
     let response = match sent {
         Ok(response) => response,
         Err(error) => return CallOutcome::NoAnswer { may_have_run: error.may_have_run() },
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -5,7 +5,7 @@
 use base::prelude::Instant;
 
 use crate::{
-    callers::{CALLER_TIMEOUT, CallKind, CallOutcome, CallReport},
+    callers::{CallKind, CallOutcome, CallReport},
     fleet::Fleet,
     injection::FaultLog,
     plan::Target,
@@ -127,7 +127,7 @@
                 );
             }
             CallOutcome::Abandoned
-                if report.ended - report.sent >= CALLER_TIMEOUT && !self.is_excused(report) =>
+                if report.ended - report.sent >= report.timeout && !self.is_excused(report) =>
             {
                 fail(
                     "served or refused in time",
@@ -137,7 +137,7 @@
             CallOutcome::NoAnswer { may_have_run: true } if !self.is_excused(report) => {
                 fail("served or refused", "the connection was closed without an answer".to_owned());
             }
-            _ if report.ended - report.sent > CALLER_TIMEOUT + OUTCOME_MARGIN => {
+            _ if report.ended - report.sent > report.timeout + OUTCOME_MARGIN => {
                 fail(
                     "served or refused in time",
                     format!("outcome after {:?}", report.ended - report.sent),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,7 +18,7 @@
 };
 
 use crate::{
-    callers::{CallReport, request, send_requests},
+    callers::{CALLER_TIMEOUT, CallReport, MAX_CALLER_TIMEOUT, request, send_requests},
     checks::{DRAIN_LIMIT, Evidence, Violation, check_drained},
     fleet::Fleet,
     injection::{FaultLog, SoakRun, inject},
@@ -29,7 +29,7 @@
 const WARM_UP: Duration = Duration::from_millis(900);
 /// Time after the last fault within which the fleet must recover.
 const RECOVERY: Duration = Duration::from_secs(4);
-/// Time for the last requests to end after the load has stopped.
+/// Time for the last requests to end after the load has stopped, patient callers aside.
 const LAST_REQUESTS: Duration = Duration::from_secs(4);
 
 /// Result of a run.
@@ -74,10 +74,7 @@
     let mut violations = check_recovery(&run, &addresses).await;
     stop.store(true, Ordering::Relaxed);
     time::sleep(LAST_REQUESTS).await;
-    let mut reports: Vec<CallReport> = Vec::new();
-    while let Ok(report) = receiver.try_recv() {
-        reports.push(report);
-    }
+    let reports = collect_reports(&mut receiver).await;
     violations.extend(drained_watch.await.unwrap_or_default());
     record_exited_processes(&run).await;
     let fleet = run.fleet.lock().await;
@@ -91,6 +88,16 @@
     Ok(RunOutcome { violations, requests: reports.len(), served })
 }
 
+/// Collects the reports of all callers, also of those that still wait.
+async fn collect_reports(receiver: &mut mpsc::UnboundedReceiver<CallReport>) -> Vec<CallReport> {
+    let limit = Instant::now() + MAX_CALLER_TIMEOUT;
+    let mut reports = Vec::new();
+    while let Ok(Some(report)) = time::timeout_at(limit, receiver.recv()).await {
+        reports.push(report);
+    }
+    reports
+}
+
 async fn inject_all(run: &Arc<SoakRun>, plan: &SoakPlan) {
     let began = Instant::now();
     let mut running = Vec::new();
@@ -194,7 +201,7 @@
     let mut last_error = String::new();
     for attempt in 0..4 {
         let call = format!("{call}-{attempt}");
-        let request = request(&call, method, path, target);
+        let request = request(&call, method, path, target, CALLER_TIMEOUT);
         let outcome = match Connection::open(address, &settings).await {
             Ok(mut connection) => {
                 time::timeout(Duration::from_secs(3), connection.send(request)).await
