soak: busy engines, and planned stops of gateways in that time

Engines began each stream within 20 ms, so requests hardly waited for a permit or a first event. In three of four runs with faults of processes some engines now begin streams 3 to 8 s late for 3 to 6 s, and one or more gateways are stopped in that time, within 0.4 s of each other. The draws are from a generator of their own. Runs without faults of processes stay so, as drains and limits are checked in them only. The time of a planned stop is taken when the signal is sent, no longer before the wait for the fleet's lock.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -29,6 +29,8 @@
 pub const MODELS: [&str; 6] = ["m1", "m2", "m3", "m4", "m5", "m6"];
 /// Number of events of each stream.
 pub const EVENTS_PER_STREAM: u64 = 20;
+/// Time from a request to the first event of its stream, at an engine that is not busy.
+pub const FIRST_EVENT: Duration = Duration::from_millis(20);
 /// Time from SIGTERM until a process is killed.
 pub const STOP_GRACE: Duration = Duration::from_secs(5);
 /// UDP port for datagrams between processes.
@@ -183,6 +185,7 @@
             residents: residents.collect(),
             on_disk: on_disk.collect(),
             events: EVENTS_PER_STREAM,
+            first_event: FIRST_EVENT,
             ..EngineOptions::new(&format!("i-{index}"))
         };
         let engine = EngineStandin::start(listener, options)?;
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -8,7 +8,7 @@
 use tokio::{sync::Mutex, time};
 
 use crate::{
-    fleet::{Fleet, STOP_GRACE},
+    fleet::{FIRST_EVENT, Fleet, STOP_GRACE},
     plan::{Fault, LinkFault, ScheduledFault, StoreFaultKind, Target},
 };
 
@@ -32,6 +32,8 @@
     /// Start and end of each fault that killed, suspended or restarted a process or affected its
     /// connections to the store.
     pub process_faults: Vec<(Target, Instant, Instant)>,
+    /// Start and end of each fault that killed or suspended a process.
+    pub outages: Vec<(Target, Instant, Instant)>,
     /// Planned stops: time of SIGTERM, and whether the process then exited in time with status 0.
     pub stops: Vec<(Target, Instant, bool)>,
     /// Plain backend servers that drain, by index, and when the store listed them as draining.
@@ -102,6 +104,14 @@
             time::sleep(duration).await;
             set_engine_fault(&run, index, EngineFault::default()).await;
         }
+        Fault::EngineBusy(index, delay) => {
+            let engine = run.fleet.lock().await.engines[index].engine.clone();
+            engine.set_first_event(delay);
+            time::sleep(duration).await;
+            engine.set_first_event(FIRST_EVENT);
+            // Streams that it began meanwhile are still late.
+            time::sleep(delay).await;
+        }
         Fault::BrokenStreams(index) => {
             let fault = EngineFault {
                 broken_streams: FAULT_COUNT,
@@ -201,7 +211,7 @@
     process.kill().await;
     time::sleep(duration).await;
     restart_process(run, target).await;
-    run.fault_log.lock().await.process_faults.push((target, began, Instant::now()));
+    record_outage(run, target, began).await;
 }
 
 async fn freeze(run: &SoakRun, target: Target, duration: Duration) {
@@ -218,13 +228,20 @@
         // Another fault may have killed it in the meantime.
         let _ = process.resume();
     }
-    run.fault_log.lock().await.process_faults.push((target, began, Instant::now()));
+    record_outage(run, target, began).await;
+}
+
+async fn record_outage(run: &SoakRun, target: Target, began: Instant) {
+    let mut fault_log = run.fault_log.lock().await;
+    let ended = Instant::now();
+    fault_log.process_faults.push((target, began, ended));
+    fault_log.outages.push((target, began, ended));
 }
 
 async fn restart(run: &SoakRun, target: Target) {
-    let signalled = Instant::now();
     let process = run.fleet.lock().await.process_mut(target).running.take();
     let Some(mut process) = process else { return };
+    let signalled = Instant::now();
     let is_clean = match process.is_frozen() {
         // A suspended process cannot handle SIGTERM; it is killed, as the platform would do.
         true => None,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -9,6 +9,8 @@
 const FAULT_WINDOW: Duration = Duration::from_secs(8);
 /// Earliest start of a fault, counted from the start of the load.
 const FIRST_FAULT_DELAY: Duration = Duration::from_millis(800);
+/// Share of the runs with faults of processes in which engines are busy.
+const BUSY_SHARE: f64 = 0.75;
 
 /// A process of the system, by index; displayed as the stem of its log file names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -82,6 +84,9 @@
     EngineCrash(usize),
     /// An engine does not answer.
     EngineSilent(usize),
+    /// An engine is busy: streams that begin in the time of the fault have their first event after
+    /// this delay.
+    EngineBusy(usize, Duration),
     /// An engine breaks off its next streams, the first of them before its first event.
     BrokenStreams(usize),
     /// An engine executes its next load and unload orders but drops their answers.
@@ -109,6 +114,13 @@
     HangUp(Target),
 }
 
+impl Fault {
+    /// Whether it stops or suspends a process or affects its connections to the store.
+    fn affects_process(self) -> bool {
+        matches!(self, Fault::Kill(_) | Fault::Freeze(_) | Fault::Restart(_) | Fault::StoreLink(..))
+    }
+}
+
 /// A fault with its start and duration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ScheduledFault {
@@ -156,6 +168,10 @@
         faults.extend(hang_up_faults(seed, gateways, engines));
         faults.extend(announcement_faults(seed, services));
         faults.extend(limit_and_restore_faults(seed, services));
+        // Drains and limits are checked in runs without faults of processes; those stay without.
+        if faults.iter().any(|scheduled| scheduled.fault.affects_process()) {
+            faults.extend(stops_beside_busy_engines(seed, gateways, engines));
+        }
         faults.sort_by_key(|scheduled| scheduled.at);
         Self { seed, gateways, engines, services, rate, faults }
     }
@@ -230,6 +246,35 @@
     faults
 }
 
+/// Draws engines that are busy, and planned stops of gateways in that time, from a generator of
+/// their own.
+fn stops_beside_busy_engines(seed: u64, gateways: usize, engines: usize) -> Vec<ScheduledFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(48));
+    if !random.random_bool(BUSY_SHARE) {
+        return Vec::new();
+    }
+    let began = FIRST_FAULT_DELAY + Duration::from_millis(random.random_range(0..2_500));
+    let spared = random.random_range(0..engines);
+    let busy = (0..engines).filter(|engine| *engine != spared || random.random_bool(0.7));
+    let busy: Vec<usize> = busy.collect();
+    let mut faults = Vec::new();
+    for engine in busy {
+        let delay = Duration::from_millis(random.random_range(3_000..8_000));
+        let at = began + Duration::from_millis(random.random_range(0..500));
+        let duration = Duration::from_millis(random.random_range(3_000..6_000));
+        faults.push(ScheduledFault { at, duration, fault: Fault::EngineBusy(engine, delay) });
+    }
+    let stopped_at = began + Duration::from_millis(random.random_range(500..3_000));
+    let first = random.random_range(0..gateways);
+    for offset in 0..random.random_range(1..=gateways) {
+        let gateway = Target::Gateway((first + offset) % gateways);
+        let at = stopped_at + Duration::from_millis(random.random_range(0..400));
+        let fault = Fault::Restart(gateway);
+        faults.push(ScheduledFault { at, duration: Duration::ZERO, fault });
+    }
+    faults
+}
+
 fn random_fault(
     random: &mut ChaCha8Rng,
     gateways: usize,
