soak: planned stops lose no requests, checked by rule LOST

The soak excused each request that ended near the end of a planned stop of its gateway, and never looked at streams that were cut. Now a request that a gateway had read and that ends without a complete answer from SIGTERM until 1 s after the grace is a violation, unless its gateway was killed or suspended in its time, it reached its own limit, an engine still worked on it in the last sixth of the grace and it was sent up to 3 s after the signal, or, for cut answers only, a backend server had a fault in its time. The existing checks stay. planned_stops.rs tests both sides with made-up records (18 cases).

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,9 +1,12 @@
 //! Invariants, checked on what callers and backend servers recorded.
 
+pub mod planned_stops;
+
 use std::{collections::HashMap, fmt, time::Duration};
 
 use base::prelude::Instant;
 
+use self::planned_stops::{StreamRuns, find_lost};
 use crate::{
     callers::{CallKind, CallOutcome, CallReport},
     fleet::Fleet,
@@ -62,6 +65,7 @@
         }
         violations.extend(self.check_engines());
         violations.extend(self.check_stops());
+        violations.extend(find_lost(self.reports, self.fault_log, &self.stream_runs()));
         violations.extend(self.check_limits());
         violations.extend(self.fault_log.failures.iter().map(|detail| Violation {
             invariant: "no process or fault injection fails",
@@ -86,6 +90,15 @@
         runs
     }
 
+    /// Runs of streams, resumed ones included.
+    fn stream_runs(&self) -> StreamRuns {
+        let mut runs = StreamRuns::new();
+        for run in self.fleet.engines.iter().flat_map(|node| node.engine.streams()) {
+            runs.entry(run.call.clone()).or_default().push(run);
+        }
+        runs
+    }
+
     fn check_call(&self, report: &CallReport, runs: usize) -> Vec<Violation> {
         let mut violations = Vec::new();
         let mut fail = |invariant, detail: String| {
