soak: engines of two software versions; a stream holds one; no answer at all is never excused by an engine at work

Half of the seeds have engines of two versions, from a generator of their own. The check of planned stops is stricter: an engine that still works excuses an answer that is cut, but not a connection without any answer.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -2,7 +2,11 @@
 
 pub mod planned_stops;
 
-use std::{collections::HashMap, fmt, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    fmt,
+    time::Duration,
+};
 
 use base::prelude::Instant;
 
@@ -64,6 +68,7 @@
             violations.extend(self.check_call(report, count));
         }
         violations.extend(self.check_engines());
+        violations.extend(self.check_versions());
         violations.extend(self.check_stops());
         violations.extend(find_lost(self.reports, self.fault_log, &self.stream_runs()));
         violations.extend(self.check_limits());
@@ -180,6 +185,22 @@
         is_faulted || has_backend_fault
     }
 
+    /// Checks that no stream holds events of two software versions.
+    fn check_versions(&self) -> Vec<Violation> {
+        let mut versions: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+        for node in &self.fleet.engines {
+            for run in node.engine.streams().into_iter().filter(|run| run.events > 0) {
+                versions.entry(run.call).or_default().insert(node.engine.software());
+            }
+        }
+        let joined = versions.into_iter().filter(|(_, versions)| versions.len() > 1);
+        let violations = joined.map(|(call, versions)| Violation {
+            invariant: "a stream holds events of one software version",
+            detail: format!("{call} holds events of {versions:?}"),
+        });
+        violations.collect()
+    }
+
     fn check_engines(&self) -> Vec<Violation> {
         let nodes = self.fleet.engines.iter().enumerate();
         let violations = nodes.flat_map(|(index, node)| {
--- a/crates/soak/src/checks/planned_stops.rs
+++ b/crates/soak/src/checks/planned_stops.rs
@@ -55,19 +55,18 @@
     runs: &[StreamRecord],
 ) -> bool {
     let is_unanswered = match report.outcome {
+        // A gateway always has time for a refusal, whatever the engine does.
         CallOutcome::NoAnswer { may_have_run } => may_have_run,
         // A backend server that breaks off its answer ends that of the gateway, too.
-        CallOutcome::Truncated { .. } => !overlaps_backend_fault(report, fault_log),
+        CallOutcome::Truncated { .. } => {
+            !overlaps_backend_fault(report, fault_log) && !may_be_cut(report, signalled, runs)
+        }
         CallOutcome::Complete { .. } | CallOutcome::Abandoned => false,
     };
     let is_in_stop =
         signalled <= report.ended && report.ended <= signalled + STOP_GRACE + AFTER_GRACE;
     let has_reached_timeout = report.ended - report.sent + TIMEOUT_MARGIN >= report.timeout;
-    is_unanswered
-        && is_in_stop
-        && !has_reached_timeout
-        && !overlaps_outage(report, fault_log)
-        && !may_be_cut(report, signalled, runs)
+    is_unanswered && is_in_stop && !has_reached_timeout && !overlaps_outage(report, fault_log)
 }
 
 fn violation(report: &CallReport, signalled: Instant, runs: &[StreamRecord]) -> Violation {
@@ -101,7 +100,7 @@
     from <= report.ended + FAULT_MARGIN && report.sent <= to + FAULT_MARGIN
 }
 
-/// Whether the end of the grace may cut the request: an engine still works on it then, and it was
+/// Whether the end of the grace may cut the answer: an engine still works on it then, and it was
 /// sent early enough.
 fn may_be_cut(report: &CallReport, signalled: Instant, runs: &[StreamRecord]) -> bool {
     let cut_to = signalled + STOP_GRACE;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -139,7 +139,7 @@
             subnet,
         };
         for index in 0..plan.engines {
-            fleet.add_engine(index).await?;
+            fleet.add_engine(index, plan.versions).await?;
         }
         for _ in 0..plan.services {
             fleet.add_service().await?;
@@ -176,7 +176,7 @@
         SocketAddr::new(self.gateway_ip(index), CALLER_PORT)
     }
 
-    async fn add_engine(&mut self, index: usize) -> Result<()> {
+    async fn add_engine(&mut self, index: usize, versions: usize) -> Result<()> {
         let ip = self.engine_ip(index);
         let listener = TcpListener::bind((ip, ENGINE_PORT)).await?;
         let residents = (0..2).map(|offset| MODELS[(index + offset) % MODELS.len()].to_owned());
@@ -186,6 +186,7 @@
             on_disk: on_disk.collect(),
             events: EVENTS_PER_STREAM,
             first_event: FIRST_EVENT,
+            software: format!("v{}", 1 + index % versions),
             ..EngineOptions::new(&format!("i-{index}"))
         };
         let engine = EngineStandin::start(listener, options)?;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -141,6 +141,8 @@
     pub gateways: usize,
     /// Number of engines, each with an agent.
     pub engines: usize,
+    /// Number of software versions of the engines, which have them in turn.
+    pub versions: usize,
     /// Number of plain backend servers at the start.
     pub services: usize,
     /// Mean rate of request series at each gateway, per second.
@@ -173,7 +175,8 @@
             faults.extend(stops_beside_busy_engines(seed, gateways, engines));
         }
         faults.sort_by_key(|scheduled| scheduled.at);
-        Self { seed, gateways, engines, services, rate, faults }
+        let versions = draw_versions(seed);
+        Self { seed, gateways, engines, versions, services, rate, faults }
     }
 
     /// Draws the plan of `seed` with the largest fleet that one test machine can run.
@@ -189,6 +192,11 @@
     }
 }
 
+/// Draws the number of software versions from a generator of its own.
+fn draw_versions(seed: u64) -> usize {
+    ChaCha8Rng::seed_from_u64(seed.rotate_left(40)).random_range(1..=2)
+}
+
 /// Draws SIGHUP faults from a generator of their own, so that the other faults of a seed do not
 /// change.
 fn hang_up_faults(seed: u64, gateways: usize, engines: usize) -> Vec<ScheduledFault> {
--- a/crates/soak/tests/planned_stops.rs
+++ b/crates/soak/tests/planned_stops.rs
@@ -92,6 +92,9 @@
 #[case::cut(LostCase::new(CUT))]
 #[case::just_after_the_grace(LostCase { ended: 5_900, ..LostCase::new(UNANSWERED) })]
 #[case::run_ended_before_the_last_sixth(LostCase { run: Some((100, 4_000)), ..LostCase::new(CUT) })]
+#[case::unanswered_although_an_engine_is_at_work(
+    LostCase { run: Some((100, 4_900)), ..LostCase::new(UNANSWERED) }
+)]
 #[case::sent_late(LostCase { sent: 3_100, run: Some((3_200, 4_950)), ..LostCase::new(CUT) })]
 #[case::backend_fault_without_an_answer(
     LostCase { backend_fault: Some((0, 5_000)), ..LostCase::new(UNANSWERED) }
