dispatch: a server that started again is not taken for the version that the roster lists

A server may start again under its name with another version before an entry's roster shows it. Now the server is out of use until the roster or its side process agrees; server-changed says 'restarted'. A request that waits for a permit meanwhile is not sent: its server's version is checked again.

Also: a stream that is taken up before the first server is known waits as new ones do, instead of being refused at once.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -411,13 +411,12 @@
     }
 
     /// Whether a server is listed that may go on with the stream; true for a stream that has not
-    /// begun.
+    /// begun, and before the first server of the service is known.
     fn has_server_for(&self, request: &DispatchRequest) -> bool {
-        request.software.as_ref().is_none_or(|software| {
-            self.servers.values().any(|view| {
-                view.service == request.service && view.software == *software && !view.is_draining()
-            })
-        })
+        let Some(software) = &request.software else { return true };
+        let mut servers = self.servers.values().filter(|view| view.service == request.service);
+        let is_able = |view: &ServerView| view.software == *software && !view.is_draining();
+        servers.clone().any(is_able) || servers.next().is_none()
     }
 
     /// Software version that the servers of the request must have; none if all have it or if any
--- a/crates/dispatch/src/dispatcher/servers.rs
+++ b/crates/dispatch/src/dispatcher/servers.rs
@@ -83,6 +83,12 @@
         }
     }
 
+    /// Records that another incarnation of `server` runs than the roster lists. It gets no requests
+    /// until the roster or its side process agrees. Returns whether that was not known.
+    pub fn mark_restarted(&mut self, server: &InstanceId) -> bool {
+        self.servers.get_mut(server).is_some_and(ServerView::mark_restarted)
+    }
+
     /// Records the load reported in an answer of `server`.
     pub fn record_answer_load(&mut self, server: &InstanceId, load: ServerLoad, now: Instant) {
         if let Some(view) = self.servers.get_mut(server) {
--- a/crates/dispatch/src/dispatcher/suspects.rs
+++ b/crates/dispatch/src/dispatcher/suspects.rs
@@ -20,8 +20,8 @@
     }
 
     /// Decides whether an assigned request may be sent now, and records that it is. Returns the next
-    /// decision if it may not: while it waited for a permit, it was blocked, its server announced
-    /// that it takes no more requests or only a limited number, or the process is about to end.
+    /// decision if it may not: while it waited for a permit, it was blocked, its server has
+    /// another software version now or announced that it takes no more requests or only a limited number, or the process is about to end.
     pub fn confirm_send(&mut self, key: u64, now: Instant) -> Option<DispatchDecision> {
         let refusal = self.block_refusal(key, now);
         let may_send = self.stop_stage < StopStage::NoSends && self.accepts_requests(key, now);
@@ -40,8 +40,11 @@
     fn accepts_requests(&self, key: u64, now: Instant) -> bool {
         let Some(call) = self.calls.get(&key) else { return true };
         let server = call.assigned_to.as_ref().and_then(|id| self.servers.get(id));
-        server.is_none_or(|view| !view.is_draining() && view.paused_until(now).is_none())
-            && self.is_within_limit(call)
+        server.is_none_or(|view| {
+            !view.is_draining()
+                && view.paused_until(now).is_none()
+                && view.fits(call.assigned_software.as_ref())
+        }) && self.is_within_limit(call)
     }
 
     /// Records that the answer to `key` has begun: its first event or its whole body has arrived.
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -197,6 +197,12 @@
         self.record_queued_prefill(update.queued_prefill);
     }
 
+    /// Takes it out of use until the roster lists its present incarnation or its side process reports
+    /// the listed one. Returns whether it was in use.
+    pub fn mark_restarted(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_down, true)
+    }
+
     /// Records the prompt tokens queued for prefill, as reported by the side process.
     pub fn record_queued_prefill(&mut self, queued: TokenCount) {
         self.reported_prefill = queued;
--- a/crates/dispatch/tests/software_versions.rs
+++ b/crates/dispatch/tests/software_versions.rs
@@ -12,7 +12,7 @@
     AttemptFailure, CallDispatcher, DispatchDecision, DispatchRequest, EngineUpdate,
     LoadInProgress, WaitReason,
 };
-use roster::{BackendServer, ServerState, SoftwareVersion};
+use roster::{BackendServer, IncarnationStart, ServerState, SoftwareVersion};
 
 fn version(text: &str) -> SoftwareVersion {
     text.parse().expect("any text")
@@ -123,3 +123,48 @@
     assert_eq!(expected_end("i-1"), Some(ready_at));
     assert_eq!(expected_end("i-2"), None);
 }
+
+/// A server starts again under its name with another version while the stream waits for a permit.
+#[test]
+fn stream_is_not_sent_to_a_server_that_has_another_version_now() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher_with(&[engine("i-1", "v1", &["m"])], now);
+    let request = DispatchRequest { software: Some(version("v1")), ..resumable_request(now) };
+    let (key, decision) = dispatcher.submit(request, now);
+    assert_eq!(server_of(&decision), "i-1");
+
+    dispatcher.upsert_server(&engine("i-1", "v2", &["m"]), now);
+    let next = dispatcher.confirm_send(key, now);
+
+    assert!(matches!(next, Some(DispatchDecision::Refuse(_))), "{next:?}");
+}
+
+/// Its side process reports another incarnation than the roster lists.
+#[test]
+fn server_that_started_again_gets_nothing_until_the_roster_lists_it_anew() {
+    let now = Instant::now();
+    let listed = engine("i-1", "v1", &["m"]);
+    let mut dispatcher = dispatcher_with(std::slice::from_ref(&listed), now);
+
+    let is_new = dispatcher.mark_restarted(&instance("i-1"));
+    let (_, before) = dispatcher.submit(resumable_request(now), now);
+    let started = Some(IncarnationStart(2));
+    dispatcher.upsert_server(&BackendServer { started, ..engine("i-1", "v2", &["m"]) }, now);
+    let (_, after) = dispatcher.submit(resumable_request(now), now);
+
+    assert!(is_new && !dispatcher.mark_restarted(&instance("i-2")));
+    assert!(matches!(before, DispatchDecision::Wait(..)), "{before:?}");
+    assert_eq!(server_of(&after), "i-1");
+}
+
+/// An entry that has just started reads its configuration before its roster.
+#[test]
+fn stream_waits_before_the_first_server_is_known() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher();
+    let request = DispatchRequest { software: Some(version("v1")), ..resumable_request(now) };
+
+    let (_, decision) = dispatcher.submit(request, now);
+
+    assert!(matches!(decision, DispatchDecision::Wait(..)), "{decision:?}");
+}
--- a/crates/gateway/src/fleet/engines.rs
+++ b/crates/gateway/src/fleet/engines.rs
@@ -29,6 +29,9 @@
         // If the engine is not listed yet, number 0 makes the next heartbeat request the state
         // again.
         let state_number = if listed.is_some() { state_number } else { 0 };
+        if listed.is_none() {
+            self.mark_restarted(address);
+        }
         let mut fleet = self.lock();
         fleet.sides.insert(
             address,
@@ -46,6 +49,18 @@
         self.plan_inputs_changed.notify_one();
     }
 
+    /// Takes an engine out of use that is another incarnation than the roster lists. It may have
+    /// another software version, and it holds other models.
+    fn mark_restarted(&self, address: SocketAddr) {
+        let restarted = self.backends.with_dispatcher(|dispatcher, _| {
+            let instance = dispatcher.server_at(address, None).map(|view| view.id.clone())?;
+            dispatcher.mark_restarted(&instance).then_some(instance)
+        });
+        if let Some(instance) = restarted {
+            self.record_server_status(&instance, "restarted");
+        }
+    }
+
     pub(super) fn apply_engine_load(&self, source: SocketAddr, load: EngineLoad) {
         let now = Instant::now();
         let mut state = self.lock();
