gateway: an entry that may not know all versions joins no stream of unknown origin

Stored versions name the era of the store; if a listing has none of the present era, the versions count as known 2.2 s later, when servers have registered again. A stream goes to the service that began it as long as its route leads there. Without side processes three entries keep an origin. Another origin for the same stream is logged. Ranking selects the first few instead of sorting all.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -382,7 +382,15 @@
     fn handle_origin_report(&self, source: SocketAddr, report: OriginReport) {
         match report.origin.and_then(OriginState::decode) {
             Some(origin) => {
-                self.lock().origins.record(StreamKey(report.stream), origin, Instant::now())
+                let key = StreamKey(report.stream);
+                let other = self.lock().origins.record(key, origin, Instant::now());
+                if let Some(other) = other {
+                    log::warn!(
+                        "agent: {source} reports another origin of stream {key}, keeping version {} of {}",
+                        other.software,
+                        other.service
+                    );
+                }
             }
             None => log::warn!("agent: ignoring the origin of a stream from {source}: no service"),
         }
--- a/crates/catalog/src/route.rs
+++ b/crates/catalog/src/route.rs
@@ -73,6 +73,13 @@
 }
 
 impl Route {
+    /// Whether `service` gets a share of its requests.
+    pub fn leads_to(&self, service: &ServiceName) -> bool {
+        self.targets.iter().any(|target| target.service == *service && target.weight > 0)
+            || (self.targets.first().is_some_and(|target| target.service == *service)
+                && self.targets.iter().all(|target| target.weight == 0))
+    }
+
     /// Picks the service of a request by weight, given a uniformly distributed random `draw`.
     pub fn pick_service(&self, draw: u64) -> Option<&ServiceName> {
         let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -148,8 +148,11 @@
     let end = gateway.backends.wait_for_deadline(deadline);
     let body = read_body(body, catalog.limits().max_body, end).await?;
     let service = choose_service(&route, &head)?;
-    let software =
-        resumption::find_version(gateway, trace, &route, &head, &service, deadline).await?;
+    let origin = resumption::find_origin(gateway, trace, &route, &head, &service, deadline).await?;
+    let (service, software) = match origin {
+        Some(origin) => (origin.service, Some(origin.software)),
+        None => (service, None),
+    };
     let stream = resumption::stream_key(&route, &head);
     let suspect_keys = suspect_keys(&host, &parts, &body, head.generation.as_ref());
     trace.set_keys(&suspect_keys);
@@ -290,7 +293,7 @@
                     Ok(Answered::Streaming(answer)) => {
                         if let Some(key) = stream {
                             let software = assignment.software.clone();
-                            gateway.fleet.record_origin(key, StreamOrigin { service, software });
+                            gateway.fleet.record_origin(key, &StreamOrigin { service, software });
                         }
                         return start_stream(ticket, guard, request, assignment, *answer);
                     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -115,6 +115,8 @@
     pub reads: StoreReads,
     /// Blocks of requests in the store.
     pub archive: BlockArchive,
+    /// Time within which a change in the store must be known.
+    pub known_within: Duration,
 }
 
 impl Fleet {
@@ -128,7 +130,7 @@
         metrics: GatewayMetrics,
     ) -> Self {
         let FleetIdentity { vm, core_share, side_port } = identity;
-        let FleetLinks { socket, reads, archive } = links;
+        let FleetLinks { socket, reads, archive, known_within } = links;
         let state = FleetState {
             peers: PeerTable::new(vm.clone(), core_share),
             sides: HashMap::new(),
@@ -139,7 +141,7 @@
             last_block_query: None,
             limits: LimitLedger::default(),
             origins: OriginBook::default(),
-            versions: VersionBook::new(Instant::now()),
+            versions: VersionBook::new(known_within, Instant::now()),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
--- a/crates/gateway/src/fleet/origins.rs
+++ b/crates/gateway/src/fleet/origins.rs
@@ -7,22 +7,24 @@
 
 use ::origins::{OriginLedger, StreamKey, StreamOrigin, UnknownOrigin, rank_holders};
 use base::prelude::*;
+use catalog::Route;
 use dispatch::ResumedStream;
 use peers::{DatagramBody, OriginQuery, OriginReply, OriginReport, OriginState};
-use roster::SoftwareVersion;
 use tokio::{sync::mpsc, time};
 
-use super::Fleet;
+use super::{Fleet, versions::REWRITE_TIME};
 
 /// Side processes that keep the origin of a stream. They outlive the entries, and one of three is
 /// nearly always left when half of the servers are replaced.
 const KEEPING_SIDES: usize = 3;
 /// Other entries that keep the origin of a stream, which outlive the side processes.
 const KEEPING_ENTRIES: usize = 1;
+/// The same where there are no side processes.
+const KEEPING_ENTRIES_ALONE: usize = 3;
 /// Side processes that are asked for an origin: more than keep it, because new ones may rank first.
 const ASKED_SIDES: usize = 8;
 /// Other entries that are asked for an origin.
-const ASKED_ENTRIES: usize = 2;
+const ASKED_ENTRIES: usize = 3;
 /// Time after which a query without an answer is sent again; a round trip takes about two
 /// milliseconds, and longer while a VM is busy.
 const QUERY_INTERVAL: Duration = Duration::from_millis(40);
@@ -65,7 +67,9 @@
     pub fn text(self) -> &'static str {
         match self {
             LostOrigin::Unknown(UnknownOrigin::SeveralVersions) => "several",
-            LostOrigin::Unknown(UnknownOrigin::NoHistory) => "no-history",
+            LostOrigin::Unknown(UnknownOrigin::NoHistory | UnknownOrigin::NotBefore(_)) => {
+                "no-history"
+            }
             LostOrigin::OtherService => "other-service",
         }
     }
@@ -102,14 +106,14 @@
 impl Fleet {
     /// Keeps the origin of a stream that begins here, and reports it to the processes that keep it
     /// for the other entries.
-    pub fn record_origin(&self, key: StreamKey, origin: StreamOrigin) {
+    pub fn record_origin(&self, key: StreamKey, origin: &StreamOrigin) {
         let addresses = self.origin_keepers(key);
-        let report = OriginReport { stream: key.0, origin: Some(OriginState::from(&origin)) };
-        self.lock().origins.ledger.record(key, origin, Instant::now());
+        let report = OriginReport { stream: key.0, origin: Some(OriginState::from(origin)) };
+        self.keep_origin(key, origin);
         self.socket.send_all(&addresses, DatagramBody::OriginReport(report));
     }
 
-    /// Finds the software version at which a stream of `service` may go on.
+    /// Finds where a stream may go on: at one of the services of `route`, by default at `service`.
     ///
     /// # Errors
     ///
@@ -117,30 +121,69 @@
     pub async fn find_version(
         &self,
         stream: &ResumedStream,
+        route: &Route,
+        service: &ServiceName,
+    ) -> Result<(StreamOrigin, OriginSource), LostOrigin> {
+        let found = self.find_version_now(stream, route, service).await;
+        let complete_from = match &found {
+            Ok((origin, _)) if !self.knows_version(origin) => self.versions_complete_from(),
+            Err(LostOrigin::Unknown(UnknownOrigin::NotBefore(at))) => *at,
+            _ => return found,
+        };
+        let now = Instant::now();
+        if complete_from <= now || complete_from > now + REWRITE_TIME {
+            return found;
+        }
+        // After a restore of the store, more servers and their side processes are listed in moments.
+        time::sleep_until(complete_from).await;
+        self.find_version_now(stream, route, service).await
+    }
+
+    async fn find_version_now(
+        &self,
+        stream: &ResumedStream,
+        route: &Route,
         service: &ServiceName,
-    ) -> Result<(SoftwareVersion, OriginSource), LostOrigin> {
+    ) -> Result<(StreamOrigin, OriginSource), LostOrigin> {
         let key = stream.first_call.as_ref().map(|call| StreamKey::of_call(&call.0));
         let found = match key {
             Some(key) => self.find_origin(key).await,
             None => None,
         };
         match found {
-            Some((origin, source)) if origin.service == *service => Ok((origin.software, source)),
+            Some((origin, source)) if route.leads_to(&origin.service) => Ok((origin, source)),
             Some(_) => Err(LostOrigin::OtherService),
             None => self
                 .only_version(service)
-                .map(|software| (software, OriginSource::OnlyVersion))
+                .map(|software| {
+                    let origin = StreamOrigin { service: service.clone(), software };
+                    (origin, OriginSource::OnlyVersion)
+                })
                 .map_err(LostOrigin::Unknown),
         }
     }
 
+    fn keep_origin(&self, key: StreamKey, origin: &StreamOrigin) {
+        let other = self.lock().origins.ledger.record(key, origin.clone(), Instant::now());
+        if let Some(other) = other {
+            log::warn!(
+                "origins: stream {key} began at version {} of {}, keeping that; it also went on at \
+                 {} of {}",
+                other.software,
+                other.service,
+                origin.software,
+                origin.service
+            );
+        }
+    }
+
     async fn find_origin(&self, key: StreamKey) -> Option<(StreamOrigin, OriginSource)> {
         let kept = self.lock().origins.ledger.get(key, Instant::now()).cloned();
         if let Some(origin) = kept {
             return Some((origin, OriginSource::Entry));
         }
         let origin = self.ask_for_origin(key).await?;
-        self.lock().origins.ledger.record(key, origin.clone(), Instant::now());
+        self.keep_origin(key, &origin);
         Some((origin, OriginSource::Peer))
     }
 
@@ -173,10 +216,7 @@
 
     pub(super) fn apply_origin_report(&self, source: SocketAddr, report: OriginReport) {
         match report.origin.and_then(OriginState::decode) {
-            Some(origin) => {
-                let key = StreamKey(report.stream);
-                self.lock().origins.ledger.record(key, origin, Instant::now());
-            }
+            Some(origin) => self.keep_origin(StreamKey(report.stream), &origin),
             None => log::warn!("fleet: ignoring the origin of a stream from {source}: no service"),
         }
     }
@@ -200,7 +240,8 @@
     /// The processes that keep the origin of a stream that begins now.
     fn origin_keepers(&self, key: StreamKey) -> Vec<SocketAddr> {
         let sides = rank_holders(key, self.side_addresses(SideChoice::Staying), KEEPING_SIDES);
-        let entries = self.other_entries(key, KEEPING_ENTRIES);
+        let entries = if sides.is_empty() { KEEPING_ENTRIES_ALONE } else { KEEPING_ENTRIES };
+        let entries = self.other_entries(key, entries);
         sides.into_iter().chain(entries).collect()
     }
 
--- a/crates/gateway/src/fleet/versions.rs
+++ b/crates/gateway/src/fleet/versions.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use ::origins::{UnknownOrigin, VersionHistory};
+use ::origins::{StreamOrigin, UnknownOrigin, VersionHistory};
 use base::prelude::*;
 use roster::SoftwareVersion;
 use tokio::time;
@@ -12,27 +12,42 @@
 
 /// Time between two updates of the history without a change of the roster.
 const UPDATE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after a restore of the store from a copy within which servers and entries have written what
+/// the copy lacks: two seconds, and the time until that is read.
+pub(super) const REWRITE_TIME: Duration = Duration::from_millis(2_200);
 
 /// The versions that have served lately, and those of them that the store has.
 #[derive(Debug)]
 pub(super) struct VersionBook {
     history: VersionHistory,
-    stored: BTreeSet<ServedVersion>,
+    /// What the store has; none if that has to be listed again.
+    stored: Option<BTreeSet<ServedVersion>>,
+    /// Time within which a change of the roster must be known.
+    known_within: Duration,
 }
 
 impl VersionBook {
-    pub(super) fn new(now: Instant) -> Self {
-        Self { history: VersionHistory::new(now), stored: BTreeSet::new() }
+    pub(super) fn new(known_within: Duration, now: Instant) -> Self {
+        Self { history: VersionHistory::new(now), stored: None, known_within }
     }
 }
 
 impl Fleet {
     /// Reads the versions that earlier processes have stored, trying again until the store answers.
     pub async fn restore_versions(&self, archive: &VersionArchive) {
-        let stored = archive.list().await;
+        let listing = archive.list().await;
+        let now = Instant::now();
+        // Servers and entries write again what a copy lacks.
+        let complete_from = if listing.may_be_old { now + REWRITE_TIME } else { now };
         let mut state = self.lock();
-        state.versions.history.restore(stored.iter().cloned(), Instant::now());
-        state.versions.stored.extend(stored);
+        let versions = listing.versions;
+        state.versions.history.restore(versions.iter().cloned(), complete_from, now);
+        state.versions.stored = Some(versions.into_iter().collect());
+    }
+
+    /// Records that the roster was read.
+    pub fn record_roster_read(&self) {
+        self.lock().versions.history.record_roster_read(Instant::now());
     }
 
     /// The version that began a stream whose origin nobody keeps.
@@ -41,21 +56,42 @@
         service: &ServiceName,
     ) -> Result<SoftwareVersion, UnknownOrigin> {
         self.record_listed_versions();
-        self.lock().versions.history.only_version(service, Instant::now())
+        let state = self.lock();
+        let max_age = state.versions.known_within;
+        state.versions.history.only_version(service, max_age, Instant::now())
+    }
+
+    /// From when on the versions that have served are known, as far as the store tells.
+    pub(super) fn versions_complete_from(&self) -> Instant {
+        self.lock().versions.history.complete_from()
+    }
+
+    /// Whether servers of this version were listed lately.
+    pub(super) fn knows_version(&self, origin: &StreamOrigin) -> bool {
+        self.record_listed_versions();
+        let versions = self.lock().versions.history.versions();
+        versions.contains(&(origin.service.clone(), origin.software.clone()))
     }
 
     /// Writes the versions to the store again, which has lost them.
     pub fn store_versions_again(&self) {
-        self.lock().versions.stored.clear();
+        self.lock().versions.stored = None;
         self.versions_changed.notify_one();
     }
 
     /// Follows the versions in the roster, until the process ends. The entry that plans stores new
     /// ones, and deletes those whose streams have ended.
     pub async fn follow_versions(self, archive: VersionArchive) {
+        let mut was_planner = false;
         loop {
             self.record_listed_versions();
-            if self.is_planner() {
+            let is_planner = self.is_planner();
+            if is_planner && !was_planner {
+                // The entry that planned before has written and deleted versions.
+                self.lock().versions.stored = None;
+            }
+            was_planner = is_planner;
+            if is_planner {
                 self.store_versions(&archive).await;
             }
             tokio::select! {
@@ -85,20 +121,24 @@
     }
 
     async fn store_versions(&self, archive: &VersionArchive) {
-        let (missing, ended) = {
+        if self.lock().versions.stored.is_none() {
+            let listing = archive.list().await;
+            // After a restore all are written again, so that they have the present era.
+            let known = if listing.may_be_old { Vec::new() } else { listing.versions.clone() };
+            self.delete_ended(archive, &listing.versions.into_iter().collect()).await;
+            self.lock().versions.stored = Some(known.into_iter().collect());
+        }
+        let (missing, stored) = {
             let mut state = self.lock();
             state.versions.history.expire(Instant::now());
             let served = state.versions.history.versions();
-            let stored = &state.versions.stored;
+            let Some(stored) = &state.versions.stored else { return };
             let missing: Vec<ServedVersion> = served.difference(stored).cloned().collect();
-            let ended: Vec<ServedVersion> = stored.difference(&served).cloned().collect();
-            (missing, ended)
+            (missing, stored.clone())
         };
         for version in missing {
             match archive.write(&version).await {
-                Ok(()) => {
-                    self.lock().versions.stored.insert(version);
-                }
+                Ok(()) => self.update_stored(|stored| stored.insert(version)),
                 Err(error) => log::warn!(
                     "versions: storing version {} of {} failed, retrying: {error}",
                     version.1,
@@ -106,11 +146,15 @@
                 ),
             }
         }
-        for version in ended {
-            match archive.delete(&version).await {
-                Ok(()) => {
-                    self.lock().versions.stored.remove(&version);
-                }
+        self.delete_ended(archive, &stored).await;
+    }
+
+    /// Deletes those of the stored versions whose streams have ended.
+    async fn delete_ended(&self, archive: &VersionArchive, stored: &BTreeSet<ServedVersion>) {
+        let served = self.lock().versions.history.versions();
+        for version in stored.difference(&served) {
+            match archive.delete(version).await {
+                Ok(()) => self.update_stored(|stored| stored.remove(version)),
                 Err(error) => log::warn!(
                     "versions: deleting version {} of {} failed, retrying: {error}",
                     version.1,
@@ -119,4 +163,9 @@
             }
         }
     }
+
+    fn update_stored(&self, update: impl FnOnce(&mut BTreeSet<ServedVersion>) -> bool) {
+        // A restore of the store meanwhile leaves nothing to update.
+        self.lock().versions.stored.as_mut().map(update);
+    }
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -218,7 +218,9 @@
         };
         let reads = StoreReads::new(settings.store.known_within);
         let archive = BlockArchive::new(store.clone());
-        let links = FleetLinks { socket, reads: reads.clone(), archive: archive.clone() };
+        let known_within = settings.store.known_within;
+        let links =
+            FleetLinks { socket, reads: reads.clone(), archive: archive.clone(), known_within };
         let fleet = Fleet::new(
             identity,
             links,
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -4,8 +4,7 @@
 use catalog::Route;
 use dispatch::{CallHead, CallId, Refusal};
 use events::{DecisionEvent, millis};
-use origins::StreamKey;
-use roster::SoftwareVersion;
+use origins::{StreamKey, StreamOrigin};
 
 use crate::{backends::WaitEnd, process::Gateway, trace::CallTrace};
 
@@ -22,33 +21,33 @@
     route.kind.is_streaming() && route.kind.may_retry()
 }
 
-/// The software version at which a stream that the caller takes up again may go on; none for other
-/// requests.
+/// The service and software version at which a stream that the caller takes up again may go on; none
+/// for other requests.
 ///
 /// # Errors
 ///
 /// Returns the refusal of a stream that cannot go on.
-pub async fn find_version(
+pub async fn find_origin(
     gateway: &Gateway,
     trace: &CallTrace,
     route: &Route,
     head: &CallHead,
     service: &ServiceName,
     deadline: Instant,
-) -> Result<Option<SoftwareVersion>, Refusal> {
+) -> Result<Option<StreamOrigin>, Refusal> {
     let Some(stream) = head.resumed.as_ref().filter(|_| is_resumable(route)) else {
         return Ok(None);
     };
     let asked = Instant::now();
     let found = tokio::select! {
-        found = gateway.fleet.find_version(stream, service) => found,
+        found = gateway.fleet.find_version(stream, route, service) => found,
         end = gateway.backends.wait_for_deadline(deadline) => return Err(match end {
             WaitEnd::DeadlinePassed => Refusal::new(ResultCode::DeadlinePassed, "deadline passed"),
             WaitEnd::ProcessEnds => Refusal::stopping(Duration::ZERO),
         }),
     };
     let (software, source) = match &found {
-        Ok((software, source)) => (software.as_str(), source.text()),
+        Ok((origin, source)) => (origin.software.as_str(), source.text()),
         Err(lost) => ("", lost.text()),
     };
     trace.record(&DecisionEvent::StreamOrigin {
@@ -58,7 +57,7 @@
         after_ms: millis(asked.elapsed()),
     });
     match found {
-        Ok((software, _)) => Ok(Some(software)),
+        Ok((origin, _)) => Ok(Some(origin)),
         Err(lost) => Err(Refusal::new(ResultCode::NoReplica, lost.reason())),
     }
 }
--- a/crates/gateway/src/version_archive.rs
+++ b/crates/gateway/src/version_archive.rs
@@ -3,7 +3,7 @@
 
 use base::prelude::*;
 use platform::{ObjectKind, PlatformStore, StoreError};
-use roster::SoftwareVersion;
+use roster::{SoftwareVersion, StoreEra};
 use serde::{Deserialize, Serialize};
 use tokio::time;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -18,6 +18,19 @@
 struct StoredVersion {
     service: String,
     software: String,
+    /// Number of restores of the store before it was written; zero if the store does not tell.
+    #[serde(default)]
+    era: u64,
+}
+
+/// The versions that the store lists.
+#[derive(Debug)]
+pub struct VersionListing {
+    /// The versions.
+    pub versions: Vec<ServedVersion>,
+    /// Whether the store may have come back from a copy since the last of them was written, which
+    /// may lack newer ones.
+    pub may_be_old: bool,
 }
 
 /// Reads and writes the versions in the store.
@@ -33,7 +46,7 @@
     }
 
     /// Lists the stored versions, trying again until the store answers.
-    pub async fn list(&self) -> Vec<ServedVersion> {
+    pub async fn list(&self) -> VersionListing {
         let mut failures = 0_u32;
         let listed = loop {
             match self.store.list_system_objects(ObjectKind::SoftwareVersions).await {
@@ -49,14 +62,26 @@
         if failures > 0 {
             log::info!("versions: listed the stored versions after {failures} failed calls");
         }
-        let versions = listed.into_iter().filter_map(|(name, contents)| {
-            let version = decode(&contents);
-            if version.is_none() {
-                log::warn!("versions: ignoring the stored version {name:?}, it cannot be read");
+        let mut listing = VersionListing { versions: Vec::new(), may_be_old: false };
+        let mut newest = StoreEra::default();
+        for (name, contents) in listed {
+            match decode(&contents) {
+                Some((version, era)) => {
+                    listing.versions.push(version);
+                    newest = newest.max(era);
+                }
+                None => {
+                    log::warn!("versions: ignoring the stored version {name:?}, it cannot be read");
+                    listing.may_be_old = true;
+                }
             }
-            version
-        });
-        versions.collect()
+        }
+        listing.may_be_old |= newest < self.era();
+        listing
+    }
+
+    fn era(&self) -> StoreEra {
+        self.store.era().borrow().unwrap_or_default()
     }
 
     /// Stores a version that serves.
@@ -66,7 +91,11 @@
     /// Fails if the call fails.
     pub async fn write(&self, version: &ServedVersion) -> Result<(), StoreError> {
         let (service, software) = version;
-        let stored = StoredVersion { service: service.to_string(), software: software.to_string() };
+        let stored = StoredVersion {
+            service: service.to_string(),
+            software: software.to_string(),
+            era: self.era().0,
+        };
         let contents = serde_json::json!(stored).to_string();
         let name = object_name(version);
         self.store.write_system_object(ObjectKind::SoftwareVersions, &name, &contents).await
@@ -89,7 +118,8 @@
     format!("{:016x}", xxh3_64_with_seed(software.as_str().as_bytes(), seed))
 }
 
-fn decode(contents: &str) -> Option<ServedVersion> {
+fn decode(contents: &str) -> Option<(ServedVersion, StoreEra)> {
     let stored: StoredVersion = serde_json::from_str(contents).ok()?;
-    Some((stored.service.parse().ok()?, stored.software.parse().ok()?))
+    let version = (stored.service.parse().ok()?, stored.software.parse().ok()?);
+    Some((version, StoreEra(stored.era)))
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod gateway_process;
 pub mod store_path;
 pub mod streams;
+pub mod version_fleet;
 
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
--- a/crates/origins/src/holders.rs
+++ b/crates/origins/src/holders.rs
@@ -24,6 +24,11 @@
     };
     let mut ranking: Vec<(u64, SocketAddr)> =
         processes.into_iter().map(|address| (rank(&address), address)).collect();
-    ranking.sort_unstable();
-    ranking.into_iter().rev().take(count).map(|(_, address)| address).collect()
+    let first = |a: &(u64, SocketAddr), b: &(u64, SocketAddr)| b.cmp(a);
+    if count < ranking.len() {
+        ranking.select_nth_unstable_by(count, first);
+        ranking.truncate(count);
+    }
+    ranking.sort_unstable_by(first);
+    ranking.into_iter().map(|(_, address)| address).collect()
 }
--- a/crates/origins/src/ledger.rs
+++ b/crates/origins/src/ledger.rs
@@ -66,19 +66,31 @@
 
 impl OriginLedger {
     /// Keeps the origin of a stream that has begun or goes on. The first one that was recorded
-    /// stays.
-    pub fn record(&mut self, key: StreamKey, origin: StreamOrigin, now: Instant) {
+    /// stays, and is returned if it is another one.
+    pub fn record(
+        &mut self,
+        key: StreamKey,
+        origin: StreamOrigin,
+        now: Instant,
+    ) -> Option<StreamOrigin> {
         self.expire(now);
         let before = self.origins.remove(&key);
         if let Some(before) = &before {
             self.by_age.remove(&(before.recorded, key));
         }
-        let origin = before.map_or(origin, |before| before.origin);
-        self.origins.insert(key, KeptOrigin { origin, recorded: now });
+        let (kept, other) = match before {
+            None => (origin, None),
+            Some(KeptOrigin { origin: first, .. }) => {
+                let other = (first != origin).then(|| first.clone());
+                (first, other)
+            }
+        };
+        self.origins.insert(key, KeptOrigin { origin: kept, recorded: now });
         self.by_age.insert((now, key));
         while self.origins.len() > MAX_ORIGINS {
             self.remove_oldest();
         }
+        other
     }
 
     /// The origin of a stream, if this process keeps it.
--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -14,6 +14,8 @@
     SeveralVersions,
     /// It is not known which versions have served.
     NoHistory,
+    /// It is not known before this time which versions have served.
+    NotBefore(Instant),
 }
 
 /// The software versions of each service that have served within the longest life of a stream.
@@ -21,15 +23,16 @@
 pub struct VersionHistory {
     /// When each version was listed last.
     services: BTreeMap<ServiceName, BTreeMap<SoftwareVersion, Instant>>,
-    /// From when on the history is complete without the record of earlier processes.
+    /// From when on the history is complete.
     complete_from: Instant,
-    is_restored: bool,
+    /// When a read of the roster showed all servers last.
+    roster_read: Option<Instant>,
 }
 
 impl VersionHistory {
     /// A history without versions, of a process that starts now.
     pub fn new(now: Instant) -> Self {
-        Self { services: BTreeMap::new(), complete_from: now + MAX_STREAM_AGE, is_restored: false }
+        Self { services: BTreeMap::new(), complete_from: now + MAX_STREAM_AGE, roster_read: None }
     }
 
     /// Records that a server of this version is listed; returns whether the version is new.
@@ -55,17 +58,29 @@
         }
     }
 
+    /// From when on the history is complete.
+    pub fn complete_from(&self) -> Instant {
+        self.complete_from
+    }
+
+    /// Records that the roster was read; it lists all servers as of `now`.
+    pub fn record_roster_read(&mut self, now: Instant) {
+        self.roster_read = self.roster_read.max(Some(now));
+    }
+
     /// Adds the versions that earlier processes have recorded. How long ago they served is not
-    /// known, so that each may have begun a stream just now.
+    /// known, so that each may have begun a stream just now. The history is complete from
+    /// `complete_from` on: at once, unless the record may lack the newest versions.
     pub fn restore(
         &mut self,
         recorded: impl IntoIterator<Item = (ServiceName, SoftwareVersion)>,
+        complete_from: Instant,
         now: Instant,
     ) {
         for (service, software) in recorded {
             self.record_listed(&service, &software, now);
         }
-        self.is_restored = true;
+        self.complete_from = self.complete_from.min(complete_from);
     }
 
     /// Removes the versions that have not been listed for the longest life of a stream, and returns
@@ -93,27 +108,33 @@
         pairs.collect()
     }
 
-    /// The version that began a stream of `service` whose origin nobody knows.
+    /// The version that began a stream of `service` whose origin nobody knows. `max_age` is the time
+    /// within which a change of the roster must be known.
     ///
     /// # Errors
     ///
-    /// Fails if it may have been one of several versions, or of none that is known.
+    /// Fails if it may have been one of several versions, or of none that is known, as for a process
+    /// that has not read the roster lately.
     pub fn only_version(
         &self,
         service: &ServiceName,
+        max_age: Duration,
         now: Instant,
     ) -> Result<SoftwareVersion, UnknownOrigin> {
-        if !self.is_restored && now < self.complete_from {
-            return Err(UnknownOrigin::NoHistory);
-        }
-        let versions = self.services.get(service).ok_or(UnknownOrigin::NoHistory)?;
+        let versions = self.services.get(service).into_iter().flatten();
         let mut current = versions
-            .iter()
-            .filter(|(_, listed)| now.saturating_duration_since(**listed) < MAX_STREAM_AGE);
-        match (current.next(), current.next()) {
-            (Some((software, _)), None) => Ok(software.clone()),
-            (Some(_), Some(_)) => Err(UnknownOrigin::SeveralVersions),
-            (None, _) => Err(UnknownOrigin::NoHistory),
+            .filter(|(_, listed)| now.saturating_duration_since(**listed) < MAX_STREAM_AGE)
+            .map(|(software, _)| software);
+        let (first, second) = (current.next(), current.next());
+        // What is not known yet can only add versions.
+        if second.is_some() {
+            return Err(UnknownOrigin::SeveralVersions);
+        }
+        if now < self.complete_from {
+            return Err(UnknownOrigin::NotBefore(self.complete_from));
         }
+        let is_fresh = |read: Instant| now.saturating_duration_since(read) <= max_age;
+        let known = first.filter(|_| self.roster_read.is_some_and(is_fresh));
+        known.cloned().ok_or(UnknownOrigin::NoHistory)
     }
 }
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -21,6 +21,18 @@
     StreamOrigin { service: service(), software: version(software) }
 }
 
+/// Time within which a change of the roster must be known.
+const MAX_AGE: Duration = Duration::from_secs(4);
+
+/// The version that began a stream of unknown origin, for a process that has just read the roster.
+fn only_version(
+    history: &mut VersionHistory,
+    now: Instant,
+) -> Result<SoftwareVersion, UnknownOrigin> {
+    history.record_roster_read(now);
+    history.only_version(&service(), MAX_AGE, now)
+}
+
 fn processes(count: u8) -> Vec<SocketAddr> {
     (1..=count).map(|host| SocketAddr::from(([10, 0, 0, host], 7_380))).collect()
 }
@@ -103,10 +115,10 @@
 fn only_version_of_a_running_process_decides() {
     let start = Instant::now();
     let mut history = VersionHistory::new(start);
-    history.restore([], start);
+    history.restore([], start, start);
     history.record_listed(&service(), &version("v1"), start);
 
-    assert_eq!(history.only_version(&service(), start), Ok(version("v1")));
+    assert_eq!(only_version(&mut history, start), Ok(version("v1")));
 }
 
 #[test]
@@ -114,14 +126,14 @@
     let start = Instant::now();
     let left = start + Duration::from_secs(100);
     let mut history = VersionHistory::new(start);
-    history.restore([], start);
+    history.restore([], start, start);
     history.record_listed(&service(), &version("v1"), left);
     history.record_listed(&service(), &version("v2"), left);
     let later = left + MAX_STREAM_AGE;
     history.record_listed(&service(), &version("v2"), later);
 
-    let before = history.only_version(&service(), left + Duration::from_secs(59));
-    let after = history.only_version(&service(), later);
+    let before = only_version(&mut history, left + Duration::from_secs(59));
+    let after = only_version(&mut history, later);
     let expired = history.expire(later);
 
     assert_eq!(before, Err(UnknownOrigin::SeveralVersions));
@@ -135,11 +147,11 @@
     let mut history = VersionHistory::new(start);
     history.record_listed(&service(), &version("v2"), start);
 
-    let unread = history.only_version(&service(), start);
-    history.restore([(service(), version("v1")), (service(), version("v2"))], start);
-    let read = history.only_version(&service(), start);
+    let unread = only_version(&mut history, start);
+    history.restore([(service(), version("v1")), (service(), version("v2"))], start, start);
+    let read = only_version(&mut history, start);
 
-    assert_eq!(unread, Err(UnknownOrigin::NoHistory));
+    assert_eq!(unread, Err(UnknownOrigin::NotBefore(start + MAX_STREAM_AGE)));
     assert_eq!(read, Err(UnknownOrigin::SeveralVersions));
 }
 
@@ -150,5 +162,47 @@
     let mut history = VersionHistory::new(start);
     history.record_listed(&service(), &version("v2"), later);
 
-    assert_eq!(history.only_version(&service(), later), Ok(version("v2")));
+    assert_eq!(only_version(&mut history, later), Ok(version("v2")));
+}
+
+/// A store that came back from a copy may list neither the newest version nor its servers.
+#[test]
+fn record_that_may_be_old_counts_once_it_was_written_again() {
+    let start = Instant::now();
+    let rewritten = start + Duration::from_secs(3);
+    let mut history = VersionHistory::new(start);
+    history.restore([(service(), version("v1"))], rewritten, start);
+
+    let before = only_version(&mut history, start + Duration::from_secs(2));
+    history.record_listed(&service(), &version("v2"), rewritten);
+    let after = only_version(&mut history, rewritten);
+
+    assert_eq!(before, Err(UnknownOrigin::NotBefore(rewritten)));
+    assert_eq!(after, Err(UnknownOrigin::SeveralVersions));
+}
+
+#[test]
+fn process_that_has_not_read_the_roster_lately_does_not_know_the_versions() {
+    let start = Instant::now();
+    let mut history = VersionHistory::new(start);
+    history.restore([], start, start);
+    history.record_roster_read(start);
+    let later = start + MAX_AGE + Duration::from_millis(1);
+    history.record_listed(&service(), &version("v1"), later);
+
+    let unread = history.only_version(&service(), MAX_AGE, later);
+
+    assert_eq!(unread, Err(UnknownOrigin::NoHistory));
+}
+
+#[test]
+fn another_origin_of_a_stream_is_returned() {
+    let (key, now) = (StreamKey::of_call("c-1"), Instant::now());
+    let mut ledger = OriginLedger::default();
+
+    let first = ledger.record(key, origin("v1"), now);
+    let same = ledger.record(key, origin("v1"), now);
+    let other = ledger.record(key, origin("v2"), now);
+
+    assert_eq!((first, same, other), (None, None, Some(origin("v1"))));
 }
