roster: a copy of the store does not bring back an earlier incarnation of a server

Found by the review: after a restore from a copy, the roster took the earlier incarnation of a server from the listing, with the software version that it had, until the server registered again. Now a listing of the incarnation before the known one counts for nothing after a restore. The test fails on the code before: version v1 instead of v2.

--- a/crates/roster/src/table.rs
+++ b/crates/roster/src/table.rs
@@ -62,6 +62,8 @@
 struct RosterEntry {
     server: BackendServer,
     status: RosterStatus,
+    /// Start of the incarnation before the present one.
+    previous: Option<IncarnationStart>,
     /// Era of the store in which it was last listed.
     era: StoreEra,
 }
@@ -200,7 +202,11 @@
         };
         self.removed.remove(&id);
         let era = self.era.unwrap_or_default();
-        let before = self.entries.insert(id.clone(), RosterEntry { server, status, era });
+        let previous = self.entries.get(&id).and_then(|before| {
+            let is_other = before.server.started != server.started;
+            if is_other { before.server.started } else { before.previous }
+        });
+        let before = self.entries.insert(id.clone(), RosterEntry { server, status, previous, era });
         let after = &self.entries[&id].server;
         let is_same = |before: &BackendServer| {
             // The count alone makes no difference to anyone.
@@ -215,9 +221,18 @@
         }
     }
 
-    /// Whether a listed server is ready only in the copy from which the store was restored: the same
-    /// incarnation is known to drain or to be gone, and has not written its registration since.
+    /// Whether a listed server stands so only in the copy from which the store was restored: a later
+    /// incarnation is known, or the same one is known to drain or to be gone and has not written its
+    /// registration since.
     fn is_superseded(&self, listed: &BackendServer) -> bool {
+        let is_earlier = |known: &RosterEntry| {
+            known.previous.is_some()
+                && known.previous == listed.started
+                && known.era < self.era.unwrap_or_default()
+        };
+        if self.entries.get(&listed.id).is_some_and(is_earlier) {
+            return true;
+        }
         if listed.state != ServerState::Ready {
             return false;
         }
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -298,3 +298,24 @@
     assert_eq!(update, None);
     assert_eq!(status(&roster, "a").is_none(), is_gone);
 }
+
+/// The earlier one may have had another software version.
+#[test]
+fn copy_of_the_store_does_not_bring_back_an_earlier_incarnation() {
+    let now = Instant::now();
+    let incarnation = |started: u64, software: &str, check_ins: u64| BackendServer {
+        started: Some(IncarnationStart(started)),
+        software: software.parse().expect("any text"),
+        ..counted(ready("a"), Some(check_ins))
+    };
+    let mut roster = Roster::default();
+    roster.record_era(StoreEra(1), now);
+    roster.apply_snapshot(vec![incarnation(1, "v1", 9)], now);
+    roster.apply_snapshot(vec![incarnation(2, "v2", 1)], now);
+
+    roster.record_era(StoreEra(2), now);
+    let update = roster.apply_snapshot(vec![incarnation(1, "v1", 8)], now);
+
+    let (known, _) = roster.get(&"a".parse().expect("a valid name")).expect("it is listed");
+    assert_eq!((known.software.as_str(), update), ("v2", Vec::new()));
+}
