review: a crowd of legal requests outgrows the memory of a gateway's machine

Case 7. 2,040 clients send heads of 15,573 bytes and bodies of 44,000 or 16,000 bytes but for the last byte, and stay.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,6 +3,7 @@
 //! rule was broken, 0 if it held, and 2 if the case could not run. `TROUBLE=0` leaves the disruption
 //! out.
 
+mod crowd;
 mod gateway;
 mod http;
 mod manifest_storm;
@@ -56,6 +57,7 @@
     let play = Play { record, folder: Path::new(folder).to_owned(), has_trouble };
     play.record.line(format!("case {case}, trouble {}", u8::from(has_trouble)));
     let verdict = match case.as_str() {
+        "crowd" => crowd::run(&play)?,
         "manifest-storm" => manifest_storm::run(&play)?,
         other => return Err(io::Error::other(format!("unknown case {other}"))),
     };
