--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,6 +4,7 @@
 //! out.
 
 mod crowd;
+mod endless_refusal;
 mod gateway;
 mod http;
 mod manifest_storm;
@@ -59,6 +60,7 @@
     let verdict = match case.as_str() {
         "crowd" => crowd::run(&play)?,
         "manifest-storm" => manifest_storm::run(&play)?,
+        "endless-refusal" => endless_refusal::run(&play)?,
         other => return Err(io::Error::other(format!("unknown case {other}"))),
     };
     play.record.line(match verdict {
