--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod crowd;
 mod endless_refusal;
 mod gateway;
+mod held_bodies;
 mod http;
 mod manifest_storm;
 mod replica;
@@ -60,6 +61,7 @@
     let verdict = match case.as_str() {
         "crowd" => crowd::run(&play)?,
         "manifest-storm" => manifest_storm::run(&play)?,
+        "held-bodies" => held_bodies::run(&play)?,
         "endless-refusal" => endless_refusal::run(&play)?,
         other => return Err(io::Error::other(format!("unknown case {other}"))),
     };
--- a/review/standin-2/src/replica.rs
+++ b/review/standin-2/src/replica.rs
@@ -1,15 +1,15 @@
 //! Stand-ins of replicas of a plain service.
 
 use std::{
-    io::{self, BufReader, Write},
+    io::{self, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
-    http::{answer, read_body, read_head, Head},
+    http::{answer, read_body, read_head, Head, Reader},
     store::Store,
 };
 
@@ -18,24 +18,49 @@
 pub enum Behaviour {
     /// Runs each request within some milliseconds.
     Sound,
+    /// Reads bodies slowly, and answers with a stream of one event.
+    SlowReader,
     /// Is in trouble: it runs nothing and says so, in answers whose bodies have no end.
     FullWithoutEnd,
 }
 
-/// A request that a replica began to run.
+/// A request that a replica runs.
 #[derive(Debug, Clone)]
 pub struct Run {
     pub id: String,
     pub service: String,
+    pub replica: String,
+    /// When its head reached the replica.
+    pub arrived: Instant,
 }
 
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
 /// Time of a request at a sound replica.
 const WORK: Duration = Duration::from_millis(15);
+/// What a slow reader takes of a body at a time, and the pause before the next piece.
+const READ_SIZE: usize = 40_000;
+const READ_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two pieces of an answer without end.
 const PIECE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Writes the entry of a replica; the return of this call is the acknowledgement.
+pub fn register(
+    store: &Store,
+    id: &str,
+    service: &str,
+    address: SocketAddr,
+    state: &str,
+    sequence: u32,
+) {
+    let entry = format!(
+        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"zone-a\",\
+         \"version\":\"v1\",\"slots\":6,\"state\":\"{state}\",\"cold-left-ms\":0,\
+         \"sequence\":{sequence},\"born\":1}}"
+    );
+    store.write("servers", id, &entry);
+}
+
 /// Starts a replica `id` of `service` and registers it in the store.
 pub fn start(
     store: &Store,
@@ -46,12 +71,7 @@
 ) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
-    let entry = format!(
-        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"zone-a\",\
-         \"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"cold-left-ms\":0,\"sequence\":1,\
-         \"born\":1}}"
-    );
-    store.write("servers", id, &entry);
+    register(store, id, service, address, "ready", 1);
     let (id, service, runs) = (id.to_owned(), service.to_owned(), Arc::clone(runs));
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -75,7 +95,12 @@
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
     while let Some(head) = read_head(&mut reader)? {
-        read_body(&mut reader, &head)?;
+        let arrived = Instant::now();
+        if behaviour == Behaviour::SlowReader {
+            read_slowly(&mut reader, &head)?;
+        } else {
+            read_body(&mut reader, &head)?;
+        }
         let call = head.header("attempt-id").unwrap_or_default().to_owned();
         if head.header("expect-instance").is_some_and(|expected| expected != id) {
             writer.write_all(&answer(421, &[("attempt-id", &call)], b""))?;
@@ -90,7 +115,11 @@
                     b"",
                 ))?;
             }
-            Behaviour::Sound => run(&mut writer, &head, &call, service, runs)?,
+            Behaviour::Sound | Behaviour::SlowReader => {
+                let started =
+                    Run { id: call, service: service.to_owned(), replica: id.to_owned(), arrived };
+                run(&mut writer, started, behaviour == Behaviour::SlowReader, runs)?;
+            }
             Behaviour::FullWithoutEnd => {
                 let head = format!(
                     "HTTP/1.1 503 Full\r\nattempt-id: {call}\r\nnot-executed: 1\r\n\
@@ -108,18 +137,35 @@
     Ok(())
 }
 
-fn run(
-    writer: &mut TcpStream,
-    head: &Head,
-    call: &str,
-    service: &str,
-    runs: &Runs,
-) -> io::Result<()> {
-    let run = Run { id: call.to_owned(), service: service.to_owned() };
+/// Reads a body piece by piece.
+fn read_slowly(reader: &mut Reader, head: &Head) -> io::Result<()> {
+    let length = head.header("content-length").and_then(|text| text.parse().ok());
+    let mut left: usize = length.unwrap_or(0);
+    let mut piece = vec![0; READ_SIZE];
+    while left > 0 {
+        let size = left.min(READ_SIZE);
+        reader.read_exact(&mut piece[..size])?;
+        left -= size;
+        thread::sleep(READ_INTERVAL);
+    }
+    Ok(())
+}
+
+/// Answers a request that has run.
+fn run(writer: &mut TcpStream, run: Run, is_stream: bool, runs: &Runs) -> io::Result<()> {
+    let (call, service) = (run.id.clone(), run.service.clone());
     runs.lock().expect("no thread panics with the lock").push(run);
     thread::sleep(WORK);
-    let body = format!("{service} ran {} {}", head.word(0), head.word(1));
+    let (kind, body) = match is_stream {
+        true => ("text/event-stream", format!("id: 1\ndata: {service} ran {call}\n\n")),
+        false => ("text/plain", format!("{service} ran {call}")),
+    };
     let seal = format!("seal.{service}.{call}");
-    let headers = [("attempt-id", call), ("server-seal", seal.as_str()), ("server-load", "1,0,6")];
+    let headers = [
+        ("attempt-id", call.as_str()),
+        ("server-seal", seal.as_str()),
+        ("server-load", "1,0,6"),
+        ("content-type", kind),
+    ];
     writer.write_all(&answer(200, &headers, body.as_bytes()))
 }
