--- a/review/standin-2/src/gateway.rs
+++ b/review/standin-2/src/gateway.rs
@@ -18,6 +18,9 @@
 /// The command of the role in `deploy/system.toml`.
 const COMMAND: (&str, &str) = ("target/release/fescuewalk", "gateway");
 
+/// Starts of a process whose ports are taken.
+const MAX_STARTS: usize = 5;
+
 /// Settings that differ between the cases.
 pub struct Machine {
     pub memory_mb: u64,
@@ -39,8 +42,21 @@
 }
 
 impl Gateway {
-    /// Starts a gateway whose settings and log lie in `folder`, and waits until it is ready.
+    /// Starts a gateway whose settings and log lie in `folder`, and waits until it is ready. A process
+    /// that ends because another one has taken a port meanwhile is started again with other ports.
     pub fn start(folder: &Path, name: &str, store: &Store, machine: &Machine) -> io::Result<Self> {
+        for _ in 0..MAX_STARTS {
+            let mut gateway = Self::start_once(folder, name, store, machine)?;
+            if gateway.wait_until_ready()? {
+                return Ok(gateway);
+            }
+            let log = fs::read_to_string(folder.join(format!("{name}.log"))).unwrap_or_default();
+            eprintln!("{name} ended: {}", log.lines().last().unwrap_or_default());
+        }
+        Err(io::Error::other(format!("{name} ended at each start")))
+    }
+
+    fn start_once(folder: &Path, name: &str, store: &Store, machine: &Machine) -> io::Result<Self> {
         let (callers, ready) = (free_address()?, free_address()?);
         let (metrics, peers) = (free_address()?, free_address()?);
         let Machine { memory_mb, descriptors } = machine;
@@ -62,12 +78,11 @@
             .stdout(Stdio::from(log.try_clone()?))
             .stderr(Stdio::from(log))
             .spawn()?;
-        let gateway = Self { child, callers, ready };
-        gateway.wait_until_ready()?;
-        Ok(gateway)
+        Ok(Self { child, callers, ready })
     }
 
-    fn wait_until_ready(&self) -> io::Result<()> {
+    /// Waits until the process is ready; returns false if it has ended.
+    fn wait_until_ready(&mut self) -> io::Result<bool> {
         let until = Instant::now() + Duration::from_secs(15);
         while Instant::now() < until {
             let request = ClientRequest {
@@ -81,7 +96,10 @@
                 patience: Duration::from_secs(1),
             };
             if call(&request).status == Some(200) {
-                return Ok(());
+                return Ok(true);
+            }
+            if self.has_ended() {
+                return Ok(false);
             }
             thread::sleep(Duration::from_millis(50));
         }
