settings: figures may have a fraction

What operators saw: the system did not start, or did not start again after a loss of all machines.

The platform states its bounds as whole numbers or fractions, and settings are rendered again at each start. A time or size with a fraction (8.5s, 2000.0ms, 260.5MiB, 4100.0 descriptors) was a fault of the settings file, on which both programs end at once. One such figure among the bounds of a deployment keeps all of its entries down, at the first start or at the next one.

Times and sizes are decimal numbers now; signs, exponents, infinities and values beyond the range stay faults. Numbers of descriptors and connections drop their fraction.

--- a/crates/base/src/rates.rs
+++ b/crates/base/src/rates.rs
@@ -62,7 +62,13 @@
     }
 }
 
-/// A duration in settings and lists, such as `250ms`, `13s`, `10min` or `2h`.
+/// Reads a decimal number without a sign or an exponent, such as `8.5`.
+pub(crate) fn parse_decimal(digits: &str) -> Option<f64> {
+    let is_decimal = digits.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    is_decimal.then(|| digits.parse().ok()).flatten()
+}
+
+/// A duration in settings and lists, such as `250ms`, `13s`, `8.5s`, `10min` or `2h`.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TimeSpan(pub Duration);
 
@@ -85,8 +91,11 @@
             .find(|(unit, _)| text.ends_with(unit))
             .context(RateSnafu { text, expected })?;
         let digits = text[..text.len() - unit.len()].trim();
-        let count = digits.parse::<u64>().ok().context(RateSnafu { text, expected })?;
-        let total = count.checked_mul(*millis).context(RateSnafu { text, expected })?;
-        Ok(Self(Duration::from_millis(total)))
+        let span = match digits.parse::<u64>() {
+            Ok(count) => count.checked_mul(*millis).map(Duration::from_millis),
+            Err(_) => parse_decimal(digits)
+                .and_then(|count| Duration::try_from_secs_f64(count * *millis as f64 / 1e3).ok()),
+        };
+        Ok(Self(span.context(RateSnafu { text, expected })?))
     }
 }
--- a/crates/base/src/sizes.rs
+++ b/crates/base/src/sizes.rs
@@ -5,7 +5,9 @@
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, Snafu};
 
-/// A size has no known unit, no whole number, or does not fit into 64 bits.
+use crate::rates::parse_decimal;
+
+/// A size has no known unit, no decimal number, or does not fit into 64 bits.
 #[derive(Debug, Snafu, Clone, PartialEq, Eq)]
 #[snafu(display("{text:?} is not a size such as 512KiB, 64MiB or 80GiB"))]
 pub struct SizeError {
@@ -65,8 +67,13 @@
         let (name, bytes) =
             UNITS.iter().find(|(name, _)| text.ends_with(name)).context(SizeSnafu { text })?;
         let digits = text[..text.len() - name.len()].trim();
-        let count = digits.parse::<u64>().ok().context(SizeSnafu { text })?;
-        let total = count.checked_mul(*bytes).context(SizeSnafu { text })?;
-        Ok(Self(total))
+        let total = match digits.parse::<u64>() {
+            Ok(count) => count.checked_mul(*bytes),
+            Err(_) => parse_decimal(digits)
+                .map(|count| count * *bytes as f64)
+                .filter(|total| *total < u64::MAX as f64)
+                .map(|total| total as u64),
+        };
+        Ok(Self(total.context(SizeSnafu { text })?))
     }
 }
--- a/crates/base/tests/ids.rs
+++ b/crates/base/tests/ids.rs
@@ -43,10 +43,23 @@
     assert_eq!(size.to_string(), text);
 }
 
+#[rstest]
+#[case("260.0MiB", 260 << 20)]
+#[case("0.5KiB", 512)]
+fn sizes_may_have_a_fraction(#[case] text: &str, #[case] bytes: u64) {
+    let size = text.parse::<ByteSize>().unwrap();
+
+    assert_eq!(size, ByteSize(bytes));
+}
+
 #[rstest]
 #[case("80")]
 #[case("80GB")]
 #[case("-1GiB")]
+#[case("1e3GiB")]
+#[case("infGiB")]
+#[case("1.2.3GiB")]
+#[case("99999999999.5TiB")]
 #[case("99999999999TiB")]
 fn bad_sizes_are_refused(#[case] text: &str) {
     assert!(text.parse::<ByteSize>().is_err());
@@ -57,12 +70,25 @@
 #[case("13s", 13_000)]
 #[case("10min", 600_000)]
 #[case("2h", 7_200_000)]
+#[case("8.5s", 8_500)]
+#[case("2000.0ms", 2_000)]
 fn spans_are_parsed_with_their_unit(#[case] text: &str, #[case] millis: u64) {
     let span = text.parse::<TimeSpan>().unwrap();
 
     assert_eq!(span.0, Duration::from_millis(millis));
 }
 
+#[rstest]
+#[case("s")]
+#[case("-1.5s")]
+#[case("1e3s")]
+#[case("nans")]
+#[case("1.2.3s")]
+#[case("99999999999999999999.5h")]
+fn bad_spans_are_refused(#[case] text: &str) {
+    assert!(text.parse::<TimeSpan>().is_err());
+}
+
 #[test]
 fn request_ids_round_trip() {
     let id = RequestId::random();
--- a/crates/fescuewalk/tests/gateway.rs
+++ b/crates/fescuewalk/tests/gateway.rs
@@ -45,6 +45,20 @@
     assert!(errors.contains("[limits] grace"), "{errors}");
 }
 
+/// Guards against a process that cannot start because the platform states a figure with a fraction.
+#[test]
+fn figures_with_a_fraction_are_accepted() {
+    let text = example("slatina/gateway.ini")
+        .replace("2000ms, 2000ms", "2000.0ms, 1500.5ms")
+        .replace("repeat-allowance = 52", "repeat-allowance = 52.5")
+        .replace("repeat-window = 10s", "repeat-window = 7.5s\nmemory = 260.5MiB")
+        .replace("grace = 8s", "grace = 8.5s\ndescriptors = 4100.0");
+
+    let output = check(&text);
+
+    assert!(output.status.success(), "{}", stderr(&output));
+}
+
 #[test]
 fn missing_settings_argument_is_a_usage_error() {
     let output = run(&["gateway", "--check"]);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -118,6 +118,19 @@
         parse_within(text, 0.5..=0.999).map(Self)
     }
 }
+
+/// A number of descriptors or connections; a fraction is cut off.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct ResourceCount(usize);
+
+impl std::str::FromStr for ResourceCount {
+    type Err = ();
+
+    fn from_str(text: &str) -> std::result::Result<Self, ()> {
+        parse_within(text, 0.0..=1e9).map(|count| Self(count as usize))
+    }
+}
+
 /// Memory of the smallest VM that runs a gateway.
 const DEFAULT_MEMORY: ByteSize = ByteSize::mib(120);
 /// File descriptors of the smallest VM that runs a gateway.
@@ -191,20 +204,21 @@
     }
 }
 
+/// The smallest of the values of `key`, if there is one.
+fn read_count(section: &mut SectionReader<'_>, key: &'static str, expected: &str) -> Option<usize> {
+    section.values::<ResourceCount>(key, expected).into_iter().min().map(|count| count.0)
+}
+
 fn read_resources(section: &mut SectionReader<'_>) -> ResourceSettings {
-    let descriptors = "a number of file descriptors";
-    let connections = "a number of connections";
     ResourceSettings {
         memory: section.optional("memory", SIZE_FORMAT, DEFAULT_MEMORY),
-        descriptors: section
-            .values("descriptors", descriptors)
-            .into_iter()
-            .min()
+        descriptors: read_count(section, "descriptors", "a number of file descriptors")
             .unwrap_or(DEFAULT_DESCRIPTORS),
-        connections_per_address: section
-            .values("connections-per-address", connections)
-            .into_iter()
-            .min(),
+        connections_per_address: read_count(
+            section,
+            "connections-per-address",
+            "a number of connections",
+        ),
         server_bytes: section.optional("server-bytes", SIZE_FORMAT, DEFAULT_SERVER_BYTES),
     }
 }
