settings: bounds that the platform does not state have defaults

What operators saw: the system did not start.

The platform states the bounds of the contracts that are in force only, and its template renders nothing for the others. The retry budget, the grace time and the time within which changes are known were required, so that a gateway of a deployment without one of them ended at its start, each time.

Malformed values, unknown keys and repeated keys stay faults.

Both cases of the test in crates/fescuewalk/tests/gateway.rs failed before.

--- a/crates/base/src/ini.rs
+++ b/crates/base/src/ini.rs
@@ -155,6 +155,20 @@
         }
     }
 
+    /// Parses the value of `key` as [`Self::optional`] does; an empty value gives `default`, because
+    /// templates leave it so where the platform states nothing.
+    pub fn filled<T>(&mut self, key: &'a str, expected: &str, default: T) -> T
+    where
+        T: FromStr,
+    {
+        match self.find_entry(key) {
+            Some(entry) if !entry.value.is_empty() => {
+                self.parse(entry, expected).unwrap_or(default)
+            }
+            _ => default,
+        }
+    }
+
     /// Parses the comma-separated values of `key` as `T`; empty if the key is missing. Malformed
     /// values are left out and recorded as faults.
     pub fn values<T>(&mut self, key: &'a str, expected: &str) -> Vec<T>
--- a/crates/fescuewalk/tests/gateway.rs
+++ b/crates/fescuewalk/tests/gateway.rs
@@ -59,6 +59,20 @@
     assert!(output.status.success(), "{}", stderr(&output));
 }
 
+/// Guards against a process that cannot start where the platform states no such limits; a template
+/// then leaves values empty or lines out.
+#[rstest]
+#[case::empty("known-within = \n[limits]\nrepeat-ratio = \nrepeat-allowance = \ndescriptors = \n")]
+#[case::left_out("known-within = , \n[limits]\n")]
+fn limits_that_are_not_stated_have_defaults(#[case] rest: &str) {
+    let text = example("slatina/gateway.ini");
+    let (stated, _) = text.split_once("; the shortest").expect("the example has this comment");
+
+    let output = check(&format!("{stated}{rest}"));
+
+    assert!(output.status.success(), "{}", stderr(&output));
+}
+
 #[test]
 fn missing_settings_argument_is_a_usage_error() {
     let output = run(&["gateway", "--check"]);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -94,6 +94,14 @@
 /// The store answers within milliseconds, and takes up to 60 times as long at its slowest.
 const DEFAULT_CALL_TIMEOUT: TimeSpan = TimeSpan(Duration::from_millis(700));
 
+/// Time within which changes in the store are known where the platform states none.
+const DEFAULT_KNOWN_WITHIN: TimeSpan = TimeSpan(Duration::from_secs(1));
+/// Retry budget where the platform states none. A larger one would spread an overload.
+const DEFAULT_RETRY_LIMITS: RetryLimits =
+    RetryLimits { ratio: 0.1, allowance: 10.0, window: Duration::from_secs(10) };
+/// Time from the stop signal until the process is killed where the platform states none.
+const DEFAULT_GRACE: TimeSpan = TimeSpan(Duration::from_secs(5));
+
 /// A number of the text within the range; an error otherwise.
 fn parse_within(text: &str, range: std::ops::RangeInclusive<f64>) -> std::result::Result<f64, ()> {
     text.parse().ok().filter(|value| range.contains(value)).ok_or(())
@@ -142,7 +150,7 @@
 fn read_identity(section: &mut SectionReader<'_>) -> Option<IdentitySettings> {
     let vm = section.required("vm", "the name of this VM");
     let zone = section.required("zone", "the name of this availability zone");
-    let share: f64 = section.optional("core-share", "a part of a core such as 0.19", 1.0);
+    let share: f64 = section.filled("core-share", "a part of a core such as 0.19", 1.0);
     let core_share = (share.clamp(0.0, 1000.0) * 1000.0) as u32;
     Some(IdentitySettings { vm: vm?, zone: zone?, core_share })
 }
@@ -159,11 +167,8 @@
     let address = section.required("address", ADDRESS_FORMAT);
     let call_timeout = section.optional("call-timeout", DURATION_FORMAT, DEFAULT_CALL_TIMEOUT).0;
     let values = section.values::<TimeSpan>("known-within", DURATION_FORMAT);
-    let Some(known_within) = values.into_iter().min() else {
-        section.fault(0, "known-within", DURATION_FORMAT);
-        return None;
-    };
-    Some(StoreSettings { address: address?, call_timeout, known_within: known_within.0 })
+    let known_within = values.into_iter().min().unwrap_or(DEFAULT_KNOWN_WITHIN).0;
+    Some(StoreSettings { address: address?, call_timeout, known_within })
 }
 
 fn read_hedging(section: &mut SectionReader<'_>) -> HedgeLimits {
@@ -178,16 +183,15 @@
     HedgeLimits { share, percentile, min_delay }
 }
 
-fn read_limits(
-    section: &mut SectionReader<'_>,
-    hedge_limits: HedgeLimits,
-) -> Option<GatewayLimits> {
-    let ratio = section.required("repeat-ratio", "retries for each request, such as 0.2");
-    let allowance = section.required("repeat-allowance", "a number of retries");
-    let window = section.required::<TimeSpan>("repeat-window", DURATION_FORMAT);
-    let grace = section.required::<TimeSpan>("grace", DURATION_FORMAT);
-    let retry_limits = RetryLimits { ratio: ratio?, allowance: allowance?, window: window?.0 };
-    Some(GatewayLimits { retry_limits, hedge_limits, grace: grace?.0 })
+fn read_limits(section: &mut SectionReader<'_>, hedge_limits: HedgeLimits) -> GatewayLimits {
+    let RetryLimits { ratio, allowance, window } = DEFAULT_RETRY_LIMITS;
+    let retry_limits = RetryLimits {
+        ratio: section.filled("repeat-ratio", "retries for each request, such as 0.2", ratio),
+        allowance: section.filled("repeat-allowance", "a number of retries", allowance),
+        window: section.filled("repeat-window", DURATION_FORMAT, TimeSpan(window)).0,
+    };
+    let grace = section.filled("grace", DURATION_FORMAT, DEFAULT_GRACE).0;
+    GatewayLimits { retry_limits, hedge_limits, grace }
 }
 
 /// A value that is left empty counts as absent, because templates may leave it so.
@@ -211,7 +215,7 @@
 
 fn read_resources(section: &mut SectionReader<'_>) -> ResourceSettings {
     ResourceSettings {
-        memory: section.optional("memory", SIZE_FORMAT, DEFAULT_MEMORY),
+        memory: section.filled("memory", SIZE_FORMAT, DEFAULT_MEMORY),
         descriptors: read_count(section, "descriptors", "a number of file descriptors")
             .unwrap_or(DEFAULT_DESCRIPTORS),
         connections_per_address: read_count(
@@ -241,7 +245,7 @@
         let quotas = reader.section("quotas", read_quotas);
         let settings = (|| {
             let (identity, listen) = (identity?, listen?);
-            Some(Self { identity, listen, store: store?, limits: limits?, quotas, resources })
+            Some(Self { identity, listen, store: store?, limits, quotas, resources })
         })();
         reader.finish(settings)
     }
