processes start without their metrics port

What operators saw: the system did not start, its processes ended by themselves, and service did not come back after a loss of all machines.

Both programs ended at once if port 9464 of their VM was taken. The platform reserves other ports for the system, draws its own anew for each deployment, and machines run exporters of their own; 9464 is the usual port of one kind. Such a VM never gets its process, at the first start or at any later one.

The metrics are bound last now, after the addresses that the process needs.

The tests in crates/fescuewalk/tests/start.rs and crates/fescuewalk-side/tests/start.rs failed before: the processes had ended.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -24,7 +24,7 @@
 use snafu::Snafu;
 use tokio::{sync::Notify, time};
 use viz::{Request, RequestExt, Response, ResponseExt, Router, types::State};
-use wire::{ListenError, listen::listen};
+use wire::listen::{listen, listen_for_metrics};
 
 use crate::{
     engine::EngineClient, metrics::AgentMetrics, publisher::StatePublisher, settings::AgentSettings,
@@ -48,12 +48,6 @@
 /// The agent cannot start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
-    /// The metrics address cannot be bound.
-    #[snafu(display("{source}"), context(false))]
-    Listen {
-        /// The error of the listener.
-        source: ListenError,
-    },
     /// The UDP socket for datagrams cannot be opened.
     #[snafu(display("{source}"), context(false))]
     Socket {
@@ -93,7 +87,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if an address cannot be bound.
+    /// Fails if the address for datagrams cannot be bound.
     pub async fn start(settings: AgentSettings, log: EventLog) -> Result<Self> {
         let incarnation = ProcessIncarnation::random();
         log.record(&DecisionEvent::Started {
@@ -101,8 +95,9 @@
             version: env!("CARGO_PKG_VERSION"),
             incarnation,
         });
-        let listener = listen(settings.metrics).await?;
         let socket = PeerSocket::bind(settings.peers, settings.vm.clone(), incarnation).await?;
+        // Bound last: the process works without.
+        let listener = listen(settings.metrics).await;
         let identity = ControllerIdentity { holder: settings.vm.clone(), fence: FENCE };
         let state = AgentState {
             controller: EngineController::new(identity),
@@ -127,6 +122,7 @@
         tokio::spawn(agent.clone().receive());
         let metrics = Router::new().get("/metrics", render_metrics).with(State::new(agent.clone()));
         tokio::spawn(async move {
+            let listener = listen_for_metrics(listener, settings.metrics).await;
             if let Err(error) = viz::serve(listener, metrics).await {
                 log::error!(
                     "agent: the metrics listener failed, metrics are not served any more: {error}"
--- /dev/null
+++ b/crates/fescuewalk-side/tests/start.rs
@@ -0,0 +1,108 @@
+//! `fescuewalk-side agent` started on a VM that is not ready for it.
+//!
+//! The cases check no times; time-outs only end a case in which the process ends or hangs.
+
+use std::{
+    fs, io,
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    thread,
+    time::Duration,
+};
+
+/// Polls before a case gives up.
+const POLLS: usize = 600;
+/// Pause between two polls.
+const POLL_PAUSE: Duration = Duration::from_millis(50);
+
+/// Addresses of one case, on a loopback host of its own.
+struct HostAddresses {
+    peers: SocketAddr,
+    metrics: SocketAddr,
+    engine: SocketAddr,
+    store: SocketAddr,
+}
+
+impl HostAddresses {
+    fn new(case: u8) -> Self {
+        let address = |port| SocketAddr::from((Ipv4Addr::new(127, 44, 2, case), port));
+        Self {
+            peers: address(7_380),
+            metrics: address(9_464),
+            engine: address(8_145),
+            store: address(8_142),
+        }
+    }
+
+    fn settings(&self) -> String {
+        let Self { peers, metrics, engine, store } = self;
+        format!(
+            "[process]\nvm = side-1\n[engine]\naddress = {engine}\nservice = reports\n[listen]\n\
+             peers = {peers}\nmetrics = {metrics}\n[store]\naddress = {store}\n"
+        )
+    }
+}
+
+fn write_settings(name: &str, text: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("start-{name}.ini"));
+    fs::write(&path, text).expect("the directory for test files is writable");
+    path
+}
+
+/// An agent process; killed when dropped.
+struct AgentProcess {
+    child: Child,
+}
+
+impl AgentProcess {
+    fn start(settings: &Path) -> Self {
+        let child = Command::new(env!("CARGO_BIN_EXE_fescuewalk-side"))
+            .arg("agent")
+            .arg(settings)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        Self { child }
+    }
+
+    fn is_alive(&mut self) -> bool {
+        self.child.try_wait().expect("it is a child").is_none()
+    }
+
+    /// Waits until the process has bound `peers`; false if it ends or never does.
+    fn receives_on(&mut self, peers: SocketAddr) -> bool {
+        for _ in 0..POLLS {
+            if !self.is_alive() {
+                return false;
+            }
+            let bound = UdpSocket::bind(peers);
+            if bound.is_err_and(|error| error.kind() == io::ErrorKind::AddrInUse) {
+                return true;
+            }
+            thread::sleep(POLL_PAUSE);
+        }
+        false
+    }
+}
+
+impl Drop for AgentProcess {
+    fn drop(&mut self) {
+        // Both fail only if the process has ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Guards against a process that cannot start because another program has its metrics port.
+#[test]
+fn taken_metrics_port_does_not_keep_the_process_from_starting() {
+    let host = HostAddresses::new(1);
+    let path = write_settings("metrics", &host.settings());
+    let _other = TcpListener::bind(host.metrics).expect("the host is free");
+
+    let mut agent = AgentProcess::start(&path);
+
+    assert!(agent.receives_on(host.peers), "it ended or receives no datagrams");
+}
--- /dev/null
+++ b/crates/fescuewalk/tests/start.rs
@@ -0,0 +1,110 @@
+//! `fescuewalk gateway` started on a VM that is not ready for it.
+//!
+//! The cases check no times; time-outs only end a case in which the process ends or hangs.
+
+mod support;
+
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    path::Path,
+    process::{Child, Stdio},
+    thread,
+    time::Duration,
+};
+
+use support::{WorkDir, fescuewalk};
+
+/// Polls before a case gives up.
+const POLLS: usize = 600;
+/// Pause between two polls.
+const POLL_PAUSE: Duration = Duration::from_millis(50);
+
+/// Addresses of one case, on a loopback host of its own.
+struct HostAddresses {
+    callers: SocketAddr,
+    ready: SocketAddr,
+    metrics: SocketAddr,
+    peers: SocketAddr,
+    store: SocketAddr,
+}
+
+impl HostAddresses {
+    fn new(case: u8) -> Self {
+        let address = |port| SocketAddr::from((Ipv4Addr::new(127, 44, 1, case), port));
+        Self {
+            callers: address(8_149),
+            ready: address(8_141),
+            metrics: address(9_464),
+            peers: address(7_380),
+            store: address(8_142),
+        }
+    }
+
+    fn settings(&self) -> String {
+        let Self { callers, ready, metrics, peers, store } = self;
+        format!(
+            "[process]\nvm = entry-1\nzone = zone-a\n[listen]\ncallers = {callers}\n\
+             ready = {ready}\nmetrics = {metrics}\npeers = {peers}\n[store]\naddress = {store}\n\
+             known-within = 600ms\n[limits]\nrepeat-ratio = 0.2\n\
+             repeat-allowance = 54\nrepeat-window = 10s\ngrace = 8s\n"
+        )
+    }
+}
+
+/// A gateway process; killed when dropped.
+struct GatewayProcess {
+    child: Child,
+}
+
+impl GatewayProcess {
+    fn start(settings: &Path) -> Self {
+        let child = fescuewalk()
+            .arg("gateway")
+            .arg(settings)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        Self { child }
+    }
+
+    fn is_alive(&mut self) -> bool {
+        self.child.try_wait().expect("it is a child").is_none()
+    }
+
+    /// Waits until `address` accepts connections; false if the process ends or never listens there.
+    fn listens_on(&mut self, address: SocketAddr) -> bool {
+        for _ in 0..POLLS {
+            if !self.is_alive() {
+                return false;
+            }
+            if TcpStream::connect(address).is_ok() {
+                return true;
+            }
+            thread::sleep(POLL_PAUSE);
+        }
+        false
+    }
+}
+
+impl Drop for GatewayProcess {
+    fn drop(&mut self) {
+        // Both fail only if the process has ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Guards against a process that cannot start because another program has its metrics port.
+#[test]
+fn taken_metrics_port_does_not_keep_the_process_from_starting() {
+    let host = HostAddresses::new(1);
+    let dir = WorkDir::new("start");
+    let path = dir.write("gateway.ini", &host.settings());
+    let _other = TcpListener::bind(host.metrics).expect("the host is free");
+
+    let mut gateway = GatewayProcess::start(&path);
+
+    assert!(gateway.listens_on(host.ready), "it ended or is not ready to be asked");
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+}
--- a/crates/gateway/src/ops.rs
+++ b/crates/gateway/src/ops.rs
@@ -1,9 +1,10 @@
 //! HTTP servers for readiness checks and for metrics.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use tokio::net::TcpListener;
 use viz::{Request, RequestExt, Response, ResponseExt, Router, StatusCode, types::State};
+use wire::listen::listen_for_metrics;
 
 use crate::process::Gateway;
 
@@ -39,7 +40,12 @@
     serve(listener, Router::new().get("/*", ready).with(State::new(gateway))).await;
 }
 
-/// Serves the metrics at `/metrics`.
-pub async fn serve_metrics(listener: TcpListener, gateway: Arc<Gateway>) {
+/// Serves the metrics at `/metrics`, as soon as `address` can be bound.
+pub async fn serve_metrics(
+    listener: wire::listen::Result<TcpListener>,
+    address: SocketAddr,
+    gateway: Arc<Gateway>,
+) {
+    let listener = listen_for_metrics(listener, address).await;
     serve(listener, Router::new().get("/metrics", metrics).with(State::new(gateway))).await;
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -194,7 +194,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if an address cannot be bound.
+    /// Fails if an address other than that of the metrics cannot be bound.
     pub async fn start(settings: GatewaySettings, log: EventLog) -> Result<Self> {
         let initial_settings = settings.clone();
         let incarnation = ProcessIncarnation::random();
@@ -205,9 +205,10 @@
         });
         let callers = listen(settings.listen.callers).await?;
         let ready = listen(settings.listen.ready).await?;
-        let metrics_listener = listen(settings.listen.metrics).await?;
         let vm = settings.identity.vm.clone();
         let socket = Arc::new(PeerSocket::bind(settings.listen.peers, vm, incarnation).await?);
+        // Bound last: the process works without, and may need the port itself.
+        let metrics_listener = listen(settings.listen.metrics).await;
         let store = PlatformStore::new(settings.store.address, settings.store.call_timeout);
         let metrics = GatewayMetrics::new();
         let mut dispatcher = CallDispatcher::new(DispatchSettings {
@@ -318,7 +319,11 @@
         let listener_guard = gateway.connections.guard();
         tokio::spawn(front::serve(callers, Arc::clone(&gateway), listener_guard));
         tokio::spawn(ops::serve_ready(ready, Arc::clone(&gateway)));
-        tokio::spawn(ops::serve_metrics(metrics_listener, Arc::clone(&gateway)));
+        tokio::spawn(ops::serve_metrics(
+            metrics_listener,
+            settings.listen.metrics,
+            Arc::clone(&gateway),
+        ));
         Ok(Self { gateway, registration, settings: initial_settings })
     }
 
