processes wait for an address that is in use or not available yet

What operators saw: processes ended by themselves, and service did not come back after a loss of all machines.

A process that starts while an earlier one still drains on its port, or before its VM has its address, ended at once. A supervisor starts it a few more times and gives up; until then each start costs its delay.

Other errors end the start as before. The address of callers is bound after those that only the system uses, so that no caller waits on a process that has not started.

The tests of crates/fescuewalk/tests/start.rs and crates/fescuewalk-side/tests/start.rs failed before: the processes had ended.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod rates;
 pub mod signals;
 pub mod sizes;
+pub mod startup;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -14,7 +14,7 @@
     sync::{mpsc, watch},
     time,
 };
-use wire::{ListenError, PeerIdentity, PeerRole, listen::listen};
+use wire::{ListenError, PeerIdentity, PeerRole, listen::listen_when_free};
 
 use crate::{
     answer_memory::AnswerMemory,
@@ -115,8 +115,8 @@
     ///
     /// Fails if one of the two addresses cannot be bound.
     pub async fn start(settings: EntrySettings) -> Result<Self, ListenError> {
-        let peers = listen(settings.process.peer_address).await?;
-        let callers = listen(settings.process.http_address).await?;
+        let peers = listen_when_free(settings.process.peer_address).await?;
+        let callers = listen_when_free(settings.process.http_address).await?;
         let peer_address = peers.local_addr().unwrap_or(settings.process.peer_address);
         let http_address = callers.local_addr().unwrap_or(settings.process.http_address);
         let state = start_tasks(settings);
--- a/crates/fescuewalk-side/tests/start.rs
+++ b/crates/fescuewalk-side/tests/start.rs
@@ -16,6 +16,9 @@
 /// Pause between two polls.
 const POLL_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time in which a process that ends by itself has ended.
+const END_TIME: Duration = Duration::from_secs(1);
+
 /// Addresses of one case, on a loopback host of its own.
 struct HostAddresses {
     peers: SocketAddr,
@@ -106,3 +109,19 @@
 
     assert!(agent.receives_on(host.peers), "it ended or receives no datagrams");
 }
+
+/// Guards against a process that ends because its predecessor has not left its port yet.
+#[test]
+fn port_that_is_freed_after_the_start_is_taken_then() {
+    let host = HostAddresses::new(2);
+    let path = write_settings("peers", &host.settings());
+    let earlier = UdpSocket::bind(host.peers).expect("the host is free");
+
+    let mut agent = AgentProcess::start(&path);
+    thread::sleep(END_TIME);
+    let outlived_the_conflict = agent.is_alive();
+    drop(earlier);
+
+    assert!(outlived_the_conflict, "it ended while its port was taken");
+    assert!(agent.receives_on(host.peers), "it ended or receives no datagrams");
+}
--- a/crates/fescuewalk/tests/start.rs
+++ b/crates/fescuewalk/tests/start.rs
@@ -19,6 +19,9 @@
 /// Pause between two polls.
 const POLL_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time in which a process that ends by itself has ended.
+const END_TIME: Duration = Duration::from_secs(1);
+
 /// Addresses of one case, on a loopback host of its own.
 struct HostAddresses {
     callers: SocketAddr,
@@ -108,3 +111,20 @@
     assert!(gateway.listens_on(host.ready), "it ended or is not ready to be asked");
     assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
 }
+
+/// Guards against a process that ends because its predecessor has not left its port yet.
+#[test]
+fn port_that_is_freed_after_the_start_is_taken_then() {
+    let host = HostAddresses::new(2);
+    let dir = WorkDir::new("start");
+    let path = dir.write("gateway.ini", &host.settings());
+    let earlier = TcpListener::bind(host.callers).expect("the host is free");
+
+    let mut gateway = GatewayProcess::start(&path);
+    thread::sleep(END_TIME);
+    let outlived_the_conflict = gateway.is_alive();
+    drop(earlier);
+
+    assert!(outlived_the_conflict, "it ended while its port was taken");
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -13,7 +13,10 @@
     sync::{mpsc, watch},
     task, time,
 };
-use wire::{ListenError, listen::listen};
+use wire::{
+    ListenError,
+    listen::{listen, listen_when_free},
+};
 
 use crate::{
     backends::Backends,
@@ -203,10 +206,11 @@
             version: env!("CARGO_PKG_VERSION"),
             incarnation,
         });
-        let callers = listen(settings.listen.callers).await?;
-        let ready = listen(settings.listen.ready).await?;
         let vm = settings.identity.vm.clone();
         let socket = Arc::new(PeerSocket::bind(settings.listen.peers, vm, incarnation).await?);
+        let ready = listen_when_free(settings.listen.ready).await?;
+        // After the others: a caller whose connection is accepted expects an answer.
+        let callers = listen_when_free(settings.listen.callers).await?;
         // Bound last: the process works without, and may need the port itself.
         let metrics_listener = listen(settings.listen.metrics).await;
         let store = PlatformStore::new(settings.store.address, settings.store.call_timeout);
--- a/crates/peers/src/socket.rs
+++ b/crates/peers/src/socket.rs
@@ -5,7 +5,10 @@
     sync::atomic::{AtomicU64, Ordering},
 };
 
-use base::prelude::*;
+use base::{
+    prelude::*,
+    startup::{StartFailure, take_when_free},
+};
 use prost::Message;
 use snafu::{ResultExt, Snafu};
 use tokio::net::UdpSocket;
@@ -23,6 +26,12 @@
     source: std::io::Error,
 }
 
+impl StartFailure for SocketError {
+    fn is_transient(&self) -> bool {
+        self.source.is_transient()
+    }
+}
+
 /// Result of opening the socket.
 pub type Result<T, E = SocketError> = std::result::Result<T, E>;
 
@@ -36,17 +45,19 @@
 }
 
 impl PeerSocket {
-    /// Binds `address`. Datagrams sent from the socket carry `vm` and `incarnation`.
+    /// Binds `address`; waits for one that is in use or not available yet, up to the limit of
+    /// [`take_when_free`]. Datagrams sent from the socket carry `vm` and `incarnation`.
     ///
     /// # Errors
     ///
-    /// Fails if the address cannot be bound.
+    /// Fails if the address cannot be bound in that time.
     pub async fn bind(
         address: SocketAddr,
         vm: VmId,
         incarnation: ProcessIncarnation,
     ) -> Result<Self> {
-        let socket = UdpSocket::bind(address).await.context(SocketSnafu { address })?;
+        let bind = async || UdpSocket::bind(address).await.context(SocketSnafu { address });
+        let socket = take_when_free(bind).await?;
         Ok(Self { socket, vm, incarnation, number: AtomicU64::new(0) })
     }
 
--- a/crates/side/src/process.rs
+++ b/crates/side/src/process.rs
@@ -12,7 +12,7 @@
 use tokio::{net::TcpListener, time};
 use wire::{
     LinkOptions, LinkSender, ListenError, Message, PeerIdentity, PeerLink, PeerRole,
-    listen::listen, load::BackendReport,
+    listen::listen_when_free, load::BackendReport,
 };
 
 use crate::{
@@ -73,8 +73,8 @@
     ///
     /// Fails if one of the two addresses cannot be bound.
     pub async fn start(settings: SideSettings) -> Result<Self, ListenError> {
-        let peer_listener = listen(settings.process.peer_address).await?;
-        let admin_listener = listen(settings.process.http_address).await?;
+        let peer_listener = listen_when_free(settings.process.peer_address).await?;
+        let admin_listener = listen_when_free(settings.process.http_address).await?;
         let peer_address = settings.process.peer_address;
         let incarnation = ProcessIncarnation::random();
         let identity = settings.process.identity(PeerRole::Side, incarnation);
--- a/crates/wire/src/listen.rs
+++ b/crates/wire/src/listen.rs
@@ -2,7 +2,10 @@
 
 use std::{io, net::SocketAddr};
 
-use base::prelude::*;
+use base::{
+    prelude::*,
+    startup::{StartFailure, take_when_free},
+};
 use snafu::{ResultExt, Snafu};
 use tokio::{
     net::{TcpListener, TcpSocket},
@@ -26,6 +29,12 @@
     source: io::Error,
 }
 
+impl StartFailure for ListenError {
+    fn is_transient(&self) -> bool {
+        self.source.is_transient()
+    }
+}
+
 /// Result of binding an address.
 pub type Result<T, E = ListenError> = std::result::Result<T, E>;
 
@@ -38,6 +47,16 @@
     bind(address).context(ListenSnafu { address })
 }
 
+/// The same; waits for an address that is in use or not available yet, up to the limit of
+/// [`take_when_free`].
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound in that time.
+pub async fn listen_when_free(address: SocketAddr) -> Result<TcpListener> {
+    take_when_free(async || listen(address).await).await
+}
+
 /// Returns `listener`, or one that is bound as soon as `address` can be. The process works without:
 /// the platform does not reserve the port of the metrics, and another program may have it for good.
 pub async fn listen_for_metrics(
