processes wait for a settings file that is being written

What operators saw: processes ended by themselves, and service did not come back after a loss of all machines.

The platform writes the settings file at each start and whenever the settings change. A process that read it empty or in part ended at once, while a running process that rereads it keeps its settings and polls on.

The tests of crates/fescuewalk/tests/start.rs and crates/fescuewalk-side/tests/start.rs failed before: the processes had ended.

--- a/crates/base/src/startup.rs
+++ b/crates/base/src/startup.rs
@@ -1,14 +1,22 @@
 //! Start of a process on a VM that is not ready for it yet.
 //!
-//! After a loss of power, a process may start before the VM has its address, or while an earlier
-//! process still has a port. Neither lasts, and a process that ends on it may not be started again.
+//! After a loss of power, a process may start before the VM has its address, while an earlier
+//! process still has a port, or while the settings file is being written. None of these lasts, and a
+//! process that ends on it may not be started again.
 
-use std::{fmt::Display, io, time::Duration};
+use std::{
+    fmt::Display,
+    io::{self, Write},
+    thread,
+    time::Duration,
+};
 
 use tokio::time;
 
 /// Pause between two attempts.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Number of attempts to read the settings.
+const READ_ATTEMPTS: u32 = 50;
 /// Number of attempts to take an address. A process that drains keeps its port for its grace time.
 const TAKE_ATTEMPTS: u32 = 300;
 
@@ -47,3 +55,26 @@
     }
     unreachable!("the last attempt returns")
 }
+
+/// Calls `read`, which reads and checks the settings file, until it succeeds or has failed for 5
+/// seconds. Blocks the thread; the runtime and the log do not exist without settings.
+///
+/// # Errors
+///
+/// Returns the last error of `read`.
+pub fn read_when_complete<T, E: Display>(mut read: impl FnMut() -> Result<T, E>) -> Result<T, E> {
+    for attempt in 1..READ_ATTEMPTS {
+        match read() {
+            Ok(settings) => return Ok(settings),
+            Err(error) if attempt == 1 => {
+                let limit = RETRY_PAUSE * READ_ATTEMPTS;
+                // Standard error may be closed, which must not end the start.
+                let _ =
+                    writeln!(io::stderr(), "start: {error}\nstart: reading again for {limit:?}");
+            }
+            Err(_) => {}
+        }
+        thread::sleep(RETRY_PAUSE);
+    }
+    read()
+}
--- a/crates/fescuewalk-side/src/cmd/agent.rs
+++ b/crates/fescuewalk-side/src/cmd/agent.rs
@@ -7,7 +7,10 @@
 use std::{env, fs, path::PathBuf};
 
 use agent::{Agent, AgentSettings};
-use base::signals::{SettingsWatch, reload_until_stopped};
+use base::{
+    signals::{SettingsWatch, reload_until_stopped},
+    startup::read_when_complete,
+};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use events::{DecisionEvent, EventLog, run_with_log};
 
@@ -60,12 +63,16 @@
 pub fn run(args: &ArgMatches) -> Result<()> {
     let path = settings_path(args)?;
     let name = path.display().to_string();
-    let text = fs::read_to_string(&path)?;
-    let settings = AgentSettings::parse(&name, &text)?;
+    let read = || -> Result<_> {
+        let text = fs::read_to_string(&path)?;
+        Ok((AgentSettings::parse(&name, &text)?, text))
+    };
     if args.get_flag("check") {
+        read()?;
         println!("{name}: no faults");
         return Ok(());
     }
+    let (settings, text) = read_when_complete(read)?;
     let vm = settings.vm.clone();
     run_with_log(&vm, async move |log| {
         let watch = SettingsWatch::start(&path, text)?;
--- a/crates/fescuewalk-side/tests/start.rs
+++ b/crates/fescuewalk-side/tests/start.rs
@@ -125,3 +125,17 @@
     assert!(outlived_the_conflict, "it ended while its port was taken");
     assert!(agent.receives_on(host.peers), "it ended or receives no datagrams");
 }
+
+/// Guards against a process that ends because it read its settings while they were being written.
+#[test]
+fn settings_that_are_completed_after_the_start_are_used() {
+    let host = HostAddresses::new(3);
+    let text = host.settings();
+    let path = write_settings("incomplete", &text[..text.len() / 2]);
+
+    let mut agent = AgentProcess::start(&path);
+    thread::sleep(END_TIME);
+    fs::write(&path, &text).expect("the directory is writable");
+
+    assert!(agent.receives_on(host.peers), "it ended or receives no datagrams");
+}
--- a/crates/fescuewalk/src/cmd/gateway.rs
+++ b/crates/fescuewalk/src/cmd/gateway.rs
@@ -6,7 +6,10 @@
 
 use std::{env, path::PathBuf};
 
-use base::signals::{SettingsWatch, reload_until_stopped};
+use base::{
+    signals::{SettingsWatch, reload_until_stopped},
+    startup::read_when_complete,
+};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use events::{EventLog, run_with_log};
 use gateway::{GatewayHandle, GatewaySettings};
@@ -67,12 +70,17 @@
 /// start.
 pub fn run(args: &ArgMatches) -> CliResult<()> {
     let args = GatewayArgs::new(args)?;
-    let (name, text) = (args.settings.name(), args.settings.read_text()?);
-    let settings = GatewaySettings::parse(&name, &text)?;
+    let name = args.settings.name();
+    let read = || -> CliResult<_> {
+        let text = args.settings.read_text()?;
+        Ok((GatewaySettings::parse(&name, &text)?, text))
+    };
     if args.check {
+        read()?;
         println!("{name}: no faults");
         return Ok(());
     }
+    let (settings, text) = read_when_complete(read)?;
     let vm = settings.identity.vm.clone();
     run_with_log(&vm, async move |log| {
         let watch = SettingsWatch::start(&name, text)?;
--- a/crates/fescuewalk/tests/start.rs
+++ b/crates/fescuewalk/tests/start.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use std::{
+    fs,
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::Path,
     process::{Child, Stdio},
@@ -128,3 +129,18 @@
     assert!(outlived_the_conflict, "it ended while its port was taken");
     assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
 }
+
+/// Guards against a process that ends because it read its settings while they were being written.
+#[test]
+fn settings_that_are_completed_after_the_start_are_used() {
+    let host = HostAddresses::new(3);
+    let dir = WorkDir::new("start");
+    let text = host.settings();
+    let path = dir.write("gateway.ini", &text[..text.len() / 2]);
+
+    let mut gateway = GatewayProcess::start(&path);
+    thread::sleep(END_TIME);
+    fs::write(&path, &text).expect("the directory is writable");
+
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+}
