a SIGHUP during the start does not end the process

What operators saw: processes ended by themselves.

The platform sends SIGHUP when the settings change, and may do so while a process starts. Until its handler was installed, the signal's default action ended the process; a start that waits for its settings or on a slow VM leaves seconds for that.

Both programs hold the signal back before they read their settings and let it through once the handler is there, which then reads the settings again. Only the time before the program's first instruction is left.

--- a/crates/base/src/signals.rs
+++ b/crates/base/src/signals.rs
@@ -2,6 +2,7 @@
 
 use std::{fs, io, path::PathBuf};
 
+use nix::sys::signal::{SigSet, Signal as SignalNumber};
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
     time::{self, Duration, Instant},
@@ -13,6 +14,20 @@
 /// Time between two turns in which a process that waits for a stop signal notes that it runs.
 const TURN_INTERVAL: Duration = Duration::from_millis(100);
 
+fn hang_up_set() -> SigSet {
+    SigSet::from(SignalNumber::SIGHUP)
+}
+
+/// Holds SIGHUP back in this thread until a [`SettingsWatch`] receives it. Until then its default
+/// action would end the process. Called before other threads start.
+///
+/// # Errors
+///
+/// Fails if the mask of the thread cannot be changed.
+pub fn hold_hang_up() -> io::Result<()> {
+    Ok(hang_up_set().thread_block()?)
+}
+
 /// Waits for SIGTERM or SIGINT. Returns the last time at which the signal had not come yet: a process
 /// that did not get the processor for a while notices it late.
 ///
@@ -63,13 +78,15 @@
 }
 
 impl SettingsWatch {
-    /// Watches `path`, which contained `text` when it was last read.
+    /// Watches `path`, which contained `text` when it was last read. Ends [`hold_hang_up`] in the
+    /// thread that calls it.
     ///
     /// # Errors
     ///
     /// Fails if the handler of SIGHUP cannot be installed.
     pub fn start(path: impl Into<PathBuf>, text: impl Into<String>) -> io::Result<Self> {
         let hang_up = signal(SignalKind::hangup())?;
+        hang_up_set().thread_unblock()?;
         Ok(Self { path: path.into(), text: text.into(), hang_up })
     }
 
--- a/crates/fescuewalk-side/src/cmd/agent.rs
+++ b/crates/fescuewalk-side/src/cmd/agent.rs
@@ -8,7 +8,7 @@
 
 use agent::{Agent, AgentSettings};
 use base::{
-    signals::{SettingsWatch, reload_until_stopped},
+    signals::{SettingsWatch, hold_hang_up, reload_until_stopped},
     startup::read_when_complete,
 };
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -72,6 +72,7 @@
         println!("{name}: no faults");
         return Ok(());
     }
+    hold_hang_up()?;
     let (settings, text) = read_when_complete(read)?;
     let vm = settings.vm.clone();
     run_with_log(&vm, async move |log| {
--- a/crates/fescuewalk-side/tests/start.rs
+++ b/crates/fescuewalk-side/tests/start.rs
@@ -88,6 +88,11 @@
         }
         false
     }
+
+    fn hang_up(&self) {
+        let id = self.child.id().to_string();
+        Command::new("kill").args(["-HUP", &id]).status().expect("kill is there");
+    }
 }
 
 impl Drop for AgentProcess {
@@ -126,7 +131,8 @@
     assert!(agent.receives_on(host.peers), "it ended or receives no datagrams");
 }
 
-/// Guards against a process that ends because it read its settings while they were being written.
+/// Guards against a process that ends because it read its settings while they were being written,
+/// and against a SIGHUP that ends it meanwhile.
 #[test]
 fn settings_that_are_completed_after_the_start_are_used() {
     let host = HostAddresses::new(3);
@@ -134,7 +140,9 @@
     let path = write_settings("incomplete", &text[..text.len() / 2]);
 
     let mut agent = AgentProcess::start(&path);
-    thread::sleep(END_TIME);
+    thread::sleep(END_TIME / 2);
+    agent.hang_up();
+    thread::sleep(END_TIME / 2);
     fs::write(&path, &text).expect("the directory is writable");
 
     assert!(agent.receives_on(host.peers), "it ended or receives no datagrams");
--- a/crates/fescuewalk/src/cmd/gateway.rs
+++ b/crates/fescuewalk/src/cmd/gateway.rs
@@ -7,7 +7,7 @@
 use std::{env, path::PathBuf};
 
 use base::{
-    signals::{SettingsWatch, reload_until_stopped},
+    signals::{SettingsWatch, hold_hang_up, reload_until_stopped},
     startup::read_when_complete,
 };
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -80,6 +80,7 @@
         println!("{name}: no faults");
         return Ok(());
     }
+    hold_hang_up()?;
     let (settings, text) = read_when_complete(read)?;
     let vm = settings.identity.vm.clone();
     run_with_log(&vm, async move |log| {
--- a/crates/fescuewalk/tests/start.rs
+++ b/crates/fescuewalk/tests/start.rs
@@ -8,7 +8,7 @@
     fs,
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::Path,
-    process::{Child, Stdio},
+    process::{Child, Command, Stdio},
     thread,
     time::Duration,
 };
@@ -89,6 +89,11 @@
         }
         false
     }
+
+    fn hang_up(&self) {
+        let id = self.child.id().to_string();
+        Command::new("kill").args(["-HUP", &id]).status().expect("kill is there");
+    }
 }
 
 impl Drop for GatewayProcess {
@@ -144,3 +149,20 @@
 
     assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
 }
+
+/// Guards against a process that a SIGHUP ends while it starts.
+#[test]
+fn sighup_during_the_start_does_not_end_the_process() {
+    let host = HostAddresses::new(4);
+    let dir = WorkDir::new("start");
+    let text = host.settings();
+    let path = dir.write("gateway.ini", "");
+
+    let mut gateway = GatewayProcess::start(&path);
+    thread::sleep(END_TIME / 2);
+    gateway.hang_up();
+    thread::sleep(END_TIME / 2);
+    fs::write(&path, &text).expect("the directory is writable");
+
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+}
