a process whose log is not read ends when it is stopped

What operators saw: machines did not come back in time.

Standard output of a process is a pipe on most machines. If its reader stands still, the thread that writes the log blocks, as intended; but at the end of a planned stop the process waited for that thread, so that it never ended. The platform then kills it, and a supervisor that only waits is stuck with it.

The process waits half a second for the last lines and ends.

--- a/crates/events/src/run.rs
+++ b/crates/events/src/run.rs
@@ -1,6 +1,9 @@
 //! Runs a process that writes the decision log.
 
-use std::io;
+use std::{
+    io,
+    thread::{self, JoinHandle},
+};
 
 use base::prelude::*;
 use flexi_logger::FlexiLoggerError;
@@ -9,8 +12,14 @@
 
 use crate::sink::{EventLog, LogLimits};
 
+/// Longest wait at the end of a process until the last lines are written. Whoever reads standard
+/// output may have stopped to, and the process is killed if it does not end in its grace time.
+const MAX_CLOSE_TIME: Duration = Duration::from_millis(500);
+/// Pause between two checks whether the last lines are written.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Runs `task` on a single-threaded runtime with a decision log of `vm` on standard output, and
-/// writes the remaining lines when the task has ended.
+/// writes the remaining lines when the task has ended, as long as the output takes them.
 ///
 /// # Errors
 ///
@@ -29,7 +38,14 @@
     // Tasks that are still running record what they leave undone.
     drop(runtime);
     log.close();
-    // Joining fails only if the writer thread has panicked, and then nothing can be logged.
-    let _ = writer.join();
+    wait_for_writer(&writer);
     outcome
 }
+
+fn wait_for_writer(writer: &JoinHandle<()>) {
+    let mut waited = Duration::ZERO;
+    while !writer.is_finished() && waited < MAX_CLOSE_TIME {
+        thread::sleep(CLOSE_POLL_INTERVAL);
+        waited += CLOSE_POLL_INTERVAL;
+    }
+}
--- a/crates/fescuewalk/tests/start.rs
+++ b/crates/fescuewalk/tests/start.rs
@@ -1,4 +1,4 @@
-//! `fescuewalk gateway` started on a VM that is not ready for it.
+//! `fescuewalk gateway` on a VM that is not ready for its start, or does not read its log.
 //!
 //! The cases check no times; time-outs only end a case in which the process ends or hangs.
 
@@ -6,6 +6,7 @@
 
 use std::{
     fs,
+    io::{PipeReader, PipeWriter, Write, pipe},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::Path,
     process::{Child, Command, Stdio},
@@ -55,6 +56,16 @@
     }
 }
 
+/// What a pipe holds by default, in bytes.
+const PIPE_CAPACITY: usize = 65_536;
+
+/// The end of a full pipe to which nothing can be written, and the other end.
+fn full_pipe() -> (PipeWriter, PipeReader) {
+    let (reader, mut writer) = pipe().expect("descriptors are left");
+    writer.write_all(&[b'\n'; PIPE_CAPACITY]).expect("the pipe has this capacity");
+    (writer, reader)
+}
+
 /// A gateway process; killed when dropped.
 struct GatewayProcess {
     child: Child,
@@ -62,10 +73,14 @@
 
 impl GatewayProcess {
     fn start(settings: &Path) -> Self {
+        Self::start_with_output(settings, Stdio::null())
+    }
+
+    fn start_with_output(settings: &Path, output: Stdio) -> Self {
         let child = fescuewalk()
             .arg("gateway")
             .arg(settings)
-            .stdout(Stdio::null())
+            .stdout(output)
             .stderr(Stdio::null())
             .spawn()
             .expect("the program starts");
@@ -90,9 +105,21 @@
         false
     }
 
-    fn hang_up(&self) {
+    /// Sends a signal, such as `HUP`.
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        Command::new("kill").args(["-HUP", &id]).status().expect("kill is there");
+        Command::new("kill").args([&format!("-{name}"), &id]).status().expect("kill is there");
+    }
+
+    /// Waits until the process ends; false if it never does.
+    fn ends(&mut self) -> bool {
+        for _ in 0..POLLS {
+            if !self.is_alive() {
+                return true;
+            }
+            thread::sleep(POLL_PAUSE);
+        }
+        false
     }
 }
 
@@ -160,9 +187,24 @@
 
     let mut gateway = GatewayProcess::start(&path);
     thread::sleep(END_TIME / 2);
-    gateway.hang_up();
+    gateway.signal("HUP");
     thread::sleep(END_TIME / 2);
     fs::write(&path, &text).expect("the directory is writable");
 
     assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
 }
+
+/// Guards against a process that a planned stop does not end because nobody reads its log.
+#[test]
+fn process_whose_output_is_not_read_ends_when_it_is_stopped() {
+    let host = HostAddresses::new(5);
+    let dir = WorkDir::new("start");
+    let path = dir.write("gateway.ini", &host.settings());
+    let (output, _unread) = full_pipe();
+    let mut gateway = GatewayProcess::start_with_output(&path, output.into());
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+
+    gateway.signal("TERM");
+
+    assert!(gateway.ends(), "it still runs");
+}
