events: an error that ends a process is in the decision log

A start that failed wrote its reason to standard error only, where it is not beside the lines of the process and often not kept. The log now ends with an event of its own, so that an end by error, a planned stop and an end from outside can be told apart.

--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -36,6 +36,11 @@
         /// Number of requests still in flight when the process ends.
         in_flight: u64,
     },
+    /// The process ends by itself, because of an error.
+    Failed {
+        /// The error.
+        reason: &'a str,
+    },
     /// The settings were read again.
     SettingsReloaded {
         /// Whether they are valid and in use now.
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -12,6 +12,6 @@
 pub use crate::{
     event::DecisionEvent,
     fields::{Dependency, millis},
-    run::run_with_log,
+    run::{run_with_log, run_with_output},
     sink::{EventLog, LogLimits},
 };
--- a/crates/events/src/run.rs
+++ b/crates/events/src/run.rs
@@ -1,7 +1,8 @@
 //! Runs a process that writes the decision log.
 
 use std::{
-    io,
+    fmt::Display,
+    io::{self, Write},
     thread::{self, JoinHandle},
 };
 
@@ -10,7 +11,10 @@
 use log::LevelFilter;
 use tokio::runtime::Builder;
 
-use crate::sink::{EventLog, LogLimits};
+use crate::{
+    event::DecisionEvent,
+    sink::{EventLog, LogLimits},
+};
 
 /// Longest wait at the end of a process until the last lines are written. Whoever reads standard
 /// output may have stopped to, and the process is killed if it does not end in its grace time.
@@ -29,12 +33,31 @@
     task: impl AsyncFnOnce(EventLog) -> Result<T, E>,
 ) -> Result<T, E>
 where
-    E: From<io::Error> + From<FlexiLoggerError>,
+    E: Display + From<io::Error> + From<FlexiLoggerError>,
+{
+    run_with_output(vm, io::stdout(), task)
+}
+
+/// The same with the decision log on `output`.
+///
+/// # Errors
+///
+/// As [`run_with_log`].
+pub fn run_with_output<T, E>(
+    vm: &VmId,
+    output: impl Write + Send + 'static,
+    task: impl AsyncFnOnce(EventLog) -> Result<T, E>,
+) -> Result<T, E>
+where
+    E: Display + From<io::Error> + From<FlexiLoggerError>,
 {
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    let (log, writer) = EventLog::start(vm, LogLimits::default(), io::stdout());
+    let (log, writer) = EventLog::start(vm, LogLimits::default(), output);
     let _logger = log.capture_log_records(LevelFilter::Info)?;
     let outcome = runtime.block_on(task(log.clone()));
+    if let Err(error) = &outcome {
+        log.record(&DecisionEvent::Failed { reason: &error.to_string() });
+    }
     // Tasks that are still running record what they leave undone.
     drop(runtime);
     log.close();
--- a/crates/events/tests/log.rs
+++ b/crates/events/tests/log.rs
@@ -1,13 +1,15 @@
 //! The decision log under load.
 
 use std::{
+    fmt,
     io::{self, Write},
     sync::{Arc, Condvar, Mutex},
 };
 
 use base::prelude::*;
 use dispatch::CallId;
-use events::{DecisionEvent, EventLog, LogLimits};
+use events::{DecisionEvent, EventLog, LogLimits, run_with_output};
+use flexi_logger::FlexiLoggerError;
 use serde_json::Value;
 
 #[derive(Default)]
@@ -154,3 +156,39 @@
     log.close();
     thread.join().expect("the writer ends");
 }
+
+/// Error of a task that ends a process.
+#[derive(Debug)]
+struct TaskError(String);
+
+impl fmt::Display for TaskError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl From<io::Error> for TaskError {
+    fn from(error: io::Error) -> Self {
+        Self(error.to_string())
+    }
+}
+
+impl From<FlexiLoggerError> for TaskError {
+    fn from(error: FlexiLoggerError) -> Self {
+        Self(error.to_string())
+    }
+}
+
+/// Guards against a process that ends by itself without a line in its log that says why.
+#[test]
+fn error_that_ends_a_process_is_logged() {
+    let output = Output::default();
+    let error = TaskError("no such address".to_owned());
+
+    let outcome = run_with_output(&vm(), output.clone(), async |_| Err::<(), _>(error));
+
+    assert!(outcome.is_err());
+    let lines = output.lines();
+    assert_eq!(lines[0]["event"], "failed");
+    assert_eq!(lines[0]["reason"], "no such address");
+}
