a log file at its size limit does not end the process

What operators saw: processes ended by themselves, and service did not come back after a loss of all machines.

Where standard output is a file and the process has a size limit for files, the first write beyond it raises SIGXFSZ, whose default action ends the process. Each later start appends to the same file and ends within 0.1 s. A gateway writes megabytes of log in an hour.

The test in crates/fescuewalk/tests/start.rs failed before: the process had ended.

--- a/crates/base/src/signals.rs
+++ b/crates/base/src/signals.rs
@@ -28,6 +28,17 @@
     Ok(hang_up_set().thread_block()?)
 }
 
+/// Holds SIGXFSZ back in this thread and all that it starts. Its default action ends a process whose
+/// output has reached the size limit of files; without it, the write fails and the lines are dropped.
+/// Called before other threads start.
+///
+/// # Errors
+///
+/// Fails if the mask of the thread cannot be changed.
+pub fn hold_file_size_signal() -> io::Result<()> {
+    Ok(SigSet::from(SignalNumber::SIGXFSZ).thread_block()?)
+}
+
 /// Waits for SIGTERM or SIGINT. Returns the last time at which the signal had not come yet: a process
 /// that did not get the processor for a while notices it late.
 ///
--- a/crates/fescuewalk-side/src/main.rs
+++ b/crates/fescuewalk-side/src/main.rs
@@ -6,6 +6,7 @@
 
 use std::{path::PathBuf, process::ExitCode};
 
+use base::signals::hold_file_size_signal;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use crate::error::Result;
@@ -33,6 +34,7 @@
 }
 
 fn run(matches: &ArgMatches) -> Result<()> {
+    hold_file_size_signal()?;
     match matches.subcommand() {
         Some(("agent", args)) => cmd::agent::run(args),
         _ => cmd::side::run(matches),
--- a/crates/fescuewalk/tests/start.rs
+++ b/crates/fescuewalk/tests/start.rs
@@ -59,6 +59,21 @@
 /// What a pipe holds by default, in bytes.
 const PIPE_CAPACITY: usize = 65_536;
 
+/// Size limit of files in a case of its own, in bytes.
+const FILE_LIMIT: usize = 8 * 1_024;
+
+/// Starts a gateway that appends its log to `log` and may write files of [`FILE_LIMIT`] only.
+fn fescuewalk_with_file_limit(settings: &Path, log: &Path) -> Child {
+    let blocks = FILE_LIMIT / 512;
+    let program = fescuewalk().get_program().to_owned();
+    Command::new("sh")
+        .arg("-c")
+        .arg(format!("ulimit -f {blocks}; exec \"$0\" gateway \"$1\" >> \"$2\" 2>&1"))
+        .args([program.as_os_str(), settings.as_os_str(), log.as_os_str()])
+        .spawn()
+        .expect("the shell starts")
+}
+
 /// The end of a full pipe to which nothing can be written, and the other end.
 fn full_pipe() -> (PipeWriter, PipeReader) {
     let (reader, mut writer) = pipe().expect("descriptors are left");
@@ -208,3 +223,19 @@
 
     assert!(gateway.ends(), "it still runs");
 }
+
+/// Guards against a process that ends because its log file has reached the size limit of files.
+#[test]
+fn log_file_at_its_size_limit_does_not_end_the_process() {
+    let host = HostAddresses::new(6);
+    let dir = WorkDir::new("start");
+    let path = dir.write("gateway.ini", &host.settings());
+    let log = dir.write("gateway.log", &"\n".repeat(4 * FILE_LIMIT));
+    let limited = fescuewalk_with_file_limit(&path, &log);
+
+    let mut gateway = GatewayProcess { child: limited };
+
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+    thread::sleep(END_TIME);
+    assert!(gateway.is_alive(), "it ended as it wrote its log");
+}
