counts: sums of what callers, servers and other processes state do not overflow

In a release build the sum wrapped: a full server looked idle, and a queue of prompts empty. Cause: loads (u32) and tokens (u64) were added as they came. Change: counts of tokens add up by TokenCount::plus and Sum, loads by saturating sums.

--- a/crates/agent/src/publisher.rs
+++ b/crates/agent/src/publisher.rs
@@ -105,8 +105,8 @@
     ) {
         let now = Instant::now();
         let load = engine_load(controller.report(), limiter, self.state_number);
-        let before = self.last_load.running + self.last_load.waiting;
-        let differs = (load.running + load.waiting).abs_diff(before) >= MIN_LOAD_CHANGE
+        let requests = |load: &EngineLoad| load.running.saturating_add(load.waiting);
+        let differs = requests(&load).abs_diff(requests(&self.last_load)) >= MIN_LOAD_CHANGE
             || load.queued_prefill.abs_diff(self.last_load.queued_prefill) >= MIN_PREFILL_CHANGE;
         let is_due = self
             .load_sent_at
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -120,7 +120,7 @@
 
 fn estimate_plain<'a>(server: &'a ServerView, view: &ChoiceView<'_>) -> ServerEstimate<'a> {
     let slots = f64::from(server.slots.max(1));
-    let rounds = f64::from(server.load() + 1) / slots;
+    let rounds = f64::from(server.load().saturating_add(1)) / slots;
     let time = server.plain_time(view.service_time, view.now);
     let cost = time * (UNLOADED_WEIGHT + rounds + connection_share(server) / slots);
     ServerEstimate {
@@ -137,7 +137,7 @@
 ) -> ServerEstimate<'a> {
     let has_adapter = server.holds(&generation.target);
     let adapter = if has_adapter { Duration::ZERO } else { adapter_time(server, view.now) };
-    let excess = (server.load() + 1).saturating_sub(server.slots);
+    let excess = server.load().saturating_add(1).saturating_sub(server.slots);
     let expected = server.first_event(generation) + SLOT_WAIT * excess + adapter;
     let batching = BATCH_COST.mul_f64(f64::from(server.load()) + connection_share(server));
     let cost = expected + batching + view.common_cost(server);
@@ -224,8 +224,10 @@
 /// Whether an engine can prefill another prompt without stretching the gaps between events of its
 /// streams; always true with a reachable side process, which decides that itself.
 fn can_prefill(server: &ServerView, generation: &Generation) -> bool {
-    let queued = server.queued_prefill().0;
-    server.has_side_process() || queued == 0 || queued + generation.prompt.0 <= PREFILL_LIMIT.0
+    let queued = server.queued_prefill();
+    server.has_side_process()
+        || queued == TokenCount(0)
+        || queued.plus(generation.prompt) <= PREFILL_LIMIT
 }
 
 /// Whether an engine holds the requested adapter, or has a reachable side process, which loads it.
--- a/crates/dispatch/src/prefill_speed.rs
+++ b/crates/dispatch/src/prefill_speed.rs
@@ -35,13 +35,13 @@
     /// Expected time to the first event of a request whose prompt has `own` tokens, with `queued`
     /// prompt tokens ahead of it.
     pub fn first_event(&self, queued: TokenCount, own: TokenCount) -> Duration {
-        let tokens = (queued.0 + own.0) as f64;
+        let tokens = queued.plus(own).0 as f64;
         Duration::from_secs_f64((self.base_ms + self.ms_per_token * tokens).max(0.0) / 1000.0)
     }
 
     /// Updates the speed by a request whose first event came `took` after it was sent.
     pub fn observe(&mut self, queued: TokenCount, own: TokenCount, took: Duration) {
-        let tokens = ((queued.0 + own.0) as f64).max(1.0);
+        let tokens = (queued.plus(own).0 as f64).max(1.0);
         let took_ms = took.as_secs_f64() * 1000.0;
         let (low, high) = MS_PER_TOKEN_RANGE;
         let per_token = ((took_ms - self.base_ms) / tokens).clamp(low, high);
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -221,7 +221,7 @@
         self.set_residents(&update.residents);
         self.unloading = update.unloading.clone();
         self.loading = update.loading.clone();
-        self.record_load(update.running + update.waiting, now);
+        self.record_load(update.running.saturating_add(update.waiting), now);
         self.record_queued_prefill(update.queued_prefill);
     }
 
@@ -262,7 +262,7 @@
     pub fn record_answer_load(&mut self, load: ServerLoad, now: Instant) {
         self.slots = load.slots.max(1);
         self.slowdown = load.slowdown.map(|factor| ReportedSlowdown::new(factor, now));
-        self.record_load(load.running + load.waiting, now);
+        self.record_load(load.running.saturating_add(load.waiting), now);
     }
 
     /// Records the reported number of running and waiting requests.
@@ -346,7 +346,7 @@
     /// requests since.
     pub fn load(&self) -> u32 {
         let since = self.own_calls().saturating_sub(self.own_calls_at_report);
-        (self.reported_load + since).max(self.own_calls())
+        self.reported_load.saturating_add(since).max(self.own_calls())
     }
 
     /// Estimated number of running and waiting requests as a share of the slots: this entry's
@@ -354,7 +354,8 @@
     /// the answers to this entry's requests.
     pub(crate) fn relative_load(&self, additional: u32) -> f64 {
         let others = self.reported_load.saturating_sub(self.own_calls_at_report);
-        f64::from(self.own_calls() + others + additional) / f64::from(self.slots.max(1))
+        let load = self.own_calls().saturating_add(others).saturating_add(additional);
+        f64::from(load) / f64::from(self.slots.max(1))
     }
 
     /// Age of the last reported load.
@@ -366,10 +367,10 @@
     /// event, or, if greater, those reported by the side process and assigned since.
     pub fn queued_prefill(&self) -> TokenCount {
         let own = self.calls.values().filter(|call| !call.has_started);
-        let own: u64 = own.map(|call| call.prompt.0).sum();
+        let own: TokenCount = own.map(|call| call.prompt).sum();
         match self.has_side_updates {
-            true => TokenCount(own.max(self.reported_prefill.0 + self.prefill_since_report.0)),
-            false => TokenCount(own),
+            true => own.max(self.reported_prefill.plus(self.prefill_since_report)),
+            false => own,
         }
     }
 
@@ -394,11 +395,12 @@
             queued_ahead,
             sent: None,
             has_started: false,
-            rounds: (f64::from(self.load() + 1) / f64::from(self.slots.max(1))).max(1.0),
+            rounds: (f64::from(self.load().saturating_add(1)) / f64::from(self.slots.max(1)))
+                .max(1.0),
             slowdown: self.slowdown(now),
         };
         self.calls.insert(key, call);
-        self.prefill_since_report.0 += prompt.0;
+        self.prefill_since_report = self.prefill_since_report.plus(prompt);
     }
 
     /// Expected slowdown at `now` by its last report; 1 is usual.
--- a/crates/gateway/src/fleet/engines.rs
+++ b/crates/gateway/src/fleet/engines.rs
@@ -82,7 +82,7 @@
                 let queued_prefill = TokenCount(load.queued_prefill);
                 dispatcher.record_side_load(
                     &instance,
-                    load.running + load.waiting,
+                    load.running.saturating_add(load.waiting),
                     queued_prefill,
                     now,
                 );
--- a/crates/residency/src/demand.rs
+++ b/crates/residency/src/demand.rs
@@ -68,7 +68,7 @@
 impl ModelDemand {
     /// Requests running at all engines together.
     pub fn total_running(&self) -> u32 {
-        self.running.values().sum()
+        self.running.values().fold(0, |sum, count| sum.saturating_add(*count))
     }
 }
 
@@ -251,10 +251,12 @@
             let Some(model) = &row.model else { continue };
             let demand = all.entry(model.clone()).or_default();
             for (engine, count) in &row.running {
-                *demand.running.entry(engine.clone()).or_default() += count;
+                let running = demand.running.entry(engine.clone()).or_default();
+                *running = running.saturating_add(*count);
             }
             for (software, count) in &row.streams {
-                *demand.streams.entry(software.clone()).or_default() += count;
+                let streams = demand.streams.entry(software.clone()).or_default();
+                *streams = streams.saturating_add(*count);
             }
             if row.waiting > 0 {
                 let due = *reported_at + row.slack;
@@ -263,7 +265,7 @@
                 let priority =
                     if is_first { row.priority } else { demand.priority.min(row.priority) };
                 demand.priority = priority;
-                demand.waiting += row.waiting;
+                demand.waiting = demand.waiting.saturating_add(row.waiting);
             }
         }
         all
--- a/crates/residency/src/planner/pass.rs
+++ b/crates/residency/src/planner/pass.rs
@@ -280,7 +280,7 @@
     pub(super) fn target_holders(&self, model: &ModelId) -> usize {
         let redundant =
             usize::from(self.tracker.recent_rate(model, self.now) >= REDUNDANCY_MIN_RATE);
-        self.required_holders(model) + redundant
+        self.required_holders(model).saturating_add(redundant)
     }
 
     /// Plans additional holders for models whose holders are overloaded and, if no requests wait
--- a/crates/residency/src/prefill.rs
+++ b/crates/residency/src/prefill.rs
@@ -125,8 +125,8 @@
 
     /// Prompt tokens of all requests, admitted or waiting, whose prefill is not done.
     pub fn queued_tokens(&self) -> TokenCount {
-        let waiting: u64 = self.waiting.values().map(|waiting| waiting.request.tokens.0).sum();
-        TokenCount(waiting + self.active_tokens())
+        let waiting: TokenCount = self.waiting.values().map(|waiting| waiting.request.tokens).sum();
+        waiting.plus(self.active_tokens())
     }
 
     /// Whether any request waits to be admitted.
@@ -134,8 +134,8 @@
         !self.waiting.is_empty()
     }
 
-    fn active_tokens(&self) -> u64 {
-        self.active.values().map(|prefill| prefill.tokens.0).sum()
+    fn active_tokens(&self) -> TokenCount {
+        self.active.values().map(|prefill| prefill.tokens).sum()
     }
 
     /// Admits waiting requests up to the prefill limit, earliest goal first and late ones last, and
@@ -163,7 +163,7 @@
                 RunReadiness::AdapterPending => {}
                 RunReadiness::Ready => {
                     let active = self.active_tokens();
-                    if active > 0 && active + request.tokens.0 > PREFILL_LIMIT.0 {
+                    if active > TokenCount(0) && active.plus(request.tokens) > PREFILL_LIMIT {
                         break;
                     }
                     let tokens = request.tokens;
--- a/crates/suspects/src/block.rs
+++ b/crates/suspects/src/block.rs
@@ -61,7 +61,7 @@
 
     /// The block that follows, because of a crash under a request sent at `since`.
     pub(crate) fn renewed(&self, since: Instant, now: Instant) -> Self {
-        let renewals = self.renewals + 1;
+        let renewals = self.renewals.saturating_add(1);
         let doubled = FIRST_BLOCK_TIME.saturating_mul(1 << renewals.min(16));
         Self {
             renewals,
--- a/crates/suspects/tests/blocks.rs
+++ b/crates/suspects/tests/blocks.rs
@@ -241,3 +241,18 @@
     assert_eq!(board.blocked_until(&keys(&[7]), decided), None);
     assert!(board.blocked_until(&keys(&[7]), decided + OBJECTION_TIME).is_some());
 }
+
+/// Guards against a block of another entry or of the store whose count of renewals overflowed.
+#[test]
+fn block_with_the_greatest_count_of_renewals_is_renewed() {
+    let start = Instant::now();
+    let mut board = SuspectBoard::default();
+    let ended = RequestBlock { renewals: u32::MAX, ..RequestBlock::new(keys(&[7]), start, start) };
+    board.restore_block(&ended, start);
+    let sent = ended.until + seconds(1.0);
+    let crashed = sent + seconds(0.1);
+
+    let renewed = board.record_crash(&sighting(&[7], sent, crashed), crashed).expect("a block");
+
+    assert_eq!(renewed.until - crashed, RequestBlock::MAX_TIME);
+}
