locks: a panic under a lock ends one request, not the process

Callers would see all connections of an entry cut at once, and the operators a process that ended with SIGABRT and no line in the decision log. Cause: a panic with the dispatcher's lock held poisons it. The ticket of the request is dropped as that panic unwinds and needs the same lock, whose refusal is a second panic, and that aborts the process. With another lock, such as the fleet's, each task that needs it ended from then on, and the process ran on without them. Evidence: gateway/tests/panics.rs failed before: 'panic in a destructor during cleanup', the test process ended with signal 6.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod codes;
 pub mod ids;
 pub mod ini;
+pub mod locks;
 pub mod logging;
 pub mod metrics;
 pub mod prelude;
--- a/crates/dispatch/src/dispatcher/servers.rs
+++ b/crates/dispatch/src/dispatcher/servers.rs
@@ -166,6 +166,11 @@
         })
     }
 
+    /// Number of requests that are neither answered nor refused.
+    pub fn open_calls(&self) -> usize {
+        self.calls.len()
+    }
+
     /// Whether a request waits for a model that no engine holds.
     pub fn has_call_missing_model(&self) -> bool {
         self.calls.values().any(|call| call.is_model_missing)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,8 @@
 mod watched_connection;
 
 pub use crate::{
+    memory::ProcessMemory,
+    permits::PermitClient,
     process::{GatewayHandle, StartError},
     settings::GatewaySettings,
 };
