tasks: one that panics is started again, and panics are in the decision log

Operators would see a process that runs and does not serve: after a panic in the task that follows the backend servers, servers that join get nothing and those that have gone get requests for ever; after one in the task that receives datagrams, the entry hears no other process, or the agent answers none. Only standard error showed it, of which nothing was kept. Cause: a panic in a task ends that task only, and nobody waits for it. A panic as a caller's connection is accepted ends that connection.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -7,7 +7,7 @@
 
 use base::{locks, prelude::*};
 use catalog::TokenCount;
-use events::{DecisionEvent, Dependency, EventLog, millis};
+use events::{DecisionEvent, Dependency, EventLog, millis, spawn_lasting};
 use origins::{OriginLedger, StreamKey};
 use peers::{
     ChangeRequest, Datagram, DatagramBody, OriginReply, OriginReport, OriginState, PeerSocket,
@@ -122,9 +122,13 @@
             poll_now: Arc::default(),
         };
         let store = PlatformStore::new(settings.store, settings.call_timeout);
-        tokio::spawn(agent.clone().read_engine_spec(store, settings.service));
-        tokio::spawn(agent.clone().poll());
-        tokio::spawn(agent.clone().receive());
+        let (reader, service) = (agent.clone(), settings.service);
+        spawn_lasting("specification", move || {
+            reader.clone().read_engine_spec(store.clone(), service.clone())
+        });
+        let (polling, receiving) = (agent.clone(), agent.clone());
+        spawn_lasting("engine", move || polling.clone().poll());
+        spawn_lasting("datagrams", move || receiving.clone().receive());
         let metrics = Router::new().get("/metrics", render_metrics).with(State::new(agent.clone()));
         tokio::spawn(async move {
             if let Err(error) = viz::serve(listener, metrics).await {
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -8,10 +8,12 @@
 mod fields;
 mod run;
 mod sink;
+mod tasks;
 
 pub use crate::{
     event::DecisionEvent,
     fields::{Dependency, millis},
     run::run_with_log,
     sink::{EventLog, LogLimits},
+    tasks::spawn_lasting,
 };
--- a/crates/events/src/sink.rs
+++ b/crates/events/src/sink.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{self, Write},
-    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, TryLockError},
     thread,
 };
 
@@ -16,6 +16,9 @@
 /// Time for which lines are collected before they are written together.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
 
+/// Times that a panic tries to lock the buffer; other threads hold it for microseconds.
+const LOCK_TRIES: usize = 1_000;
+
 /// Limits of what a process logs; lines beyond them are dropped.
 #[derive(Debug, Clone, Copy)]
 pub struct LogLimits {
@@ -92,8 +95,23 @@
         locks::lock(&self.state)
     }
 
+    /// The state without waiting for ever: a panic may come while its own thread holds the lock.
+    fn lock_soon(&self) -> Option<MutexGuard<'_, SinkState>> {
+        (0..LOCK_TRIES).find_map(|_| match self.state.try_lock() {
+            Ok(state) => Some(state),
+            Err(TryLockError::Poisoned(error)) => Some(error.into_inner()),
+            Err(TryLockError::WouldBlock) => {
+                thread::yield_now();
+                None
+            }
+        })
+    }
+
     fn write<T: Serialize>(&self, event: T) {
-        let mut state = self.lock();
+        self.write_locked(self.lock(), event);
+    }
+
+    fn write_locked<T: Serialize>(&self, mut state: MutexGuard<'_, SinkState>, event: T) {
         state.number += 1;
         if !self.admit(&mut state) {
             state.dropped += 1;
@@ -220,6 +238,14 @@
         self.sink.write(event);
     }
 
+    /// Writes a line on a panic. It is dropped if the panic came in the log itself.
+    pub(crate) fn record_panic(&self, text: &str) {
+        if let Some(state) = self.sink.lock_soon() {
+            let (level, text) = ("error".to_owned(), text.to_owned());
+            self.sink.write_locked(state, Note { event: "panic", level, text });
+        }
+    }
+
     /// Number of lines dropped since the start. A batch that cannot be written counts as one.
     pub fn dropped_lines(&self) -> u64 {
         self.sink.lock().dropped_total
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -8,6 +8,7 @@
 mod peer_catalog;
 mod planning;
 mod quotas;
+mod tasks;
 mod versions;
 
 use std::{
@@ -28,18 +29,14 @@
 use roster::InstanceId;
 use suspects::BlockDigest;
 use tokio::{
-    sync::{Notify, mpsc, watch},
+    sync::{Notify, watch},
     time,
 };
 
 use self::{origins::OriginBook, peer_catalog::PeerCatalogs, versions::VersionBook};
 use crate::{
-    backends::{Backends, PeerReport},
-    block_archive::BlockArchive,
-    demand::DemandReporter,
-    metrics::GatewayMetrics,
-    quota::SharedQuotas,
-    store_reads::StoreReads,
+    backends::Backends, block_archive::BlockArchive, demand::DemandReporter,
+    metrics::GatewayMetrics, quota::SharedQuotas, store_reads::StoreReads,
 };
 
 /// Time between two heartbeats to other entries.
@@ -168,28 +165,6 @@
         }
     }
 
-    /// Starts the tasks that receive datagrams, send heartbeats, send demand and `reports`, and
-    /// plan.
-    pub fn start(&self, reports: mpsc::Receiver<PeerReport>) {
-        tokio::spawn(self.clone().send_reports(reports));
-        tokio::spawn(self.clone().receive());
-        tokio::spawn(self.clone().send_heartbeats());
-        tokio::spawn(self.clone().report_demand());
-        tokio::spawn(self.clone().run_planner());
-        tokio::spawn(self.clone().run_quotas());
-    }
-
-    /// Passes on what other entries have to know, until the process ends.
-    async fn send_reports(self, mut reports: mpsc::Receiver<PeerReport>) {
-        while let Some(report) = reports.recv().await {
-            match report {
-                PeerReport::Crash(sightings) => self.handle_crashes(&sightings),
-                PeerReport::Narrowed(blocks) => self.share_blocks(&blocks),
-                PeerReport::Limit(query) => self.send_limit_query(&query),
-            }
-        }
-    }
-
     fn lock(&self) -> MutexGuard<'_, FleetState> {
         locks::lock(&self.state)
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -52,6 +52,7 @@
 }
 
 /// Keeps the current configuration up to date.
+#[derive(Clone)]
 pub struct CatalogFollower {
     /// Client of the store.
     pub store: PlatformStore,
@@ -146,6 +147,7 @@
 }
 
 /// Keeps the roster of backend servers up to date.
+#[derive(Clone)]
 pub struct RosterFollower {
     /// Client of the store.
     pub store: PlatformStore,
@@ -234,7 +236,8 @@
                 roster.record_store_answer(now);
                 self.fleet.record_roster_read();
                 roster.record_era(position.era, now);
-                let updates = roster.apply_snapshot(servers, now);
+                let mut updates = roster.apply_snapshot(servers, now);
+                updates.extend(self.unlisted(roster, &updates));
                 self.publish(roster, &updates, position);
                 (Some(position), Duration::ZERO)
             }
@@ -265,6 +268,17 @@
         }
     }
 
+    /// Removals of servers that are neither listed nor in `updates`: this task has panicked after it had
+    /// listed them.
+    fn unlisted(&self, roster: &Roster, updates: &[RosterUpdate]) -> Vec<RosterUpdate> {
+        let known = self.backends.with_dispatcher(|dispatcher, _| {
+            let ids = dispatcher.servers().map(|view| &view.id);
+            ids.filter(|id| roster.get(id).is_none()).cloned().collect::<Vec<_>>()
+        });
+        let removals = known.into_iter().map(RosterUpdate::Removed);
+        removals.filter(|removal| !updates.contains(removal)).collect()
+    }
+
     fn publish(&self, roster: &Roster, updates: &[RosterUpdate], position: StorePosition) {
         if updates.is_empty() {
             return;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,6 +1,11 @@
 //! Accepts the connections of callers.
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{
+    io,
+    net::SocketAddr,
+    panic::{self, AssertUnwindSafe},
+    sync::Arc,
+};
 
 use base::prelude::*;
 use socket2::SockRef;
@@ -34,7 +39,11 @@
             () = gateway.wait_until_listener_closed() => break,
         };
         match accepted {
-            Ok((stream, address)) => spawn_connection(stream, address, &gateway),
+            Ok((stream, address)) => {
+                // A panic, which the log shows, ends this connection and not the listener.
+                let admission = || spawn_connection(stream, address, &gateway);
+                let _ = panic::catch_unwind(AssertUnwindSafe(admission));
+            }
             Err(error) => {
                 log::warn!("front: failed to accept a connection, retrying: {error}");
                 time::sleep(ACCEPT_RETRY_DELAY).await;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use catalog::Catalog;
 use dispatch::{CallDispatcher, DispatchSettings};
-use events::{DecisionEvent, EventLog};
+use events::{DecisionEvent, EventLog, spawn_lasting};
 use peers::PeerSocket;
 use platform::PlatformStore;
 use snafu::Snafu;
@@ -179,7 +179,7 @@
 /// Reads the stored software versions, and then follows those that serve in a task of its own.
 async fn follow_versions(fleet: Fleet, archive: VersionArchive) {
     fleet.restore_versions(&archive).await;
-    tokio::spawn(fleet.follow_versions(archive));
+    spawn_lasting("versions", move || fleet.clone().follow_versions(archive.clone()));
 }
 
 /// A running gateway.
@@ -229,7 +229,8 @@
             resources.connections_per_address,
         );
         let registry = ConnectionRegistry::new(connection_limits, metrics.clone());
-        tokio::spawn(registry.clone().close_unread(memory.clone()));
+        let (unread, bodies) = (registry.clone(), memory.clone());
+        spawn_lasting("unread answers", move || unread.clone().close_unread(bodies.clone()));
         let backends =
             Backends::new(dispatcher, permits, log.clone(), metrics.clone(), report_sender, memory);
         let (sender, catalog) = watch::channel(None);
@@ -287,10 +288,13 @@
             vm: settings.identity.vm,
             address: settings.listen.peers,
         };
-        tokio::spawn(archive.clone().run());
-        tokio::spawn(registration.clone().register(fleet.clone()));
+        let written = archive.clone();
+        spawn_lasting("blocks", move || written.clone().run());
+        let (registered, others) = (registration.clone(), fleet.clone());
+        spawn_lasting("registration", move || registered.clone().register(others.clone()));
         fleet.start(reports);
-        tokio::spawn(exchange.clone().serve(settings.listen.peers));
+        let (served, peers) = (exchange.clone(), settings.listen.peers);
+        spawn_lasting("configuration for others", move || served.clone().serve(peers));
         let restores = RestoreFollower {
             store: store.clone(),
             reads: reads.clone(),
@@ -298,7 +302,7 @@
             registration: registration.clone(),
             fleet: fleet.clone(),
         };
-        tokio::spawn(restores.run());
+        spawn_lasting("restores", move || restores.clone().run());
         let restored = backends.clone();
         let versions = VersionArchive::new(store.clone());
         let versioned = fleet.clone();
@@ -306,15 +310,21 @@
         // Requests are served once the configuration is known, and so not before the blocks and the
         // software versions are, unless the store does not answer; then they are read as soon as it does.
         tokio::spawn(async move {
-            let blocks = tokio::spawn(async move { archive.restore(&restored).await });
-            let versions = tokio::spawn(follow_versions(versioned, versions));
+            let blocks = spawn_lasting("restore of blocks", move || {
+                let (archive, restored) = (archive.clone(), restored.clone());
+                async move { archive.restore(&restored).await }
+            });
+            let versions = spawn_lasting("restore of versions", move || {
+                follow_versions(versioned.clone(), versions.clone())
+            });
             let restoring = async { tokio::join!(blocks, versions) };
             let _ = time::timeout(MAX_RESTORE_TIME, restoring).await;
-            tokio::spawn(exchange.follow());
-            catalog_follower.run().await;
+            spawn_lasting("configuration of others", move || exchange.clone().follow());
+            spawn_lasting("configuration", move || catalog_follower.clone().run());
         });
-        tokio::spawn(roster_follower.run());
-        tokio::spawn(gateway.backends.clone().review_waiting());
+        spawn_lasting("roster", move || roster_follower.clone().run());
+        let waiting = gateway.backends.clone();
+        spawn_lasting("waiting requests", move || waiting.clone().review_waiting());
         let listener_guard = gateway.connections.guard();
         tokio::spawn(front::serve(callers, Arc::clone(&gateway), listener_guard));
         tokio::spawn(ops::serve_ready(ready, Arc::clone(&gateway)));
--- a/crates/gateway/src/restores.rs
+++ b/crates/gateway/src/restores.rs
@@ -14,6 +14,7 @@
 const MAX_WRITE_DELAY: Duration = Duration::from_secs(1);
 
 /// What follows from a restore of the store.
+#[derive(Clone)]
 pub struct RestoreFollower {
     /// Client of the store.
     pub store: PlatformStore,
