events: a process ends although nobody reads its output

Operators would see, after a stop, a process that has logged its end or nothing and does not go away: the next one cannot bind its addresses and ends at once, until the first is killed. Cause: at its end the process waits for the thread that writes the log, and that waits for ever for a pipe that is full, as that of a log collector that has stalled. Change: run_with_log waits for the last lines for 500 ms at most; longer ones are lost.

--- a/crates/events/src/run.rs
+++ b/crates/events/src/run.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     panic::{self, AssertUnwindSafe},
+    thread::{self, JoinHandle},
 };
 
 use base::prelude::*;
@@ -15,8 +16,13 @@
     tasks::record_panics,
 };
 
+/// Longest time that a process waits at its end for its last lines to be written.
+const MAX_WRITE_TIME: Duration = Duration::from_millis(500);
+/// Time between two checks whether they are.
+const CHECK_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Runs `task` on a single-threaded runtime with a decision log of `vm` on standard output, and
-/// writes the remaining lines when the task has ended. Panics of any task are recorded in it.
+/// writes the remaining lines when the task has ended, unless nobody reads them. Panics of any task are recorded in it.
 ///
 /// # Errors
 ///
@@ -37,7 +43,15 @@
     // Tasks that are still running record what they leave undone.
     drop(runtime);
     log.close();
-    // Joining fails only if the writer thread has panicked, and then nothing can be logged.
-    let _ = writer.join();
+    wait_for(&writer);
     outcome.unwrap_or_else(|payload| panic::resume_unwind(payload))
 }
+
+/// Waits until `writer` ends, but not longer than the lines may take: an output that nobody reads would
+/// keep the process, with its addresses, until it is killed.
+fn wait_for(writer: &JoinHandle<()>) {
+    let ends = Instant::now() + MAX_WRITE_TIME;
+    while !writer.is_finished() && Instant::now() < ends {
+        thread::sleep(CHECK_INTERVAL);
+    }
+}
