--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -5,9 +5,9 @@
     sync::{Arc, Mutex, MutexGuard},
 };
 
-use base::prelude::*;
+use base::{locks, prelude::*};
 use catalog::TokenCount;
-use events::{DecisionEvent, Dependency, EventLog, millis};
+use events::{DecisionEvent, Dependency, EventLog, millis, spawn_lasting};
 use origins::{OriginLedger, StreamKey};
 use peers::{
     ChangeRequest, Datagram, DatagramBody, OriginReply, OriginReport, OriginState, PeerSocket,
@@ -117,9 +117,13 @@
             poll_now: Arc::default(),
         };
         let store = PlatformStore::new(settings.store, settings.call_timeout);
-        tokio::spawn(agent.clone().read_engine_spec(store, settings.service));
-        tokio::spawn(agent.clone().poll());
-        tokio::spawn(agent.clone().receive());
+        let (reader, service) = (agent.clone(), settings.service);
+        spawn_lasting("specification", move || {
+            reader.clone().read_engine_spec(store.clone(), service.clone())
+        });
+        let (polling, receiving) = (agent.clone(), agent.clone());
+        spawn_lasting("engine", move || polling.clone().poll());
+        spawn_lasting("datagrams", move || receiving.clone().receive());
         let metrics = Router::new().get("/metrics", render_metrics).with(State::new(agent.clone()));
         tokio::spawn(async move {
             let listener = listen_for_metrics(listener, settings.metrics).await;
@@ -141,7 +145,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, AgentState> {
-        self.state.lock().expect("no thread panics while holding the lock")
+        locks::lock(&self.state)
     }
 
     /// Applies `update` to the engine controller, then carries out the actions that follow from it.
--- a/crates/events/src/run.rs
+++ b/crates/events/src/run.rs
@@ -3,6 +3,7 @@
 use std::{
     fmt::Display,
     io::{self, Write},
+    panic::{self, AssertUnwindSafe},
     thread::{self, JoinHandle},
 };
 
@@ -14,16 +15,18 @@
 use crate::{
     event::DecisionEvent,
     sink::{EventLog, LogLimits},
+    tasks::record_panics,
 };
 
 /// Longest wait at the end of a process until the last lines are written. Whoever reads standard
-/// output may have stopped to, and the process is killed if it does not end in its grace time.
+/// output may have stopped to, and a process that waits for it keeps its addresses.
 const MAX_CLOSE_TIME: Duration = Duration::from_millis(500);
 /// Pause between two checks whether the last lines are written.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Runs `task` on a single-threaded runtime with a decision log of `vm` on standard output, and
-/// writes the remaining lines when the task has ended, as long as the output takes them.
+/// writes the remaining lines when the task has ended, as long as the output takes them. Panics of
+/// any task are recorded in it.
 ///
 /// # Errors
 ///
@@ -54,15 +57,17 @@
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let (log, writer) = EventLog::start(vm, LogLimits::default(), output);
     let _logger = log.capture_log_records(LevelFilter::Info)?;
-    let outcome = runtime.block_on(task(log.clone()));
-    if let Err(error) = &outcome {
+    record_panics(&log);
+    let running = AssertUnwindSafe(|| runtime.block_on(task(log.clone())));
+    let outcome = panic::catch_unwind(running);
+    if let Ok(Err(error)) = &outcome {
         log.record(&DecisionEvent::Failed { reason: &error.to_string() });
     }
     // Tasks that are still running record what they leave undone.
     drop(runtime);
     log.close();
     wait_for_writer(&writer);
-    outcome
+    outcome.unwrap_or_else(|payload| panic::resume_unwind(payload))
 }
 
 fn wait_for_writer(writer: &JoinHandle<()>) {
