gateway: the descriptors of the process follow the kernel, not the settings alone

Callers saw: with the usual soft limit of 1,024 descriptors and `descriptors = 4100` in the settings, 1,200 idle connections stopped the gateway. It accepted none further, answered neither requests nor readiness checks, and went on only when the idle timeout of 15 s closed the first ones. With callers that stay busy it would not have gone on.

Cause: the number of connections of callers followed from the settings alone (2,050), and the soft limit of the process was left as found.

Change: at its start the gateway raises the soft limit to the hard one if it is below the setting, and the limits of connections follow from the smaller of the setting and what it may open.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod codes;
+pub mod descriptors;
 pub mod ids;
 pub mod ini;
 pub mod logging;
--- a/crates/fescuewalk/tests/support/memory.rs
+++ b/crates/fescuewalk/tests/support/memory.rs
@@ -3,7 +3,7 @@
 use std::{
     fs,
     net::{Ipv4Addr, SocketAddr},
-    process::{Child, Stdio},
+    process::{Child, Command, Stdio},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -44,13 +44,38 @@
     NotServed(String),
 }
 
+/// Descriptors that a process may open, as the kernel limits them.
+#[derive(Debug, Clone, Copy)]
+pub struct DescriptorLimits {
+    /// The limit that is in force, which the process may raise.
+    pub soft: usize,
+    /// The limit that the process cannot raise.
+    pub hard: usize,
+}
+
+impl DescriptorLimits {
+    /// Runs `program` under these limits.
+    pub fn apply(self, program: &Command) -> Command {
+        let limited = format!(
+            "ulimit -S -n {} && ulimit -H -n {} && exec \"$0\" \"$@\"",
+            self.soft, self.hard
+        );
+        let mut shell = Command::new("sh");
+        shell.arg("-c").arg(limited).arg(program.get_program()).args(program.get_args());
+        shell
+    }
+}
+
 /// A gateway process on loopback with a store, a plain service and a server of large answers.
 pub struct GatewayFixture {
     /// Address for callers.
     pub callers: SocketAddr,
+    /// Address for readiness checks.
+    pub ready: SocketAddr,
+    /// Stand-in of the store.
+    pub store: StoreStandin,
     child: Child,
     large_answers: Arc<AtomicUsize>,
-    _store: StoreStandin,
     _service: ServiceStandin,
     _dir: WorkDir,
 }
@@ -80,6 +105,15 @@
 
     /// The same with more lines in `[limits]` of its settings.
     pub async fn start_with(limits: &str) -> Self {
+        Self::start_program(fescuewalk(), limits).await
+    }
+
+    /// The same for a process that may open as many descriptors as `limit` says.
+    pub async fn start_under(limit: DescriptorLimits, limits: &str) -> Self {
+        Self::start_program(limit.apply(&fescuewalk()), limits).await
+    }
+
+    async fn start_program(mut program: Command, limits: &str) -> Self {
         let store = StoreStandin::start(listen().await).expect("it listens");
         let catalog = CatalogBuilder::new("memory.example")
             .plain_service("orders")
@@ -93,19 +127,18 @@
         let large_answers = Arc::<AtomicUsize>::default();
         let files = start_file_server(Arc::clone(&large_answers)).await;
         store.write("servers", "i-2", &server_entry("files", files));
-        let callers = free_address().await;
+        let (callers, ready) = (free_address().await, free_address().await);
         let settings = format!(
-            "[process]\nvm = entry-1\nzone = zone-a\n[listen]\ncallers = {callers}\nready = {}\n\
+            "[process]\nvm = entry-1\nzone = zone-a\n[listen]\ncallers = {callers}\nready = {ready}\n\
              metrics = {}\npeers = {}\n[store]\naddress = {}\nknown-within = 600ms\n[limits]\n\
              repeat-ratio = 0.2\nrepeat-allowance = 60\nrepeat-window = 10s\ngrace = 5s\n{limits}",
             free_address().await,
             free_address().await,
-            free_address().await,
             store.address()
         );
         let dir = WorkDir::new("memory");
         let path = dir.write("gateway.ini", &settings);
-        let child = fescuewalk()
+        let child = program
             .arg("gateway")
             .arg(path)
             .stdout(Stdio::null())
@@ -113,7 +146,7 @@
             .spawn()
             .expect("the program starts");
         let gateway =
-            Self { callers, child, large_answers, _store: store, _service: service, _dir: dir };
+            Self { callers, ready, store, child, large_answers, _service: service, _dir: dir };
         assert_eq!(gateway.call_ordinary().await, OrdinaryCall::Served, "before the load");
         gateway
     }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -2,7 +2,10 @@
 
 use std::{io, sync::Arc};
 
-use base::prelude::*;
+use base::{
+    descriptors::{DescriptorCount, raise_limit},
+    prelude::*,
+};
 use catalog::Catalog;
 use dispatch::{CallDispatcher, DispatchSettings};
 use events::{DecisionEvent, EventLog};
@@ -225,7 +228,7 @@
         );
         let connection_limits = ConnectionLimits::for_vm(
             resources.memory,
-            resources.descriptors,
+            raise_limit(DescriptorCount(resources.descriptors)).0,
             resources.connections_per_address,
         );
         let registry = ConnectionRegistry::new(connection_limits, metrics.clone());
