monitoring: idle connections of probers no longer take all descriptors

Callers saw: 1,200 connections to the readiness port that send nothing stopped the gateway for as long as they stayed open: no answer to requests or readiness checks, and no call to the store. A prober whose VM lost power, or that never closes, leaves such connections.

Cause: the listeners for readiness and metrics had neither a bound nor an idle timeout, so their connections took every descriptor that the process has, whatever the limit of callers' connections.

Change: a package `monitoring` serves these listeners of both programs (and of the side process of the product's own interface) with at most 32 connections each; a new one closes the oldest.

Three tests failed before: two with "no answer in time" at the gateway, one with no answer of the agent's metrics.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -126,13 +126,7 @@
         tokio::spawn(agent.clone().poll());
         tokio::spawn(agent.clone().receive());
         let metrics = Router::new().get("/metrics", render_metrics).with(State::new(agent.clone()));
-        tokio::spawn(async move {
-            if let Err(error) = viz::serve(listener, metrics).await {
-                log::error!(
-                    "agent: the metrics listener failed, metrics are not served any more: {error}"
-                );
-            }
-        });
+        tokio::spawn(monitoring::serve(listener, metrics));
         Ok(agent)
     }
 
--- a/crates/fescuewalk/tests/descriptors.rs
+++ b/crates/fescuewalk/tests/descriptors.rs
@@ -1,5 +1,5 @@
-//! `fescuewalk gateway` where the kernel allows fewer descriptors than the settings say: idle
-//! connections leave it descriptors for requests, readiness checks and its own connections.
+//! Both programs where the kernel allows few descriptors: idle connections leave descriptors for
+//! requests, readiness checks and the connections that a process opens itself.
 //!
 //! The cases check no times; time-outs only end a case in which the process hangs.
 
@@ -7,7 +7,8 @@
 
 use std::net::SocketAddr;
 
-use support::memory::{DescriptorLimits, GatewayFixture, OrdinaryCall};
+use rstest::rstest;
+use support::memory::{AgentFixture, DescriptorLimits, GatewayFixture, OrdinaryCall, fetch_status};
 use tokio::net::TcpStream;
 
 /// The limits of a process whose settings say more than the kernel allows.
@@ -50,3 +51,46 @@
     assert!(gateway.is_alive(), "the process ended");
     assert_eq!(gateway.call_ordinary().await, OrdinaryCall::Served);
 }
+
+/// A listener of the gateway for monitoring.
+#[derive(Debug, Clone, Copy)]
+enum Monitor {
+    Ready,
+    Metrics,
+}
+
+/// Guards against a gateway that stops because a prober leaves its connections open.
+#[rstest]
+#[case::ready(Monitor::Ready)]
+#[case::metrics(Monitor::Metrics)]
+#[tokio::test]
+async fn connections_of_probers_leave_descriptors_for_callers(#[case] monitor: Monitor) {
+    let limits = DescriptorLimits { soft: 128, hard: 128 };
+    let mut gateway = GatewayFixture::start_under(limits, "descriptors = 128\n").await;
+    let address = match monitor {
+        Monitor::Ready => gateway.ready,
+        Monitor::Metrics => gateway.metrics,
+    };
+
+    let _open = connect(address, 2 * limits.hard).await;
+    let outcome = gateway.call_ordinary().await;
+    let status = fetch_status(gateway.ready, "/").await;
+
+    assert!(gateway.is_alive(), "the process ended");
+    assert_eq!(outcome, OrdinaryCall::Served);
+    assert_eq!(status.as_deref(), Some("200"));
+}
+
+/// Guards against an agent that cannot open a connection to its engine because a prober leaves its
+/// connections open.
+#[tokio::test]
+async fn connections_of_probers_leave_descriptors_for_the_engine() {
+    let limits = DescriptorLimits { soft: 64, hard: 64 };
+    let mut agent = AgentFixture::start_under(limits).await;
+
+    let _open = connect(agent.metrics, 2 * limits.hard).await;
+    let status = fetch_status(agent.metrics, "/metrics").await;
+
+    assert!(agent.is_alive(), "the process ended");
+    assert_eq!(status.as_deref(), Some("200"));
+}
--- a/crates/fescuewalk/tests/support/memory.rs
+++ b/crates/fescuewalk/tests/support/memory.rs
@@ -19,7 +19,7 @@
     time::{self, Instant},
 };
 
-use super::{WorkDir, fescuewalk};
+use super::{WorkDir, fescuewalk, fescuewalk_side};
 
 /// Limit of a request body in the configuration of these tests (`max-body-bytes`).
 pub const POST_LIMIT: usize = 4_194_304;
@@ -72,6 +72,8 @@
     pub callers: SocketAddr,
     /// Address for readiness checks.
     pub ready: SocketAddr,
+    /// Address for metrics.
+    pub metrics: SocketAddr,
     /// Stand-in of the store.
     pub store: StoreStandin,
     child: Child,
@@ -128,12 +130,12 @@
         let files = start_file_server(Arc::clone(&large_answers)).await;
         store.write("servers", "i-2", &server_entry("files", files));
         let (callers, ready) = (free_address().await, free_address().await);
+        let metrics = free_address().await;
         let settings = format!(
             "[process]\nvm = entry-1\nzone = zone-a\n[listen]\ncallers = {callers}\nready = {ready}\n\
-             metrics = {}\npeers = {}\n[store]\naddress = {}\nknown-within = 600ms\n[limits]\n\
+             metrics = {metrics}\npeers = {}\n[store]\naddress = {}\nknown-within = 600ms\n[limits]\n\
              repeat-ratio = 0.2\nrepeat-allowance = 60\nrepeat-window = 10s\ngrace = 5s\n{limits}",
             free_address().await,
-            free_address().await,
             store.address()
         );
         let dir = WorkDir::new("memory");
@@ -145,8 +147,16 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("the program starts");
-        let gateway =
-            Self { callers, ready, store, child, large_answers, _service: service, _dir: dir };
+        let gateway = Self {
+            callers,
+            ready,
+            metrics,
+            store,
+            child,
+            large_answers,
+            _service: service,
+            _dir: dir,
+        };
         assert_eq!(gateway.call_ordinary().await, OrdinaryCall::Served, "before the load");
         gateway
     }
@@ -236,6 +246,77 @@
     }
 }
 
+/// An agent process on loopback whose engine and store do not listen.
+pub struct AgentFixture {
+    /// Address for metrics.
+    pub metrics: SocketAddr,
+    child: Child,
+    _dir: WorkDir,
+}
+
+impl AgentFixture {
+    /// Starts it as a process that may open as many descriptors as `limit` says, and waits until it
+    /// serves its metrics.
+    pub async fn start_under(limit: DescriptorLimits) -> Self {
+        let metrics = free_address().await;
+        let settings = format!(
+            "[process]\nvm = side-1\n[engine]\naddress = {}\nservice = reports\n[listen]\n\
+             peers = {}\nmetrics = {metrics}\n[store]\naddress = {}\n",
+            free_address().await,
+            free_address().await,
+            free_address().await
+        );
+        let dir = WorkDir::new("agent");
+        let path = dir.write("agent.ini", &settings);
+        let child = limit
+            .apply(&fescuewalk_side())
+            .arg("agent")
+            .arg(path)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        let agent = Self { metrics, child, _dir: dir };
+        let status = fetch_status(metrics, "/metrics").await;
+        assert_eq!(status.as_deref(), Some("200"), "before the load");
+        agent
+    }
+
+    /// Whether the process has not ended.
+    pub fn is_alive(&mut self) -> bool {
+        self.child.try_wait().expect("it is a child").is_none()
+    }
+}
+
+impl Drop for AgentFixture {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Status of the first answer to a request for `path`; `None` if there is none within 30 s.
+pub async fn fetch_status(address: SocketAddr, path: &str) -> Option<String> {
+    let end = Instant::now() + SAFETY_TIME;
+    while Instant::now() < end {
+        if let Ok(Ok(status)) = time::timeout_at(end, fetch_status_once(address, path)).await {
+            return Some(status);
+        }
+        time::sleep(RETRY_PAUSE).await;
+    }
+    None
+}
+
+async fn fetch_status_once(address: SocketAddr, path: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
+    let head = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    let status = answer.split(' ').nth(1).map(str::to_owned);
+    status.ok_or_else(|| std::io::ErrorKind::UnexpectedEof.into())
+}
+
 async fn call_once(address: SocketAddr, body: &[u8]) -> std::io::Result<String> {
     let mut stream = TcpStream::connect(address).await?;
     let head = format!("content-length: {}\r\nconnection: close\r\n\r\n", body.len());
--- a/crates/gateway/src/ops.rs
+++ b/crates/gateway/src/ops.rs
@@ -28,18 +28,13 @@
     Ok(Response::text(gateway.metrics.render()))
 }
 
-async fn serve(listener: TcpListener, router: Router) {
-    if let Err(error) = viz::serve(listener, router).await {
-        log::error!("ops: an HTTP listener failed and is closed: {error}");
-    }
-}
-
 /// Serves readiness checks on every path: 200 if the process is ready, 503 otherwise.
 pub async fn serve_ready(listener: TcpListener, gateway: Arc<Gateway>) {
-    serve(listener, Router::new().get("/*", ready).with(State::new(gateway))).await;
+    monitoring::serve(listener, Router::new().get("/*", ready).with(State::new(gateway))).await;
 }
 
 /// Serves the metrics at `/metrics`.
 pub async fn serve_metrics(listener: TcpListener, gateway: Arc<Gateway>) {
-    serve(listener, Router::new().get("/metrics", metrics).with(State::new(gateway))).await;
+    monitoring::serve(listener, Router::new().get("/metrics", metrics).with(State::new(gateway)))
+        .await;
 }
--- a/crates/side/src/admin.rs
+++ b/crates/side/src/admin.rs
@@ -9,16 +9,14 @@
 
 type AdminState = State<Arc<SideState>>;
 
-/// Serves the endpoints until the process ends or the listener fails.
+/// Serves the endpoints until the process ends.
 pub async fn serve(listener: TcpListener, state: Arc<SideState>) {
     let router = Router::new()
         .get("/metrics", metrics)
         .get("/healthz", healthz)
         .get("/readyz", readyz)
         .with(State::new(state));
-    if let Err(error) = viz::serve(listener, router).await {
-        log::error!("admin: the HTTP listener failed: {error}");
-    }
+    monitoring::serve(listener, router).await;
 }
 
 async fn extract_state(request: &mut Request) -> viz::Result<Arc<SideState>> {
