events: a process whose log is not read ends after SIGTERM

Callers saw: nothing of the log itself, but a VM that is stopped stays away. With standard output a pipe that nobody reads, gateway and agent never ended after SIGTERM, nor after an error at their start: their ports were closed and the process ran on, so a supervisor that waits for its end did not start it again.

Cause: at its end the process waits for the thread that writes the log, and that thread waits for a reader for as long as the pipe is full.

Change: a process waits at most a second for its last lines.

--- a/crates/events/src/run.rs
+++ b/crates/events/src/run.rs
@@ -1,6 +1,9 @@
 //! Runs a process that writes the decision log.
 
-use std::io;
+use std::{
+    io,
+    thread::{self, JoinHandle},
+};
 
 use base::prelude::*;
 use flexi_logger::FlexiLoggerError;
@@ -9,8 +12,14 @@
 
 use crate::sink::{EventLog, LogLimits};
 
+/// Polls of the writer thread at the end of a process, which ends without the remaining lines if
+/// nobody reads them.
+const LAST_POLLS: u32 = 200;
+/// Time between two of these polls.
+const LAST_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Runs `task` on a single-threaded runtime with a decision log of `vm` on standard output, and
-/// writes the remaining lines when the task has ended.
+/// writes the remaining lines when the task has ended, for at most a second.
 ///
 /// # Errors
 ///
@@ -29,7 +38,15 @@
     // Tasks that are still running record what they leave undone.
     drop(runtime);
     log.close();
-    // Joining fails only if the writer thread has panicked, and then nothing can be logged.
-    let _ = writer.join();
+    wait_for_writer(&writer);
     outcome
 }
+
+fn wait_for_writer(writer: &JoinHandle<()>) {
+    for _ in 0..LAST_POLLS {
+        if writer.is_finished() {
+            return;
+        }
+        thread::sleep(LAST_POLL_INTERVAL);
+    }
+}
--- a/crates/fescuewalk/tests/support/memory.rs
+++ b/crates/fescuewalk/tests/support/memory.rs
@@ -3,7 +3,7 @@
 use std::{
     fs,
     net::{Ipv4Addr, SocketAddr},
-    process::{Child, Command, Stdio},
+    process::{Child, Command, ExitStatus, Stdio},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -11,6 +11,10 @@
     time::Duration,
 };
 
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
 use platform_standin::{CatalogBuilder, RouteSpec, ServiceStandin, StoreStandin};
 use serde_json::json;
 use tokio::{
@@ -107,15 +111,20 @@
 
     /// The same with more lines in `[limits]` of its settings.
     pub async fn start_with(limits: &str) -> Self {
-        Self::start_program(fescuewalk(), limits).await
+        Self::start_program(fescuewalk(), Stdio::null(), limits).await
+    }
+
+    /// The same for a process that writes its log to `output`.
+    pub async fn start_logging_to(output: Stdio) -> Self {
+        Self::start_program(fescuewalk(), output, "").await
     }
 
     /// The same for a process that may open as many descriptors as `limit` says.
     pub async fn start_under(limit: DescriptorLimits, limits: &str) -> Self {
-        Self::start_program(limit.apply(&fescuewalk()), limits).await
+        Self::start_program(limit.apply(&fescuewalk()), Stdio::null(), limits).await
     }
 
-    async fn start_program(mut program: Command, limits: &str) -> Self {
+    async fn start_program(mut program: Command, output: Stdio, limits: &str) -> Self {
         let store = StoreStandin::start(listen().await).expect("it listens");
         let catalog = CatalogBuilder::new("memory.example")
             .plain_service("orders")
@@ -143,7 +152,7 @@
         let child = program
             .arg("gateway")
             .arg(path)
-            .stdout(Stdio::null())
+            .stdout(output)
             .stderr(Stdio::null())
             .spawn()
             .expect("the program starts");
@@ -170,6 +179,11 @@
         self.child.try_wait().expect("it is a child").is_none()
     }
 
+    /// Sends SIGTERM; returns the exit status, or `None` if the process runs 30 s later.
+    pub async fn terminate(&mut self) -> Option<ExitStatus> {
+        terminate(&mut self.child).await
+    }
+
     /// Peak of the resident memory in bytes.
     pub fn peak_resident_bytes(&self) -> Option<u64> {
         let status = fs::read_to_string(self.proc_path("status")).ok()?;
@@ -258,6 +272,15 @@
     /// Starts it as a process that may open as many descriptors as `limit` says, and waits until it
     /// serves its metrics.
     pub async fn start_under(limit: DescriptorLimits) -> Self {
+        Self::start_program(limit.apply(&fescuewalk_side()), Stdio::null()).await
+    }
+
+    /// Starts it as a process that writes its log to `output`, and waits until it serves its metrics.
+    pub async fn start_logging_to(output: Stdio) -> Self {
+        Self::start_program(fescuewalk_side(), output).await
+    }
+
+    async fn start_program(mut program: Command, output: Stdio) -> Self {
         let metrics = free_address().await;
         let settings = format!(
             "[process]\nvm = side-1\n[engine]\naddress = {}\nservice = reports\n[listen]\n\
@@ -268,11 +291,10 @@
         );
         let dir = WorkDir::new("agent");
         let path = dir.write("agent.ini", &settings);
-        let child = limit
-            .apply(&fescuewalk_side())
+        let child = program
             .arg("agent")
             .arg(path)
-            .stdout(Stdio::null())
+            .stdout(output)
             .stderr(Stdio::null())
             .spawn()
             .expect("the program starts");
@@ -286,6 +308,11 @@
     pub fn is_alive(&mut self) -> bool {
         self.child.try_wait().expect("it is a child").is_none()
     }
+
+    /// Sends SIGTERM; returns the exit status, or `None` if the process runs 30 s later.
+    pub async fn terminate(&mut self) -> Option<ExitStatus> {
+        terminate(&mut self.child).await
+    }
 }
 
 impl Drop for AgentFixture {
@@ -295,6 +322,19 @@
     }
 }
 
+async fn terminate(child: &mut Child) -> Option<ExitStatus> {
+    let process = Pid::from_raw(child.id().try_into().expect("a process ID"));
+    kill(process, Signal::SIGTERM).expect("it is a child");
+    let end = Instant::now() + SAFETY_TIME;
+    while Instant::now() < end {
+        if let Some(status) = child.try_wait().expect("it is a child") {
+            return Some(status);
+        }
+        time::sleep(RETRY_PAUSE).await;
+    }
+    None
+}
+
 /// Status of the first answer to a request for `path`; `None` if there is none within 30 s.
 pub async fn fetch_status(address: SocketAddr, path: &str) -> Option<String> {
     let end = Instant::now() + SAFETY_TIME;
