--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -127,11 +127,7 @@
         let metrics = Router::new().get("/metrics", render_metrics).with(State::new(agent.clone()));
         tokio::spawn(async move {
             let listener = listen_for_metrics(listener, settings.metrics).await;
-            if let Err(error) = viz::serve(listener, metrics).await {
-                log::error!(
-                    "agent: the metrics listener failed, metrics are not served any more: {error}"
-                );
-            }
+            monitoring::serve(listener, metrics).await;
         });
         Ok(agent)
     }
--- a/crates/fescuewalk/tests/support/memory.rs
+++ b/crates/fescuewalk/tests/support/memory.rs
@@ -3,7 +3,7 @@
 use std::{
     fs,
     net::{Ipv4Addr, SocketAddr},
-    process::{Child, Stdio},
+    process::{Child, Command, ExitStatus, Stdio},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -11,6 +11,10 @@
     time::Duration,
 };
 
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
 use platform_standin::{CatalogBuilder, RouteSpec, ServiceStandin, StoreStandin};
 use serde_json::json;
 use tokio::{
@@ -19,7 +23,7 @@
     time::{self, Instant},
 };
 
-use super::{WorkDir, fescuewalk};
+use super::{WorkDir, fescuewalk, fescuewalk_side};
 
 /// Limit of a request body in the configuration of these tests (`max-body-bytes`).
 pub const POST_LIMIT: usize = 4_194_304;
@@ -44,13 +48,40 @@
     NotServed(String),
 }
 
+/// Descriptors that a process may open, as the kernel limits them.
+#[derive(Debug, Clone, Copy)]
+pub struct DescriptorLimits {
+    /// The limit that is in force, which the process may raise.
+    pub soft: usize,
+    /// The limit that the process cannot raise.
+    pub hard: usize,
+}
+
+impl DescriptorLimits {
+    /// Runs `program` under these limits.
+    pub fn apply(self, program: &Command) -> Command {
+        let limited = format!(
+            "ulimit -S -n {} && ulimit -H -n {} && exec \"$0\" \"$@\"",
+            self.soft, self.hard
+        );
+        let mut shell = Command::new("sh");
+        shell.arg("-c").arg(limited).arg(program.get_program()).args(program.get_args());
+        shell
+    }
+}
+
 /// A gateway process on loopback with a store, a plain service and a server of large answers.
 pub struct GatewayFixture {
     /// Address for callers.
     pub callers: SocketAddr,
+    /// Address for readiness checks.
+    pub ready: SocketAddr,
+    /// Address for metrics.
+    pub metrics: SocketAddr,
+    /// Stand-in of the store.
+    pub store: StoreStandin,
     child: Child,
     large_answers: Arc<AtomicUsize>,
-    _store: StoreStandin,
     _service: ServiceStandin,
     _dir: WorkDir,
 }
@@ -80,6 +111,20 @@
 
     /// The same with more lines in `[limits]` of its settings.
     pub async fn start_with(limits: &str) -> Self {
+        Self::start_program(fescuewalk(), Stdio::null(), limits).await
+    }
+
+    /// The same for a process that writes its log to `output`.
+    pub async fn start_logging_to(output: Stdio) -> Self {
+        Self::start_program(fescuewalk(), output, "").await
+    }
+
+    /// The same for a process that may open as many descriptors as `limit` says.
+    pub async fn start_under(limit: DescriptorLimits, limits: &str) -> Self {
+        Self::start_program(limit.apply(&fescuewalk()), Stdio::null(), limits).await
+    }
+
+    async fn start_program(mut program: Command, output: Stdio, limits: &str) -> Self {
         let store = StoreStandin::start(listen().await).expect("it listens");
         let catalog = CatalogBuilder::new("memory.example")
             .plain_service("orders")
@@ -93,27 +138,34 @@
         let large_answers = Arc::<AtomicUsize>::default();
         let files = start_file_server(Arc::clone(&large_answers)).await;
         store.write("servers", "i-2", &server_entry("files", files));
-        let callers = free_address().await;
+        let (callers, ready) = (free_address().await, free_address().await);
+        let metrics = free_address().await;
         let settings = format!(
-            "[process]\nvm = entry-1\nzone = zone-a\n[listen]\ncallers = {callers}\nready = {}\n\
-             metrics = {}\npeers = {}\n[store]\naddress = {}\nknown-within = 600ms\n[limits]\n\
+            "[process]\nvm = entry-1\nzone = zone-a\n[listen]\ncallers = {callers}\nready = {ready}\n\
+             metrics = {metrics}\npeers = {}\n[store]\naddress = {}\nknown-within = 600ms\n[limits]\n\
              repeat-ratio = 0.2\nrepeat-allowance = 60\nrepeat-window = 10s\ngrace = 5s\n{limits}",
             free_address().await,
-            free_address().await,
-            free_address().await,
             store.address()
         );
         let dir = WorkDir::new("memory");
         let path = dir.write("gateway.ini", &settings);
-        let child = fescuewalk()
+        let child = program
             .arg("gateway")
             .arg(path)
-            .stdout(Stdio::null())
+            .stdout(output)
             .stderr(Stdio::null())
             .spawn()
             .expect("the program starts");
-        let gateway =
-            Self { callers, child, large_answers, _store: store, _service: service, _dir: dir };
+        let gateway = Self {
+            callers,
+            ready,
+            metrics,
+            store,
+            child,
+            large_answers,
+            _service: service,
+            _dir: dir,
+        };
         assert_eq!(gateway.call_ordinary().await, OrdinaryCall::Served, "before the load");
         gateway
     }
@@ -127,6 +179,11 @@
         self.child.try_wait().expect("it is a child").is_none()
     }
 
+    /// Sends SIGTERM; returns the exit status, or `None` if the process runs 30 s later.
+    pub async fn terminate(&mut self) -> Option<ExitStatus> {
+        terminate(&mut self.child).await
+    }
+
     /// Peak of the resident memory in bytes.
     pub fn peak_resident_bytes(&self) -> Option<u64> {
         let status = fs::read_to_string(self.proc_path("status")).ok()?;
@@ -203,6 +260,103 @@
     }
 }
 
+/// An agent process on loopback whose engine and store do not listen.
+pub struct AgentFixture {
+    /// Address for metrics.
+    pub metrics: SocketAddr,
+    child: Child,
+    _dir: WorkDir,
+}
+
+impl AgentFixture {
+    /// Starts it as a process that may open as many descriptors as `limit` says, and waits until it
+    /// serves its metrics.
+    pub async fn start_under(limit: DescriptorLimits) -> Self {
+        Self::start_program(limit.apply(&fescuewalk_side()), Stdio::null()).await
+    }
+
+    /// Starts it as a process that writes its log to `output`, and waits until it serves its metrics.
+    pub async fn start_logging_to(output: Stdio) -> Self {
+        Self::start_program(fescuewalk_side(), output).await
+    }
+
+    async fn start_program(mut program: Command, output: Stdio) -> Self {
+        let metrics = free_address().await;
+        let settings = format!(
+            "[process]\nvm = side-1\n[engine]\naddress = {}\nservice = reports\n[listen]\n\
+             peers = {}\nmetrics = {metrics}\n[store]\naddress = {}\n",
+            free_address().await,
+            free_address().await,
+            free_address().await
+        );
+        let dir = WorkDir::new("agent");
+        let path = dir.write("agent.ini", &settings);
+        let child = program
+            .arg("agent")
+            .arg(path)
+            .stdout(output)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        let agent = Self { metrics, child, _dir: dir };
+        let status = fetch_status(metrics, "/metrics").await;
+        assert_eq!(status.as_deref(), Some("200"), "before the load");
+        agent
+    }
+
+    /// Whether the process has not ended.
+    pub fn is_alive(&mut self) -> bool {
+        self.child.try_wait().expect("it is a child").is_none()
+    }
+
+    /// Sends SIGTERM; returns the exit status, or `None` if the process runs 30 s later.
+    pub async fn terminate(&mut self) -> Option<ExitStatus> {
+        terminate(&mut self.child).await
+    }
+}
+
+impl Drop for AgentFixture {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+async fn terminate(child: &mut Child) -> Option<ExitStatus> {
+    let process = Pid::from_raw(child.id().try_into().expect("a process ID"));
+    kill(process, Signal::SIGTERM).expect("it is a child");
+    let end = Instant::now() + SAFETY_TIME;
+    while Instant::now() < end {
+        if let Some(status) = child.try_wait().expect("it is a child") {
+            return Some(status);
+        }
+        time::sleep(RETRY_PAUSE).await;
+    }
+    None
+}
+
+/// Status of the first answer to a request for `path`; `None` if there is none within 30 s.
+pub async fn fetch_status(address: SocketAddr, path: &str) -> Option<String> {
+    let end = Instant::now() + SAFETY_TIME;
+    while Instant::now() < end {
+        if let Ok(Ok(status)) = time::timeout_at(end, fetch_status_once(address, path)).await {
+            return Some(status);
+        }
+        time::sleep(RETRY_PAUSE).await;
+    }
+    None
+}
+
+async fn fetch_status_once(address: SocketAddr, path: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
+    let head = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    let status = answer.split(' ').nth(1).map(str::to_owned);
+    status.ok_or_else(|| std::io::ErrorKind::UnexpectedEof.into())
+}
+
 async fn call_once(address: SocketAddr, body: &[u8]) -> std::io::Result<String> {
     let mut stream = TcpStream::connect(address).await?;
     let head = format!("content-length: {}\r\nconnection: close\r\n\r\n", body.len());
