soak: losses of power of all processes, and exits that no fault caused

All gateways and agents are killed at once, up to three times in a row, at times with the engines, right after a new route or within a fault of the store, and restart within 0.3 s of each other in any order. The load goes on for 16 s after the last fault. Checked: no process ends by itself, each is ready again within 12 s, and service comes back as rule RECOVER demands.

--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -5,7 +5,7 @@
     fs::File,
     net::SocketAddr,
     path::{Path, PathBuf},
-    process::Stdio,
+    process::{ExitStatus, Stdio},
     time::Duration,
 };
 
@@ -198,6 +198,20 @@
         let _ended = self.child.kill().await;
     }
 
+    /// Kills the process with SIGKILL without waiting for its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process does not run.
+    pub fn start_kill(&self) -> Result<()> {
+        self.signal(Signal::SIGKILL)
+    }
+
+    /// Exit status of the process if it has ended.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Requests a graceful shutdown with SIGTERM.
     ///
     /// # Errors
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -19,7 +19,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::{sync::mpsc, time};
 
-use crate::fleet::{EVENTS_PER_STREAM, HOST, MODELS};
+use crate::fleet::{EVENTS_PER_STREAM, HOST};
 
 /// Longest wait of most callers for a complete answer; sent with each request.
 pub const CALLER_TIMEOUT: Duration = Duration::from_millis(3_000);
@@ -31,6 +31,12 @@
 pub const MAX_CALLER_TIMEOUT: Duration = Duration::from_millis(*PATIENT_TIMEOUT_MS.end());
 const PROMPT_TOKENS: u64 = 600;
 const MAX_OUTPUT_TOKENS: u64 = 60;
+/// Number of models that non-resumable streams are sent to.
+const SHARED_MODELS: usize = 6;
+/// Range of the time between two requests on a held connection, in milliseconds.
+const HELD_INTERVAL_MS: RangeInclusive<u64> = 40..=160;
+/// Wait before a held connection that has ended is opened anew.
+const REOPEN_DELAY: Duration = Duration::from_millis(50);
 /// Upper limit of requests per connection.
 const REQUESTS_PER_CONNECTION: u32 = 8;
 
@@ -48,7 +54,9 @@
 }
 
 impl CallKind {
-    const ALL: [CallKind; 4] = [CallKind::Order, CallKind::Read, CallKind::Chat, CallKind::Report];
+    /// All kinds.
+    pub const ALL: [CallKind; 4] =
+        [CallKind::Order, CallKind::Read, CallKind::Chat, CallKind::Report];
 
     fn path(self) -> &'static str {
         match self {
@@ -59,6 +67,15 @@
         }
     }
 
+    /// The models that requests of this kind are sent to; with many models, each kind has its own.
+    fn models(self, all: &[String]) -> &[String] {
+        match (self, all.split_at_checked(SHARED_MODELS)) {
+            (CallKind::Report, Some((_, rest))) if !rest.is_empty() => rest,
+            (_, Some((shared, _))) => shared,
+            (_, None) => all,
+        }
+    }
+
     /// Whether the answer is an event stream.
     pub fn is_stream(self) -> bool {
         matches!(self, CallKind::Chat | CallKind::Report)
@@ -116,6 +133,7 @@
     gateway: usize,
     address: SocketAddr,
     rate: f64,
+    models: &[String],
     seed: u64,
     stop: Arc<AtomicBool>,
     reports: mpsc::UnboundedSender<CallReport>,
@@ -130,11 +148,11 @@
         time::sleep_until(next_send).await;
         number += 1;
         let kind = *CallKind::ALL.choose(&mut random).expect("the list is not empty");
-        let model = *MODELS.choose(&mut random).expect("the list is not empty");
+        let model = kind.models(models).choose(&mut random).expect("the list is not empty");
         let adapter = random.random_bool(0.2).then(|| random.random_range(1..=4));
         let target = match adapter {
             Some(adapter) => format!("{model}/a{adapter}"),
-            None => model.to_owned(),
+            None => model.clone(),
         };
         let leave_after_ms = random.random_bool(0.05).then(|| random.random_range(20..400));
         let request_count = random.random_range(1..=REQUESTS_PER_CONNECTION.min(3));
@@ -158,6 +176,39 @@
     }
 }
 
+/// Sends plain requests to one gateway until `stop` is set, one after the other on a connection that
+/// is kept until the gateway or the process ends it.
+pub async fn hold_connection(
+    gateway: usize,
+    address: SocketAddr,
+    seed: u64,
+    stop: Arc<AtomicBool>,
+    reports: mpsc::UnboundedSender<CallReport>,
+) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(56));
+    let mut connection = None;
+    let mut number = 0_u64;
+    while !stop.load(Ordering::Relaxed) {
+        number += 1;
+        let call = format!("h{gateway}-{number}-0");
+        let kind = if random.random_bool(0.5) { CallKind::Order } else { CallKind::Read };
+        let sent = Instant::now();
+        let exchange = exchange(&mut connection, address, &call, kind, "", CALLER_TIMEOUT);
+        let outcome =
+            time::timeout(CALLER_TIMEOUT, exchange).await.unwrap_or(CallOutcome::Abandoned);
+        let is_kept = matches!(outcome, CallOutcome::Complete { .. });
+        let (path, timeout, ended) = (kind.path().to_owned(), CALLER_TIMEOUT, Instant::now());
+        // The receiver may be closed already at the end of the run.
+        let _ =
+            reports.send(CallReport { call, kind, gateway, path, timeout, sent, ended, outcome });
+        if !is_kept {
+            connection = None;
+            time::sleep(REOPEN_DELAY).await;
+        }
+        time::sleep(Duration::from_millis(random.random_range(HELD_INTERVAL_MS))).await;
+    }
+}
+
 /// Draws the timeouts of callers from a generator of its own, so that the other draws of a seed do
 /// not change.
 struct PatienceDraw {
@@ -211,7 +262,8 @@
     }
 }
 
-fn connect_settings() -> ConnectSettings {
+/// How callers connect.
+pub fn connect_settings() -> ConnectSettings {
     ConnectSettings {
         connect_timeout: Duration::from_secs(1),
         user_timeout: Duration::from_secs(10),
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,6 +1,7 @@
 //! Invariants, checked on what callers and backend servers recorded.
 
 pub mod planned_stops;
+pub mod power_losses;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -10,7 +11,10 @@
 
 use base::prelude::Instant;
 
-use self::planned_stops::{StreamRuns, find_lost};
+use self::{
+    planned_stops::{StreamRuns, find_lost},
+    power_losses::find_unserved,
+};
 use crate::{
     callers::{CallKind, CallOutcome, CallReport},
     fleet::Fleet,
@@ -56,6 +60,8 @@
     pub fleet: &'a Fleet,
     /// Faults that were injected.
     pub fault_log: &'a FaultLog,
+    /// When all faults had ended.
+    pub back: Instant,
 }
 
 impl Evidence<'_> {
@@ -72,6 +78,7 @@
         violations.extend(self.check_stops());
         violations.extend(find_lost(self.reports, self.fault_log, &self.stream_runs()));
         violations.extend(self.check_limits());
+        violations.extend(find_unserved(self.reports, &self.fault_log.losses, self.back));
         violations.extend(self.fault_log.failures.iter().map(|detail| Violation {
             invariant: "no process or fault injection fails",
             detail: detail.clone(),
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -15,7 +15,7 @@
     process::{ManagedProcess, ProcessSpec},
     relay::TcpRelay,
 };
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::watch};
 
 use crate::plan::{SoakPlan, Target};
 
@@ -25,14 +25,16 @@
 pub const ENGINE_SERVICE: &str = "reports";
 /// Name of the plain service.
 pub const PLAIN_SERVICE: &str = "orders";
-/// Models that requests are sent to.
-pub const MODELS: [&str; 6] = ["m1", "m2", "m3", "m4", "m5", "m6"];
 /// Number of events of each stream.
 pub const EVENTS_PER_STREAM: u64 = 20;
 /// Time from a request to the first event of its stream, at an engine that is not busy.
 pub const FIRST_EVENT: Duration = Duration::from_millis(20);
 /// Time from SIGTERM until a process is killed.
 pub const STOP_GRACE: Duration = Duration::from_secs(5);
+/// Number of lines of standard error in a report.
+const ERROR_LINES: usize = 6;
+/// Number of lines of the log in a report.
+const LOG_LINES: usize = 3;
 /// UDP port for datagrams between processes.
 const PEER_PORT: u16 = 7380;
 /// Port of a backend server itself; clients connect to its relay.
@@ -41,6 +43,10 @@
 const RELAY_PORT: u16 = 8001;
 /// Port on which gateways accept connections of callers.
 const CALLER_PORT: u16 = 8080;
+/// Port on which gateways answer readiness checks.
+const READY_PORT: u16 = 8081;
+/// Port on which processes serve their metrics.
+const METRICS_PORT: u16 = 9464;
 
 /// A process of the system, which faults may stop and restart.
 pub struct FleetProcess {
@@ -48,10 +54,37 @@
     pub spec: ProcessSpec,
     /// The running process; `None` while a fault has stopped it.
     pub running: Option<ManagedProcess>,
+    /// Whether a fault starts or stops it at present.
+    pub is_claimed: bool,
     /// Relay for its connections to the store.
     pub store_link: TcpRelay,
 }
 
+impl FleetProcess {
+    /// Last lines of its standard error and of its log.
+    pub fn last_lines(&self) -> String {
+        let tail = |suffix: &str, count: usize| {
+            let path = self.spec.directory.join(format!("{}.{suffix}", self.spec.name));
+            let text = fs::read_to_string(path).unwrap_or_default();
+            let lines: Vec<&str> = text.lines().rev().take(count).collect();
+            lines.into_iter().rev().collect::<Vec<_>>().join("\n        ")
+        };
+        let (errors, log) = (tail("log", ERROR_LINES), tail("out", LOG_LINES));
+        format!("standard error:\n        {errors}\n      last lines:\n        {log}")
+    }
+}
+
+/// Power of the VMs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PowerState {
+    /// Number of losses so far.
+    pub losses: u64,
+    /// Whether power is lost at present.
+    pub is_lost: bool,
+    /// Whether the engines are down, too.
+    pub has_engines_down: bool,
+}
+
 /// An engine and its relay.
 pub struct EngineNode {
     /// Stand-in of the engine.
@@ -86,6 +119,12 @@
     pub version: u64,
     /// Path prefixes of the routes added during the run.
     pub added_routes: Vec<String>,
+    /// Power of the VMs; planned stops end when it is lost.
+    pub power: watch::Sender<PowerState>,
+    /// Names of the models.
+    pub models: Vec<String>,
+    /// Time in which an engine loads a model from the weight store.
+    pub store_load: Duration,
     subnet: u8,
 }
 
@@ -96,10 +135,16 @@
     io::Error::other(error)
 }
 
+/// Names of `count` models that requests are sent to.
+pub fn model_names(count: usize) -> Vec<String> {
+    (1..=count).map(|number| format!("m{number}")).collect()
+}
+
 /// Builds the configuration with the initial routes and one for each prefix in `added_routes`.
-pub fn catalog(added_routes: &[String]) -> CatalogBuilder {
+pub fn catalog(models: &[String], added_routes: &[String]) -> CatalogBuilder {
+    let models: Vec<&str> = models.iter().map(String::as_str).collect();
     let mut builder = CatalogBuilder::new(HOST)
-        .engine_service(ENGINE_SERVICE, &MODELS)
+        .engine_service(ENGINE_SERVICE, &models)
         .plain_service(PLAIN_SERVICE)
         .route(RouteSpec::streaming("/chat/", ENGINE_SERVICE, false))
         .route(RouteSpec::streaming("/report/", ENGINE_SERVICE, true))
@@ -127,7 +172,7 @@
         fs::create_dir_all(directory)?;
         let listener = TcpListener::bind((Ipv4Addr::new(127, 30, subnet, 250), 0)).await?;
         let store = StoreStandin::start(listener)?;
-        store.write("config", "main", &catalog(&[]).build(1));
+        let models = model_names(plan.models);
         let mut fleet = Self {
             store,
             engines: Vec::new(),
@@ -136,8 +181,12 @@
             agents: Vec::new(),
             version: 1,
             added_routes: Vec::new(),
+            power: watch::Sender::default(),
+            models,
+            store_load: plan.store_load,
             subnet,
         };
+        fleet.publish_catalog();
         for index in 0..plan.engines {
             fleet.add_engine(index, plan.versions).await?;
         }
@@ -176,16 +225,30 @@
         SocketAddr::new(self.gateway_ip(index), CALLER_PORT)
     }
 
+    /// Address and path that answer with status 200 when `target` is ready.
+    pub fn ready_probe(&self, target: Target) -> (SocketAddr, &'static str) {
+        match target {
+            Target::Gateway(index) => {
+                (SocketAddr::new(self.gateway_ip(index), READY_PORT), "/api/readyz")
+            }
+            Target::Agent(index) => {
+                (SocketAddr::new(self.engine_ip(index), METRICS_PORT), "/metrics")
+            }
+        }
+    }
+
     async fn add_engine(&mut self, index: usize, versions: usize) -> Result<()> {
         let ip = self.engine_ip(index);
         let listener = TcpListener::bind((ip, ENGINE_PORT)).await?;
-        let residents = (0..2).map(|offset| MODELS[(index + offset) % MODELS.len()].to_owned());
-        let on_disk = MODELS.iter().map(ToString::to_string).skip(index % 2).step_by(2);
+        let models = &self.models;
+        let residents = (0..2).map(|offset| models[(index + offset) % models.len()].clone());
+        let on_disk = models.iter().skip(index % 2).step_by(2).cloned();
         let options = EngineOptions {
             residents: residents.collect(),
             on_disk: on_disk.collect(),
             events: EVENTS_PER_STREAM,
             first_event: FIRST_EVENT,
+            store_load: self.store_load,
             software: format!("v{}", 1 + index % versions),
             ..EngineOptions::new(&format!("i-{index}"))
         };
@@ -205,7 +268,10 @@
 
     /// Writes the current configuration to the store.
     pub fn publish_catalog(&self) {
-        let text = catalog(&self.added_routes).build(self.version);
+        let mut text = catalog(&self.models, &self.added_routes).build(self.version);
+        for model in text["services"][0]["engine"]["models"].as_array_mut().into_iter().flatten() {
+            model["load-s"] = self.store_load.as_secs_f64().into();
+        }
         self.store.write("config", "main", &text);
     }
 
@@ -239,7 +305,7 @@
         let ip = self.engine_ip(index);
         format!(
             "[process]\nvm = side-{index}\n[engine]\naddress = {ip}:{RELAY_PORT}\n\
-             service = {ENGINE_SERVICE}\n[listen]\npeers = {ip}:{PEER_PORT}\nmetrics = {ip}:9464\n"
+             service = {ENGINE_SERVICE}\n[listen]\npeers = {ip}:{PEER_PORT}\nmetrics = {ip}:{METRICS_PORT}\n"
         )
     }
 
@@ -248,7 +314,7 @@
         let grace = STOP_GRACE.as_secs();
         format!(
             "[process]\nvm = entry-{index}\nzone = zone-a\ncore-share = 0.5\n[listen]\n\
-             callers = {ip}:{CALLER_PORT}\nready = {ip}:8081\nmetrics = {ip}:9464\n\
+             callers = {ip}:{CALLER_PORT}\nready = {ip}:{READY_PORT}\nmetrics = {ip}:{METRICS_PORT}\n\
              peers = {ip}:{PEER_PORT}\n[limits]\nrepeat-ratio = 0.2\nrepeat-allowance = 60\n\
              repeat-window = 10s\ngrace = {grace}s\n"
         )
@@ -277,7 +343,7 @@
         let path = path.display().to_string();
         let spec = ProcessSpec::new(&name, program, directory, &[command, &path]);
         let running = spec.start().await.map_err(io_error)?;
-        Ok(FleetProcess { spec, running: Some(running), store_link })
+        Ok(FleetProcess { spec, running: Some(running), is_claimed: false, store_link })
     }
 
     /// The process `target`; panics if the index is out of range.
@@ -288,14 +354,38 @@
         }
     }
 
-    /// Restarts the process `target`, unless it runs.
+    /// All processes of the system.
+    pub fn targets(&self) -> Vec<Target> {
+        let gateways = (0..self.gateways.len()).map(Target::Gateway);
+        gateways.chain((0..self.agents.len()).map(Target::Agent)).collect()
+    }
+
+    /// Describes the exit of `target` if it has ended without a fault; it does not count as running
+    /// any more.
+    pub fn take_exit(&mut self, target: Target) -> Option<String> {
+        let process = self.process_mut(target);
+        let status = process.running.as_mut()?.exit_status()?;
+        process.running = None;
+        Some(format!("{target} ended by itself with {status}; {}", process.last_lines()))
+    }
+
+    /// The process `target`; panics if the index is out of range.
+    pub fn process(&self, target: Target) -> &FleetProcess {
+        match target {
+            Target::Gateway(index) => &self.gateways[index],
+            Target::Agent(index) => &self.agents[index],
+        }
+    }
+
+    /// Restarts the process `target`, unless it runs, another fault restarts it, or power is lost.
     ///
     /// # Errors
     ///
     /// Fails if the program does not start.
     pub async fn restart_process(&mut self, target: Target) -> Result<()> {
+        let has_power = !self.power.borrow().is_lost;
         let process = self.process_mut(target);
-        if process.running.is_none() {
+        if process.running.is_none() && !process.is_claimed && has_power {
             process.running = Some(process.spec.start().await.map_err(io_error)?);
         }
         Ok(())
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -1,15 +1,21 @@
 //! Injects faults into the fleet and records them for the checks.
 
+pub mod power_loss;
+
 use std::{sync::Arc, time::Duration};
 
 use base::prelude::Instant;
 use platform_standin::{EngineFault, ServiceFault, StoreFault, StoreStandin};
-use proof::relay::{RelayMode, TcpRelay};
+use proof::{
+    process::ManagedProcess,
+    relay::{RelayMode, TcpRelay},
+};
 use tokio::{sync::Mutex, time};
 
+use self::power_loss::{LossRecord, lose_power};
 use crate::{
     fleet::{FIRST_EVENT, Fleet, STOP_GRACE},
-    plan::{Fault, LinkFault, ScheduledFault, StoreFaultKind, Target},
+    plan::{Fault, LinkFault, PowerLoss, ScheduledFault, StoreFaultKind, Target},
 };
 
 /// Delay of each chunk on a slow connection.
@@ -42,6 +48,8 @@
     pub added_routes: Vec<(String, Instant)>,
     /// Plain backend servers that named a limit, by index, from when on and until when.
     pub limits: Vec<(usize, Instant, Instant)>,
+    /// Losses of power of all VMs, those aside that another loss took over.
+    pub losses: Vec<LossRecord>,
     /// Start and end of each fault of the store.
     pub store_faults: Vec<(Instant, Instant)>,
     /// Start and end of each fault of backend servers or of the links to them.
@@ -166,6 +174,7 @@
         }
         Fault::Leaving(index) => drain_server(&run, index).await,
         Fault::NewRoute => add_route(&run).await,
+        Fault::PowerLoss(loss) => lose_power(&run, loss, duration).await,
         Fault::HangUp(target) => {
             if let Some(process) = &run.fleet.lock().await.process_mut(target).running {
                 // Another fault may have ended it; unexpected exits are found after the run.
@@ -190,6 +199,7 @@
             | Fault::ServiceSilent(_)
             | Fault::LostAnswers(_)
             | Fault::CrossedAnswers(_)
+            | Fault::PowerLoss(PowerLoss { with_engines: true, .. })
     )
 }
 
@@ -204,11 +214,26 @@
     link(&mut *run.fleet.lock().await).set_mode(RelayMode::Open);
 }
 
+/// Takes a process that a fault ends; it is claimed until [`release_process`]. `None` if it does not
+/// run.
+async fn take_process(run: &SoakRun, target: Target) -> Option<ManagedProcess> {
+    let mut fleet = run.fleet.lock().await;
+    run.fault_log.lock().await.failures.extend(fleet.take_exit(target));
+    let process = fleet.process_mut(target);
+    let running = process.running.take();
+    process.is_claimed |= running.is_some();
+    running
+}
+
+async fn release_process(run: &SoakRun, target: Target) {
+    run.fleet.lock().await.process_mut(target).is_claimed = false;
+}
+
 async fn kill(run: &SoakRun, target: Target, duration: Duration) {
     let began = Instant::now();
-    let process = run.fleet.lock().await.process_mut(target).running.take();
-    let Some(mut process) = process else { return };
+    let Some(mut process) = take_process(run, target).await else { return };
     process.kill().await;
+    release_process(run, target).await;
     time::sleep(duration).await;
     restart_process(run, target).await;
     record_outage(run, target, began).await;
@@ -239,21 +264,30 @@
 }
 
 async fn restart(run: &SoakRun, target: Target) {
-    let process = run.fleet.lock().await.process_mut(target).running.take();
-    let Some(mut process) = process else { return };
+    let mut power = run.fleet.lock().await.power.subscribe();
+    let losses = power.borrow().losses;
+    let Some(mut process) = take_process(run, target).await else { return };
     let signalled = Instant::now();
     let is_clean = match process.is_frozen() {
         // A suspended process cannot handle SIGTERM; it is killed, as the platform would do.
         true => None,
-        false if process.terminate().is_ok() => process.wait_for_exit(STOP_GRACE).await,
+        false if process.terminate().is_ok() => tokio::select! {
+            biased;
+            exit = process.wait_for_exit(STOP_GRACE) => exit,
+            _ = power.wait_for(|power| power.losses != losses) => None,
+        },
         false => None,
     };
     if is_clean.is_none() {
         process.kill().await;
     }
+    release_process(run, target).await;
     restart_process(run, target).await;
     let mut fault_log = run.fault_log.lock().await;
-    fault_log.stops.push((target, signalled, is_clean == Some(true)));
+    // A stop that a loss of power cut short is none.
+    if is_clean.is_some() || power.borrow().losses == losses {
+        fault_log.stops.push((target, signalled, is_clean == Some(true)));
+    }
     fault_log.process_faults.push((target, signalled + STOP_GRACE, Instant::now()));
 }
 
@@ -328,9 +362,13 @@
 
 async fn add_route(run: &SoakRun) {
     let mut fleet = run.fleet.lock().await;
+    add_route_to(&mut fleet, &mut *run.fault_log.lock().await);
+}
+
+fn add_route_to(fleet: &mut Fleet, fault_log: &mut FaultLog) {
     let prefix = format!("/added-{}/", fleet.added_routes.len());
     fleet.added_routes.push(prefix.clone());
     fleet.version += 3;
     fleet.publish_catalog();
-    run.fault_log.lock().await.added_routes.push((prefix, Instant::now()));
+    fault_log.added_routes.push((prefix, Instant::now()));
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,14 +1,25 @@
 //! Plan of a run, drawn from its seed: size of the fleet, load and faults.
 
+pub mod power_losses;
+
 use std::{collections::BTreeSet, fmt, time::Duration};
 
 use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 
+use self::power_losses::{LossDraw, power_losses};
+pub use self::power_losses::{PowerLoss, RestartSeed};
+
 /// Length of the period in which faults start.
 const FAULT_WINDOW: Duration = Duration::from_secs(8);
 /// Earliest start of a fault, counted from the start of the load.
 const FIRST_FAULT_DELAY: Duration = Duration::from_millis(800);
+/// Number of models, many-model fleets aside.
+const SMALL_MODELS: usize = 6;
+/// Time to load a model from the weight store, many-model fleets aside.
+const STORE_LOAD: Duration = Duration::from_millis(900);
+/// The same in many-model fleets.
+const SLOW_STORE_LOAD: Duration = Duration::from_secs(6);
 /// Share of the runs with faults of processes in which engines are busy.
 const BUSY_SHARE: f64 = 0.75;
 
@@ -112,6 +123,8 @@
     NewRoute,
     /// The process receives SIGHUP, on which it reloads its settings.
     HangUp(Target),
+    /// All gateways and agents are killed at once, and restarted after the duration of the fault.
+    PowerLoss(PowerLoss),
 }
 
 impl Fault {
@@ -145,6 +158,10 @@
     pub versions: usize,
     /// Number of plain backend servers at the start.
     pub services: usize,
+    /// Number of models that requests are sent to.
+    pub models: usize,
+    /// Time in which an engine loads a model from the weight store.
+    pub store_load: Duration,
     /// Mean rate of request series at each gateway, per second.
     pub rate: f64,
     /// Faults, in the order of their starts.
@@ -174,9 +191,48 @@
         if faults.iter().any(|scheduled| scheduled.fault.affects_process()) {
             faults.extend(stops_beside_busy_engines(seed, gateways, engines));
         }
+        // The same holds for losses of power.
+        if faults.iter().any(|scheduled| scheduled.fault.affects_process()) {
+            faults.extend(power_losses(seed, LossDraw::Sometimes));
+        }
         faults.sort_by_key(|scheduled| scheduled.at);
         let versions = draw_versions(seed);
-        Self { seed, gateways, engines, versions, services, rate, faults }
+        Self {
+            seed,
+            gateways,
+            engines,
+            versions,
+            services,
+            models: SMALL_MODELS,
+            store_load: STORE_LOAD,
+            rate,
+            faults,
+        }
+    }
+
+    /// Draws the plan of `seed` with a loss of power in any case.
+    pub fn with_power_loss(seed: u64) -> Self {
+        let mut plan = Self::from_seed(seed);
+        if !plan.has_power_loss() {
+            plan.faults.extend(power_losses(seed, LossDraw::Always));
+            plan.faults.sort_by_key(|scheduled| scheduled.at);
+        }
+        plan
+    }
+
+    /// Draws the plan of `seed` with a loss of power and a fleet whose engines hold half of the
+    /// models at a time.
+    pub fn many_models(seed: u64) -> Self {
+        let small = Self::with_power_loss(seed);
+        Self {
+            gateways: 4,
+            engines: 9,
+            services: 4,
+            models: 51,
+            store_load: SLOW_STORE_LOAD,
+            rate: 10.0,
+            ..small
+        }
     }
 
     /// Draws the plan of `seed` with the largest fleet that one test machine can run.
@@ -185,6 +241,11 @@
         Self { gateways: 20, engines: 60, services: 4, rate: 6.0, ..small }
     }
 
+    /// Whether all processes are killed at once during the run.
+    pub fn has_power_loss(&self) -> bool {
+        self.faults.iter().any(|scheduled| matches!(scheduled.fault, Fault::PowerLoss(_)))
+    }
+
     /// End of the last fault, counted from the start of the load.
     pub fn last_fault_end(&self) -> Duration {
         let ends = self.faults.iter().map(|scheduled| scheduled.at + scheduled.duration);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,17 +18,29 @@
 };
 
 use crate::{
-    callers::{CALLER_TIMEOUT, CallReport, MAX_CALLER_TIMEOUT, request, send_requests},
-    checks::{DRAIN_LIMIT, Evidence, Violation, check_drained},
-    fleet::Fleet,
-    injection::{FaultLog, SoakRun, inject},
-    plan::{SoakPlan, Target},
+    callers::{
+        CALLER_TIMEOUT, CallReport, MAX_CALLER_TIMEOUT, hold_connection, request, send_requests,
+    },
+    checks::{
+        DRAIN_LIMIT, Evidence, Violation, check_drained,
+        power_losses::{self, RECOVER_TIME},
+    },
+    fleet::{Fleet, model_names},
+    injection::{
+        FaultLog, SoakRun, inject,
+        power_loss::{READY_LIMIT, find_unready},
+    },
+    plan::SoakPlan,
 };
 
 /// Time for the processes to discover each other before requests are sent.
 const WARM_UP: Duration = Duration::from_millis(900);
 /// Time after the last fault within which the fleet must recover.
 const RECOVERY: Duration = Duration::from_secs(4);
+/// Time over which requests count after the fleet must have recovered from a loss of power.
+const COUNTED_TIME: Duration = Duration::from_secs(4);
+/// Time between two checks whether a process has ended by itself.
+const EXIT_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for the last requests to end after the load has stopped, patient callers aside.
 const LAST_REQUESTS: Duration = Duration::from_secs(4);
 
@@ -41,6 +53,8 @@
     pub requests: usize,
     /// Number of those answered with status 200.
     pub served: usize,
+    /// How service came back after a loss of power, for the report.
+    pub recovery: Option<String>,
 }
 
 /// Runs `plan` on addresses in 127.30.`subnet`.0/24, with settings and logs in `directory`.
@@ -65,27 +79,44 @@
         let seed = plan.seed ^ (gateway as u64) << 32;
         let sender = sender.clone();
         let stop = Arc::clone(&stop);
-        tokio::spawn(send_requests(gateway, *address, plan.rate, seed, stop, sender));
+        if plan.has_power_loss() {
+            let (stop, sender) = (Arc::clone(&stop), sender.clone());
+            tokio::spawn(hold_connection(gateway, *address, seed, stop, sender));
+        }
+        let (address, rate, models) = (*address, plan.rate, model_names(plan.models));
+        tokio::spawn(async move {
+            send_requests(gateway, address, rate, &models, seed, stop, sender).await;
+        });
     }
     drop(sender);
     let drained_watch = tokio::spawn(watch_drained(Arc::clone(&run), plan.last_fault_end()));
+    let exit_watch = tokio::spawn(watch_exits(Arc::clone(&run)));
     inject_all(&run, plan).await;
-    time::sleep(RECOVERY).await;
-    let mut violations = check_recovery(&run, &addresses).await;
+    let back = Instant::now();
+    let mut violations = Vec::new();
+    if plan.has_power_loss() {
+        violations.extend(check_ready(&run, back + READY_LIMIT).await);
+        time::sleep_until(back + RECOVER_TIME + COUNTED_TIME).await;
+    } else {
+        time::sleep(RECOVERY).await;
+    }
+    violations.extend(check_recovery(&run, &addresses).await);
     stop.store(true, Ordering::Relaxed);
     time::sleep(LAST_REQUESTS).await;
     let reports = collect_reports(&mut receiver).await;
     violations.extend(drained_watch.await.unwrap_or_default());
+    exit_watch.abort();
     record_exited_processes(&run).await;
     let fleet = run.fleet.lock().await;
     let fault_log = run.fault_log.lock().await;
-    let evidence = Evidence { reports: &reports, fleet: &fleet, fault_log: &fault_log };
+    let evidence = Evidence { reports: &reports, fleet: &fleet, fault_log: &fault_log, back };
     violations.extend(evidence.check());
     let is_served = |report: &&CallReport| {
         matches!(report.outcome, crate::callers::CallOutcome::Complete { status: 200, .. })
     };
     let served = reports.iter().filter(is_served).count();
-    Ok(RunOutcome { violations, requests: reports.len(), served })
+    let recovery = power_losses::describe(&reports, &fault_log.losses, back);
+    Ok(RunOutcome { violations, requests: reports.len(), served, recovery })
 }
 
 /// Collects the reports of all callers, also of those that still wait.
@@ -144,20 +175,30 @@
     late.collect()
 }
 
+/// Records processes that have ended by themselves.
 async fn record_exited_processes(run: &SoakRun) {
     let mut fleet = run.fleet.lock().await;
-    let mut exited = Vec::new();
-    let gateways = fleet.gateways.len();
-    let targets = (0..gateways).map(Target::Gateway);
-    let agents = (0..fleet.agents.len()).map(Target::Agent);
-    for target in targets.chain(agents).collect::<Vec<_>>() {
-        if let Some(process) = &mut fleet.process_mut(target).running
-            && process.wait_for_exit(Duration::from_millis(1)).await.is_some()
-        {
-            exited.push(format!("{target} exited unexpectedly"));
-        }
+    let mut fault_log = run.fault_log.lock().await;
+    let targets = fleet.targets().into_iter();
+    fault_log.failures.extend(targets.filter_map(|target| fleet.take_exit(target)));
+}
+
+async fn watch_exits(run: Arc<SoakRun>) {
+    loop {
+        time::sleep(EXIT_INTERVAL).await;
+        record_exited_processes(&run).await;
     }
-    run.fault_log.lock().await.failures.extend(exited);
+}
+
+/// Checks that all processes are ready by `deadline`.
+async fn check_ready(run: &SoakRun, deadline: Instant) -> Vec<Violation> {
+    let unready = find_unready(run, deadline).await;
+    let fleet = run.fleet.lock().await;
+    let violations = unready.into_iter().map(|target| Violation {
+        invariant: "processes are ready again after a loss of power",
+        detail: format!("{target} is not; {}", fleet.process(target).last_lines()),
+    });
+    violations.collect()
 }
 
 /// Checks that every gateway serves the plain service, the added routes and streams again.
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -4,6 +4,8 @@
 //! cargo test -p soak --test soak                      # the short part, as in CI
 //! cargo test -p soak --test soak -- --seeds 1-50      # seeds 1 to 50
 //! cargo test -p soak --test soak -- --fresh 20        # 20 random seeds
+//! cargo test -p soak --test soak -- --losses 1-50     # the same with a loss of power in each
+//! cargo test -p soak --test soak -- --models 7        # a loss of power with many models, seed 7
 //! cargo test -p soak --test soak -- --large 7         # the largest fleet, with seed 7
 //! ```
 
@@ -21,11 +23,22 @@
 /// Prefix of the lines of `KNOWN-RED.txt` that name a seed.
 const KNOWN_PREFIX: &str = "soak ";
 
-/// Seeds in `seeds.txt`, each of which found a fault.
-fn regression_seeds() -> Vec<u64> {
+/// Prefix of the lines of `seeds.txt` whose plans have a loss of power in any case.
+const LOSS_PREFIX: &str = "losses ";
+
+/// Seeds in `seeds.txt` on the lines with `prefix`, each of which found a fault.
+fn regression_seeds(prefix: &str) -> Vec<u64> {
     let text = include_str!("../seeds.txt");
-    let seeds = text.lines().filter_map(|line| line.split([' ', ':']).next()?.parse().ok());
-    seeds.collect()
+    let lines = text.lines().filter_map(|line| line.strip_prefix(prefix));
+    lines.filter_map(|rest| rest.split([' ', ':']).next()?.parse().ok()).collect()
+}
+
+/// Plans of the short part.
+fn short_plans() -> Vec<SoakPlan> {
+    let small = SHORT_SEEDS.into_iter().chain(regression_seeds("")).map(SoakPlan::from_seed);
+    let losses = regression_seeds(LOSS_PREFIX).into_iter().map(SoakPlan::with_power_loss);
+    // The longest plans first, so that none of them runs alone at the end.
+    losses.chain(small).collect()
 }
 
 fn known_failures() -> BTreeSet<u64> {
@@ -37,22 +50,27 @@
 
 fn selected_plans(arguments: &[String]) -> Result<Vec<SoakPlan>, String> {
     let number = |text: &str| text.parse::<u64>().map_err(|_| format!("{text:?} is not a number"));
-    let plans = |seeds: Vec<u64>| seeds.into_iter().map(SoakPlan::from_seed).collect();
+    let range = |text: &str| {
+        let (first, last) = text.split_once('-').unwrap_or((text, text));
+        Ok::<_, String>(number(first)?..=number(last)?)
+    };
     match arguments {
-        [] => Ok(plans(SHORT_SEEDS.into_iter().chain(regression_seeds()).collect())),
+        [] => Ok(short_plans()),
         [option, value] if option == "--seeds" => {
-            let (first, last) = value.split_once('-').unwrap_or((value, value));
-            Ok(plans((number(first)?..=number(last)?).collect()))
+            Ok(range(value)?.map(SoakPlan::from_seed).collect())
+        }
+        [option, value] if option == "--losses" => {
+            Ok(range(value)?.map(SoakPlan::with_power_loss).collect())
         }
         [option, value] if option == "--fresh" => {
-            let count = number(value)?;
-            Ok(plans((0..count).map(|_| ProcessIncarnation::random().0 >> 20).collect()))
+            let seeds = (0..number(value)?).map(|_| ProcessIncarnation::random().0 >> 20);
+            Ok(seeds.map(SoakPlan::from_seed).collect())
         }
+        [option, value] if option == "--models" => Ok(vec![SoakPlan::many_models(number(value)?)]),
         [option, value] if option == "--large" => Ok(vec![SoakPlan::large(number(value)?)]),
-        _ => {
-            Err("expected no arguments, --seeds FIRST-LAST, --fresh COUNT or --large SEED"
-                .to_owned())
-        }
+        _ => Err("expected no arguments, --seeds FIRST-LAST, --losses FIRST-LAST, --fresh COUNT, \
+                 --models SEED or --large SEED"
+            .to_owned()),
     }
 }
 
@@ -65,7 +83,8 @@
         Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{}-{number}", plan.seed));
     // Remove the logs of an earlier run of the seed.
     let _ = fs::remove_dir_all(&directory);
-    let subnet = (number % 250) as u8 + 1;
+    // Runs of another call of this test use other addresses, if possible.
+    let subnet = ((std::process::id() as usize * 17 + number) % 250) as u8 + 1;
     let outcome =
         run_plan(plan, programs, &directory, subnet).await.map_err(|error| error.to_string())?;
     if outcome.violations.is_empty() {
@@ -83,6 +102,9 @@
         (false, false) => "FAILED",
     };
     println!("seed {}: {verdict} ({size}, {served} of {requests} served)", plan.seed);
+    if let Some(recovery) = &outcome.recovery {
+        println!("    {recovery}");
+    }
     if !outcome.violations.is_empty() {
         outcome.violations.iter().take(8).for_each(|violation| println!("    {violation}"));
         println!("    {} in all; faults:", outcome.violations.len());
