--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -68,7 +68,12 @@
     /// Checks every invariant and returns all violations.
     pub fn check(&self) -> Vec<Violation> {
         let runs = self.runs();
-        let mut violations = Vec::new();
+        // Failures come first: others follow from them.
+        let failures = self.fault_log.failures.iter().map(|detail| Violation {
+            invariant: "no process or fault injection fails",
+            detail: detail.clone(),
+        });
+        let mut violations: Vec<Violation> = failures.collect();
         for report in self.reports {
             let count = runs.get(&report.call).copied().unwrap_or(0);
             violations.extend(self.check_call(report, count));
@@ -79,10 +84,6 @@
         violations.extend(find_lost(self.reports, self.fault_log, &self.stream_runs()));
         violations.extend(self.check_limits());
         violations.extend(find_unserved(self.reports, &self.fault_log.losses, self.back));
-        violations.extend(self.fault_log.failures.iter().map(|detail| Violation {
-            invariant: "no process or fault injection fails",
-            detail: detail.clone(),
-        }));
         violations
     }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -110,7 +110,7 @@
     let fleet = run.fleet.lock().await;
     let fault_log = run.fault_log.lock().await;
     let evidence = Evidence { reports: &reports, fleet: &fleet, fault_log: &fault_log, back };
-    violations.extend(evidence.check());
+    let violations = [evidence.check(), violations].concat();
     let is_served = |report: &&CallReport| {
         matches!(report.outcome, crate::callers::CallOutcome::Complete { status: 200, .. })
     };
