residency: the adapter that waits longest is loaded first

The controller took the first of the waiting adapters by name. Ruled out: the loss of power (it was 8 s before), orders that were refused (all were accepted within 30 ms).

--- a/crates/residency/src/controller.rs
+++ b/crates/residency/src/controller.rs
@@ -52,6 +52,13 @@
 /// A request to load an adapter is dropped after this time.
 const ADAPTER_REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// When an adapter that is not loaded was requested.
+#[derive(Debug, Clone, Copy)]
+struct AdapterRequest {
+    first: Instant,
+    last: Instant,
+}
+
 /// State of one engine and of its change in progress.
 #[derive(Debug)]
 pub struct EngineController {
@@ -62,8 +69,8 @@
     change: Option<ActiveChange>,
     open_order: Option<OpenOrder>,
     awaits_report: bool,
-    /// Adapters to load, and when they were requested last.
-    adapter_requests: BTreeMap<(ModelId, AdapterId), Instant>,
+    /// Adapters to load.
+    adapter_requests: BTreeMap<(ModelId, AdapterId), AdapterRequest>,
     /// When each adapter was requested last, loaded or not.
     adapter_uses: BTreeMap<(ModelId, AdapterId), Instant>,
     actions: Vec<ControllerAction>,
@@ -200,7 +207,8 @@
         let key = (model, adapter);
         self.adapter_uses.insert(key.clone(), now);
         if !self.holds_adapter(&key) {
-            self.adapter_requests.insert(key, now);
+            let request = AdapterRequest { first: now, last: now };
+            self.adapter_requests.entry(key).or_insert(request).last = now;
         }
         self.advance(now);
     }
@@ -328,9 +336,9 @@
         let obsolete: Vec<(ModelId, AdapterId)> = self
             .adapter_requests
             .iter()
-            .filter(|(key, at)| {
+            .filter(|(key, request)| {
                 self.holds_adapter(key)
-                    || now.saturating_duration_since(**at) > ADAPTER_REQUEST_TIMEOUT
+                    || now.saturating_duration_since(request.last) > ADAPTER_REQUEST_TIMEOUT
             })
             .map(|(key, _)| key.clone())
             .collect();
@@ -388,10 +396,11 @@
 
     fn next_adapter(&self, now: Instant) -> Option<OrderAction> {
         let (report, spec) = (self.report.as_ref()?, self.spec.as_ref()?);
-        let ((model, adapter), _) = self.adapter_requests.iter().find(|((model, _), _)| {
+        let possible = self.adapter_requests.iter().filter(|((model, _), _)| {
             report.residents.iter().any(|held| held.model == *model)
                 && self.unloading() != Some(model)
-        })?;
+        });
+        let ((model, adapter), _) = possible.min_by_key(|(_, request)| request.first)?;
         // While the engine carries out an order for a model, it refuses all others.
         if report.is_busy || report.pending.len() >= MAX_PENDING_ADAPTERS {
             return None;
--- a/crates/residency/tests/controller.rs
+++ b/crates/residency/tests/controller.rs
@@ -142,6 +142,32 @@
     assert_eq!(orders(&controller.take_actions()), ["unload a/a1 at 4"]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn adapter_that_waits_longest_is_loaded_first() {
+    let now = Instant::now();
+    let mut controller = controller(report(4, false, &[resident("a", &["a1", "a2"])]), now);
+    let ask =
+        |controller: &mut residency::controller::EngineController, name: &str, after_ms: u64| {
+            let at = now + Duration::from_millis(after_ms);
+            controller.request_adapter(instance("i-1"), model("a"), adapter(name), at);
+        };
+    ask(&mut controller, "a1", 0);
+    ask(&mut controller, "a2", 0);
+    ask(&mut controller, "a4", 100);
+    ask(&mut controller, "a3", 300);
+    // The request that waits asks once more.
+    ask(&mut controller, "a4", 600);
+
+    let later = now + Duration::from_millis(1_600);
+    controller.apply_report(report(4, false, &[resident("a", &["a1", "a2"])]), later);
+    let unloading = orders(&controller.take_actions());
+    controller.apply_answer(OrderAnswer::Accepted, later);
+    controller.apply_report(report(5, false, &[resident("a", &["a2"])]), later);
+
+    assert_eq!(unloading, ["unload a/a1 at 4"]);
+    assert_eq!(orders(&controller.take_actions()), ["load a/a4 at 5"]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn engine_restart_ends_change() {
     let now = Instant::now();
