--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -33,12 +33,15 @@
     lines.filter_map(|rest| rest.split([' ', ':']).next()?.parse().ok()).collect()
 }
 
-/// Plans of the short part.
+/// Plans of the short part; a seed in both lists runs once.
 fn short_plans() -> Vec<SoakPlan> {
-    let small = SHORT_SEEDS.into_iter().chain(regression_seeds("")).map(SoakPlan::from_seed);
+    let seeds: BTreeSet<u64> = SHORT_SEEDS.into_iter().chain(regression_seeds("")).collect();
     let losses = regression_seeds(LOSS_PREFIX).into_iter().map(SoakPlan::with_power_loss);
-    // The longest plans first, so that none of them runs alone at the end.
-    losses.chain(small).collect()
+    let mut plans: Vec<SoakPlan> =
+        losses.chain(seeds.into_iter().map(SoakPlan::from_seed)).collect();
+    // The longest runs come first, so that none of them is left alone at the end.
+    plans.sort_by_key(|plan| std::cmp::Reverse((plan.has_power_loss(), plan.last_fault_end())));
+    plans
 }
 
 fn known_failures() -> BTreeSet<u64> {
