soak: each call of the test has directories of its own

Two calls that ran the same seed at the same place in their lists shared a directory: the later one replaced the settings files of the earlier one, whose processes then restarted with the addresses of the other, which were in use.

--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -82,12 +82,14 @@
     programs: &ProgramPaths,
     number: usize,
 ) -> Result<RunOutcome, String> {
-    let directory =
-        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{}-{number}", plan.seed));
-    // Remove the logs of an earlier run of the seed.
+    // Another call of this test may run the same seed: it must not replace the settings of processes
+    // that restart, and it uses other addresses, if possible.
+    let id = std::process::id();
+    let name = format!("soak-{}-{number}-{id}", plan.seed);
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    // Remove the logs of an earlier run with the same name.
     let _ = fs::remove_dir_all(&directory);
-    // Runs of another call of this test use other addresses, if possible.
-    let subnet = ((std::process::id() as usize * 17 + number) % 250) as u8 + 1;
+    let subnet = ((id as usize * 17 + number) % 250) as u8 + 1;
     let outcome =
         run_plan(plan, programs, &directory, subnet).await.map_err(|error| error.to_string())?;
     if outcome.violations.is_empty() {
