--- /dev/null
+++ b/crates/fescuewalk/tests/start.rs
@@ -0,0 +1,210 @@
+//! `fescuewalk gateway` on a VM that is not ready for its start, or does not read its log.
+//!
+//! The cases check no times; time-outs only end a case in which the process ends or hangs.
+
+mod support;
+
+use std::{
+    fs,
+    io::{PipeReader, PipeWriter, Write, pipe},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    path::Path,
+    process::{Child, Command, Stdio},
+    thread,
+    time::Duration,
+};
+
+use support::{WorkDir, fescuewalk};
+
+/// Polls before a case gives up.
+const POLLS: usize = 600;
+/// Pause between two polls.
+const POLL_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time in which a process that ends by itself has ended.
+const END_TIME: Duration = Duration::from_secs(1);
+
+/// Addresses of one case, on a loopback host of its own.
+struct HostAddresses {
+    callers: SocketAddr,
+    ready: SocketAddr,
+    metrics: SocketAddr,
+    peers: SocketAddr,
+    store: SocketAddr,
+}
+
+impl HostAddresses {
+    fn new(case: u8) -> Self {
+        let address = |port| SocketAddr::from((Ipv4Addr::new(127, 44, 1, case), port));
+        Self {
+            callers: address(8_149),
+            ready: address(8_141),
+            metrics: address(9_464),
+            peers: address(7_380),
+            store: address(8_142),
+        }
+    }
+
+    fn settings(&self) -> String {
+        let Self { callers, ready, metrics, peers, store } = self;
+        format!(
+            "[process]\nvm = entry-1\nzone = zone-a\n[listen]\ncallers = {callers}\n\
+             ready = {ready}\nmetrics = {metrics}\npeers = {peers}\n[store]\naddress = {store}\n\
+             known-within = 600ms\n[limits]\nrepeat-ratio = 0.2\n\
+             repeat-allowance = 54\nrepeat-window = 10s\ngrace = 8s\n"
+        )
+    }
+}
+
+/// What a pipe holds by default, in bytes.
+const PIPE_CAPACITY: usize = 65_536;
+
+/// The end of a full pipe to which nothing can be written, and the other end.
+fn full_pipe() -> (PipeWriter, PipeReader) {
+    let (reader, mut writer) = pipe().expect("descriptors are left");
+    writer.write_all(&[b'\n'; PIPE_CAPACITY]).expect("the pipe has this capacity");
+    (writer, reader)
+}
+
+/// A gateway process; killed when dropped.
+struct GatewayProcess {
+    child: Child,
+}
+
+impl GatewayProcess {
+    fn start(settings: &Path) -> Self {
+        Self::start_with_output(settings, Stdio::null())
+    }
+
+    fn start_with_output(settings: &Path, output: Stdio) -> Self {
+        let child = fescuewalk()
+            .arg("gateway")
+            .arg(settings)
+            .stdout(output)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        Self { child }
+    }
+
+    fn is_alive(&mut self) -> bool {
+        self.child.try_wait().expect("it is a child").is_none()
+    }
+
+    /// Waits until `address` accepts connections; false if the process ends or never listens there.
+    fn listens_on(&mut self, address: SocketAddr) -> bool {
+        for _ in 0..POLLS {
+            if !self.is_alive() {
+                return false;
+            }
+            if TcpStream::connect(address).is_ok() {
+                return true;
+            }
+            thread::sleep(POLL_PAUSE);
+        }
+        false
+    }
+
+    /// Sends a signal, such as `HUP`.
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        Command::new("kill").args([&format!("-{name}"), &id]).status().expect("kill is there");
+    }
+
+    /// Waits until the process ends; false if it never does.
+    fn ends(&mut self) -> bool {
+        for _ in 0..POLLS {
+            if !self.is_alive() {
+                return true;
+            }
+            thread::sleep(POLL_PAUSE);
+        }
+        false
+    }
+}
+
+impl Drop for GatewayProcess {
+    fn drop(&mut self) {
+        // Both fail only if the process has ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Guards against a process that cannot start because another program has its metrics port.
+#[test]
+fn taken_metrics_port_does_not_keep_the_process_from_starting() {
+    let host = HostAddresses::new(1);
+    let dir = WorkDir::new("start");
+    let path = dir.write("gateway.ini", &host.settings());
+    let _other = TcpListener::bind(host.metrics).expect("the host is free");
+
+    let mut gateway = GatewayProcess::start(&path);
+
+    assert!(gateway.listens_on(host.ready), "it ended or is not ready to be asked");
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+}
+
+/// Guards against a process that ends because its predecessor has not left its port yet.
+#[test]
+fn port_that_is_freed_after_the_start_is_taken_then() {
+    let host = HostAddresses::new(2);
+    let dir = WorkDir::new("start");
+    let path = dir.write("gateway.ini", &host.settings());
+    let earlier = TcpListener::bind(host.callers).expect("the host is free");
+
+    let mut gateway = GatewayProcess::start(&path);
+    thread::sleep(END_TIME);
+    let outlived_the_conflict = gateway.is_alive();
+    drop(earlier);
+
+    assert!(outlived_the_conflict, "it ended while its port was taken");
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+}
+
+/// Guards against a process that ends because it read its settings while they were being written.
+#[test]
+fn settings_that_are_completed_after_the_start_are_used() {
+    let host = HostAddresses::new(3);
+    let dir = WorkDir::new("start");
+    let text = host.settings();
+    let path = dir.write("gateway.ini", &text[..text.len() / 2]);
+
+    let mut gateway = GatewayProcess::start(&path);
+    thread::sleep(END_TIME);
+    fs::write(&path, &text).expect("the directory is writable");
+
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+}
+
+/// Guards against a process that a SIGHUP ends while it starts.
+#[test]
+fn sighup_during_the_start_does_not_end_the_process() {
+    let host = HostAddresses::new(4);
+    let dir = WorkDir::new("start");
+    let text = host.settings();
+    let path = dir.write("gateway.ini", "");
+
+    let mut gateway = GatewayProcess::start(&path);
+    thread::sleep(END_TIME / 2);
+    gateway.signal("HUP");
+    thread::sleep(END_TIME / 2);
+    fs::write(&path, &text).expect("the directory is writable");
+
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+}
+
+/// Guards against a process that a planned stop does not end because nobody reads its log.
+#[test]
+fn process_whose_output_is_not_read_ends_when_it_is_stopped() {
+    let host = HostAddresses::new(5);
+    let dir = WorkDir::new("start");
+    let path = dir.write("gateway.ini", &host.settings());
+    let (output, _unread) = full_pipe();
+    let mut gateway = GatewayProcess::start_with_output(&path, output.into());
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+
+    gateway.signal("TERM");
+
+    assert!(gateway.ends(), "it still runs");
+}
