residency: a load is evidence only for the parallel loads that it began beside

Cause: a load at full speed raised the limit of parallel loads by the most loads that were open at any time while it ran, also by those that began after it. The time of a load goes by those open when it begins: 5 beside each other took 7.5 s instead of 6.0 for the fifth only, and the four before it, at full speed, counted as evidence for six. In a release of all engines 8 loads and more ran where 4 run at full speed.

Change: the limit rises by the loads that were certainly open when a load at full speed began. One whose solo time has passed may have ended without a report and does not count.

Ruled out: engines that are busy with loads from before the loss; all nine report idle and empty within 0.4 s of the return.

--- a/crates/residency/src/store_concurrency.rs
+++ b/crates/residency/src/store_concurrency.rs
@@ -21,6 +21,8 @@
 struct OpenLoad {
     started_at: Instant,
     solo_time: Duration,
+    /// Loads that were certainly open when this one began, itself included.
+    loads_at_start: usize,
     /// Most loads that were open at the same time as this one, itself included.
     parallel_loads: usize,
 }
@@ -53,7 +55,12 @@
             return;
         }
         let parallel_loads = self.open.len() + 1;
-        self.open.insert(engine.clone(), OpenLoad { started_at, solo_time, parallel_loads });
+        // One whose solo time has passed may have ended without a report of it yet.
+        let certain =
+            self.open.values().filter(|load| load.started_at + load.solo_time > started_at);
+        let loads_at_start = certain.count() + 1;
+        let load = OpenLoad { started_at, solo_time, loads_at_start, parallel_loads };
+        self.open.insert(engine.clone(), load);
         for load in self.open.values_mut() {
             load.parallel_loads = load.parallel_loads.max(parallel_loads);
         }
@@ -65,7 +72,8 @@
         let took = now.saturating_duration_since(load.started_at).as_secs_f64();
         let slowdown = took / load.solo_time.as_secs_f64().max(f64::MIN_POSITIVE);
         if slowdown <= FULL_SPEED_FACTOR {
-            self.limit = self.limit.max((load.parallel_loads + 1).min(MAX_LIMIT));
+            // Loads that began later may have run slower without slowing this one.
+            self.limit = self.limit.max((load.loads_at_start + 1).min(MAX_LIMIT));
         } else {
             let at_full_speed = (load.parallel_loads as f64 / slowdown).round() as usize;
             self.limit = at_full_speed.clamp(1, MAX_LIMIT);
--- a/crates/residency/tests/store_concurrency.rs
+++ b/crates/residency/tests/store_concurrency.rs
@@ -47,3 +47,41 @@
 
     assert_eq!(concurrency.limit(), StoreConcurrency::default().limit());
 }
+
+/// Replays the loads of a release of all engines, against a store that serves four at full speed
+/// and slows those that begin beyond that: start and duration in milliseconds.
+#[test]
+fn load_that_began_before_others_is_no_evidence_for_all_of_them() {
+    const LOADS: [(u64, u64); 12] = [
+        (0, 6_130),
+        (8_900, 6_040),
+        (8_900, 6_030),
+        (9_150, 6_010),
+        (14_930, 6_040),
+        (14_940, 6_040),
+        (14_960, 6_030),
+        (15_160, 6_040),
+        (15_160, 7_540),
+        (20_970, 6_020),
+        (21_010, 6_030),
+        (21_010, 7_530),
+    ];
+    let start = Instant::now();
+    let mut events: Vec<(u64, bool, usize)> = LOADS
+        .iter()
+        .enumerate()
+        .flat_map(|(n, (at, took))| [(*at, true, n), (at + took, false, n)])
+        .collect();
+    events.sort_unstable();
+    let mut concurrency = StoreConcurrency::default();
+
+    for (at, begins, n) in events {
+        let (engine, now) = (instance(&format!("i-{n}")), start + Duration::from_millis(at));
+        if begins {
+            concurrency.record_start(&engine, SOLO_TIME, now);
+        } else {
+            concurrency.record_end(&engine, now);
+        }
+        assert!(concurrency.limit() <= 5, "{} after {at} ms", concurrency.limit());
+    }
+}
