connections: a client does not connect to itself

What operators may have seen: a server on the VM of a client did not start again.

A connection to a port of this VM that lies in the range of ports of origin, and has no listener, gets each port of that range in turn as its origin. Once that is the port itself, the connection reaches itself and keeps the port. The agent asks its engine five times a second while that starts, so that the engine's bind fails for as long as the connection, or its closed remains, hold the port.

Such a connection is reset at once and counts as refused; a reset leaves nothing behind.

--- a/crates/connections/src/connect.rs
+++ b/crates/connections/src/connect.rs
@@ -1,6 +1,6 @@
 //! A single HTTP/1 connection.
 
-use std::net::SocketAddr;
+use std::{io, net::SocketAddr};
 
 use base::prelude::*;
 use bytes::Bytes;
@@ -126,11 +126,15 @@
     async fn open_socket(
         address: SocketAddr,
         settings: &ConnectSettings,
-    ) -> std::io::Result<TcpStream> {
+    ) -> io::Result<TcpStream> {
         let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         let stream = socket.connect(address).await?;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+        // Without a listener, the kernel may have given that port of this VM to the connection itself.
+        if stream.local_addr()? == address {
+            return Err(io::ErrorKind::ConnectionRefused.into());
+        }
         SockRef::from(&stream).set_tcp_user_timeout(Some(settings.user_timeout))?;
         Ok(stream)
     }
