events: a process starts without a thread for its log

What operators saw: the system did not start, its processes ended by themselves.

If the VM or the service manager grants no further thread, which is likely when many processes start at once after a loss of power, both programs panicked at once with 'failed to spawn thread: Resource temporarily unavailable', before any line of their log.

--- a/crates/connections/src/connect.rs
+++ b/crates/connections/src/connect.rs
@@ -123,10 +123,7 @@
         Ok(Self { sender, scanner, driver: driver.abort_handle() })
     }
 
-    async fn open_socket(
-        address: SocketAddr,
-        settings: &ConnectSettings,
-    ) -> io::Result<TcpStream> {
+    async fn open_socket(address: SocketAddr, settings: &ConnectSettings) -> io::Result<TcpStream> {
         let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         let stream = socket.connect(address).await?;
         stream.set_nodelay(true)?;
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -14,6 +14,6 @@
     event::DecisionEvent,
     fields::{Dependency, millis},
     run::{run_with_log, run_with_output},
-    sink::{EventLog, LogLimits},
+    sink::{EventLog, LogLimits, WriterThread},
     tasks::spawn_lasting,
 };
--- a/crates/events/src/run.rs
+++ b/crates/events/src/run.rs
@@ -4,7 +4,7 @@
     fmt::Display,
     io::{self, Write},
     panic::{self, AssertUnwindSafe},
-    thread::{self, JoinHandle},
+    thread,
 };
 
 use base::prelude::*;
@@ -14,7 +14,7 @@
 
 use crate::{
     event::DecisionEvent,
-    sink::{EventLog, LogLimits},
+    sink::{EventLog, LogLimits, WriterThread},
     tasks::record_panics,
 };
 
@@ -70,7 +70,7 @@
     outcome.unwrap_or_else(|payload| panic::resume_unwind(payload))
 }
 
-fn wait_for_writer(writer: &JoinHandle<()>) {
+fn wait_for_writer(writer: &WriterThread) {
     let mut waited = Duration::ZERO;
     while !writer.is_finished() && waited < MAX_CLOSE_TIME {
         thread::sleep(CLOSE_POLL_INTERVAL);
--- a/crates/events/src/sink.rs
+++ b/crates/events/src/sink.rs
@@ -193,12 +193,12 @@
 
 impl EventLog {
     /// Starts a log whose lines are written to `output` by a separate thread, and returns it with
-    /// the handle of that thread.
+    /// the handle of that thread. If no thread can be started, the process runs on without its log.
     pub fn start(
         vm: &VmId,
         limits: LogLimits,
         output: impl Write + Send + 'static,
-    ) -> (Self, thread::JoinHandle<()>) {
+    ) -> (Self, WriterThread) {
         let state = SinkState {
             lines: Vec::new(),
             number: 0,
@@ -215,8 +215,15 @@
             changed: Condvar::new(),
         });
         let writer = Arc::clone(&sink);
-        let thread = thread::spawn(move || write_lines(&writer, output));
-        (Self { sink }, thread)
+        let started = thread::Builder::new().spawn(move || write_lines(&writer, output));
+        if let Err(error) = &started {
+            // Standard error may be closed, which must not end the start.
+            let _ = writeln!(
+                io::stderr(),
+                "log: cannot start the thread that writes it, running without the log: {error}"
+            );
+        }
+        (Self { sink }, WriterThread(started.ok()))
     }
 
     /// Installs a logger that writes the records of the `log` crate to this log as `note` events.
@@ -258,6 +265,26 @@
     }
 }
 
+/// The thread that writes the lines of a log, if it could be started.
+#[derive(Debug)]
+pub struct WriterThread(Option<thread::JoinHandle<()>>);
+
+impl WriterThread {
+    /// Whether the thread has ended or was never started.
+    pub fn is_finished(&self) -> bool {
+        self.0.as_ref().is_none_or(thread::JoinHandle::is_finished)
+    }
+
+    /// Waits until the thread ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the thread panicked.
+    pub fn join(self) -> thread::Result<()> {
+        self.0.map_or(Ok(()), thread::JoinHandle::join)
+    }
+}
+
 struct RecordWriter(Arc<Sink>);
 
 impl LogWriter for RecordWriter {
--- a/crates/fescuewalk/tests/start.rs
+++ b/crates/fescuewalk/tests/start.rs
@@ -74,6 +74,21 @@
         .expect("the shell starts")
 }
 
+/// Stack of new threads in bytes, more than an address space holds, so that none starts.
+const IMPOSSIBLE_STACK: u64 = 1 << 60;
+
+/// Starts a gateway that can start no threads.
+fn fescuewalk_without_threads(settings: &Path) -> Child {
+    fescuewalk()
+        .arg("gateway")
+        .arg(settings)
+        .env("RUST_MIN_STACK", IMPOSSIBLE_STACK.to_string())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the program starts")
+}
+
 /// The end of a full pipe to which nothing can be written, and the other end.
 fn full_pipe() -> (PipeWriter, PipeReader) {
     let (reader, mut writer) = pipe().expect("descriptors are left");
@@ -239,3 +254,17 @@
     thread::sleep(END_TIME);
     assert!(gateway.is_alive(), "it ended as it wrote its log");
 }
+
+/// Guards against a process that ends because the VM has no thread left for its log.
+#[test]
+fn log_without_a_thread_does_not_keep_the_process_from_starting() {
+    let host = HostAddresses::new(7);
+    let dir = WorkDir::new("start");
+    let path = dir.write("gateway.ini", &host.settings());
+
+    let mut gateway = GatewayProcess { child: fescuewalk_without_threads(&path) };
+
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+    gateway.signal("TERM");
+    assert!(gateway.ends(), "it still runs");
+}
