signals: a stop signal that was blocked at the start stops the process

What operators may have seen: machines did not come back in time; callers of a planned stop were cut.

A process inherits blocked signals. A service manager that waits for its signals instead of handling them has SIGTERM blocked, and if it does not restore the mask, no process that it starts ever notices its planned stop: it serves on until it is killed, and a manager that only waits is stuck with it.

All programs let SIGTERM and SIGINT through as they start.

--- a/crates/base/src/signals.rs
+++ b/crates/base/src/signals.rs
@@ -39,6 +39,17 @@
     Ok(SigSet::from(SignalNumber::SIGXFSZ).thread_block()?)
 }
 
+/// Lets SIGTERM and SIGINT through. A process inherits the blocked signals of what starts it, and a
+/// service manager that waits for its own signals blocks these. Called before other threads start.
+///
+/// # Errors
+///
+/// Fails if the mask of the thread cannot be changed.
+pub fn let_stop_through() -> io::Result<()> {
+    let stop: SigSet = [SignalNumber::SIGTERM, SignalNumber::SIGINT].into_iter().collect();
+    Ok(stop.thread_unblock()?)
+}
+
 /// Waits for SIGTERM or SIGINT. Returns the last time at which the signal had not come yet: a process
 /// that did not get the processor for a while notices it late.
 ///
--- a/crates/fescuewalk/src/main.rs
+++ b/crates/fescuewalk/src/main.rs
@@ -9,7 +9,7 @@
 
 use std::process::ExitCode;
 
-use base::signals::hold_file_size_signal;
+use base::signals::{hold_file_size_signal, let_stop_through};
 use clap::{ArgMatches, Command};
 
 use crate::error::CliResult;
@@ -37,6 +37,7 @@
 
 fn run(matches: &ArgMatches) -> CliResult<()> {
     hold_file_size_signal()?;
+    let_stop_through()?;
     match matches.subcommand() {
         Some(("account", args)) => cmd::account::run(args),
         Some(("burn", args)) => cmd::burn::run(args),
--- a/crates/fescuewalk/tests/start.rs
+++ b/crates/fescuewalk/tests/start.rs
@@ -89,6 +89,20 @@
         .expect("the program starts")
 }
 
+/// Starts a gateway that inherits SIGTERM as blocked.
+fn fescuewalk_with_blocked_stop(settings: &Path) -> Child {
+    let program = fescuewalk().get_program().to_owned();
+    Command::new("env")
+        .arg("--block-signal=TERM")
+        .arg(program)
+        .arg("gateway")
+        .arg(settings)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("env is there")
+}
+
 /// The end of a full pipe to which nothing can be written, and the other end.
 fn full_pipe() -> (PipeWriter, PipeReader) {
     let (reader, mut writer) = pipe().expect("descriptors are left");
@@ -268,3 +282,18 @@
     gateway.signal("TERM");
     assert!(gateway.ends(), "it still runs");
 }
+
+/// Guards against a planned stop that goes unnoticed until the process is killed, because what started
+/// the process had blocked the signal for itself.
+#[test]
+fn stop_signal_that_was_blocked_at_the_start_stops_the_process() {
+    let host = HostAddresses::new(8);
+    let dir = WorkDir::new("start");
+    let path = dir.write("gateway.ini", &host.settings());
+    let mut gateway = GatewayProcess { child: fescuewalk_with_blocked_stop(&path) };
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+
+    gateway.signal("TERM");
+
+    assert!(gateway.ends(), "it still runs");
+}
