processes wait for the last line of their settings

What operators may have seen: a process that runs and does not serve.

Since the bounds have defaults, a settings file that is read while it is being written may have no faults although it ends within a line: one that ended after three digits of the store's port was taken as complete. The process asked a wrong address for as long as it ran; once the file was whole, it logged that the change needs a restart.

A file that ends between two lines is still taken.

The test in crates/fescuewalk/tests/start.rs failed before: the store was not asked within 30 s.

--- a/crates/base/src/startup.rs
+++ b/crates/base/src/startup.rs
@@ -56,23 +56,33 @@
     unreachable!("the last attempt returns")
 }
 
-/// Calls `read`, which reads and checks the settings file, until it succeeds or has failed for 5
-/// seconds. Blocks the thread; the runtime and the log do not exist without settings.
+/// Whether the last line of a settings file may still be written. A line break or a comment ends it.
+fn ends_within_line(text: &str) -> bool {
+    !text.ends_with('\n') && text.lines().last().is_some_and(|line| !line.starts_with(';'))
+}
+
+/// Calls `read`, which reads and checks the settings file and returns its text with them, until the
+/// file has no faults and a whole last line, or 5 seconds have passed. Blocks the thread; the runtime
+/// and the log do not exist without settings.
 ///
 /// # Errors
 ///
 /// Returns the last error of `read`.
-pub fn read_when_complete<T, E: Display>(mut read: impl FnMut() -> Result<T, E>) -> Result<T, E> {
+pub fn read_when_complete<T, E: Display>(
+    mut read: impl FnMut() -> Result<(T, String), E>,
+) -> Result<(T, String), E> {
     for attempt in 1..READ_ATTEMPTS {
-        match read() {
-            Ok(settings) => return Ok(settings),
-            Err(error) if attempt == 1 => {
-                let limit = RETRY_PAUSE * READ_ATTEMPTS;
-                // Standard error may be closed, which must not end the start.
-                let _ =
-                    writeln!(io::stderr(), "start: {error}\nstart: reading again for {limit:?}");
+        let fault = match read() {
+            Ok((_, text)) if ends_within_line(&text) => {
+                "the last line of the settings may be incomplete".to_owned()
             }
-            Err(_) => {}
+            Ok(complete) => return Ok(complete),
+            Err(error) => error.to_string(),
+        };
+        if attempt == 1 {
+            let limit = RETRY_PAUSE * READ_ATTEMPTS;
+            // Standard error may be closed, which must not end the start.
+            let _ = writeln!(io::stderr(), "start: {fault}\nstart: reading again for {limit:?}");
         }
         thread::sleep(RETRY_PAUSE);
     }
--- a/crates/fescuewalk/tests/start.rs
+++ b/crates/fescuewalk/tests/start.rs
@@ -221,6 +221,30 @@
     assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
 }
 
+/// Guards against a process that uses for good the first digits of a store's port, whose file was still
+/// being written.
+#[test]
+fn last_line_that_is_completed_after_the_start_is_used() {
+    let host = HostAddresses::new(9);
+    let dir = WorkDir::new("start");
+    let text = host.settings();
+    let store = TcpListener::bind(host.store).expect("the host is free");
+    store.set_nonblocking(true).expect("it is a socket");
+    let port_end = text.find(":8142").expect("the store's port") + ":814".len();
+    let path = dir.write("gateway.ini", &text[..port_end]);
+
+    let mut gateway = GatewayProcess::start(&path);
+    thread::sleep(END_TIME);
+    fs::write(&path, &text).expect("the directory is writable");
+
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+    let is_asked = (0..POLLS).any(|_| {
+        thread::sleep(POLL_PAUSE);
+        store.accept().is_ok()
+    });
+    assert!(is_asked, "it does not ask the store");
+}
+
 /// Guards against a process that a SIGHUP ends while it starts.
 #[test]
 fn sighup_during_the_start_does_not_end_the_process() {
