--- a/crates/fescuewalk/tests/start.rs
+++ b/crates/fescuewalk/tests/start.rs
@@ -74,6 +74,35 @@
         .expect("the shell starts")
 }
 
+/// Stack of new threads in bytes, more than an address space holds, so that none starts.
+const IMPOSSIBLE_STACK: u64 = 1 << 60;
+
+/// Starts a gateway that can start no threads.
+fn fescuewalk_without_threads(settings: &Path) -> Child {
+    fescuewalk()
+        .arg("gateway")
+        .arg(settings)
+        .env("RUST_MIN_STACK", IMPOSSIBLE_STACK.to_string())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the program starts")
+}
+
+/// Starts a gateway that inherits SIGTERM as blocked.
+fn fescuewalk_with_blocked_stop(settings: &Path) -> Child {
+    let program = fescuewalk().get_program().to_owned();
+    Command::new("env")
+        .arg("--block-signal=TERM")
+        .arg(program)
+        .arg("gateway")
+        .arg(settings)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("env is there")
+}
+
 /// The end of a full pipe to which nothing can be written, and the other end.
 fn full_pipe() -> (PipeWriter, PipeReader) {
     let (reader, mut writer) = pipe().expect("descriptors are left");
@@ -192,6 +221,30 @@
     assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
 }
 
+/// Guards against a process that uses for good the first digits of a store's port, whose file was still
+/// being written.
+#[test]
+fn last_line_that_is_completed_after_the_start_is_used() {
+    let host = HostAddresses::new(9);
+    let dir = WorkDir::new("start");
+    let text = host.settings();
+    let store = TcpListener::bind(host.store).expect("the host is free");
+    store.set_nonblocking(true).expect("it is a socket");
+    let port_end = text.find(":8142").expect("the store's port") + ":814".len();
+    let path = dir.write("gateway.ini", &text[..port_end]);
+
+    let mut gateway = GatewayProcess::start(&path);
+    thread::sleep(END_TIME);
+    fs::write(&path, &text).expect("the directory is writable");
+
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+    let is_asked = (0..POLLS).any(|_| {
+        thread::sleep(POLL_PAUSE);
+        store.accept().is_ok()
+    });
+    assert!(is_asked, "it does not ask the store");
+}
+
 /// Guards against a process that a SIGHUP ends while it starts.
 #[test]
 fn sighup_during_the_start_does_not_end_the_process() {
@@ -239,3 +292,32 @@
     thread::sleep(END_TIME);
     assert!(gateway.is_alive(), "it ended as it wrote its log");
 }
+
+/// Guards against a process that ends because the VM has no thread left for its log.
+#[test]
+fn log_without_a_thread_does_not_keep_the_process_from_starting() {
+    let host = HostAddresses::new(7);
+    let dir = WorkDir::new("start");
+    let path = dir.write("gateway.ini", &host.settings());
+
+    let mut gateway = GatewayProcess { child: fescuewalk_without_threads(&path) };
+
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+    gateway.signal("TERM");
+    assert!(gateway.ends(), "it still runs");
+}
+
+/// Guards against a planned stop that goes unnoticed until the process is killed, because what started
+/// the process had blocked the signal for itself.
+#[test]
+fn stop_signal_that_was_blocked_at_the_start_stops_the_process() {
+    let host = HostAddresses::new(8);
+    let dir = WorkDir::new("start");
+    let path = dir.write("gateway.ini", &host.settings());
+    let mut gateway = GatewayProcess { child: fescuewalk_with_blocked_stop(&path) };
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+
+    gateway.signal("TERM");
+
+    assert!(gateway.ends(), "it still runs");
+}
