gateway: the heads of requests count as memory

Cause: bodies were charged, what a request holds beside its body was not: the read buffer that its head lies in, the table of up to 100 headers and its copy for a server, and 29 KiB of state, twice as much as is needed, because the future of a request was moved into another one.

Change: a request is charged in the account of the bodies from its head until it has ended; a stalled one is given up with its head (408), else the new one is refused (503, not run). Heads of more than 48 KiB (some 50 headers) are kept from the reserve. The future is allocated once, and the state of the dispatch only after the body has been read.

--- a/crates/fescuewalk/tests/support/memory.rs
+++ b/crates/fescuewalk/tests/support/memory.rs
@@ -84,7 +84,9 @@
         let catalog = CatalogBuilder::new("memory.example")
             .plain_service("orders")
             .plain_service("files")
+            .plain_service("mute")
             .route(route(RouteSpec::non_idempotent("/order/", "orders")))
+            .route(route(RouteSpec::non_idempotent("/mute/", "mute")))
             .route(route(RouteSpec::idempotent("/file/", "files")));
         store.write("config", "main", &catalog.build(1));
         let service = ServiceStandin::start(listen().await, "i-1", Duration::from_millis(3))
@@ -93,6 +95,8 @@
         let large_answers = Arc::<AtomicUsize>::default();
         let files = start_file_server(Arc::clone(&large_answers)).await;
         store.write("servers", "i-2", &server_entry("files", files));
+        let mute = start_mute_server().await;
+        store.write("servers", "i-3", &server_entry("mute", mute));
         let callers = free_address().await;
         let settings = format!(
             "[process]\nvm = entry-1\nzone = zone-a\n[listen]\ncallers = {callers}\nready = {}\n\
@@ -118,6 +122,11 @@
         gateway
     }
 
+    /// Id of the process.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     fn proc_path(&self, name: &str) -> String {
         format!("/proc/{}/{name}", self.child.id())
     }
@@ -256,3 +265,17 @@
     }
     Ok(())
 }
+
+/// Takes requests and answers none.
+async fn start_mute_server() -> SocketAddr {
+    let listener = listen().await;
+    let address = listener.local_addr().expect("it is bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let _ = tokio::io::copy(&mut stream, &mut tokio::io::sink()).await;
+            });
+        }
+    });
+    address
+}
--- a/crates/fescuewalk/tests/support/mod.rs
+++ b/crates/fescuewalk/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod large_answers;
 pub mod memory;
+pub mod memory_held;
 pub mod platform;
 
 use std::{
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -29,7 +29,7 @@
     quota::{self, QuotaCharge},
     relay::StreamRelay,
     request_body::CallerBody,
-    resumption,
+    request_memory, resumption,
     trace::{CallTrace, LongestPause},
 };
 
@@ -71,7 +71,9 @@
     let trace = CallTrace::new(gateway.log.clone(), gateway.metrics.clone(), head.call.clone());
     let mut guard = CallGuard::new(&gateway, trace);
     match admit(&gateway, request, head, &mut guard.trace).await {
-        Ok(admitted) => dispatch(&gateway, admitted, guard).await,
+        // Most memory of a request is the state of its dispatch, which those that wait for their
+        // bodies do not need.
+        Ok(admitted) => Box::pin(dispatch(&gateway, admitted, guard)).await,
         Err(refused) => guard.refuse(refused),
     }
 }
@@ -156,7 +158,8 @@
     }
     let (parts, body) = request.into_parts();
     let end = gateway.backends.wait_for_deadline(deadline);
-    let body = body.read(catalog.limits().max_body, gateway.backends.memory(), end).await?;
+    let (limit, head_memory) = (catalog.limits().max_body, request_memory::of_head(&parts));
+    let body = body.read(limit, head_memory, gateway.backends.memory(), end).await?;
     let service = choose_service(&route, &head)?;
     let origin = resumption::find_origin(gateway, trace, &route, &head, &service, deadline).await?;
     let (service, software) = match origin {
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -196,7 +196,7 @@
 ) -> Response<WatchedBody> {
     state.has_request.store(true, Ordering::Relaxed);
     let request = request.map(|body| CallerBody::new(body, Arc::clone(&state), Arc::clone(&watch)));
-    let response = call::serve(Arc::clone(&gateway), request).await;
+    let response = Box::pin(call::serve(Arc::clone(&gateway), request)).await;
     let mut response = response.map(|body| WatchedBody::new(body, watch));
     let is_unread = !state.body_read.load(Ordering::Relaxed);
     if is_unread || gateway.is_draining() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod registration;
 mod relay;
 mod request_body;
+pub mod request_memory;
 mod restores;
 mod resumption;
 pub mod server_bytes;
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -101,11 +101,23 @@
 }
 
 impl BodyCharge {
+    /// Charges the request of the body for what it holds beside the body.
+    pub fn charge_head(&self, head: ByteSize) -> GrowthDecision {
+        self.charge(|budget, evicted| budget.charge_head(self.id, head, Instant::now(), evicted))
+    }
+
     /// Charges the body for the `allocated` bytes that it needs from now on.
     pub fn grow(&self, allocated: ByteSize) -> GrowthDecision {
+        self.charge(|budget, evicted| budget.grow(self.id, allocated, Instant::now(), evicted))
+    }
+
+    fn charge(
+        &self,
+        step: impl FnOnce(&mut MemoryBudget, &mut Vec<BodyId>) -> GrowthDecision,
+    ) -> GrowthDecision {
         let mut evicted = Vec::new();
         let mut state = self.memory.lock();
-        let decision = state.budget.grow(self.id, allocated, Instant::now(), &mut evicted);
+        let decision = step(&mut state.budget, &mut evicted);
         for id in &evicted {
             if let Some(reader) = state.readers.remove(id) {
                 reader.notify_one();
--- a/crates/gateway/src/memory_budget.rs
+++ b/crates/gateway/src/memory_budget.rs
@@ -1,11 +1,11 @@
-//! Account of the memory that bodies take: requests being read or kept for a retry, and answers
-//! that are buffered.
+//! Account of the memory that requests and answers take: heads and bodies of requests that are read or
+//! kept for a retry, and answers that are buffered.
 
 use std::collections::BTreeMap;
 
 use base::prelude::*;
 
-/// Share of the VM's memory that bodies may take. The rest is for the process itself, the
+/// Share of the VM's memory that bodies and heads may take. The rest is for the process itself, the
 /// connections, the allocator and what the kernel holds for sockets.
 const BODY_SHARE: f64 = 0.34;
 /// Part of the memory for bodies that only small bodies take, so that ordinary requests are served
@@ -13,6 +13,8 @@
 const RESERVED_SHARE: f64 = 0.2;
 /// Size up to which a request body is small. Most requests have less than 9 KB.
 pub const SMALL_BODY: ByteSize = ByteSize(16 * 1024);
+/// Memory up to which a head is small. Those of most requests take some 30 KiB.
+pub const SMALL_HEAD: ByteSize = ByteSize(48 * 1024);
 /// Size up to which an answer is always buffered: its request has run, and the number of such
 /// answers is bounded by the number of connections.
 pub const SMALL_ANSWER: ByteSize = ByteSize(64 * 1024);
@@ -72,6 +74,8 @@
 #[derive(Debug)]
 struct BodyAccount {
     purpose: MemoryPurpose,
+    /// What is held beside the body.
+    head: ByteSize,
     charged: ByteSize,
     progressed: Instant,
     is_arriving: bool,
@@ -96,12 +100,37 @@
     pub fn open(&mut self, purpose: MemoryPurpose, now: Instant) -> BodyId {
         self.last_id += 1;
         let id = BodyId(self.last_id);
-        let account =
-            BodyAccount { purpose, charged: ByteSize(0), progressed: now, is_arriving: true };
+        let account = BodyAccount {
+            purpose,
+            head: ByteSize(0),
+            charged: ByteSize(0),
+            progressed: now,
+            is_arriving: true,
+        };
         self.bodies.insert(id, account);
         id
     }
 
+    /// Charges a body of which nothing has arrived for what its request holds beside it, until it is
+    /// closed. Evicts as [`grow`](Self::grow) does.
+    pub fn charge_head(
+        &mut self,
+        id: BodyId,
+        head: ByteSize,
+        now: Instant,
+        evicted: &mut Vec<BodyId>,
+    ) -> GrowthDecision {
+        let Some(body) = self.bodies.get_mut(&id) else { return GrowthDecision::Refused };
+        let before = std::mem::replace(&mut body.head, head);
+        let decision = self.grow(id, ByteSize(0), now, evicted);
+        if decision == GrowthDecision::Refused
+            && let Some(body) = self.bodies.get_mut(&id)
+        {
+            body.head = before;
+        }
+        decision
+    }
+
     /// Charges a body for the `allocated` bytes that it needs now. Request bodies that have stalled
     /// are added to `evicted`, the one without progress for the longest time first, until there is
     /// room; they count as free from then on, and their readers have to drop them.
@@ -114,13 +143,14 @@
     ) -> GrowthDecision {
         let Some(body) = self.bodies.get(&id) else { return GrowthDecision::Refused };
         let (purpose, held) = (body.purpose, body.charged);
-        let is_small = allocated <= purpose.small_size();
+        let is_small = allocated <= purpose.small_size() && body.head <= SMALL_HEAD;
+        let needed = body.head.plus(allocated);
         let is_always_granted = is_small && purpose == MemoryPurpose::Answer;
         let limit = match is_small {
             true => self.limits.total,
             false => self.limits.total.minus(self.limits.reserved),
         };
-        while self.total().minus(held).plus(allocated) > limit {
+        while self.total().minus(held).plus(needed) > limit {
             match self.longest_stalled(id, now) {
                 Some(stalled) => {
                     self.close(stalled);
@@ -131,11 +161,11 @@
             }
         }
         if let Some(body) = self.bodies.get_mut(&id) {
-            body.charged = allocated;
+            body.charged = needed;
             body.progressed = now;
         }
         let charged = &mut self.charged[purpose as usize];
-        *charged = charged.minus(held).plus(allocated);
+        *charged = charged.minus(held).plus(needed);
         GrowthDecision::Granted
     }
 
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -46,8 +46,8 @@
         Self { incoming, connection, watch }
     }
 
-    /// Reads the body, until `end`. Its memory is charged to `memory` until the last copy of the
-    /// result is dropped.
+    /// Reads the body, until `end`. Its memory, and `head` for what its request holds beside it, are
+    /// charged to `memory` until the last copy of the result is dropped.
     ///
     /// # Errors
     ///
@@ -56,12 +56,10 @@
     pub async fn read(
         mut self,
         limit: ByteSize,
+        head: ByteSize,
         memory: &ProcessMemory,
         end: impl Future<Output = WaitEnd>,
     ) -> Result<Bytes, Refusal> {
-        if self.incoming.is_end_stream() {
-            return Ok(Bytes::new());
-        }
         let limit = usize::try_from(limit.0).unwrap_or(usize::MAX);
         let announced = self.incoming.size_hint().exact();
         let announced = announced.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
@@ -69,6 +67,12 @@
             return Err(too_large());
         }
         let charge = memory.open(MemoryPurpose::RequestBody);
+        if charge.charge_head(head) == GrowthDecision::Refused {
+            return Err(out_of_memory());
+        }
+        if self.incoming.is_end_stream() {
+            return Ok(charge.into_bytes(Vec::new()));
+        }
         let mut buffer = ChargedBuffer::new(charge, announced.unwrap_or(limit));
         tokio::pin!(end);
         loop {
@@ -96,12 +100,7 @@
                 return Err(too_large());
             }
             if buffer.push(&data) == GrowthDecision::Refused {
-                let reason = "the bodies of other requests use the memory";
-                return Err(Refusal::with_retry_after(
-                    ResultCode::OutOfMemory,
-                    MEMORY_RETRY_AFTER,
-                    reason,
-                ));
+                return Err(out_of_memory());
             }
         }
         self.connection.set_body_read(true);
@@ -110,6 +109,11 @@
     }
 }
 
+fn out_of_memory() -> Refusal {
+    let reason = "other requests use the memory";
+    Refusal::with_retry_after(ResultCode::OutOfMemory, MEMORY_RETRY_AFTER, reason)
+}
+
 fn too_large() -> Refusal {
     Refusal::new(ResultCode::BodyTooLarge, "the body is too large")
 }
--- a/crates/gateway/tests/memory_budget.rs
+++ b/crates/gateway/tests/memory_budget.rs
@@ -145,3 +145,90 @@
     assert_eq!(budget.charged(MemoryPurpose::Answer), ByteSize(0));
     assert!(!budget.is_short());
 }
+
+/// What the request of a head of 15,573 bytes in 100 headers holds beside its body.
+const LARGE_HEAD: ByteSize = ByteSize(68 * 1024);
+/// The same of an ordinary request.
+const ORDINARY_HEAD: ByteSize = ByteSize(32 * 1024);
+/// Body that stops one byte short of its end.
+const SHORT_BODY: ByteSize = ByteSize(44_000);
+
+/// Opens requests with such heads and bodies until one is refused; returns the charge of each.
+fn fill_with_heads(
+    budget: &mut MemoryBudget,
+    head: ByteSize,
+    body: ByteSize,
+    now: Instant,
+) -> Vec<BodyId> {
+    let mut open = Vec::new();
+    loop {
+        let id = budget.open(MemoryPurpose::RequestBody, now);
+        let charged = budget.charge_head(id, head, now, &mut Vec::new());
+        if charged == GrowthDecision::Refused
+            || grow(budget, id, body, now).0 == GrowthDecision::Refused
+        {
+            budget.close(id);
+            return open;
+        }
+        open.push(id);
+    }
+}
+
+/// Guards against 2,040 requests whose heads were not charged: they took 290 MiB of 260.
+#[test]
+fn heads_and_bodies_together_stay_within_the_budget() {
+    let now = Instant::now();
+    let mut budget = budget();
+
+    let open = fill_with_heads(&mut budget, LARGE_HEAD, SHORT_BODY, now);
+
+    let total = BudgetLimits::for_vm(VM_MEMORY).total;
+    let charged = budget.charged(MemoryPurpose::RequestBody);
+    assert!(charged <= total, "{charged}");
+    assert_eq!(charged, ByteSize(open.len() as u64 * (LARGE_HEAD.0 + SHORT_BODY.0)));
+}
+
+/// Guards against ordinary requests that are refused while large heads use the memory.
+#[test]
+fn large_heads_leave_the_reserve_to_small_ones() {
+    let now = Instant::now();
+    let mut budget = budget();
+    fill_with_heads(&mut budget, LARGE_HEAD, ByteSize(0), now);
+
+    let small = fill_with_heads(&mut budget, ORDINARY_HEAD, ByteSize(9_000), now);
+
+    assert!(small.len() >= 100, "{}", small.len());
+}
+
+/// Guards against a limit that ordinary requests reach before all connections are in use.
+#[test]
+fn ordinary_requests_on_all_connections_are_charged() {
+    let now = Instant::now();
+    let mut budget = budget();
+
+    let open = fill_with_heads(&mut budget, ORDINARY_HEAD, ByteSize(9_000), now);
+
+    assert!(open.len() >= 960, "{}", open.len());
+}
+
+/// Guards against a request that keeps its head after its body was given up, and against one that
+/// is charged although it was refused.
+#[test]
+fn stalled_request_makes_room_with_its_head() {
+    let start = Instant::now();
+    let mut budget = budget();
+    let open = fill_with_heads(&mut budget, LARGE_HEAD, SHORT_BODY, start);
+    let charged = budget.charged(MemoryPurpose::RequestBody);
+    let new = budget.open(MemoryPurpose::RequestBody, start);
+    let mut evicted = Vec::new();
+
+    let refused = budget.charge_head(new, LARGE_HEAD, start, &mut evicted);
+    let still_charged = budget.charged(MemoryPurpose::RequestBody);
+    let granted = budget.charge_head(new, LARGE_HEAD, start + MIN_STALL, &mut evicted);
+
+    assert_eq!((refused, granted), (GrowthDecision::Refused, GrowthDecision::Granted));
+    assert_eq!(still_charged, charged);
+    assert_eq!(evicted, open[..1]);
+    let freed = charged.minus(LARGE_HEAD).minus(SHORT_BODY);
+    assert_eq!(budget.charged(MemoryPurpose::RequestBody), freed.plus(LARGE_HEAD));
+}
