gateway: a caller fills little of the kernel's memory behind its request

What callers saw: a process that ended for its memory. Bytes that were received and not read count, and a caller that sent on behind a request at work had up to 127,575 of them on one connection.

Cause: the receive buffer of 64 KiB, which the kernel doubles, was the same for all connections and counted nowhere.

Change: the receive buffer is 16 KiB (up to 24,576 bytes unread), and 64 KiB only while a body of more than 64 KiB is read. Its request is then charged 128 KiB more; without that much memory the body arrives slowly and nothing is refused.

--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -31,7 +31,7 @@
     call,
     process::Gateway,
     request_body::CallerBody,
-    watched_connection::{ConnectionWatch, WatchedBody},
+    watched_connection::{ConnectionWatch, ReceiveBuffer, WatchedBody},
 };
 
 /// Longest request head that is buffered before the first configuration is read.
@@ -148,7 +148,7 @@
     watch: &Arc<ConnectionWatch>,
 ) -> Option<(I, Bytes)>
 where
-    I: AsyncRead + AsyncWrite + Unpin,
+    I: AsyncRead + AsyncWrite + ReceiveBuffer + Unpin,
 {
     let limits = gateway.catalog.borrow().as_ref().map(|catalog| *catalog.limits());
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -12,13 +12,14 @@
 use crate::{
     caller_connection::{self, ConnectionGuard},
     process::Gateway,
+    watched_connection::RECEIVE_BUFFER,
 };
 
 /// Delay after a failed accept, which occurs when the process runs out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Size of the socket buffers of a connection, for each direction. What they hold counts as memory
-/// of the VM, and the kernel would let them grow to several MiB. It doubles this value.
-const SOCKET_BUFFER: ByteSize = ByteSize(64 * 1024);
+/// Size of the buffer that the kernel sends an answer from. What it holds counts as memory of the VM,
+/// and the kernel would let it grow to several MiB. It doubles this value.
+const SEND_BUFFER: ByteSize = ByteSize(64 * 1024);
 
 /// Accepts connections until a planned stop closes the listener. It closes before the process ends,
 /// so that later callers get a refused connection and know that their request has not run.
@@ -64,10 +65,13 @@
 
 /// Accepted connections inherit the sizes from the listener.
 fn limit_buffers(listener: &TcpListener) -> io::Result<()> {
-    let size = usize::try_from(SOCKET_BUFFER.0).unwrap_or(usize::MAX);
     let socket = SockRef::from(listener);
-    socket.set_recv_buffer_size(size)?;
-    socket.set_send_buffer_size(size)
+    socket.set_recv_buffer_size(buffer_size(RECEIVE_BUFFER))?;
+    socket.set_send_buffer_size(buffer_size(SEND_BUFFER))
+}
+
+fn buffer_size(size: ByteSize) -> usize {
+    usize::try_from(size.0).unwrap_or(usize::MAX)
 }
 
 fn spawn_connection(stream: TcpStream, address: SocketAddr, gateway: &Arc<Gateway>) {
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -216,6 +216,11 @@
         self.bytes.len()
     }
 
+    /// Charges the request of the body for what it holds beside the body.
+    pub fn charge_head(&self, head: ByteSize) -> GrowthDecision {
+        self.charge.charge_head(head)
+    }
+
     /// Appends `data`, which must not exceed the limit.
     pub fn push(&mut self, data: &[u8]) -> GrowthDecision {
         let needed = self.bytes.len() + data.len();
--- a/crates/gateway/src/memory_budget.rs
+++ b/crates/gateway/src/memory_budget.rs
@@ -111,8 +111,7 @@
         id
     }
 
-    /// Charges a body of which nothing has arrived for what its request holds beside it, until it is
-    /// closed. Evicts as [`grow`](Self::grow) does.
+    /// Charges a body for what its request holds beside it from now on, until it is closed. Evicts as [`grow`](Self::grow) does.
     pub fn charge_head(
         &mut self,
         id: BodyId,
@@ -122,7 +121,8 @@
     ) -> GrowthDecision {
         let Some(body) = self.bodies.get_mut(&id) else { return GrowthDecision::Refused };
         let before = std::mem::replace(&mut body.head, head);
-        let decision = self.grow(id, ByteSize(0), now, evicted);
+        let allocated = body.charged.minus(before);
+        let decision = self.grow(id, allocated, now, evicted);
         if decision == GrowthDecision::Refused
             && let Some(body) = self.bodies.get_mut(&id)
         {
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -20,6 +20,11 @@
 /// that have stalled make room within this time.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Length of a body, in bytes, above which the kernel receives more of it at a time.
+const LARGE_BODY: usize = 64 * 1024;
+/// What the kernel can hold of such a body and of what follows it.
+const WIDE_WINDOW: ByteSize = ByteSize(128 * 1024);
+
 /// The body of a caller's request that has not been read.
 #[derive(Debug)]
 pub struct CallerBody {
@@ -74,8 +79,16 @@
             return Ok(charge.into_bytes(Vec::new()));
         }
         let mut buffer = ChargedBuffer::new(charge, announced.unwrap_or(limit));
+        let mut is_narrow = true;
         tokio::pin!(end);
         loop {
+            if is_narrow && buffer.len().max(announced.unwrap_or(0)) > LARGE_BODY {
+                is_narrow = false;
+                // Without the memory for it, the body arrives slowly.
+                if buffer.charge_head(head.plus(WIDE_WINDOW)) == GrowthDecision::Granted {
+                    self.watch.set_large_body(true);
+                }
+            }
             let frame = tokio::select! {
                 biased;
                 frame = self.incoming.frame() => frame,
@@ -104,6 +117,7 @@
             }
         }
         self.connection.set_body_read(true);
+        self.watch.set_large_body(false);
         self.watch.begin_request();
         Ok(buffer.into_bytes())
     }
--- a/crates/gateway/src/watched_connection.rs
+++ b/crates/gateway/src/watched_connection.rs
@@ -7,7 +7,7 @@
     pin::Pin,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll, ready},
 };
@@ -15,8 +15,10 @@
 use base::prelude::*;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use socket2::SockRef;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncWrite, Join, ReadBuf},
+    net::TcpStream,
     sync::Notify,
     time,
 };
@@ -35,6 +37,11 @@
 const MAX_UNREAD_TIME_IF_SHORT: Duration = Duration::from_secs(2);
 /// Time between two checks for answers that are not read.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Size of the buffer that the kernel receives into. A caller can fill it behind a request that is at
+/// work, and the kernel doubles this value.
+pub const RECEIVE_BUFFER: ByteSize = ByteSize(16 * 1024);
+/// The same while a large body is read.
+const LARGE_RECEIVE_BUFFER: ByteSize = ByteSize(64 * 1024);
 /// Value of `blocked_since` of a connection whose writes are not blocked.
 const NOT_BLOCKED: u64 = u64::MAX;
 
@@ -49,6 +56,28 @@
     close: Notify,
     /// Milliseconds from the start of the registry until writing blocked, or `NOT_BLOCKED`.
     blocked_since: AtomicU64,
+    /// Whether the body of the current request is a large one.
+    has_large_body: AtomicBool,
+}
+
+/// A stream whose receive buffer can be set.
+pub trait ReceiveBuffer {
+    /// Sets the size of the buffer that the kernel receives into.
+    fn set_receive_buffer(&self, size: ByteSize);
+}
+
+impl ReceiveBuffer for TcpStream {
+    fn set_receive_buffer(&self, size: ByteSize) {
+        let size = usize::try_from(size.0).unwrap_or(usize::MAX);
+        if let Err(error) = SockRef::from(self).set_recv_buffer_size(size) {
+            log::debug!("front: failed to set a receive buffer to {size} bytes: {error}");
+        }
+    }
+}
+
+impl<R, W> ReceiveBuffer for Join<R, W> {
+    /// Serves one request of a connection that closes, whose buffer stays as it is.
+    fn set_receive_buffer(&self, _size: ByteSize) {}
 }
 
 /// The open connections of callers; clones share them.
@@ -96,6 +125,7 @@
         let watch = Arc::new(WatchState {
             close: Notify::new(),
             blocked_since: AtomicU64::new(NOT_BLOCKED),
+            has_large_body: AtomicBool::new(false),
         });
         state.watches.insert(id, Arc::clone(&watch));
         self.record_count(&state);
@@ -158,9 +188,19 @@
         self.registry.lock().table.await_request(self.id, Instant::now());
     }
 
+    /// Records whether a large body is read, for which the kernel receives more at a time.
+    pub fn set_large_body(&self, has_large_body: bool) {
+        self.state.has_large_body.store(has_large_body, Ordering::Relaxed);
+    }
+
     /// Observes the writes to `stream`.
     pub fn observe<I>(&self, stream: I) -> WatchedStream<I> {
-        WatchedStream { stream, registry: self.registry.clone(), state: Arc::clone(&self.state) }
+        WatchedStream {
+            stream,
+            registry: self.registry.clone(),
+            state: Arc::clone(&self.state),
+            is_widened: false,
+        }
     }
 }
 
@@ -179,6 +219,8 @@
     stream: I,
     registry: ConnectionRegistry,
     state: Arc<WatchState>,
+    /// Whether the receive buffer is that for a large body.
+    is_widened: bool,
 }
 
 impl<I> WatchedStream<I> {
@@ -199,12 +241,24 @@
     }
 }
 
-impl<I: AsyncRead + Unpin> AsyncRead for WatchedStream<I> {
+impl<I: ReceiveBuffer> WatchedStream<I> {
+    fn fit_receive_buffer(&mut self) {
+        let is_large = self.state.has_large_body.load(Ordering::Relaxed);
+        if is_large != self.is_widened {
+            self.is_widened = is_large;
+            let size = if is_large { LARGE_RECEIVE_BUFFER } else { RECEIVE_BUFFER };
+            self.stream.set_receive_buffer(size);
+        }
+    }
+}
+
+impl<I: AsyncRead + ReceiveBuffer + Unpin> AsyncRead for WatchedStream<I> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.fit_receive_buffer();
         Pin::new(&mut self.stream).poll_read(context, buffer)
     }
 }
