--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -31,7 +31,7 @@
     call,
     process::Gateway,
     request_body::CallerBody,
-    watched_connection::{ConnectionWatch, WatchedBody},
+    watched_connection::{ConnectionWatch, ReceiveBuffer, WatchedBody},
 };
 
 /// Longest request head that is buffered before the first configuration is read.
@@ -148,7 +148,7 @@
     watch: &Arc<ConnectionWatch>,
 ) -> Option<(I, Bytes)>
 where
-    I: AsyncRead + AsyncWrite + Unpin,
+    I: AsyncRead + AsyncWrite + ReceiveBuffer + Unpin,
 {
     let limits = gateway.catalog.borrow().as_ref().map(|catalog| *catalog.limits());
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
@@ -196,7 +196,7 @@
 ) -> Response<WatchedBody> {
     state.has_request.store(true, Ordering::Relaxed);
     let request = request.map(|body| CallerBody::new(body, Arc::clone(&state), Arc::clone(&watch)));
-    let response = call::serve(Arc::clone(&gateway), request).await;
+    let response = Box::pin(call::serve(Arc::clone(&gateway), request)).await;
     let mut response = response.map(|body| WatchedBody::new(body, watch));
     let is_unread = !state.body_read.load(Ordering::Relaxed);
     if is_unread || gateway.is_draining() {
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -20,6 +20,11 @@
 /// that have stalled make room within this time.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Length of a body, in bytes, above which the kernel receives more of it at a time.
+const LARGE_BODY: usize = 64 * 1024;
+/// What the kernel can hold of such a body and of what follows it.
+const WIDE_WINDOW: ByteSize = ByteSize(128 * 1024);
+
 /// The body of a caller's request that has not been read.
 #[derive(Debug)]
 pub struct CallerBody {
@@ -46,8 +51,8 @@
         Self { incoming, connection, watch }
     }
 
-    /// Reads the body, until `end`. Its memory is charged to `memory` until the last copy of the
-    /// result is dropped.
+    /// Reads the body, until `end`. Its memory, and `head` for what its request holds beside it, are
+    /// charged to `memory` until the last copy of the result is dropped.
     ///
     /// # Errors
     ///
@@ -56,12 +61,10 @@
     pub async fn read(
         mut self,
         limit: ByteSize,
+        head: ByteSize,
         memory: &ProcessMemory,
         end: impl Future<Output = WaitEnd>,
     ) -> Result<Bytes, Refusal> {
-        if self.incoming.is_end_stream() {
-            return Ok(Bytes::new());
-        }
         let limit = usize::try_from(limit.0).unwrap_or(usize::MAX);
         let announced = self.incoming.size_hint().exact();
         let announced = announced.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
@@ -69,9 +72,23 @@
             return Err(too_large());
         }
         let charge = memory.open(MemoryPurpose::RequestBody);
+        if charge.charge_head(head) == GrowthDecision::Refused {
+            return Err(out_of_memory());
+        }
+        if self.incoming.is_end_stream() {
+            return Ok(charge.into_bytes(Vec::new()));
+        }
         let mut buffer = ChargedBuffer::new(charge, announced.unwrap_or(limit));
+        let mut is_narrow = true;
         tokio::pin!(end);
         loop {
+            if is_narrow && buffer.len().max(announced.unwrap_or(0)) > LARGE_BODY {
+                is_narrow = false;
+                // Without the memory for it, the body arrives slowly.
+                if buffer.charge_head(head.plus(WIDE_WINDOW)) == GrowthDecision::Granted {
+                    self.watch.set_large_body(true);
+                }
+            }
             let frame = tokio::select! {
                 biased;
                 frame = self.incoming.frame() => frame,
@@ -96,20 +113,21 @@
                 return Err(too_large());
             }
             if buffer.push(&data) == GrowthDecision::Refused {
-                let reason = "the bodies of other requests use the memory";
-                return Err(Refusal::with_retry_after(
-                    ResultCode::OutOfMemory,
-                    MEMORY_RETRY_AFTER,
-                    reason,
-                ));
+                return Err(out_of_memory());
             }
         }
         self.connection.set_body_read(true);
+        self.watch.set_large_body(false);
         self.watch.begin_request();
         Ok(buffer.into_bytes())
     }
 }
 
+fn out_of_memory() -> Refusal {
+    let reason = "other requests use the memory";
+    Refusal::with_retry_after(ResultCode::OutOfMemory, MEMORY_RETRY_AFTER, reason)
+}
+
 fn too_large() -> Refusal {
     Refusal::new(ResultCode::BodyTooLarge, "the body is too large")
 }
