streams of unknown origin go on only by a read of the store made for them

What callers saw on systems like this one: during a release, an entry was out of step for a few seconds, cut off or standing still, while servers of a new software version joined.

Cause: where nobody that can be asked keeps the origin of a stream, the only version that has served decides, if the roster was read within the time in which a change must be known. That is up to two seconds, in which a version can join and begin streams; and a version that joined and left while the process stood still was never seen.

Change: such a lookup reads the servers and the recorded versions from the store, by a call that is sent after the caller has asked; lookups that come together share one. Without an answer the stream is refused as not run, and its caller can go to an entry that reaches the store. A version that is still recorded does not count as having served again, so that it expires as before.

The test of a process that has not read the roster lately is replaced by one as strict: a read from before the question never decides, whatever its age.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -40,6 +40,7 @@
     metrics::GatewayMetrics,
     quota::SharedQuotas,
     store_reads::StoreReads,
+    version_archive::VersionArchive,
 };
 
 /// Time between two heartbeats to other entries.
@@ -95,6 +96,9 @@
     unknown_peers: Arc<Notify>,
     plan_inputs_changed: Arc<Notify>,
     versions_changed: Arc<Notify>,
+    versions: VersionArchive,
+    /// When the last successful read of the versions for a lookup was sent.
+    version_reads: Arc<tokio::sync::Mutex<Option<Instant>>>,
     peer_catalogs: Arc<PeerCatalogs>,
     quotas: SharedQuotas,
 }
@@ -117,8 +121,8 @@
     pub reads: StoreReads,
     /// Blocks of requests in the store.
     pub archive: BlockArchive,
-    /// Time within which a change in the store must be known.
-    pub known_within: Duration,
+    /// Software versions in the store.
+    pub versions: VersionArchive,
     /// Tolerance of the quotas of workspaces.
     pub quota_tolerance: QuotaTolerance,
 }
@@ -134,7 +138,7 @@
         metrics: GatewayMetrics,
     ) -> Self {
         let FleetIdentity { vm, core_share, side_port } = identity;
-        let FleetLinks { socket, reads, archive, known_within, quota_tolerance } = links;
+        let FleetLinks { socket, reads, archive, versions, quota_tolerance } = links;
         let state = FleetState {
             peers: PeerTable::new(vm.clone(), core_share),
             sides: HashMap::new(),
@@ -145,7 +149,7 @@
             last_block_query: None,
             limits: LimitLedger::default(),
             origins: OriginBook::default(),
-            versions: VersionBook::new(known_within, Instant::now()),
+            versions: VersionBook::new(Instant::now()),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -163,6 +167,8 @@
             unknown_peers: Arc::default(),
             plan_inputs_changed: Arc::default(),
             versions_changed: Arc::default(),
+            versions,
+            version_reads: Arc::default(),
             peer_catalogs: Arc::default(),
             quotas: SharedQuotas::new(quota_tolerance),
         }
--- a/crates/gateway/src/fleet/origins.rs
+++ b/crates/gateway/src/fleet/origins.rs
@@ -155,6 +155,7 @@
             Some(_) => Err(LostOrigin::OtherService),
             None => self
                 .only_version(service)
+                .await
                 .map(|software| {
                     let origin = StreamOrigin { service: service.clone(), software };
                     (origin, OriginSource::OnlyVersion)
--- a/crates/gateway/src/fleet/versions.rs
+++ b/crates/gateway/src/fleet/versions.rs
@@ -22,13 +22,11 @@
     history: VersionHistory,
     /// What the store has; none if that has to be listed again.
     stored: Option<BTreeSet<ServedVersion>>,
-    /// Time within which a change of the roster must be known.
-    known_within: Duration,
 }
 
 impl VersionBook {
-    pub(super) fn new(known_within: Duration, now: Instant) -> Self {
-        Self { history: VersionHistory::new(now), stored: None, known_within }
+    pub(super) fn new(now: Instant) -> Self {
+        Self { history: VersionHistory::new(now), stored: None }
     }
 }
 
@@ -45,20 +43,43 @@
         state.versions.stored = Some(versions.into_iter().collect());
     }
 
-    /// Records that the roster was read.
-    pub fn record_roster_read(&self) {
-        self.lock().versions.history.record_roster_read(Instant::now());
-    }
-
-    /// The version that began a stream whose origin nobody keeps.
-    pub(super) fn only_version(
+    /// The version that began a stream whose origin nobody keeps, by what the store lists now.
+    pub(super) async fn only_version(
         &self,
         service: &ServiceName,
     ) -> Result<SoftwareVersion, UnknownOrigin> {
+        let asked = Instant::now();
         self.record_listed_versions();
-        let state = self.lock();
-        let max_age = state.versions.known_within;
-        state.versions.history.only_version(service, max_age, Instant::now())
+        let known = self.lock().versions.history.only_version(service, asked, asked);
+        // What the store lists can only add versions.
+        if known == Err(UnknownOrigin::SeveralVersions) {
+            return known;
+        }
+        self.read_versions(asked).await;
+        self.lock().versions.history.only_version(service, asked, Instant::now())
+    }
+
+    /// Reads the versions from the store, unless another lookup has since `asked`. Lookups that come
+    /// together share a read.
+    async fn read_versions(&self, asked: Instant) {
+        let mut read_as_of = self.version_reads.lock().await;
+        if read_as_of.is_some_and(|sent| sent >= asked) {
+            return;
+        }
+        let sent = Instant::now();
+        let listed = tokio::try_join!(self.versions.list_serving(), self.versions.list_once());
+        match listed {
+            Ok((listed, recorded)) => {
+                *read_as_of = Some(sent);
+                let mut state = self.lock();
+                let history = &mut state.versions.history;
+                history.record_read(listed, recorded.versions, sent, Instant::now());
+            }
+            Err(error) => log::warn!(
+                "versions: cannot read which versions serve, streams of unknown origin are \
+                 refused: {error}"
+            ),
+        }
     }
 
     /// From when on the versions that have served are known, as far as the store tells.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -232,7 +232,6 @@
         match read {
             RosterRead::Listing(servers, position) => {
                 roster.record_store_answer(now);
-                self.fleet.record_roster_read();
                 roster.record_era(position.era, now);
                 let updates = roster.apply_snapshot(servers, now);
                 self.publish(roster, &updates, position);
@@ -252,7 +251,6 @@
                 outcome: WatchOutcome::Changes { changes, position },
             } => {
                 roster.record_store_answer(now);
-                self.fleet.record_roster_read();
                 let has_changes = !changes.is_empty();
                 let updates: Vec<RosterUpdate> = changes
                     .into_iter()
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -245,12 +245,12 @@
         };
         let reads = StoreReads::new(settings.store.known_within);
         let archive = BlockArchive::new(store.clone());
-        let known_within = settings.store.known_within;
+        let versions = VersionArchive::new(store.clone());
         let links = FleetLinks {
             socket,
             reads: reads.clone(),
             archive: archive.clone(),
-            known_within,
+            versions: versions.clone(),
             quota_tolerance: settings.quotas,
         };
         let fleet = Fleet::new(
@@ -305,7 +305,6 @@
         };
         tokio::spawn(restores.run());
         let restored = backends.clone();
-        let versions = VersionArchive::new(store.clone());
         let versioned = fleet.clone();
         let roster_follower = RosterFollower { store, reads, log, backends, fleet };
         // Requests are served once the configuration is known, and so not before the blocks and the
--- a/crates/gateway/src/version_archive.rs
+++ b/crates/gateway/src/version_archive.rs
@@ -1,6 +1,8 @@
 //! The software versions that have served, in the platform's store, for entries that start when no
 //! other process knows which versions began the streams that callers take up again.
 
+use std::collections::BTreeSet;
+
 use base::prelude::*;
 use platform::{ObjectKind, PlatformStore, StoreError};
 use roster::{SoftwareVersion, StoreEra};
@@ -48,9 +50,9 @@
     /// Lists the stored versions, trying again until the store answers.
     pub async fn list(&self) -> VersionListing {
         let mut failures = 0_u32;
-        let listed = loop {
-            match self.store.list_system_objects(ObjectKind::SoftwareVersions).await {
-                Ok(listed) => break listed,
+        let listing = loop {
+            match self.list_once().await {
+                Ok(listing) => break listing,
                 Err(error) if failures == 0 => {
                     log::warn!("versions: cannot list the stored versions, retrying: {error}");
                 }
@@ -62,6 +64,16 @@
         if failures > 0 {
             log::info!("versions: listed the stored versions after {failures} failed calls");
         }
+        listing
+    }
+
+    /// Lists the stored versions.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call fails.
+    pub async fn list_once(&self) -> Result<VersionListing, StoreError> {
+        let listed = self.store.list_system_objects(ObjectKind::SoftwareVersions).await?;
         let mut listing = VersionListing { versions: Vec::new(), may_be_old: false };
         let mut newest = StoreEra::default();
         for (name, contents) in listed {
@@ -77,7 +89,19 @@
             }
         }
         listing.may_be_old |= newest < self.era();
-        listing
+        Ok(listing)
+    }
+
+    /// Lists the versions of the servers that the store lists now.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call fails.
+    pub async fn list_serving(&self) -> Result<Vec<ServedVersion>, StoreError> {
+        let (servers, _) = self.store.list_servers().await?;
+        let served = servers.into_iter().map(|server| (server.service, server.software));
+        let distinct: BTreeSet<ServedVersion> = served.collect();
+        Ok(distinct.into_iter().collect())
     }
 
     fn era(&self) -> StoreEra {
--- a/crates/gateway/tests/unknown_versions.rs
+++ b/crates/gateway/tests/unknown_versions.rs
@@ -9,13 +9,16 @@
     gateway_process::GatewayProcess,
     store_path::StorePath,
     version_fleet::{
-        ONE_VERSION, STREAMS, VersionFleet, assert_completed, assert_unmixed, take_up_all,
+        ONE_VERSION, STORE_CHANGE, STREAMS, VersionFleet, assert_completed, assert_unmixed,
+        take_up_all,
     },
 };
 use tokio::time;
 
 /// Time after which all entries know each other and the versions are stored.
 const SETTLED: Duration = Duration::from_millis(2_500);
+/// An entry that must know changes within this time knows none of a cut that is shorter.
+const LONG_KNOWN_WITHIN: Duration = Duration::from_secs(20);
 /// Time after a restore in which servers register again; the platform's take up to two seconds.
 const REGISTRATION_DELAY: Duration = Duration::from_millis(1_200);
 
@@ -70,6 +73,32 @@
     assert_unmixed(&fleet, &ended);
 }
 
+/// One entry is cut off from the store, and then from the others, for less than the time within which
+/// it must know a change. Servers of a new version join meanwhile and begin streams.
+#[tokio::test]
+async fn streams_are_not_mixed_by_an_entry_that_missed_a_release_a_moment_ago() {
+    let mut fleet = VersionFleet::start(&["v1", "v1"], 1).await;
+    let path = StorePath::start(fleet.fleet.store.address()).await;
+    let whole = std::mem::replace(&mut fleet.fleet.store_address, path.address());
+    let usual = std::mem::replace(&mut fleet.fleet.known_within, LONG_KNOWN_WITHIN);
+    let cut = fleet.fleet.add_gateway_process(1).await;
+    fleet.fleet.store_address = whole;
+    fleet.fleet.known_within = usual;
+    fleet.gateways.push(fleet.fleet.add_gateway_process(2).await);
+    time::sleep(SETTLED).await;
+    path.cut();
+    fleet.add_engines("v2", 6).await;
+    time::sleep(STORE_CHANGE).await;
+    let streams = fleet.begin_many(0, 48).await;
+
+    let gateways = std::mem::take(&mut fleet.gateways);
+    join_all(gateways.into_iter().map(GatewayProcess::kill)).await;
+    let ended = take_up_all(cut.callers, &streams, 2, true).await;
+
+    assert!(fleet.begun_by("v2") > 3, "the new version begins streams");
+    assert_unmixed(&fleet, &ended);
+}
+
 #[tokio::test]
 async fn streams_go_on_at_their_service_after_their_route_was_split() {
     let fleet = VersionFleet::start(&ONE_VERSION, 2).await;
--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -25,14 +25,15 @@
     services: BTreeMap<ServiceName, BTreeMap<SoftwareVersion, Instant>>,
     /// From when on the history is complete.
     complete_from: Instant,
-    /// When a read of the roster showed all servers last.
-    roster_read: Option<Instant>,
+    /// The versions are complete as of this time: a read of the store that was sent then has shown
+    /// all servers and all recorded versions.
+    read_as_of: Option<Instant>,
 }
 
 impl VersionHistory {
     /// A history without versions, of a process that starts now.
     pub fn new(now: Instant) -> Self {
-        Self { services: BTreeMap::new(), complete_from: now + MAX_STREAM_AGE, roster_read: None }
+        Self { services: BTreeMap::new(), complete_from: now + MAX_STREAM_AGE, read_as_of: None }
     }
 
     /// Records that a server of this version is listed; returns whether the version is new.
@@ -63,9 +64,24 @@
         self.complete_from
     }
 
-    /// Records that the roster was read; it lists all servers as of `now`.
-    pub fn record_roster_read(&mut self, now: Instant) {
-        self.roster_read = self.roster_read.max(Some(now));
+    /// Records a read of the store that was sent at `sent`, with the versions of all servers that it
+    /// lists and those that other processes have recorded. How long ago the latter served is not
+    /// known; one that this process knows of is not taken for newer.
+    pub fn record_read(
+        &mut self,
+        listed: impl IntoIterator<Item = (ServiceName, SoftwareVersion)>,
+        recorded: impl IntoIterator<Item = (ServiceName, SoftwareVersion)>,
+        sent: Instant,
+        now: Instant,
+    ) {
+        for (service, software) in listed {
+            self.record_listed(&service, &software, now);
+        }
+        for (service, software) in recorded {
+            let versions = self.services.entry(service).or_default();
+            versions.entry(software).or_insert(now);
+        }
+        self.read_as_of = self.read_as_of.max(Some(sent));
     }
 
     /// Adds the versions that earlier processes have recorded. How long ago they served is not
@@ -108,17 +124,17 @@
         pairs.collect()
     }
 
-    /// The version that began a stream of `service` whose origin nobody knows. `max_age` is the time
-    /// within which a change of the roster must be known.
+    /// The version that began a stream of `service` whose origin nobody knows, for a caller that
+    /// asked at `asked`. Only a read of the store that was sent since shows all versions that may
+    /// have begun it: this process may have been cut off or stood still as another one joined.
     ///
     /// # Errors
     ///
-    /// Fails if it may have been one of several versions, or of none that is known, as for a process
-    /// that has not read the roster lately.
+    /// Fails if it may have been one of several versions, or of none that is known.
     pub fn only_version(
         &self,
         service: &ServiceName,
-        max_age: Duration,
+        asked: Instant,
         now: Instant,
     ) -> Result<SoftwareVersion, UnknownOrigin> {
         let versions = self.services.get(service).into_iter().flatten();
@@ -133,8 +149,7 @@
         if now < self.complete_from {
             return Err(UnknownOrigin::NotBefore(self.complete_from));
         }
-        let is_fresh = |read: Instant| now.saturating_duration_since(read) <= max_age;
-        let known = first.filter(|_| self.roster_read.is_some_and(is_fresh));
+        let known = first.filter(|_| self.read_as_of.is_some_and(|sent| sent >= asked));
         known.cloned().ok_or(UnknownOrigin::NoHistory)
     }
 }
--- a/crates/origins/tests/origins.rs
+++ b/crates/origins/tests/origins.rs
@@ -21,16 +21,14 @@
     StreamOrigin { service: service(), software: version(software) }
 }
 
-/// Time within which a change of the roster must be known.
-const MAX_AGE: Duration = Duration::from_secs(4);
-
-/// The version that began a stream of unknown origin, for a process that has just read the roster.
+/// The version that began a stream of unknown origin, for a process that reads the store
+/// for it.
 fn only_version(
     history: &mut VersionHistory,
     now: Instant,
 ) -> Result<SoftwareVersion, UnknownOrigin> {
-    history.record_roster_read(now);
-    history.only_version(&service(), MAX_AGE, now)
+    history.record_read([], [], now, now);
+    history.only_version(&service(), now, now)
 }
 
 fn processes(count: u8) -> Vec<SocketAddr> {
@@ -181,18 +179,49 @@
     assert_eq!(after, Err(UnknownOrigin::SeveralVersions));
 }
 
+/// Guards against an entry that takes the only version which it knows for the only one, though it was
+/// out of step for a moment as another joined.
 #[test]
-fn process_that_has_not_read_the_roster_lately_does_not_know_the_versions() {
+fn read_before_the_question_does_not_show_the_only_version() {
     let start = Instant::now();
     let mut history = VersionHistory::new(start);
     history.restore([], start, start);
-    history.record_roster_read(start);
-    let later = start + MAX_AGE + Duration::from_millis(1);
-    history.record_listed(&service(), &version("v1"), later);
+    history.record_read([(service(), version("v1"))], [], start, start);
+    let asked = start + Duration::from_millis(1);
 
-    let unread = history.only_version(&service(), MAX_AGE, later);
+    let unread = history.only_version(&service(), asked, asked);
+    history.record_read([(service(), version("v1"))], [], asked, asked);
+    let read = history.only_version(&service(), asked, asked);
 
     assert_eq!(unread, Err(UnknownOrigin::NoHistory));
+    assert_eq!(read, Ok(version("v1")));
+}
+
+/// Guards against a version that joined and left while this process was out of step.
+#[test]
+fn version_that_others_have_recorded_counts() {
+    let start = Instant::now();
+    let mut history = VersionHistory::new(start);
+    history.restore([], start, start);
+
+    history.record_read([(service(), version("v1"))], [(service(), version("v2"))], start, start);
+
+    let found = history.only_version(&service(), start, start);
+    assert_eq!(found, Err(UnknownOrigin::SeveralVersions));
+}
+
+/// Guards against a version that never ends because each read finds it recorded.
+#[test]
+fn version_that_is_still_recorded_expires() {
+    let start = Instant::now();
+    let mut history = VersionHistory::new(start);
+    history.restore([], start, start);
+    history.record_listed(&service(), &version("v1"), start);
+    let later = start + MAX_STREAM_AGE;
+
+    history.record_read([(service(), version("v2"))], [(service(), version("v1"))], later, later);
+
+    assert_eq!(history.only_version(&service(), later, later), Ok(version("v2")));
 }
 
 #[test]
