signals: those without a use do not end a process, and SIGQUIT stops it as SIGTERM does

What callers saw: a gateway or agent that had ended, and requests cut off with it.

Cause: the default action of SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGSTKFLT and SIGXCPU ends a process, and nothing held them back; SIGQUIT ended it without a planned stop.

Change: all threads hold the unused signals back, as they did SIGXFSZ; SIGQUIT begins a planned stop.

--- a/crates/base/src/signals.rs
+++ b/crates/base/src/signals.rs
@@ -28,29 +28,44 @@
     Ok(hang_up_set().thread_block()?)
 }
 
-/// Holds SIGXFSZ back in this thread and all that it starts. Its default action ends a process whose
-/// output has reached the size limit of files; without it, the write fails and the lines are dropped.
-/// Called before other threads start.
+/// Signals that a process has no use for, and whose default action would end it.
+const UNUSED_SIGNALS: [SignalNumber; 9] = [
+    SignalNumber::SIGUSR1,
+    SignalNumber::SIGUSR2,
+    SignalNumber::SIGALRM,
+    SignalNumber::SIGVTALRM,
+    SignalNumber::SIGPROF,
+    SignalNumber::SIGIO,
+    SignalNumber::SIGPWR,
+    SignalNumber::SIGSTKFLT,
+    SignalNumber::SIGXCPU,
+];
+
+/// Holds back signals without a use in this thread and all that it starts, and SIGXFSZ, whose default
+/// action ends a process whose output has reached the size limit of files; without it, the write fails
+/// and the lines are dropped. Called before other threads start.
 ///
 /// # Errors
 ///
 /// Fails if the mask of the thread cannot be changed.
-pub fn hold_file_size_signal() -> io::Result<()> {
-    Ok(SigSet::from(SignalNumber::SIGXFSZ).thread_block()?)
+pub fn hold_unused() -> io::Result<()> {
+    let mut held: SigSet = UNUSED_SIGNALS.into_iter().collect();
+    held.add(SignalNumber::SIGXFSZ);
+    Ok(held.thread_block()?)
 }
 
-/// Lets SIGTERM and SIGINT through. A process inherits the blocked signals of what starts it, and a
+/// Lets the stop signals through. A process inherits the blocked signals of what starts it, and a
 /// service manager that waits for its own signals blocks these. Called before other threads start.
 ///
 /// # Errors
 ///
 /// Fails if the mask of the thread cannot be changed.
 pub fn let_stop_through() -> io::Result<()> {
-    let stop: SigSet = [SignalNumber::SIGTERM, SignalNumber::SIGINT].into_iter().collect();
-    Ok(stop.thread_unblock()?)
+    let stop = [SignalNumber::SIGTERM, SignalNumber::SIGINT, SignalNumber::SIGQUIT];
+    Ok(stop.into_iter().collect::<SigSet>().thread_unblock()?)
 }
 
-/// Waits for SIGTERM or SIGINT. Returns the last time at which the signal had not come yet: a process
+/// Waits for SIGTERM, SIGINT or SIGQUIT. Returns the last time at which the signal had not come yet: a process
 /// that did not get the processor for a while notices it late.
 ///
 /// # Errors
@@ -59,18 +74,20 @@
 pub async fn stop_requested() -> io::Result<Instant> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut quit = signal(SignalKind::quit())?;
     loop {
         let turn = Instant::now();
         tokio::select! {
             biased;
             _ = terminate.recv() => return Ok(turn),
             _ = interrupt.recv() => return Ok(turn),
+            _ = quit.recv() => return Ok(turn),
             () = time::sleep(TURN_INTERVAL) => {}
         }
     }
 }
 
-/// Waits for SIGTERM or SIGINT as [`stop_requested`] does. Until then passes the text of the settings
+/// Waits for a stop signal as [`stop_requested`] does. Until then passes the text of the settings
 /// file, or the error of reading it, to `reload` whenever the file changes or SIGHUP arrives.
 ///
 /// # Errors
--- a/crates/fescuewalk-side/src/main.rs
+++ b/crates/fescuewalk-side/src/main.rs
@@ -6,7 +6,7 @@
 
 use std::{path::PathBuf, process::ExitCode};
 
-use base::signals::{hold_file_size_signal, let_stop_through};
+use base::signals::{hold_unused, let_stop_through};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use crate::error::Result;
@@ -34,7 +34,7 @@
 }
 
 fn run(matches: &ArgMatches) -> Result<()> {
-    hold_file_size_signal()?;
+    hold_unused()?;
     let_stop_through()?;
     match matches.subcommand() {
         Some(("agent", args)) => cmd::agent::run(args),
--- a/crates/fescuewalk-side/tests/start.rs
+++ b/crates/fescuewalk-side/tests/start.rs
@@ -89,9 +89,10 @@
         false
     }
 
-    fn hang_up(&self) {
+    /// Sends a signal, such as `HUP`.
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        Command::new("kill").args(["-HUP", &id]).status().expect("kill is there");
+        Command::new("kill").args([&format!("-{name}"), &id]).status().expect("kill is there");
     }
 }
 
@@ -141,9 +142,26 @@
 
     let mut agent = AgentProcess::start(&path);
     thread::sleep(END_TIME / 2);
-    agent.hang_up();
+    agent.signal("HUP");
     thread::sleep(END_TIME / 2);
     fs::write(&path, &text).expect("the directory is writable");
 
     assert!(agent.receives_on(host.peers), "it ended or receives no datagrams");
 }
+
+/// Guards against a process that ends because a supervisor or another program sends it a signal that it
+/// has no use for.
+#[test]
+fn signals_without_a_use_do_not_end_the_process() {
+    let host = HostAddresses::new(6);
+    let path = write_settings("signals", &host.settings());
+    let mut agent = AgentProcess::start(&path);
+    assert!(agent.receives_on(host.peers), "it ended or receives no datagrams");
+
+    for signal in ["USR1", "USR2", "ALRM", "VTALRM", "PROF", "IO", "PWR", "STKFLT", "XCPU"] {
+        agent.signal(signal);
+    }
+    thread::sleep(END_TIME);
+
+    assert!(agent.is_alive(), "it ended");
+}
--- a/crates/fescuewalk/src/main.rs
+++ b/crates/fescuewalk/src/main.rs
@@ -9,7 +9,7 @@
 
 use std::process::ExitCode;
 
-use base::signals::{hold_file_size_signal, let_stop_through};
+use base::signals::{hold_unused, let_stop_through};
 use clap::{ArgMatches, Command};
 
 use crate::error::CliResult;
@@ -36,7 +36,7 @@
 }
 
 fn run(matches: &ArgMatches) -> CliResult<()> {
-    hold_file_size_signal()?;
+    hold_unused()?;
     let_stop_through()?;
     match matches.subcommand() {
         Some(("account", args)) => cmd::account::run(args),
--- a/crates/fescuewalk/tests/start.rs
+++ b/crates/fescuewalk/tests/start.rs
@@ -14,6 +14,7 @@
     time::Duration,
 };
 
+use rstest::rstest;
 use support::{WorkDir, fescuewalk};
 
 /// Polls before a case gives up.
@@ -245,6 +246,43 @@
     assert!(is_asked, "it does not ask the store");
 }
 
+/// Guards against a process that ends because a supervisor or another program sends it a signal that it
+/// has no use for.
+#[rstest]
+fn signal_without_a_use_does_not_end_the_process(
+    #[values("USR1", "USR2", "ALRM", "VTALRM", "PROF", "IO", "PWR", "STKFLT", "XCPU")] signal: &str,
+) {
+    let case = 20 + signal.bytes().fold(0, |sum: u8, byte| sum.wrapping_mul(7) ^ byte) % 200;
+    let host = HostAddresses::new(case);
+    let dir = WorkDir::new("start");
+    let path = dir.write("gateway.ini", &host.settings());
+    let mut gateway = GatewayProcess::start(&path);
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+
+    gateway.signal(signal);
+    thread::sleep(END_TIME);
+
+    assert!(gateway.is_alive(), "it ended");
+    gateway.signal("TERM");
+    assert!(gateway.ends(), "it still runs");
+}
+
+/// Guards against requests that are cut off where SIGQUIT is the signal for a planned stop.
+#[test]
+fn sigquit_stops_the_process_as_sigterm_does() {
+    let host = HostAddresses::new(12);
+    let dir = WorkDir::new("start");
+    let path = dir.write("gateway.ini", &host.settings());
+    let mut gateway = GatewayProcess::start(&path);
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+
+    gateway.signal("QUIT");
+
+    assert!(gateway.ends(), "it still runs");
+    let status = gateway.child.wait().expect("it is a child");
+    assert!(status.success(), "{status}");
+}
+
 /// Guards against a process that a SIGHUP ends while it starts.
 #[test]
 fn sighup_during_the_start_does_not_end_the_process() {
