settings: figures that a platform states do not keep a process from its start or from serving

What callers saw: a VM without its process, on each start in the same way; or a gateway that is ready and refuses every request.

Cause: figures that a platform fills into the template were taken only in the form and the range that our own files have.  descriptors, -1, "unlimited", an exponent, a list or a table ended the start after 5 s with status 3, although the process can do without. A memory of 0 was taken as no memory: no request was served. A drain time of 0 made a gateway ask the store without a pause.

Change: figures have a parser of their own with words, signs and exponents. A figure that is malformed, and keys and sections that are unknown or come twice, are lesser faults: the process logs them and uses its default. Memory is at most what the VM has, a window or memory of 0 counts as not stated, and the store is asked at most each 200 ms.

--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -41,6 +41,22 @@
     ///
     /// Returns all faults of the file, not only the first.
     pub fn parse(name: &str, text: &str) -> Result<Self> {
+        let (reader, settings) = Self::read(name, text)?;
+        reader.finish(settings)
+    }
+
+    /// The same for a process. Returns the faults that it can do without beside the settings: keys and
+    /// sections that are unknown or given twice.
+    ///
+    /// # Errors
+    ///
+    /// Returns all faults of the file if a value is missing or malformed.
+    pub fn parse_usable(name: &str, text: &str) -> Result<(Self, FileFaults)> {
+        let (reader, settings) = Self::read(name, text)?;
+        reader.finish_apart(settings)
+    }
+
+    fn read(name: &str, text: &str) -> Result<(SettingsReader, Option<Self>)> {
         let mut reader = SettingsReader::new(name, text)?;
         let vm = reader.section("process", |section| section.required("vm", "a VM's name"));
         let engine = reader.section("engine", read_engine);
@@ -51,7 +67,7 @@
             let ((peers, metrics), (store, call_timeout)) = (listen?, store?);
             Some(Self { vm, engine, service, peers, metrics, store, call_timeout })
         })();
-        reader.finish(settings)
+        Ok((reader, settings))
     }
 }
 
--- a/crates/base/src/ini.rs
+++ b/crates/base/src/ini.rs
@@ -36,6 +36,15 @@
     pub faults: Vec<FileFault>,
 }
 
+impl FileFaults {
+    /// Logs each fault as one that the process does without.
+    pub fn warn(&self) {
+        for fault in &self.faults {
+            log::warn!("settings: {fault}");
+        }
+    }
+}
+
 /// Result of reading a file.
 pub type Result<T, E = FileFaults> = std::result::Result<T, E>;
 
@@ -122,12 +131,13 @@
     section: &'a IniSection,
     read_keys: Vec<&'a str>,
     faults: Vec<FileFault>,
+    lesser: Vec<FileFault>,
 }
 
 impl<'a> SectionReader<'a> {
     /// Starts reading `section` of the file named `file`.
     pub fn new(file: &'a str, section: &'a IniSection) -> Self {
-        Self { file, section, read_keys: Vec::new(), faults: Vec::new() }
+        Self { file, section, read_keys: Vec::new(), faults: Vec::new(), lesser: Vec::new() }
     }
 
     /// Parses the value of `key` as `T`. A missing or malformed value gives `None` and records a
@@ -155,20 +165,48 @@
         }
     }
 
-    /// Parses the value of `key` as [`Self::optional`] does; an empty value gives `default`, because
-    /// templates leave it so where the platform states nothing.
-    pub fn filled<T>(&mut self, key: &'a str, expected: &str, default: T) -> T
+    /// Parses the value of `key` as a figure that the platform states. An empty one gives `default`,
+    /// because templates leave it so where the platform states nothing, and so does a malformed one,
+    /// which is a lesser fault: the process can do without.
+    pub fn figure<T>(&mut self, key: &'a str, expected: &str, default: T) -> T
     where
         T: FromStr,
     {
         match self.find_entry(key) {
-            Some(entry) if !entry.value.is_empty() => {
-                self.parse(entry, expected).unwrap_or(default)
-            }
+            Some(entry) if !entry.value.is_empty() => match entry.value.parse() {
+                Ok(value) => value,
+                Err(_) => {
+                    self.lesser_fault(entry.line, key, &format!("{expected}; the default is used"));
+                    default
+                }
+            },
             _ => default,
         }
     }
 
+    /// Parses the comma-separated values of `key` as figures that the platform states; malformed ones
+    /// are left out and recorded as lesser faults.
+    pub fn figures<T>(&mut self, key: &'a str, expected: &str) -> Vec<T>
+    where
+        T: FromStr,
+    {
+        let Some(entry) = self.find_entry(key) else { return Vec::new() };
+        let mut values = Vec::new();
+        for text in entry.value.split(',').map(str::trim).filter(|text| !text.is_empty()) {
+            match text.parse() {
+                Ok(value) => values.push(value),
+                Err(_) => {
+                    self.lesser_fault(
+                        entry.line,
+                        key,
+                        &format!("{expected}; {text:?} is left out"),
+                    );
+                }
+            }
+        }
+        values
+    }
+
     /// Parses the comma-separated values of `key` as `T`; empty if the key is missing. Malformed
     /// values are left out and recorded as faults.
     pub fn values<T>(&mut self, key: &'a str, expected: &str) -> Vec<T>
@@ -188,27 +226,43 @@
 
     /// Records a fault in this section that the caller found.
     pub fn fault(&mut self, line: u32, key: &str, expected: &str) {
-        self.faults.push(FileFault {
+        let fault = self.new_fault(line, key, expected);
+        self.faults.push(fault);
+    }
+
+    fn lesser_fault(&mut self, line: u32, key: &str, expected: &str) {
+        let fault = self.new_fault(line, key, expected);
+        self.lesser.push(fault);
+    }
+
+    fn new_fault(&self, line: u32, key: &str, expected: &str) -> FileFault {
+        FileFault {
             file: self.file.to_owned(),
             line,
             section: self.section.name.clone(),
             key: key.to_owned(),
             expected: expected.to_owned(),
-        });
+        }
     }
 
     /// Returns all faults of the section, including keys that were never read and keys given twice.
-    pub fn finish(mut self) -> Vec<FileFault> {
+    pub fn finish(self) -> Vec<FileFault> {
+        let (faults, lesser) = self.finish_apart();
+        [faults, lesser].concat()
+    }
+
+    /// The same with the lesser faults, those that leave a value for each key, apart.
+    fn finish_apart(mut self) -> (Vec<FileFault>, Vec<FileFault>) {
         let section = self.section;
         for (index, entry) in section.entries.iter().enumerate() {
             if !self.read_keys.contains(&entry.key.as_str()) {
-                self.fault(entry.line, &entry.key, "no such key here");
+                self.lesser_fault(entry.line, &entry.key, "no such key here");
             }
             if section.entries[..index].iter().any(|earlier| earlier.key == entry.key) {
-                self.fault(entry.line, &entry.key, "the key only once");
+                self.lesser_fault(entry.line, &entry.key, "the key only once");
             }
         }
-        self.faults
+        (self.faults, self.lesser)
     }
 
     fn find_entry(&mut self, key: &'a str) -> Option<&'a IniEntry> {
@@ -234,6 +288,7 @@
     file: IniFile,
     read_sections: Vec<String>,
     faults: Vec<FileFault>,
+    lesser: Vec<FileFault>,
 }
 
 impl SettingsReader {
@@ -244,7 +299,7 @@
     /// Lists every line that is neither a section header, an entry, a comment nor blank.
     pub fn new(name: &str, text: &str) -> Result<Self> {
         let file = IniFile::parse(name, text)?;
-        Ok(Self { file, read_sections: Vec::new(), faults: Vec::new() })
+        Ok(Self { file, read_sections: Vec::new(), faults: Vec::new(), lesser: Vec::new() })
     }
 
     /// Reads the section called `name` with `read`; a missing section is treated as empty.
@@ -254,7 +309,9 @@
         let found = self.file.sections.iter().find(|section| section.name == name);
         let mut reader = SectionReader::new(&self.file.name, found.unwrap_or(&empty));
         let value = read(&mut reader);
-        self.faults.extend(reader.finish());
+        let (faults, lesser) = reader.finish_apart();
+        self.faults.extend(faults);
+        self.lesser.extend(lesser);
         value
     }
 
@@ -264,7 +321,31 @@
     /// # Errors
     ///
     /// Lists all faults of the file; also fails, with an empty list, if `settings` is `None`.
-    pub fn finish<T>(mut self, settings: Option<T>) -> Result<T> {
+    pub fn finish<T>(self, settings: Option<T>) -> Result<T> {
+        match self.finish_apart(settings) {
+            Ok((settings, lesser)) if lesser.faults.is_empty() => Ok(settings),
+            Ok((_, faults)) | Err(faults) => Err(faults),
+        }
+    }
+
+    /// Returns `settings` with the lesser faults of the file: malformed figures, and keys and sections
+    /// that are unknown or given twice.
+    ///
+    /// # Errors
+    ///
+    /// Lists all faults of the file if a required value is missing or malformed; also fails if
+    /// `settings` is `None`.
+    pub fn finish_apart<T>(mut self, settings: Option<T>) -> Result<(T, FileFaults)> {
+        self.check_sections();
+        match settings {
+            Some(settings) if self.faults.is_empty() => {
+                Ok((settings, FileFaults { faults: self.lesser }))
+            }
+            _ => Err(FileFaults { faults: [self.faults, self.lesser].concat() }),
+        }
+    }
+
+    fn check_sections(&mut self) {
         let sections = &self.file.sections;
         for (index, section) in sections.iter().enumerate() {
             let is_known = self.read_sections.contains(&section.name);
@@ -274,7 +355,7 @@
                 (true, true) => "the section only once",
                 (true, false) => continue,
             };
-            self.faults.push(FileFault {
+            self.lesser.push(FileFault {
                 file: self.file.name.clone(),
                 line: section.line,
                 section: section.name.clone(),
@@ -282,9 +363,5 @@
                 expected: expected.to_owned(),
             });
         }
-        match settings {
-            Some(settings) if self.faults.is_empty() => Ok(settings),
-            _ => Err(FileFaults { faults: self.faults }),
-        }
     }
 }
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,10 +3,12 @@
 pub mod clock;
 pub mod codes;
 pub mod descriptors;
+pub mod figures;
 pub mod ids;
 pub mod ini;
 pub mod locks;
 pub mod logging;
+pub mod memory;
 pub mod metrics;
 pub mod prelude;
 pub mod rates;
--- a/crates/fescuewalk-side/src/cmd/agent.rs
+++ b/crates/fescuewalk-side/src/cmd/agent.rs
@@ -63,19 +63,19 @@
 pub fn run(args: &ArgMatches) -> Result<()> {
     let path = settings_path(args)?;
     let name = path.display().to_string();
-    let read = || -> Result<_> {
-        let text = fs::read_to_string(&path)?;
-        Ok((AgentSettings::parse(&name, &text)?, text))
-    };
     if args.get_flag("check") {
-        read()?;
+        AgentSettings::parse(&name, &fs::read_to_string(&path)?)?;
         println!("{name}: no faults");
         return Ok(());
     }
     hold_hang_up()?;
-    let (settings, text) = read_when_complete(read)?;
+    let ((settings, lesser), text) = read_when_complete(|| -> Result<_> {
+        let text = fs::read_to_string(&path)?;
+        Ok((AgentSettings::parse_usable(&name, &text)?, text))
+    })?;
     let vm = settings.vm.clone();
     run_with_log(&vm, async move |log| {
+        lesser.warn();
         let watch = SettingsWatch::start(&path, text)?;
         serve(settings, watch, &name, log).await
     })
@@ -103,9 +103,9 @@
 ) {
     let read = text
         .map_err(|error| format!("{name}: {error}"))
-        .and_then(|text| AgentSettings::parse(name, &text).map_err(|error| error.to_string()));
+        .and_then(|text| AgentSettings::parse_usable(name, &text).map_err(|e| e.to_string()));
     let (accepted, detail) = match read {
-        Ok(read) if read == *settings => (true, "nothing changed".to_owned()),
+        Ok((read, _)) if read == *settings => (true, "nothing changed".to_owned()),
         Ok(_) => (true, "the changes need a restart".to_owned()),
         Err(fault) => (false, fault),
     };
--- a/crates/fescuewalk-side/tests/start.rs
+++ b/crates/fescuewalk-side/tests/start.rs
@@ -149,6 +149,19 @@
     assert!(agent.receives_on(host.peers), "it ended or receives no datagrams");
 }
 
+/// Guards against a VM without its process because its settings have a key or section that is unknown or
+/// comes twice.
+#[test]
+fn keys_without_a_use_do_not_keep_the_process_from_starting() {
+    let host = HostAddresses::new(5);
+    let text = host.settings().replace("[engine]", "zone = a\n[places]\nhere = b\n[engine]");
+    let path = write_settings("unknown", &text);
+
+    let mut agent = AgentProcess::start(&path);
+
+    assert!(agent.receives_on(host.peers), "it ended or receives no datagrams");
+}
+
 /// Guards against a process that ends because a supervisor or another program sends it a signal that it
 /// has no use for.
 #[test]
--- a/crates/fescuewalk/src/cmd/gateway.rs
+++ b/crates/fescuewalk/src/cmd/gateway.rs
@@ -71,19 +71,19 @@
 pub fn run(args: &ArgMatches) -> CliResult<()> {
     let args = GatewayArgs::new(args)?;
     let name = args.settings.name();
-    let read = || -> CliResult<_> {
-        let text = args.settings.read_text()?;
-        Ok((GatewaySettings::parse(&name, &text)?, text))
-    };
     if args.check {
-        read()?;
+        GatewaySettings::parse(&name, &args.settings.read_text()?)?;
         println!("{name}: no faults");
         return Ok(());
     }
     hold_hang_up()?;
-    let (settings, text) = read_when_complete(read)?;
+    let ((settings, lesser), text) = read_when_complete(|| -> CliResult<_> {
+        let text = args.settings.read_text()?;
+        Ok((GatewaySettings::parse_usable(&name, &text)?, text))
+    })?;
     let vm = settings.identity.vm.clone();
     run_with_log(&vm, async move |log| {
+        lesser.warn();
         let watch = SettingsWatch::start(&name, text)?;
         serve(settings, watch, &name, log).await
     })
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -4,6 +4,7 @@
 
 use base::{
     descriptors::{DescriptorCount, raise_limit},
+    memory,
     prelude::*,
 };
 use catalog::Catalog;
@@ -226,13 +227,14 @@
         let (report_sender, reports) = mpsc::channel(MAX_REPORTS_QUEUED);
         let permits = PermitClient::new(Arc::clone(&socket), settings.listen.peers.port());
         let resources = settings.resources;
+        let vm_memory = memory::within_vm(resources.memory);
         let memory = ProcessMemory::new(
-            BudgetLimits::for_vm(resources.memory),
+            BudgetLimits::for_vm(vm_memory),
             resources.server_bytes,
             metrics.clone(),
         );
         let connection_limits = ConnectionLimits::for_vm(
-            resources.memory,
+            vm_memory,
             raise_limit(DescriptorCount(resources.descriptors)).0,
             resources.connections_per_address,
         );
@@ -353,9 +355,12 @@
     pub fn reload(&mut self, name: &str, text: io::Result<String>) {
         let read = text
             .map_err(|error| format!("{name}: {error}"))
-            .and_then(|text| GatewaySettings::parse(name, &text).map_err(|e| e.to_string()));
+            .and_then(|text| GatewaySettings::parse_usable(name, &text).map_err(|e| e.to_string()));
         let (accepted, detail) = match read {
-            Ok(settings) => (true, self.apply(&settings).to_owned()),
+            Ok((settings, lesser)) => {
+                lesser.warn();
+                (true, self.apply(&settings).to_owned())
+            }
             Err(fault) => (false, fault),
         };
         let event = DecisionEvent::SettingsReloaded { accepted, detail: &detail };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::{
+    figures::{StatedCount, StatedMemory, StatedRatio, StatedSpan},
     ini::{FileFaults, SectionReader, SettingsReader},
     prelude::*,
 };
@@ -95,12 +96,15 @@
 const DEFAULT_CALL_TIMEOUT: TimeSpan = TimeSpan(Duration::from_millis(700));
 
 /// Time within which changes in the store are known where the platform states none.
-const DEFAULT_KNOWN_WITHIN: TimeSpan = TimeSpan(Duration::from_secs(1));
+const DEFAULT_KNOWN_WITHIN: Duration = Duration::from_secs(1);
+/// Shortest time within which changes in the store are known; for a shorter one the process would ask
+/// the store without a pause.
+const MIN_KNOWN_WITHIN: Duration = Duration::from_millis(200);
 /// Retry budget where the platform states none. A larger one would spread an overload.
 const DEFAULT_RETRY_LIMITS: RetryLimits =
     RetryLimits { ratio: 0.1, allowance: 10.0, window: Duration::from_secs(10) };
 /// Time from the stop signal until the process is killed where the platform states none.
-const DEFAULT_GRACE: TimeSpan = TimeSpan(Duration::from_secs(5));
+const DEFAULT_GRACE: Duration = Duration::from_secs(5);
 
 /// A number of the text within the range; an error otherwise.
 fn parse_within(text: &str, range: std::ops::RangeInclusive<f64>) -> std::result::Result<f64, ()> {
@@ -127,18 +131,6 @@
     }
 }
 
-/// A number of descriptors or connections; a fraction is cut off.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-struct ResourceCount(usize);
-
-impl std::str::FromStr for ResourceCount {
-    type Err = ();
-
-    fn from_str(text: &str) -> std::result::Result<Self, ()> {
-        parse_within(text, 0.0..=1e9).map(|count| Self(count as usize))
-    }
-}
-
 /// Memory of the smallest VM that runs a gateway.
 const DEFAULT_MEMORY: ByteSize = ByteSize::mib(120);
 /// File descriptors of the smallest VM that runs a gateway.
@@ -150,8 +142,8 @@
 fn read_identity(section: &mut SectionReader<'_>) -> Option<IdentitySettings> {
     let vm = section.required("vm", "the name of this VM");
     let zone = section.required("zone", "the name of this availability zone");
-    let share: f64 = section.filled("core-share", "a part of a core such as 0.19", 1.0);
-    let core_share = (share.clamp(0.0, 1000.0) * 1000.0) as u32;
+    let share = section.figure("core-share", "a part of a core such as 0.19", StatedRatio(1.0)).0;
+    let core_share = (share.min(1000.0) * 1000.0) as u32;
     Some(IdentitySettings { vm: vm?, zone: zone?, core_share })
 }
 
@@ -166,8 +158,8 @@
 fn read_store(section: &mut SectionReader<'_>) -> Option<StoreSettings> {
     let address = section.required("address", ADDRESS_FORMAT);
     let call_timeout = section.optional("call-timeout", DURATION_FORMAT, DEFAULT_CALL_TIMEOUT).0;
-    let values = section.values::<TimeSpan>("known-within", DURATION_FORMAT);
-    let known_within = values.into_iter().min().unwrap_or(DEFAULT_KNOWN_WITHIN).0;
+    let stated = section.figures::<StatedSpan>("known-within", DURATION_FORMAT).into_iter().min();
+    let known_within = stated.map_or(DEFAULT_KNOWN_WITHIN, |span| span.0.max(MIN_KNOWN_WITHIN));
     Some(StoreSettings { address: address?, call_timeout, known_within })
 }
 
@@ -185,37 +177,40 @@
 
 fn read_limits(section: &mut SectionReader<'_>, hedge_limits: HedgeLimits) -> GatewayLimits {
     let RetryLimits { ratio, allowance, window } = DEFAULT_RETRY_LIMITS;
-    let retry_limits = RetryLimits {
-        ratio: section.filled("repeat-ratio", "retries for each request, such as 0.2", ratio),
-        allowance: section.filled("repeat-allowance", "a number of retries", allowance),
-        window: section.filled("repeat-window", DURATION_FORMAT, TimeSpan(window)).0,
-    };
-    let grace = section.filled("grace", DURATION_FORMAT, DEFAULT_GRACE).0;
+    let format = "retries for each request, such as 0.2";
+    let ratio = section.figure("repeat-ratio", format, StatedRatio(ratio)).0;
+    let format = "a number of retries";
+    let allowance = section.figure("repeat-allowance", format, StatedRatio(allowance)).0;
+    let window = read_window(section, "repeat-window").unwrap_or(window);
+    let retry_limits = RetryLimits { ratio, allowance, window };
+    let grace = section.figure("grace", DURATION_FORMAT, StatedSpan(DEFAULT_GRACE)).0;
     GatewayLimits { retry_limits, hedge_limits, grace }
 }
 
-/// A value that is left empty counts as absent, because templates may leave it so.
+/// A time over which something is counted; a platform that states zero sets none.
+fn read_window(section: &mut SectionReader<'_>, key: &'static str) -> Option<Duration> {
+    let window = section.figure(key, DURATION_FORMAT, StatedSpan(Duration::ZERO)).0;
+    (window > Duration::ZERO).then_some(window)
+}
+
 fn read_quotas(section: &mut SectionReader<'_>) -> QuotaTolerance {
-    let default = QuotaTolerance::default();
-    let window = section.values::<TimeSpan>("quota-window", DURATION_FORMAT);
-    let overrun = section.values("quota-overrun", "a share such as 0.1");
-    let allowance = section.values("quota-allowance", "a number of tokens");
-    let or = |values: Vec<f64>, default: f64| values.first().copied().unwrap_or(default).max(0.0);
-    QuotaTolerance {
-        window: window.first().map_or(default.window, |window| window.0),
-        overrun: or(overrun, default.overrun),
-        allowance: or(allowance, default.allowance),
-    }
+    let QuotaTolerance { window, overrun, allowance } = QuotaTolerance::default();
+    let window = read_window(section, "quota-window").unwrap_or(window);
+    let format = "a share such as 0.1";
+    let overrun = section.figure("quota-overrun", format, StatedRatio(overrun)).0;
+    let format = "a number of tokens";
+    let allowance = section.figure("quota-allowance", format, StatedRatio(allowance)).0;
+    QuotaTolerance { window, overrun, allowance }
 }
 
 /// The smallest of the values of `key`, if there is one.
 fn read_count(section: &mut SectionReader<'_>, key: &'static str, expected: &str) -> Option<usize> {
-    section.values::<ResourceCount>(key, expected).into_iter().min().map(|count| count.0)
+    section.figures::<StatedCount>(key, expected).into_iter().min().map(|count| count.0)
 }
 
 fn read_resources(section: &mut SectionReader<'_>) -> ResourceSettings {
     ResourceSettings {
-        memory: section.filled("memory", SIZE_FORMAT, DEFAULT_MEMORY),
+        memory: section.figure("memory", SIZE_FORMAT, StatedMemory(DEFAULT_MEMORY)).0,
         descriptors: read_count(section, "descriptors", "a number of file descriptors")
             .unwrap_or(DEFAULT_DESCRIPTORS),
         connections_per_address: read_count(
@@ -234,6 +229,22 @@
     ///
     /// Returns all faults of the file.
     pub fn parse(name: &str, text: &str) -> Result<Self> {
+        let (reader, settings) = Self::read(name, text)?;
+        reader.finish(settings)
+    }
+
+    /// The same for a process, which works with defaults where figures are malformed. Returns the
+    /// faults that it can do without beside the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns all faults of the file if a required value is missing or malformed.
+    pub fn parse_usable(name: &str, text: &str) -> Result<(Self, FileFaults)> {
+        let (reader, settings) = Self::read(name, text)?;
+        reader.finish_apart(settings)
+    }
+
+    fn read(name: &str, text: &str) -> Result<(SettingsReader, Option<Self>)> {
         let mut reader = SettingsReader::new(name, text)?;
         let identity = reader.section("process", read_identity);
         let listen = reader.section("listen", read_listen);
@@ -247,6 +258,6 @@
             let (identity, listen) = (identity?, listen?);
             Some(Self { identity, listen, store: store?, limits, quotas, resources })
         })();
-        reader.finish(settings)
+        Ok((reader, settings))
     }
 }
--- /dev/null
+++ b/crates/soak/src/deployed.rs
@@ -0,0 +1,329 @@
+//! A whole fleet as the platform starts it: settings from the templates of `deploy/`, one loopback
+//! address for each VM, and no relays or helpers between the processes.
+
+use std::{
+    collections::BTreeMap,
+    fs::{self, File},
+    io,
+    net::{IpAddr, Ipv4Addr},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use platform_standin::{
+    EngineOptions, EngineStandin, ServiceStandin, StoreStandin, VmRole, VmSpec, template,
+    vm::{CALLER_PORT, ENGINE_PORT, READY_PORT},
+};
+use proof::binaries::ProgramPaths;
+use rand::{RngExt, seq::SliceRandom};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use tokio::{net::TcpListener, time};
+
+use crate::fleet::{
+    ENGINE_SERVICE, EVENTS_PER_STREAM, FIRST_EVENT, PLAIN_SERVICE, catalog, model_names,
+};
+
+/// Port of the store.
+const STORE_PORT: u16 = 8_142;
+/// Time within which the platform starts all processes.
+const START_SPREAD: Duration = Duration::from_millis(300);
+/// Environment variable with the path of the settings file.
+const SETTINGS_VARIABLE: &str = "FESCUEWALK_SETTINGS";
+
+/// Size of a deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DeploymentSize {
+    /// Entry VMs, one in each availability zone.
+    pub entries: usize,
+    /// Engines, each with an agent on its VM.
+    pub engines: usize,
+    /// Plain backend servers.
+    pub services: usize,
+    /// Models that callers ask for.
+    pub models: usize,
+}
+
+/// The size of cvtl-lending.
+pub const LENDING_SIZE: DeploymentSize =
+    DeploymentSize { entries: 4, engines: 9, services: 4, models: 51 };
+
+/// What the machines of a deployment do with a process and its settings.
+#[derive(Debug, Clone, Default)]
+pub struct MachineRules {
+    /// Shell commands before the program, such as `ulimit -n 256`.
+    pub limits: String,
+    /// Fields that replace those of the deployment, by their path such as `/limits/max-fds`.
+    pub fields: BTreeMap<String, Value>,
+}
+
+/// A VM and its process.
+pub struct DeployedVm {
+    /// The VM.
+    pub spec: VmSpec,
+    template: String,
+    command: Vec<String>,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl DeployedVm {
+    /// Writes the settings, as the platform does at each start, and starts the process.
+    fn start(&mut self, rules: &MachineRules) -> io::Result<()> {
+        let mut fields = self.spec.fields();
+        for (path, value) in &rules.fields {
+            if let Some(field) = fields.pointer_mut(path) {
+                *field = value.clone();
+            }
+        }
+        fs::write(&self.settings, template::render(&self.template, &fields))?;
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+        let script = format!("{} exec \"$@\"", rules.limits);
+        let child = Command::new("sh")
+            .args(["-c", &script, "sh"])
+            .args(&self.command)
+            .current_dir(root)
+            .env_clear()
+            .env("PATH", std::env::var_os("PATH").unwrap_or_default())
+            .env("LANG", "C")
+            .env(SETTINGS_VARIABLE, &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(id) = self.child.as_ref().and_then(|child| i32::try_from(child.id()).ok()) {
+            // It may have ended meanwhile, which the check for exits reports.
+            let _ = kill(Pid::from_raw(id), signal);
+        }
+    }
+
+    /// Exit status of the process if it has ended; it counts as stopped from then on.
+    pub fn take_exit(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok().flatten()?;
+        self.child = None;
+        Some(status)
+    }
+
+    /// Whether the process has been started and not stopped since.
+    pub fn is_started(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Most memory that the process has had at a time, in KiB.
+    pub fn peak_memory(&self) -> Option<u64> {
+        let status =
+            fs::read_to_string(format!("/proc/{}/status", self.child.as_ref()?.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
+    /// The last lines that the process wrote.
+    pub fn last_lines(&self, count: usize) -> String {
+        let text = fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().rev().take(count).collect();
+        lines.into_iter().rev().collect::<Vec<_>>().join("\n    ")
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // Both fail only if the process has ended.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for DeployedVm {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// All VMs of a deployment with their processes, and the platform around them.
+pub struct DeployedFleet {
+    /// Stand-in of the platform's store.
+    pub store: StoreStandin,
+    /// Engines.
+    pub engines: Vec<EngineStandin>,
+    /// Plain backend servers.
+    pub services: Vec<ServiceStandin>,
+    /// VMs, those with gateways first.
+    pub vms: Vec<DeployedVm>,
+    /// What the machines do with the processes.
+    pub rules: MachineRules,
+    /// Exits that nothing forced, with the last lines of the process.
+    pub exits: Vec<String>,
+    losses: u64,
+}
+
+impl DeployedFleet {
+    /// Sets up the platform and the VMs on addresses in 127.`subnet`.0.0/16. No process is started.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is taken or a template is missing.
+    pub async fn new(
+        size: DeploymentSize,
+        programs: &ProgramPaths,
+        directory: &Path,
+        subnet: u8,
+    ) -> io::Result<Self> {
+        fs::create_dir_all(directory)?;
+        let ip =
+            |group: u8, host: usize| IpAddr::V4(Ipv4Addr::new(127, subnet, group, host as u8 + 1));
+        let store = StoreStandin::start(TcpListener::bind((ip(0, 0), STORE_PORT)).await?)?;
+        let models = model_names(size.models);
+        store.write("config", "main", &catalog(&models, &[]).build(1));
+        let mut fleet = Self {
+            store,
+            engines: Vec::new(),
+            services: Vec::new(),
+            vms: Vec::new(),
+            rules: MachineRules::default(),
+            exits: Vec::new(),
+            losses: 0,
+        };
+        for index in 0..size.entries {
+            fleet.add_vm(
+                format!("edge-{index}"),
+                ip(1, index),
+                VmRole::Entry,
+                programs,
+                directory,
+            )?;
+        }
+        for index in 0..size.engines {
+            let listener = TcpListener::bind((ip(2, index), ENGINE_PORT)).await?;
+            let residents =
+                (0..2).map(|offset| models[(index * 2 + offset) % models.len()].clone());
+            let options = EngineOptions {
+                residents: residents.collect(),
+                on_disk: models.clone(),
+                max_models: 2,
+                adapter_slots: 8,
+                disk_load: Duration::from_millis(780),
+                store_load: Duration::from_secs(6),
+                events: EVENTS_PER_STREAM,
+                first_event: FIRST_EVENT,
+                ..EngineOptions::new(&format!("i-{index}"))
+            };
+            fleet.engines.push(EngineStandin::start(listener, options)?);
+            let role = VmRole::Side(ENGINE_SERVICE.to_owned());
+            fleet.add_vm(format!("side-{index}"), ip(2, index), role, programs, directory)?;
+        }
+        for index in 0..size.services {
+            let listener = TcpListener::bind((ip(3, index), ENGINE_PORT)).await?;
+            let name = format!("s-{index}");
+            fleet.services.push(ServiceStandin::start(listener, &name, Duration::from_millis(15))?);
+            let address = fleet.services[index].address().to_string();
+            let entry = json!({ "service": PLAIN_SERVICE, "zone": "westside-a", "version": "v1",
+                "address": address, "slots": 6, "state": "ready", "cold-left-ms": 0, "sequence": 1,
+                "born": 1 });
+            fleet.store.write("servers", &name, &entry);
+        }
+        fleet.publish_engines();
+        Ok(fleet)
+    }
+
+    fn add_vm(
+        &mut self,
+        name: String,
+        ip: IpAddr,
+        role: VmRole,
+        programs: &ProgramPaths,
+        directory: &Path,
+    ) -> io::Result<()> {
+        let (template, program, subcommand) = match role {
+            VmRole::Entry => ("gateway.ini", &programs.fescuewalk, "gateway"),
+            VmRole::Side(_) => ("agent.ini", &programs.side, "agent"),
+        };
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy").join(template);
+        let settings = directory.join(format!("{name}.conf"));
+        let log = directory.join(format!("{name}.log"));
+        let store = self.store.address();
+        let spec = VmSpec { name, ip, zone: "westside-a".to_owned(), role, store };
+        self.vms.push(DeployedVm {
+            spec,
+            template: fs::read_to_string(path)?,
+            command: vec![program.display().to_string(), subcommand.to_owned()],
+            settings,
+            log,
+            child: None,
+        });
+        Ok(())
+    }
+
+    /// Writes the entries of all engines to the store.
+    pub fn publish_engines(&self) {
+        for engine in &self.engines {
+            let entry = engine.store_entry(ENGINE_SERVICE, "westside-a", engine.address());
+            self.store.write("servers", &engine.instance(), &entry);
+        }
+    }
+
+    /// Addresses of all gateways for callers.
+    pub fn caller_addresses(&self) -> Vec<std::net::SocketAddr> {
+        let entries = self.vms.iter().filter(|vm| vm.spec.role == VmRole::Entry);
+        entries.map(|vm| vm.spec.address(CALLER_PORT)).collect()
+    }
+
+    /// Addresses at which all gateways answer readiness checks.
+    pub fn ready_addresses(&self) -> Vec<std::net::SocketAddr> {
+        let entries = self.vms.iter().filter(|vm| vm.spec.role == VmRole::Entry);
+        entries.map(|vm| vm.spec.address(READY_PORT)).collect()
+    }
+
+    /// Starts all processes that do not run, in any order within 0.3 s.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the settings cannot be written or a process cannot be started.
+    pub async fn start_all(&mut self, random: &mut ChaCha8Rng) -> io::Result<()> {
+        let mut order: Vec<usize> = (0..self.vms.len()).collect();
+        order.shuffle(random);
+        let pause = START_SPREAD / u32::try_from(order.len()).unwrap_or(1);
+        for index in order {
+            if !self.vms[index].is_started() {
+                self.vms[index].start(&self.rules)?;
+                time::sleep(pause.mul_f64(random.random_range(0.0..1.0))).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes the power from all VMs at the same moment, and from the engines too.
+    pub fn lose_power(&mut self) {
+        self.note_exits();
+        self.losses += 1;
+        for vm in &self.vms {
+            vm.signal(Signal::SIGKILL);
+        }
+        for engine in &self.engines {
+            engine.crash(1 + self.losses);
+        }
+        self.vms.iter_mut().for_each(DeployedVm::kill);
+    }
+
+    /// Records the processes that have ended although nothing forced them to.
+    pub fn note_exits(&mut self) {
+        for vm in &mut self.vms {
+            if let Some(status) = vm.take_exit() {
+                let lines = vm.last_lines(6);
+                self.exits.push(format!("{} ended with {status}:\n    {lines}", vm.spec.name));
+            }
+        }
+    }
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod callers;
 pub mod checks;
+pub mod deployed;
 pub mod fleet;
 pub mod injection;
 pub mod plan;
