startup: a process does not end because it waits for its settings or an address

What callers saw: a VM without its process for good, after a loss of power or from the first start.

Cause: a start gave up after 5 s without complete settings and after 30 s without an address, and at once on errors other than an address in use or missing, such as no free descriptor. A machine that brings the file or the address later saw three ends a minute, and a supervisor that gives up leaves the VM without its process. A settings file that ended between two lines was taken as complete, with defaults for what had not been written.

Before, from the source: read_when_complete gives up after 50 attempts, take_when_free after 300.

Change: a start goes on until it succeeds or a signal ends it, and reports each new cause, and a lasting one every 30 s. So it cannot fail any more, and its error types are gone. The templates name their last section; a file without it is incomplete.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,7 +9,4 @@
 mod publisher;
 pub mod settings;
 
-pub use crate::{
-    process::{Agent, StartError},
-    settings::AgentSettings,
-};
+pub use crate::{process::Agent, settings::AgentSettings};
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -21,7 +21,6 @@
     prefill::{PrefillLimiter, PromptDecision, PromptId, PromptRequest},
 };
 use roster::{IncarnationStart, InstanceId, ReadMode};
-use snafu::Snafu;
 use tokio::{sync::Notify, time};
 use viz::{Request, RequestExt, Response, ResponseExt, Router, types::State};
 use wire::listen::{listen, listen_for_metrics};
@@ -45,20 +44,6 @@
 /// so that state numbers differ between incarnations.
 const STATE_NUMBER_SHIFT: u32 = 20;
 
-/// The agent cannot start.
-#[derive(Debug, Snafu)]
-pub enum StartError {
-    /// The UDP socket for datagrams cannot be opened.
-    #[snafu(display("{source}"), context(false))]
-    Socket {
-        /// The error of the socket.
-        source: peers::socket::SocketError,
-    },
-}
-
-/// Result of starting the agent.
-pub type Result<T, E = StartError> = std::result::Result<T, E>;
-
 struct AgentState {
     controller: EngineController,
     limiter: PrefillLimiter,
@@ -83,19 +68,16 @@
 }
 
 impl Agent {
-    /// Opens the sockets and starts all tasks on the current Tokio runtime.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the address for datagrams cannot be bound.
-    pub async fn start(settings: AgentSettings, log: EventLog) -> Result<Self> {
+    /// Opens the sockets, that for datagrams as soon as its address is free, and starts all tasks on the
+    /// current Tokio runtime.
+    pub async fn start(settings: AgentSettings, log: EventLog) -> Self {
         let incarnation = ProcessIncarnation::random();
         log.record(&DecisionEvent::Started {
             program: "agent",
             version: env!("CARGO_PKG_VERSION"),
             incarnation,
         });
-        let socket = PeerSocket::bind(settings.peers, settings.vm.clone(), incarnation).await?;
+        let socket = PeerSocket::bind(settings.peers, settings.vm.clone(), incarnation).await;
         // Bound last: the process works without.
         let listener = listen(settings.metrics).await;
         let identity = ControllerIdentity { holder: settings.vm.clone(), fence: FENCE };
@@ -129,7 +111,7 @@
             let listener = listen_for_metrics(listener, settings.metrics).await;
             monitoring::serve(listener, metrics).await;
         });
-        Ok(agent)
+        agent
     }
 
     /// Records the end of the process in the decision log. There is nothing to wait for: the engine
--- a/crates/base/src/ini.rs
+++ b/crates/base/src/ini.rs
@@ -282,6 +282,9 @@
     }
 }
 
+/// Section with what a file says of itself.
+const FILE_SECTION: &str = "file";
+
 /// Reads a complete settings file section by section and collects all faults.
 #[derive(Debug)]
 pub struct SettingsReader {
@@ -299,7 +302,32 @@
     /// Lists every line that is neither a section header, an entry, a comment nor blank.
     pub fn new(name: &str, text: &str) -> Result<Self> {
         let file = IniFile::parse(name, text)?;
-        Ok(Self { file, read_sections: Vec::new(), faults: Vec::new(), lesser: Vec::new() })
+        let mut reader =
+            Self { file, read_sections: Vec::new(), faults: Vec::new(), lesser: Vec::new() };
+        reader.check_end();
+        Ok(reader)
+    }
+
+    /// Checks that the file ends with the section that it names in `[file] last-section`, if it names
+    /// one. A file that ends before is still being written.
+    fn check_end(&mut self) {
+        let last = self.section(FILE_SECTION, |section| {
+            section.optional::<String>("last-section", "the name of a section", String::new())
+        });
+        if last.is_empty() {
+            return;
+        }
+        let found = self.file.sections.last();
+        if found.is_none_or(|section| section.name != last) {
+            self.faults.push(FileFault {
+                file: self.file.name.clone(),
+                line: 0,
+                section: last.clone(),
+                key: String::new(),
+                expected: "this section at the end; the file is incomplete".to_owned(),
+            });
+        }
+        self.read_sections.push(last);
     }
 
     /// Reads the section called `name` with `read`; a missing section is treated as empty.
--- a/crates/base/src/startup.rs
+++ b/crates/base/src/startup.rs
@@ -2,7 +2,8 @@
 //!
 //! After a loss of power, a process may start before the VM has its address, while an earlier
 //! process still has a port, or while the settings file is being written. None of these lasts, and a
-//! process that ends on it may not be started again.
+//! process that ends on it may not be started again. So a start goes on until it succeeds or is
+//! stopped by a signal.
 
 use std::{
     fmt::Display,
@@ -15,76 +16,83 @@
 
 /// Pause between two attempts.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Number of attempts to read the settings.
-const READ_ATTEMPTS: u32 = 50;
-/// Number of attempts to take an address. A process that drains keeps its port for its grace time.
-const TAKE_ATTEMPTS: u32 = 300;
+/// Number of attempts from one report of a cause to the next; reports are 30 s apart.
+const REPORT_ATTEMPTS: u32 = 300;
 
-/// Why a start failed, and whether a later attempt may succeed.
-pub trait StartFailure: Display {
-    /// Whether the cause may go away without a change of the settings.
-    fn is_transient(&self) -> bool;
+/// Decides which failures of a start are reported: each new cause, and a lasting one now and then.
+#[derive(Debug, Default)]
+struct FailureReports {
+    last: Option<String>,
+    attempts: u32,
 }
 
-impl StartFailure for io::Error {
-    fn is_transient(&self) -> bool {
-        matches!(self.kind(), io::ErrorKind::AddrInUse | io::ErrorKind::AddrNotAvailable)
+impl FailureReports {
+    /// Whether the failure of the next attempt, with this cause, is reported.
+    fn is_due(&mut self, cause: &str) -> bool {
+        self.attempts += 1;
+        let is_due = self.last.as_deref() != Some(cause) || self.attempts >= REPORT_ATTEMPTS;
+        if is_due {
+            self.last = Some(cause.to_owned());
+            self.attempts = 0;
+        }
+        is_due
     }
 }
 
-/// Calls `take` until it succeeds, fails for good or has failed for 30 seconds.
-///
-/// # Errors
-///
-/// Returns the last error of `take`.
-pub async fn take_when_free<T, E>(mut take: impl AsyncFnMut() -> Result<T, E>) -> Result<T, E>
-where
-    E: StartFailure,
-{
-    for attempt in 1.. {
+/// Calls `take` until it succeeds.
+pub async fn take_when_free<T, E: Display>(mut take: impl AsyncFnMut() -> Result<T, E>) -> T {
+    let mut reports = FailureReports::default();
+    loop {
         match take().await {
-            Err(error) if error.is_transient() && attempt < TAKE_ATTEMPTS => {
-                if attempt == 1 {
-                    let limit = RETRY_PAUSE * TAKE_ATTEMPTS;
-                    log::warn!("start: {error}; trying again for {limit:?}");
+            Ok(taken) => return taken,
+            Err(error) => {
+                if reports.is_due(&error.to_string()) {
+                    log::warn!("start: {error}; trying again every {RETRY_PAUSE:?}");
                 }
             }
-            outcome => return outcome,
         }
         time::sleep(RETRY_PAUSE).await;
     }
-    unreachable!("the last attempt returns")
+}
+
+/// Calls `take` until it succeeds; blocks the thread. Reports failures on standard error, for causes
+/// that come before the log.
+pub fn take_when_possible<T, E: Display>(mut take: impl FnMut() -> Result<T, E>) -> T {
+    let mut reports = FailureReports::default();
+    loop {
+        match take() {
+            Ok(taken) => return taken,
+            Err(error) => {
+                let cause = error.to_string();
+                if reports.is_due(&cause) {
+                    // Standard error may be closed, which must not end the start.
+                    let _ = writeln!(
+                        io::stderr(),
+                        "start: {cause}\nstart: trying again every {RETRY_PAUSE:?}"
+                    );
+                }
+            }
+        }
+        thread::sleep(RETRY_PAUSE);
+    }
 }
 
 /// Whether the last line of a settings file may still be written. A line break or a comment ends it.
 fn ends_within_line(text: &str) -> bool {
-    !text.ends_with('\n') && text.lines().last().is_some_and(|line| !line.starts_with(';'))
+    !text.ends_with('\n')
+        && text.lines().last().is_some_and(|line| !line.starts_with(';') && !line.ends_with(']'))
 }
 
 /// Calls `read`, which reads and checks the settings file and returns its text with them, until the
-/// file has no faults and a whole last line, or 5 seconds have passed. Blocks the thread; the runtime
-/// and the log do not exist without settings.
-///
-/// # Errors
-///
-/// Returns the last error of `read`.
+/// file has no fault that a process cannot do with and a whole last line. Blocks the thread; the
+/// runtime and the log do not exist without settings.
 pub fn read_when_complete<T, E: Display>(
     mut read: impl FnMut() -> Result<(T, String), E>,
-) -> Result<(T, String), E> {
-    for attempt in 1..READ_ATTEMPTS {
-        let fault = match read() {
-            Ok((_, text)) if ends_within_line(&text) => {
-                "the last line of the settings may be incomplete".to_owned()
-            }
-            Ok(complete) => return Ok(complete),
-            Err(error) => error.to_string(),
-        };
-        if attempt == 1 {
-            let limit = RETRY_PAUSE * READ_ATTEMPTS;
-            // Standard error may be closed, which must not end the start.
-            let _ = writeln!(io::stderr(), "start: {fault}\nstart: reading again for {limit:?}");
+) -> (T, String) {
+    take_when_possible(|| match read() {
+        Ok((_, text)) if ends_within_line(&text) => {
+            Err("the last line of the settings may be incomplete".to_owned())
         }
-        thread::sleep(RETRY_PAUSE);
-    }
-    read()
+        outcome => outcome.map_err(|error| error.to_string()),
+    })
 }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -14,7 +14,7 @@
     sync::{mpsc, watch},
     time,
 };
-use wire::{ListenError, PeerIdentity, PeerRole, listen::listen_when_free};
+use wire::{PeerIdentity, PeerRole, listen::listen_when_free};
 
 use crate::{
     answer_memory::AnswerMemory,
@@ -109,14 +109,10 @@
 }
 
 impl EntryHandle {
-    /// Binds the listeners and starts all tasks.
-    ///
-    /// # Errors
-    ///
-    /// Fails if one of the two addresses cannot be bound.
-    pub async fn start(settings: EntrySettings) -> Result<Self, ListenError> {
-        let peers = listen_when_free(settings.process.peer_address).await?;
-        let callers = listen_when_free(settings.process.http_address).await?;
+    /// Binds the listeners as soon as their addresses are free, and starts all tasks.
+    pub async fn start(settings: EntrySettings) -> Self {
+        let peers = listen_when_free(settings.process.peer_address).await;
+        let callers = listen_when_free(settings.process.http_address).await;
         let peer_address = peers.local_addr().unwrap_or(settings.process.peer_address);
         let http_address = callers.local_addr().unwrap_or(settings.process.http_address);
         let state = start_tasks(settings);
@@ -125,7 +121,7 @@
         tokio::spawn(Arc::clone(&state.peers).sweep());
         tokio::spawn(server::serve(callers, Arc::clone(&state)));
         log::info!("process: entry {} listens on {http_address}", state.identity.vm);
-        Ok(Self { state, peer_address, http_address })
+        Self { state, peer_address, http_address }
     }
 
     /// Bound address for connections from peers.
--- a/crates/events/src/run.rs
+++ b/crates/events/src/run.rs
@@ -7,7 +7,7 @@
     thread,
 };
 
-use base::prelude::*;
+use base::{prelude::*, startup::take_when_possible};
 use flexi_logger::FlexiLoggerError;
 use log::LevelFilter;
 use tokio::runtime::Builder;
@@ -30,7 +30,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the runtime or the logger cannot start, and returns the error of `task`.
+/// Fails if the logger cannot start, and returns the error of `task`.
 pub fn run_with_log<T, E>(
     vm: &VmId,
     task: impl AsyncFnOnce(EventLog) -> Result<T, E>,
@@ -54,7 +54,8 @@
 where
     E: Display + From<io::Error> + From<FlexiLoggerError>,
 {
-    let runtime = Builder::new_current_thread().enable_all().build()?;
+    // Descriptors may be short for a while, for the process or for the VM.
+    let runtime = take_when_possible(|| Builder::new_current_thread().enable_all().build());
     let (log, writer) = EventLog::start(vm, LogLimits::default(), output);
     let _logger = log.capture_log_records(LevelFilter::Info)?;
     record_panics(&log);
--- a/crates/fescuewalk-side/src/cmd/agent.rs
+++ b/crates/fescuewalk-side/src/cmd/agent.rs
@@ -58,8 +58,8 @@
 ///
 /// # Errors
 ///
-/// Fails if no settings file is named, if it cannot be read or has faults, or if the process cannot
-/// start.
+/// Fails if no settings file is named, or if a signal handler cannot be installed. A check fails if the
+/// file cannot be read or has faults.
 pub fn run(args: &ArgMatches) -> Result<()> {
     let path = settings_path(args)?;
     let name = path.display().to_string();
@@ -72,7 +72,7 @@
     let ((settings, lesser), text) = read_when_complete(|| -> Result<_> {
         let text = fs::read_to_string(&path)?;
         Ok((AgentSettings::parse_usable(&name, &text)?, text))
-    })?;
+    });
     let vm = settings.vm.clone();
     run_with_log(&vm, async move |log| {
         lesser.warn();
@@ -87,7 +87,7 @@
     name: &str,
     log: EventLog,
 ) -> Result<()> {
-    let agent = Agent::start(settings.clone(), log.clone()).await?;
+    let agent = Agent::start(settings.clone(), log.clone()).await;
     reload_until_stopped(watch, |text| record_reload(&settings, name, text, &log)).await?;
     agent.stop();
     Ok(())
--- a/crates/fescuewalk-side/src/cmd/side.rs
+++ b/crates/fescuewalk-side/src/cmd/side.rs
@@ -27,7 +27,7 @@
         return Ok(());
     }
     let _logger = settings.log.start()?;
-    let handle = SideHandle::start(settings).await?;
+    let handle = SideHandle::start(settings).await;
     println!("listening peers {} http {}", handle.peer_address(), handle.http_address());
     stop_requested().await?;
     handle.stop().await;
--- a/crates/fescuewalk-side/src/error.rs
+++ b/crates/fescuewalk-side/src/error.rs
@@ -4,7 +4,6 @@
 
 use base::ini::FileFaults;
 use snafu::Snafu;
-use wire::ListenError;
 
 /// Exit code for invalid arguments; the same as that of `clap`.
 const EXIT_USAGE: u8 = 2;
@@ -35,18 +34,6 @@
         /// Error of the operating system.
         source: io::Error,
     },
-    /// The side process could not listen on an address.
-    #[snafu(display("{source}"), context(false))]
-    Listen {
-        /// The address and why it is not available.
-        source: ListenError,
-    },
-    /// The agent could not start.
-    #[snafu(display("{source}"), context(false))]
-    Agent {
-        /// The step of the start that failed.
-        source: agent::StartError,
-    },
     /// The logger of the process could not start.
     #[snafu(display("{source}"), context(false))]
     Log {
--- a/crates/fescuewalk-side/tests/start.rs
+++ b/crates/fescuewalk-side/tests/start.rs
@@ -19,6 +19,9 @@
 /// Time in which a process that ends by itself has ended.
 const END_TIME: Duration = Duration::from_secs(1);
 
+/// Time for which a machine may not have the settings of a process yet.
+const LONG_WAIT: Duration = Duration::from_secs(7);
+
 /// Addresses of one case, on a loopback host of its own.
 struct HostAddresses {
     peers: SocketAddr,
@@ -149,6 +152,20 @@
     assert!(agent.receives_on(host.peers), "it ended or receives no datagrams");
 }
 
+/// Guards against a process that ends because its settings come later than it waits for them.
+#[test]
+fn settings_that_come_long_after_the_start_are_used() {
+    let host = HostAddresses::new(4);
+    let path = write_settings("late", "");
+    fs::remove_file(&path).expect("it was just written");
+
+    let mut agent = AgentProcess::start(&path);
+    thread::sleep(LONG_WAIT);
+    fs::write(&path, host.settings()).expect("the directory is writable");
+
+    assert!(agent.receives_on(host.peers), "it ended or receives no datagrams");
+}
+
 /// Guards against a VM without its process because its settings have a key or section that is unknown or
 /// comes twice.
 #[test]
--- a/crates/fescuewalk/src/cmd/entry.rs
+++ b/crates/fescuewalk/src/cmd/entry.rs
@@ -56,7 +56,7 @@
         return Ok(());
     }
     let _logger = settings.log.start()?;
-    let handle = EntryHandle::start(settings).await?;
+    let handle = EntryHandle::start(settings).await;
     println!("listening peers {} http {}", handle.peer_address(), handle.http_address());
     base::signals::stop_requested().await?;
     handle.stop().await;
--- a/crates/fescuewalk/src/cmd/gateway.rs
+++ b/crates/fescuewalk/src/cmd/gateway.rs
@@ -66,8 +66,8 @@
 ///
 /// # Errors
 ///
-/// Fails if no settings file is named, if it cannot be read or has faults, or if the process cannot
-/// start.
+/// Fails if no settings file is named, or if a signal handler cannot be installed. A check fails if the
+/// file cannot be read or has faults.
 pub fn run(args: &ArgMatches) -> CliResult<()> {
     let args = GatewayArgs::new(args)?;
     let name = args.settings.name();
@@ -80,7 +80,7 @@
     let ((settings, lesser), text) = read_when_complete(|| -> CliResult<_> {
         let text = args.settings.read_text()?;
         Ok((GatewaySettings::parse_usable(&name, &text)?, text))
-    })?;
+    });
     let vm = settings.identity.vm.clone();
     run_with_log(&vm, async move |log| {
         lesser.warn();
@@ -95,7 +95,7 @@
     name: &str,
     log: EventLog,
 ) -> CliResult<()> {
-    let mut handle = GatewayHandle::start(settings, log).await?;
+    let mut handle = GatewayHandle::start(settings, log).await;
     let signalled = reload_until_stopped(watch, |text| handle.reload(name, text)).await?;
     handle.stop_since(signalled).await;
     Ok(())
--- a/crates/fescuewalk/src/error.rs
+++ b/crates/fescuewalk/src/error.rs
@@ -6,7 +6,6 @@
 use lists::store::ListError;
 use snafu::Snafu;
 use standin::server::ServeError;
-use wire::ListenError;
 
 /// Exit code for invalid arguments or unreadable input files; the same as that of `clap`.
 const EXIT_USAGE: u8 = 2;
@@ -36,18 +35,6 @@
         /// Error of the operating system.
         source: io::Error,
     },
-    /// An entry or side process could not start.
-    #[snafu(display("{source}"), context(false))]
-    Listen {
-        /// Why it cannot listen on its address.
-        source: ListenError,
-    },
-    /// The gateway could not start.
-    #[snafu(display("{source}"), context(false))]
-    Gateway {
-        /// The step of the start that failed.
-        source: gateway::StartError,
-    },
     /// A stand-in could not start.
     #[snafu(display("{source}"), context(false))]
     Standin {
--- a/crates/fescuewalk/src/local_fleet.rs
+++ b/crates/fescuewalk/src/local_fleet.rs
@@ -191,7 +191,7 @@
             report_interval: TimeSpan(Duration::from_millis(250)),
             spread: SpreadConfig::default(),
         };
-        let side = SideHandle::start(settings).await?;
+        let side = SideHandle::start(settings).await;
         self.vms.push(VmEntry {
             id: id.parse()?,
             role: VmRole::Backend,
@@ -224,7 +224,7 @@
                 spread: SpreadConfig::default(),
                 claims: ShardLimits::default(),
             };
-            let entry = EntryHandle::start(settings).await?;
+            let entry = EntryHandle::start(settings).await;
             self.vms.push(VmEntry {
                 id: id.parse()?,
                 role: VmRole::Entry,
--- a/crates/fescuewalk/tests/start.rs
+++ b/crates/fescuewalk/tests/start.rs
@@ -25,6 +25,9 @@
 /// Time in which a process that ends by itself has ended.
 const END_TIME: Duration = Duration::from_secs(1);
 
+/// Time for which a machine may not have the settings of a process yet.
+const LONG_WAIT: Duration = Duration::from_secs(7);
+
 /// Addresses of one case, on a loopback host of its own.
 struct HostAddresses {
     callers: SocketAddr,
@@ -246,6 +249,39 @@
     assert!(is_asked, "it does not ask the store");
 }
 
+/// Guards against a process that ends because its settings come later than it waits for them.
+#[test]
+fn settings_that_come_long_after_the_start_are_used() {
+    let host = HostAddresses::new(10);
+    let dir = WorkDir::new("start");
+    let path = dir.write("gateway.ini", "");
+    fs::remove_file(&path).expect("it was just written");
+
+    let mut gateway = GatewayProcess::start(&path);
+    thread::sleep(LONG_WAIT);
+    fs::write(&path, host.settings()).expect("the directory is writable");
+
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+}
+
+/// Guards against a process that uses the defaults of limits whose lines were still being written.
+#[test]
+fn settings_without_their_last_section_are_not_used() {
+    let host = HostAddresses::new(11);
+    let dir = WorkDir::new("start");
+    let text = format!("[file]\nlast-section = end\n{}[end]\n", host.settings());
+    let cut = text.find("[limits]").expect("the settings have limits");
+    let path = dir.write("gateway.ini", &text[..cut]);
+
+    let mut gateway = GatewayProcess::start(&path);
+    thread::sleep(END_TIME);
+    let has_used_a_part = TcpStream::connect(host.callers).is_ok();
+    fs::write(&path, &text).expect("the directory is writable");
+
+    assert!(!has_used_a_part, "it accepts callers before its settings are complete");
+    assert!(gateway.listens_on(host.callers), "it ended or accepts no callers");
+}
+
 /// Guards against a process that ends because a supervisor or another program sends it a signal that it
 /// has no use for.
 #[rstest]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,8 +42,5 @@
 mod watched_connection;
 
 pub use crate::{
-    memory::ProcessMemory,
-    permits::PermitClient,
-    process::{GatewayHandle, StartError},
-    settings::GatewaySettings,
+    memory::ProcessMemory, permits::PermitClient, process::GatewayHandle, settings::GatewaySettings,
 };
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -12,15 +12,11 @@
 use events::{DecisionEvent, EventLog, spawn_lasting};
 use peers::PeerSocket;
 use platform::PlatformStore;
-use snafu::Snafu;
 use tokio::{
     sync::{mpsc, watch},
     task, time,
 };
-use wire::{
-    ListenError,
-    listen::{listen, listen_when_free},
-};
+use wire::listen::{listen, listen_when_free};
 
 use crate::{
     backends::Backends,
@@ -70,26 +66,6 @@
 /// Longest time for which the first configuration waits until the stored blocks are read.
 const MAX_RESTORE_TIME: Duration = Duration::from_millis(200);
 
-/// The gateway cannot start.
-#[derive(Debug, Snafu)]
-pub enum StartError {
-    /// An address cannot be bound.
-    #[snafu(display("{source}"), context(false))]
-    Listen {
-        /// Why the address cannot be bound.
-        source: ListenError,
-    },
-    /// The UDP socket cannot be opened.
-    #[snafu(display("{source}"), context(false))]
-    Socket {
-        /// Why the UDP socket cannot be opened.
-        source: peers::socket::SocketError,
-    },
-}
-
-/// Result of starting.
-pub type Result<T, E = StartError> = std::result::Result<T, E>;
-
 /// A planned stop that has begun.
 #[derive(Debug, Clone, Copy)]
 pub struct PlannedStop {
@@ -197,12 +173,9 @@
 }
 
 impl GatewayHandle {
-    /// Binds all addresses and starts the tasks of the gateway.
-    ///
-    /// # Errors
-    ///
-    /// Fails if an address other than that of the metrics cannot be bound.
-    pub async fn start(settings: GatewaySettings, log: EventLog) -> Result<Self> {
+    /// Binds all addresses, other than that of the metrics as soon as they are free, and starts the
+    /// tasks of the gateway.
+    pub async fn start(settings: GatewaySettings, log: EventLog) -> Self {
         let initial_settings = settings.clone();
         let incarnation = ProcessIncarnation::random();
         log.record(&DecisionEvent::Started {
@@ -211,10 +184,10 @@
             incarnation,
         });
         let vm = settings.identity.vm.clone();
-        let socket = Arc::new(PeerSocket::bind(settings.listen.peers, vm, incarnation).await?);
-        let ready = listen_when_free(settings.listen.ready).await?;
+        let socket = Arc::new(PeerSocket::bind(settings.listen.peers, vm, incarnation).await);
+        let ready = listen_when_free(settings.listen.ready).await;
         // After the others: a caller whose connection is accepted expects an answer.
-        let callers = listen_when_free(settings.listen.callers).await?;
+        let callers = listen_when_free(settings.listen.callers).await;
         // Bound last: the process works without, and may need the port itself.
         let metrics_listener = listen(settings.listen.metrics).await;
         let store = PlatformStore::new(settings.store.address, settings.store.call_timeout);
@@ -342,7 +315,7 @@
             settings.listen.metrics,
             Arc::clone(&gateway),
         ));
-        Ok(Self { gateway, registration, settings: initial_settings })
+        Self { gateway, registration, settings: initial_settings }
     }
 
     /// Metrics of the process.
--- a/crates/peers/src/socket.rs
+++ b/crates/peers/src/socket.rs
@@ -5,12 +5,8 @@
     sync::atomic::{AtomicU64, Ordering},
 };
 
-use base::{
-    prelude::*,
-    startup::{StartFailure, take_when_free},
-};
+use base::{prelude::*, startup::take_when_free};
 use prost::Message;
-use snafu::{ResultExt, Snafu};
 use tokio::net::UdpSocket;
 
 use crate::messages::{Datagram, DatagramBody};
@@ -18,23 +14,6 @@
 /// Size of the receive buffer; larger datagrams are truncated and fail to decode.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
-/// The UDP socket could not be opened.
-#[derive(Debug, Snafu)]
-#[snafu(display("cannot bind the UDP socket at {address}: {source}"))]
-pub struct SocketError {
-    address: SocketAddr,
-    source: std::io::Error,
-}
-
-impl StartFailure for SocketError {
-    fn is_transient(&self) -> bool {
-        self.source.is_transient()
-    }
-}
-
-/// Result of opening the socket.
-pub type Result<T, E = SocketError> = std::result::Result<T, E>;
-
 /// Sends and receives datagrams of one process.
 #[derive(Debug)]
 pub struct PeerSocket {
@@ -45,20 +24,15 @@
 }
 
 impl PeerSocket {
-    /// Binds `address`; waits for one that is in use or not available yet, up to the limit of
-    /// [`take_when_free`]. Datagrams sent from the socket carry `vm` and `incarnation`.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the address cannot be bound in that time.
-    pub async fn bind(
-        address: SocketAddr,
-        vm: VmId,
-        incarnation: ProcessIncarnation,
-    ) -> Result<Self> {
-        let bind = async || UdpSocket::bind(address).await.context(SocketSnafu { address });
-        let socket = take_when_free(bind).await?;
-        Ok(Self { socket, vm, incarnation, number: AtomicU64::new(0) })
+    /// Binds `address`; waits for one that is in use or not available yet. Datagrams sent from the
+    /// socket carry `vm` and `incarnation`.
+    pub async fn bind(address: SocketAddr, vm: VmId, incarnation: ProcessIncarnation) -> Self {
+        let bind = async || {
+            let bound = UdpSocket::bind(address).await;
+            bound.map_err(|error| format!("cannot bind the UDP socket at {address}: {error}"))
+        };
+        let socket = take_when_free(bind).await;
+        Self { socket, vm, incarnation, number: AtomicU64::new(0) }
     }
 
     /// Incarnation that datagrams carry.
--- a/crates/side/src/process.rs
+++ b/crates/side/src/process.rs
@@ -11,8 +11,8 @@
 use once::{DrainCause, LinkId, RunEvent};
 use tokio::{net::TcpListener, time};
 use wire::{
-    LinkOptions, LinkSender, ListenError, Message, PeerIdentity, PeerLink, PeerRole,
-    listen::listen_when_free, load::BackendReport,
+    LinkOptions, LinkSender, Message, PeerIdentity, PeerLink, PeerRole, listen::listen_when_free,
+    load::BackendReport,
 };
 
 use crate::{
@@ -66,15 +66,11 @@
 }
 
 impl SideHandle {
-    /// Starts all tasks. The peer address is bound exclusively, so that no second side process can
-    /// run with the same address.
-    ///
-    /// # Errors
-    ///
-    /// Fails if one of the two addresses cannot be bound.
-    pub async fn start(settings: SideSettings) -> Result<Self, ListenError> {
-        let peer_listener = listen_when_free(settings.process.peer_address).await?;
-        let admin_listener = listen_when_free(settings.process.http_address).await?;
+    /// Binds the listeners as soon as their addresses are free, and starts all tasks. The peer address
+    /// is bound exclusively, so that no second side process can run with the same address.
+    pub async fn start(settings: SideSettings) -> Self {
+        let peer_listener = listen_when_free(settings.process.peer_address).await;
+        let admin_listener = listen_when_free(settings.process.http_address).await;
         let peer_address = settings.process.peer_address;
         let incarnation = ProcessIncarnation::random();
         let identity = settings.process.identity(PeerRole::Side, incarnation);
@@ -99,7 +95,7 @@
         tokio::spawn(accept_peers(peer_listener, Arc::clone(&state)));
         tokio::spawn(requests::tick(Arc::clone(&state)));
         log::info!("process: side process {} listens on {peer_address}", state.identity.vm);
-        Ok(Self { state, peer_address, http_address })
+        Self { state, peer_address, http_address }
     }
 
     /// Returns the address on which peers connect.
--- a/crates/wire/src/listen.rs
+++ b/crates/wire/src/listen.rs
@@ -2,10 +2,7 @@
 
 use std::{io, net::SocketAddr};
 
-use base::{
-    prelude::*,
-    startup::{StartFailure, take_when_free},
-};
+use base::{prelude::*, startup::take_when_free};
 use snafu::{ResultExt, Snafu};
 use tokio::{
     net::{TcpListener, TcpSocket},
@@ -29,12 +26,6 @@
     source: io::Error,
 }
 
-impl StartFailure for ListenError {
-    fn is_transient(&self) -> bool {
-        self.source.is_transient()
-    }
-}
-
 /// Result of binding an address.
 pub type Result<T, E = ListenError> = std::result::Result<T, E>;
 
@@ -47,13 +38,8 @@
     bind(address).context(ListenSnafu { address })
 }
 
-/// The same; waits for an address that is in use or not available yet, up to the limit of
-/// [`take_when_free`].
-///
-/// # Errors
-///
-/// Fails if the address cannot be bound in that time.
-pub async fn listen_when_free(address: SocketAddr) -> Result<TcpListener> {
+/// The same; waits for an address that is in use or not available yet.
+pub async fn listen_when_free(address: SocketAddr) -> TcpListener {
     take_when_free(async || listen(address).await).await
 }
 
