entry, side: SIGHUP and a closed output do not end a process

What callers saw: an entry or side process that had ended.

Cause: neither handled SIGHUP, whose default action ends a process, and both panicked when the line with their addresses could not be written to standard output.

Change: SIGHUP has a handler that does nothing, as these processes read their settings once; a line that cannot be written is logged.

--- a/crates/base/src/signals.rs
+++ b/crates/base/src/signals.rs
@@ -41,6 +41,17 @@
     SignalNumber::SIGXCPU,
 ];
 
+/// Replaces the default action of SIGHUP, which would end the process, by none. For processes that read
+/// their settings once.
+///
+/// # Errors
+///
+/// Fails if the handler cannot be installed.
+pub fn ignore_hang_up() -> io::Result<()> {
+    // The handler stays installed without a receiver.
+    signal(SignalKind::hangup()).map(drop)
+}
+
 /// Holds back signals without a use in this thread and all that it starts, and SIGXFSZ, whose default
 /// action ends a process whose output has reached the size limit of files; without it, the write fails
 /// and the lines are dropped. Called before other threads start.
--- a/crates/fescuewalk-side/src/cmd/side.rs
+++ b/crates/fescuewalk-side/src/cmd/side.rs
@@ -5,9 +5,13 @@
 //! fescuewalk-side [--check] FILE
 //! ```
 
-use std::{fs, path::PathBuf};
+use std::{
+    fs,
+    io::{self, Write},
+    path::PathBuf,
+};
 
-use base::signals::stop_requested;
+use base::signals::{ignore_hang_up, stop_requested};
 use clap::ArgMatches;
 use side::{SideHandle, SideSettings};
 
@@ -26,9 +30,13 @@
         println!("{}: no faults", path.display());
         return Ok(());
     }
+    ignore_hang_up()?;
     let _logger = settings.log.start()?;
     let handle = SideHandle::start(settings).await;
-    println!("listening peers {} http {}", handle.peer_address(), handle.http_address());
+    let (peers, http) = (handle.peer_address(), handle.http_address());
+    if let Err(error) = writeln!(io::stdout(), "listening peers {peers} http {http}") {
+        log::warn!("process: the addresses cannot be written to standard output: {error}");
+    }
     stop_requested().await?;
     handle.stop().await;
     Ok(())
--- a/crates/fescuewalk/src/cmd/entry.rs
+++ b/crates/fescuewalk/src/cmd/entry.rs
@@ -4,6 +4,9 @@
 //! fescuewalk entry [--check] FILE
 //! ```
 
+use std::io::{self, Write};
+
+use base::signals::{ignore_hang_up, stop_requested};
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use entry::{EntryHandle, EntrySettings};
 
@@ -55,10 +58,14 @@
         println!("{}: no faults", args.settings.name());
         return Ok(());
     }
+    ignore_hang_up()?;
     let _logger = settings.log.start()?;
     let handle = EntryHandle::start(settings).await;
-    println!("listening peers {} http {}", handle.peer_address(), handle.http_address());
-    base::signals::stop_requested().await?;
+    let (peers, http) = (handle.peer_address(), handle.http_address());
+    if let Err(error) = writeln!(io::stdout(), "listening peers {peers} http {http}") {
+        log::warn!("process: the addresses cannot be written to standard output: {error}");
+    }
+    stop_requested().await?;
     handle.stop().await;
     Ok(())
 }
