--- a/crates/soak/src/deployed.rs
+++ b/crates/soak/src/deployed.rs
@@ -1,6 +1,9 @@
 //! A whole fleet as the platform starts it: settings from the templates of `deploy/`, one loopback
 //! address for each VM, and no relays or helpers between the processes.
 
+pub mod plan;
+pub mod run;
+
 use std::{
     collections::BTreeMap,
     fs::{self, File},
@@ -71,18 +74,22 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    is_stopping: bool,
 }
 
 impl DeployedVm {
-    /// Writes the settings, as the platform does at each start, and starts the process.
-    fn start(&mut self, rules: &MachineRules) -> io::Result<()> {
+    /// Writes the settings, as the platform does at each start and whenever they change.
+    fn write_settings(&self, rules: &MachineRules) -> io::Result<()> {
         let mut fields = self.spec.fields();
         for (path, value) in &rules.fields {
             if let Some(field) = fields.pointer_mut(path) {
                 *field = value.clone();
             }
         }
-        fs::write(&self.settings, template::render(&self.template, &fields))?;
+        fs::write(&self.settings, template::render(&self.template, &fields))
+    }
+
+    fn start(&mut self, rules: &MachineRules) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
         let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
         let script = format!("{} exec \"$@\"", rules.limits);
@@ -99,6 +106,7 @@
             .stderr(log)
             .spawn()?;
         self.child = Some(child);
+        self.is_stopping = false;
         Ok(())
     }
 
@@ -110,6 +118,11 @@
         }
     }
 
+    /// Takes the next exit of the process as one that was asked for.
+    pub fn expect_exit(&mut self) {
+        self.is_stopping = true;
+    }
+
     /// Exit status of the process if it has ended; it counts as stopped from then on.
     pub fn take_exit(&mut self) -> Option<ExitStatus> {
         let status = self.child.as_mut()?.try_wait().ok().flatten()?;
@@ -167,6 +180,7 @@
     /// Exits that nothing forced, with the last lines of the process.
     pub exits: Vec<String>,
     losses: u64,
+    has_settings: bool,
 }
 
 impl DeployedFleet {
@@ -195,6 +209,7 @@
             rules: MachineRules::default(),
             exits: Vec::new(),
             losses: 0,
+            has_settings: true,
         };
         for index in 0..size.entries {
             fleet.add_vm(
@@ -262,6 +277,7 @@
             settings,
             log,
             child: None,
+            is_stopping: false,
         });
         Ok(())
     }
@@ -297,13 +313,54 @@
         let pause = START_SPREAD / u32::try_from(order.len()).unwrap_or(1);
         for index in order {
             if !self.vms[index].is_started() {
-                self.vms[index].start(&self.rules)?;
+                self.start(index)?;
                 time::sleep(pause.mul_f64(random.random_range(0.0..1.0))).await;
             }
         }
         Ok(())
     }
 
+    fn start(&mut self, index: usize) -> io::Result<()> {
+        if self.has_settings {
+            self.vms[index].write_settings(&self.rules)?;
+        }
+        self.vms[index].start(&self.rules)
+    }
+
+    /// Sets whether processes start before their VMs have the settings, until these are revealed.
+    pub fn hide_settings(&mut self, is_hidden: bool) {
+        self.has_settings = !is_hidden;
+        if is_hidden {
+            // A missing file is as good as a removed one.
+            self.vms.iter().for_each(|vm| _ = fs::remove_file(&vm.settings));
+        }
+    }
+
+    /// Writes all settings that are missing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be written.
+    pub fn reveal_settings(&mut self) -> io::Result<()> {
+        self.has_settings = true;
+        self.vms.iter().try_for_each(|vm| vm.write_settings(&self.rules))
+    }
+
+    /// Starts the processes again that have ended as they were asked to.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process cannot be started.
+    pub fn restart_stopped(&mut self) -> io::Result<()> {
+        for index in 0..self.vms.len() {
+            let vm = &mut self.vms[index];
+            if vm.is_stopping && vm.take_exit().is_some() {
+                self.start(index)?;
+            }
+        }
+        Ok(())
+    }
+
     /// Takes the power from all VMs at the same moment, and from the engines too.
     pub fn lose_power(&mut self) {
         self.note_exits();
@@ -320,7 +377,9 @@
     /// Records the processes that have ended although nothing forced them to.
     pub fn note_exits(&mut self) {
         for vm in &mut self.vms {
-            if let Some(status) = vm.take_exit() {
+            if let Some(status) = vm.take_exit()
+                && !vm.is_stopping
+            {
                 let lines = vm.last_lines(6);
                 self.exits.push(format!("{} ended with {status}:\n    {lines}", vm.spec.name));
             }
