planner: a load counts against the weight store until its end, also if its engine left

Cause: an engine that drained, left or restarted took its load out of the count of parallel loads, although the weight store still served it. During a release, seven loads ran where the store serves four at full speed. The loss of power left them in the store, and the first three loads after it took 12 to 15 s instead of 6.

Change: the planner keeps the end of such a load and counts it until then; an engine that is back with its load counts it itself.

--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -129,6 +129,11 @@
     pub stream_estimates: Vec<(ModelId, SoftwareVersion, Option<Instant>)>,
 }
 
+/// When the load from the weight store ends that the engine carries out, if any.
+fn store_load_end(engine: &EngineSnapshot) -> Option<Instant> {
+    engine.loading.as_ref().filter(|load| load.is_from_store).map(|load| load.ready_at)
+}
+
 /// A requested change that no report of the engine shows after this time counts as lost.
 const PENDING_CHANGE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Overhead of a load: from the order to its execution, and from the end of the load to the first
@@ -155,6 +160,8 @@
     /// Requests a second that an engine takes, for those that name a limit.
     limits: HashMap<InstanceId, EventRate>,
     store_concurrency: StoreConcurrency,
+    /// When the loads from the weight store end whose engines left or restarted meanwhile, by engine.
+    abandoned_loads: HashMap<InstanceId, Instant>,
     /// Changes that were requested and that no report shows yet.
     pending: HashMap<InstanceId, PendingChange>,
     /// When each resident model was loaded, for loads seen since the planner started.
@@ -192,6 +199,12 @@
         }
         self.update_store_concurrency(&snapshot, now);
         let before = self.engines.get(&instance);
+        match before.filter(|before| before.started != snapshot.started).and_then(store_load_end) {
+            Some(ready_at) => _ = self.abandoned_loads.insert(instance.clone(), ready_at),
+            // The load counts again as one of its engine.
+            None if snapshot.loading.is_some() => _ = self.abandoned_loads.remove(&instance),
+            None => {}
+        }
         for (model, _) in &snapshot.residents {
             let is_new = before
                 .is_some_and(|before| !before.residents.iter().any(|(held, _)| held == model));
@@ -217,7 +230,10 @@
 
     /// Removes an engine that left the roster, drains, or has stopped reporting.
     pub fn remove(&mut self, instance: &InstanceId) {
-        self.engines.remove(instance);
+        let removed = self.engines.remove(instance);
+        if let Some(ready_at) = removed.as_ref().and_then(store_load_end) {
+            self.abandoned_loads.insert(instance.clone(), ready_at);
+        }
         self.store_concurrency.discard(instance);
         self.pending.remove(instance);
         self.loaded_at.retain(|(engine, _), _| engine != instance);
@@ -233,6 +249,7 @@
     pub fn plan(&mut self, tracker: &DemandTracker, now: Instant) -> PlanOutcome {
         let Some(spec) = self.spec.clone() else { return PlanOutcome::default() };
         self.pending.retain(|_, pending| pending.expires_at > now);
+        self.abandoned_loads.retain(|_, ready_at| *ready_at > now);
         self.first_pass.get_or_insert(now);
         let mut pass = PlanningPass::new(self, &spec, tracker, now);
         let mut outcome = PlanOutcome::default();
--- a/crates/residency/src/planner/pass.rs
+++ b/crates/residency/src/planner/pass.rs
@@ -138,7 +138,9 @@
         now: Instant,
     ) -> Self {
         let in_progress = planner.engines.values().filter_map(|engine| engine.loading.as_ref());
+        // An engine that drains goes on with its load, and one that ended may have left it in the store.
         let store_loads = in_progress.filter(|load| load.is_from_store).count()
+            + planner.abandoned_loads.len()
             + planner.pending.values().filter(|pending| pending.is_from_store).count();
         let (demand, holders, loading) =
             (tracker.by_model(now), count_holders(planner), loads_in_progress(planner, now));
--- a/crates/residency/tests/planner.rs
+++ b/crates/residency/tests/planner.rs
@@ -11,6 +11,7 @@
     planner::{PlanOutcome, WeightSource},
 };
 use roster::{IncarnationStart, InstanceId};
+use rstest::rstest;
 
 const MODELS: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
 
@@ -244,6 +245,53 @@
     assert_eq!(outcome.changes.len(), 3, "{:?}", changes(&outcome));
 }
 
+/// An engine that loads the model from the weight store for six seconds.
+fn loading_engine(name: &str, loaded: &str, now: Instant) -> EngineSnapshot {
+    let ready_at = now + Duration::from_secs(6);
+    let loading = Some(CurrentLoad { model: model(loaded), ready_at, is_from_store: true });
+    EngineSnapshot { loading, takes_changes: false, ..engine(name, &[], &[]) }
+}
+
+/// Guards against loads that all take longer because the weight store still serves those of engines
+/// which drain or have ended. The store serves three at first.
+#[rstest]
+#[case::drained(|planner: &mut Planner, _| planner.remove(&instance("i-1")))]
+#[case::restarted(|planner: &mut Planner, now| {
+    let started = Some(IncarnationStart(2));
+    planner.update_engine(EngineSnapshot { started, ..engine("i-1", &[], &[]) }, now);
+})]
+fn load_of_an_engine_that_left_counts_until_its_end(#[case] leave: fn(&mut Planner, Instant)) {
+    let now = Instant::now();
+    let engines = ["i-2", "i-3", "i-4", "i-5"].map(|name| engine(name, &[], &[]));
+    let mut planner = planner(engines.to_vec(), now);
+    planner.update_engine(loading_engine("i-1", "h", now), now);
+    let rows: Vec<DemandRow> = MODELS[..4].iter().map(|name| waiting(name, 1)).collect();
+
+    leave(&mut planner, now);
+    let before = planner.plan(&tracker(rows.clone(), now), now);
+    let later = now + Duration::from_secs(7);
+    let after = planner.plan(&tracker(rows, later), later);
+
+    assert_eq!(before.changes.len(), 2, "{:?}", changes(&before));
+    assert_eq!(after.changes.len(), 3, "{:?}", changes(&after));
+}
+
+/// Guards against a load that counts twice because its engine was not heard of for a while.
+#[test]
+fn load_of_an_engine_that_is_back_counts_once() {
+    let now = Instant::now();
+    let engines = ["i-2", "i-3", "i-4"].map(|name| engine(name, &[], &[]));
+    let mut planner = planner(engines.to_vec(), now);
+    planner.update_engine(loading_engine("i-1", "h", now), now);
+    let rows = MODELS[..4].iter().map(|name| waiting(name, 1)).collect();
+
+    planner.remove(&instance("i-1"));
+    planner.update_engine(loading_engine("i-1", "h", now), now);
+    let outcome = planner.plan(&tracker(rows, now), now);
+
+    assert_eq!(outcome.changes.len(), 2, "{:?}", changes(&outcome));
+}
+
 /// Requests wait for two rare models with disk copies at two different engines, which both hold the
 /// same busy model. Either engine could unload it, but not both.
 #[test]
