attempt: the rest of a refusal does not keep a request from its next attempt

Cause: the body of an answer that says "not run" was read for up to 3 s before the request went on, and a server in trouble may send it without end.

Change: the next attempt begins when the head says that the request has not run. A task of its own reads the rest, up to 64 KiB and for 200 ms, so that the connection can be used again, or closes it.

Not changed: the body of an answer that says that the request failed is read until the request's deadline, as it is passed on if no other attempt succeeds.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use platform::header_format::{self, ForwardHead, ForwardIdentity, RequestPriority};
+use tokio::time;
 
 use crate::{
     answer_memory::{self, BufferError},
@@ -20,9 +21,13 @@
 const IDLE_TIMEOUT_FRACTION: f64 = 0.75;
 /// Longest idle time of a connection that carries a request that must not be retried: the backend
 /// server may be closing a connection that was idle for longer, which leaves unknown whether the
-/// request ran. Also the longest time to read the body of an answer that says the request did not
-/// run.
+/// request ran.
 const MAX_IDLE_WITHOUT_RETRY: Duration = Duration::from_secs(3);
+/// Longest time for which the rest of an answer is read that is not passed on, so that its connection
+/// can be used again. It is closed if the rest takes longer.
+const MAX_DRAIN_TIME: Duration = Duration::from_millis(200);
+/// Most bytes that are read then.
+const MAX_DRAINED: ByteSize = ByteSize(64 * 1024);
 
 /// A request as it is forwarded; retries send it to further backend servers.
 #[derive(Debug, Clone)]
@@ -121,6 +126,32 @@
     pub fn finish(self) {
         self.lease.release(self.max_idle);
     }
+
+    /// Reads the rest of the answer, up to [`MAX_DRAINED`]; whether it has ended.
+    async fn has_short_rest(&mut self) -> Result<bool, hyper::Error> {
+        let mut drained = 0;
+        while let Some(chunk) = self.next().await? {
+            drained += chunk.len() as u64;
+            if drained > MAX_DRAINED.0 {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
+    /// Reads the rest of the answer in a task of its own, so that its request can go on meanwhile.
+    fn drain(mut self) {
+        tokio::spawn(async move {
+            match time::timeout(MAX_DRAIN_TIME, self.has_short_rest()).await {
+                Ok(Ok(true)) => self.finish(),
+                Ok(Ok(false)) | Err(_) => log::debug!(
+                    "attempt: the rest of an answer is not read within {MAX_DRAIN_TIME:?} or \
+                     {MAX_DRAINED}, closing its connection"
+                ),
+                Ok(Err(error)) => log::debug!("attempt: the rest of an answer is lost: {error}"),
+            }
+        });
+    }
 }
 
 /// Result of an attempt or of reading its answer.
@@ -251,7 +282,7 @@
     }
     let answer = start_answer(lease, response, &head);
     if is_not_run {
-        return Err(rejected_attempt(backends, answer, status).await);
+        return Err(rejected_attempt(answer));
     }
     if status.is_server_error()
         || matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT)
@@ -287,14 +318,9 @@
 }
 
 /// The failure for an answer that says that the request did not run.
-async fn rejected_attempt(
-    backends: &Backends,
-    answer: StreamingAnswer,
-    status: StatusCode,
-) -> FailedAttempt {
-    // Reading the short body makes the connection reusable.
-    let deadline = Instant::now() + MAX_IDLE_WITHOUT_RETRY;
-    let _ = buffer_answer(backends, answer, deadline).await;
+fn rejected_attempt(answer: StreamingAnswer) -> FailedAttempt {
+    let status = answer.status;
+    answer.body.drain();
     match status {
         StatusCode::MISDIRECTED_REQUEST => {
             FailedAttempt::new(AttemptFailure::Misdirected, "not held there")
--- a/crates/gateway/tests/endless_bytes.rs
+++ b/crates/gateway/tests/endless_bytes.rs
@@ -20,6 +20,8 @@
 const ENDLESS_SERVERS: usize = 40;
 /// Memory of the smallest VM that runs a gateway, less what the process needs without requests.
 const MEMORY_LIMIT: ByteSize = ByteSize::mib(150);
+/// Requests of which some reach a server that refuses them.
+const REFUSED_REQUESTS: usize = 8;
 /// Longest time of an undisturbed request on a loaded machine; the goal of plain calls is 100 ms.
 const UNDISTURBED_TIME: Duration = Duration::from_millis(500);
 
@@ -161,6 +163,32 @@
     disturbed.abort();
 }
 
+/// Guards against requests that wait for the end of a refusal although another server has room.
+#[rstest]
+#[case::plain("HTTP/1.1 503 Busy\r\nnot-executed: 1\r\n\r\n", "abcdefgh")]
+#[case::chunked(
+    "HTTP/1.1 503 Busy\r\nnot-executed: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+    "8\r\nabcdefgh\r\n"
+)]
+#[case::misdirected("HTTP/1.1 421 Elsewhere\r\n\r\n", "abcdefgh")]
+#[tokio::test]
+async fn refusal_without_end_does_not_keep_a_request_from_another_server(
+    #[case] prefix: &'static str,
+    #[case] repeated: &'static str,
+) {
+    let mut fleet = TestFleet::start().await;
+    fleet.register_service("i-1", start_endless_server(prefix, repeated).await);
+    fleet.add_service("i-2").await;
+    fleet.add_gateway().await;
+
+    for number in 0..REFUSED_REQUESTS {
+        let started = Instant::now();
+        let outcome = fleet.call(plain("GET", "/read/a", &format!("c-{number}"))).await;
+        assert_eq!(outcome.status(), 200, "{outcome:?}");
+        assert!(started.elapsed() < UNDISTURBED_TIME, "{:?}", started.elapsed());
+    }
+}
+
 #[tokio::test]
 async fn caller_that_sends_its_body_byte_by_byte_is_refused_in_time() {
     let mut fleet = TestFleet::start().await;
