--- a/crates/soak/src/deployed.rs
+++ b/crates/soak/src/deployed.rs
@@ -20,7 +20,7 @@
 };
 use platform_standin::{
     EngineOptions, EngineStandin, ServiceStandin, StoreStandin, VmRole, VmSpec, template,
-    vm::{CALLER_PORT, ENGINE_PORT, READY_PORT},
+    vm::{CALLER_PORT, ENGINE_PORT},
 };
 use proof::binaries::ProgramPaths;
 use rand::{RngExt, seq::SliceRandom};
@@ -296,12 +296,6 @@
         entries.map(|vm| vm.spec.address(CALLER_PORT)).collect()
     }
 
-    /// Addresses at which all gateways answer readiness checks.
-    pub fn ready_addresses(&self) -> Vec<std::net::SocketAddr> {
-        let entries = self.vms.iter().filter(|vm| vm.spec.role == VmRole::Entry);
-        entries.map(|vm| vm.spec.address(READY_PORT)).collect()
-    }
-
     /// Starts all processes that do not run, in any order within 0.3 s.
     ///
     /// # Errors
--- a/crates/soak/src/deployed/plan.rs
+++ b/crates/soak/src/deployed/plan.rs
@@ -37,7 +37,7 @@
 
 /// What precedes a loss of power.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Prelude {
+pub enum LossPrelude {
     /// Nothing.
     Calm,
     /// All processes are told that their settings have changed.
@@ -54,7 +54,7 @@
     /// Time of service before.
     pub after: Duration,
     /// What precedes it.
-    pub prelude: Prelude,
+    pub prelude: LossPrelude,
     /// Time without power.
     pub duration: Duration,
     /// Time from the return until the machines have the settings of their processes.
@@ -88,10 +88,10 @@
 
 fn draw_loss(random: &mut ChaCha8Rng) -> PlannedLoss {
     let prelude = match random.random_range(0..4) {
-        0 => Prelude::HangUp,
-        1 => Prelude::RollingRestart,
-        2 => Prelude::ShortReturn(Duration::from_millis(random.random_range(0..800))),
-        _ => Prelude::Calm,
+        0 => LossPrelude::HangUp,
+        1 => LossPrelude::RollingRestart,
+        2 => LossPrelude::ShortReturn(Duration::from_millis(random.random_range(0..800))),
+        _ => LossPrelude::Calm,
     };
     let is_late = random.random_bool(0.3);
     PlannedLoss {
--- a/crates/soak/src/deployed/run.rs
+++ b/crates/soak/src/deployed/run.rs
@@ -17,7 +17,7 @@
 
 use super::{
     DeployedFleet, LENDING_SIZE,
-    plan::{DeploymentPlan, PlannedLoss, Prelude},
+    plan::{DeploymentPlan, LossPrelude, PlannedLoss},
 };
 use crate::{
     callers::{CallOutcome, CallReport, MAX_CALLER_TIMEOUT, hold_connection, send_requests},
@@ -129,10 +129,10 @@
     fleet.note_exits();
     let began = Instant::now();
     match loss.prelude {
-        Prelude::Calm => {}
-        Prelude::HangUp => fleet.vms.iter().for_each(|vm| vm.signal(Signal::SIGHUP)),
-        Prelude::RollingRestart => restart_all(fleet).await?,
-        Prelude::ShortReturn(duration) => {
+        LossPrelude::Calm => {}
+        LossPrelude::HangUp => fleet.vms.iter().for_each(|vm| vm.signal(Signal::SIGHUP)),
+        LossPrelude::RollingRestart => restart_all(fleet).await?,
+        LossPrelude::ShortReturn(duration) => {
             fleet.lose_power();
             fleet.start_all(random).await?;
             time::sleep(duration).await;
