signals: the mask of a program is its first step, before it reads its arguments

A SIGHUP, or a signal without a use, that comes between the start of a program and its mask ends it: the mask came after the arguments were read, for SIGHUP even later, and at entry and fescuewalk-side FILE only after the runtime had started. A processor that is taken away in that time makes it last a tenth of a second.

The mask is now set first in main, at all four processes.

--- a/crates/base/src/signals.rs
+++ b/crates/base/src/signals.rs
@@ -18,14 +18,26 @@
     SigSet::from(SignalNumber::SIGHUP)
 }
 
-/// Holds SIGHUP back in this thread until a [`SettingsWatch`] receives it. Until then its default
-/// action would end the process. Called before other threads start.
+/// Sets the signal mask of a program: holds back signals without a use and SIGHUP, whose default actions
+/// would end the process, and lets the stop signals through. The first step of `main`, because a signal
+/// may come at any time after the start.
 ///
 /// # Errors
 ///
 /// Fails if the mask of the thread cannot be changed.
-pub fn hold_hang_up() -> io::Result<()> {
-    Ok(hang_up_set().thread_block()?)
+pub fn mask_at_start() -> io::Result<()> {
+    hold_unused()?;
+    hang_up_set().thread_block()?;
+    let_stop_through()
+}
+
+/// Ends the hold of SIGHUP in this thread, for commands that a terminal may end.
+///
+/// # Errors
+///
+/// Fails if the mask of the thread cannot be changed.
+pub fn release_hang_up() -> io::Result<()> {
+    Ok(hang_up_set().thread_unblock()?)
 }
 
 /// Signals that a process has no use for, and whose default action would end it.
@@ -41,37 +53,18 @@
     SignalNumber::SIGXCPU,
 ];
 
-/// Replaces the default action of SIGHUP, which would end the process, by none. For processes that read
-/// their settings once.
-///
-/// # Errors
-///
-/// Fails if the handler cannot be installed.
-pub fn ignore_hang_up() -> io::Result<()> {
-    // The handler stays installed without a receiver.
-    signal(SignalKind::hangup()).map(drop)
-}
-
 /// Holds back signals without a use in this thread and all that it starts, and SIGXFSZ, whose default
 /// action ends a process whose output has reached the size limit of files; without it, the write fails
-/// and the lines are dropped. Called before other threads start.
-///
-/// # Errors
-///
-/// Fails if the mask of the thread cannot be changed.
-pub fn hold_unused() -> io::Result<()> {
+/// and the lines are dropped.
+fn hold_unused() -> io::Result<()> {
     let mut held: SigSet = UNUSED_SIGNALS.into_iter().collect();
     held.add(SignalNumber::SIGXFSZ);
     Ok(held.thread_block()?)
 }
 
 /// Lets the stop signals through. A process inherits the blocked signals of what starts it, and a
-/// service manager that waits for its own signals blocks these. Called before other threads start.
-///
-/// # Errors
-///
-/// Fails if the mask of the thread cannot be changed.
-pub fn let_stop_through() -> io::Result<()> {
+/// service manager that waits for its own signals blocks these.
+fn let_stop_through() -> io::Result<()> {
     let stop = [SignalNumber::SIGTERM, SignalNumber::SIGINT, SignalNumber::SIGQUIT];
     Ok(stop.into_iter().collect::<SigSet>().thread_unblock()?)
 }
@@ -118,8 +111,8 @@
     }
 }
 
-/// Watches the settings file of a process. Replaces the default action of SIGHUP, which would end
-/// the process.
+/// Watches the settings file of a process, and receives SIGHUP, which [`mask_at_start`] holds back until
+/// then.
 #[derive(Debug)]
 pub struct SettingsWatch {
     path: PathBuf,
@@ -128,7 +121,7 @@
 }
 
 impl SettingsWatch {
-    /// Watches `path`, which contained `text` when it was last read. Ends [`hold_hang_up`] in the
+    /// Watches `path`, which contained `text` when it was last read. Ends the hold of SIGHUP in the
     /// thread that calls it.
     ///
     /// # Errors
@@ -136,7 +129,7 @@
     /// Fails if the handler of SIGHUP cannot be installed.
     pub fn start(path: impl Into<PathBuf>, text: impl Into<String>) -> io::Result<Self> {
         let hang_up = signal(SignalKind::hangup())?;
-        hang_up_set().thread_unblock()?;
+        release_hang_up()?;
         Ok(Self { path: path.into(), text: text.into(), hang_up })
     }
 
--- a/crates/fescuewalk-side/src/cmd/agent.rs
+++ b/crates/fescuewalk-side/src/cmd/agent.rs
@@ -8,7 +8,7 @@
 
 use agent::{Agent, AgentSettings};
 use base::{
-    signals::{SettingsWatch, hold_hang_up, reload_until_stopped},
+    signals::{SettingsWatch, reload_until_stopped},
     startup::read_when_complete,
 };
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -68,7 +68,6 @@
         println!("{name}: no faults");
         return Ok(());
     }
-    hold_hang_up()?;
     let ((settings, lesser), text) = read_when_complete(|| -> Result<_> {
         let text = fs::read_to_string(&path)?;
         Ok((AgentSettings::parse_usable(&name, &text)?, text))
--- a/crates/fescuewalk-side/src/cmd/side.rs
+++ b/crates/fescuewalk-side/src/cmd/side.rs
@@ -11,7 +11,7 @@
     path::PathBuf,
 };
 
-use base::signals::{ignore_hang_up, stop_requested};
+use base::signals::stop_requested;
 use clap::ArgMatches;
 use side::{SideHandle, SideSettings};
 
@@ -30,7 +30,6 @@
         println!("{}: no faults", path.display());
         return Ok(());
     }
-    ignore_hang_up()?;
     let _logger = settings.log.start()?;
     let handle = SideHandle::start(settings).await;
     let (peers, http) = (handle.peer_address(), handle.http_address());
--- a/crates/fescuewalk-side/src/main.rs
+++ b/crates/fescuewalk-side/src/main.rs
@@ -6,7 +6,7 @@
 
 use std::{path::PathBuf, process::ExitCode};
 
-use base::signals::{hold_unused, let_stop_through};
+use base::signals::mask_at_start;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use crate::error::Result;
@@ -34,8 +34,6 @@
 }
 
 fn run(matches: &ArgMatches) -> Result<()> {
-    hold_unused()?;
-    let_stop_through()?;
     match matches.subcommand() {
         Some(("agent", args)) => cmd::agent::run(args),
         _ => cmd::side::run(matches),
@@ -43,8 +41,9 @@
 }
 
 fn main() -> ExitCode {
+    let masked = mask_at_start();
     let matches = command().get_matches();
-    match run(&matches) {
+    match masked.map_err(Into::into).and_then(|()| run(&matches)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("fescuewalk-side: {error}");
--- a/crates/fescuewalk/src/cmd/entry.rs
+++ b/crates/fescuewalk/src/cmd/entry.rs
@@ -6,7 +6,7 @@
 
 use std::io::{self, Write};
 
-use base::signals::{ignore_hang_up, stop_requested};
+use base::signals::stop_requested;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use entry::{EntryHandle, EntrySettings};
 
@@ -58,7 +58,6 @@
         println!("{}: no faults", args.settings.name());
         return Ok(());
     }
-    ignore_hang_up()?;
     let _logger = settings.log.start()?;
     let handle = EntryHandle::start(settings).await;
     let (peers, http) = (handle.peer_address(), handle.http_address());
--- a/crates/fescuewalk/src/cmd/gateway.rs
+++ b/crates/fescuewalk/src/cmd/gateway.rs
@@ -7,7 +7,7 @@
 use std::{env, path::PathBuf};
 
 use base::{
-    signals::{SettingsWatch, hold_hang_up, reload_until_stopped},
+    signals::{SettingsWatch, reload_until_stopped},
     startup::read_when_complete,
 };
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -76,7 +76,6 @@
         println!("{name}: no faults");
         return Ok(());
     }
-    hold_hang_up()?;
     let ((settings, lesser), text) = read_when_complete(|| -> CliResult<_> {
         let text = args.settings.read_text()?;
         Ok((GatewaySettings::parse_usable(&name, &text)?, text))
--- a/crates/fescuewalk/src/main.rs
+++ b/crates/fescuewalk/src/main.rs
@@ -9,7 +9,7 @@
 
 use std::process::ExitCode;
 
-use base::signals::{hold_unused, let_stop_through};
+use base::signals::{mask_at_start, release_hang_up};
 use clap::{ArgMatches, Command};
 
 use crate::error::CliResult;
@@ -36,8 +36,9 @@
 }
 
 fn run(matches: &ArgMatches) -> CliResult<()> {
-    hold_unused()?;
-    let_stop_through()?;
+    if !matches!(matches.subcommand_name(), Some("entry" | "gateway")) {
+        release_hang_up()?;
+    }
     match matches.subcommand() {
         Some(("account", args)) => cmd::account::run(args),
         Some(("burn", args)) => cmd::burn::run(args),
@@ -57,8 +58,9 @@
 }
 
 fn main() -> ExitCode {
+    let masked = mask_at_start();
     let matches = command().get_matches();
-    match run(&matches) {
+    match masked.map_err(Into::into).and_then(|()| run(&matches)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("fescuewalk: {error}");
