--- a/crates/proof/src/binaries.rs
+++ b/crates/proof/src/binaries.rs
@@ -37,16 +37,18 @@
 }
 
 impl ProgramPaths {
-    /// Builds both programs, so that none is older than its source, and returns their paths.
+    /// Builds both programs with the profile of the test, so that none is older than its source, and
+    /// returns their paths.
     ///
     /// # Errors
     ///
     /// Fails if the build fails or the target directory is unknown.
     pub fn build() -> Result<Self> {
+        let profile = if cfg!(debug_assertions) { "dev" } else { "release" };
         let arguments = ["build", "--locked", "--quiet", "-p", "fescuewalk", "-p"];
         let status = Command::new(env!("CARGO"))
             .args(arguments)
-            .arg("fescuewalk-side")
+            .args(["fescuewalk-side", "--profile", profile])
             .current_dir(Path::new(env!("CARGO_MANIFEST_DIR")))
             .status()
             .context(BuildStartSnafu)?;
--- a/crates/soak/src/deployed.rs
+++ b/crates/soak/src/deployed.rs
@@ -1,14 +1,19 @@
 //! A whole fleet as the platform starts it: settings from the templates of `deploy/`, one loopback
-//! address for each VM, and no relays or helpers between the processes.
+//! address for each VM, and no relays or helpers between the processes unless these are asked for.
 
+pub mod day;
+pub mod day_plan;
 pub mod plan;
+mod quota;
 pub mod run;
+mod supervision;
+mod troubles;
 
 use std::{
     collections::BTreeMap,
     fs::{self, File},
     io,
-    net::{IpAddr, Ipv4Addr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     time::Duration,
@@ -22,18 +27,21 @@
     EngineOptions, EngineStandin, ServiceStandin, StoreStandin, VmRole, VmSpec, template,
     vm::{CALLER_PORT, ENGINE_PORT},
 };
-use proof::binaries::ProgramPaths;
+use proof::{binaries::ProgramPaths, relay::TcpRelay};
 use rand::{RngExt, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, time};
 
+use self::{quota::ProcessorQuotas, supervision::VmSupervision};
 use crate::fleet::{
     ENGINE_SERVICE, EVENTS_PER_STREAM, FIRST_EVENT, PLAIN_SERVICE, catalog, model_names,
 };
 
 /// Port of the store.
 const STORE_PORT: u16 = 8_142;
+/// Port of an engine behind its relay.
+const HIDDEN_ENGINE_PORT: u16 = 8_146;
 /// Time within which the platform starts all processes.
 const START_SPREAD: Duration = Duration::from_millis(300);
 /// Environment variable with the path of the settings file.
@@ -56,6 +64,15 @@
 pub const LENDING_SIZE: DeploymentSize =
     DeploymentSize { entries: 4, engines: 9, services: 4, models: 51 };
 
+/// What stands between the processes and what they connect to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkKind {
+    /// Nothing.
+    Direct,
+    /// A relay for each VM to the store, and one for each engine.
+    Relayed,
+}
+
 /// What the machines of a deployment do with a process and its settings.
 #[derive(Debug, Clone, Default)]
 pub struct MachineRules {
@@ -75,6 +92,11 @@
     log: PathBuf,
     child: Option<Child>,
     is_stopping: bool,
+    /// Quota of its processor, as its settings state it; `None` without one.
+    quotas: Option<ProcessorQuotas>,
+    /// Most memory that one of its processes was seen to have, in KiB.
+    noted_memory: u64,
+    supervision: VmSupervision,
 }
 
 impl DeployedVm {
@@ -105,16 +127,23 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        if let (Some(quotas), Some(id)) = (&self.quotas, process_id(&child)) {
+            quotas.add(id, self.spec.core_share());
+        }
         self.child = Some(child);
         self.is_stopping = false;
         Ok(())
     }
 
+    fn id(&self) -> Option<Pid> {
+        self.child.as_ref().and_then(process_id)
+    }
+
     /// Sends a signal to the process, if it runs.
     pub fn signal(&self, signal: Signal) {
-        if let Some(id) = self.child.as_ref().and_then(|child| i32::try_from(child.id()).ok()) {
+        if let Some(id) = self.id() {
             // It may have ended meanwhile, which the check for exits reports.
-            let _ = kill(Pid::from_raw(id), signal);
+            let _ = kill(id, signal);
         }
     }
 
@@ -125,7 +154,11 @@
 
     /// Exit status of the process if it has ended; it counts as stopped from then on.
     pub fn take_exit(&mut self) -> Option<ExitStatus> {
-        let status = self.child.as_mut()?.try_wait().ok().flatten()?;
+        let child = self.child.as_mut()?;
+        let status = match (&self.quotas, process_id(child)) {
+            (Some(quotas), Some(id)) => quotas.reap(id, || child.try_wait().ok().flatten()),
+            _ => child.try_wait().ok().flatten(),
+        }?;
         self.child = None;
         Some(status)
     }
@@ -143,6 +176,16 @@
         line.split_whitespace().next()?.parse().ok()
     }
 
+    /// Notes the memory of the process, and describes it once if it is beyond that of the VM.
+    pub fn take_memory_excess(&mut self) -> Option<String> {
+        let limit = self.spec.memory().0 / 1024;
+        let peak = self.peak_memory()?;
+        let before = self.noted_memory;
+        self.noted_memory = before.max(peak);
+        (before <= limit && peak > limit)
+            .then(|| format!("{} has {} KiB of {limit}", self.spec.name, peak))
+    }
+
     /// The last lines that the process wrote.
     pub fn last_lines(&self, count: usize) -> String {
         let text = fs::read_to_string(&self.log).unwrap_or_default();
@@ -154,11 +197,18 @@
         if let Some(mut child) = self.child.take() {
             // Both fail only if the process has ended.
             let _ = child.kill();
-            let _ = child.wait();
+            let _ = match (&self.quotas, process_id(&child)) {
+                (Some(quotas), Some(id)) => quotas.reap(id, || child.wait().ok()),
+                _ => child.wait().ok(),
+            };
         }
     }
 }
 
+fn process_id(child: &Child) -> Option<Pid> {
+    i32::try_from(child.id()).ok().map(Pid::from_raw)
+}
+
 impl Drop for DeployedVm {
     fn drop(&mut self) {
         self.kill();
@@ -179,6 +229,15 @@
     pub rules: MachineRules,
     /// Exits that nothing forced, with the last lines of the process.
     pub exits: Vec<String>,
+    /// Relays of all VMs to the store, by VM; none if they connect to it directly.
+    pub store_links: Vec<TcpRelay>,
+    /// Relays to the engines, by engine; none if processes connect to them directly.
+    pub engine_links: Vec<TcpRelay>,
+    /// Path prefixes of the routes that were added.
+    added_routes: Vec<String>,
+    /// Version of the configuration in the store.
+    version: u64,
+    links: LinkKind,
     losses: u64,
     has_settings: bool,
 }
@@ -194,6 +253,21 @@
         programs: &ProgramPaths,
         directory: &Path,
         subnet: u8,
+    ) -> io::Result<Self> {
+        Self::with_links(size, programs, directory, subnet, LinkKind::Direct).await
+    }
+
+    /// The same with `links` to the store and the engines.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::new`].
+    pub async fn with_links(
+        size: DeploymentSize,
+        programs: &ProgramPaths,
+        directory: &Path,
+        subnet: u8,
+        links: LinkKind,
     ) -> io::Result<Self> {
         fs::create_dir_all(directory)?;
         let ip =
@@ -208,20 +282,28 @@
             vms: Vec::new(),
             rules: MachineRules::default(),
             exits: Vec::new(),
+            store_links: Vec::new(),
+            engine_links: Vec::new(),
+            added_routes: Vec::new(),
+            version: 1,
+            links,
             losses: 0,
             has_settings: true,
         };
         for index in 0..size.entries {
-            fleet.add_vm(
-                format!("edge-{index}"),
-                ip(1, index),
-                VmRole::Entry,
-                programs,
-                directory,
-            )?;
+            let name = format!("edge-{index}");
+            fleet.add_vm(name, ip(1, index), VmRole::Entry, programs, directory).await?;
         }
         for index in 0..size.engines {
-            let listener = TcpListener::bind((ip(2, index), ENGINE_PORT)).await?;
+            let address = SocketAddr::new(ip(2, index), ENGINE_PORT);
+            let hidden = SocketAddr::new(ip(2, index), HIDDEN_ENGINE_PORT);
+            let listener = match links {
+                LinkKind::Direct => TcpListener::bind(address).await?,
+                LinkKind::Relayed => {
+                    fleet.engine_links.push(TcpRelay::start_at(address, hidden).await?);
+                    TcpListener::bind(hidden).await?
+                }
+            };
             let residents =
                 (0..2).map(|offset| models[(index * 2 + offset) % models.len()].clone());
             let options = EngineOptions {
@@ -237,7 +319,8 @@
             };
             fleet.engines.push(EngineStandin::start(listener, options)?);
             let role = VmRole::Side(ENGINE_SERVICE.to_owned());
-            fleet.add_vm(format!("side-{index}"), ip(2, index), role, programs, directory)?;
+            let name = format!("side-{index}");
+            fleet.add_vm(name, ip(2, index), role, programs, directory).await?;
         }
         for index in 0..size.services {
             let listener = TcpListener::bind((ip(3, index), ENGINE_PORT)).await?;
@@ -253,7 +336,7 @@
         Ok(fleet)
     }
 
-    fn add_vm(
+    async fn add_vm(
         &mut self,
         name: String,
         ip: IpAddr,
@@ -268,7 +351,12 @@
         let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy").join(template);
         let settings = directory.join(format!("{name}.conf"));
         let log = directory.join(format!("{name}.log"));
-        let store = self.store.address();
+        let mut store = self.store.address();
+        if self.links == LinkKind::Relayed {
+            let link = TcpRelay::start_at(SocketAddr::new(ip, STORE_PORT), store).await?;
+            store = link.address;
+            self.store_links.push(link);
+        }
         let spec = VmSpec { name, ip, zone: "westside-a".to_owned(), role, store };
         self.vms.push(DeployedVm {
             spec,
@@ -278,20 +366,35 @@
             log,
             child: None,
             is_stopping: false,
+            quotas: None,
+            noted_memory: 0,
+            supervision: VmSupervision::default(),
         });
         Ok(())
     }
 
+    /// Gives each process that starts from now on the share of a core that its settings state as a quota.
+    pub fn set_quotas(&mut self) {
+        let quotas = ProcessorQuotas::default();
+        self.vms.iter_mut().for_each(|vm| vm.quotas = Some(quotas.clone()));
+    }
+
     /// Writes the entries of all engines to the store.
     pub fn publish_engines(&self) {
-        for engine in &self.engines {
-            let entry = engine.store_entry(ENGINE_SERVICE, "westside-a", engine.address());
-            self.store.write("servers", &engine.instance(), &entry);
-        }
+        (0..self.engines.len()).for_each(|index| self.publish_engine(index, "ready"));
+    }
+
+    /// Writes the entry of an engine to the store, with `state` such as `draining`.
+    pub fn publish_engine(&self, index: usize, state: &str) {
+        let engine = &self.engines[index];
+        let address = self.engine_links.get(index).map_or(engine.address(), |link| link.address);
+        let mut entry = engine.store_entry(ENGINE_SERVICE, "westside-a", address);
+        entry["state"] = json!(state);
+        self.store.write("servers", &engine.instance(), &entry);
     }
 
     /// Addresses of all gateways for callers.
-    pub fn caller_addresses(&self) -> Vec<std::net::SocketAddr> {
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
         let entries = self.vms.iter().filter(|vm| vm.spec.role == VmRole::Entry);
         entries.map(|vm| vm.spec.address(CALLER_PORT)).collect()
     }
--- a/crates/soak/src/deployed/run.rs
+++ b/crates/soak/src/deployed/run.rs
@@ -162,7 +162,7 @@
 }
 
 /// Stops all processes, and returns those that do not end as they should.
-async fn stop_all(fleet: &mut DeployedFleet) -> Vec<String> {
+pub(super) async fn stop_all(fleet: &mut DeployedFleet) -> Vec<String> {
     for vm in &fleet.vms {
         vm.signal(Signal::SIGTERM);
     }
@@ -183,7 +183,7 @@
     findings
 }
 
-fn find_wrong(reports: &[CallReport]) -> impl Iterator<Item = String> + '_ {
+pub(super) fn find_wrong(reports: &[CallReport]) -> impl Iterator<Item = String> + '_ {
     let wrong = reports.iter().filter(|report| {
         matches!(
             report.outcome,
