owner: what engines hold is not unloaded before the demand for it is known

Callers of fescuewalk entry got no answer for a model that engines had held before the entries started: requests waited until their time ran out. An owner that has just begun has seen no request, so it desired no replica, and unloaded at once what it found loaded. Whether a request came before that was a matter of milliseconds; beside load it came later. This is what entry_slow_readers showed beside load: its engine cannot unload, so its model stayed missing.

Replicas are now kept for 10 s from the beginning of an owner, the time for which a model that has served is kept anyway.

--- a/crates/entry/src/owner/capacity.rs
+++ b/crates/entry/src/owner/capacity.rs
@@ -91,6 +91,11 @@
         self.is_kept_warm
     }
 
+    /// Whether replicas beyond the desired number may be unloaded; not while the demand is unknown.
+    pub fn may_unload(&self, now: Instant) -> bool {
+        self.keep_warm.may_unload(now)
+    }
+
     /// Worth of a replica, by which side processes order evictions.
     pub fn worth(&self, prior: &GapHistogram, now: Instant) -> KeepWorth {
         self.keep_warm.worth(prior, now)
--- a/crates/entry/src/owner/loads.rs
+++ b/crates/entry/src/owner/loads.rs
@@ -94,7 +94,7 @@
         let OwnerKey::Model(model) = key else { return };
         let Some(target) = self.targets.get_mut(key) else { return };
         let Some(capacity) = &target.capacity else { return };
-        if capacity.scheduler.loaded_count() <= desired {
+        if capacity.scheduler.loaded_count() <= desired || !capacity.may_unload(now) {
             return;
         }
         let Some(vm) = target.idle_replica() else { return };
--- a/crates/loading/src/keep_warm.rs
+++ b/crates/loading/src/keep_warm.rs
@@ -133,6 +133,7 @@
     plan: WarmPlan,
     is_busy: bool,
     has_served: bool,
+    began: Instant,
     idle_since: Instant,
 }
 
@@ -146,6 +147,7 @@
             plan: WarmPlan::default(),
             is_busy: false,
             has_served: false,
+            began: now,
             idle_since: now,
         }
     }
@@ -192,6 +194,12 @@
         }
     }
 
+    /// Whether replicas without demand may be unloaded at `now`. A policy that has just begun does not
+    /// know the demand for replicas that were loaded before.
+    pub fn may_unload(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.began) >= MIN_KEEP
+    }
+
     /// When the requested state changes next if no request arrives; `None` if it stays the same.
     pub fn next_change(&self, now: Instant) -> Option<Instant> {
         let current = self.warm_request(now);
--- a/crates/loading/tests/scheduler.rs
+++ b/crates/loading/tests/scheduler.rs
@@ -171,6 +171,17 @@
     }
 }
 
+/// Guards against an owner that unloads, as it begins, what engines were asked for until then.
+#[tokio::test(start_paused = true)]
+async fn loaded_replicas_are_kept_until_the_demand_is_known() {
+    let cost = LoadCost { load_time: LOAD_TIME, accelerators: 1.0 };
+    let now = Instant::now();
+    let warm = KeepWarm::new(WarmPrices::default(), cost, now);
+
+    assert!(!warm.may_unload(now + Duration::from_secs(9)));
+    assert!(warm.may_unload(now + Duration::from_secs(10)));
+}
+
 #[tokio::test(start_paused = true)]
 async fn rarely_used_model_stays_unloaded() {
     let mut rng = ChaCha8Rng::seed_from_u64(5);
