--- a/crates/loading/src/ledger/call_results.rs
+++ b/crates/loading/src/ledger/call_results.rs
@@ -12,7 +12,7 @@
         let target = target.clone();
         match entry.phase {
             TargetPhase::Loading(_) => self.end_load(&target, answer, now),
-            _ => self.end_unload(&target, answer),
+            _ => self.end_unload(&target, answer, now),
         }
     }
 
@@ -62,12 +62,13 @@
         self.request_listing();
     }
 
-    fn end_unload(&mut self, target: &LoadTarget, answer: EngineAnswer) {
+    fn end_unload(&mut self, target: &LoadTarget, answer: EngineAnswer, now: Instant) {
         let first_valid_listing = self.next_listing;
         let is_enforced = self.settings.fence_check == FenceCheck::Enforced;
         let Some(entry) = self.entries.get_mut(target) else { return };
         entry.first_valid_listing = first_valid_listing;
         entry.phase = TargetPhase::Unloading(None);
+        entry.unload_backoff.record_failure(now);
         if answer == EngineAnswer::Done {
             entry.resolve_uncertain_loads(is_enforced);
             if !self.checks.free_by_listing {
--- a/crates/loading/src/ledger/entry.rs
+++ b/crates/loading/src/ledger/entry.rs
@@ -4,7 +4,10 @@
 
 use base::prelude::*;
 
-use crate::orders::{EngineCallId, KeepWorth, ListingNumber, LoadTarget, OrderId};
+use crate::{
+    backoff::RetryBackoff,
+    orders::{EngineCallId, KeepWorth, ListingNumber, LoadTarget, OrderId},
+};
 
 /// Phase of a target at the ledger.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -89,6 +92,8 @@
     pub loads: Vec<OrderId>,
     pub unloads: Vec<OrderId>,
     pub is_unload_pending: bool,
+    /// Pause before the next unload call, after calls that did not free the memory.
+    pub unload_backoff: RetryBackoff,
     pub last_used: Instant,
 }
 
@@ -107,6 +112,7 @@
             loads: Vec::new(),
             unloads: Vec::new(),
             is_unload_pending: false,
+            unload_backoff: RetryBackoff::default(),
             last_used: now,
         }
     }
--- a/crates/loading/src/ledger/listing.rs
+++ b/crates/loading/src/ledger/listing.rs
@@ -89,8 +89,13 @@
                 self.waiting.retain(|waiting| waiting != target);
                 self.finish_load(target);
             }
-            TargetPhase::Unloading(None) => self.send_unload(target),
-            TargetPhase::Loading(_) | TargetPhase::Loaded | TargetPhase::Unloading(Some(_)) => {}
+            TargetPhase::Unloading(None) if entry.unload_backoff.allows_retry(now) => {
+                self.send_unload(target);
+            }
+            TargetPhase::Unloading(None)
+            | TargetPhase::Loading(_)
+            | TargetPhase::Loaded
+            | TargetPhase::Unloading(Some(_)) => {}
         }
     }
 
--- a/crates/loading/tests/ledger_orders.rs
+++ b/crates/loading/tests/ledger_orders.rs
@@ -352,6 +352,29 @@
     assert_eq!(load_count(&actions), 1);
 }
 
+/// Guards against unload calls without a pause, hundreds a second, to an engine that frees memory late or
+/// not at all.
+#[tokio::test(start_paused = true)]
+async fn unload_that_frees_nothing_is_repeated_after_a_pause() {
+    let mut fixture = fixture(FenceCheck::Ignored);
+    let target = base_target(1);
+    fixture.load_and_confirm(target.clone(), 1);
+    let call = call_of(&fixture.unload(target.clone(), 1, UnloadPurpose::Idle));
+    let listing = |actions: &[LedgerAction]| match actions {
+        [LedgerAction::ListEngine(number)] => number.0,
+        _ => panic!("{actions:?}"),
+    };
+
+    let answered = fixture.step(LedgerEvent::Answered(call, EngineAnswer::Done));
+    let at_once = fixture.list(listing(&answered), std::slice::from_ref(&target));
+    fixture.advance(1);
+    let ticked = fixture.step(LedgerEvent::Tick);
+    let later = fixture.list(listing(&ticked), &[target]);
+
+    assert_eq!(calls_of(&at_once), []);
+    assert_eq!(calls_of(&later).len(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn uncertain_model_is_unloaded_then_loaded() {
     let mut fixture = overcommitted_successor(FenceCheck::Enforced);
