--- a/crates/soak/src/deployed/day.rs
+++ b/crates/soak/src/deployed/day.rs
@@ -24,6 +24,7 @@
 use super::{
     DeployedFleet, LENDING_SIZE,
     day_plan::DayPlan,
+    lag::LagMeter,
     run::{RunReport, find_wrong, stop_all},
     troubles::{DayState, next_incarnation},
 };
@@ -81,6 +82,7 @@
     let state = DayState { fleet: Arc::clone(&fleet), reports: sender, seed: plan.seed };
     let stop = Arc::<AtomicBool>::default();
     start_load(&state, addresses, &stop);
+    let lag = LagMeter::start();
     let began = Instant::now();
     let troubles: Vec<_> = plan
         .troubles
@@ -117,7 +119,12 @@
     check_return(plan, lost, returned, &reports, &mut report);
     let peak = fleet.vms.iter().map(|vm| vm.noted_memory).max().unwrap_or(0);
     // Writing to a string does not fail.
-    let _ = write!(report.summary, "; peak {} MiB", peak / 1024);
+    let _ = write!(
+        report.summary,
+        "; peak {} MiB; harness late by {} ms at most",
+        peak / 1024,
+        lag.longest().as_millis()
+    );
     Ok(report)
 }
 
--- a/crates/soak/src/deployed/run.rs
+++ b/crates/soak/src/deployed/run.rs
@@ -17,6 +17,7 @@
 
 use super::{
     DeployedFleet, LENDING_SIZE,
+    lag::LagMeter,
     plan::{DeploymentPlan, LossPrelude, PlannedLoss},
 };
 use crate::{
@@ -99,6 +100,7 @@
     fleet.start_all(&mut random).await?;
     time::sleep(WARM_UP).await;
     let load = CallerLoad::start(fleet, plan.seed);
+    let lag = LagMeter::start();
     let mut losses = Vec::new();
     let mut peak = 0;
     for loss in &plan.losses {
@@ -115,6 +117,7 @@
     let fields = fields.map(String::as_str).collect::<Vec<_>>().join(" ");
     // Writing to a string does not fail.
     let _ = write!(report.summary, "{limits:?} {fields:?}; peak {} MiB", peak / 1024);
+    let _ = write!(report.summary, "; harness late by {} ms at most", lag.longest().as_millis());
     for loss in &losses {
         check_service(loss, &reports, &mut report);
     }
