--- a/crates/soak/tests/days.rs
+++ b/crates/soak/tests/days.rs
@@ -22,10 +22,10 @@
 /// Number of runs at the same time.
 const PARALLEL_RUNS: usize = 4;
 /// First of the networks 127.N.0.0/16 of the runs.
-const FIRST_NETWORK: u64 = 171;
+const FIRST_NETWORK: u64 = 202;
 
 async fn run_one(run: SeedRun, programs: ProgramPaths) -> std::io::Result<RunReport> {
-    let network = (FIRST_NETWORK + run.seed % 70) as u8;
+    let network = (FIRST_NETWORK + run.seed % 50) as u8;
     let fleet = DeployedFleet::with_links(
         LENDING_SIZE,
         &programs,
