--- a/crates/soak/src/deployed.rs
+++ b/crates/soak/src/deployed.rs
@@ -116,9 +116,17 @@
         let log = File::options().create(true).append(true).open(&self.log)?;
         let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
         let script = format!("{} exec \"$@\"", rules.limits);
-        let child = Command::new("sh")
-            .args(["-c", &script, "sh"])
-            .args(&self.command)
+        let mut command = match rules.limits.is_empty() {
+            // A signal that comes early would end the shell, not the program.
+            true => Command::new(&self.command[0]),
+            false => {
+                let mut shell = Command::new("sh");
+                shell.args(["-c", &script, "sh", &self.command[0]]);
+                shell
+            }
+        };
+        let child = command
+            .args(&self.command[1..])
             .current_dir(root)
             .env_clear()
             .env("PATH", std::env::var_os("PATH").unwrap_or_default())
