--- a/crates/soak/src/deployed.rs
+++ b/crates/soak/src/deployed.rs
@@ -26,7 +26,7 @@
 };
 use platform_standin::{
     EngineOptions, EngineStandin, ServiceStandin, StoreStandin, VmRole, VmSpec, template,
-    vm::{CALLER_PORT, ENGINE_PORT},
+    vm::{CALLER_PORT, ENGINE_PORT, READY_PORT},
 };
 use proof::{binaries::ProgramPaths, relay::TcpRelay};
 use rand::{RngExt, seq::SliceRandom};
@@ -408,6 +408,12 @@
         entries.map(|vm| vm.spec.address(CALLER_PORT)).collect()
     }
 
+    /// Addresses of all gateways for readiness checks.
+    pub fn ready_addresses(&self) -> Vec<SocketAddr> {
+        let entries = self.vms.iter().filter(|vm| vm.spec.role == VmRole::Entry);
+        entries.map(|vm| vm.spec.address(READY_PORT)).collect()
+    }
+
     /// Starts all processes that do not run, in any order within 0.3 s.
     ///
     /// # Errors
--- a/crates/soak/src/deployed/day.rs
+++ b/crates/soak/src/deployed/day.rs
@@ -4,6 +4,7 @@
 use std::{
     fmt::Write,
     io,
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -32,10 +33,13 @@
     callers::{CallReport, MAX_CALLER_TIMEOUT, hold_connection, send_requests},
     checks::power_losses::{RECOVER_TIME, ServedCount},
     fleet::model_names,
+    injection::power_loss::is_ready,
 };
 
 /// Time from the first start to the first request.
 const WARM_UP: Duration = Duration::from_secs(10);
+/// Path of readiness checks.
+const READY_PATH: &str = "/api/readyz";
 /// Requests of the callers of one gateway in a second.
 const RATE: f64 = 9.0;
 /// Time over which requests count before the final loss, and after the machines must serve again.
@@ -43,7 +47,7 @@
 /// Time between two turns of the supervisor.
 const SUPERVISION_INTERVAL: Duration = Duration::from_millis(50);
 
-fn start_load(state: &DayState, addresses: Vec<std::net::SocketAddr>, stop: &Arc<AtomicBool>) {
+fn start_load(state: &DayState, addresses: Vec<SocketAddr>, stop: &Arc<AtomicBool>) {
     for (gateway, address) in addresses.into_iter().enumerate() {
         let seed = state.seed ^ (gateway as u64) << 32;
         let (held_stop, sender) = (Arc::clone(stop), state.reports.clone());
@@ -75,9 +79,11 @@
     fleet.set_quotas();
     fleet.start_all(&mut random).await?;
     let addresses = fleet.caller_addresses();
+    let ready_addresses = fleet.ready_addresses();
     let fleet = Arc::new(Mutex::new(fleet));
     let supervisor = start_supervisor(Arc::clone(&fleet));
     time::sleep(WARM_UP).await;
+    let unready = find_unready(ready_addresses).await;
     let (sender, mut received) = mpsc::unbounded_channel();
     let state = DayState { fleet: Arc::clone(&fleet), reports: sender, seed: plan.seed };
     let stop = Arc::<AtomicBool>::default();
@@ -114,6 +120,7 @@
     }
     let mut fleet = fleet.lock().await;
     let mut report = RunReport { findings: std::mem::take(&mut fleet.exits), ..Default::default() };
+    report.findings.extend(unready);
     report.findings.extend(stop_all(&mut fleet).await);
     report.findings.extend(find_wrong(&reports));
     check_return(plan, lost, returned, &reports, &mut report);
@@ -128,6 +135,15 @@
     Ok(report)
 }
 
+/// Gateways that do not say that they are ready when traffic starts.
+async fn find_unready(addresses: Vec<SocketAddr>) -> Vec<String> {
+    let checks = addresses.into_iter().map(|address| async move {
+        let is_ready = is_ready(address, READY_PATH).await;
+        (!is_ready).then(|| format!("{address} is not ready {WARM_UP:?} after the start"))
+    });
+    join_all(checks).await.into_iter().flatten().collect()
+}
+
 /// Takes the power from all VMs right after a change of the configuration was written.
 async fn lose_all(plan: &DayPlan, fleet: &Mutex<DeployedFleet>) {
     let mut fleet = fleet.lock().await;
--- a/crates/soak/src/deployed/supervision.rs
+++ b/crates/soak/src/deployed/supervision.rs
@@ -56,11 +56,12 @@
         }
     }
 
-    /// Whether the process is told to stop and runs beyond its grace, without having stood still.
+    /// Whether the process was told to stop and still runs after its grace.
     fn is_overdue(&self, now: Instant) -> bool {
         self.supervision.kill_at.is_some_and(|kill_at| now >= kill_at)
     }
 
+    /// Whether the process stood still at some time since it was told to stop.
     fn was_frozen(&self) -> bool {
         let began = self.supervision.kill_at.map(|kill_at| kill_at - GRACE);
         self.supervision.frozen_until.is_some_and(|until| began.is_none_or(|began| until > began))
--- a/crates/soak/src/injection/power_loss.rs
+++ b/crates/soak/src/injection/power_loss.rs
@@ -205,7 +205,8 @@
     join_all(waits).await.into_iter().flatten().collect()
 }
 
-async fn is_ready(address: SocketAddr, path: &str) -> bool {
+/// Whether a readiness check is answered with 200.
+pub async fn is_ready(address: SocketAddr, path: &str) -> bool {
     let request = Request::get(format!("http://{address}{path}")).body(Full::<Bytes>::default());
     let request = request.expect("the address and the path are valid");
     let exchange = async {
