--- a/crates/residency/src/planner/candidates.rs
+++ b/crates/residency/src/planner/candidates.rs
@@ -14,9 +14,6 @@
 const MIN_REPORTED_SHARE: f64 = 0.75;
 /// Time within which the engines report after a start of this process.
 const FIRST_REPORT_TIME: Duration = Duration::from_millis(500);
-/// Longest wait for their reports after the first planning pass. Entries of engines that were lost stay
-/// listed until they lapse, and as long as the platform's store is away.
-const MAX_REPORT_WAIT: Duration = Duration::from_secs(1);
 /// Expected time until the running requests of a model that is to be unloaded have ended; a stream
 /// in the users' workloads lasts two to eight seconds.
 const EXPECTED_DRAIN_TIME: Duration = Duration::from_millis(2_500);
@@ -78,11 +75,9 @@
         self.store_loads + 1 < self.planner.store_concurrency.limit()
     }
 
-    /// Whether most of the listed engines have reported, or those that have not are taken for lost.
+    /// Whether most of the listed engines have reported.
     pub(super) fn has_most_reports(&self) -> bool {
-        let first_pass = self.planner.first_pass.unwrap_or(self.now);
-        self.now.saturating_duration_since(first_pass) >= MAX_REPORT_WAIT
-            || self.planner.engines.len() as f64 >= self.planner.listed as f64 * MIN_REPORTED_SHARE
+        self.planner.engines.len() as f64 >= self.planner.listed as f64 * MIN_REPORTED_SHARE
     }
 
     /// Whether another load may read from the weight store.
