--- a/crates/gateway/src/block_archive.rs
+++ b/crates/gateway/src/block_archive.rs
@@ -117,7 +117,7 @@
         let mut failures = 0_u32;
         let listed = loop {
             match self.store.list_system_objects(ObjectKind::RequestBlocks).await {
-                Ok(listed) => break listed,
+                Ok(listing) => break listing.items,
                 Err(error) if failures == 0 => {
                     log::warn!("blocks: cannot list the stored blocks, retrying: {error}");
                 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use events::{DecisionEvent, Dependency, EventLog, millis};
-use platform::{PlatformStore, StoreError, WatchOutcome};
+use platform::{Listing, PlatformStore, StoreError, WatchOutcome};
 use roster::{
     BackendServer, FailedRead, ReadMode, ReadPlan, Roster, RosterChange, RosterUpdate,
     StorePosition,
@@ -19,6 +19,8 @@
 
 /// Delay before the next call to the store after one that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Time after an incomplete listing of the backend servers until they are listed again.
+const RELIST_DELAY: Duration = Duration::from_secs(10);
 
 /// Records in the decision log when a dependency becomes unavailable and available again.
 struct DependencyWatch {
@@ -133,10 +135,25 @@
     }
 }
 
+/// Logs which object names no server to use, and whether a server of that name was in service.
+fn warn_if_unreadable(change: &RosterChange, roster: &Roster) {
+    let RosterChange::Unreadable { id, reason } = change else { return };
+    match roster.get(id) {
+        Some(_) => log::warn!(
+            "store: treating backend server {id} as removed, its object cannot be decoded: {reason}"
+        ),
+        None => log::warn!(
+            "store: ignoring the object {id:?} among the backend servers, none of this name is in \
+             service: {reason}",
+            id = id.as_str()
+        ),
+    }
+}
+
 /// What a read of the registrations has shown.
 enum RosterRead {
-    /// All registrations, and the position of the store.
-    Listing(Vec<BackendServer>, StorePosition),
+    /// The registrations, and the position of the store.
+    Listing(Listing<BackendServer>),
     /// The outcome of a watch from `since`, planned as `plan` and sent at `sent`.
     Watch {
         plan: ReadPlan,
@@ -168,12 +185,17 @@
         let mut roster = Roster::default();
         let mut dependency = DependencyWatch::new(self.log.clone(), Dependency::StoreServers);
         let mut since = None;
+        let mut relist_at: Option<Instant> = None;
         loop {
             let (sent, last_seen) = (Instant::now(), self.reads.last_seen());
+            since = since.filter(|_| relist_at.is_none_or(|due| sent < due));
             let reading = self.read(since, sent);
             match self.expire_while(&mut roster, since, reading).await {
                 Ok(read) => {
                     dependency.record_recovery();
+                    if let RosterRead::Listing(listing) = &read {
+                        relist_at = (!listing.is_complete).then(|| sent + RELIST_DELAY);
+                    }
                     let (position, pause) = self.apply(&mut roster, read);
                     since = position;
                     self.expire_while(&mut roster, since, time::sleep(pause)).await;
@@ -215,9 +237,9 @@
     ) -> Result<RosterRead, StoreError> {
         match since {
             None => {
-                let (servers, position) = self.store.list_servers().await?;
-                self.reads.record_listing(position, sent);
-                Ok(RosterRead::Listing(servers, position))
+                let listing = self.store.list_servers().await?;
+                self.reads.record_listing(listing.position, sent);
+                Ok(RosterRead::Listing(listing))
             }
             Some(since) => {
                 let plan = self.reads.plan();
@@ -232,11 +254,17 @@
     fn apply(&self, roster: &mut Roster, read: RosterRead) -> (Option<StorePosition>, Duration) {
         let now = Instant::now();
         match read {
-            RosterRead::Listing(servers, position) => {
+            RosterRead::Listing(Listing { items, position, is_complete }) => {
                 roster.record_store_answer(now);
                 roster.record_era(position.era, now);
-                let mut updates = roster.apply_snapshot(servers, now);
-                updates.extend(self.unlisted(roster, &updates));
+                let updates = match is_complete {
+                    true => {
+                        let mut updates = roster.apply_snapshot(items, now);
+                        updates.extend(self.unlisted(roster, &updates));
+                        updates
+                    }
+                    false => roster.apply_partial(items),
+                };
                 self.publish(roster, &updates, position);
                 (Some(position), Duration::ZERO)
             }
@@ -257,7 +285,10 @@
                 let has_changes = !changes.is_empty();
                 let updates: Vec<RosterUpdate> = changes
                     .into_iter()
-                    .filter_map(|change| roster.apply_change(change, now))
+                    .filter_map(|change| {
+                        warn_if_unreadable(&change, roster);
+                        roster.apply_change(change, now)
+                    })
                     .collect();
                 self.publish(roster, &updates, position);
                 let pause = self.reads.finish_watch(&plan, sent, since, (position, has_changes));
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -48,7 +48,7 @@
     }
 
     async fn renew_once(&self, fleet: &Fleet) -> Result<(), StoreError> {
-        let listed = self.store.list_system_objects(ObjectKind::EntryProcesses).await?;
+        let listed = self.store.list_system_objects(ObjectKind::EntryProcesses).await?.items;
         let contents = self.contents();
         let is_listed =
             listed.iter().any(|(name, listed)| name == self.vm.as_str() && *listed == contents);
@@ -69,7 +69,7 @@
 
     async fn register_once(&self, fleet: &Fleet) -> Result<(), StoreError> {
         self.write(&self.contents()).await?;
-        add_entries(fleet, self.store.list_system_objects(ObjectKind::EntryProcesses).await?);
+        add_entries(fleet, self.store.list_system_objects(ObjectKind::EntryProcesses).await?.items);
         Ok(())
     }
 
--- a/crates/gateway/src/version_archive.rs
+++ b/crates/gateway/src/version_archive.rs
@@ -30,8 +30,8 @@
 pub struct VersionListing {
     /// The versions.
     pub versions: Vec<ServedVersion>,
-    /// Whether the store may have come back from a copy since the last of them was written, which
-    /// may lack newer ones.
+    /// Whether versions may be missing: the store may have come back from a copy since the last of
+    /// them was written, or its listing is incomplete.
     pub may_be_old: bool,
 }
 
@@ -74,9 +74,9 @@
     /// Fails if the call fails.
     pub async fn list_once(&self) -> Result<VersionListing, StoreError> {
         let listed = self.store.list_system_objects(ObjectKind::SoftwareVersions).await?;
-        let mut listing = VersionListing { versions: Vec::new(), may_be_old: false };
+        let mut listing = VersionListing { versions: Vec::new(), may_be_old: !listed.is_complete };
         let mut newest = StoreEra::default();
-        for (name, contents) in listed {
+        for (name, contents) in listed.items {
             match decode(&contents) {
                 Some((version, era)) => {
                     listing.versions.push(version);
@@ -96,10 +96,13 @@
     ///
     /// # Errors
     ///
-    /// Fails if the call fails.
+    /// Fails if the call fails or the listing is incomplete.
     pub async fn list_serving(&self) -> Result<Vec<ServedVersion>, StoreError> {
-        let (servers, _) = self.store.list_servers().await?;
-        let served = servers.into_iter().map(|server| (server.service, server.software));
+        let listing = self.store.list_servers().await?;
+        if !listing.is_complete {
+            return Err(StoreError::NoAnswer { reason: "the listing is incomplete".to_owned() });
+        }
+        let served = listing.items.into_iter().map(|server| (server.service, server.software));
         let distinct: BTreeSet<ServedVersion> = served.collect();
         Ok(distinct.into_iter().collect())
     }
--- a/crates/roster/src/server.rs
+++ b/crates/roster/src/server.rs
@@ -206,4 +206,11 @@
     Listed(Box<BackendServer>),
     /// The registration was removed or expired.
     Removed(InstanceId),
+    /// The object of this name was replaced by one that registers no backend server.
+    Unreadable {
+        /// Name of the object.
+        id: InstanceId,
+        /// Why it cannot be decoded.
+        reason: String,
+    },
 }
--- a/crates/roster/src/table.rs
+++ b/crates/roster/src/table.rs
@@ -140,6 +140,11 @@
         was_restored
     }
 
+    /// Adds what a listing shows that may lack servers, and returns what changed.
+    pub fn apply_partial(&mut self, servers: Vec<BackendServer>) -> Vec<RosterUpdate> {
+        servers.into_iter().filter_map(|server| self.upsert_server(server)).collect()
+    }
+
     /// Replaces the known servers by a complete listing and returns what changed.
     pub fn apply_snapshot(
         &mut self,
@@ -160,7 +165,9 @@
     pub fn apply_change(&mut self, change: RosterChange, now: Instant) -> Option<RosterUpdate> {
         match change {
             RosterChange::Listed(server) => self.upsert_server(*server),
-            RosterChange::Removed(id) => self.remove_server(&id, now),
+            RosterChange::Removed(id) | RosterChange::Unreadable { id, .. } => {
+                self.remove_server(&id, now)
+            }
         }
     }
 
