gateway: changes that are more than a watch returns are listed

Cause: the client refuses an answer of more than 8 MiB, and the followers asked for the same changes again, which only become more.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -89,6 +89,7 @@
                 Err(error) => {
                     dependency.record_loss(&error);
                     self.reads.record_failure();
+                    since = since.filter(|_| !is_too_large(&error));
                     time::sleep(RETRY_DELAY).await;
                 }
             }
@@ -135,6 +136,11 @@
     }
 }
 
+/// Whether the changes are more than a watch can return, so that they have to be listed.
+fn is_too_large(error: &StoreError) -> bool {
+    matches!(error, StoreError::TooLarge { .. })
+}
+
 /// Logs which object names no server to use, and whether a server of that name was in service.
 fn warn_if_unreadable(change: &RosterChange, roster: &Roster) {
     let RosterChange::Unreadable { id, reason } = change else { return };
@@ -203,7 +209,13 @@
                 Err(error) => {
                     dependency.record_loss(&error);
                     self.reads.record_failure();
-                    roster.record_store_failure(FailedRead { sent, last_seen }, Instant::now());
+                    match is_too_large(&error) {
+                        true => since = None,
+                        false => {
+                            let failed = FailedRead { sent, last_seen };
+                            roster.record_store_failure(failed, Instant::now());
+                        }
+                    }
                     self.expire_while(&mut roster, since, time::sleep(RETRY_DELAY)).await;
                 }
             }
--- a/crates/gateway/tests/odd_objects.rs
+++ b/crates/gateway/tests/odd_objects.rs
@@ -4,8 +4,8 @@
 
 use base::prelude::*;
 use rstest::rstest;
-use serde_json::json;
-use support::{TestFleet, plain};
+use serde_json::{Value, json};
+use support::{PLAIN_SERVICE, TestFleet, plain};
 use tokio::time;
 
 /// Time within which gateways know a change of a stable store.
@@ -13,6 +13,8 @@
 /// Names of which none may change the call for the page behind it.
 const ODD_NAMES: [&str; 10] =
     ["a00%41", "a01%", "a01%zz", "a02&b=", "a03+", "a04%C3%A9", "a b", "a#b", "aé", "i%"];
+/// Size of the largest objects that the platform stores, less their metadata.
+const LARGE_OBJECT: ByteSize = ByteSize(1_000_000);
 
 /// Calls a route until `holds` for the status; fails after [`KNOWN_WITHIN`].
 async fn call_until(fleet: &TestFleet, path: &str, mut holds: impl FnMut(u16) -> bool) {
@@ -54,3 +56,40 @@
 
     call_until(&fleet, "/read/a", |status| status == 200).await;
 }
+
+/// Guards against a gateway that asks again and again for changes which are more than an answer holds.
+#[tokio::test]
+async fn gateway_follows_servers_through_many_large_changes() {
+    let mut fleet = start_fleet().await;
+    fleet.add_gateway().await;
+    call_until(&fleet, "/read/a", |status| status == 200).await;
+    let padding = "a".repeat(LARGE_OBJECT.0 as usize);
+    for number in 0..30 {
+        fleet.store.write("servers", "z-odd", &json!([number, padding]));
+    }
+
+    fleet.add_service("s-1").await;
+    fleet.store.remove("servers", "s-0");
+
+    call_until(&fleet, "/read/a", |_| !fleet.services[1].records().is_empty()).await;
+}
+
+/// The same for the configuration: a storm of versions of which the last one moves a route.
+#[tokio::test]
+async fn gateway_follows_the_configuration_through_many_large_versions() {
+    let mut fleet = start_fleet().await;
+    fleet.add_gateway().await;
+    call_until(&fleet, "/read/a", |status| status == 200).await;
+    let large = |version: u64| -> Value {
+        let mut catalog = support::catalog().build(version);
+        catalog["note"] = json!("a".repeat(LARGE_OBJECT.0 as usize));
+        catalog
+    };
+    for version in 2..32 {
+        fleet.store.write("config", "main", &large(version));
+    }
+    let route = platform_standin::RouteSpec::idempotent("/new/", PLAIN_SERVICE);
+    fleet.store.write("config", "main", &support::catalog().route(route).build(32));
+
+    call_until(&fleet, "/new/a", |status| status == 200).await;
+}
