--- a/crates/gateway/src/block_archive.rs
+++ b/crates/gateway/src/block_archive.rs
@@ -7,7 +7,7 @@
 };
 
 use base::{clock, locks, prelude::*};
-use platform::{ObjectKind, PlatformStore, StoreError};
+use platform::{Listing, ObjectKind, PlatformStore, StoreError};
 use serde::{Deserialize, Serialize};
 use suspects::{BlockId, RequestBlock, SuspectKey, SuspectKeys};
 use tokio::{sync::Notify, time};
@@ -16,6 +16,8 @@
 
 /// Delay before the next attempt to read the blocks after one that failed.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Time after an incomplete listing of the blocks until they are listed again.
+const RELIST_DELAY: Duration = Duration::from_secs(10);
 /// Delay before the next attempt to write a block after one that failed.
 const WRITE_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time after its end for which a block stays in the store.
@@ -111,13 +113,26 @@
         self.store.write_system_object(ObjectKind::RequestBlocks, &name, &contents).await
     }
 
-    /// Reads the stored blocks, trying again until the store lists them. Applies those that have not
+    /// Reads the stored blocks, trying again until the store lists all. Applies those that have not
     /// ended, and deletes those that ended long ago.
     pub async fn restore(&self, backends: &Backends) {
+        loop {
+            let listing = self.list().await;
+            for (name, contents) in listing.items {
+                self.restore_block(&name, &contents, backends).await;
+            }
+            if listing.is_complete {
+                return;
+            }
+            time::sleep(RELIST_DELAY).await;
+        }
+    }
+
+    async fn list(&self) -> Listing<(String, String)> {
         let mut failures = 0_u32;
-        let listed = loop {
+        let listing = loop {
             match self.store.list_system_objects(ObjectKind::RequestBlocks).await {
-                Ok(listing) => break listing.items,
+                Ok(listing) => break listing,
                 Err(error) if failures == 0 => {
                     log::warn!("blocks: cannot list the stored blocks, retrying: {error}");
                 }
@@ -129,24 +144,26 @@
         if failures > 0 {
             log::info!("blocks: listed the stored blocks after {failures} failed calls");
         }
-        for (name, contents) in listed {
-            let stored = match serde_json::from_str::<StoredBlock>(&contents) {
-                Ok(stored) => stored,
-                Err(error) => {
-                    log::warn!("blocks: ignoring the stored block {name:?}: {error}");
-                    continue;
-                }
-            };
-            let (now, unix_time) = (Instant::now(), clock::since_epoch());
-            if Duration::from_millis(stored.until_ms) + RETENTION < unix_time {
-                self.delete(&name).await;
-                continue;
+        listing
+    }
+
+    async fn restore_block(&self, name: &str, contents: &str, backends: &Backends) {
+        let stored = match serde_json::from_str::<StoredBlock>(contents) {
+            Ok(stored) => stored,
+            Err(error) => {
+                log::warn!("blocks: ignoring the stored block {name:?}: {error}");
+                return;
             }
-            let block = decode(&stored, now, unix_time);
-            backends.with_dispatcher(|dispatcher, now| {
-                dispatcher.suspects_mut().restore_block(&block, now);
-            });
+        };
+        let (now, unix_time) = (Instant::now(), clock::since_epoch());
+        if Duration::from_millis(stored.until_ms) + RETENTION < unix_time {
+            self.delete(name).await;
+            return;
         }
+        let block = decode(&stored, now, unix_time);
+        backends.with_dispatcher(|dispatcher, now| {
+            dispatcher.suspects_mut().restore_block(&block, now);
+        });
     }
 
     async fn delete(&self, name: &str) {
--- a/crates/gateway/src/fleet/versions.rs
+++ b/crates/gateway/src/fleet/versions.rs
@@ -69,6 +69,10 @@
         let sent = Instant::now();
         let listed = tokio::try_join!(self.versions.list_serving(), self.versions.list_once());
         match listed {
+            Ok((_, recorded)) if !recorded.is_complete => log::warn!(
+                "versions: the stored versions are not listed to the end, streams of unknown origin \
+                 are refused"
+            ),
             Ok((listed, recorded)) => {
                 *read_as_of = Some(sent);
                 let mut state = self.lock();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -89,7 +89,7 @@
                 Err(error) => {
                     dependency.record_loss(&error);
                     self.reads.record_failure();
-                    since = since.filter(|_| !is_too_large(&error));
+                    since = since.filter(|_| !needs_listing(&error));
                     time::sleep(RETRY_DELAY).await;
                 }
             }
@@ -136,9 +136,10 @@
     }
 }
 
-/// Whether the changes are more than a watch can return, so that they have to be listed.
-fn is_too_large(error: &StoreError) -> bool {
-    matches!(error, StoreError::TooLarge { .. })
+/// Whether the changes are more than a watch can return or than arrives in time, so that they have to
+/// be listed.
+fn needs_listing(error: &StoreError) -> bool {
+    matches!(error, StoreError::TooLarge { .. } | StoreError::SlowAnswer)
 }
 
 /// Logs which object names no server to use, and whether a server of that name was in service.
@@ -194,13 +195,14 @@
         let mut relist_at: Option<Instant> = None;
         loop {
             let (sent, last_seen) = (Instant::now(), self.reads.last_seen());
-            since = since.filter(|_| relist_at.is_none_or(|due| sent < due));
-            let reading = self.read(since, sent);
+            let is_relisting = relist_at.is_some_and(|due| due <= sent);
+            let reading = self.read(since.filter(|_| !is_relisting), sent);
             match self.expire_while(&mut roster, since, reading).await {
                 Ok(read) => {
                     dependency.record_recovery();
                     if let RosterRead::Listing(listing) = &read {
-                        relist_at = (!listing.is_complete).then(|| sent + RELIST_DELAY);
+                        let due = Instant::now() + RELIST_DELAY;
+                        relist_at = (!listing.is_complete).then_some(due);
                     }
                     let (position, pause) = self.apply(&mut roster, read);
                     since = position;
@@ -209,7 +211,9 @@
                 Err(error) => {
                     dependency.record_loss(&error);
                     self.reads.record_failure();
-                    match is_too_large(&error) {
+                    // Changes go on being watched until the next attempt.
+                    relist_at = relist_at.map(|due| due.max(Instant::now() + RELIST_DELAY));
+                    match needs_listing(&error) {
                         true => since = None,
                         false => {
                             let failed = FailedRead { sent, last_seen };
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -11,6 +11,9 @@
 /// Delay before the next attempt after a failed registration.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Time after an incomplete listing of the entries until they are listed again.
+const RELIST_DELAY: Duration = Duration::from_secs(10);
+
 /// The object that stands for this entry in the store.
 #[derive(Clone)]
 pub struct EntryRegistration {
@@ -69,8 +72,14 @@
 
     async fn register_once(&self, fleet: &Fleet) -> Result<(), StoreError> {
         self.write(&self.contents()).await?;
-        add_entries(fleet, self.store.list_system_objects(ObjectKind::EntryProcesses).await?.items);
-        Ok(())
+        loop {
+            let listing = self.store.list_system_objects(ObjectKind::EntryProcesses).await?;
+            add_entries(fleet, listing.items);
+            if listing.is_complete {
+                return Ok(());
+            }
+            time::sleep(RELIST_DELAY).await;
+        }
     }
 
     /// Deletes the object once; a failure is logged and not retried.
--- a/crates/gateway/src/version_archive.rs
+++ b/crates/gateway/src/version_archive.rs
@@ -30,6 +30,8 @@
 pub struct VersionListing {
     /// The versions.
     pub versions: Vec<ServedVersion>,
+    /// Whether the store has listed all of them.
+    pub is_complete: bool,
     /// Whether versions may be missing: the store may have come back from a copy since the last of
     /// them was written, or its listing is incomplete.
     pub may_be_old: bool,
@@ -74,7 +76,11 @@
     /// Fails if the call fails.
     pub async fn list_once(&self) -> Result<VersionListing, StoreError> {
         let listed = self.store.list_system_objects(ObjectKind::SoftwareVersions).await?;
-        let mut listing = VersionListing { versions: Vec::new(), may_be_old: !listed.is_complete };
+        let mut listing = VersionListing {
+            versions: Vec::new(),
+            is_complete: listed.is_complete,
+            may_be_old: !listed.is_complete,
+        };
         let mut newest = StoreEra::default();
         for (name, contents) in listed.items {
             match decode(&contents) {
