gateway, peers: an entry that knows no servers neither plans nor is ready

What callers saw: every gateway refused streams with "no engine holds the model and no load is planned", although only one could not read the servers; and that one got callers that it could only refuse, "no backend server can be reached".

Cause: the entry with the largest share, or the last name among equals, plans for all; nothing asked whether it knows a server to plan for. It was ready once it had a configuration, which it may have from another entry.

Change: an entry announces a share of zero until it has listed the servers, and reports itself ready only then.

`gateway_is_not_ready_before_it_has_listed_the_servers` covers the start.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -137,7 +137,7 @@
         let FleetIdentity { vm, core_share, side_port } = identity;
         let FleetLinks { socket, reads, archive, versions, quota_tolerance } = links;
         let state = FleetState {
-            peers: PeerTable::new(vm.clone(), core_share),
+            peers: PeerTable::new(vm.clone(), 0),
             sides: HashMap::new(),
             demand: DemandTracker::default(),
             planners: HashMap::new(),
@@ -196,6 +196,16 @@
         self.hand_over_quotas();
     }
 
+    /// Records that the backend servers are known: this entry can serve, and plan for the others.
+    pub fn record_roster(&self) {
+        self.lock().peers.set_own_share(self.core_share.max(1));
+    }
+
+    /// Whether the backend servers are known.
+    pub fn has_roster(&self) -> bool {
+        self.lock().peers.own_share() > 0
+    }
+
     /// Whether this entry is draining.
     pub fn is_draining(&self) -> bool {
         self.lock().peers.is_draining()
@@ -327,13 +337,13 @@
     }
 
     fn send_entry_heartbeats_to(&self, addresses: &[SocketAddr]) {
-        let (known, is_draining) = {
+        let (known, core_share, is_draining) = {
             let mut state = self.lock();
             let known = state.peers.next_announced().into_iter().map(|(vm, address)| PeerAddress {
                 vm: vm.to_string(),
                 address: address.to_string(),
             });
-            (known.collect(), state.peers.is_draining())
+            (known.collect(), state.peers.own_share(), state.peers.is_draining())
         };
         let store = self.reads.sighting();
         let (BlockDigest(block_digest), blocks) =
@@ -342,7 +352,6 @@
                 (suspects.digest(now), suspects.active_blocks(now).len())
             });
         self.metrics.request_blocks.set(i64::try_from(blocks).unwrap_or(i64::MAX));
-        let core_share = self.core_share;
         let catalog = self.catalog.borrow().clone();
         let catalog_version = catalog.map_or(0, |catalog| catalog.version().0);
         let heartbeat =
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -282,6 +282,9 @@
                     false => roster.apply_partial(items),
                 };
                 self.publish(roster, &updates, position);
+                if is_complete || roster.servers().next().is_some() {
+                    self.fleet.record_roster();
+                }
                 (Some(position), Duration::ZERO)
             }
             RosterRead::Watch { outcome: WatchOutcome::HistoryExpired, .. } => {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -105,9 +105,9 @@
 }
 
 impl Gateway {
-    /// Whether the balancer may send new connections to this process.
+    /// Whether the balancer may send new connections to this process: it can serve requests.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining() && self.catalog.borrow().is_some()
+        !self.is_draining() && self.catalog.borrow().is_some() && self.fleet.has_roster()
     }
 
     /// Whether a planned stop has begun.
--- a/crates/gateway/tests/odd_objects.rs
+++ b/crates/gateway/tests/odd_objects.rs
@@ -93,3 +93,20 @@
 
     call_until(&fleet, "/new/a", |status| status == 200).await;
 }
+
+/// Guards against callers that are sent to a gateway which knows no server.
+#[tokio::test]
+async fn gateway_is_not_ready_before_it_has_listed_the_servers() {
+    let mut fleet = start_fleet().await;
+    fleet.store.deny_kinds(["servers"]);
+    let gateway = fleet.add_gateway().await;
+    let address = fleet.ready_addresses[gateway];
+    let status = async || support::call(address, plain("GET", "/ready", "c-1")).await.status();
+
+    let before = status().await;
+    fleet.store.deny_kinds([]);
+    time::sleep(KNOWN_WITHIN).await;
+    let after = status().await;
+
+    assert_eq!((before, after), (503, 200));
+}
--- a/crates/peers/src/messages.rs
+++ b/crates/peers/src/messages.rs
@@ -113,7 +113,8 @@
 /// Sent by an entry to show that it is live.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct EntryHeartbeat {
-    /// The sender's share of a core, in thousandths.
+    /// The sender's share of a core, in thousandths; zero while it knows no backend servers, and so
+    /// cannot plan.
     #[prost(uint32, tag = "1")]
     pub core_share: u32,
     /// Whether the sender is draining after a planned stop began.
--- a/crates/peers/src/table.rs
+++ b/crates/peers/src/table.rs
@@ -67,7 +67,8 @@
 }
 
 impl PeerTable {
-    /// Creates an empty table for the entry on `own` with `own_share` thousandths of a core.
+    /// Creates an empty table for the entry on `own` with `own_share` thousandths of a core; zero while
+    /// it cannot plan.
     pub fn new(own: VmId, own_share: u32) -> Self {
         Self {
             own,
@@ -79,6 +80,16 @@
         }
     }
 
+    /// Sets the thousandths of a core of this entry; zero while it cannot plan.
+    pub fn set_own_share(&mut self, share: u32) {
+        self.own_share = share;
+    }
+
+    /// The thousandths of a core of this entry; zero while it cannot plan.
+    pub fn own_share(&self) -> u32 {
+        self.own_share
+    }
+
     /// Marks this entry as draining; it no longer counts as the planner.
     pub fn drain(&mut self) {
         self.is_draining = true;
