object-api: one odd entry no longer makes a whole list fail

What callers saw: `fescuewalk entry` that never became ready ("not in the VM list yet"), and lists of crash records, statuses, claims and placements that could not be read at all, as long as the platform listed one VM or object that could not be read: a role or state that is not known here, a missing or mistyped field, a name that is not UTF-8, a name outside the prefix.

Cause: the answers were decoded as one document.

Change: each entry is decoded by itself. Those that cannot be read are left out and logged when they change. Readers to whom a missed entry could do harm get what is known of it: - `VmList::listing` names the VMs whose entries cannot be read, and counts entries without a name. A placement owner keeps the slots of VMs that are named there, and frees none while an entry has no name, because any VM may be that one. - `ObjectStore::list_all` does the same for objects; `list` is for readers that may miss some. - A watch answer with nothing readable is refused, so that its reader pauses before it asks again.

The stand-in's `PUT /admin/odd` adds entries of any form.

--- a/crates/object-api/src/http/client.rs
+++ b/crates/object-api/src/http/client.rs
@@ -16,14 +16,15 @@
 
 use super::{
     answers::{read_changes, read_failure, read_objects, read_version, read_vms},
+    fault_log::FaultLog,
     paths::{list_path, object_path, watch_path},
 };
 use crate::{
     object::{
-        MAX_OBJECT_BYTES, ObjectChange, ObjectKey, ObjectStore, ObjectVersion, Result, StoreError,
-        StoredObject, WriteCondition,
+        MAX_OBJECT_BYTES, ObjectChange, ObjectKey, ObjectList, ObjectStore, ObjectVersion, Result,
+        StoreError, StoredObject, WriteCondition,
     },
-    vms::{VmEntry, VmList},
+    vms::{VmList, VmListing},
 };
 
 /// Time after which an idle connection is closed.
@@ -63,6 +64,7 @@
 pub struct PlatformClient {
     client: Client<HttpConnector, Full<Bytes>>,
     settings: ClientSettings,
+    faults: FaultLog,
 }
 
 struct Answer {
@@ -95,7 +97,7 @@
             .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
             .pool_timer(TokioTimer::new())
             .build(connector);
-        Self { client, settings }
+        Self { client, settings, faults: FaultLog::default() }
     }
 
     fn request(&self, method: Method, path: &str) -> Builder {
@@ -187,9 +189,11 @@
         }
     }
 
-    async fn list(&self, prefix: &str) -> Result<Vec<StoredObject>> {
+    async fn list_all(&self, prefix: &str) -> Result<ObjectList> {
         let body = self.get_path(&list_path(prefix), Duration::ZERO).await?;
-        read_objects(&body, prefix)
+        let read = read_objects(&body, prefix)?;
+        self.faults.report(&format!("the list of {prefix}"), read.faults);
+        Ok(read.entries)
     }
 
     async fn watch(
@@ -199,14 +203,23 @@
         wait: Duration,
     ) -> Result<Vec<ObjectChange>> {
         let body = self.get_path(&watch_path(prefix, since, wait), wait).await?;
-        read_changes(&body, prefix)
+        let read = read_changes(&body, prefix)?;
+        let is_unreadable = read.entries.is_empty() && !read.faults.is_empty();
+        self.faults.report(&format!("the changes of {prefix}"), read.faults);
+        // Without a version to go on from, the next watch would be answered at once.
+        match is_unreadable {
+            true => Err(StoreError::BadAnswer),
+            false => Ok(read.entries),
+        }
     }
 }
 
 #[async_trait]
 impl VmList for PlatformClient {
-    async fn vms(&self) -> Result<Vec<VmEntry>> {
+    async fn listing(&self) -> Result<VmListing> {
         let body = self.get_path("/vms", Duration::ZERO).await?;
-        read_vms(&body)
+        let read = read_vms(&body)?;
+        self.faults.report("the VM list", read.faults);
+        Ok(read.entries)
     }
 }
--- a/crates/object-api/src/http/messages.rs
+++ b/crates/object-api/src/http/messages.rs
@@ -3,6 +3,7 @@
 use base64::{Engine, prelude::BASE64_STANDARD};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::object::{
     MAX_OBJECT_BYTES, ObjectChange, ObjectKey, ObjectVersion, Result, StoreError, StoredObject,
@@ -19,6 +20,21 @@
     pub body: Option<String>,
 }
 
+/// Answer to a list or watch call, with its entries unread.
+#[derive(Debug, Deserialize)]
+pub struct RawObjects<'a> {
+    /// Encoded [`ObjectMessage`]s.
+    #[serde(borrow)]
+    pub objects: Vec<&'a RawValue>,
+}
+
+/// The name in an [`ObjectMessage`].
+#[derive(Debug, Deserialize)]
+pub struct ObjectName {
+    /// Name of the object.
+    pub key: ObjectKey,
+}
+
 /// Answer to a list or watch call.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ObjectsMessage {
--- a/crates/object-api/src/lib.rs
+++ b/crates/object-api/src/lib.rs
@@ -10,8 +10,8 @@
     http::{ClientSettings, PlatformClient},
     memory::{MemoryStore, StoreFault},
     object::{
-        ObjectChange, ObjectKey, ObjectStore, ObjectVersion, StoreError, StoredObject,
+        ObjectChange, ObjectKey, ObjectList, ObjectStore, ObjectVersion, StoreError, StoredObject,
         WriteCondition,
     },
-    vms::{VmEntry, VmList, VmState},
+    vms::{VmEntry, VmList, VmListing, VmState},
 };
--- a/crates/object-api/src/memory.rs
+++ b/crates/object-api/src/memory.rs
@@ -12,10 +12,10 @@
 
 use crate::{
     object::{
-        MAX_OBJECT_BYTES, ObjectChange, ObjectKey, ObjectStore, ObjectVersion, Result, StoreError,
-        StoredObject, WriteCondition,
+        MAX_OBJECT_BYTES, ObjectChange, ObjectKey, ObjectList, ObjectStore, ObjectVersion, Result,
+        StoreError, StoredObject, WriteCondition,
     },
-    vms::{VmEntry, VmList},
+    vms::{VmEntry, VmList, VmListing},
 };
 
 /// Changes kept for watches. A watch that starts before the oldest one gets all current objects
@@ -40,7 +40,7 @@
     /// Version of the newest change that is no longer in `changes`.
     last_dropped: ObjectVersion,
     version: ObjectVersion,
-    vms: Vec<VmEntry>,
+    vms: VmListing,
     fault: StoreFault,
     reads: u64,
     writes: u64,
@@ -120,7 +120,12 @@
 
     /// Replaces the VM list.
     pub fn set_vms(&self, vms: Vec<VmEntry>) {
-        self.lock().vms = vms;
+        self.set_listing(VmListing { vms, ..VmListing::default() });
+    }
+
+    /// Replaces the VM list, with entries that cannot be read.
+    pub fn set_listing(&self, listing: VmListing) {
+        self.lock().vms = listing;
     }
 
     /// Calls counted since the store was created.
@@ -192,11 +197,11 @@
         state.answer_write(())
     }
 
-    async fn list(&self, prefix: &str) -> Result<Vec<StoredObject>> {
+    async fn list_all(&self, prefix: &str) -> Result<ObjectList> {
         self.begin_call(false).await?;
         let state = self.lock();
         let matching = state.objects.values().filter(|o| o.key.as_str().starts_with(prefix));
-        Ok(matching.cloned().collect())
+        Ok(ObjectList { objects: matching.cloned().collect(), ..ObjectList::default() })
     }
 
     async fn watch(
@@ -227,7 +232,7 @@
 
 #[async_trait]
 impl VmList for MemoryStore {
-    async fn vms(&self) -> Result<Vec<VmEntry>> {
+    async fn listing(&self) -> Result<VmListing> {
         self.begin_call(false).await?;
         Ok(self.lock().vms.clone())
     }
--- a/crates/object-api/src/object.rs
+++ b/crates/object-api/src/object.rs
@@ -56,6 +56,17 @@
     pub body: Bytes,
 }
 
+/// Objects of a list call, in which single ones may be unreadable.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ObjectList {
+    /// Objects that could be read, in the order of their names.
+    pub objects: Vec<StoredObject>,
+    /// Names of objects that are listed but could not be read.
+    pub unreadable: Vec<ObjectKey>,
+    /// Number of listed objects without a name that fits the call; any name may be theirs.
+    pub unnamed: usize,
+}
+
 /// One change reported by a watch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ObjectChange {
@@ -148,11 +159,18 @@
     /// [`StoreError::ConditionFailed`].
     async fn delete(&self, key: &ObjectKey, version: ObjectVersion) -> Result<()>;
 
-    /// Reads all objects whose names start with `prefix`, in the order of their names.
-    async fn list(&self, prefix: &str) -> Result<Vec<StoredObject>>;
+    /// Lists all objects whose names start with `prefix`, also those that cannot be read.
+    async fn list_all(&self, prefix: &str) -> Result<ObjectList>;
+
+    /// Reads the objects whose names start with `prefix`, in the order of their names; leaves out
+    /// those that cannot be read. Where a missed object does harm, use [`Self::list_all`].
+    async fn list(&self, prefix: &str) -> Result<Vec<StoredObject>> {
+        Ok(self.list_all(prefix).await?.objects)
+    }
 
     /// Returns the changes after `since` to objects whose names start with `prefix`. Waits up to
-    /// `wait` for the first one; empty if none came.
+    /// `wait` for the first one; empty if none came. Changes that cannot be read are left out; with
+    /// no others, the call fails with [`StoreError::BadAnswer`].
     async fn watch(
         &self,
         prefix: &str,
--- a/crates/object-api/src/rate_limit.rs
+++ b/crates/object-api/src/rate_limit.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 
 use crate::object::{
-    ObjectChange, ObjectKey, ObjectStore, ObjectVersion, Result, StoreError, StoredObject,
-    WriteCondition,
+    ObjectChange, ObjectKey, ObjectList, ObjectStore, ObjectVersion, Result, StoreError,
+    StoredObject, WriteCondition,
 };
 
 /// Number of calls through one [`RateLimitedStore`], by kind.
@@ -127,9 +127,9 @@
         self.inner.delete(key, version).await
     }
 
-    async fn list(&self, prefix: &str) -> Result<Vec<StoredObject>> {
+    async fn list_all(&self, prefix: &str) -> Result<ObjectList> {
         self.admit_call(&self.reads, &self.counts.reads)?;
-        self.inner.list(prefix).await
+        self.inner.list_all(prefix).await
     }
 
     async fn watch(
--- a/crates/object-api/src/vms.rs
+++ b/crates/object-api/src/vms.rs
@@ -1,7 +1,7 @@
 //! The platform's list of VMs. It is updated late, so it may contain VMs that no longer exist
 //! and lack new ones.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use async_trait::async_trait;
 use base::prelude::*;
@@ -46,9 +46,34 @@
     pub state: VmState,
 }
 
+/// The VM list as read, in which single entries may be unreadable.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct VmListing {
+    /// Entries that could be read.
+    pub vms: Vec<VmEntry>,
+    /// Names of VMs that are listed but whose entries could not be read otherwise.
+    pub unreadable: BTreeSet<VmId>,
+    /// Number of entries without a readable name; any VM may be one of them.
+    pub unnamed: usize,
+}
+
+impl VmListing {
+    /// Names of all VMs that the list is known to contain.
+    pub fn names(&self) -> BTreeSet<VmId> {
+        self.vms.iter().map(|vm| &vm.id).chain(&self.unreadable).cloned().collect()
+    }
+}
+
 /// Access to the VM list.
 #[async_trait]
 pub trait VmList: Send + Sync {
-    /// Reads all VMs known to the platform, including those about to be removed.
-    async fn vms(&self) -> Result<Vec<VmEntry>>;
+    /// Reads the list, including VMs about to be removed and entries that cannot be read.
+    async fn listing(&self) -> Result<VmListing>;
+
+    /// Reads all VMs whose entries can be read, including those about to be removed.
+    ///
+    /// A VM that is missing here may still exist; only [`Self::listing`] shows which are gone.
+    async fn vms(&self) -> Result<Vec<VmEntry>> {
+        Ok(self.listing().await?.vms)
+    }
 }
--- a/crates/placement/src/driver.rs
+++ b/crates/placement/src/driver.rs
@@ -25,8 +25,11 @@
             let answer = store.put(&key, body.clone(), *condition).await;
             Some(OwnerEvent::WriteAnswered(answer))
         }
-        OwnerAction::ListVms => match vms.vms().await {
-            Ok(vms) => Some(OwnerEvent::VmsListed(vms.into_iter().map(|vm| vm.id).collect())),
+        OwnerAction::ListVms => match vms.listing().await {
+            Ok(listing) if listing.unnamed > 0 => {
+                Some(OwnerEvent::VmsListedInPart(listing.names()))
+            }
+            Ok(listing) => Some(OwnerEvent::VmsListed(listing.names())),
             Err(_) => Some(OwnerEvent::ListFailed),
         },
         OwnerAction::OrderRelease(..) | OwnerAction::Report(..) => None,
--- a/crates/placement/src/owner.rs
+++ b/crates/placement/src/owner.rs
@@ -40,6 +40,9 @@
     HolderSeen(SlotHolder),
     /// The VM list was read.
     VmsListed(BTreeSet<VmId>),
+    /// The VM list was read, but some of its entries have no name: it shows which VMs exist, not
+    /// which ones are gone.
+    VmsListedInPart(BTreeSet<VmId>),
     /// The VM list could not be read.
     ListFailed,
     /// Periodic: orders releases again, requests the VM list and retries calls to the store.
@@ -145,6 +148,7 @@
             }
             OwnerEvent::HolderSeen(holder) => self.update_holder(holder),
             OwnerEvent::VmsListed(vms) => self.apply_vm_list(&vms),
+            OwnerEvent::VmsListedInPart(vms) => self.vms.apply_part(&vms),
             OwnerEvent::ListFailed => self.vms.fail_request(),
             OwnerEvent::Tick => self.tick(),
         }
--- a/crates/placement/src/owner/vms.rs
+++ b/crates/placement/src/owner/vms.rs
@@ -30,6 +30,14 @@
         self.fence_at_request = None;
     }
 
+    /// Applies an answer that names only some of the VMs: it shows which ones exist, but not which
+    /// ones are gone.
+    pub fn apply_part(&mut self, vms: &BTreeSet<VmId>) {
+        if self.fence_at_request.take().is_some() {
+            self.listed.clone_from(vms);
+        }
+    }
+
     /// Whether the latest list has `vm`.
     pub fn contains(&self, vm: &VmId) -> bool {
         self.listed.contains(vm)
--- a/crates/placement/tests/owner_steps.rs
+++ b/crates/placement/tests/owner_steps.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use object_api::{MemoryStore, ObjectStore, StoreError, StoreFault};
+use object_api::{MemoryStore, ObjectStore, StoreError, StoreFault, VmListing};
 use placement::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -341,3 +341,32 @@
     assert_eq!(object.slot_count(), 4096);
     assert!(body.len() < object_api::object::MAX_OBJECT_BYTES, "{} bytes", body.len());
 }
+
+/// Number of slots after an owner with a slot on VM 0 has read `listing`.
+async fn slots_after(listing: VmListing) -> usize {
+    let mut fixture = fixture().await;
+    fixture.resize(1).await;
+    fixture.request_edit(grant(0)).await;
+    fixture.is_list_delayed = true;
+    fixture.apply_event(OwnerEvent::ListFailed).await;
+    fixture.apply_event(OwnerEvent::Tick).await;
+
+    let store = fixture.store.clone();
+    store.set_listing(listing);
+    let event = driver::perform(&store, &store, &model(), &OwnerAction::ListVms).await;
+    fixture.apply_event(event.unwrap()).await;
+
+    fixture.stored().await.slots.len()
+}
+
+/// Guards against a second replica beside one whose VM counts as gone, because its entry in the VM
+/// list cannot be read.
+#[tokio::test(start_paused = true)]
+async fn slot_of_a_vm_with_an_odd_entry_is_kept() {
+    let named = VmListing { unreadable: vms(&[0]), ..VmListing::default() };
+    let unnamed = VmListing { unnamed: 1, ..VmListing::default() };
+
+    assert_eq!(slots_after(named).await, 1);
+    assert_eq!(slots_after(unnamed).await, 1);
+    assert_eq!(slots_after(VmListing::default()).await, 0);
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -7,20 +7,24 @@
 //! | `GET /watch?prefix=&since=&wait_ms=` | long poll for changes after the version `since` |
 //! | `GET /vms`, `PUT /admin/vms` | returns or replaces the VM list |
 //! | `PUT /admin/fault`, `GET /admin/calls` | sets the faults; returns the call counters |
+//! | `PUT /admin/odd` | sets entries of other writers, of any form, in all lists |
+
+use std::sync::{Arc, Mutex};
 
 use ::object_api::{
     MemoryStore, ObjectStore, ObjectVersion, StoreError, StoreFault, VmEntry, VmList,
     WriteCondition,
     http::{
         NOT_WRITTEN_HEADER, WatchQuery, key_of_path,
-        messages::{ObjectMessage, ObjectsMessage},
+        messages::{ObjectMessage, ObjectName, ObjectsMessage},
     },
 };
 use base::prelude::*;
 use http::{HeaderValue, StatusCode, header};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use tokio::net::TcpListener;
-use viz::{Request, RequestExt, Response, Router};
+use viz::{Request, RequestExt, Response, Router, types::State};
 
 use crate::server::{
     ConnectionSet, Result, ServerHandle, drop_connection, empty_answer, error_answer, json_answer,
@@ -51,6 +55,25 @@
     pub lost_answers: u32,
 }
 
+/// Entries of other writers, set by `PUT /admin/odd`; they are sent as they are.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OddEntries {
+    /// Entries of each list of objects, except those with a name outside its prefix, and of each
+    /// watch that returns a change.
+    pub objects: Vec<Box<RawValue>>,
+    /// Entries of the VM list.
+    pub vms: Vec<Box<RawValue>>,
+}
+
+/// Answer to a list or watch call with entries of any form.
+#[derive(Serialize)]
+struct RawList {
+    objects: Vec<Box<RawValue>>,
+}
+
+type SharedOddEntries = Arc<Mutex<OddEntries>>;
+
 /// Call counters, the answer to `GET /admin/calls`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlatformCalls {
@@ -76,7 +99,9 @@
         .get("/vms", vms)
         .put("/admin/vms", set_vms)
         .put("/admin/fault", set_fault)
-        .get("/admin/calls", calls);
+        .put("/admin/odd", set_odd_entries)
+        .get("/admin/calls", calls)
+        .with(State::new(SharedOddEntries::default()));
     serve_router(listener, router, options.store, ConnectionSet::default())
 }
 
@@ -178,21 +203,41 @@
     let query = request.query::<ListQuery>()?;
     match store.list(&query.prefix).await {
         Ok(objects) => {
-            let objects = objects.into_iter().map(ObjectMessage::from).collect();
-            Ok(json_answer(StatusCode::OK, &ObjectsMessage { objects }))
+            let objects = objects.into_iter().map(ObjectMessage::from).collect::<Vec<_>>();
+            Ok(objects_answer(&request, &objects, &query.prefix))
         }
         Err(error) => store_error_answer(&request, error).await,
     }
 }
 
+/// Answers with `objects` and the odd entries for `prefix`.
+fn objects_answer(request: &Request, objects: &[ObjectMessage], prefix: &str) -> Response {
+    let odd = state_of::<SharedOddEntries>(request);
+    let odd = odd.lock().expect("no thread panics while holding the lock");
+    let has_prefix = |entry: &RawValue| {
+        let name = serde_json::from_str::<ObjectName>(entry.get());
+        name.map_or(true, |name| name.key.as_str().starts_with(prefix))
+    };
+    let odd = odd.objects.iter().filter(|entry| has_prefix(entry));
+    let objects = objects.iter().map(raw_entry).chain(odd.cloned()).collect::<Vec<_>>();
+    json_answer(StatusCode::OK, &RawList { objects })
+}
+
+fn raw_entry<T: Serialize>(entry: &T) -> Box<RawValue> {
+    serde_json::value::to_raw_value(entry).expect("entries are plain data")
+}
+
 async fn watch(request: Request) -> viz::Result<Response> {
     let store = state_of::<MemoryStore>(&request);
     let query = WatchQuery::from(request.query::<WatchParams>()?);
     let wait = Duration::from_millis(query.wait_ms).min(MAX_WATCH_WAIT);
     match store.watch(&query.prefix, query.since, wait).await {
+        Ok(changes) if changes.is_empty() => {
+            Ok(json_answer(StatusCode::OK, &ObjectsMessage::default()))
+        }
         Ok(changes) => {
-            let objects = changes.into_iter().map(ObjectMessage::from).collect();
-            Ok(json_answer(StatusCode::OK, &ObjectsMessage { objects }))
+            let objects = changes.into_iter().map(ObjectMessage::from).collect::<Vec<_>>();
+            Ok(objects_answer(&request, &objects, &query.prefix))
         }
         Err(error) => store_error_answer(&request, error).await,
     }
@@ -201,7 +246,12 @@
 async fn vms(request: Request) -> viz::Result<Response> {
     let store = state_of::<MemoryStore>(&request);
     match store.vms().await {
-        Ok(vms) => Ok(json_answer(StatusCode::OK, &vms)),
+        Ok(vms) => {
+            let odd = state_of::<SharedOddEntries>(&request);
+            let odd = odd.lock().expect("no thread panics while holding the lock");
+            let vms = vms.iter().map(raw_entry).chain(odd.vms.iter().cloned());
+            Ok(json_answer(StatusCode::OK, &vms.collect::<Vec<_>>()))
+        }
         Err(error) => store_error_answer(&request, error).await,
     }
 }
@@ -223,6 +273,13 @@
     Ok(empty_answer(StatusCode::NO_CONTENT))
 }
 
+async fn set_odd_entries(mut request: Request) -> viz::Result<Response> {
+    let odd = state_of::<SharedOddEntries>(&request);
+    let entries = read_json::<OddEntries>(&mut request).await?;
+    *odd.lock().expect("no thread panics while holding the lock") = entries;
+    Ok(empty_answer(StatusCode::NO_CONTENT))
+}
+
 async fn calls(request: Request) -> viz::Result<Response> {
     let counted = state_of::<MemoryStore>(&request).calls();
     let calls = PlatformCalls { reads: counted.reads, writes: counted.writes };
