placement: an odd object is read again after a pause, not at once

What callers saw: while `placement/<model>` held contents of another writer, the owner of the model read it again and again without a pause. The reads used up the process's rate of calls to the store, which claims, lists and the quarantine share.

Cause: an object that could not be decoded counted as read, and left the owner in need of a read.

Change: such a read counts as failed, with the pauses of a failed call. Contents that no owner can have written count as undecodable: another model than the name says, more slots than allowed or two on one VM, fencing numbers above the last one, and numbers that cannot be raised any more, at which the owner would stop or start again from zero. The side process reads the slots of its predecessors by the same checks, and skips objects whose names are none of a model, with a log line.

--- a/crates/placement/src/object.rs
+++ b/crates/placement/src/object.rs
@@ -1,12 +1,12 @@
 //! The object `placement/<model>` and its stored form.
 
-use std::fmt;
+use std::{collections::BTreeSet, fmt};
 
 use base::prelude::*;
 use bytes::Bytes;
 use object_api::ObjectKey;
 use serde::{Deserialize, Serialize};
-use snafu::{ResultExt, Snafu};
+use snafu::{ResultExt, Snafu, ensure};
 
 /// Prefix of the keys of all placement objects.
 pub const PLACEMENT_PREFIX: &str = "placement/";
@@ -23,6 +23,18 @@
         /// Error of the JSON decoder.
         source: serde_json::Error,
     },
+    /// The object is for another model than its name says.
+    #[snafu(display("the placement object is for the model {found}"))]
+    OtherModel {
+        /// Model in the body.
+        found: ModelId,
+    },
+    /// No owner writes such an object.
+    #[snafu(display("the placement object has {reason}"))]
+    Impossible {
+        /// What is wrong.
+        reason: String,
+    },
 }
 
 /// Result with an [`ObjectError`].
@@ -127,13 +139,42 @@
         ObjectKey::new(format!("{PLACEMENT_PREFIX}{model}"))
     }
 
-    /// Decodes the stored form, which is JSON.
+    /// Model of the object named `key`; `None` if the name is none of a placement object.
+    pub fn model_of(key: &ObjectKey) -> Option<ModelId> {
+        key.as_str().strip_prefix(PLACEMENT_PREFIX)?.parse().ok()
+    }
+
+    /// Decodes the stored form, which is JSON, of the object of `model`.
     ///
     /// # Errors
     ///
-    /// [`ObjectError::BadBody`] if `body` is not a placement object.
-    pub fn decode(body: &[u8]) -> Result<Self> {
-        serde_json::from_slice(body).context(BadBodySnafu)
+    /// [`ObjectError::BadBody`] if `body` is not a placement object, and other errors if no owner of
+    /// `model` can have written it.
+    pub fn decode(model: &ModelId, body: &[u8]) -> Result<Self> {
+        let object: Self = serde_json::from_slice(body).context(BadBodySnafu)?;
+        ensure!(object.model == *model, OtherModelSnafu { found: object.model });
+        object.check_slots()?;
+        Ok(object)
+    }
+
+    /// Checks what later edits rely on: numbers that can still be raised, and one slot for each VM.
+    fn check_slots(&self) -> Result<()> {
+        let count = self.slots.len();
+        ensure!(count <= MAX_SLOTS as usize, ImpossibleSnafu { reason: format!("{count} slots") });
+        let fence = self.last_fence;
+        let reason = format!("the last fencing number {fence}");
+        ensure!(fence.0 < u64::MAX, ImpossibleSnafu { reason });
+        let mut vms = BTreeSet::new();
+        for slot in &self.slots {
+            let PlacementSlot { holder, fence, unsettled, .. } = slot;
+            let reason = format!("the slot of {holder} with fencing number {fence}");
+            ensure!(slot.fence <= self.last_fence, ImpossibleSnafu { reason });
+            let reason = format!("the slot of {holder} with {unsettled} unsettled processes");
+            ensure!(slot.unsettled < u32::MAX, ImpossibleSnafu { reason });
+            let reason = format!("two slots of {}", holder.vm);
+            ensure!(vms.insert(&holder.vm), ImpossibleSnafu { reason });
+        }
+        Ok(())
     }
 
     /// Encodes the stored form, which is JSON.
--- a/crates/placement/src/owner/store.rs
+++ b/crates/placement/src/owner/store.rs
@@ -8,7 +8,7 @@
 use super::{CachedObject, InFlightWrite, OwnerAction, OwnerReport, PlacementOwner};
 use crate::{
     edit::{EditOutcome, PlacementEdit},
-    object::{EditTag, PlacementObject},
+    object::{self, EditTag, PlacementObject},
 };
 
 /// Delay before the retry after a first failure; doubled with each further one.
@@ -22,7 +22,8 @@
         let is_newer = self.cached.as_ref().is_none_or(|cached| object.version > cached.version);
         let is_busy = self.is_reading || self.writing.is_some() || self.uncertain_write.is_some();
         if is_newer && !is_busy {
-            self.cache_object(object);
+            // An object that cannot be read was logged; the next write finds it.
+            let _ = self.cache_object(object);
         }
     }
 
@@ -33,10 +34,10 @@
     ) {
         self.is_reading = false;
         match answer {
-            Ok(Some(object)) => {
-                self.record_success();
-                self.cache_object(&object);
-            }
+            Ok(Some(object)) => match self.cache_object(&object) {
+                Ok(()) => self.record_success(),
+                Err(_) => self.record_failure(now),
+            },
             Ok(None) => {
                 self.record_success();
                 self.cache_absent();
@@ -45,14 +46,14 @@
         }
     }
 
-    fn cache_object(&mut self, stored: &StoredObject) {
-        let Ok(object) = PlacementObject::decode(&stored.body) else {
+    fn cache_object(&mut self, stored: &StoredObject) -> object::Result<()> {
+        let object = PlacementObject::decode(&self.model, &stored.body).inspect_err(|error| {
             log::error!(
-                "placement: {}: the stored object cannot be decoded, it is ignored",
-                self.model
+                "placement: {}: ignoring version {} of the object: {error}",
+                self.model,
+                stored.version
             );
-            return;
-        };
+        })?;
         self.log_uncertain_write(&object);
         self.is_stale = false;
         match &mut self.cached {
@@ -60,6 +61,7 @@
             cached => *cached = Some(CachedObject { version: stored.version, object }),
         }
         self.order_releases();
+        Ok(())
     }
 
     /// Logs whether the object that was read back is that of the write with an unknown outcome.
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -303,7 +303,7 @@
         }
         self.writes += 1;
         let version = ObjectVersion(current.map_or(1, |version| version.0 + 1));
-        self.check_count(&PlacementObject::decode(&body).unwrap());
+        self.check_count(&PlacementObject::decode(&model(), &body).unwrap());
         let stored = StoredObject { key: PlacementObject::key(&model()), version, body };
         for index in 0..OWNERS {
             let (incarnation, event) =
@@ -438,7 +438,7 @@
     }
 
     pub fn object(&self) -> Option<PlacementObject> {
-        self.stored.as_ref().map(|stored| PlacementObject::decode(&stored.body).unwrap())
+        self.stored.as_ref().map(|stored| PlacementObject::decode(&model(), &stored.body).unwrap())
     }
 
     fn check_invariants(&mut self) {
--- a/crates/placement/tests/owner_steps.rs
+++ b/crates/placement/tests/owner_steps.rs
@@ -4,10 +4,11 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use object_api::{MemoryStore, ObjectStore, StoreError, StoreFault, VmListing};
+use object_api::{MemoryStore, ObjectStore, StoreError, StoreFault, VmListing, WriteCondition};
 use placement::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
 
 const OWNER: ProcessIncarnation = ProcessIncarnation(9);
 
@@ -103,7 +104,7 @@
 
     async fn stored(&self) -> PlacementObject {
         let object = self.store.get(&PlacementObject::key(&model())).await.unwrap().unwrap();
-        PlacementObject::decode(&object.body).unwrap()
+        PlacementObject::decode(&model(), &object.body).unwrap()
     }
 }
 
@@ -370,3 +371,31 @@
     assert_eq!(slots_after(unnamed).await, 1);
     assert_eq!(slots_after(VmListing::default()).await, 0);
 }
+
+/// Guards against an owner that reads an object of another writer again and again without a pause,
+/// which takes the calls to the store from all other work of its process.
+#[rstest]
+#[case::no_object(b"{}")]
+#[case::not_utf8(b"\xff")]
+#[case::other_model(br#"{"model":"other","wanted":0,"list":0,"decided":0,"last_fence":0,"slots":[],"edit":{"writer":0,"number":0}}"#)]
+#[case::last_fence(br#"{"model":"model","wanted":0,"list":0,"decided":0,"last_fence":18446744073709551615,"slots":[],"edit":{"writer":0,"number":0}}"#)]
+#[tokio::test(start_paused = true)]
+async fn odd_object_is_read_again_after_a_pause(#[case] body: &'static [u8]) {
+    let store = MemoryStore::new();
+    let key = PlacementObject::key(&model());
+    let version = store.put(&key, Bytes::from(body), WriteCondition::Absent).await.unwrap();
+    let mut owner = PlacementOwner::new(model(), OWNER);
+    let read = store.get(&key).await;
+
+    let first = owner.step(OwnerEvent::Tick, Instant::now());
+    let next = owner.step(OwnerEvent::ReadAnswered(read), Instant::now());
+    tokio::time::advance(Duration::from_secs(1)).await;
+    let later = owner.step(OwnerEvent::Tick, Instant::now());
+    store.delete(&key, version).await.unwrap();
+    owner.step(OwnerEvent::ReadAnswered(store.get(&key).await), Instant::now());
+
+    assert!(first.contains(&OwnerAction::Read));
+    assert!(!next.contains(&OwnerAction::Read));
+    assert!(later.contains(&OwnerAction::Read));
+    assert!(owner.is_current(), "the object of another writer is gone");
+}
--- a/crates/side/src/loads/start.rs
+++ b/crates/side/src/loads/start.rs
@@ -59,11 +59,15 @@
 }
 
 fn inherited_slot(state: &SideState, stored: &StoredObject) -> Option<InheritedSlot> {
-    let object = PlacementObject::decode(&stored.body)
+    let Some(model) = PlacementObject::model_of(&stored.key) else {
+        log::warn!("loads: skipping {:?}, which names no model", stored.key.as_str());
+        return None;
+    };
+    let object = PlacementObject::decode(&model, &stored.body)
         .inspect_err(|error| log::error!("loads: skipping placement {}: {error}", stored.key))
         .ok()?;
     let slot = object.slot(&state.identity.vm)?;
     let uncertain_loads = slot.unsettled_for(state.identity.incarnation);
     let (size, fence) = (slot.memory, slot.fence);
-    Some(InheritedSlot { model: object.model, size, fence, uncertain_loads })
+    Some(InheritedSlot { model, size, fence, uncertain_loads })
 }
