claims: an object that is no segment no longer refuses its shard

What callers saw: requests with an idempotency key whose shard had one object of another writer under `claims/<region>/<shard>/log/` were refused with `store_unavailable` for as long as the object was there.

Cause: an object whose name was no number, or whose contents were no segment, failed the reading of the shard.

Change: only names that the shard gives its segments count as segments; others are logged and left out. So are obsolete segments that cannot be read. A live segment that cannot be read, and an object without a name, still refuse the shard, because any key of the shard may be claimed in them; other shards are not affected. Numbers from 2^62 on, which writers never reach one by one, are no segments, and a log that reaches that number refuses claims, so that none is written where no reader looks.

--- a/crates/once/src/claim.rs
+++ b/crates/once/src/claim.rs
@@ -20,6 +20,12 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SegmentNumber(pub u64);
 
+impl SegmentNumber {
+    /// The log must not reach this number, and objects with higher ones are no segments, so that a
+    /// table never runs out of numbers. It is far above what writers reach one by one.
+    pub(crate) const LAST: Self = Self(1 << 62);
+}
+
 impl fmt::Display for SegmentNumber {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:020}", self.0)
--- a/crates/once/src/service/store.rs
+++ b/crates/once/src/service/store.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use bytes::Bytes;
 use object_api::{ObjectKey, ObjectStore, StoreError, WriteCondition};
-use snafu::{OptionExt, ResultExt, Snafu};
+use snafu::{ResultExt, Snafu, ensure};
 use tokio::time;
 
 use crate::{
@@ -42,12 +42,18 @@
         /// Error of the decoder.
         source: SegmentError,
     },
-    /// An object's name does not end in a segment number.
-    #[snafu(display("{key} has no segment number"))]
-    MalformedName {
+    /// A live segment is listed, but the store's answer does not contain it in readable form.
+    #[snafu(display("the listed segment {key} cannot be read"))]
+    UnreadableObject {
         /// Name of the object.
         key: ObjectKey,
     },
+    /// An object is listed without its name; it may be a segment.
+    #[snafu(display("an object without a name is listed under {prefix}"))]
+    UnnamedObject {
+        /// Prefix of the list.
+        prefix: String,
+    },
 }
 
 /// Result of reading a shard.
@@ -120,23 +126,49 @@
         }
     }
 
+    /// Reads the shard. A segment that cannot be read fails it, because any key of the shard may
+    /// be claimed in it; objects that are no segments, or obsolete, do not.
     async fn read_all(&self) -> Result<ShardSnapshot> {
         let prefix = self.segment_prefix();
-        let listed = time::timeout(STORE_TIMEOUT, self.store.list(&prefix)).await;
+        let listed = time::timeout(STORE_TIMEOUT, self.store.list_all(&prefix)).await;
+        let listed = listed.context(StoreTimeoutSnafu)??;
+        let base = self.read_base().await?;
+        ensure!(listed.unnamed == 0, UnnamedObjectSnafu { prefix });
+        for key in listed.unreadable {
+            let number = self.segment_number(&key);
+            let is_live = number.is_some_and(|number| number.0 >= base.base.first);
+            ensure!(!is_live, UnreadableObjectSnafu { key });
+            log::warn!("claims: ignoring {key}, which cannot be read and is no live segment");
+        }
         let mut segments = Vec::new();
-        for object in listed.context(StoreTimeoutSnafu)?? {
+        for object in listed.objects {
             let key = object.key;
-            let name = key.as_str().strip_prefix(&prefix).and_then(|name| name.parse().ok());
-            let number = SegmentNumber(name.context(MalformedNameSnafu { key: key.clone() })?);
-            let segment = ClaimSegment::decode(object.body);
-            let segment = segment.context(MalformedObjectSnafu { key })?;
+            let Some(number) = self.segment_number(&key) else {
+                log::warn!("claims: ignoring {key}, whose name is none of a segment");
+                continue;
+            };
+            ensure!(number < SegmentNumber::LAST, UnreadableObjectSnafu { key });
+            let segment = match ClaimSegment::decode(object.body) {
+                Ok(segment) => segment,
+                Err(error) if number.0 < base.base.first => {
+                    log::warn!("claims: ignoring the malformed obsolete segment {key}: {error}");
+                    continue;
+                }
+                Err(source) => return Err(ShardReadError::MalformedObject { key, source }),
+            };
             segments.push(StoredSegment { number, version: object.version, segment });
         }
         segments.sort_by_key(|stored| stored.number);
-        let base = self.read_base().await?;
         Ok(ShardSnapshot { segments, base })
     }
 
+    /// Number of the segment named `key`; `None` if this shard gives no segment that name.
+    fn segment_number(&self, key: &ObjectKey) -> Option<SegmentNumber> {
+        let digits = key.as_str().strip_prefix(&self.segment_prefix())?;
+        let number = SegmentNumber(digits.parse().ok()?);
+        (self.segment_key(number) == *key && number <= SegmentNumber::LAST).then_some(number)
+    }
+
     async fn read_base(&self) -> Result<StoredBase> {
         let key = self.base_key();
         let object = time::timeout(STORE_TIMEOUT, self.store.get(&key)).await;
