quarantine: a malformed record no longer ends the quarantine of all others

What callers saw: an entry that started while one object under `quarantine/` was malformed knew no crash records and watched none: requests that had crashed two engines ran again. `fescuewalk quarantine list` failed as a whole, so that the fingerprint to lift was not to be had from it.

Cause: one malformed record failed the reading of all.

Change: malformed records are logged and left out, and `quarantine list` prints them as `unreadable`; `quarantine lift` takes them. What a process knows of a request stays when its record becomes unreadable. Only names that this system writes count as records.

`malformed_record_leaves_the_others_in_force` failed before; `overwritten_record_keeps_the_quarantine_that_is_known` failed without the part that keeps what is known (Clear for Quarantined).

--- a/crates/fescuewalk/src/cmd/quarantine.rs
+++ b/crates/fescuewalk/src/cmd/quarantine.rs
@@ -69,10 +69,13 @@
 }
 
 async fn list(store: &PlatformClient) -> CliResult<()> {
-    let records = admin::list_records(store).await;
-    let records = records.map_err(|error| CliError::failed(error.to_string()))?;
-    for stored in records {
-        println!("{}", format_record(&stored));
+    let list = admin::read_records(store).await;
+    let list = list.map_err(|error| CliError::failed(error.to_string()))?;
+    for stored in &list.records {
+        println!("{}", format_record(stored));
+    }
+    for fingerprint in &list.unreadable {
+        println!("{fingerprint} unreadable");
     }
     Ok(())
 }
--- a/crates/once/src/quarantine.rs
+++ b/crates/once/src/quarantine.rs
@@ -15,7 +15,10 @@
 use base::prelude::*;
 use object_api::{ObjectVersion, WriteCondition};
 
-use self::record::{CrashRecord, CrashedRequest, QuarantineStatus};
+use self::{
+    admin::RecordList,
+    record::{CrashRecord, CrashedRequest, QuarantineStatus},
+};
 use crate::{claim::WriteOutcome, fingerprint::RequestFingerprint};
 
 /// Limits of a quarantine.
@@ -51,8 +54,8 @@
     Crashed(CrashedRequest),
     /// A suspect ran alone and completed successfully.
     SuspectCompleted(RequestFingerprint),
-    /// All records were read.
-    Loaded(Vec<StoredRecord>),
+    /// All records were read. What is known of a request whose record is unreadable stays.
+    Loaded(RecordList),
     /// A watch or a read returned a record.
     Written(StoredRecord),
     /// A watch or a read showed that a record does not exist.
@@ -208,9 +211,12 @@
         vec![QuarantineAction::Delete { fingerprint, version }]
     }
 
-    fn loaded(&mut self, records: Vec<StoredRecord>) -> Vec<QuarantineAction> {
-        self.records.retain(|_, known| known.unsaved || known.call != StoreCall::Idle);
-        records.into_iter().flat_map(|stored| self.written(stored)).collect()
+    fn loaded(&mut self, list: RecordList) -> Vec<QuarantineAction> {
+        self.records.retain(|fingerprint, known| {
+            let is_pending = known.unsaved || known.call != StoreCall::Idle;
+            is_pending || list.unreadable.contains(fingerprint)
+        });
+        list.records.into_iter().flat_map(|stored| self.written(stored)).collect()
     }
 
     fn written(&mut self, stored: StoredRecord) -> Vec<QuarantineAction> {
--- a/crates/once/src/quarantine/admin.rs
+++ b/crates/once/src/quarantine/admin.rs
@@ -1,12 +1,11 @@
 //! Operator calls on the stored crash records.
 
+use std::collections::BTreeSet;
+
 use object_api::{ObjectKey, ObjectStore, StoreError};
-use snafu::{ResultExt, Snafu};
+use snafu::Snafu;
 
-use super::{
-    StoredRecord,
-    record::{CrashRecord, RecordError},
-};
+use super::{StoredRecord, record::CrashRecord};
 use crate::fingerprint::RequestFingerprint;
 
 /// Prefix of the objects that hold crash records.
@@ -21,14 +20,6 @@
         /// Error of the store call.
         source: StoreError,
     },
-    /// An object's body is malformed.
-    #[snafu(display("{key} is malformed: {source}"))]
-    MalformedRecord {
-        /// Name of the object.
-        key: ObjectKey,
-        /// Error of the decoder.
-        source: RecordError,
-    },
 }
 
 /// Result of an operator's call.
@@ -41,23 +32,54 @@
 
 /// Parses the fingerprint from an object name; `None` if the name holds none.
 pub fn fingerprint_of(key: &ObjectKey) -> Option<RequestFingerprint> {
-    key.as_str().strip_prefix(QUARANTINE_PREFIX)?.parse().ok()
+    let fingerprint = key.as_str().strip_prefix(QUARANTINE_PREFIX)?.parse().ok()?;
+    (record_key(fingerprint) == *key).then_some(fingerprint)
+}
+
+/// The crash records as stored.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RecordList {
+    /// Records that could be read.
+    pub records: Vec<StoredRecord>,
+    /// Requests whose records exist but could not be read.
+    pub unreadable: BTreeSet<RequestFingerprint>,
 }
 
 /// Reads all crash records; objects with other names are skipped.
 ///
 /// # Errors
 ///
-/// Fails if the store returns an error, or if a record is malformed.
-pub async fn list_records(store: &dyn ObjectStore) -> Result<Vec<StoredRecord>> {
-    let mut records = Vec::new();
-    for object in store.list(QUARANTINE_PREFIX).await? {
-        let Some(fingerprint) = fingerprint_of(&object.key) else { continue };
-        let record = CrashRecord::decode(object.body);
-        let record = record.context(MalformedRecordSnafu { key: object.key })?;
-        records.push(StoredRecord { fingerprint, version: object.version, record });
+/// Fails if the store returns an error.
+pub async fn read_records(store: &dyn ObjectStore) -> Result<RecordList> {
+    let listed = store.list_all(QUARANTINE_PREFIX).await?;
+    let mut list = RecordList::default();
+    list.unreadable.extend(listed.unreadable.iter().filter_map(fingerprint_of));
+    for object in listed.objects {
+        let Some(fingerprint) = fingerprint_of(&object.key) else {
+            log::warn!("quarantine: ignoring {}, whose name is none of a record", object.key);
+            continue;
+        };
+        match CrashRecord::decode(object.body) {
+            Ok(record) => {
+                let version = object.version;
+                list.records.push(StoredRecord { fingerprint, version, record });
+            }
+            Err(error) => {
+                log::error!("quarantine: the record of {fingerprint} is malformed: {error}");
+                list.unreadable.insert(fingerprint);
+            }
+        }
     }
-    Ok(records)
+    Ok(list)
+}
+
+/// Reads the crash records that can be read.
+///
+/// # Errors
+///
+/// Fails if the store returns an error.
+pub async fn list_records(store: &dyn ObjectStore) -> Result<Vec<StoredRecord>> {
+    Ok(read_records(store).await?.records)
 }
 
 /// Deletes the crash record of a request; returns false if there is none.
--- a/crates/once/src/quarantine/service.rs
+++ b/crates/once/src/quarantine/service.rs
@@ -120,9 +120,10 @@
     /// Reads all records, then watches their changes until the next full read is due.
     async fn follow(&self, store: &dyn ObjectStore) -> admin::Result<()> {
         let reload = Instant::now() + RELOAD_INTERVAL;
-        let records = admin::list_records(store).await?;
-        let mut since = records.iter().map(|stored| stored.version).max().unwrap_or_default();
-        self.handle(QuarantineEvent::Loaded(records));
+        let list = admin::read_records(store).await?;
+        let versions = list.records.iter().map(|stored| stored.version);
+        let mut since = versions.max().unwrap_or_default();
+        self.handle(QuarantineEvent::Loaded(list));
         while Instant::now() < reload {
             let wait = MAX_WATCH_WAIT.min(reload - Instant::now());
             for change in store.watch(QUARANTINE_PREFIX, since, wait).await? {
--- a/crates/once/tests/quarantine.rs
+++ b/crates/once/tests/quarantine.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use object_api::{MemoryStore, ObjectStore, StoreFault};
+use object_api::{MemoryStore, ObjectKey, ObjectStore, StoreFault, WriteCondition};
 use once::{
     CrashId, CrashRecord, CrashedRequest, QuarantineLimits, QuarantineService, QuarantineStatus,
     RequestFingerprint, quarantine::admin,
@@ -91,6 +91,49 @@
     assert_eq!(second.status(CRASHING_REQUEST), QuarantineStatus::Quarantined);
 }
 
+/// Guards against entries on which no quarantine is in force because one record is malformed.
+#[tokio::test(start_paused = true)]
+async fn malformed_record_leaves_the_others_in_force() {
+    let store = MemoryStore::new();
+    let first = service(&store);
+    first.record_crash(crashed_request(CRASHING_REQUEST, 1));
+    first.record_crash(crashed_request(CRASHING_REQUEST, 2));
+    wait_for_sync().await;
+    let odd = RequestFingerprint([3; 32]);
+    for key in [admin::record_key(odd), ObjectKey::new("quarantine/notes")] {
+        store.put(&key, Bytes::from("\u{ff}"), WriteCondition::Absent).await.unwrap();
+    }
+
+    let at_start = status_after_restart(&store).await;
+    let list = admin::read_records(&store).await.unwrap();
+
+    assert_eq!(at_start, QuarantineStatus::Quarantined);
+    assert_eq!(list.records.len(), 1);
+    assert_eq!(list.unreadable, BTreeSet::from([odd]));
+    assert!(admin::lift_record(&store, odd).await.unwrap());
+}
+
+/// Guards against a quarantine that ends at the next full read because another writer has
+/// overwritten its record.
+#[tokio::test(start_paused = true)]
+async fn overwritten_record_keeps_the_quarantine_that_is_known() {
+    let store = MemoryStore::new();
+    let service = service(&store);
+    service.record_crash(crashed_request(CRASHING_REQUEST, 1));
+    service.record_crash(crashed_request(CRASHING_REQUEST, 2));
+    wait_for_sync().await;
+    let key = admin::record_key(CRASHING_REQUEST);
+    let version = store.get(&key).await.unwrap().unwrap().version;
+    let condition = WriteCondition::Version(version);
+    store.put(&key, Bytes::from("\u{ff}"), condition).await.unwrap();
+    // A later record, from which the watch after the next full read goes on.
+    service.record_crash(crashed_request(RequestFingerprint([1; 32]), 3));
+
+    time::sleep(Duration::from_secs(1_300)).await;
+
+    assert_eq!(service.status(CRASHING_REQUEST), QuarantineStatus::Quarantined);
+}
+
 #[tokio::test(start_paused = true)]
 async fn suspect_is_cleared_by_success_or_expiry() {
     let store = MemoryStore::new();
