lists: an object that is named like the head is no longer taken for it

What callers saw: with an object such as `lists/head-old` in the store whose contents are a head of a higher version, relays read the store without a pause, and a process that started waited for lists of that version, which nobody has.

Cause: the watch for the head is a watch for a prefix, and the names of its changes were not compared.

Change: only changes of the head itself count; a head that cannot be decoded is logged.

`object_named_like_the_head_is_not_taken_for_it` failed before (114616 reads in two seconds, 3 without the object) and passes now (3 reads).

--- a/crates/lists/src/spread/driver.rs
+++ b/crates/lists/src/spread/driver.rs
@@ -280,6 +280,11 @@
 
 fn head_version(change: &ObjectChange) -> Option<ListVersion> {
     let ObjectChange::Written(object) = change else { return None };
-    let head: HeadObject = decode_object(&object.key, &object.body).ok()?;
-    Some(head.version)
+    // The watch also reports objects whose names only begin like the head's.
+    if object.key != head_key() {
+        return None;
+    }
+    let head = decode_object::<HeadObject>(&object.key, &object.body);
+    let head = head.inspect_err(|error| warn!("lists: ignoring a version of the head: {error}"));
+    Some(head.ok()?.version)
 }
--- a/crates/lists/tests/driver.rs
+++ b/crates/lists/tests/driver.rs
@@ -3,14 +3,21 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use base::prelude::*;
+use bytes::Bytes;
 use lists::{
     spread::{
         NodeIdentity, SharedLinks, SpreadDriver, SpreadHandle, SpreadNode, SpreadSettings,
         WireLinks,
     },
-    store::{EditOrder, ListTexts, apply_edit, read_statuses},
+    store::{
+        EditOrder, HeadObject, ListTexts, apply_edit,
+        objects::{encode_object, head_key},
+        read_statuses,
+    },
+};
+use object_api::{
+    MemoryStore, ObjectKey, ObjectStore, StoreFault, VmEntry, VmState, WriteCondition, vms::VmRole,
 };
-use object_api::{MemoryStore, StoreFault, VmEntry, VmState, vms::VmRole};
 use tokio::{net::TcpListener, sync::mpsc, time};
 use wire::{FleetSecret, LinkOptions, Message, PeerIdentity, PeerLink, PeerRole};
 
@@ -146,3 +153,31 @@
 
     wait_for(&mut [late], 1).await;
 }
+
+/// Reads at the store in two seconds, after a small fleet has the lists and `others` were stored.
+async fn reads_of_a_fleet_beside(others: &[(&ObjectKey, Bytes)]) -> u64 {
+    let store = MemoryStore::new();
+    accept(&store, 1, 0).await;
+    let mut handles = small_fleet(&store).await;
+    wait_for(&mut handles, 1).await;
+    for (key, body) in others {
+        store.put(key, body.clone(), WriteCondition::Absent).await.unwrap();
+    }
+    let before = store.calls().reads;
+    time::sleep(Duration::from_secs(2)).await;
+    store.calls().reads - before
+}
+
+/// Guards against relays that read the lists again and again because another object, whose name
+/// begins like the head's, has a higher version.
+#[tokio::test]
+async fn object_named_like_the_head_is_not_taken_for_it() {
+    let head = HeadObject { version: ListVersion(1_000), ..HeadObject::default() };
+    let key = ObjectKey::new(format!("{}-old", head_key()));
+    let body = encode_object(&key, &head).unwrap();
+
+    let expected = reads_of_a_fleet_beside(&[]).await;
+    let reads = reads_of_a_fleet_beside(&[(&key, body)]).await;
+
+    assert!(reads <= 2 * expected, "{reads} reads instead of {expected}");
+}
