lists: odd objects among records and statuses no longer fail the whole read

What callers saw: processes that stayed on their version of the lists, `account` and `status` pages that could not be read, because one object of another writer among the records of edits or the activations could not be decoded; a zone that was reported twice because of a copy of its status; and a read without end of a record that names itself as the previous one.

Cause: the first object that could not be decoded ended the read, and records were followed by name without a look at their versions.

Change: such objects are logged and left out. A record of the chain that is missing from a list is still read by its name, and refused if it is malformed or of another version than its place; the process then reads the complete lists, whose checksum is in the head. A status counts only under its zone's name.

Failed before: `odd_object_among_records_leaves_the_history_in_use`, `odd_objects_leave_the_statuses_in_use`, `malformed_record_does_not_stop_the_spread` (no second version in 10 s), and `record_that_names_itself_is_refused` (did not end in 4 s).

--- a/crates/lists/src/spread/driver.rs
+++ b/crates/lists/src/spread/driver.rs
@@ -243,8 +243,14 @@
     if after > ListVersion(0) {
         let head = read_head(store).await?.map(|(_, head)| head).unwrap_or_default();
         if head.version.0.saturating_sub(after.0) <= MAX_EDITS {
-            let edits = edits_between(store, &head, after).await?;
-            return Ok(StoreUpdate::Edits(edits.into_iter().map(edit_step).collect()));
+            match edits_between(store, &head, after).await {
+                Ok(edits) => {
+                    let steps = edits.into_iter().map(edit_step).collect();
+                    return Ok(StoreUpdate::Edits(steps));
+                }
+                Err(error) if error.is_outage() => return Err(error),
+                Err(error) => warn!("lists: reading the complete lists instead of edits: {error}"),
+            }
         }
     }
     let lists = read_lists(store).await?;
--- a/crates/lists/src/store/history.rs
+++ b/crates/lists/src/store/history.rs
@@ -51,7 +51,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the store fails a call or a record of the chain is missing.
+/// Fails if the store fails a call, or if a record of the chain is missing, malformed or of another
+/// version than its place in the chain.
 pub async fn edits_between(
     store: &dyn ObjectStore,
     head: &HeadObject,
@@ -74,6 +75,10 @@
             Some(record) => record,
             None => edit_record(store, &name).await?,
         };
+        if record.version != version {
+            let reason = format!("version {} in the place of {version}", record.version);
+            return Err(bad_object(&ObjectKey::new(name), &reason));
+        }
         name.clone_from(&record.previous);
         version = ListVersion(record.version.0.saturating_sub(1));
         edits.push(record);
@@ -85,6 +90,8 @@
 /// Length of the longest chain that is read record by record, in edits.
 const SHORT_CHAIN: u64 = 8;
 
+/// Lists the records of a block that can be read. A record of the chain that is missing here is read
+/// by its name.
 async fn list_records(
     store: &dyn ObjectStore,
     version: ListVersion,
@@ -94,8 +101,12 @@
     let objects = store.list(&prefix).await.context(StoreCallSnafu { key })?;
     let mut records = HashMap::new();
     for object in objects {
-        if let StoredRecord::Inline(record) = decode_object(&object.key, &object.body)? {
-            records.insert(object.key.as_str().to_owned(), *record);
+        match decode_object(&object.key, &object.body) {
+            Ok(StoredRecord::Inline(record)) => {
+                records.insert(object.key.as_str().to_owned(), *record);
+            }
+            Ok(StoredRecord::Parts(_)) => {}
+            Err(error) => log::warn!("lists: leaving out a record: {error}"),
         }
     }
     Ok(records)
--- a/crates/lists/src/store/status.rs
+++ b/crates/lists/src/store/status.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use base::{clock, prelude::*};
-use object_api::{ObjectKey, ObjectStore, StoreError, WriteCondition};
+use object_api::{ObjectKey, ObjectStore, StoreError, StoredObject, WriteCondition};
 use snafu::ResultExt;
 
 use crate::{
@@ -95,8 +95,8 @@
     MergedStatus { status, older }
 }
 
-/// Reads the statuses of all zones; objects under the same prefix that cannot be decoded are
-/// skipped.
+/// Reads the statuses of all zones. Objects under the same prefix that cannot be decoded, or have
+/// another name than their zone's status, are logged and skipped.
 ///
 /// # Errors
 ///
@@ -104,14 +104,29 @@
 pub async fn read_statuses(store: &dyn ObjectStore) -> Result<Vec<StatusObject>> {
     let key = ObjectKey::new(STATUS_PREFIX);
     let objects = store.list(STATUS_PREFIX).await.context(StoreCallSnafu { key })?;
-    Ok(objects.iter().filter_map(|o| decode_object(&o.key, &o.body).ok()).collect())
+    let status_of = |object: &StoredObject| match decode_object(&object.key, &object.body) {
+        Ok(status) if is_named_for(&object.key, &status) => Some(status),
+        Ok(status) => {
+            log::warn!("lists: leaving out {}, a status of {}", object.key, status.zone);
+            None
+        }
+        Err(error) => {
+            log::warn!("lists: leaving out a status: {error}");
+            None
+        }
+    };
+    Ok(objects.iter().filter_map(status_of).collect())
+}
+
+fn is_named_for(key: &ObjectKey, status: &StatusObject) -> bool {
+    *key == status_key(&status.zone)
 }
 
 /// Reads when the versions after `after` became active in each zone.
 ///
 /// # Errors
 ///
-/// Fails if the store fails a call or an object cannot be decoded.
+/// Fails if the store fails a call.
 pub async fn activation_times(
     store: &dyn ObjectStore,
     statuses: &[StatusObject],
@@ -146,7 +161,8 @@
     }
 }
 
-/// Reads activations stored outside the status, up to the block of `first`.
+/// Reads activations stored outside the status, up to the block of `first`. Objects that cannot be
+/// decoded are logged and skipped.
 ///
 /// An object is named after its first version, so an object in the block before that of `after` may
 /// hold versions after `after`.
@@ -163,7 +179,10 @@
         let key = ObjectKey::new(&prefix);
         let objects = store.list(&prefix).await.context(StoreCallSnafu { key })?;
         for object in objects {
-            times.extend(decode_object::<Vec<ActivationTime>>(&object.key, &object.body)?);
+            match decode_object::<Vec<ActivationTime>>(&object.key, &object.body) {
+                Ok(older) => times.extend(older),
+                Err(error) => log::warn!("lists: leaving out activations: {error}"),
+            }
         }
     }
     Ok(times)
--- a/crates/lists/tests/driver.rs
+++ b/crates/lists/tests/driver.rs
@@ -12,7 +12,7 @@
     store::{
         EditOrder, HeadObject, ListTexts, apply_edit,
         objects::{encode_object, head_key},
-        read_statuses,
+        read_head, read_statuses,
     },
 };
 use object_api::{
@@ -181,3 +181,31 @@
 
     assert!(reads <= 2 * expected, "{reads} reads instead of {expected}");
 }
+
+/// Stores the second version of `other` in `store`, with a malformed record of its edit.
+async fn copy_edit_without_record(store: &MemoryStore, other: &MemoryStore) {
+    let (_, head) = read_head(other).await.unwrap().unwrap();
+    for part in other.list("lists/part/").await.unwrap() {
+        store.put(&part.key, part.body, WriteCondition::Absent).await.unwrap();
+    }
+    let record = ObjectKey::new(&head.edit);
+    store.put(&record, Bytes::from("{}"), WriteCondition::Absent).await.unwrap();
+    let (version, _) = read_head(store).await.unwrap().unwrap();
+    let body = encode_object(&head_key(), &head).unwrap();
+    store.put(&head_key(), body, WriteCondition::Version(version)).await.unwrap();
+}
+
+/// Guards against a fleet that stays on its version because the record of one edit is malformed.
+#[tokio::test]
+async fn malformed_record_does_not_stop_the_spread() {
+    let (store, other) = (MemoryStore::new(), MemoryStore::new());
+    accept(&store, 1, 0).await;
+    accept(&other, 1, 0).await;
+    accept(&other, 2, 1).await;
+    let mut handles = small_fleet(&store).await;
+    wait_for(&mut handles, 1).await;
+
+    copy_edit_without_record(&store, &other).await;
+
+    wait_for(&mut handles, 2).await;
+}
--- a/crates/lists/tests/status.rs
+++ b/crates/lists/tests/status.rs
@@ -1,11 +1,12 @@
 //! Tests of stored zone statuses over many versions and several relays.
 
 use base::prelude::*;
+use bytes::Bytes;
 use lists::{
     spread::{StatusReport, status::ActivationInstant},
     store::{activation_times, read_statuses, write_status},
 };
-use object_api::MemoryStore;
+use object_api::{MemoryStore, ObjectKey, ObjectStore, WriteCondition};
 
 fn zone() -> ZoneName {
     ZoneName::new("z0").unwrap()
@@ -58,3 +59,29 @@
     assert_eq!(after[0].times, before[0].times);
     assert_eq!(after[0].relay, relay("b"));
 }
+
+/// Guards against statuses and activations that cannot be read because of one object of another
+/// writer, and against a zone that is reported twice.
+#[tokio::test(start_paused = true)]
+async fn odd_objects_leave_the_statuses_in_use() {
+    let store = MemoryStore::new();
+    for last in (10..=1_000).step_by(10) {
+        let report = report(last, last - 9..=last);
+        write_status(&store, &zone(), &relay("a"), &report).await.unwrap();
+    }
+    let status = store.get(&ObjectKey::new("status/z0")).await.unwrap().unwrap().body;
+    put(&store, "status/z0-copy", status).await;
+    put(&store, "status/x&y", Bytes::from("{}")).await;
+    put(&store, "status-times/z0/000000000001-notes", Bytes::from("\u{ff}")).await;
+
+    let statuses = read_statuses(&store).await.unwrap();
+    let records = activation_times(&store, &statuses, ListVersion(3)).await.unwrap();
+
+    assert_eq!(statuses.len(), 1);
+    let versions: Vec<_> = records[0].times.iter().map(|time| time.version.0).collect();
+    assert_eq!(versions, (4..=1_000).collect::<Vec<_>>());
+}
+
+async fn put(store: &MemoryStore, name: &str, body: Bytes) {
+    store.put(&ObjectKey::new(name), body, WriteCondition::Absent).await.unwrap();
+}
--- a/crates/lists/tests/store.rs
+++ b/crates/lists/tests/store.rs
@@ -6,9 +6,12 @@
 use bytes::Bytes;
 use lists::{
     load_lists, read_lists,
-    store::{EditOrder, EditOutcome, ListTexts, apply_edit, edits_between, objects::head_key},
+    store::{
+        EditOrder, EditOutcome, ListTexts, apply_edit, edits_between,
+        objects::{StoredRecord, decode_object, encode_object, head_key},
+    },
 };
-use object_api::{MemoryStore, ObjectStore, StoreFault, WriteCondition};
+use object_api::{MemoryStore, ObjectKey, ObjectStore, StoreFault, WriteCondition};
 
 fn texts() -> ListTexts {
     let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/slatina");
@@ -192,3 +195,39 @@
 
     assert!(!error.is_outage());
 }
+
+/// Guards against edits that cannot be read because of an object beside their records.
+#[tokio::test(start_paused = true)]
+async fn odd_object_among_records_leaves_the_history_in_use() {
+    let store = store_with_lists().await;
+    for version in 1..20 {
+        accept(&store, with_share(100 + version as u32), version).await;
+    }
+    let odd = ObjectKey::new("lists/history/000000000010-notes");
+    store.put(&odd, Bytes::from("{}"), WriteCondition::Absent).await.unwrap();
+    let lists = read_lists(&store).await.unwrap();
+
+    let history = edits_between(&store, &lists.head, ListVersion(0)).await.unwrap();
+
+    let versions: Vec<_> = history.iter().map(|edit| edit.version.0).collect();
+    assert_eq!(versions, (1..=20).collect::<Vec<_>>());
+}
+
+/// Guards against a reader that follows records without end, because one of them names itself.
+#[tokio::test(start_paused = true)]
+async fn record_that_names_itself_is_refused() {
+    let store = store_with_lists().await;
+    accept(&store, with_share(41), 1).await;
+    let lists = read_lists(&store).await.unwrap();
+    let key = ObjectKey::new(&lists.head.edit);
+    let object = store.get(&key).await.unwrap().unwrap();
+    let mut record: StoredRecord = decode_object(&key, &object.body).unwrap();
+    let StoredRecord::Inline(inline) = &mut record else { panic!("the record is small") };
+    inline.previous = lists.head.edit.clone();
+    let body = encode_object(&key, &record).unwrap();
+    store.put(&key, body, WriteCondition::Version(object.version)).await.unwrap();
+
+    let history = edits_between(&store, &lists.head, ListVersion(0)).await;
+
+    assert!(history.is_err());
+}
