side: an odd model in the engine's listing is no crash and hides no other

What callers saw: with one model in the engine's listing in a state that is not known here, or with a missing or mistyped field, the side process refused all loads; and after one call to the engine was lost, it took the engine for crashed, failed all requests in flight and waited for a listing that it could read.

Cause: the listing was decoded as one document, and a listing that could not be decoded counted as an engine that does not answer.

Change: each model is read by itself; its state, which nothing used, is not read any more. A model whose size cannot be read is listed without one, so that it does not count as absent. A listing with a model without a readable name is still refused, because it does not show which models are absent. An engine that sends any listing counts as reachable. Names that no order can have are left out as before, now with a log line; their memory is not accounted for, as before.

--- a/crates/side/src/backend.rs
+++ b/crates/side/src/backend.rs
@@ -1,6 +1,6 @@
 //! HTTP client of the backend server beside this process.
 
-use std::{collections::BTreeMap, error::Error, io, net::SocketAddr};
+use std::{error::Error, io, net::SocketAddr};
 
 use base::prelude::*;
 use bytes::Bytes;
@@ -12,13 +12,13 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use loading::{CacheTier, LoadTarget};
-use serde::{Deserialize, Serialize};
+use loading::LoadTarget;
+use serde::Serialize;
 use snafu::{ResultExt, Snafu, ensure};
 use tokio::{net::TcpStream, time};
 use wire::run::RunRequest;
 
-use crate::settings::BackendKind;
+use crate::{listing::EngineListing, settings::BackendKind};
 
 /// Largest answer of the engine's admin interface, in bytes.
 const MAX_ADMIN_BYTES: usize = 1 << 20;
@@ -98,45 +98,6 @@
     }
 }
 
-/// Stage of a model in the engine's listing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum ListedStage {
-    /// The load is in progress.
-    Loading,
-    /// The model can run requests.
-    Loaded,
-    /// The unload is in progress.
-    Unloading,
-}
-
-/// One model or adapter as the engine lists it.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
-pub struct ListedModel {
-    /// Name of the model, or of the base model of an adapter.
-    pub model: String,
-    /// Name of the adapter; `None` if this is the model itself.
-    #[serde(default)]
-    pub adapter: Option<String>,
-    /// Stage of the load or unload.
-    pub state: ListedStage,
-    /// Memory taken by the model or adapter, in bytes.
-    pub bytes: u64,
-}
-
-/// Answer of the engine to a list call.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
-pub struct EngineListing {
-    /// Number that differs after a restart of the engine; zero if the engine sends none.
-    #[serde(default, rename = "life")]
-    pub incarnation: u64,
-    /// Models and adapters in any stage.
-    pub models: Vec<ListedModel>,
-    /// Models whose checkpoints are cached, with the tier that holds them.
-    #[serde(default)]
-    pub cached: BTreeMap<String, CacheTier>,
-}
-
 /// The connection of a request that runs.
 #[derive(Debug)]
 pub struct RunConnection {
@@ -267,18 +228,22 @@
             read_admin_answer(answer).await
         };
         let body = time::timeout(ADMIN_TIMEOUT, exchange).await.unwrap_or(LostSnafu.fail())?;
-        serde_json::from_slice(&body).map_err(|_| BackendError::BadAnswer)
+        EngineListing::read(&body)
     }
 
     /// Checks that the backend server is reachable: lists the models of an engine, and opens a
-    /// connection to a plain service. Returns the listing of an engine.
+    /// connection to a plain service. Returns the listing of an engine if it can be read.
     ///
     /// # Errors
     ///
     /// Fails if the backend server does not answer in time or answers with an error.
     pub async fn probe(&self, kind: BackendKind) -> Result<Option<EngineListing>> {
         match kind {
-            BackendKind::Engine => self.list().await.map(Some),
+            BackendKind::Engine => match self.list().await {
+                // An engine that sends a listing runs, whatever the listing contains.
+                Err(BackendError::BadAnswer) => Ok(None),
+                listing => listing.map(Some),
+            },
             BackendKind::Plain => {
                 let connect = TcpStream::connect(self.address);
                 let connected = time::timeout(CONNECT_TIMEOUT, connect).await;
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod backend;
 pub mod drain;
 pub mod engine_watch;
+pub mod listing;
 pub mod loads;
 pub mod metrics;
 pub mod process;
--- a/crates/side/src/loads/engine.rs
+++ b/crates/side/src/loads/engine.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
-use base::prelude::*;
+use base::{ids::IdError, prelude::*};
 use http::StatusCode;
 use loading::{
     EngineAnswer, EngineCallId, EngineIncarnation, EngineListing, LedgerAction, LedgerEvent,
@@ -12,7 +12,8 @@
 
 use super::apply_event;
 use crate::{
-    backend::{self, BackendError, ListedModel},
+    backend::{self, BackendError},
+    listing::ListedModel,
     process::SideState,
 };
 
@@ -103,11 +104,18 @@
     }
 }
 
+/// The target of a listed model; `None` if its names are such that no order can have loaded it.
 fn listed_target(listed: &ListedModel) -> Option<ListedTarget> {
-    let model: ModelId = listed.model.parse().ok()?;
-    let target = match &listed.adapter {
-        Some(adapter) => LoadTarget::Adapter(model, adapter.parse().ok()?),
+    let target = parse_target(listed).inspect_err(|error| {
+        log::warn!("loads: leaving out the listed model {:?}: {error}", listed.model);
+    });
+    Some(ListedTarget { target: target.ok()?, size: ByteSize(listed.bytes) })
+}
+
+fn parse_target(listed: &ListedModel) -> Result<LoadTarget, IdError> {
+    let model = listed.model.parse()?;
+    Ok(match &listed.adapter {
+        Some(adapter) => LoadTarget::Adapter(model, adapter.parse()?),
         None => LoadTarget::Model(model),
-    };
-    Some(ListedTarget { target, size: ByteSize(listed.bytes) })
+    })
 }
