entry: names of services in paths are decoded

What callers saw: a service whose name has a slash, or whose name the caller's client encodes in the path (`orders%40v2` for `orders@v2`), was refused as unknown.

Cause: the name was taken from the path as it stands there.

Change: the name is decoded once, for the rights and the choice of the service. The path still reaches the backend server byte for byte.

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -1,6 +1,6 @@
 //! Parsing and authorization of callers' requests.
 
-use std::sync::Arc;
+use std::{borrow::Cow, sync::Arc};
 
 use base::prelude::*;
 use bytes::Bytes;
@@ -8,9 +8,12 @@
 use lists::{
     AdapterEntry, CallerRights, ListSet, ModelEntry, RequestTarget, ServiceEntry, WorkClass,
 };
+use percent_encoding::percent_decode_str;
 use serde::Deserialize;
 use wire::{credit::CreditTarget, run::HeaderField};
 
+/// Path prefix of calls to plain services.
+const SERVICES_PREFIX: &str = "/services/";
 /// Request headers that are forwarded to backend servers.
 const FORWARDED_HEADERS: [&str; 4] = ["content-type", "accept", "idempotency-key", CLASS_HEADER];
 /// Path of chat completions, both at the entry and at model engines.
@@ -235,6 +238,18 @@
     }
 }
 
+/// Decodes the name of the service from the path and query of a call.
+///
+/// # Errors
+///
+/// [`ResultCode::UnknownModel`] if the path is none of a service or its name is not UTF-8.
+pub fn service_name(path: &str) -> Result<String> {
+    let rest = path.strip_prefix(SERVICES_PREFIX).ok_or(ResultCode::UnknownModel)?;
+    let name = rest.split(['/', '?']).next().unwrap_or_default();
+    let decoded = percent_decode_str(name).decode_utf8();
+    decoded.map(Cow::into_owned).map_err(|_| ResultCode::UnknownModel)
+}
+
 /// Identifies the caller by the bearer key in the `Authorization` header.
 ///
 /// # Errors
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -30,8 +30,6 @@
 
 /// Response header with the id of the request.
 const REQUEST_HEADER: &str = "x-request-id";
-/// Path prefix of calls to plain services.
-const SERVICES_PREFIX: &str = "/services/";
 /// Size of the read buffer of a connection, which holds the head of a request.
 const READ_BUFFER: usize = 64 * 1_024;
 /// Bytes of HTTP/2 bodies that a connection may receive before they are read.
@@ -183,8 +181,7 @@
     match kind {
         CallKind::Chat => CallerCall::chat(&lists, rights, &head, body, now),
         CallKind::Service => {
-            let rest = head.path.strip_prefix(SERVICES_PREFIX).unwrap_or_default();
-            let name = rest.split(['/', '?']).next().unwrap_or_default().to_owned();
+            let name = calls::service_name(&head.path)?;
             CallerCall::service(&lists, rights, &name, &head, body, now)
         }
     }
