--- a/crates/fescuewalk/tests/entry_slow_readers.rs
+++ b/crates/fescuewalk/tests/entry_slow_readers.rs
@@ -151,8 +151,12 @@
 ) {
     let _turn = ONE_AT_A_TIME.lock().await;
     let backend = Some(start_large_answers().await);
-    let setup =
-        FleetSetup { service: backend, engine: backend, entry_settings: SETTINGS.to_owned() };
+    let setup = FleetSetup {
+        service: backend,
+        engine: backend,
+        entry_settings: SETTINGS.to_owned(),
+        ..FleetSetup::default()
+    };
     let fleet = start_fleet_with(&setup).await;
     let address = fleet.addresses()[0];
     wait_for_model(address).await;
@@ -180,8 +184,12 @@
 async fn answer_of_the_largest_size_is_whole_without_pressure() {
     let _turn = ONE_AT_A_TIME.lock().await;
     let backend = Some(start_large_answers().await);
-    let setup =
-        FleetSetup { service: backend, engine: backend, entry_settings: SETTINGS.to_owned() };
+    let setup = FleetSetup {
+        service: backend,
+        engine: backend,
+        entry_settings: SETTINGS.to_owned(),
+        ..FleetSetup::default()
+    };
     let fleet = start_fleet_with(&setup).await;
     let request = Request::get(format!("http://{}/services/vrbovka/file", fleet.addresses()[0]))
         .header("authorization", "Bearer crew-key")
--- a/crates/fescuewalk/tests/support/fleet.rs
+++ b/crates/fescuewalk/tests/support/fleet.rs
@@ -11,7 +11,10 @@
     rt::TokioExecutor,
 };
 use lists::store::{EditOrder, EditOutcome, ListTexts, apply_edit};
-use object_api::http::{ClientSettings, PlatformClient};
+use object_api::{
+    ObjectKey, ObjectStore, WriteCondition,
+    http::{ClientSettings, PlatformClient},
+};
 use serde_json::Value;
 
 use super::{Process, WorkDir, fescuewalk, fescuewalk_side};
@@ -156,6 +159,10 @@
     pub engine: Option<SocketAddr>,
     /// Further sections of the settings of the entries.
     pub entry_settings: String,
+    /// Entries of other writers that the platform sends in its lists, in the form of `/admin/odd`.
+    pub odd_entries: Option<Value>,
+    /// Names and contents of objects that are in the store before the other processes start.
+    pub objects: Vec<(String, Bytes)>,
 }
 
 /// Starts a fleet like [`start_fleet`], with these differences.
@@ -163,6 +170,14 @@
     let dir = WorkDir::new("path");
     let platform = standin("platform", &[]);
     let platform_address = platform.address("http");
+    if let Some(entries) = &setup.odd_entries {
+        admin(platform_address, "PUT", "odd", entries.clone()).await;
+    }
+    let store = PlatformClient::new(ClientSettings::new(platform_address));
+    for (name, body) in &setup.objects {
+        let key = ObjectKey::new(name);
+        store.put(&key, body.clone(), WriteCondition::Absent).await.unwrap();
+    }
     let weights = standin("weights", &["--rate", "50/s"]);
     let weights_address = weights.address("http").to_string();
     let mut standins = vec![platform, weights];
