--- a/crates/lists/src/spread/driver.rs
+++ b/crates/lists/src/spread/driver.rs
@@ -243,8 +243,14 @@
     if after > ListVersion(0) {
         let head = read_head(store).await?.map(|(_, head)| head).unwrap_or_default();
         if head.version.0.saturating_sub(after.0) <= MAX_EDITS {
-            let edits = edits_between(store, &head, after).await?;
-            return Ok(StoreUpdate::Edits(edits.into_iter().map(edit_step).collect()));
+            match edits_between(store, &head, after).await {
+                Ok(edits) => {
+                    let steps = edits.into_iter().map(edit_step).collect();
+                    return Ok(StoreUpdate::Edits(steps));
+                }
+                Err(error) if error.is_outage() => return Err(error),
+                Err(error) => warn!("lists: reading the complete lists instead of edits: {error}"),
+            }
         }
     }
     let lists = read_lists(store).await?;
@@ -280,6 +286,11 @@
 
 fn head_version(change: &ObjectChange) -> Option<ListVersion> {
     let ObjectChange::Written(object) = change else { return None };
-    let head: HeadObject = decode_object(&object.key, &object.body).ok()?;
-    Some(head.version)
+    // The watch also reports objects whose names only begin like the head's.
+    if object.key != head_key() {
+        return None;
+    }
+    let head = decode_object::<HeadObject>(&object.key, &object.body);
+    let head = head.inspect_err(|error| warn!("lists: ignoring a version of the head: {error}"));
+    Some(head.ok()?.version)
 }
