--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    fn remove_last(&mut self) {
+        if let Some((_, count)) = self.steps.iter_mut().rev().find(|(_, count)| *count >= 1.0) {
+            *count -= 1.0;
+        }
+    }
+
     fn total(&mut self, window: Duration, now: Instant) -> f64 {
         while self
             .steps
@@ -90,4 +96,9 @@
         self.retried.add(step, now);
         true
     }
+
+    /// Returns a retry that was taken and not sent.
+    pub fn put_back(&mut self) {
+        self.retried.remove_last();
+    }
 }
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -3,9 +3,12 @@
 //! Requests arrive in bursts at several entries. Each entry knows the load of a backend server only
 //! from delayed reports and from its own requests there.
 
+use std::net::SocketAddr;
+
 use base::prelude::*;
 use catalog::TokenCount;
 use limits::LimitAllowances;
+use memory_budget::ServerBytes;
 use roster::{InstanceId, SoftwareVersion};
 
 use crate::{
@@ -58,6 +61,10 @@
     pub service_time: f64,
     /// Slots at the backend servers that name a limit.
     pub allowances: &'a LimitAllowances,
+    /// Bodies that backend servers hold.
+    pub bodies: &'a ServerBytes<SocketAddr>,
+    /// Size of the body of the request.
+    pub body: ByteSize,
     /// Time at which the choice is made.
     pub now: Instant,
 }
@@ -65,7 +72,13 @@
 impl ChoiceView<'_> {
     /// Whether a server takes requests, apart from its limit.
     fn is_usable(&self, server: &ServerView) -> bool {
-        is_in_service(server, self.now)
+        self.is_open(server) && !server.is_unresponsive(self.now)
+    }
+
+    /// Whether a server takes requests, apart from its limit and from how long it takes to answer.
+    fn is_open(&self, server: &ServerView) -> bool {
+        !server.is_draining()
+            && !server.is_down()
             && server.fits(self.software)
             && server.paused_until(self.now).is_none()
             && !server.health.is_suspended(self.now)
@@ -76,6 +89,10 @@
         self.allowances.may_send(&server.id, server.started, self.now)
     }
 
+    fn has_room(&self, server: &ServerView) -> bool {
+        self.bodies.has_room(&server.address, self.body)
+    }
+
     fn common_cost(&self, server: &ServerView) -> Duration {
         let zone = if server.zone == *self.zone { Duration::ZERO } else { ZONE_COST };
         zone + FAILURE_COST.mul_f64(server.health.failure_share(self.now))
@@ -153,11 +170,27 @@
     servers
         .filter(|server| server.service == *service)
         .filter(|server| view.is_usable(server) && view.is_within_limit(server))
+        .filter(|server| view.has_room(server))
         .map(|server| estimate_plain(server, view))
         .min_by_key(|estimate| estimate.cost)
         .map(ServerEstimate::into_choice)
 }
 
+/// Whether a backend server of a plain service would be chosen if it had room for the body. One that
+/// is slow to answer the bodies that it holds may count as unresponsive until then.
+pub(crate) fn is_full<'a>(
+    mut servers: impl Iterator<Item = &'a ServerView>,
+    service: &ServiceName,
+    view: &ChoiceView<'_>,
+) -> bool {
+    servers.any(|server| {
+        server.service == *service
+            && view.is_open(server)
+            && view.is_within_limit(server)
+            && !view.has_room(server)
+    })
+}
+
 /// The backend server for a second attempt of a request whose first runs at `first`; none if none is
 /// healthy and, with the attempt, no more loaded than `first`. Servers that name a limit get no
 /// second attempts.
@@ -171,6 +204,7 @@
     servers
         .filter(|server| server.service == *service && server.id != first.id)
         .filter(|server| view.is_usable(server) && server.fits(Some(&first.software)))
+        .filter(|server| view.has_room(server))
         .filter(|server| !view.allowances.is_limited(&server.id, server.started))
         .filter(|server| server.health.failure_share(view.now) <= MAX_FAILURE_SHARE)
         .filter(|server| server.relative_load(1) <= first_load)
@@ -248,6 +282,8 @@
     ModelMissing,
     /// All engines that hold it are busy with the prefill of other prompts.
     PrefillBusy,
+    /// All engines that could take the request have no room for its body.
+    Full,
     /// The engine with the least cost.
     Chosen(ServerChoice),
 }
@@ -259,14 +295,21 @@
     generation: &Generation,
     view: &ChoiceView<'_>,
 ) -> EngineOffer {
-    let mut is_prefill_busy = false;
+    let (mut is_full, mut is_prefill_busy) = (false, false);
     let mut least: Option<ServerEstimate<'_>> = None;
     let holders = servers
         .filter(|server| server.service == *service)
-        .filter(|server| view.is_usable(server) && view.is_within_limit(server))
+        .filter(|server| view.is_open(server) && view.is_within_limit(server))
         .filter(|server| server.holds_model(&generation.target.model))
         .filter(|server| can_serve_adapter(server, generation));
     for server in holders {
+        if !view.has_room(server) {
+            is_full = true;
+            continue;
+        }
+        if !view.is_usable(server) {
+            continue;
+        }
         if !can_prefill(server, generation) {
             is_prefill_busy = true;
             continue;
@@ -278,6 +321,7 @@
     }
     match least {
         Some(estimate) => EngineOffer::Chosen(estimate.into_choice()),
+        None if is_full => EngineOffer::Full,
         None if is_prefill_busy => EngineOffer::PrefillBusy,
         None => EngineOffer::ModelMissing,
     }
--- a/crates/dispatch/src/decision.rs
+++ b/crates/dispatch/src/decision.rs
@@ -1,5 +1,7 @@
 //! Requests, decisions and failures that pass between the dispatcher and its driver.
 
+use std::fmt;
+
 use base::prelude::*;
 use catalog::{RouteKind, RouteName, WorkspaceName};
 use limits::LimitQuery;
@@ -38,6 +40,8 @@
     pub max_attempts: u32,
     /// Keys by which it is recognized if it crashes backend servers.
     pub suspect_keys: SuspectKeys,
+    /// Size of its body, which a backend server holds until it answers.
+    pub body: ByteSize,
 }
 
 /// The backend server of one attempt.
@@ -79,6 +83,8 @@
     /// All backend servers that could take the request name a limit, and this entry may not send one
     /// yet.
     ServersLimited,
+    /// All backend servers that could take the request hold as many bodies of this entry as they may.
+    ServersFull,
 }
 
 impl WaitReason {
@@ -90,6 +96,7 @@
             WaitReason::NoServer => "no-server",
             WaitReason::ServersPaused => "servers-paused",
             WaitReason::ServersLimited => "servers-limited",
+            WaitReason::ServersFull => "servers-full",
         }
     }
 }
@@ -159,6 +166,45 @@
     },
 }
 
+/// Why a request that was assigned to a backend server may not be sent there any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendObstacle {
+    /// The process is about to end.
+    ProcessEnds,
+    /// The deadline of the request has passed.
+    DeadlinePassed,
+    /// Requests like it crashed backend servers.
+    Blocked,
+    /// The backend server is no longer listed, or at another address.
+    ServerLeft,
+    /// The backend server drains.
+    ServerDrains,
+    /// The engine of the backend server does not respond, or has restarted.
+    ServerDown,
+    /// The backend server wants no requests for a while.
+    ServerPaused,
+    /// The backend server names a limit, and the request has no slot there.
+    ServerLimited,
+    /// The backend server has another software version than when it was chosen.
+    SoftwareChanged,
+}
+
+impl fmt::Display for SendObstacle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            SendObstacle::ProcessEnds => "not sent, the process ends",
+            SendObstacle::DeadlinePassed => "not sent, the deadline has passed",
+            SendObstacle::Blocked => "not sent, requests like it crashed backend servers",
+            SendObstacle::ServerLeft => "not sent, the backend server has left",
+            SendObstacle::ServerDrains => "not sent, the backend server drains",
+            SendObstacle::ServerDown => "not sent, the backend server is down",
+            SendObstacle::ServerPaused => "not sent, the backend server wants no requests",
+            SendObstacle::ServerLimited => "not sent, the backend server names a limit",
+            SendObstacle::SoftwareChanged => "not sent, the backend server has another version",
+        })
+    }
+}
+
 /// How an attempt failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptFailure {
@@ -178,6 +224,9 @@
     /// The request was not sent, because its caller may not run it any more by the current
     /// configuration.
     KeyRevoked,
+    /// The request was not sent, because its backend server or the request itself was ruled out while
+    /// the connection was opened.
+    Withdrawn,
 }
 
 impl AttemptFailure {
@@ -191,6 +240,7 @@
             AttemptFailure::Severed => "severed",
             AttemptFailure::Lost => "lost",
             AttemptFailure::KeyRevoked => "key-revoked",
+            AttemptFailure::Withdrawn => "withdrawn",
         }
     }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -7,14 +7,20 @@
 mod fair_order;
 mod hedging;
 mod limits;
+mod room;
+mod sending;
 mod servers;
 mod suspects;
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
 
 use ::limits::{LimitAllowances, SendSlot};
 use ::suspects::SuspectBoard;
 use base::prelude::*;
+use memory_budget::ServerBytes;
 use roster::{InstanceId, SoftwareVersion};
 
 use self::fair_order::FairQueues;
@@ -23,7 +29,7 @@
     budget::{RetryBudget, RetryLimits},
     call::ModelTarget,
     decision::{AttemptFailure, DispatchAction, DispatchDecision, DispatchRequest, Refusal},
-    hedging::{CallHedge, HedgeBook},
+    hedging::{CallHedge, HedgeBook, HedgeSide, HeldAddress},
     returning::RefusedRequests,
     servers::ServerView,
     service_time::ServiceTime,
@@ -109,10 +115,16 @@
     /// Number of failed attempts that a backend server may have run.
     run_attempts: u32,
     waiting_since: Option<Instant>,
+    /// Whether it waits for room for its body.
+    waits_for_room: bool,
     /// Server with a limit for whose next slot it waits.
     awaits_slot_of: Option<InstanceId>,
     /// Slot of the server to which it is assigned, until it is sent.
     slot: Option<SendSlot>,
+    /// Where it was assigned to, and whether its body counts there.
+    held_at: Option<HeldAddress>,
+    /// Whether it has taken a retry from the budget that is not sent yet.
+    has_unsent_retry: bool,
     hedge: CallHedge,
     /// Whether its workspace was charged for it in the fair order.
     is_charged: bool,
@@ -147,6 +159,7 @@
     suspects: SuspectBoard,
     announcements: ServerAnnouncements,
     allowances: LimitAllowances,
+    bodies: ServerBytes<SocketAddr>,
     arrivals: BTreeMap<ModelId, u64>,
     entries: usize,
     stop_stage: StopStage,
@@ -168,6 +181,7 @@
             suspects: SuspectBoard::default(),
             announcements: ServerAnnouncements::default(),
             allowances: LimitAllowances::default(),
+            bodies: ServerBytes::new(ByteSize(u64::MAX)),
             fair_queues: FairQueues::default(),
             refused: RefusedRequests::default(),
             arrivals: BTreeMap::new(),
@@ -217,8 +231,11 @@
             sent_attempts: 0,
             run_attempts: 0,
             waiting_since: None,
+            waits_for_room: false,
             awaits_slot_of: None,
             slot: None,
+            held_at: None,
+            has_unsent_retry: false,
             hedge: CallHedge::default(),
             is_charged: false,
             returned_since,
@@ -230,22 +247,6 @@
         (key, decision)
     }
 
-    /// Records that the request is sent to the backend server to which it was assigned.
-    pub fn mark_sent(&mut self, key: u64, now: Instant) {
-        let Some(call) = self.calls.get_mut(&key) else { return };
-        call.sent_attempts += 1;
-        call.slot = None;
-        if let Some(view) = call.assigned_to.as_ref().and_then(|id| self.servers.get_mut(id)) {
-            view.mark_sent(key, now);
-        }
-        if call.sent_attempts == 1 {
-            call.hedge.first_sent = Some(now);
-            let service = call.request.service.clone();
-            self.budget(&service).budget.record_first(now);
-            self.hedges.record_request(&service);
-        }
-    }
-
     /// Handles a permit refused by the side process, and decides again. `is_model_missing` means
     /// that the engine does not hold the model.
     pub fn handle_permit_refusal(
@@ -290,7 +291,9 @@
     /// Removes a request that is answered or refused, or whose caller has disconnected.
     pub fn finish(&mut self, key: u64, is_success: bool, now: Instant) {
         self.put_back_slot(key);
+        self.put_back_retry(key);
         self.finish_hedge(key, is_success, now);
+        self.release_body(key, HedgeSide::First);
         let Some(call) = self.calls.remove(&key) else { return };
         if call.may_return {
             let since = call.returned_since.unwrap_or(call.request.arrived);
@@ -315,6 +318,8 @@
         if failure == AttemptFailure::Failed {
             self.record_answer_begun(key, now);
         }
+        self.put_back_slot(key);
+        self.release_body(key, HedgeSide::First);
         let Some(call) = self.calls.get_mut(&key) else {
             return DispatchDecision::Refuse(Refusal::new(
                 ResultCode::CallerCancelled,
@@ -327,7 +332,10 @@
         }
         let target = call.request.generation.as_ref().map(|generation| generation.target.clone());
         if let Some(server) = server {
-            call.failed_servers.push(server.clone());
+            // One that was ruled out is not chosen for as long as that holds.
+            if failure != AttemptFailure::Withdrawn {
+                call.failed_servers.push(server.clone());
+            }
             if failure == AttemptFailure::Severed {
                 self.record_severed(&server, key, now);
             }
@@ -356,7 +364,7 @@
                 Some(target) => view.remove_target(target),
                 None => view.health.record_loss(now),
             },
-            AttemptFailure::KeyRevoked => {}
+            AttemptFailure::KeyRevoked | AttemptFailure::Withdrawn => {}
         }
     }
 
@@ -377,10 +385,16 @@
         if call.run_attempts >= call.request.max_attempts {
             return self.refuse(key, final_refusal(failure, "no attempts are left"));
         }
-        let was_received = failure != AttemptFailure::Unreachable;
+        let was_received =
+            !matches!(failure, AttemptFailure::Unreachable | AttemptFailure::Withdrawn);
         let service = call.request.service.clone();
-        if was_received && !self.budget(&service).try_take(now) {
-            return self.refuse(key, final_refusal(failure, "the budget of repeats is spent"));
+        if was_received {
+            if !self.budget(&service).try_take(now) {
+                return self.refuse(key, final_refusal(failure, "the budget of repeats is spent"));
+            }
+            if let Some(call) = self.calls.get_mut(&key) {
+                call.has_unsent_retry = true;
+            }
         }
         self.decide(key, now)
     }
@@ -464,6 +478,7 @@
             call.waiting_since = None;
             call.awaits_slot_of = None;
         }
+        self.put_back_retry(key);
         let refusal = self.with_run_state(key, refusal);
         if let Some(call) = self.calls.get_mut(&key) {
             call.may_return = refusal.retry_after.is_some();
--- a/crates/dispatch/src/dispatcher/assigning.rs
+++ b/crates/dispatch/src/dispatcher/assigning.rs
@@ -7,8 +7,10 @@
 use crate::{
     choice::{
         ChoiceView, EngineOffer, ServerChoice, choose_engine, choose_plain, earliest_pause_end,
+        is_full,
     },
     decision::{Assignment, DispatchDecision, Refusal, WaitReason},
+    hedging::HeldAddress,
     waiting,
 };
 
@@ -21,6 +23,9 @@
         let view = self.choice_view(key, now);
         match choose_plain(self.servers.values(), &call.request.service, &view) {
             Some(choice) => self.assign(key, &choice, now),
+            None if is_full(self.servers.values(), &call.request.service, &view) => {
+                self.wait(key, WaitReason::ServersFull, now)
+            }
             None => self.wait_for_slot_or(key, WaitReason::NoServer, now),
         }
     }
@@ -34,6 +39,7 @@
         let servers = self.servers.values();
         match choose_engine(servers, &call.request.service, generation, &view) {
             EngineOffer::ModelMissing => self.wait_for_slot_or(key, WaitReason::ModelMissing, now),
+            EngineOffer::Full => self.wait(key, WaitReason::ServersFull, now),
             EngineOffer::PrefillBusy => self.wait(key, WaitReason::PrefillBusy, now),
             EngineOffer::Chosen(choice) => self.assign(key, &choice, now),
         }
@@ -47,6 +53,8 @@
             software: call.request.software.as_ref(),
             service_time: self.service_time(&call.request.service),
             allowances: &self.allowances,
+            bodies: &self.bodies,
+            body: call.request.body,
             now,
         }
     }
@@ -82,6 +90,12 @@
         if reason != WaitReason::ServersLimited {
             call.awaits_slot_of = None;
         }
+        let waited_for_room =
+            std::mem::replace(&mut call.waits_for_room, reason == WaitReason::ServersFull);
+        if waited_for_room && !call.waits_for_room {
+            // The time for which it waits for something else begins now.
+            call.waiting_since = Some(now);
+        }
         let waiting_since = *call.waiting_since.get_or_insert(now);
         let call = &self.calls[&key];
         let target = call.request.generation.as_ref().map(|generation| &generation.target);
@@ -111,11 +125,14 @@
         let server = &choice.server;
         let view = self.servers.get_mut(server).expect("the server was chosen from this map");
         call.waiting_since = None;
+        call.waits_for_room = false;
         call.awaits_slot_of = None;
         call.is_model_missing = false;
         call.assigned_to = Some(server.clone());
         call.assigned_software = Some(view.software.clone());
         call.slot = self.allowances.take_slot(server, now);
+        self.bodies.hold(view.address, call.request.body);
+        call.held_at = Some(HeldAddress { address: view.address, has_body: true });
         let generation = call.request.generation.as_ref();
         let assignment = Assignment {
             server: server.clone(),
--- a/crates/dispatch/src/dispatcher/hedging.rs
+++ b/crates/dispatch/src/dispatcher/hedging.rs
@@ -8,7 +8,7 @@
 use crate::{
     choice::{ServerChoice, choose_hedge},
     decision::{Assignment, AttemptFailure},
-    hedging::{FULL_SHARE, HedgeCause, HedgeDecision, HedgeLimits, HedgeSide},
+    hedging::{FULL_SHARE, HedgeCause, HedgeDecision, HedgeLimits, HedgeSide, HeldAddress},
 };
 
 impl OpenCall {
@@ -53,12 +53,15 @@
         let view = self.servers.get_mut(&choice.server).expect("it was chosen from this map");
         call.sent_attempts += 1;
         call.hedge.second = Some(choice.server.clone());
+        self.bodies.hold(view.address, call.request.body);
+        call.hedge.second_held_at = Some(HeldAddress { address: view.address, has_body: true });
         let assignment = Assignment {
             server: choice.server,
             started: view.started,
             software: view.software.clone(),
             address: view.address,
-            attempt: call.sent_attempts,
+            // The first may still wait for its connection.
+            attempt: call.sent_attempts.max(2),
             load: view.load(),
             load_age: view.load_age(now),
             expected_first_byte: choice.expected,
@@ -152,20 +155,49 @@
         if failure.may_have_run() {
             call.run_attempts += 1;
         }
-        call.failed_servers.push(server.clone());
+        if failure != AttemptFailure::Withdrawn {
+            call.failed_servers.push(server.clone());
+        } else if side == HedgeSide::Second {
+            self.put_back_hedge(key);
+        }
         if failure == AttemptFailure::Severed {
             self.record_severed(&server, key, now);
         }
         self.charge_failure(&server, key, failure, None, now);
     }
 
+    /// Records that the hedge of the request `key` is sent.
+    pub(super) fn mark_hedge_sent(&mut self, key: u64, now: Instant) {
+        let second = self.calls.get(&key).and_then(|call| call.hedge.second.clone());
+        if let Some(view) = second.and_then(|second| self.servers.get_mut(&second)) {
+            view.mark_sent(key, now);
+        }
+    }
+
+    /// Returns what a hedge has taken that was not sent.
+    fn put_back_hedge(&mut self, key: u64) {
+        let Some(call) = self.calls.get_mut(&key) else { return };
+        call.sent_attempts = call.sent_attempts.saturating_sub(1);
+        let service = call.request.service.clone();
+        self.budget(&service).budget.put_back();
+        self.hedges.put_back_share(&service);
+    }
+
     /// Makes the attempt `side` of a hedged request its only one; returns the server of the other.
     fn keep_one_side(&mut self, key: u64, side: HedgeSide) -> Option<InstanceId> {
         let call = self.calls.get_mut(&key)?;
         let second = call.hedge.second.take()?;
+        let other = match side {
+            HedgeSide::First => HedgeSide::Second,
+            HedgeSide::Second => HedgeSide::First,
+        };
+        self.release_body(key, other);
+        let call = self.calls.get_mut(&key)?;
+        let second_held_at = call.hedge.second_held_at.take();
         match side {
             HedgeSide::First => Some(second),
             HedgeSide::Second => {
+                call.held_at = second_held_at;
                 let view = self.servers.get(&second);
                 call.assigned_software = view.map(|view| view.software.clone());
                 call.assigned_to.replace(second)
--- a/crates/dispatch/src/dispatcher/limits.rs
+++ b/crates/dispatch/src/dispatcher/limits.rs
@@ -8,6 +8,7 @@
 use crate::{
     choice::{ServerChoice, limited_choices},
     decision::{DispatchAction, DispatchDecision, WaitReason},
+    hedging::HedgeSide,
     waiting,
 };
 
@@ -38,17 +39,10 @@
         self.allowances.known()
     }
 
-    /// Whether an assigned request may be sent as far as the limit of its server goes, which may
-    /// have become known after the request was assigned.
-    pub(super) fn is_within_limit(&self, call: &OpenCall) -> bool {
-        let server = call.assigned_to.as_ref().and_then(|id| self.servers.get(id));
-        call.slot.is_some()
-            || server.is_none_or(|view| !self.allowances.is_limited(&view.id, view.started))
-    }
-
     /// Takes an assigned request that was not sent from its server, which is returned.
     pub(super) fn unassign(&mut self, key: u64) -> Option<InstanceId> {
         self.put_back_slot(key);
+        self.release_body(key, HedgeSide::First);
         let server = self.calls.get_mut(&key)?.assigned_to.take()?;
         if let Some(view) = self.servers.get_mut(&server) {
             view.remove_call(key);
--- a/crates/dispatch/src/dispatcher/suspects.rs
+++ b/crates/dispatch/src/dispatcher/suspects.rs
@@ -4,8 +4,8 @@
 use roster::InstanceId;
 use suspects::{SeveredAttempt, SuspectBoard};
 
-use super::{CallDispatcher, StopStage};
-use crate::decision::{DispatchAction, DispatchDecision, Refusal};
+use super::CallDispatcher;
+use crate::decision::{DispatchAction, Refusal};
 
 impl CallDispatcher {
     /// What this entry knows of requests that crash backend servers.
@@ -19,34 +19,6 @@
         &mut self.suspects
     }
 
-    /// Decides whether an assigned request may be sent now, and records that it is. Returns the next
-    /// decision if it may not: while it waited for a permit, it was blocked, its server has
-    /// another software version now or announced that it takes no more requests or only a limited number, or the process is about to end.
-    pub fn confirm_send(&mut self, key: u64, now: Instant) -> Option<DispatchDecision> {
-        let refusal = self.block_refusal(key, now);
-        let may_send = self.stop_stage < StopStage::NoSends && self.accepts_requests(key, now);
-        if refusal.is_none() && may_send {
-            self.mark_sent(key, now);
-            return None;
-        }
-        self.unassign(key);
-        Some(match refusal {
-            Some(refusal) => self.refuse(key, refusal),
-            None => self.decide(key, now),
-        })
-    }
-
-    /// Whether the server to which a request is assigned has not announced the contrary.
-    fn accepts_requests(&self, key: u64, now: Instant) -> bool {
-        let Some(call) = self.calls.get(&key) else { return true };
-        let server = call.assigned_to.as_ref().and_then(|id| self.servers.get(id));
-        server.is_none_or(|view| {
-            !view.is_draining()
-                && view.paused_until(now).is_none()
-                && view.fits(call.assigned_software.as_ref())
-        }) && self.is_within_limit(call)
-    }
-
     /// Records that the answer to `key` has begun: its first event or its whole body has arrived.
     pub fn record_answer_begun(&mut self, key: u64, now: Instant) {
         let Some(call) = self.calls.get(&key) else { return };
--- a/crates/dispatch/src/hedging.rs
+++ b/crates/dispatch/src/hedging.rs
@@ -1,7 +1,7 @@
 //! When a second attempt of a slow request (a hedge) is due, and the extra work that hedges may
 //! cause.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, net::SocketAddr};
 
 use base::prelude::*;
 use catalog::RouteName;
@@ -99,6 +99,15 @@
     Second,
 }
 
+/// Where an attempt is assigned to.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct HeldAddress {
+    /// Address of the backend server when it was chosen.
+    pub address: SocketAddr,
+    /// Whether the body of the request counts there.
+    pub has_body: bool,
+}
+
 /// State of one request's hedge.
 #[derive(Debug, Default)]
 pub(crate) struct CallHedge {
@@ -106,6 +115,8 @@
     pub first_sent: Option<Instant>,
     /// Server of the hedge while both attempts are in flight.
     pub second: Option<InstanceId>,
+    /// Where the hedge was assigned to, and whether the body counts there.
+    pub second_held_at: Option<HeldAddress>,
 }
 
 #[derive(Debug, Default)]
@@ -205,4 +216,11 @@
             hedges.saved -= 1.0;
         }
     }
+
+    /// Returns a hedge that was taken and not sent.
+    pub fn put_back_share(&mut self, service: &ServiceName) {
+        if let Some(hedges) = self.services.get_mut(service) {
+            hedges.saved = (hedges.saved + 1.0).min(MAX_SAVED_HEDGES);
+        }
+    }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -25,7 +25,7 @@
     },
     decision::{
         Assignment, AttemptFailure, DispatchAction, DispatchDecision, DispatchRequest, Refusal,
-        WaitReason,
+        SendObstacle, WaitReason,
     },
     dispatcher::{CallDispatcher, DispatchSettings, LoadTarget, ModelUsage, StopStage},
     hedging::{HedgeCause, HedgeDecision, HedgeLimits, HedgeSide},
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -333,7 +333,8 @@
         now.saturating_duration_since(oldest.max(self.last_response_at)) > timeout
     }
 
-    fn record_response(&mut self, now: Instant) {
+    /// Records that anything was received from it.
+    pub(crate) fn record_response(&mut self, now: Instant) {
         self.last_response_at = now;
         self.cancelled = None;
     }
--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -89,8 +89,11 @@
             let reason = "the engines have too much to read";
             wait_until(request.first_byte_deadline, now, ResultCode::QueueFull, reason)
         }
-        // The dispatcher has checked that the pause ends soon, or that a slot comes in time.
-        WaitReason::ServersPaused | WaitReason::ServersLimited => Ok(None),
+        // The dispatcher has checked that the pause ends soon, or that a slot comes in time. Room for a
+        // body comes with the next answer.
+        WaitReason::ServersPaused | WaitReason::ServersLimited | WaitReason::ServersFull => {
+            Ok(None)
+        }
         WaitReason::NoServer => {
             let left = request.deadline.saturating_duration_since(since);
             let until = since + left.mul_f64(NO_SERVER_WAIT_SHARE);
@@ -174,7 +177,7 @@
 /// Refusal of a request whose last attempt failed.
 pub(crate) fn final_refusal(failure: AttemptFailure, reason: &'static str) -> Refusal {
     match failure {
-        AttemptFailure::Unreachable | AttemptFailure::Full => {
+        AttemptFailure::Unreachable | AttemptFailure::Full | AttemptFailure::Withdrawn => {
             Refusal::with_retry_after(ResultCode::NoReplica, SHORT_RETRY_AFTER, reason)
         }
         // A retry can succeed only once the model is loaded.
--- a/crates/dispatch/tests/announcements.rs
+++ b/crates/dispatch/tests/announcements.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use catalog::RouteKind;
 use common::{ENGINES, PLAIN, dispatcher, instance, plain_request, server, stream_request};
-use dispatch::{AttemptFailure, CallDispatcher, DispatchDecision, WaitReason};
+use dispatch::{AttemptFailure, CallDispatcher, DispatchDecision, HedgeSide, WaitReason};
 use roster::{BackendServer, IncarnationStart};
 
 const STARTED: Option<IncarnationStart> = Some(IncarnationStart(1));
@@ -158,6 +158,7 @@
     let mut dispatcher = dispatcher_with(&["s-0"], now);
     let (key, _) = dispatcher.submit(plain_request(RouteKind::NonIdempotent, 1, now), now);
     assert_eq!(dispatcher.confirm_send(key, now), None);
+    assert_eq!(dispatcher.begin_send(key, HedgeSide::First, now), Ok(()));
 
     pause(&mut dispatcher, "s-0", PAUSE, now);
     let decision = dispatcher.record_failure(key, AttemptFailure::Full, now);
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -90,6 +90,7 @@
         workspace: None,
         max_attempts: 1,
         suspect_keys: SuspectKeys::default(),
+        body: ByteSize(0),
     }
 }
 
@@ -108,5 +109,6 @@
         workspace: None,
         max_attempts,
         suspect_keys: SuspectKeys::default(),
+        body: ByteSize(0),
     }
 }
--- a/crates/dispatch/tests/crashing_requests.rs
+++ b/crates/dispatch/tests/crashing_requests.rs
@@ -5,7 +5,9 @@
 use base::prelude::*;
 use catalog::RouteKind;
 use common::{PLAIN, dispatcher, plain_request, server};
-use dispatch::{AttemptFailure, CallDispatcher, DispatchAction, DispatchDecision, DispatchRequest};
+use dispatch::{
+    AttemptFailure, CallDispatcher, DispatchAction, DispatchDecision, DispatchRequest, HedgeSide,
+};
 use suspects::{RequestBlock, SuspectKey, SuspectKeys};
 
 fn suspect_keys() -> SuspectKeys {
@@ -89,6 +91,7 @@
     let mut dispatcher = dispatcher_with_servers(2, now);
     let (key, _) = dispatcher.submit(suspect_request(RouteKind::Idempotent, 2, now), now);
     assert_eq!(dispatcher.confirm_send(key, now), None);
+    assert_eq!(dispatcher.begin_send(key, HedgeSide::First, now), Ok(()));
 
     let later = apply_block(&mut dispatcher, now);
     let decision = dispatcher.record_failure(key, AttemptFailure::Severed, later);
@@ -104,6 +107,7 @@
         let request = suspect_request(RouteKind::NonIdempotent, 1, now);
         let (key, _) = dispatcher.submit(request, now);
         assert_eq!(dispatcher.confirm_send(key, now), None);
+        assert_eq!(dispatcher.begin_send(key, HedgeSide::First, now), Ok(()));
         key
     };
     let calls = [submit(&mut dispatcher), submit(&mut dispatcher)];
@@ -126,6 +130,7 @@
     let mut dispatcher = dispatcher_with_servers(1, now);
     let (key, _) = dispatcher.submit(suspect_request(RouteKind::Idempotent, 2, now), now);
     assert_eq!(dispatcher.confirm_send(key, now), None);
+    assert_eq!(dispatcher.begin_send(key, HedgeSide::First, now), Ok(()));
     let later = apply_block(&mut dispatcher, now);
 
     dispatcher.record_answer_begun(key, later);
--- a/crates/dispatch/tests/limits.rs
+++ b/crates/dispatch/tests/limits.rs
@@ -5,7 +5,9 @@
 use base::prelude::*;
 use catalog::RouteKind;
 use common::{ENGINES, PLAIN, dispatcher, instance, plain_request, server, stream_request};
-use dispatch::{CallDispatcher, DispatchAction, DispatchDecision, DispatchRequest, WaitReason};
+use dispatch::{
+    CallDispatcher, DispatchAction, DispatchDecision, DispatchRequest, HedgeSide, WaitReason,
+};
 use limits::{LimitGrant, LimitQuery, LimitSighting};
 use roster::IncarnationStart;
 
@@ -80,6 +82,7 @@
     let decisions = decided(&mut dispatcher, later);
     assert!(decisions[0].0 == key && is_sent_to(&decisions[0].1, "s-0"), "{decisions:?}");
     assert_eq!(dispatcher.confirm_send(key, later), None);
+    assert_eq!(dispatcher.begin_send(key, HedgeSide::First, later), Ok(()));
 }
 
 #[test]
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use bytes::Bytes;
 use connections::{Lease, SendError};
-use dispatch::{AnswerHead, Assignment, AttemptFailure, CallId};
+use dispatch::{AnswerHead, Assignment, AttemptFailure, CallId, HedgeSide};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -54,6 +54,19 @@
     pub max_connections: usize,
     /// Id of the last event that the caller has received, when a stream is resumed.
     pub last_event_id: Option<HeaderValue>,
+    /// Whether an attempt may have run, so that its tokens are spent.
+    pub may_have_run: bool,
+}
+
+/// One attempt of a request as the dispatcher knows it.
+#[derive(Debug, Clone, Copy)]
+pub struct Attempt<'a> {
+    /// Key of the request at the dispatcher.
+    pub key: u64,
+    /// Which of the two attempts of a hedged request it is; the first if there is no other.
+    pub side: HedgeSide,
+    /// The backend server that was chosen for it.
+    pub assignment: &'a Assignment,
 }
 
 /// An attempt without an answer that can be passed on.
@@ -198,8 +211,9 @@
 pub async fn send(
     backends: &Backends,
     request: &ForwardRequest,
-    assignment: &Assignment,
+    attempt: Attempt<'_>,
 ) -> Result<StreamingAnswer> {
+    let assignment = attempt.assignment;
     let pool = backends.pool(assignment.address, request.max_connections);
     let max_idle = if request.may_retry { Duration::MAX } else { MAX_IDLE_WITHOUT_RETRY };
     let mut lease = tokio::select! {
@@ -210,18 +224,17 @@
         }
         lease = pool.lease(max_idle) => lease.map_err(|error| failed_send(&error))?,
     };
+    // Nothing may wait between these checks and the first byte.
     let identity = request.caller.check(request.uri.path()).map_err(|revocation| {
         FailedAttempt::new(AttemptFailure::KeyRevoked, revocation.reason())
     })?;
-    let bytes = ByteSize(request.body.len() as u64);
-    let _held = tokio::select! {
-        biased;
-        held = backends.memory().hold_for_server(assignment.address, bytes) => held,
-        end = backends.wait_for_deadline(request.deadline) => {
-            let reason = format!("requests of this entry use the memory of the server, no room {end}");
-            return Err(FailedAttempt::new(AttemptFailure::Full, &reason));
-        }
-    };
+    if !request.may_have_run && request.caller.new_quota(request.uri.path()).is_some() {
+        let reason = "not sent, the quota of the workspace has changed";
+        return Err(FailedAttempt::new(AttemptFailure::Withdrawn, reason));
+    }
+    backends
+        .with_dispatcher(|dispatcher, now| dispatcher.begin_send(attempt.key, attempt.side, now))
+        .map_err(|obstacle| FailedAttempt::new(AttemptFailure::Withdrawn, &obstacle))?;
     let sent = Instant::now();
     let sending = lease.send(build_request(request, assignment, &identity));
     let response = tokio::select! {
@@ -231,7 +244,7 @@
             return Err(FailedAttempt::new(AttemptFailure::Lost, &reason));
         }
     };
-    classify_response(backends, request, assignment, SentRequest { lease, sent }, response).await
+    classify_response(backends, request, attempt, SentRequest { lease, sent }, response).await
 }
 
 /// A request that was sent, on the connection that carries its answer.
@@ -243,7 +256,7 @@
 async fn classify_response(
     backends: &Backends,
     request: &ForwardRequest,
-    assignment: &Assignment,
+    Attempt { key, assignment, .. }: Attempt<'_>,
     SentRequest { lease, sent }: SentRequest,
     response: Response<Incoming>,
 ) -> Result<StreamingAnswer> {
@@ -280,6 +293,10 @@
     if let Some(pause) = pause.filter(|pause| !pause.is_zero()) {
         backends.record_pause(&assignment.server, assignment.started, pause);
     }
+    // What the answer says of its server is known before another request takes the room there.
+    backends.with_dispatcher(|dispatcher, now| {
+        dispatcher.record_answer_head(key, &assignment.server, now)
+    });
     let answer = start_answer(lease, response, &head);
     if is_not_run {
         return Err(rejected_attempt(answer));
--- a/crates/gateway/src/authentication.rs
+++ b/crates/gateway/src/authentication.rs
@@ -131,6 +131,24 @@
     }
 }
 
+impl AdmittedCaller {
+    /// The workspace as it is now, if its quota is another one than when the request took its tokens;
+    /// none without a quota now.
+    pub fn new_quota(&self, path: &str) -> Option<Arc<Workspace>> {
+        let CallerIdentity::Workspace(before) = &self.identity else { return None };
+        let catalog = self.catalog.borrow().clone()?;
+        let route = catalog.route(&self.host, path).unwrap_or(&self.route);
+        match CallerIdentity::find(&catalog, route, self.key.as_ref()) {
+            Ok(CallerIdentity::Workspace(now))
+                if now.name == before.name && now.quota.is_some() && now.quota != before.quota =>
+            {
+                Some(now)
+            }
+            _ => None,
+        }
+    }
+}
+
 impl CallerIdentity {
     /// What a backend server learns of a caller that was admitted as `self` and is `now` another.
     fn compare(&self, now: &Self) -> Result<ForwardIdentity> {
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -349,7 +349,7 @@
     /// Submits a request to the dispatcher; returns its ticket and the first decision.
     pub fn submit(&self, request: DispatchRequest) -> (DispatchTicket, DispatchDecision) {
         let generation = request.generation.clone();
-        let due = request.arrived + request.goal;
+        let (due, deadline) = (request.arrived + request.goal, request.deadline);
         {
             let BackendState { dispatcher, pools, .. } = &mut *self.lock();
             let idle = |address| pools.get(&address).map_or(0, ConnectionPool::idle_connections);
@@ -362,6 +362,7 @@
             key,
             generation,
             due,
+            deadline,
             permit: None,
             is_active: true,
         };
@@ -375,6 +376,7 @@
     key: u64,
     generation: Option<Generation>,
     due: Instant,
+    deadline: Instant,
     permit: Option<Permit>,
     is_active: bool,
 }
@@ -382,19 +384,26 @@
 impl DispatchTicket {
     /// Waits for the next decision about a request that waits.
     pub async fn next_decision(&mut self) -> DispatchDecision {
-        let (sender, receiver) = oneshot::channel();
+        let (sender, mut receiver) = oneshot::channel();
         self.backends.lock().waiters.insert(self.key, sender);
         self.backends.has_waiting.notify_one();
         // An update may have arrived before the waiter was registered.
         self.backends.with_dispatcher(|dispatcher, now| dispatcher.review_waiting(now));
-        receiver.await.unwrap_or_else(|_| {
+        let decided = tokio::select! {
+            biased;
+            decided = &mut receiver => decided,
+            () = time::sleep_until(self.deadline) => {
+                self.backends.with_dispatcher(|dispatcher, now| dispatcher.review_waiting(now));
+                receiver.await
+            }
+        };
+        decided.unwrap_or_else(|_| {
             let reason = "the entry forgot the request";
             DispatchDecision::Refuse(Refusal::new(ResultCode::NoReplica, reason))
         })
     }
 
-    /// Obtains a permit of the side process if `assignment` needs one, and marks the request as
-    /// sent.
+    /// Obtains a permit of the side process if `assignment` needs one.
     ///
     /// # Errors
     ///
@@ -467,6 +476,11 @@
         }
     }
 
+    /// Whether a backend server may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.backends.lock().dispatcher.may_have_run(self.key)
+    }
+
     /// Key of the request at the dispatcher.
     pub fn key(&self) -> u64 {
         self.key
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -21,7 +21,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    attempt::{self, BufferedAnswer, FailedAttempt, ForwardRequest, StreamingAnswer},
+    attempt::{self, Attempt, BufferedAnswer, FailedAttempt, ForwardRequest, StreamingAnswer},
     authentication::{self, AdmittedCaller, CallerIdentity},
     backends::DispatchTicket,
     hedging,
@@ -187,6 +187,7 @@
         workspace: identity.workspace().map(|workspace| workspace.name.clone()),
         max_attempts: route.max_attempts,
         suspect_keys,
+        body: ByteSize(body.len() as u64),
     };
     let charge = match identity.workspace() {
         Some(workspace) => {
@@ -214,6 +215,7 @@
         },
         max_connections,
         last_event_id: None,
+        may_have_run: false,
     };
     Ok(AdmittedCall { stream, dispatch_request, request, charge })
 }
@@ -272,7 +274,7 @@
     admitted: AdmittedCall,
     mut guard: CallGuard,
 ) -> Response<AnswerBody> {
-    let AdmittedCall { stream, dispatch_request, request, mut charge } = admitted;
+    let AdmittedCall { stream, dispatch_request, mut request, mut charge } = admitted;
     let is_streaming = dispatch_request.kind.is_streaming();
     let service = dispatch_request.service.clone();
     let (mut ticket, mut decision) = gateway.backends.submit(dispatch_request);
@@ -290,6 +292,12 @@
                 ticket.next_decision().await
             }
             DispatchDecision::Send(assignment) => {
+                let fleet = &gateway.fleet;
+                let renewed = fleet.renew_tokens(&mut request, &mut charge, &guard.trace).await;
+                if let Err(refusal) = renewed {
+                    decision = DispatchDecision::Refuse(refusal);
+                    continue;
+                }
                 if let Err(next) = ticket.prepare_send(&assignment, &guard.trace).await {
                     decision = next;
                     continue;
@@ -307,6 +315,7 @@
                 .await;
                 match result {
                     Ok(Answered::Streaming(answer)) => {
+                        request.may_have_run = true;
                         if let Some(key) = stream {
                             let software = assignment.software.clone();
                             gateway.fleet.record_origin(key, &StreamOrigin { service, software });
@@ -316,13 +325,20 @@
                     Ok(Answered::Buffered(answer)) => {
                         return finish_buffered(ticket, guard, answer);
                     }
-                    Err(failed) => record_failure(
-                        &mut ticket,
-                        &guard.trace,
-                        &assignment,
-                        failed,
-                        &mut last_answer,
-                    ),
+                    Err(failed) => {
+                        let next = record_failure(
+                            &mut ticket,
+                            &guard.trace,
+                            &assignment,
+                            failed,
+                            &mut last_answer,
+                        );
+                        request.may_have_run = ticket.may_have_run();
+                        if !request.may_have_run {
+                            charge.iter_mut().for_each(QuotaCharge::record_not_run);
+                        }
+                        next
+                    }
                 }
             }
         }
@@ -342,11 +358,11 @@
 pub(crate) async fn attempt_call(
     gateway: &Gateway,
     request: &ForwardRequest,
-    assignment: &Assignment,
+    attempt: Attempt<'_>,
     is_streaming: bool,
 ) -> attempt::Result<Answered> {
     let (backends, deadline) = (&gateway.backends, request.deadline);
-    let answer = attempt::send(backends, request, assignment).await?;
+    let answer = attempt::send(backends, request, attempt).await?;
     match is_streaming && answer.status.is_success() {
         true => {
             let answer = attempt::await_first_chunk(backends, answer, deadline).await?;
--- a/crates/gateway/src/hedging.rs
+++ b/crates/gateway/src/hedging.rs
@@ -7,7 +7,7 @@
 use tokio::time;
 
 use crate::{
-    attempt::{self, FailedAttempt, ForwardRequest},
+    attempt::{self, Attempt, FailedAttempt, ForwardRequest},
     backends::DispatchTicket,
     call::{Answered, attempt_call},
     process::Gateway,
@@ -93,11 +93,13 @@
             .with_dispatcher(|dispatcher, now| dispatcher.hedge_due(ticket.key(), now)),
         false => None,
     };
+    let first_attempt =
+        Attempt { key: ticket.key(), side: HedgeSide::First, assignment: &assignment };
     let Some(due) = due else {
-        let result = attempt_call(gateway, request, &assignment, is_streaming).await;
+        let result = attempt_call(gateway, request, first_attempt, is_streaming).await;
         return (assignment, result);
     };
-    let mut first = Box::pin(attempt_call(gateway, request, &assignment, false));
+    let mut first = Box::pin(attempt_call(gateway, request, first_attempt, false));
     if let Ok(result) = time::timeout_at(due, &mut first).await {
         drop(first);
         return (assignment, result);
@@ -124,7 +126,8 @@
     };
     gateway.metrics.hedges.count("sent");
     trace.record_hedge(&hedge, &assignment.server);
-    let mut second = Box::pin(attempt_call(gateway, request, &hedge, false));
+    let second_attempt = Attempt { key: ticket.key(), side: HedgeSide::Second, assignment: &hedge };
+    let mut second = Box::pin(attempt_call(gateway, request, second_attempt, false));
     let race = HedgeRace { gateway, ticket, trace, first: &assignment, second: &hedge };
     let (side, result) = tokio::select! {
         biased;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,7 +33,6 @@
 pub mod request_memory;
 mod restores;
 mod resumption;
-pub mod server_bytes;
 pub mod settings;
 pub mod sse;
 mod store_reads;
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
 };
 
@@ -13,33 +12,26 @@
 use crate::{
     memory_budget::{BodyId, BudgetLimits, GrowthDecision, MemoryBudget, MemoryPurpose},
     metrics::GatewayMetrics,
-    server_bytes::ServerBytes,
 };
 
 #[derive(Debug)]
 struct MemoryState {
     budget: MemoryBudget,
     readers: HashMap<BodyId, Arc<Notify>>,
-    servers: ServerBytes,
 }
 
 /// The memory budget of the process; clones share it.
 #[derive(Debug, Clone)]
 pub struct ProcessMemory {
     state: Arc<Mutex<MemoryState>>,
-    server_released: Arc<Notify>,
     metrics: GatewayMetrics,
 }
 
 impl ProcessMemory {
-    /// A budget with nothing charged; one backend server may hold request bodies of `server_limit`.
-    pub fn new(limits: BudgetLimits, server_limit: ByteSize, metrics: GatewayMetrics) -> Self {
-        let state = MemoryState {
-            budget: MemoryBudget::new(limits),
-            readers: HashMap::new(),
-            servers: ServerBytes::new(server_limit),
-        };
-        Self { state: Arc::new(Mutex::new(state)), server_released: Arc::default(), metrics }
+    /// A budget with nothing charged.
+    pub fn new(limits: BudgetLimits, metrics: GatewayMetrics) -> Self {
+        let state = MemoryState { budget: MemoryBudget::new(limits), readers: HashMap::new() };
+        Self { state: Arc::new(Mutex::new(state)), metrics }
     }
 
     fn lock(&self) -> MutexGuard<'_, MemoryState> {
@@ -63,25 +55,6 @@
         self.lock().budget.is_short()
     }
 
-    /// Charges a body that is about to be sent to `server`; waits while too much is unanswered there.
-    pub async fn hold_for_server(&self, server: SocketAddr, bytes: ByteSize) -> ServerCharge {
-        let charge = || ServerCharge { memory: self.clone(), server, bytes };
-        if self.lock().servers.hold(server, bytes) {
-            return charge();
-        }
-        self.metrics.server_byte_waits.inc();
-        loop {
-            let released = self.server_released.notified();
-            tokio::pin!(released);
-            // A release between the check and the wait must not be missed.
-            released.as_mut().enable();
-            if self.lock().servers.hold(server, bytes) {
-                return charge();
-            }
-            released.await;
-        }
-    }
-
     fn record(&self, purpose: MemoryPurpose, charged: ByteSize) {
         let gauge = match purpose {
             MemoryPurpose::RequestBody => &self.metrics.request_body_bytes,
@@ -168,21 +141,6 @@
     }
 }
 
-/// A body at a backend server, charged until this is dropped.
-#[derive(Debug)]
-pub struct ServerCharge {
-    memory: ProcessMemory,
-    server: SocketAddr,
-    bytes: ByteSize,
-}
-
-impl Drop for ServerCharge {
-    fn drop(&mut self) {
-        self.memory.lock().servers.release(self.server, self.bytes);
-        self.memory.server_released.notify_waiters();
-    }
-}
-
 struct ChargedBody {
     body: Vec<u8>,
     _charge: BodyCharge,
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -201,11 +201,8 @@
         let permits = PermitClient::new(Arc::clone(&socket), settings.listen.peers.port());
         let resources = settings.resources;
         let vm_memory = memory::within_vm(resources.memory);
-        let memory = ProcessMemory::new(
-            BudgetLimits::for_vm(vm_memory),
-            resources.server_bytes,
-            metrics.clone(),
-        );
+        dispatcher.set_server_bytes(resources.server_bytes);
+        let memory = ProcessMemory::new(BudgetLimits::for_vm(vm_memory), metrics.clone());
         let connection_limits = ConnectionLimits::for_vm(
             vm_memory,
             raise_limit(DescriptorCount(resources.descriptors)).0,
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -15,9 +15,12 @@
     HeldTokens, QuotaAllowances, QuotaLedger, QuotaOutcome, QuotaRouting, QuotaTolerance,
     ShortReason, WaitTicket,
 };
+use platform::header_format;
 use tokio::sync::{Notify, oneshot};
 
-use crate::{fleet::Fleet, trace::CallTrace};
+use crate::{
+    attempt::ForwardRequest, authentication::CallerIdentity, fleet::Fleet, trace::CallTrace,
+};
 
 /// Part of a route's goal for which a request waits for tokens.
 const PATIENCE_SHARE: u32 = 8;
@@ -84,6 +87,11 @@
     pub fn record_sent(&mut self) {
         self.may_have_run = true;
     }
+
+    /// Records that no backend server has run the request so far.
+    pub fn record_not_run(&mut self) {
+        self.may_have_run = false;
+    }
 }
 
 impl Drop for QuotaCharge {
@@ -185,6 +193,30 @@
         Err(refusal(reason, room_after))
     }
 
+    /// Takes the tokens of `request`, which has not run, again if the quota of its workspace has
+    /// changed while it waited.
+    ///
+    /// # Errors
+    ///
+    /// As those of [`Self::take_tokens`].
+    pub async fn renew_tokens(
+        &self,
+        request: &mut ForwardRequest,
+        charge: &mut Option<QuotaCharge>,
+        trace: &CallTrace,
+    ) -> Result<(), Refusal> {
+        if request.may_have_run {
+            return Ok(());
+        }
+        let Some(workspace) = request.caller.new_quota(request.uri.path()) else { return Ok(()) };
+        *charge = None;
+        let cost = header_format::read_token_cost(&request.headers);
+        let goal = request.caller.route.goal;
+        *charge = self.take_tokens(&workspace, cost, goal, request.deadline, trace).await?;
+        request.caller.identity = CallerIdentity::Workspace(workspace);
+        Ok(())
+    }
+
     async fn wait_for_tokens(&self, mut wait: TokenWait<'_>) -> QuotaOutcome {
         self.send_quota_queries();
         self.quotas().has_waiting.notify_one();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,14 +4,14 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use dispatch::{Assignment, AttemptFailure, DispatchDecision};
+use dispatch::{Assignment, AttemptFailure, DispatchDecision, HedgeSide};
 use events::DecisionEvent;
 use futures::{FutureExt, Stream, future::BoxFuture, stream};
 use http::{HeaderMap, StatusCode, header};
 use hyper::body::Frame;
 
 use crate::{
-    attempt::{self, AnswerBodyReader, FailedAttempt, ForwardRequest, StreamingAnswer},
+    attempt::{self, AnswerBodyReader, Attempt, FailedAttempt, ForwardRequest, StreamingAnswer},
     backends::{DispatchTicket, WaitEnd},
     sse::{self, EventSplitter, StreamTail},
     trace::{CallTrace, LongestPause},
@@ -225,7 +225,9 @@
     async fn resume_at(&mut self, assignment: Assignment) -> Option<AttemptFailure> {
         self.trace.record_assignment(&assignment);
         let backends = self.ticket.backends().clone();
-        let sent = attempt::send(&backends, &self.request, &assignment).await;
+        let attempt =
+            Attempt { key: self.ticket.key(), side: HedgeSide::First, assignment: &assignment };
+        let sent = attempt::send(&backends, &self.request, attempt).await;
         self.assignment = assignment;
         match sent {
             Ok(answer)
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -67,6 +67,9 @@
 
     /// Records that the request waits; `expected` is the estimated end of the wait.
     pub fn record_wait(&self, reason: WaitReason, expected: Option<Instant>) {
+        if reason == WaitReason::ServersFull {
+            self.metrics.server_byte_waits.inc();
+        }
         let expected = expected.map(|at| at.saturating_duration_since(Instant::now()));
         self.log.record(&DecisionEvent::CallWaits {
             call: &self.call,
--- a/crates/gateway/tests/panics.rs
+++ b/crates/gateway/tests/panics.rs
@@ -30,6 +30,7 @@
         workspace: None,
         max_attempts: 1,
         suspect_keys: SuspectKeys::default(),
+        body: ByteSize(0),
     }
 }
 
@@ -45,7 +46,7 @@
     let (log, _) = EventLog::start(&vm, LogLimits::default(), std::io::sink());
     let metrics = GatewayMetrics::new();
     let limits = BudgetLimits::for_vm(ByteSize::mib(120));
-    let memory = ProcessMemory::new(limits, ByteSize::mib(16), metrics.clone());
+    let memory = ProcessMemory::new(limits, metrics.clone());
     Backends::new(dispatcher, permits, log, metrics, mpsc::channel(8).0, memory)
 }
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -63,6 +63,8 @@
     pub known_within: Duration,
     /// Share of extra work that gateways that are started later may spend on second attempts.
     pub hedge_share: f64,
+    /// Bytes of bodies that a backend server may hold for a gateway that is started later.
+    pub server_bytes: &'static str,
     /// Address at which gateways that are started later reach the store; its own by default.
     pub store_address: SocketAddr,
     agents: Vec<Agent>,
@@ -94,6 +96,7 @@
             ready_addresses: Vec::new(),
             known_within: Duration::from_millis(400),
             hedge_share: 0.0,
+            server_bytes: "16MiB",
             store_address,
             agents: Vec::new(),
             number,
@@ -206,10 +209,11 @@
              callers = {callers}\nready = {ready}\nmetrics = {ip}:0\npeers = {ip}:{}\n[store]\n\
              address = {}\nknown-within = {}ms\n[limits]\nrepeat-ratio = 0.2\n\
              repeat-allowance = 50\nrepeat-window = 10s\ngrace = 5s\n\
-             [hedging]\nshare = {}\n",
+             server-bytes = {}\n[hedging]\nshare = {}\n",
             self.side_port(),
             self.store_address,
             self.known_within.as_millis(),
+            self.server_bytes,
             self.hedge_share
         );
         let settings = GatewaySettings::parse("gateway.ini", &text).expect("valid settings");
--- a/crates/memory-budget/src/server_bytes.rs
+++ b/crates/memory-budget/src/server_bytes.rs
@@ -25,17 +25,22 @@
     /// that holds nothing takes a body of any size, and small bodies are always taken, so that
     /// ordinary requests do not wait for large ones.
     pub fn hold(&mut self, server: K, bytes: ByteSize) -> bool {
-        let held = self.held.get(&server).copied().unwrap_or(ByteSize(0));
-        let total = held.plus(bytes);
-        if bytes > SMALL_BODY && held > ByteSize(0) && total > self.limit {
+        if !self.has_room(&server, bytes) {
             return false;
         }
         if bytes > ByteSize(0) {
-            self.held.insert(server, total);
+            let held = self.held.entry(server).or_insert(ByteSize(0));
+            *held = held.plus(bytes);
         }
         true
     }
 
+    /// Whether [`Self::hold`] would take a body.
+    pub fn has_room(&self, server: &K, bytes: ByteSize) -> bool {
+        let held = self.held.get(server).copied().unwrap_or(ByteSize(0));
+        bytes <= SMALL_BODY || held == ByteSize(0) || held.plus(bytes) <= self.limit
+    }
+
     /// Returns the charge of a body whose answer has begun, or whose attempt has ended.
     pub fn release(&mut self, server: &K, bytes: ByteSize) {
         let Some(held) = self.held.get_mut(server) else { return };
--- a/crates/gateway/tests/server_bytes.rs
+++ b/crates/memory-budget/tests/server_bytes.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use base::prelude::*;
-use gateway::server_bytes::ServerBytes;
+use memory_budget::ServerBytes;
 
 const LIMIT: ByteSize = ByteSize::mib(16);
 const LEGAL_BODY: ByteSize = ByteSize::mib(4);
@@ -19,7 +19,7 @@
     let held = (0..10).filter(|_| servers.hold(server(1), LEGAL_BODY)).count();
 
     let other = servers.hold(server(2), LEGAL_BODY);
-    servers.release(server(1), LEGAL_BODY);
+    servers.release(&server(1), LEGAL_BODY);
     let after_release = servers.hold(server(1), LEGAL_BODY);
 
     assert_eq!((held, other, after_release), (4, true, true));
@@ -32,7 +32,7 @@
 
     let first = servers.hold(server(1), ByteSize::mib(64));
     let second = servers.hold(server(1), LEGAL_BODY);
-    servers.release(server(1), ByteSize::mib(64));
+    servers.release(&server(1), ByteSize::mib(64));
     let third = servers.hold(server(1), ByteSize::mib(64));
 
     assert_eq!((first, second, third), (true, false, true));
