--- a/crates/soak/src/deployed.rs
+++ b/crates/soak/src/deployed.rs
@@ -3,7 +3,7 @@
 
 pub mod day;
 pub mod day_plan;
-mod lag;
+pub(crate) mod lag;
 pub mod plan;
 mod quota;
 pub mod run;
--- a/crates/soak/src/deployed/lag.rs
+++ b/crates/soak/src/deployed/lag.rs
@@ -12,7 +12,7 @@
 const MEASURING_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Measures the longest delay of a task of the harness beyond its time, until it is dropped.
-pub(super) struct LagMeter {
+pub(crate) struct LagMeter {
     longest_us: Arc<AtomicU64>,
     task: JoinHandle<()>,
 }
--- a/crates/soak/src/deployed/run.rs
+++ b/crates/soak/src/deployed/run.rs
@@ -27,17 +27,17 @@
 };
 
 /// Time from the first start to the first request.
-const WARM_UP: Duration = Duration::from_secs(4);
+pub(crate) const WARM_UP: Duration = Duration::from_secs(4);
 /// Requests of the callers of one gateway in a second.
 const RATE: f64 = 9.0;
 /// Time over which requests count after the machines must serve again.
-const COUNTED_TIME: Duration = Duration::from_secs(4);
+pub(crate) const COUNTED_TIME: Duration = Duration::from_secs(4);
 /// Time between two stops of a rolling restart.
 const ROLLING_GAP: Duration = Duration::from_millis(300);
 /// Time from SIGTERM until the platform kills a process.
-const GRACE: Duration = Duration::from_secs(8);
+pub(crate) const GRACE: Duration = Duration::from_secs(8);
 /// Time between two checks of processes.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
+pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Result of a run.
 #[derive(Debug, Clone, Default)]
@@ -49,19 +49,19 @@
 }
 
 /// A loss of power that was carried out.
-struct LossTimes {
-    began: Instant,
-    returned: Instant,
+pub(crate) struct LossTimes {
+    pub began: Instant,
+    pub returned: Instant,
 }
 
 /// The callers of all gateways.
-struct CallerLoad {
+pub(crate) struct CallerLoad {
     stop: Arc<AtomicBool>,
     reports: mpsc::UnboundedReceiver<CallReport>,
 }
 
 impl CallerLoad {
-    fn start(fleet: &DeployedFleet, seed: u64) -> Self {
+    pub fn start(fleet: &DeployedFleet, seed: u64) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let (sender, reports) = mpsc::unbounded_channel();
         for (gateway, address) in fleet.caller_addresses().into_iter().enumerate() {
@@ -78,7 +78,7 @@
     }
 
     /// Ends the load and returns all reports.
-    async fn finish(mut self) -> Vec<CallReport> {
+    pub async fn finish(mut self) -> Vec<CallReport> {
         self.stop.store(true, Ordering::Relaxed);
         let limit = Instant::now() + MAX_CALLER_TIMEOUT;
         let mut reports = Vec::new();
@@ -165,7 +165,7 @@
 }
 
 /// Stops all processes, and returns those that do not end as they should.
-pub(super) async fn stop_all(fleet: &mut DeployedFleet) -> Vec<String> {
+pub(crate) async fn stop_all(fleet: &mut DeployedFleet) -> Vec<String> {
     for vm in &fleet.vms {
         vm.signal(Signal::SIGTERM);
     }
@@ -186,7 +186,7 @@
     findings
 }
 
-pub(super) fn find_wrong(reports: &[CallReport]) -> impl Iterator<Item = String> + '_ {
+pub(crate) fn find_wrong(reports: &[CallReport]) -> impl Iterator<Item = String> + '_ {
     let wrong = reports.iter().filter(|report| {
         matches!(
             report.outcome,
@@ -198,7 +198,7 @@
 }
 
 /// Checks that a quarter of the requests is served again.
-fn check_service(loss: &LossTimes, reports: &[CallReport], report: &mut RunReport) {
+pub(crate) fn check_service(loss: &LossTimes, reports: &[CallReport], report: &mut RunReport) {
     let count = |from: Instant, to: Instant| {
         let sent = |call: &&CallReport| (from..to).contains(&call.sent);
         ServedCount::of(reports.iter().filter(sent))
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod deployed;
 pub mod fleet;
 pub mod injection;
+pub mod odd_names;
 pub mod plan;
 pub mod run;
 
