--- a/crates/soak/src/odd_names.rs
+++ b/crates/soak/src/odd_names.rs
@@ -82,7 +82,8 @@
     let loss = LossTimes { began: lost, returned };
     let reports = load.finish().await;
     fleet.note_exits();
-    report.findings.append(&mut fleet.exits);
+    // The first findings are printed, and an end of a process matters most.
+    report.findings.splice(0..0, std::mem::take(&mut fleet.exits));
     report.findings.extend(stop_all(fleet).await);
     report.findings.extend(find_wrong(&reports));
     // Writing to a string does not fail.
@@ -114,7 +115,7 @@
 
 /// Writes odd entries among the servers during service, until those of servers are written anew.
 async fn disturb_entries(plan: &OddNamesPlan, fleet: &DeployedFleet) {
-    let odd = json!({ "service": [], "address": 3 });
+    let odd = json!({ "service": 3, "address": [] });
     if let Some(index) = plan.shadowed {
         fleet.store.write("servers", &fleet.engines[index].instance(), &odd);
     }
--- a/crates/soak/src/odd_names/plan.rs
+++ b/crates/soak/src/odd_names/plan.rs
@@ -153,6 +153,6 @@
             *large_left -= 1;
             Some(json!({ "text": "x".repeat(random.random_range(LARGE_SIZES)) }))
         }
-        _ => Some(json!({ "service": [], "address": 3 })),
+        _ => Some(json!({ "service": 3, "address": [] })),
     }
 }
