--- a/crates/soak/src/odd_names.rs
+++ b/crates/soak/src/odd_names.rs
@@ -66,7 +66,7 @@
     time::sleep(STEP_TIME).await;
     write_at(fleet, WritingTime::BeforeRestart);
     restart_all(fleet, &mut random).await?;
-    time::sleep(WARM_UP).await;
+    time::sleep(STEP_TIME).await;
     disturb_entries(plan, fleet).await;
     time::sleep(STEP_TIME).await;
     write_at(fleet, WritingTime::BeforeLoss);
