dispatch: a server that had no time to answer stays responsive

What callers saw: requests that stayed at a slow server although another was idle; the idle one got none for up to 2 s.

Cause: a request that is hedged and cancelled counts as unanswered by its server. Two hedges that were cancelled right after they were sent, because the first attempt answered meanwhile, made an idle server count as unresponsive.

Evidence: `server_that_had_no_time_to_answer_stays_responsive` fails on the code before.

Change: a cancelled request counts only if it took longer than its server was expected to take.

--- a/crates/dispatch/src/dispatcher/hedging.rs
+++ b/crates/dispatch/src/dispatcher/hedging.rs
@@ -130,8 +130,11 @@
         let Some(call) = self.calls.get(&key) else { return };
         let average = self.service_time(&call.request.service);
         if let Some(view) = self.servers.get_mut(&loser) {
-            view.learn_least_time(key, average, now);
-            view.cancel_call(key, now);
+            // A server that had no time to answer has not failed to.
+            match view.learn_least_time(key, average, now) {
+                true => view.cancel_call(key, now),
+                false => view.remove_call(key),
+            }
         }
     }
 
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -431,12 +431,14 @@
     }
 
     /// Learns from the request `key`, which is cancelled, that it takes longer than until `now`, if
-    /// that is longer than expected.
-    pub(crate) fn learn_least_time(&mut self, key: u64, service: f64, now: Instant) {
-        let Some(seconds) = self.measured_time(key, now) else { return };
-        if seconds > self.plain_time.seconds(service, now) {
+    /// that is longer than expected. Returns whether it is.
+    pub(crate) fn learn_least_time(&mut self, key: u64, service: f64, now: Instant) -> bool {
+        let Some(seconds) = self.measured_time(key, now) else { return false };
+        let is_late = seconds > self.plain_time.seconds(service, now);
+        if is_late {
             self.learn_plain_time(seconds, service, now);
         }
+        is_late
     }
 
     /// Records that the request `key` is sent.
--- a/crates/dispatch/tests/hedging.rs
+++ b/crates/dispatch/tests/hedging.rs
@@ -350,6 +350,31 @@
     assert_eq!(view.service, service(PLAIN));
 }
 
+/// Guards against an idle server that gets no requests because it could not answer hedges before they were
+/// cancelled.
+#[test]
+fn server_that_had_no_time_to_answer_stays_responsive() {
+    let began = Instant::now();
+    let mut dispatcher = learned(2, began);
+    let now = began + Duration::from_secs(1);
+    let mut seconds = Vec::new();
+    for _ in 0..3 {
+        let (key, _) = send(&mut dispatcher, idempotent(now), now);
+        let due = now + Duration::from_millis(40);
+        seconds.push(hedge_server(dispatcher.start_hedge(key, due)));
+        dispatcher.mark_sent(key, due);
+        let later = due + Duration::from_millis(1);
+        dispatcher.win_hedged(key, HedgeSide::First, later);
+        dispatcher.record_first_byte(key, later);
+        dispatcher.finish(key, true, later);
+    }
+
+    for second in seconds {
+        let view = dispatcher.server(&second).expect("it is listed");
+        assert!(!view.is_unresponsive(now + Duration::from_millis(400)), "{second}");
+    }
+}
+
 /// An entry of a large fleet gets less than one idempotent request a second, so that hedges must not
 /// depend on the answer times of that route alone.
 #[test]
