gateway: names of calls in the tests of quotas are ASCII

A call that was named less than 1 ms after the start had `µs` in its `Attempt-Id`, which is no text for a header; the gateway logged it as `-` and refused the answer, "the answer may belong to another request". The check is the same; the names now count whole microseconds.

--- a/crates/gateway/tests/quotas.rs
+++ b/crates/gateway/tests/quotas.rs
@@ -80,7 +80,8 @@
         ticks.tick().await;
         for address in addresses.iter().copied() {
             for key in keys {
-                let request = keyed(&format!("c-{key}-{address}-{:?}", began.elapsed()), key);
+                let request =
+                    keyed(&format!("c-{key}-{address}-{}", began.elapsed().as_micros()), key);
                 calls.spawn(call(address, request));
             }
         }
