--- a/crates/soak/tests/odd_names.rs
+++ b/crates/soak/tests/odd_names.rs
@@ -22,9 +22,9 @@
 /// Number of runs at the same time.
 const PARALLEL_RUNS: usize = 2;
 /// First of the networks 127.N.0.0/16 of the runs.
-const FIRST_NETWORK: u64 = 200;
+const FIRST_NETWORK: u64 = 170;
 /// Number of these networks.
-const NETWORKS: u64 = 20;
+const NETWORKS: u64 = 10;
 
 async fn run_one(run: SeedRun, programs: ProgramPaths) -> std::io::Result<RunReport> {
     let network = (FIRST_NETWORK + run.seed % NETWORKS) as u8;
