gateway: an incomplete listing deletes no stored versions

What callers saw: nothing yet; streams of two versions could be joined. A gateway that started while the listing of the stored software versions had a gap took what it had read for the whole history 2.2 s later. As the planner it then deleted every listed version that it had not read, although streams of that version may live for 60 s.

Cause: an incomplete listing counted as one of an old copy, and was not repeated.

Change: after an incomplete listing the history is complete only once a whole listing was read, or after the longest life of a stream. Until then nothing is deleted, and the versions are listed again. Lookups of streams of unknown origin were refused before, too, while a listing is incomplete.

--- a/crates/gateway/src/fleet/versions.rs
+++ b/crates/gateway/src/fleet/versions.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use ::origins::{StreamOrigin, UnknownOrigin, VersionHistory};
+use ::origins::{MAX_STREAM_AGE, StreamOrigin, UnknownOrigin, VersionHistory};
 use base::prelude::*;
 use roster::SoftwareVersion;
 use tokio::time;
@@ -31,16 +31,22 @@
 }
 
 impl Fleet {
-    /// Reads the versions that earlier processes have stored, trying again until the store answers.
-    pub async fn restore_versions(&self, archive: &VersionArchive) {
+    /// Reads the versions that earlier processes have stored, trying again until the store answers;
+    /// returns whether it has listed all.
+    pub async fn restore_versions(&self, archive: &VersionArchive) -> bool {
         let listing = archive.list().await;
         let now = Instant::now();
-        // Servers and entries write again what a copy lacks.
-        let complete_from = if listing.may_be_old { now + REWRITE_TIME } else { now };
+        let complete_from = match (listing.is_complete, listing.may_be_old) {
+            (false, _) => now + MAX_STREAM_AGE,
+            // Servers and entries write again what a copy lacks.
+            (true, true) => now + REWRITE_TIME,
+            (true, false) => now,
+        };
         let mut state = self.lock();
         let versions = listing.versions;
         state.versions.history.restore(versions.iter().cloned(), complete_from, now);
         state.versions.stored = Some(versions.into_iter().collect());
+        listing.is_complete
     }
 
     /// The version that began a stream whose origin nobody keeps, by what the store lists now.
@@ -174,8 +180,12 @@
         self.delete_ended(archive, &stored).await;
     }
 
-    /// Deletes those of the stored versions whose streams have ended.
+    /// Deletes those of the stored versions whose streams have ended; none while the history may lack
+    /// versions of earlier processes.
     async fn delete_ended(&self, archive: &VersionArchive, stored: &BTreeSet<ServedVersion>) {
+        if Instant::now() < self.versions_complete_from() {
+            return;
+        }
         let served = self.lock().versions.history.versions();
         for version in stored.difference(&served) {
             match archive.delete(version).await {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -65,6 +65,8 @@
 
 /// Longest time for which the first configuration waits until the stored blocks are read.
 const MAX_RESTORE_TIME: Duration = Duration::from_millis(200);
+/// Time after an incomplete listing of the software versions until they are listed again.
+const RELIST_DELAY: Duration = Duration::from_secs(10);
 
 /// A planned stop that has begun.
 #[derive(Debug, Clone, Copy)]
@@ -159,10 +161,16 @@
     grace - MAX_SHUTDOWN_MARGIN.min(grace.mul_f64(SHUTDOWN_SHARE))
 }
 
-/// Reads the stored software versions, and then follows those that serve in a task of its own.
+/// Reads the stored software versions until all are listed. After the first listing, those that serve
+/// are followed in a task of its own.
 async fn follow_versions(fleet: Fleet, archive: VersionArchive) {
-    fleet.restore_versions(&archive).await;
-    spawn_lasting("versions", move || fleet.clone().follow_versions(archive.clone()));
+    let mut is_complete = fleet.restore_versions(&archive).await;
+    let (follower, followed) = (fleet.clone(), archive.clone());
+    spawn_lasting("versions", move || follower.clone().follow_versions(followed.clone()));
+    while !is_complete {
+        time::sleep(RELIST_DELAY).await;
+        is_complete = fleet.restore_versions(&archive).await;
+    }
 }
 
 /// A running gateway.
