platform: a listing keeps the pages before one that cannot be read

What callers saw: while the store refused one later page of the backend servers for good, or its page could not be decoded, each entry knew no server at all and answered 503, although the pages before it had been read.

Cause: each failure of a page failed the listing.

Readers: entries and blocks add what was read and list again; versions refuse lookups, and delete nothing; `list_serving` fails; claims are not listed this way.

--- a/crates/gateway/src/block_archive.rs
+++ b/crates/gateway/src/block_archive.rs
@@ -118,10 +118,11 @@
     pub async fn restore(&self, backends: &Backends) {
         loop {
             let listing = self.list().await;
+            let is_complete = listing.is_complete();
             for (name, contents) in listing.items {
                 self.restore_block(&name, &contents, backends).await;
             }
-            if listing.is_complete {
+            if is_complete {
                 return;
             }
             time::sleep(RELIST_DELAY).await;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -202,7 +202,7 @@
                     dependency.record_recovery();
                     if let RosterRead::Listing(listing) = &read {
                         let due = Instant::now() + RELIST_DELAY;
-                        relist_at = (!listing.is_complete).then_some(due);
+                        relist_at = (!listing.is_complete()).then_some(due);
                     }
                     let (position, pause) = self.apply(&mut roster, read);
                     since = position;
@@ -270,19 +270,19 @@
     fn apply(&self, roster: &mut Roster, read: RosterRead) -> (Option<StorePosition>, Duration) {
         let now = Instant::now();
         match read {
-            RosterRead::Listing(Listing { items, position, is_complete }) => {
+            RosterRead::Listing(Listing { items, position, gap }) => {
                 roster.record_store_answer(now);
                 roster.record_era(position.era, now);
-                let updates = match is_complete {
-                    true => {
+                let updates = match &gap {
+                    None => {
                         let mut updates = roster.apply_snapshot(items, now);
                         updates.extend(self.unlisted(roster, &updates));
                         updates
                     }
-                    false => roster.apply_partial(items),
+                    Some(_) => roster.apply_partial(items),
                 };
                 self.publish(roster, &updates, position);
-                if is_complete || roster.servers().next().is_some() {
+                if gap.is_none() || roster.servers().next().is_some() {
                     self.fleet.record_roster();
                 }
                 (Some(position), Duration::ZERO)
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -74,8 +74,9 @@
         self.write(&self.contents()).await?;
         loop {
             let listing = self.store.list_system_objects(ObjectKind::EntryProcesses).await?;
+            let is_complete = listing.is_complete();
             add_entries(fleet, listing.items);
-            if listing.is_complete {
+            if is_complete {
                 return Ok(());
             }
             time::sleep(RELIST_DELAY).await;
--- a/crates/gateway/src/version_archive.rs
+++ b/crates/gateway/src/version_archive.rs
@@ -78,8 +78,8 @@
         let listed = self.store.list_system_objects(ObjectKind::SoftwareVersions).await?;
         let mut listing = VersionListing {
             versions: Vec::new(),
-            is_complete: listed.is_complete,
-            may_be_old: !listed.is_complete,
+            is_complete: listed.is_complete(),
+            may_be_old: !listed.is_complete(),
         };
         let mut newest = StoreEra::default();
         for (name, contents) in listed.items {
@@ -105,7 +105,7 @@
     /// Fails if the call fails or the listing is incomplete.
     pub async fn list_serving(&self) -> Result<Vec<ServedVersion>, StoreError> {
         let listing = self.store.list_servers().await?;
-        if !listing.is_complete {
+        if !listing.is_complete() {
             return Err(StoreError::NoAnswer { reason: "the listing is incomplete".to_owned() });
         }
         let served = listing.items.into_iter().map(|server| (server.service, server.software));
--- a/crates/gateway/tests/odd_objects.rs
+++ b/crates/gateway/tests/odd_objects.rs
@@ -57,6 +57,19 @@
     call_until(&fleet, "/read/a", |status| status == 200).await;
 }
 
+/// Guards against a gateway that knows no server because of one page of their listing.
+#[tokio::test]
+async fn gateway_serves_by_the_servers_before_a_page_that_is_refused() {
+    let mut fleet = start_fleet().await;
+    fleet.store.set_page_size(1);
+    fleet.store.write("servers", "z-odd", &json!([]));
+    fleet.store.break_page("servers", "s-0", 400, "");
+
+    fleet.add_gateway().await;
+
+    call_until(&fleet, "/read/a", |status| status == 200).await;
+}
+
 /// Guards against a gateway that asks again and again for changes which are more than an answer holds.
 #[tokio::test]
 async fn gateway_follows_servers_through_many_large_changes() {
