roster: an incomplete listing removes the servers that it has passed

What callers saw: a server that had left while an entry watched no changes, as after a gap of the store's history, got requests until a listing was complete; with a page that stays unreadable, for good.

Cause: an incomplete listing only added servers.

Change: a listing with a gap names the object up to which it is complete, and up to there it replaces the known servers. That rests on names that ascend bytewise: if those of the listing do not, it only adds, as before. A store that lists in another order, of which nothing shows before the gap, is not noticed.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -2,9 +2,9 @@
 
 use base::prelude::*;
 use events::{DecisionEvent, Dependency, EventLog, millis};
-use platform::{Listing, PlatformStore, StoreError, WatchOutcome};
+use platform::{Listing, PlatformStore, StoreError, WatchOutcome, store::ListingGap};
 use roster::{
-    BackendServer, FailedRead, ReadMode, ReadPlan, Roster, RosterChange, RosterUpdate,
+    BackendServer, FailedRead, InstanceId, ReadMode, ReadPlan, Roster, RosterChange, RosterUpdate,
     StorePosition,
 };
 use std::pin::pin;
@@ -273,14 +273,11 @@
             RosterRead::Listing(Listing { items, position, gap }) => {
                 roster.record_store_answer(now);
                 roster.record_era(position.era, now);
-                let updates = match &gap {
-                    None => {
-                        let mut updates = roster.apply_snapshot(items, now);
-                        updates.extend(self.unlisted(roster, &updates));
-                        updates
-                    }
-                    Some(_) => roster.apply_partial(items),
+                let mut updates = match &gap {
+                    None => roster.apply_snapshot(items, now),
+                    Some(gap) => roster.apply_partial(items, gap.read_up_to.as_deref(), now),
                 };
+                updates.extend(self.unlisted(roster, &updates, gap.as_ref()));
                 self.publish(roster, &updates, position);
                 if gap.is_none() || roster.servers().next().is_some() {
                     self.fleet.record_roster();
@@ -316,12 +313,22 @@
         }
     }
 
-    /// Removals of servers that are neither listed nor in `updates`: this task has panicked after it had
-    /// listed them.
-    fn unlisted(&self, roster: &Roster, updates: &[RosterUpdate]) -> Vec<RosterUpdate> {
+    /// Removals of servers that are neither listed nor in `updates`, nor may stand in the gap of the
+    /// listing: this task has panicked after it had listed them.
+    fn unlisted(
+        &self,
+        roster: &Roster,
+        updates: &[RosterUpdate],
+        gap: Option<&ListingGap>,
+    ) -> Vec<RosterUpdate> {
+        let may_stand_in_gap = |id: &InstanceId| {
+            let read_up_to = gap.map(|gap| gap.read_up_to.as_deref());
+            read_up_to.is_some_and(|last| last.is_none_or(|last| id.as_str() > last))
+        };
         let known = self.backends.with_dispatcher(|dispatcher, _| {
             let ids = dispatcher.servers().map(|view| &view.id);
-            ids.filter(|id| roster.get(id).is_none()).cloned().collect::<Vec<_>>()
+            let unlisted = ids.filter(|id| roster.get(id).is_none() && !may_stand_in_gap(id));
+            unlisted.cloned().collect::<Vec<_>>()
         });
         let removals = known.into_iter().map(RosterUpdate::Removed);
         removals.filter(|removal| !updates.contains(removal)).collect()
--- a/crates/gateway/tests/odd_objects.rs
+++ b/crates/gateway/tests/odd_objects.rs
@@ -70,6 +70,35 @@
     call_until(&fleet, "/read/a", |status| status == 200).await;
 }
 
+/// Calls a route ten times, and returns how many of the calls reach the service with the index
+/// `service`.
+async fn calls_of(fleet: &TestFleet, service: usize) -> usize {
+    let before = fleet.services[service].records().len();
+    for number in 0..10 {
+        let request = plain("GET", "/read/a", &format!("n-{number}"));
+        assert_eq!(support::call(fleet.callers(0), request).await.status(), 200);
+    }
+    fleet.services[service].records().len() - before
+}
+
+/// Guards against a server in use that has left while a gateway watched no changes, because the listing
+/// afterwards ends behind it.
+#[tokio::test]
+async fn gateway_drops_a_server_that_an_incomplete_listing_has_passed() {
+    let mut fleet = start_fleet().await;
+    fleet.add_service("s-1").await;
+    fleet.store.set_page_size(1);
+    fleet.store.write("servers", "z-odd", &json!([]));
+    fleet.add_gateway().await;
+    fleet.store.break_page("servers", "s-1", 400, "");
+    fleet.store.remove("servers", "s-0");
+    fleet.store.compact();
+
+    time::sleep(KNOWN_WITHIN).await;
+
+    assert_eq!(calls_of(&fleet, 0).await, 0);
+}
+
 /// Guards against a gateway that asks again and again for changes which are more than an answer holds.
 #[tokio::test]
 async fn gateway_follows_servers_through_many_large_changes() {
--- a/crates/roster/src/table.rs
+++ b/crates/roster/src/table.rs
@@ -140,21 +140,41 @@
         was_restored
     }
 
-    /// Adds what a listing shows that may lack servers, and returns what changed.
-    pub fn apply_partial(&mut self, servers: Vec<BackendServer>) -> Vec<RosterUpdate> {
-        servers.into_iter().filter_map(|server| self.upsert_server(server)).collect()
-    }
-
     /// Replaces the known servers by a complete listing and returns what changed.
     pub fn apply_snapshot(
         &mut self,
         servers: Vec<BackendServer>,
         now: Instant,
+    ) -> Vec<RosterUpdate> {
+        self.apply_listing(servers, now, |_| true)
+    }
+
+    /// Applies a listing that lacks servers, and returns what changed. It is complete up to the name
+    /// `read_up_to`; a known server behind that stays, and without that name all do.
+    pub fn apply_partial(
+        &mut self,
+        servers: Vec<BackendServer>,
+        read_up_to: Option<&str>,
+        now: Instant,
+    ) -> Vec<RosterUpdate> {
+        self.apply_listing(servers, now, |id| read_up_to.is_some_and(|last| id.as_str() <= last))
+    }
+
+    /// Adds the listed servers, and removes the others of which `is_read` holds.
+    fn apply_listing(
+        &mut self,
+        servers: Vec<BackendServer>,
+        now: Instant,
+        is_read: impl Fn(&InstanceId) -> bool,
     ) -> Vec<RosterUpdate> {
         let listed: std::collections::BTreeSet<InstanceId> =
             servers.iter().map(|server| server.id.clone()).collect();
-        let missing: Vec<InstanceId> =
-            self.entries.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        let missing: Vec<InstanceId> = self
+            .entries
+            .keys()
+            .filter(|id| is_read(id) && !listed.contains(*id))
+            .cloned()
+            .collect();
         let mut updates: Vec<RosterUpdate> =
             servers.into_iter().filter_map(|server| self.upsert_server(server)).collect();
         updates.extend(missing.iter().filter_map(|id| self.remove_server(id, now)));
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -54,6 +54,24 @@
     assert_eq!(status(&roster, "a"), None);
 }
 
+#[rstest]
+#[case::up_to_its_last_name(Some("c"), vec![RosterUpdate::Removed(id("a"))], &["b", "c", "d"])]
+#[case::in_another_order(None, vec![], &["a", "b", "c", "d"])]
+fn incomplete_listing_replaces_the_servers_that_it_has_passed(
+    #[case] read_up_to: Option<&str>,
+    #[case] removals: Vec<RosterUpdate>,
+    #[case] left: &[&str],
+) {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    roster.apply_snapshot(vec![ready("a"), ready("b"), ready("d")], now);
+
+    let updates = roster.apply_partial(vec![ready("b"), ready("c")], read_up_to, now);
+
+    assert_eq!(updates, [vec![RosterUpdate::Joined(id("c"))], removals].concat());
+    assert_eq!(roster.servers().map(|(known, _)| known.id.as_str()).collect::<Vec<_>>(), left);
+}
+
 #[test]
 fn unchanged_registration_yields_no_update() {
     let now = Instant::now();
