--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,7 +37,7 @@
 pub mod sse;
 mod store_reads;
 mod trace;
-mod version_archive;
+pub mod version_archive;
 mod watched_connection;
 
 pub use crate::{
--- a/crates/gateway/tests/odd_objects.rs
+++ b/crates/gateway/tests/odd_objects.rs
@@ -114,6 +114,7 @@
     fleet.store.remove("servers", "s-0");
 
     call_until(&fleet, "/read/a", |_| !fleet.services[1].records().is_empty()).await;
+    assert_eq!(calls_of(&fleet, 0).await, 0);
 }
 
 /// The same for the configuration: a storm of versions of which the last one moves a route.
