gateway: repetitions of a listing come ever more rarely

What callers saw: servers behind a page that the store had refused for a moment stayed unknown for 10 s. Beside them, a listing that fails after pages were read was read again with all its pages each 250 ms by each entry, from the rate that all share.

Cause: fixed delays, one for a gap and one for a failure.

Change: the delay begins at 250 ms, doubles up to 10 s while the reason stays, and half of it is random, for servers, entries, blocks and versions. It begins again when the reason changes or the store was not reached, and a listing that is due after a failed watch is made at once. A first page that is refused, or a store that is away, costs one call and is tried each 250 ms as before, so that service after a return is not later. Watches end when the next listing is due; a repetition that fails leaves the watch going.

--- a/crates/gateway/src/block_archive.rs
+++ b/crates/gateway/src/block_archive.rs
@@ -12,12 +12,8 @@
 use suspects::{BlockId, RequestBlock, SuspectKey, SuspectKeys};
 use tokio::{sync::Notify, time};
 
-use crate::backends::Backends;
+use crate::{backends::Backends, relisting::RelistDelays};
 
-/// Delay before the next attempt to read the blocks after one that failed.
-const READ_RETRY_DELAY: Duration = Duration::from_millis(250);
-/// Time after an incomplete listing of the blocks until they are listed again.
-const RELIST_DELAY: Duration = Duration::from_secs(10);
 /// Delay before the next attempt to write a block after one that failed.
 const WRITE_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time after its end for which a block stays in the store.
@@ -116,31 +112,30 @@
     /// Reads the stored blocks, trying again until the store lists all. Applies those that have not
     /// ended, and deletes those that ended long ago.
     pub async fn restore(&self, backends: &Backends) {
+        let mut delays = RelistDelays::default();
         loop {
-            let listing = self.list().await;
-            let is_complete = listing.is_complete();
+            let listing = self.list(&mut delays).await;
             for (name, contents) in listing.items {
                 self.restore_block(&name, &contents, backends).await;
             }
-            if is_complete {
-                return;
-            }
-            time::sleep(RELIST_DELAY).await;
+            let Some(gap) = listing.gap else { return };
+            time::sleep(delays.after_gap(&gap)).await;
         }
     }
 
-    async fn list(&self) -> Listing<(String, String)> {
+    async fn list(&self, delays: &mut RelistDelays) -> Listing<(String, String)> {
         let mut failures = 0_u32;
         let listing = loop {
-            match self.store.list_system_objects(ObjectKind::RequestBlocks).await {
+            let error = match self.store.list_system_objects(ObjectKind::RequestBlocks).await {
                 Ok(listing) => break listing,
-                Err(error) if failures == 0 => {
-                    log::warn!("blocks: cannot list the stored blocks, retrying: {error}");
-                }
-                Err(error) => log::debug!("blocks: cannot list the stored blocks: {error}"),
+                Err(error) => error,
+            };
+            match failures {
+                0 => log::warn!("blocks: cannot list the stored blocks, retrying: {error}"),
+                _ => log::debug!("blocks: cannot list the stored blocks: {error}"),
             }
             failures += 1;
-            time::sleep(READ_RETRY_DELAY).await;
+            time::sleep(delays.after_failure(&error)).await;
         };
         if failures > 0 {
             log::info!("blocks: listed the stored blocks after {failures} failed calls");
--- a/crates/gateway/src/fleet/versions.rs
+++ b/crates/gateway/src/fleet/versions.rs
@@ -4,11 +4,15 @@
 
 use ::origins::{MAX_STREAM_AGE, StreamOrigin, UnknownOrigin, VersionHistory};
 use base::prelude::*;
+use platform::store::ListingGap;
 use roster::SoftwareVersion;
 use tokio::time;
 
 use super::Fleet;
-use crate::version_archive::{ServedVersion, VersionArchive};
+use crate::{
+    relisting::RelistDelays,
+    version_archive::{ServedVersion, VersionArchive},
+};
 
 /// Time between two updates of the history without a change of the roster.
 const UPDATE_INTERVAL: Duration = Duration::from_secs(1);
@@ -32,21 +36,25 @@
 
 impl Fleet {
     /// Reads the versions that earlier processes have stored, trying again until the store answers;
-    /// returns whether it has listed all.
-    pub async fn restore_versions(&self, archive: &VersionArchive) -> bool {
-        let listing = archive.list().await;
+    /// returns the gap in their listing.
+    pub async fn restore_versions(
+        &self,
+        archive: &VersionArchive,
+        delays: &mut RelistDelays,
+    ) -> Option<ListingGap> {
+        let listing = archive.list(delays).await;
         let now = Instant::now();
-        let complete_from = match (listing.is_complete, listing.may_be_old) {
-            (false, _) => now + MAX_STREAM_AGE,
+        let complete_from = match (&listing.gap, listing.may_be_old) {
+            (Some(_), _) => now + MAX_STREAM_AGE,
             // Servers and entries write again what a copy lacks.
-            (true, true) => now + REWRITE_TIME,
-            (true, false) => now,
+            (None, true) => now + REWRITE_TIME,
+            (None, false) => now,
         };
         let mut state = self.lock();
         let versions = listing.versions;
         state.versions.history.restore(versions.iter().cloned(), complete_from, now);
         state.versions.stored = Some(versions.into_iter().collect());
-        listing.is_complete
+        listing.gap
     }
 
     /// The version that began a stream whose origin nobody keeps, by what the store lists now.
@@ -75,7 +83,7 @@
         let sent = Instant::now();
         let listed = tokio::try_join!(self.versions.list_serving(), self.versions.list_once());
         match listed {
-            Ok((_, recorded)) if !recorded.is_complete => log::warn!(
+            Ok((_, recorded)) if recorded.gap.is_some() => log::warn!(
                 "versions: the stored versions are not listed to the end, streams of unknown origin \
                  are refused"
             ),
@@ -153,7 +161,7 @@
 
     async fn store_versions(&self, archive: &VersionArchive) {
         if self.lock().versions.stored.is_none() {
-            let listing = archive.list().await;
+            let listing = archive.list(&mut RelistDelays::default()).await;
             // After a restore all are written again, so that they have the present era.
             let known = if listing.may_be_old { Vec::new() } else { listing.versions.clone() };
             self.delete_ended(archive, &listing.versions.into_iter().collect()).await;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,14 +14,10 @@
     backends::Backends,
     catalog_holder::{CatalogHolder, CatalogSource},
     fleet::Fleet,
+    relisting::{RETRY_DELAY, RelistDelays},
     store_reads::StoreReads,
 };
 
-/// Delay before the next call to the store after one that failed.
-const RETRY_DELAY: Duration = Duration::from_millis(250);
-/// Time after an incomplete listing of the backend servers until they are listed again.
-const RELIST_DELAY: Duration = Duration::from_secs(10);
-
 /// Records in the decision log when a dependency becomes unavailable and available again.
 struct DependencyWatch {
     log: EventLog,
@@ -192,35 +188,53 @@
         let mut roster = Roster::default();
         let mut dependency = DependencyWatch::new(self.log.clone(), Dependency::StoreServers);
         let mut since = None;
+        let mut relist_delays = RelistDelays::default();
+        // After a listing with a gap, changes are watched until the next one.
         let mut relist_at: Option<Instant> = None;
         loop {
             let (sent, last_seen) = (Instant::now(), self.reads.last_seen());
             let is_relisting = relist_at.is_some_and(|due| due <= sent);
-            let reading = self.read(since.filter(|_| !is_relisting), sent);
+            let from = since.filter(|_| !is_relisting);
+            let reading = self.read(from, sent, relist_at);
             match self.expire_while(&mut roster, since, reading).await {
                 Ok(read) => {
                     dependency.record_recovery();
                     if let RosterRead::Listing(listing) = &read {
-                        let due = Instant::now() + RELIST_DELAY;
-                        relist_at = (!listing.is_complete()).then_some(due);
+                        let delay = listing.gap.as_ref().map(|gap| relist_delays.after_gap(gap));
+                        relist_at = delay.map(|delay| Instant::now() + delay);
+                        if delay.is_none() {
+                            relist_delays.reset();
+                        }
                     }
                     let (position, pause) = self.apply(&mut roster, read);
                     since = position;
+                    let rest = relist_at.map(|due| due.saturating_duration_since(Instant::now()));
+                    let pause = rest.map_or(pause, |rest| rest.min(pause));
                     self.expire_while(&mut roster, since, time::sleep(pause)).await;
                 }
                 Err(error) => {
                     dependency.record_loss(&error);
                     self.reads.record_failure();
-                    // Changes go on being watched until the next attempt.
-                    relist_at = relist_at.map(|due| due.max(Instant::now() + RELIST_DELAY));
-                    match needs_listing(&error) {
-                        true => since = None,
-                        false => {
-                            let failed = FailedRead { sent, last_seen };
-                            roster.record_store_failure(failed, Instant::now());
+                    if !needs_listing(&error) {
+                        let failed = FailedRead { sent, last_seen };
+                        roster.record_store_failure(failed, Instant::now());
+                    } else if from.is_some() {
+                        since = None;
+                    }
+                    let (mut delay, mut pause) = (Duration::ZERO, RETRY_DELAY);
+                    match (from, since) {
+                        _ if !error.was_answered() => relist_delays.reset(),
+                        (None, None) => pause = relist_delays.after_failure(&error),
+                        (None, Some(_)) => {
+                            // Changes go on being watched until the next attempt.
+                            delay = relist_delays.after_failed_repetition(&error);
+                            pause = Duration::ZERO;
                         }
+                        (Some(_), _) => {}
                     }
-                    self.expire_while(&mut roster, since, time::sleep(RETRY_DELAY)).await;
+                    // After a failed watch, what is missing is listed as soon as the store is back.
+                    relist_at = relist_at.map(|_| Instant::now() + delay);
+                    self.expire_while(&mut roster, since, time::sleep(pause)).await;
                 }
             }
         }
@@ -250,6 +264,7 @@
         &self,
         since: Option<StorePosition>,
         sent: Instant,
+        relist_at: Option<Instant>,
     ) -> Result<RosterRead, StoreError> {
         match since {
             None => {
@@ -258,7 +273,10 @@
                 Ok(RosterRead::Listing(listing))
             }
             Some(since) => {
-                let plan = self.reads.plan();
+                let mut plan = self.reads.plan();
+                if let Some(due) = relist_at {
+                    plan.wait = plan.wait.min(due.saturating_duration_since(sent));
+                }
                 let outcome = self.store.watch_servers(since, plan.wait, plan.mode).await?;
                 Ok(RosterRead::Watch { plan, sent, since, outcome })
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod quota_metrics;
 mod registration;
 mod relay;
+pub mod relisting;
 mod request_body;
 pub mod request_memory;
 mod restores;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -34,6 +34,7 @@
     ops,
     permits::PermitClient,
     registration::EntryRegistration,
+    relisting::RelistDelays,
     restores::RestoreFollower,
     settings::GatewaySettings,
     store_reads::StoreReads,
@@ -65,8 +66,6 @@
 
 /// Longest time for which the first configuration waits until the stored blocks are read.
 const MAX_RESTORE_TIME: Duration = Duration::from_millis(200);
-/// Time after an incomplete listing of the software versions until they are listed again.
-const RELIST_DELAY: Duration = Duration::from_secs(10);
 
 /// A planned stop that has begun.
 #[derive(Debug, Clone, Copy)]
@@ -164,12 +163,13 @@
 /// Reads the stored software versions until all are listed. After the first listing, those that serve
 /// are followed in a task of its own.
 async fn follow_versions(fleet: Fleet, archive: VersionArchive) {
-    let mut is_complete = fleet.restore_versions(&archive).await;
+    let mut delays = RelistDelays::default();
+    let mut gap = fleet.restore_versions(&archive, &mut delays).await;
     let (follower, followed) = (fleet.clone(), archive.clone());
     spawn_lasting("versions", move || follower.clone().follow_versions(followed.clone()));
-    while !is_complete {
-        time::sleep(RELIST_DELAY).await;
-        is_complete = fleet.restore_versions(&archive).await;
+    while let Some(found) = gap {
+        time::sleep(delays.after_gap(&found)).await;
+        gap = fleet.restore_versions(&archive, &mut delays).await;
     }
 }
 
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -6,14 +6,11 @@
 use platform::{ObjectKind, PlatformStore, StoreError};
 use tokio::time;
 
-use crate::fleet::Fleet;
+use crate::{fleet::Fleet, relisting::RelistDelays};
 
 /// Delay before the next attempt after a failed registration.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Time after an incomplete listing of the entries until they are listed again.
-const RELIST_DELAY: Duration = Duration::from_secs(10);
-
 /// The object that stands for this entry in the store.
 #[derive(Clone)]
 pub struct EntryRegistration {
@@ -72,14 +69,12 @@
 
     async fn register_once(&self, fleet: &Fleet) -> Result<(), StoreError> {
         self.write(&self.contents()).await?;
+        let mut delays = RelistDelays::default();
         loop {
             let listing = self.store.list_system_objects(ObjectKind::EntryProcesses).await?;
-            let is_complete = listing.is_complete();
             add_entries(fleet, listing.items);
-            if is_complete {
-                return Ok(());
-            }
-            time::sleep(RELIST_DELAY).await;
+            let Some(gap) = listing.gap else { return Ok(()) };
+            time::sleep(delays.after_gap(&gap)).await;
         }
     }
 
--- a/crates/gateway/src/version_archive.rs
+++ b/crates/gateway/src/version_archive.rs
@@ -4,14 +4,13 @@
 use std::collections::BTreeSet;
 
 use base::prelude::*;
-use platform::{ObjectKind, PlatformStore, StoreError};
+use platform::{ObjectKind, PlatformStore, StoreError, store::ListingGap};
 use roster::{SoftwareVersion, StoreEra};
 use serde::{Deserialize, Serialize};
 use tokio::time;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Delay before the next attempt to list the versions after one that failed.
-const READ_RETRY_DELAY: Duration = Duration::from_millis(250);
+use crate::relisting::RelistDelays;
 
 /// A software version of a service.
 pub type ServedVersion = (ServiceName, SoftwareVersion);
@@ -30,8 +29,8 @@
 pub struct VersionListing {
     /// The versions.
     pub versions: Vec<ServedVersion>,
-    /// Whether the store has listed all of them.
-    pub is_complete: bool,
+    /// Why some are missing; none if the store has listed all of them.
+    pub gap: Option<ListingGap>,
     /// Whether versions may be missing: the store may have come back from a copy since the last of
     /// them was written, or its listing is incomplete.
     pub may_be_old: bool,
@@ -50,18 +49,19 @@
     }
 
     /// Lists the stored versions, trying again until the store answers.
-    pub async fn list(&self) -> VersionListing {
+    pub async fn list(&self, delays: &mut RelistDelays) -> VersionListing {
         let mut failures = 0_u32;
         let listing = loop {
-            match self.list_once().await {
+            let error = match self.list_once().await {
                 Ok(listing) => break listing,
-                Err(error) if failures == 0 => {
-                    log::warn!("versions: cannot list the stored versions, retrying: {error}");
-                }
-                Err(error) => log::debug!("versions: cannot list the stored versions: {error}"),
+                Err(error) => error,
+            };
+            match failures {
+                0 => log::warn!("versions: cannot list the stored versions, retrying: {error}"),
+                _ => log::debug!("versions: cannot list the stored versions: {error}"),
             }
             failures += 1;
-            time::sleep(READ_RETRY_DELAY).await;
+            time::sleep(delays.after_failure(&error)).await;
         };
         if failures > 0 {
             log::info!("versions: listed the stored versions after {failures} failed calls");
@@ -78,8 +78,8 @@
         let listed = self.store.list_system_objects(ObjectKind::SoftwareVersions).await?;
         let mut listing = VersionListing {
             versions: Vec::new(),
-            is_complete: listed.is_complete(),
             may_be_old: !listed.is_complete(),
+            gap: listed.gap,
         };
         let mut newest = StoreEra::default();
         for (name, contents) in listed.items {
--- a/crates/gateway/tests/odd_objects.rs
+++ b/crates/gateway/tests/odd_objects.rs
@@ -99,6 +99,38 @@
     assert_eq!(calls_of(&fleet, 0).await, 0);
 }
 
+/// Guards against servers that stay unknown for long although the store lists them again.
+#[tokio::test]
+async fn gateway_knows_the_servers_behind_a_gap_soon_after_it_is_mended() {
+    let mut fleet = start_fleet().await;
+    fleet.store.set_page_size(1);
+    fleet.store.write("servers", "b-odd", &json!([]));
+    fleet.store.break_page("servers", "b-odd", 503, "");
+    fleet.add_gateway().await;
+    time::sleep(Duration::from_secs(1)).await;
+
+    fleet.store.mend_pages();
+
+    call_until(&fleet, "/read/a", |status| status == 200).await;
+}
+
+/// Guards against gateways that read all pages of a listing without end again four times a second.
+#[tokio::test]
+async fn gateway_repeats_a_listing_that_fails_more_and_more_rarely() {
+    let mut fleet = start_fleet().await;
+    let repeated = json!({ "items": [{ "metadata": { "name": "s-0" } }], "more-pages": true,
+        "store-revision": 9 });
+    fleet.store.set_page_size(1);
+    fleet.store.write("servers", "z-odd", &json!([]));
+    fleet.store.break_page("servers", "s-0", 200, &repeated.to_string());
+
+    fleet.add_gateway().await;
+    time::sleep(Duration::from_secs(4)).await;
+
+    let calls = fleet.store.listing_calls("servers");
+    assert!(calls <= 6 * 3, "{calls} pages");
+}
+
 /// Guards against a gateway that asks again and again for changes which are more than an answer holds.
 #[tokio::test]
 async fn gateway_follows_servers_through_many_large_changes() {
