gateway: servers are listed after a change that cannot be decoded

What callers saw: nothing yet; an entry learned of no server that joined or left, for as long as the store's history had one change that makes the answer of a watch undecodable, such as an object whose string does not end.

Cause: a watch that could not be decoded was repeated from the same position, each 250 ms.

Change: the servers are listed instead, and watched from the position of the listing, which leaves out the page with that object. Delays of listings go by the same reasons whether a listing failed or has a gap.

The tests of servers before and behind a gap are now one, with both checks. The configuration is watched as before.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -138,6 +138,12 @@
     matches!(error, StoreError::TooLarge { .. } | StoreError::SlowAnswer)
 }
 
+/// Whether no watch of servers from the same position can succeed. A listing goes past a change that
+/// cannot be decoded, as it leaves out the page with its object.
+fn ends_watch(error: &StoreError) -> bool {
+    needs_listing(error) || matches!(error, StoreError::Format { .. })
+}
+
 /// Logs which object names no server to use, and whether a server of that name was in service.
 fn warn_if_unreadable(change: &RosterChange, roster: &Roster) {
     let RosterChange::Unreadable { id, reason } = change else { return };
@@ -218,7 +224,8 @@
                     if !needs_listing(&error) {
                         let failed = FailedRead { sent, last_seen };
                         roster.record_store_failure(failed, Instant::now());
-                    } else if from.is_some() {
+                    }
+                    if from.is_some() && ends_watch(&error) {
                         since = None;
                     }
                     let (mut delay, mut pause) = (Duration::ZERO, RETRY_DELAY);
--- a/crates/gateway/src/relisting.rs
+++ b/crates/gateway/src/relisting.rs
@@ -15,36 +15,25 @@
 /// Part of a delay that is left to chance, so that the entries do not list at the same time.
 const RANDOM_SHARE: f64 = 0.5;
 
-/// What each repetition may meet again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum RelistReason {
-    /// The listing ended before the last object.
-    Gap(GapReason),
-    /// A page cannot be decoded, or the pages are no listing.
-    Undecodable,
-    /// A page is larger than an answer may be.
-    TooLarge,
-}
-
 /// Delays between the repetitions of a listing. They double while the reason stays.
 #[derive(Debug, Default)]
 pub struct RelistDelays {
-    reason: Option<RelistReason>,
+    reason: Option<GapReason>,
     repetitions: u32,
 }
 
 impl RelistDelays {
     /// Delay after a listing with a gap.
     pub fn after_gap(&mut self, gap: &ListingGap) -> Duration {
-        self.after(RelistReason::Gap(gap.reason))
+        self.after(gap.reason)
     }
 
     /// Delay after a listing that failed. It is constant while the store refuses the first page or is
     /// not reached: such an attempt is a single call, and the store may be back at any moment.
     pub fn after_failure(&mut self, error: &StoreError) -> Duration {
         match error {
-            StoreError::Format { .. } => self.after(RelistReason::Undecodable),
-            StoreError::TooLarge { .. } => self.after(RelistReason::TooLarge),
+            StoreError::Format { .. } => self.after(GapReason::Undecodable),
+            StoreError::TooLarge { .. } => self.after(GapReason::TooLarge),
             StoreError::Status { .. } | StoreError::Conflict => RETRY_DELAY,
             StoreError::Refused { .. } | StoreError::NoAnswer { .. } | StoreError::SlowAnswer => {
                 self.reset();
@@ -56,9 +45,7 @@
     /// Delay after a listing that failed while an earlier one is in use, and its changes can be watched.
     pub fn after_failed_repetition(&mut self, error: &StoreError) -> Duration {
         match error {
-            StoreError::Status { status } => {
-                self.after(RelistReason::Gap(GapReason::Status(*status)))
-            }
+            StoreError::Status { status } => self.after(GapReason::Status(*status)),
             error => self.after_failure(error),
         }
     }
@@ -68,7 +55,7 @@
         *self = Self::default();
     }
 
-    fn after(&mut self, reason: RelistReason) -> Duration {
+    fn after(&mut self, reason: GapReason) -> Duration {
         if self.reason.replace(reason) != Some(reason) {
             self.repetitions = 0;
         }
--- a/crates/gateway/tests/odd_objects.rs
+++ b/crates/gateway/tests/odd_objects.rs
@@ -57,19 +57,6 @@
     call_until(&fleet, "/read/a", |status| status == 200).await;
 }
 
-/// Guards against a gateway that knows no server because of one page of their listing.
-#[tokio::test]
-async fn gateway_serves_by_the_servers_before_a_page_that_is_refused() {
-    let mut fleet = start_fleet().await;
-    fleet.store.set_page_size(1);
-    fleet.store.write("servers", "z-odd", &json!([]));
-    fleet.store.break_page("servers", "s-0", 400, "");
-
-    fleet.add_gateway().await;
-
-    call_until(&fleet, "/read/a", |status| status == 200).await;
-}
-
 /// Calls a route ten times, and returns how many of the calls reach the service with the index
 /// `service`.
 async fn calls_of(fleet: &TestFleet, service: usize) -> usize {
@@ -99,19 +86,35 @@
     assert_eq!(calls_of(&fleet, 0).await, 0);
 }
 
-/// Guards against servers that stay unknown for long although the store lists them again.
+/// Guards against a gateway that knows no server because of one page of their listing, and against servers
+/// behind it that stay unknown for long after it is mended.
 #[tokio::test]
-async fn gateway_knows_the_servers_behind_a_gap_soon_after_it_is_mended() {
+async fn gateway_serves_by_the_servers_before_a_refused_page_and_soon_by_those_behind_it() {
     let mut fleet = start_fleet().await;
+    fleet.add_service("s-1").await;
     fleet.store.set_page_size(1);
-    fleet.store.write("servers", "b-odd", &json!([]));
-    fleet.store.break_page("servers", "b-odd", 503, "");
+    fleet.store.break_page("servers", "s-0", 400, "");
     fleet.add_gateway().await;
+    call_until(&fleet, "/read/a", |status| status == 200).await;
     time::sleep(Duration::from_secs(1)).await;
 
     fleet.store.mend_pages();
 
-    call_until(&fleet, "/read/a", |status| status == 200).await;
+    call_until(&fleet, "/read/a", |_| !fleet.services[1].records().is_empty()).await;
+}
+
+/// Guards against a gateway that asks again and again for changes which it cannot read, while it learns of
+/// no others.
+#[tokio::test]
+async fn gateway_follows_servers_beside_a_change_that_it_cannot_read() {
+    let mut fleet = start_fleet().await;
+    fleet.add_gateway().await;
+    fleet.store.write("servers", "z-odd", &json!([]));
+    fleet.store.break_change("servers", "{\"events\":[\"");
+
+    fleet.add_service("s-1").await;
+
+    call_until(&fleet, "/read/a", |_| !fleet.services[1].records().is_empty()).await;
 }
 
 /// Guards against gateways that read all pages of a listing without end again four times a second.
