--- a/crates/gateway/src/fleet/versions.rs
+++ b/crates/gateway/src/fleet/versions.rs
@@ -4,7 +4,7 @@
 
 use ::origins::{MAX_STREAM_AGE, StreamOrigin, UnknownOrigin, VersionHistory};
 use base::prelude::*;
-use platform::store::ListingGap;
+use platform::ListingGap;
 use roster::SoftwareVersion;
 use tokio::time;
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use events::{DecisionEvent, Dependency, EventLog, millis};
-use platform::{Listing, PlatformStore, StoreError, WatchOutcome, store::ListingGap};
+use platform::{Listing, ListingGap, PlatformStore, StoreError, WatchOutcome};
 use roster::{
     BackendServer, FailedRead, InstanceId, ReadMode, ReadPlan, Roster, RosterChange, RosterUpdate,
     StorePosition,
--- a/crates/gateway/src/relisting.rs
+++ b/crates/gateway/src/relisting.rs
@@ -1,10 +1,7 @@
 //! Delays before listings of the store are repeated that have shown nothing or a part.
 
 use base::prelude::*;
-use platform::{
-    StoreError,
-    store::{GapReason, ListingGap},
-};
+use platform::{GapReason, ListingGap, StoreError};
 use rand::RngExt;
 
 /// Delay before the next call to the store after one that did not reach it, and longest delay before the
--- a/crates/gateway/src/version_archive.rs
+++ b/crates/gateway/src/version_archive.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use base::prelude::*;
-use platform::{ObjectKind, PlatformStore, StoreError, store::ListingGap};
+use platform::{ListingGap, ObjectKind, PlatformStore, StoreError};
 use roster::{SoftwareVersion, StoreEra};
 use serde::{Deserialize, Serialize};
 use tokio::time;
