--- a/crates/gateway/src/fleet/versions.rs
+++ b/crates/gateway/src/fleet/versions.rs
@@ -2,13 +2,17 @@
 
 use std::collections::BTreeSet;
 
-use ::origins::{StreamOrigin, UnknownOrigin, VersionHistory};
+use ::origins::{MAX_STREAM_AGE, StreamOrigin, UnknownOrigin, VersionHistory};
 use base::prelude::*;
+use platform::ListingGap;
 use roster::SoftwareVersion;
 use tokio::time;
 
 use super::Fleet;
-use crate::version_archive::{ServedVersion, VersionArchive};
+use crate::{
+    relisting::RelistDelays,
+    version_archive::{ServedVersion, VersionArchive},
+};
 
 /// Time between two updates of the history without a change of the roster.
 const UPDATE_INTERVAL: Duration = Duration::from_secs(1);
@@ -31,16 +35,26 @@
 }
 
 impl Fleet {
-    /// Reads the versions that earlier processes have stored, trying again until the store answers.
-    pub async fn restore_versions(&self, archive: &VersionArchive) {
-        let listing = archive.list().await;
+    /// Reads the versions that earlier processes have stored, trying again until the store answers;
+    /// returns the gap in their listing.
+    pub async fn restore_versions(
+        &self,
+        archive: &VersionArchive,
+        delays: &mut RelistDelays,
+    ) -> Option<ListingGap> {
+        let listing = archive.list(delays).await;
         let now = Instant::now();
-        // Servers and entries write again what a copy lacks.
-        let complete_from = if listing.may_be_old { now + REWRITE_TIME } else { now };
+        let complete_from = match (&listing.gap, listing.may_be_old) {
+            (Some(_), _) => now + MAX_STREAM_AGE,
+            // Servers and entries write again what a copy lacks.
+            (None, true) => now + REWRITE_TIME,
+            (None, false) => now,
+        };
         let mut state = self.lock();
         let versions = listing.versions;
         state.versions.history.restore(versions.iter().cloned(), complete_from, now);
         state.versions.stored = Some(versions.into_iter().collect());
+        listing.gap
     }
 
     /// The version that began a stream whose origin nobody keeps, by what the store lists now.
@@ -69,7 +83,7 @@
         let sent = Instant::now();
         let listed = tokio::try_join!(self.versions.list_serving(), self.versions.list_once());
         match listed {
-            Ok((_, recorded)) if !recorded.is_complete => log::warn!(
+            Ok((_, recorded)) if recorded.gap.is_some() => log::warn!(
                 "versions: the stored versions are not listed to the end, streams of unknown origin \
                  are refused"
             ),
@@ -147,7 +161,7 @@
 
     async fn store_versions(&self, archive: &VersionArchive) {
         if self.lock().versions.stored.is_none() {
-            let listing = archive.list().await;
+            let listing = archive.list(&mut RelistDelays::default()).await;
             // After a restore all are written again, so that they have the present era.
             let known = if listing.may_be_old { Vec::new() } else { listing.versions.clone() };
             self.delete_ended(archive, &listing.versions.into_iter().collect()).await;
@@ -174,8 +188,12 @@
         self.delete_ended(archive, &stored).await;
     }
 
-    /// Deletes those of the stored versions whose streams have ended.
+    /// Deletes those of the stored versions whose streams have ended; none while the history may lack
+    /// versions of earlier processes.
     async fn delete_ended(&self, archive: &VersionArchive, stored: &BTreeSet<ServedVersion>) {
+        if Instant::now() < self.versions_complete_from() {
+            return;
+        }
         let served = self.lock().versions.history.versions();
         for version in stored.difference(&served) {
             match archive.delete(version).await {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -2,9 +2,9 @@
 
 use base::prelude::*;
 use events::{DecisionEvent, Dependency, EventLog, millis};
-use platform::{Listing, PlatformStore, StoreError, WatchOutcome};
+use platform::{Listing, ListingGap, PlatformStore, StoreError, WatchOutcome};
 use roster::{
-    BackendServer, FailedRead, ReadMode, ReadPlan, Roster, RosterChange, RosterUpdate,
+    BackendServer, FailedRead, InstanceId, ReadMode, ReadPlan, Roster, RosterChange, RosterUpdate,
     StorePosition,
 };
 use std::pin::pin;
@@ -14,14 +14,10 @@
     backends::Backends,
     catalog_holder::{CatalogHolder, CatalogSource},
     fleet::Fleet,
+    relisting::{RETRY_DELAY, RelistDelays},
     store_reads::StoreReads,
 };
 
-/// Delay before the next call to the store after one that failed.
-const RETRY_DELAY: Duration = Duration::from_millis(250);
-/// Time after an incomplete listing of the backend servers until they are listed again.
-const RELIST_DELAY: Duration = Duration::from_secs(10);
-
 /// Records in the decision log when a dependency becomes unavailable and available again.
 struct DependencyWatch {
     log: EventLog,
@@ -142,6 +138,12 @@
     matches!(error, StoreError::TooLarge { .. } | StoreError::SlowAnswer)
 }
 
+/// Whether no watch of servers from the same position can succeed. A listing goes past a change that
+/// cannot be decoded, as it leaves out the page with its object.
+fn ends_watch(error: &StoreError) -> bool {
+    needs_listing(error) || matches!(error, StoreError::Format { .. })
+}
+
 /// Logs which object names no server to use, and whether a server of that name was in service.
 fn warn_if_unreadable(change: &RosterChange, roster: &Roster) {
     let RosterChange::Unreadable { id, reason } = change else { return };
@@ -192,35 +194,54 @@
         let mut roster = Roster::default();
         let mut dependency = DependencyWatch::new(self.log.clone(), Dependency::StoreServers);
         let mut since = None;
+        let mut relist_delays = RelistDelays::default();
+        // After a listing with a gap, changes are watched until the next one.
         let mut relist_at: Option<Instant> = None;
         loop {
             let (sent, last_seen) = (Instant::now(), self.reads.last_seen());
             let is_relisting = relist_at.is_some_and(|due| due <= sent);
-            let reading = self.read(since.filter(|_| !is_relisting), sent);
+            let from = since.filter(|_| !is_relisting);
+            let reading = self.read(from, sent, relist_at);
             match self.expire_while(&mut roster, since, reading).await {
                 Ok(read) => {
                     dependency.record_recovery();
                     if let RosterRead::Listing(listing) = &read {
-                        let due = Instant::now() + RELIST_DELAY;
-                        relist_at = (!listing.is_complete).then_some(due);
+                        let delay = listing.gap.as_ref().map(|gap| relist_delays.after_gap(gap));
+                        relist_at = delay.map(|delay| Instant::now() + delay);
+                        if delay.is_none() {
+                            relist_delays.reset();
+                        }
                     }
                     let (position, pause) = self.apply(&mut roster, read);
                     since = position;
+                    let rest = relist_at.map(|due| due.saturating_duration_since(Instant::now()));
+                    let pause = rest.map_or(pause, |rest| rest.min(pause));
                     self.expire_while(&mut roster, since, time::sleep(pause)).await;
                 }
                 Err(error) => {
                     dependency.record_loss(&error);
                     self.reads.record_failure();
-                    // Changes go on being watched until the next attempt.
-                    relist_at = relist_at.map(|due| due.max(Instant::now() + RELIST_DELAY));
-                    match needs_listing(&error) {
-                        true => since = None,
-                        false => {
-                            let failed = FailedRead { sent, last_seen };
-                            roster.record_store_failure(failed, Instant::now());
+                    if !needs_listing(&error) {
+                        let failed = FailedRead { sent, last_seen };
+                        roster.record_store_failure(failed, Instant::now());
+                    }
+                    if from.is_some() && ends_watch(&error) {
+                        since = None;
+                    }
+                    let (mut delay, mut pause) = (Duration::ZERO, RETRY_DELAY);
+                    match (from, since) {
+                        _ if !error.was_answered() => relist_delays.reset(),
+                        (None, None) => pause = relist_delays.after_failure(&error),
+                        (None, Some(_)) => {
+                            // Changes go on being watched until the next attempt.
+                            delay = relist_delays.after_failed_repetition(&error);
+                            pause = Duration::ZERO;
                         }
+                        (Some(_), _) => {}
                     }
-                    self.expire_while(&mut roster, since, time::sleep(RETRY_DELAY)).await;
+                    // After a failed watch, what is missing is listed as soon as the store is back.
+                    relist_at = relist_at.map(|_| Instant::now() + delay);
+                    self.expire_while(&mut roster, since, time::sleep(pause)).await;
                 }
             }
         }
@@ -250,6 +271,7 @@
         &self,
         since: Option<StorePosition>,
         sent: Instant,
+        relist_at: Option<Instant>,
     ) -> Result<RosterRead, StoreError> {
         match since {
             None => {
@@ -258,7 +280,10 @@
                 Ok(RosterRead::Listing(listing))
             }
             Some(since) => {
-                let plan = self.reads.plan();
+                let mut plan = self.reads.plan();
+                if let Some(due) = relist_at {
+                    plan.wait = plan.wait.min(due.saturating_duration_since(sent));
+                }
                 let outcome = self.store.watch_servers(since, plan.wait, plan.mode).await?;
                 Ok(RosterRead::Watch { plan, sent, since, outcome })
             }
@@ -270,19 +295,16 @@
     fn apply(&self, roster: &mut Roster, read: RosterRead) -> (Option<StorePosition>, Duration) {
         let now = Instant::now();
         match read {
-            RosterRead::Listing(Listing { items, position, is_complete }) => {
+            RosterRead::Listing(Listing { items, position, gap }) => {
                 roster.record_store_answer(now);
                 roster.record_era(position.era, now);
-                let updates = match is_complete {
-                    true => {
-                        let mut updates = roster.apply_snapshot(items, now);
-                        updates.extend(self.unlisted(roster, &updates));
-                        updates
-                    }
-                    false => roster.apply_partial(items),
+                let mut updates = match &gap {
+                    None => roster.apply_snapshot(items, now),
+                    Some(gap) => roster.apply_partial(items, gap.read_up_to.as_deref(), now),
                 };
+                updates.extend(self.unlisted(roster, &updates, gap.as_ref()));
                 self.publish(roster, &updates, position);
-                if is_complete || roster.servers().next().is_some() {
+                if gap.is_none() || roster.servers().next().is_some() {
                     self.fleet.record_roster();
                 }
                 (Some(position), Duration::ZERO)
@@ -316,12 +338,22 @@
         }
     }
 
-    /// Removals of servers that are neither listed nor in `updates`: this task has panicked after it had
-    /// listed them.
-    fn unlisted(&self, roster: &Roster, updates: &[RosterUpdate]) -> Vec<RosterUpdate> {
+    /// Removals of servers that are neither listed nor in `updates`, nor may stand in the gap of the
+    /// listing: this task has panicked after it had listed them.
+    fn unlisted(
+        &self,
+        roster: &Roster,
+        updates: &[RosterUpdate],
+        gap: Option<&ListingGap>,
+    ) -> Vec<RosterUpdate> {
+        let may_stand_in_gap = |id: &InstanceId| {
+            let read_up_to = gap.map(|gap| gap.read_up_to.as_deref());
+            read_up_to.is_some_and(|last| last.is_none_or(|last| id.as_str() > last))
+        };
         let known = self.backends.with_dispatcher(|dispatcher, _| {
             let ids = dispatcher.servers().map(|view| &view.id);
-            ids.filter(|id| roster.get(id).is_none()).cloned().collect::<Vec<_>>()
+            let unlisted = ids.filter(|id| roster.get(id).is_none() && !may_stand_in_gap(id));
+            unlisted.cloned().collect::<Vec<_>>()
         });
         let removals = known.into_iter().map(RosterUpdate::Removed);
         removals.filter(|removal| !updates.contains(removal)).collect()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod quota_metrics;
 mod registration;
 mod relay;
+pub mod relisting;
 mod request_body;
 pub mod request_memory;
 mod restores;
@@ -37,7 +38,7 @@
 pub mod sse;
 mod store_reads;
 mod trace;
-mod version_archive;
+pub mod version_archive;
 mod watched_connection;
 
 pub use crate::{
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -34,6 +34,7 @@
     ops,
     permits::PermitClient,
     registration::EntryRegistration,
+    relisting::RelistDelays,
     restores::RestoreFollower,
     settings::GatewaySettings,
     store_reads::StoreReads,
@@ -159,10 +160,17 @@
     grace - MAX_SHUTDOWN_MARGIN.min(grace.mul_f64(SHUTDOWN_SHARE))
 }
 
-/// Reads the stored software versions, and then follows those that serve in a task of its own.
+/// Reads the stored software versions until all are listed. After the first listing, those that serve
+/// are followed in a task of its own.
 async fn follow_versions(fleet: Fleet, archive: VersionArchive) {
-    fleet.restore_versions(&archive).await;
-    spawn_lasting("versions", move || fleet.clone().follow_versions(archive.clone()));
+    let mut delays = RelistDelays::default();
+    let mut gap = fleet.restore_versions(&archive, &mut delays).await;
+    let (follower, followed) = (fleet.clone(), archive.clone());
+    spawn_lasting("versions", move || follower.clone().follow_versions(followed.clone()));
+    while let Some(found) = gap {
+        time::sleep(delays.after_gap(&found)).await;
+        gap = fleet.restore_versions(&archive, &mut delays).await;
+    }
 }
 
 /// A running gateway.
--- a/crates/gateway/tests/odd_objects.rs
+++ b/crates/gateway/tests/odd_objects.rs
@@ -57,6 +57,83 @@
     call_until(&fleet, "/read/a", |status| status == 200).await;
 }
 
+/// Calls a route ten times, and returns how many of the calls reach the service with the index
+/// `service`.
+async fn calls_of(fleet: &TestFleet, service: usize) -> usize {
+    let before = fleet.services[service].records().len();
+    for number in 0..10 {
+        let request = plain("GET", "/read/a", &format!("n-{number}"));
+        assert_eq!(support::call(fleet.callers(0), request).await.status(), 200);
+    }
+    fleet.services[service].records().len() - before
+}
+
+/// Guards against a server in use that has left while a gateway watched no changes, because the listing
+/// afterwards ends behind it.
+#[tokio::test]
+async fn gateway_drops_a_server_that_an_incomplete_listing_has_passed() {
+    let mut fleet = start_fleet().await;
+    fleet.add_service("s-1").await;
+    fleet.store.set_page_size(1);
+    fleet.store.write("servers", "z-odd", &json!([]));
+    fleet.add_gateway().await;
+    fleet.store.break_page("servers", "s-1", 400, "");
+    fleet.store.remove("servers", "s-0");
+    fleet.store.compact();
+
+    time::sleep(KNOWN_WITHIN).await;
+
+    assert_eq!(calls_of(&fleet, 0).await, 0);
+}
+
+/// Guards against a gateway that knows no server because of one page of their listing, and against servers
+/// behind it that stay unknown for long after it is mended.
+#[tokio::test]
+async fn gateway_serves_by_the_servers_before_a_refused_page_and_soon_by_those_behind_it() {
+    let mut fleet = start_fleet().await;
+    fleet.add_service("s-1").await;
+    fleet.store.set_page_size(1);
+    fleet.store.break_page("servers", "s-0", 400, "");
+    fleet.add_gateway().await;
+    call_until(&fleet, "/read/a", |status| status == 200).await;
+    time::sleep(Duration::from_secs(1)).await;
+
+    fleet.store.mend_pages();
+
+    call_until(&fleet, "/read/a", |_| !fleet.services[1].records().is_empty()).await;
+}
+
+/// Guards against a gateway that asks again and again for changes which it cannot read, while it learns of
+/// no others.
+#[tokio::test]
+async fn gateway_follows_servers_beside_a_change_that_it_cannot_read() {
+    let mut fleet = start_fleet().await;
+    fleet.add_gateway().await;
+    fleet.store.write("servers", "z-odd", &json!([]));
+    fleet.store.break_change("servers", "{\"events\":[\"");
+
+    fleet.add_service("s-1").await;
+
+    call_until(&fleet, "/read/a", |_| !fleet.services[1].records().is_empty()).await;
+}
+
+/// Guards against gateways that read all pages of a listing without end again four times a second.
+#[tokio::test]
+async fn gateway_repeats_a_listing_that_fails_more_and_more_rarely() {
+    let mut fleet = start_fleet().await;
+    let repeated = json!({ "items": [{ "metadata": { "name": "s-0" } }], "more-pages": true,
+        "store-revision": 9 });
+    fleet.store.set_page_size(1);
+    fleet.store.write("servers", "z-odd", &json!([]));
+    fleet.store.break_page("servers", "s-0", 200, &repeated.to_string());
+
+    fleet.add_gateway().await;
+    time::sleep(Duration::from_secs(4)).await;
+
+    let calls = fleet.store.listing_calls("servers");
+    assert!(calls <= 6 * 3, "{calls} pages");
+}
+
 /// Guards against a gateway that asks again and again for changes which are more than an answer holds.
 #[tokio::test]
 async fn gateway_follows_servers_through_many_large_changes() {
@@ -72,6 +149,7 @@
     fleet.store.remove("servers", "s-0");
 
     call_until(&fleet, "/read/a", |_| !fleet.services[1].records().is_empty()).await;
+    assert_eq!(calls_of(&fleet, 0).await, 0);
 }
 
 /// The same for the configuration: a storm of versions of which the last one moves a route.
