entry: a request is checked after its wait for room, not before

What callers saw: a request that waited at `fescuewalk entry` for room at its backend server, for up to 1 s at a time, reached the server although meanwhile the caller's key had been withdrawn, or the request had been quarantined because it crashes servers.

Cause: `run_at_side` built the message to the side process, with the time left, the epoch and whether the request has to run alone, before it waited for room for the body and in the queue of the connection. Nothing was checked after it. The caller's key was checked only as the request arrived, before its body was read and before it waited for a grant.

Change: the waits for the connection, for room at the server and for a place in the send queue come first and end at the request's time limit. Then the time left, the key, the right to the model or service and the quarantine are checked, and the message is built and put into the place that is held; nothing waits between. A request that is ruled out is refused as not run. As the queue's place is reserved, the message cannot wait for one after the check.

The time left and the epoch are read in the code only. Tests of `entry`, `wire`, `lists`, and of `fescuewalk` the files once, once_faults, path, entry_memory, entry_slow_readers and odd_objects passed.

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -205,6 +205,29 @@
         })
     }
 
+    /// Checks the caller's key and its right to the target again, by the current `lists`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they no longer permit the call.
+    pub fn check_rights(&self, lists: &ListSet) -> Result<()> {
+        let rights = lists.caller(&self.rights.key)?;
+        if rights.customer.id != self.rights.customer.id {
+            return Err(ResultCode::UnknownCustomer);
+        }
+        match &self.target {
+            CallTarget::Model { base, adapter: None } => {
+                lists.target(&rights, base.id.as_str()).map(drop)
+            }
+            CallTarget::Model { adapter: Some(adapter), .. } => {
+                lists.target(&rights, adapter.id.as_str()).map(drop)
+            }
+            CallTarget::Service(service) => {
+                lists.plain_service(&rights, service.name.as_str()).map(drop)
+            }
+        }
+    }
+
     /// The target in the form used in messages to owners.
     pub fn wire_target(&self) -> CreditTarget {
         match &self.target {
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -8,11 +8,11 @@
 
 use base::{ids::AttemptId, prelude::*};
 use lists::WorkClass;
-use once::{AttemptRecord, QuarantineStatus, RequestFingerprint};
+use once::{AttemptRecord, QuarantineStatus, RequestFingerprint, RunIsolation};
 use routing::{OwnerCount, OwnerKey, OwnerRanking};
 use tokio::{sync::mpsc, time};
 use wire::{
-    Message,
+    Message, SendSlot,
     credit::{CreditRequest, CreditUse},
     run::RunRequest,
 };
@@ -32,6 +32,7 @@
     process::EntryState,
     refusals::CallRefusal,
     runs::RunEvent,
+    server_load::HeldAtServer,
     slow::SlowCause,
 };
 
@@ -61,6 +62,12 @@
     MayHaveRun(ResultCode),
 }
 
+/// Room for one request at a backend server and on the connection to its side process.
+struct SendRoom<'a> {
+    held: HeldAtServer,
+    slot: SendSlot<'a>,
+}
+
 /// Serves one request.
 pub struct RequestDriver {
     state: Arc<EntryState>,
@@ -182,16 +189,22 @@
         let Ok(address) = credit.grant.address.parse() else {
             return Ok(AttemptEnd::NotRun(ResultCode::NoReplica));
         };
-        let Ok(side) = self.state.peers.link(address).await else {
+        let linking = self.state.peers.link(address);
+        let Ok(Ok(side)) = time::timeout(self.time_left(), linking).await else {
             return Ok(AttemptEnd::NotRun(ResultCode::NoReplica));
         };
         if side.peer.incarnation.0 != credit.grant.incarnation {
             return Ok(AttemptEnd::NotRun(ResultCode::NoReplica));
         }
+        let Some(room) = self.wait_for_room(&side).await else {
+            return Ok(AttemptEnd::NotRun(ResultCode::NoReplica));
+        };
+        // Nothing waits between this check and the send.
+        let isolation = self.check_before_send()?;
         if !self.record.record_delivery(attempt) {
             return Ok(AttemptEnd::NotRun(ResultCode::NoReplica));
         }
-        let end = self.run_at_side(id, &side, credit).await;
+        let end = self.run_at_side(id, &side, credit, room, isolation).await;
         if matches!(end, AttemptEnd::Answered(_)) {
             self.count_if_slow(wait, is_cold);
         }
@@ -258,14 +271,40 @@
         Ok(None)
     }
 
+    /// Waits until the backend server and the connection to its side process have room for the request;
+    /// `None` if that takes too long.
+    async fn wait_for_room<'a>(&self, side: &'a PeerHandle) -> Option<SendRoom<'a>> {
+        let holding = self.state.server_load.hold(&side.peer.vm, self.call.body.len());
+        let held = time::timeout(self.time_left().min(MAX_SERVER_WAIT), holding).await.ok()?;
+        let slot = time::timeout(self.time_left(), side.sender.reserve()).await.ok()?.ok()?;
+        Some(SendRoom { held, slot })
+    }
+
+    /// Checks what may have changed while the request waited.
+    fn check_before_send(&self) -> Result<RunIsolation> {
+        if self.time_left().is_zero() {
+            return Err(ResultCode::DeadlinePassed.into());
+        }
+        let lists = self.state.lists.borrow();
+        self.call.check_rights(lists.as_ref().ok_or(ResultCode::ListsMissing)?)?;
+        match self.quarantine_status() {
+            QuarantineStatus::Clear => Ok(RunIsolation::Shared),
+            QuarantineStatus::Suspect => Ok(RunIsolation::Alone),
+            QuarantineStatus::Quarantined => Err(ResultCode::RequestQuarantined.into()),
+        }
+    }
+
     async fn run_at_side(
         &self,
         id: AttemptId,
         side: &PeerHandle,
         credit: HeldCredit,
+        room: SendRoom<'_>,
+        isolation: RunIsolation,
     ) -> AttemptEnd {
+        let SendRoom { held, slot } = room;
+        let is_alone = isolation == RunIsolation::Alone;
         let target = self.call.wire_target();
-        let is_alone = self.quarantine_status() == QuarantineStatus::Suspect;
         let epoch = side.epoch.load(Ordering::Relaxed);
         let request = RunRequest {
             request: id.request_bytes(),
@@ -289,16 +328,13 @@
             fingerprint: self.fingerprint,
             is_alone,
         };
-        let holding = self.state.server_load.hold(&side.peer.vm, self.call.body.len());
-        let Ok(held) = time::timeout(self.time_left().min(MAX_SERVER_WAIT), holding).await else {
-            return AttemptEnd::NotRun(ResultCode::NoReplica);
-        };
         let mut run = ActiveRun::register(Arc::clone(&self.state), id, side, credit, quarantine);
         run.epoch = epoch;
-        if side.sender.send(Message::RunRequest(request)).await.is_err() {
+        if side.sender.is_closed() {
             run.is_open = false;
             return AttemptEnd::NotRun(ResultCode::NoReplica);
         }
+        slot.send(Message::RunRequest(request));
         run.credit.used = CreditUse::Withdrawn;
         let head = match time::timeout(self.time_left(), run.next_event()).await {
             Ok(RunEvent::Refused(code)) => {
--- a/crates/lists/src/set.rs
+++ b/crates/lists/src/set.rs
@@ -39,6 +39,8 @@
 /// An authenticated caller: its customer and that customer's plan.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CallerRights {
+    /// Hash of the key that the caller presented.
+    pub key: KeyHash,
     /// Customer whose key the caller presented.
     pub customer: Arc<CustomerEntry>,
     /// Plan of the customer.
@@ -123,7 +125,8 @@
     pub fn caller(&self, hash: &KeyHash) -> Result<CallerRights, ResultCode> {
         let customer = self.keys.get(hash).ok_or(ResultCode::UnknownCustomer)?;
         let plan = self.plans.get(&customer.plan).ok_or(ResultCode::UnknownCustomer)?;
-        Ok(CallerRights { customer: Arc::clone(customer), plan: Arc::clone(plan) })
+        let (customer, plan) = (Arc::clone(customer), Arc::clone(plan));
+        Ok(CallerRights { key: hash.clone(), customer, plan })
     }
 
     /// Looks up the model or adapter `name`, if the caller's plan permits it.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,7 +13,7 @@
 pub use crate::{
     envelope::{Envelope, Message},
     handshake::{FleetSecret, PeerIdentity, PeerRole},
-    link::{HeartbeatTiming, LinkOptions, LinkReceiver, LinkSender, PeerLink},
+    link::{HeartbeatTiming, LinkOptions, LinkReceiver, LinkSender, PeerLink, SendSlot},
     listen::ListenError,
     settings::ProcessSettings,
 };
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -172,6 +172,15 @@
         self.queue.send(message.into()).await.ok().ok_or(LinkError::Ended)
     }
 
+    /// Waits for a place in the send queue, for a message that is built when it can be sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection has ended.
+    pub async fn reserve(&self) -> Result<SendSlot<'_>> {
+        Ok(SendSlot(self.queue.reserve().await.ok().ok_or(LinkError::Ended)?))
+    }
+
     /// Puts `message` into the send queue without waiting. Returns `false` and drops the message if
     /// the queue is full or the connection has ended.
     pub fn offer(&self, message: Message) -> bool {
@@ -199,6 +208,17 @@
     }
 }
 
+/// A place in the send queue of a connection; free again if it is dropped.
+#[derive(Debug)]
+pub struct SendSlot<'a>(mpsc::Permit<'a, Envelope>);
+
+impl SendSlot<'_> {
+    /// Puts `message` into the send queue. Drops it if the connection has ended meanwhile.
+    pub fn send(self, message: Message) {
+        self.0.send(message.into());
+    }
+}
+
 /// Receives messages in order.
 #[derive(Debug)]
 pub struct LinkReceiver {
