signals: a stop during the start is a planned stop

What operators saw: SIGTERM, SIGINT or SIGQUIT that came before a process had its addresses ended it by the signal and not with status 0, without `stopping` and `stopped`: while it waited for its settings, for an address that its VM did not have yet or that another process had, or while its runtime started. Supervisors count that as a failure.

Cause: the first step of `main` let the stop signals through, and their handlers were installed only once the process listened.

Change: the first step of `main` holds them back, as it does SIGHUP. Whatever waits before the runtime checks between two attempts whether one has come, and the process then ends with status 0. The handlers are the first step in the runtime; a signal that was held back, or comes while addresses are taken, ends the start with `stopping` and `stopped` in the decision log, or with a line in the log of `fescuewalk entry` and `fescuewalk-side FILE`. Commands, `--check` and `--help` release the signals at once, so that a terminal ends them as before. A process without a free descriptor cannot look for a signal that is held back; it lets them through between two attempts and ends by the signal, as before.

A start without a free descriptor was not tried.

--- a/crates/base/src/signals.rs
+++ b/crates/base/src/signals.rs
@@ -1,8 +1,11 @@
 //! Signals that stop a process or make it reload its settings.
 
-use std::{fs, io, path::PathBuf};
+use std::{fs, io, path::PathBuf, thread};
 
-use nix::sys::signal::{SigSet, Signal as SignalNumber};
+use nix::sys::{
+    signal::{SigSet, Signal as SignalNumber},
+    signalfd::{SfdFlags, SignalFd},
+};
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
     time::{self, Duration, Instant},
@@ -18,28 +21,77 @@
     SigSet::from(SignalNumber::SIGHUP)
 }
 
-/// Sets the signal mask of a program: holds back signals without a use and SIGHUP, whose default actions
-/// would end the process, and lets the stop signals through. The first step of `main`, because a signal
-/// may come at any time after the start.
+fn stop_set() -> SigSet {
+    [SignalNumber::SIGTERM, SignalNumber::SIGINT, SignalNumber::SIGQUIT].into_iter().collect()
+}
+
+/// Sets the signal mask of a program: holds back the stop signals and SIGHUP until the process handles
+/// them, and signals without a use, because the default action of each would end the process. The first
+/// step of `main`, because a signal may come at any time after the start.
 ///
 /// # Errors
 ///
 /// Fails if the mask of the thread cannot be changed.
 pub fn mask_at_start() -> io::Result<()> {
+    stop_set().thread_block()?;
     hold_unused()?;
-    hang_up_set().thread_block()?;
-    let_stop_through()
+    Ok(hang_up_set().thread_block()?)
 }
 
-/// Ends the hold of SIGHUP in this thread, for commands that a terminal may end.
+/// Ends the hold of SIGHUP and the stop signals in this thread, for commands that a terminal may end.
 ///
 /// # Errors
 ///
 /// Fails if the mask of the thread cannot be changed.
-pub fn release_hang_up() -> io::Result<()> {
+pub fn release_signals() -> io::Result<()> {
+    release_hang_up()?;
+    release_stop()
+}
+
+fn release_hang_up() -> io::Result<()> {
     Ok(hang_up_set().thread_unblock()?)
 }
 
+/// Ends the hold of the stop signals in this thread. A process may also have inherited it: a service
+/// manager that waits for its own signals blocks these.
+///
+/// # Errors
+///
+/// Fails if the mask of the thread cannot be changed.
+pub fn release_stop() -> io::Result<()> {
+    Ok(stop_set().thread_unblock()?)
+}
+
+/// Takes a stop signal that [`mask_at_start`] has held back; false if none has come.
+fn take_held_stop() -> io::Result<bool> {
+    let flags = SfdFlags::SFD_NONBLOCK | SfdFlags::SFD_CLOEXEC;
+    let held = SignalFd::with_flags(&stop_set(), flags)?.read_signal()?;
+    Ok(held.is_some())
+}
+
+/// Blocks the thread for `pause` while [`mask_at_start`] holds back stop signals, or returns true at
+/// once if one has come. Without a free descriptor that cannot be known, and a stop signal ends the
+/// process by its default action meanwhile.
+///
+/// # Errors
+///
+/// Fails if the mask of the thread cannot be changed.
+pub fn stopped_before(pause: Duration) -> io::Result<bool> {
+    match take_held_stop() {
+        Ok(true) => Ok(true),
+        Ok(false) => {
+            thread::sleep(pause);
+            Ok(false)
+        }
+        Err(_) => {
+            release_stop()?;
+            thread::sleep(pause);
+            stop_set().thread_block()?;
+            Ok(false)
+        }
+    }
+}
+
 /// Signals that a process has no use for, and whose default action would end it.
 const UNUSED_SIGNALS: [SignalNumber; 9] = [
     SignalNumber::SIGUSR1,
@@ -62,50 +114,82 @@
     Ok(held.thread_block()?)
 }
 
-/// Lets the stop signals through. A process inherits the blocked signals of what starts it, and a
-/// service manager that waits for its own signals blocks these.
-fn let_stop_through() -> io::Result<()> {
-    let stop = [SignalNumber::SIGTERM, SignalNumber::SIGINT, SignalNumber::SIGQUIT];
-    Ok(stop.into_iter().collect::<SigSet>().thread_unblock()?)
+/// Receives SIGTERM, SIGINT and SIGQUIT.
+#[derive(Debug)]
+pub struct StopSignals {
+    /// Whether one came before the handlers were installed.
+    was_held: bool,
+    terminate: Signal,
+    interrupt: Signal,
+    quit: Signal,
 }
 
-/// Waits for SIGTERM, SIGINT or SIGQUIT. Returns the last time at which the signal had not come yet: a process
-/// that did not get the processor for a while notices it late.
-///
-/// # Errors
-///
-/// Fails if the signal handlers cannot be installed.
-pub async fn stop_requested() -> io::Result<Instant> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut quit = signal(SignalKind::quit())?;
-    loop {
-        let turn = Instant::now();
+impl StopSignals {
+    /// Installs the handlers and ends the hold of these signals in the thread that calls it; one that
+    /// was held back is received.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the handlers cannot be installed.
+    pub fn start() -> io::Result<Self> {
+        let terminate = signal(SignalKind::terminate())?;
+        let interrupt = signal(SignalKind::interrupt())?;
+        let quit = signal(SignalKind::quit())?;
+        // Without a descriptor the handlers receive it, a moment later.
+        let was_held = take_held_stop().unwrap_or(false);
+        release_stop()?;
+        Ok(Self { was_held, terminate, interrupt, quit })
+    }
+
+    /// Waits for a stop signal. Returns the last time at which the signal had not come yet: a process
+    /// that did not get the processor for a while notices it late.
+    pub async fn requested(&mut self) -> Instant {
+        loop {
+            let turn = Instant::now();
+            if self.was_held {
+                return turn;
+            }
+            tokio::select! {
+                biased;
+                _ = self.terminate.recv() => return turn,
+                _ = self.interrupt.recv() => return turn,
+                _ = self.quit.recv() => return turn,
+                () = time::sleep(TURN_INTERVAL) => {}
+            }
+        }
+    }
+
+    /// Runs `start` until it is done; `None` if a stop signal comes first.
+    pub async fn unless_requested<T>(&mut self, start: impl Future<Output = T>) -> Option<T> {
         tokio::select! {
             biased;
-            _ = terminate.recv() => return Ok(turn),
-            _ = interrupt.recv() => return Ok(turn),
-            _ = quit.recv() => return Ok(turn),
-            () = time::sleep(TURN_INTERVAL) => {}
+            _ = self.requested() => None,
+            started = start => Some(started),
         }
     }
 }
 
-/// Waits for a stop signal as [`stop_requested`] does. Until then passes the text of the settings
-/// file, or the error of reading it, to `reload` whenever the file changes or SIGHUP arrives.
+/// Waits for a stop signal as [`StopSignals::requested`] does.
 ///
 /// # Errors
 ///
 /// Fails if the signal handlers cannot be installed.
+pub async fn stop_requested() -> io::Result<Instant> {
+    Ok(StopSignals::start()?.requested().await)
+}
+
+/// Waits for a stop signal as [`StopSignals::requested`] does. Until then passes the text of the
+/// settings file, or the error of reading it, to `reload` whenever the file changes or SIGHUP arrives.
 pub async fn reload_until_stopped(
     mut watch: SettingsWatch,
+    mut stop: StopSignals,
     mut reload: impl FnMut(io::Result<String>),
-) -> io::Result<Instant> {
-    let stop = stop_requested();
-    tokio::pin!(stop);
+) -> Instant {
+    let stopped = stop.requested();
+    tokio::pin!(stopped);
     loop {
         tokio::select! {
-            stopped = &mut stop => return stopped,
+            turn = &mut stopped => return turn,
             text = watch.reread() => reload(text),
         }
     }
--- a/crates/base/src/startup.rs
+++ b/crates/base/src/startup.rs
@@ -8,12 +8,13 @@
 use std::{
     fmt::Display,
     io::{self, Write},
-    thread,
     time::Duration,
 };
 
 use tokio::time;
 
+use crate::signals;
+
 /// Pause between two attempts.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Number of attempts from one report of a cause to the next; reports are 30 s apart.
@@ -55,25 +56,34 @@
     }
 }
 
+/// Writes a line on standard error, for what comes before the log.
+fn report(text: &str) {
+    // Standard error may be closed, which must not end the start.
+    let _ = writeln!(io::stderr(), "start: {text}");
+}
+
 /// Calls `take` until it succeeds; blocks the thread. Reports failures on standard error, for causes
-/// that come before the log.
-pub fn take_when_possible<T, E: Display>(mut take: impl FnMut() -> Result<T, E>) -> T {
+/// that come before the log. `None` if a stop signal comes first, which is held back until then.
+pub fn take_when_possible<T, E: Display>(mut take: impl FnMut() -> Result<T, E>) -> Option<T> {
     let mut reports = FailureReports::default();
     loop {
         match take() {
-            Ok(taken) => return taken,
+            Ok(taken) => return Some(taken),
             Err(error) => {
                 let cause = error.to_string();
                 if reports.is_due(&cause) {
-                    // Standard error may be closed, which must not end the start.
-                    let _ = writeln!(
-                        io::stderr(),
-                        "start: {cause}\nstart: trying again every {RETRY_PAUSE:?}"
-                    );
+                    report(&format!("{cause}\nstart: trying again every {RETRY_PAUSE:?}"));
                 }
             }
         }
-        thread::sleep(RETRY_PAUSE);
+        match signals::stopped_before(RETRY_PAUSE) {
+            Ok(false) => {}
+            Ok(true) => {
+                report("a stop signal came first, the process ends");
+                return None;
+            }
+            Err(error) => report(&format!("the signal mask cannot be changed: {error}")),
+        }
     }
 }
 
@@ -85,10 +95,10 @@
 
 /// Calls `read`, which reads and checks the settings file and returns its text with them, until the
 /// file has no fault that a process cannot do with and a whole last line. Blocks the thread; the
-/// runtime and the log do not exist without settings.
+/// runtime and the log do not exist without settings. `None` if a stop signal comes first.
 pub fn read_when_complete<T, E: Display>(
     mut read: impl FnMut() -> Result<(T, String), E>,
-) -> (T, String) {
+) -> Option<(T, String)> {
     take_when_possible(|| match read() {
         Ok((_, text)) if ends_within_line(&text) => {
             Err("the last line of the settings may be incomplete".to_owned())
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -13,7 +13,7 @@
 pub use crate::{
     event::DecisionEvent,
     fields::{Dependency, millis},
-    run::{run_with_log, run_with_output},
+    run::{record_early_stop, run_with_log, run_with_output},
     sink::{EventLog, LogLimits, WriterThread},
     tasks::spawn_lasting,
 };
--- a/crates/events/src/run.rs
+++ b/crates/events/src/run.rs
@@ -26,15 +26,15 @@
 
 /// Runs `task` on a single-threaded runtime with a decision log of `vm` on standard output, and
 /// writes the remaining lines when the task has ended, as long as the output takes them. Panics of
-/// any task are recorded in it.
+/// any task are recorded in it. A stop signal that comes before the runtime ends it without them.
 ///
 /// # Errors
 ///
 /// Fails if the logger cannot start, and returns the error of `task`.
-pub fn run_with_log<T, E>(
+pub fn run_with_log<E>(
     vm: &VmId,
-    task: impl AsyncFnOnce(EventLog) -> Result<T, E>,
-) -> Result<T, E>
+    task: impl AsyncFnOnce(EventLog) -> Result<(), E>,
+) -> Result<(), E>
 where
     E: Display + From<io::Error> + From<FlexiLoggerError>,
 {
@@ -46,16 +46,17 @@
 /// # Errors
 ///
 /// As [`run_with_log`].
-pub fn run_with_output<T, E>(
+pub fn run_with_output<E>(
     vm: &VmId,
     output: impl Write + Send + 'static,
-    task: impl AsyncFnOnce(EventLog) -> Result<T, E>,
-) -> Result<T, E>
+    task: impl AsyncFnOnce(EventLog) -> Result<(), E>,
+) -> Result<(), E>
 where
     E: Display + From<io::Error> + From<FlexiLoggerError>,
 {
     // Descriptors may be short for a while, for the process or for the VM.
-    let runtime = take_when_possible(|| Builder::new_current_thread().enable_all().build());
+    let build = || Builder::new_current_thread().enable_all().build();
+    let Some(runtime) = take_when_possible(build) else { return Ok(()) };
     let (log, writer) = EventLog::start(vm, LogLimits::default(), output);
     let _logger = log.capture_log_records(LevelFilter::Info)?;
     record_panics(&log);
@@ -71,6 +72,12 @@
     outcome.unwrap_or_else(|payload| panic::resume_unwind(payload))
 }
 
+/// Records a planned stop that came before the process had started.
+pub fn record_early_stop(log: &EventLog) {
+    log.record(&DecisionEvent::Stopping { in_flight: 0 });
+    log.record(&DecisionEvent::Stopped { in_flight: 0 });
+}
+
 fn wait_for_writer(writer: &WriterThread) {
     let mut waited = Duration::ZERO;
     while !writer.is_finished() && waited < MAX_CLOSE_TIME {
--- a/crates/fescuewalk-side/src/cmd/agent.rs
+++ b/crates/fescuewalk-side/src/cmd/agent.rs
@@ -8,11 +8,11 @@
 
 use agent::{Agent, AgentSettings};
 use base::{
-    signals::{SettingsWatch, reload_until_stopped},
+    signals::{SettingsWatch, StopSignals, reload_until_stopped},
     startup::read_when_complete,
 };
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use events::{DecisionEvent, EventLog, run_with_log};
+use events::{DecisionEvent, EventLog, record_early_stop, run_with_log};
 
 use crate::error::{Result, UsageSnafu};
 
@@ -68,28 +68,34 @@
         println!("{name}: no faults");
         return Ok(());
     }
-    let ((settings, lesser), text) = read_when_complete(|| -> Result<_> {
+    let read = read_when_complete(|| -> Result<_> {
         let text = fs::read_to_string(&path)?;
         Ok((AgentSettings::parse_usable(&name, &text)?, text))
     });
+    let Some(((settings, lesser), text)) = read else { return Ok(()) };
     let vm = settings.vm.clone();
     run_with_log(&vm, async move |log| {
+        let stop = StopSignals::start()?;
         lesser.warn();
         let watch = SettingsWatch::start(&path, text)?;
-        serve(settings, watch, &name, log).await
+        serve(settings, watch, stop, &name, log).await;
+        Ok(())
     })
 }
 
 async fn serve(
     settings: AgentSettings,
     watch: SettingsWatch,
+    mut stop: StopSignals,
     name: &str,
     log: EventLog,
-) -> Result<()> {
-    let agent = Agent::start(settings.clone(), log.clone()).await;
-    reload_until_stopped(watch, |text| record_reload(&settings, name, text, &log)).await?;
+) {
+    let starting = Agent::start(settings.clone(), log.clone());
+    let Some(agent) = stop.unless_requested(starting).await else {
+        return record_early_stop(&log);
+    };
+    reload_until_stopped(watch, stop, |text| record_reload(&settings, name, text, &log)).await;
     agent.stop();
-    Ok(())
 }
 
 /// Records in the event log whether the changed settings file is valid. No change is applied
--- a/crates/fescuewalk-side/src/cmd/side.rs
+++ b/crates/fescuewalk-side/src/cmd/side.rs
@@ -11,7 +11,7 @@
     path::PathBuf,
 };
 
-use base::signals::stop_requested;
+use base::signals::StopSignals;
 use clap::ArgMatches;
 use side::{SideHandle, SideSettings};
 
@@ -22,21 +22,29 @@
 /// # Errors
 ///
 /// Fails if the settings cannot be read or have faults, or if the process cannot start.
-#[tokio::main]
-pub async fn run(args: &ArgMatches) -> Result<()> {
+pub fn run(args: &ArgMatches) -> Result<()> {
     let path = args.get_one::<PathBuf>("settings").expect("clap enforces required arguments");
     let settings = SideSettings::parse(&path.display().to_string(), &fs::read_to_string(path)?)?;
     if args.get_flag("check") {
         println!("{}: no faults", path.display());
         return Ok(());
     }
+    serve(settings)
+}
+
+#[tokio::main]
+async fn serve(settings: SideSettings) -> Result<()> {
+    let mut stop = StopSignals::start()?;
     let _logger = settings.log.start()?;
-    let handle = SideHandle::start(settings).await;
+    let Some(handle) = stop.unless_requested(SideHandle::start(settings)).await else {
+        log::info!("process: stopped before it listened");
+        return Ok(());
+    };
     let (peers, http) = (handle.peer_address(), handle.http_address());
     if let Err(error) = writeln!(io::stdout(), "listening peers {peers} http {http}") {
         log::warn!("process: the addresses cannot be written to standard output: {error}");
     }
-    stop_requested().await?;
+    stop.requested().await;
     handle.stop().await;
     Ok(())
 }
--- a/crates/fescuewalk-side/src/main.rs
+++ b/crates/fescuewalk-side/src/main.rs
@@ -6,7 +6,7 @@
 
 use std::{path::PathBuf, process::ExitCode};
 
-use base::signals::mask_at_start;
+use base::signals::{mask_at_start, release_signals, release_stop};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use crate::error::Result;
@@ -33,7 +33,19 @@
         .subcommand(cmd::agent::command())
 }
 
+/// Writes the help or the fault of the arguments, which may take long, and exits.
+fn exit_without_command(error: &clap::Error) -> ! {
+    if let Err(error) = release_stop() {
+        eprintln!("fescuewalk-side: stop signals are still held back: {error}");
+    }
+    error.exit()
+}
+
 fn run(matches: &ArgMatches) -> Result<()> {
+    let args = matches.subcommand().map_or(matches, |(_, args)| args);
+    if args.get_flag("check") {
+        release_signals()?;
+    }
     match matches.subcommand() {
         Some(("agent", args)) => cmd::agent::run(args),
         _ => cmd::side::run(matches),
@@ -42,7 +54,8 @@
 
 fn main() -> ExitCode {
     let masked = mask_at_start();
-    let matches = command().get_matches();
+    let matches = command().try_get_matches();
+    let matches = matches.unwrap_or_else(|error| exit_without_command(&error));
     match masked.map_err(Into::into).and_then(|()| run(&matches)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/fescuewalk/src/cmd/entry.rs
+++ b/crates/fescuewalk/src/cmd/entry.rs
@@ -6,7 +6,7 @@
 
 use std::io::{self, Write};
 
-use base::signals::stop_requested;
+use base::signals::StopSignals;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use entry::{EntryHandle, EntrySettings};
 
@@ -50,21 +50,29 @@
 /// # Errors
 ///
 /// Fails if the settings cannot be read or have faults, or if the process cannot start.
-#[tokio::main]
-pub async fn run(args: &ArgMatches) -> CliResult<()> {
+pub fn run(args: &ArgMatches) -> CliResult<()> {
     let args = EntryArgs::new(args);
     let settings = EntrySettings::parse(&args.settings.name(), &args.settings.read_text()?)?;
     if args.check {
         println!("{}: no faults", args.settings.name());
         return Ok(());
     }
+    serve(settings)
+}
+
+#[tokio::main]
+async fn serve(settings: EntrySettings) -> CliResult<()> {
+    let mut stop = StopSignals::start()?;
     let _logger = settings.log.start()?;
-    let handle = EntryHandle::start(settings).await;
+    let Some(handle) = stop.unless_requested(EntryHandle::start(settings)).await else {
+        log::info!("process: stopped before it listened");
+        return Ok(());
+    };
     let (peers, http) = (handle.peer_address(), handle.http_address());
     if let Err(error) = writeln!(io::stdout(), "listening peers {peers} http {http}") {
         log::warn!("process: the addresses cannot be written to standard output: {error}");
     }
-    stop_requested().await?;
+    stop.requested().await;
     handle.stop().await;
     Ok(())
 }
--- a/crates/fescuewalk/src/cmd/gateway.rs
+++ b/crates/fescuewalk/src/cmd/gateway.rs
@@ -7,11 +7,11 @@
 use std::{env, path::PathBuf};
 
 use base::{
-    signals::{SettingsWatch, reload_until_stopped},
+    signals::{SettingsWatch, StopSignals, reload_until_stopped},
     startup::read_when_complete,
 };
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use events::{EventLog, run_with_log};
+use events::{EventLog, record_early_stop, run_with_log};
 use gateway::{GatewayHandle, GatewaySettings};
 
 use crate::{
@@ -76,26 +76,32 @@
         println!("{name}: no faults");
         return Ok(());
     }
-    let ((settings, lesser), text) = read_when_complete(|| -> CliResult<_> {
+    let read = read_when_complete(|| -> CliResult<_> {
         let text = args.settings.read_text()?;
         Ok((GatewaySettings::parse_usable(&name, &text)?, text))
     });
+    let Some(((settings, lesser), text)) = read else { return Ok(()) };
     let vm = settings.identity.vm.clone();
     run_with_log(&vm, async move |log| {
+        let stop = StopSignals::start()?;
         lesser.warn();
         let watch = SettingsWatch::start(&name, text)?;
-        serve(settings, watch, &name, log).await
+        serve(settings, watch, stop, &name, log).await;
+        Ok(())
     })
 }
 
 async fn serve(
     settings: GatewaySettings,
     watch: SettingsWatch,
+    mut stop: StopSignals,
     name: &str,
     log: EventLog,
-) -> CliResult<()> {
-    let mut handle = GatewayHandle::start(settings, log).await;
-    let signalled = reload_until_stopped(watch, |text| handle.reload(name, text)).await?;
+) {
+    let starting = GatewayHandle::start(settings, log.clone());
+    let Some(mut handle) = stop.unless_requested(starting).await else {
+        return record_early_stop(&log);
+    };
+    let signalled = reload_until_stopped(watch, stop, |text| handle.reload(name, text)).await;
     handle.stop_since(signalled).await;
-    Ok(())
 }
--- a/crates/fescuewalk/src/main.rs
+++ b/crates/fescuewalk/src/main.rs
@@ -9,7 +9,7 @@
 
 use std::process::ExitCode;
 
-use base::signals::{mask_at_start, release_hang_up};
+use base::signals::{mask_at_start, release_signals, release_stop};
 use clap::{ArgMatches, Command};
 
 use crate::error::CliResult;
@@ -35,9 +35,23 @@
         .subcommand(cmd::r#try::command())
 }
 
+/// Whether a process is started that has to end in a planned stop.
+fn runs_process(matches: &ArgMatches) -> bool {
+    let process = matches.subcommand().filter(|(name, _)| matches!(*name, "entry" | "gateway"));
+    process.is_some_and(|(_, args)| !args.get_flag("check"))
+}
+
+/// Writes the help or the fault of the arguments, which may take long, and exits.
+fn exit_without_command(error: &clap::Error) -> ! {
+    if let Err(error) = release_stop() {
+        eprintln!("fescuewalk: stop signals are still held back: {error}");
+    }
+    error.exit()
+}
+
 fn run(matches: &ArgMatches) -> CliResult<()> {
-    if !matches!(matches.subcommand_name(), Some("entry" | "gateway")) {
-        release_hang_up()?;
+    if !runs_process(matches) {
+        release_signals()?;
     }
     match matches.subcommand() {
         Some(("account", args)) => cmd::account::run(args),
@@ -59,7 +73,8 @@
 
 fn main() -> ExitCode {
     let masked = mask_at_start();
-    let matches = command().get_matches();
+    let matches = command().try_get_matches();
+    let matches = matches.unwrap_or_else(|error| exit_without_command(&error));
     match masked.map_err(Into::into).and_then(|()| run(&matches)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
