gateway: a call id by which no answer can be recognized is refused

What callers saw: a request with an `Attempt-Id` that is not ASCII ran, and its caller got 502. With two different ones, the caller got an answer with either.

Cause: an id that is not text counted as absent, and was passed on. The answer bore it, read differently by the server, and counted as that of another request. Of two ids the first was compared, whichever the server took.

Change: such a request is refused as malformed (400), before its body is read and anything runs. The same id in two headers is served as before. The log has the reason in `call-refused`. Other headers of callers are not compared with those of answers; malformed ones count as absent, as before.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -125,6 +125,10 @@
     trace: &mut CallTrace,
 ) -> Result<AdmittedCall, RefusedCall> {
     let arrived = Instant::now();
+    if !header_format::has_clear_call_id(request.headers()) {
+        let reason = "the call id is not ASCII or there are several";
+        return Err(Refusal::new(ResultCode::MalformedRequest, reason).into());
+    }
     let Some(catalog) = gateway.catalog.borrow().clone() else {
         let reason = "no configuration has been read yet";
         return Err(Refusal::with_retry_after(
