gateway: an empty call id answers a request without one

What callers saw: a request without `Attempt-Id` ran, and its caller got 502, at a server that answers with an empty id.

Cause: an empty id in the answer counted as that of another request.

Change: it counts as no id if the request had none. The answer to a request with an id must bear this id, as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -264,7 +264,8 @@
     // On a connection that carried requests before, an answer without a call id may be one of
     // theirs, repeated.
     let is_own = match &head.call {
-        Some(call) => request.call.as_ref() == Some(call),
+        // A server that reads an absent id as an empty one answers with that.
+        Some(call) => request.call.as_ref().map_or("", |sent| sent.0.as_str()) == call.0,
         None => request.call.is_none() || !lease.is_reused(),
     };
     if !is_own {
--- a/crates/gateway/tests/call_ids.rs
+++ b/crates/gateway/tests/call_ids.rs
@@ -17,6 +17,8 @@
 #[case::ascii_and_other(&[b"c-1".as_slice(), b"caf\xe9"], 400)]
 #[case::repeated(&[b"c-1".as_slice(), b"c-1"], 200)]
 #[case::ascii(&[b"c 1~".as_slice()], 200)]
+#[case::empty(&[b"".as_slice()], 200)]
+#[case::none(&[], 200)]
 #[tokio::test]
 async fn request_runs_only_if_its_answer_can_be_recognized(
     #[case] ids: &[&[u8]],
