fescuewalk: tests of entries that start beside an unreadable head of the lists

A head `lists/head` that cannot be read was noted as keeping a fleet from starting. At entries this is not so on this code: one that restarts alone gets the lists from another entry and serves; entries that all start meanwhile wait, are not ready and name the object in their logs, and serve once it is whole again.

An entry without any peer that has lists does not take them from the records of edits: the newest record may be of an edit that was refused, and the one before it may lack the last key that was withdrawn.

--- a/crates/fescuewalk/tests/odd_objects.rs
+++ b/crates/fescuewalk/tests/odd_objects.rs
@@ -6,7 +6,12 @@
 
 use base::{clock, prelude::*};
 use bytes::Bytes;
-use lists::store::objects::HeadObject;
+use lists::store::objects::{HeadObject, head_key};
+use object_api::{
+    ObjectStore, WriteCondition,
+    http::{ClientSettings, PlatformClient},
+};
+use rstest::rstest;
 use serde_json::{Value, json};
 use standin::load::{CallKind, CallVerdict, ChatCall, EntryClient, ScriptedCall, ServiceCall};
 use support::{
@@ -17,6 +22,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::mpsc,
+    time,
 };
 
 /// Prefixes under which the processes read objects.
@@ -147,6 +153,38 @@
     }
 }
 
+/// Guards against an entry that does not get its lists from another while their head cannot be read, and
+/// against entries that never serve again because they started meanwhile.
+#[rstest]
+#[case::no_object("[7]")]
+#[case::no_edit(r#"{"version":1,"digest":0,"plans":[],"rights":[]}"#)]
+#[case::older(r#"{"version":0,"digest":0,"plans":[],"rights":[],"edit":""}"#)]
+#[case::not_text("\u{0}")]
+#[tokio::test]
+async fn entries_serve_once_an_unreadable_head_is_whole_again(#[case] text: &'static str) {
+    let mut fleet = start_fleet_with(&FleetSetup::default()).await;
+    let store = PlatformClient::new(ClientSettings::new(fleet.platform()));
+    let key = head_key();
+    let head = store.get(&key).await.unwrap().unwrap();
+    let odd = store.put(&key, text.into(), WriteCondition::Version(head.version)).await.unwrap();
+
+    fleet.restart_entries(1);
+    for entry in fleet.addresses() {
+        wait_until_ready(entry).await;
+    }
+    let before = verdicts(&fleet, "before").await;
+    fleet.restart_entries(0);
+    time::sleep(Duration::from_secs(3)).await;
+    store.put(&key, head.body, WriteCondition::Version(odd)).await.unwrap();
+    for entry in fleet.addresses() {
+        wait_until_ready(entry).await;
+    }
+    let after = verdicts(&fleet, "after").await;
+
+    assert_eq!(before, vec![CallVerdict::Complete; 20]);
+    assert_eq!(after, vec![CallVerdict::Complete; 20]);
+}
+
 /// A service that reports the request lines that reach it, at the returned address.
 async fn recording_service() -> (SocketAddr, mpsc::UnboundedReceiver<String>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/crates/fescuewalk/tests/support/fleet.rs
+++ b/crates/fescuewalk/tests/support/fleet.rs
@@ -79,6 +79,16 @@
         self.sides.insert(number, process);
     }
 
+    /// Kills all entries but the first `kept` and starts new ones on the same peer addresses.
+    pub fn restart_entries(&mut self, kept: usize) {
+        let peers: Vec<_> = self.entries.iter().map(|entry| entry.address("peers")).collect();
+        let platform = self.platform();
+        self.entries.truncate(kept);
+        for (number, peer) in peers.into_iter().enumerate().skip(kept) {
+            self.entries.push(entry(&self.dir, &format!("entry-{number}"), platform, peer, ""));
+        }
+    }
+
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.entries.iter().map(|entry| entry.address("http")).collect()
     }
@@ -126,10 +136,16 @@
     Process::start(command)
 }
 
-fn entry(dir: &WorkDir, vm: &str, platform: SocketAddr, settings: &str) -> Process {
+fn entry(
+    dir: &WorkDir,
+    vm: &str,
+    platform: SocketAddr,
+    peer: SocketAddr,
+    settings: &str,
+) -> Process {
     let text = format!(
         "{}[platform]\naddress = {platform}\nvm-poll = 100ms\nreads = 200/s\nwrites = 200/s\n{settings}",
-        process_section(vm, free_port())
+        process_section(vm, peer)
     );
     let path = dir.write(&format!("{vm}.ini"), &text);
     let mut command = fescuewalk();
@@ -204,7 +220,7 @@
     let mut entries = Vec::new();
     for number in 0..2 {
         let id = format!("entry-{number}");
-        let process = entry(&dir, &id, platform_address, &setup.entry_settings);
+        let process = entry(&dir, &id, platform_address, free_port(), &setup.entry_settings);
         vms.push(vm(&id, "entry", None, process.address("peers")));
         entries.push(process);
     }
