events: the events of engines are an enum of their own

The four events of engines, of the planner and of side processes, move to `engine_event.rs`; lines of the log keep their form. The new test of a line of `change-declined` passed with the event of the code before, too.

Evidence: tests of `events` and `agent`, and of `gateway` the files demand and planner_without_servers, passed.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -7,7 +7,7 @@
 
 use base::{locks, prelude::*};
 use catalog::TokenCount;
-use events::{DecisionEvent, Dependency, EventLog, millis, spawn_lasting};
+use events::{DecisionEvent, Dependency, EngineEvent, EventLog, millis, spawn_lasting};
 use origins::{OriginLedger, StreamKey};
 use peers::{
     ChangeRequest, Datagram, DatagramBody, OriginReply, OriginReport, OriginState, PeerSocket,
@@ -155,7 +155,9 @@
                     let orders =
                         state.controller.report().map_or(OrderCount(0), |report| report.orders);
                     let reason = reason.text();
-                    self.log.record(&DecisionEvent::ChangeDeclined { load: &load, reason, orders });
+                    self.log.record(
+                        &EngineEvent::ChangeDeclined { load: &load, reason, orders }.into(),
+                    );
                 }
                 ControllerAction::StateChanged => {}
             }
@@ -193,25 +195,31 @@
                 format!("{}({})", resident.model, adapters.join(","))
             })
             .collect();
-        self.log.record(&DecisionEvent::EngineChanged {
-            holds: &resident_names.join(" "),
-            is_busy: report.is_busy,
-            orders: report.orders,
-            copies: report.copies_on_disk.len(),
-        });
+        self.log.record(
+            &EngineEvent::EngineChanged {
+                holds: &resident_names.join(" "),
+                is_busy: report.is_busy,
+                orders: report.orders,
+                copies: report.copies_on_disk.len(),
+            }
+            .into(),
+        );
     }
 
     async fn send_order(self, order: EngineOrder) {
         let sent_at = Instant::now();
         let answer = self.engine.send_order(&order).await;
         self.metrics.count_order(answer);
-        self.log.record(&DecisionEvent::OrderGiven {
-            server: &order.instance,
-            action: &order.action,
-            orders: order.expected,
-            answer,
-            after_ms: millis(sent_at.elapsed()),
-        });
+        self.log.record(
+            &EngineEvent::OrderGiven {
+                server: &order.instance,
+                action: &order.action,
+                orders: order.expected,
+                answer,
+                after_ms: millis(sent_at.elapsed()),
+            }
+            .into(),
+        );
         self.update_controller(|controller, now| controller.apply_answer(answer, now));
         self.poll_now.notify_one();
     }
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -4,6 +4,7 @@
 //! Writing never blocks the process. Lines beyond the rate limit or the buffer size are dropped and
 //! counted.
 
+mod engine_event;
 mod event;
 mod fields;
 mod run;
@@ -11,6 +12,7 @@
 mod tasks;
 
 pub use crate::{
+    engine_event::EngineEvent,
     event::DecisionEvent,
     fields::{Dependency, millis},
     run::{record_early_stop, run_with_log, run_with_output},
--- a/crates/events/tests/log.rs
+++ b/crates/events/tests/log.rs
@@ -8,9 +8,10 @@
 
 use base::prelude::*;
 use dispatch::CallId;
-use events::{DecisionEvent, EventLog, LogLimits, run_with_output};
+use events::{DecisionEvent, EngineEvent, EventLog, LogLimits, run_with_output};
 use flexi_logger::FlexiLoggerError;
-use serde_json::Value;
+use residency::OrderCount;
+use serde_json::{Value, json};
 
 #[derive(Default)]
 struct OutputState {
@@ -95,6 +96,25 @@
     assert!(lines[0]["at_ms"].as_u64().is_some_and(|at| at > 0));
 }
 
+/// Guards against an event of an engine whose line has another form than those of other events.
+#[test]
+fn engine_event_has_its_name_and_fields_in_its_line() {
+    let output = Output::default();
+    let (log, thread) = EventLog::start(&vm(), LogLimits::default(), output.clone());
+
+    let event = EngineEvent::ChangeDeclined { load: "m1", reason: "busy", orders: OrderCount(7) };
+    log.record(&event.into());
+    log.close();
+    thread.join().expect("the writer ends");
+
+    let mut line = output.lines().remove(0);
+    let fields = line.as_object_mut().expect("a line is an object");
+    fields.remove("at_ms");
+    let expected = json!({ "vm": "entry-1", "n": 1, "event": "change-declined", "load": "m1",
+        "reason": "busy", "orders": "7" });
+    assert_eq!(line, expected);
+}
+
 #[test]
 fn lines_beyond_burst_are_dropped_and_counted() {
     let output = Output::default();
--- a/crates/gateway/src/fleet/planning.rs
+++ b/crates/gateway/src/fleet/planning.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use dispatch::{LoadEstimate, LoadTarget};
-use events::DecisionEvent;
+use events::EngineEvent;
 use peers::{
     ChangeRequest, DatagramBody, DemandReport, LoadEstimates, ModelDemand, ModelEstimate,
     PastRates, RunningRequests, WaitingStreams,
@@ -165,15 +165,18 @@
         let Some(address) = address else { return };
         let load = change.load.as_ref().map(ToString::to_string).unwrap_or_default();
         let unload: Vec<String> = change.unload.iter().map(ToString::to_string).collect();
-        self.log.record(&DecisionEvent::ChangePlanned {
-            server: &change.instance,
-            load: &load,
-            unload: &unload.join(" "),
-            reason: planned.reason.text(),
-            weights: planned.source.text(),
-            waiting: planned.waiting,
-            orders: change.orders,
-        });
+        self.log.record(
+            &EngineEvent::ChangePlanned {
+                server: &change.instance,
+                load: &load,
+                unload: &unload.join(" "),
+                reason: planned.reason.text(),
+                weights: planned.source.text(),
+                waiting: planned.waiting,
+                orders: change.orders,
+            }
+            .into(),
+        );
         let request = ChangeRequest {
             instance: change.instance.to_string(),
             started: change.started.map_or(0, |started| started.0),
