planner: engines that leave heartbeats unanswered are not waited for

After a loss of many VMs callers of a model without a copy on any disk were refused until the entries of the lost engines had lapsed, at an entry without the platform's store for as long as that lasted.

The planner used the weight store only once three quarters of the listed engines had reported, and lost engines are listed until their entries lapse. Now it does not wait for an engine that has left five heartbeats unanswered. They count if sent at the interval of first heartbeats, so those sent early because of an event do not, and a planner that was slow or paused counts only what it sent. Any answer of a side process, also one of an incarnation that is not listed, begins the count anew. Heartbeats and their order are as before, and planners begin to plan when they did.

Engines that may still report are awaited, in six cases.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -23,7 +23,6 @@
 use events::{DecisionEvent, EventLog};
 use peers::{
     Datagram, DatagramBody, EntryHeartbeat, PeerAddress, PeerSocket, PeerTable, PeerUpdate,
-    SideHeartbeat,
 };
 use residency::{DemandTracker, Planner};
 use roster::InstanceId;
@@ -259,11 +258,11 @@
         if !entry_addresses.is_empty() {
             self.send_entry_heartbeats_to(&entry_addresses);
         }
-        let engines = self.engine_addresses();
-        let state = self.lock();
+        let engines = self.engines_to_contact();
+        let mut state = self.lock();
         for engine in engines {
-            if state.sides.get(&engine).is_none_or(|side| side.state_number == 0) {
-                self.send_side_heartbeat(engine, 0);
+            if state.sides.get(&engine.address).is_none_or(|side| side.state_number == 0) {
+                self.send_side_heartbeat(&mut state, &engine, 0);
             }
         }
     }
@@ -359,44 +358,6 @@
         self.socket.send_all(addresses, DatagramBody::EntryHeartbeat(heartbeat));
     }
 
-    fn send_side_heartbeat(&self, engine: SocketAddr, known_state: u64) {
-        let side = SocketAddr::new(engine.ip(), self.side_port);
-        self.socket.send(side, DatagramBody::SideHeartbeat(SideHeartbeat { known_state }));
-    }
-
-    fn send_side_heartbeats(&self) {
-        let now = Instant::now();
-        let engines = self.engine_addresses();
-        let mut state = self.lock();
-        let is_due = state
-            .last_side_heartbeat
-            .is_none_or(|sent| now.saturating_duration_since(sent) >= SIDE_HEARTBEAT_INTERVAL);
-        for engine in engines {
-            let side = state.sides.get(&engine);
-            let known_state = side.map_or(0, |side| side.state_number);
-            let needs_probe = side.is_none_or(|side| {
-                now.saturating_duration_since(side.last_received) > SIDE_PROBE_TIMEOUT
-            });
-            if is_due || known_state == 0 || needs_probe {
-                self.send_side_heartbeat(engine, known_state);
-            }
-        }
-        if is_due {
-            state.last_side_heartbeat = Some(now);
-        }
-    }
-
-    fn engine_addresses(&self) -> Vec<SocketAddr> {
-        let Some(catalog) = self.catalog.borrow().clone() else { return Vec::new() };
-        let has_engine = |service: &ServiceName| {
-            catalog.service(service).is_some_and(|service| service.engine.is_some())
-        };
-        self.backends.with_dispatcher(|dispatcher, _| {
-            let engines = dispatcher.servers().filter(|view| has_engine(&view.service));
-            engines.map(|view| view.address).collect()
-        })
-    }
-
     async fn receive(self) {
         loop {
             let (source, datagram) = self.socket.receive().await;
--- a/crates/gateway/src/fleet/engines.rs
+++ b/crates/gateway/src/fleet/engines.rs
@@ -9,9 +9,72 @@
 use residency::{CurrentLoad, DemandRates, EngineSnapshot, OrderCount};
 use roster::{IncarnationStart, InstanceId, ResidentModel, SoftwareVersion};
 
-use super::{Fleet, FleetState, SideStatus};
+use super::{Fleet, FleetState, SIDE_HEARTBEAT_INTERVAL, SIDE_PROBE_TIMEOUT, SideStatus};
+
+/// An engine in the roster.
+pub(super) struct ListedEngine {
+    pub service: ServiceName,
+    pub instance: InstanceId,
+    pub address: SocketAddr,
+    pub is_draining: bool,
+}
 
 impl Fleet {
+    pub(super) fn send_side_heartbeat(
+        &self,
+        state: &mut FleetState,
+        engine: &ListedEngine,
+        known_state: u64,
+    ) {
+        let side = SocketAddr::new(engine.address.ip(), self.side_port);
+        self.socket.send(side, DatagramBody::SideHeartbeat(SideHeartbeat { known_state }));
+        // A planner that no engine has reported to waits for the first report.
+        let planner = state.planners.get_mut(&engine.service);
+        if let Some(planner) = planner.filter(|_| !engine.is_draining) {
+            planner.record_heartbeat(&engine.instance, Instant::now());
+        }
+    }
+
+    pub(super) fn send_side_heartbeats(&self) {
+        let now = Instant::now();
+        let engines = self.engines_to_contact();
+        let mut state = self.lock();
+        let is_due = state
+            .last_side_heartbeat
+            .is_none_or(|sent| now.saturating_duration_since(sent) >= SIDE_HEARTBEAT_INTERVAL);
+        for engine in engines {
+            let side = state.sides.get(&engine.address);
+            let known_state = side.map_or(0, |side| side.state_number);
+            let needs_probe = side.is_none_or(|side| {
+                now.saturating_duration_since(side.last_received) > SIDE_PROBE_TIMEOUT
+            });
+            if is_due || known_state == 0 || needs_probe {
+                self.send_side_heartbeat(&mut state, &engine, known_state);
+            }
+        }
+        if is_due {
+            state.last_side_heartbeat = Some(now);
+        }
+    }
+
+    pub(super) fn engines_to_contact(&self) -> Vec<ListedEngine> {
+        let Some(catalog) = self.catalog.borrow().clone() else { return Vec::new() };
+        let has_engine = |service: &ServiceName| {
+            catalog.service(service).is_some_and(|service| service.engine.is_some())
+        };
+        self.backends.with_dispatcher(|dispatcher, _| {
+            let engines = dispatcher.servers().filter(|view| has_engine(&view.service));
+            engines
+                .map(|view| ListedEngine {
+                    service: view.service.clone(),
+                    instance: view.id.clone(),
+                    address: view.address,
+                    is_draining: view.is_draining(),
+                })
+                .collect()
+        })
+    }
+
     pub(super) fn apply_engine_state(&self, state: &EngineState) {
         let Ok(address) = state.engine.parse::<SocketAddr>() else { return };
         let now = Instant::now();
@@ -54,11 +117,15 @@
     /// Takes an engine out of use that is another incarnation than the roster lists. It may have
     /// another software version, and it holds other models.
     fn mark_restarted(&self, address: SocketAddr) {
-        let restarted = self.backends.with_dispatcher(|dispatcher, _| {
+        let found = self.backends.with_dispatcher(|dispatcher, _| {
             let instance = dispatcher.server_at(address, None).map(|view| view.id.clone())?;
-            dispatcher.mark_restarted(&instance).then_some(instance)
+            Some((dispatcher.mark_restarted(&instance), instance))
         });
-        if let Some(instance) = restarted {
+        let Some((was_in_use, instance)) = found else { return };
+        for planner in self.lock().planners.values_mut() {
+            planner.record_answer(&instance);
+        }
+        if was_in_use {
             self.record_server_status(&instance, "restarted");
         }
     }
--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -9,6 +9,7 @@
 mod candidates;
 mod capacity;
 mod pass;
+mod reports;
 mod streams;
 
 use std::{
@@ -20,7 +21,7 @@
 use catalog::EngineSpec;
 use roster::{IncarnationStart, InstanceId, SoftwareVersion};
 
-use self::pass::PlanningPass;
+use self::{pass::PlanningPass, reports::UnansweredHeartbeats};
 use crate::{
     change::{CurrentLoad, EngineChange},
     demand::DemandTracker,
@@ -136,6 +137,9 @@
 
 /// A requested change that no report of the engine shows after this time counts as lost.
 const PENDING_CHANGE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Share of the listed engines that must have reported before the weight store is used; those that do
+/// not answer are left out.
+const MIN_REPORTED_SHARE: f64 = 0.75;
 /// Overhead of a load: from the order to its execution, and from the end of the load to the first
 /// request.
 const ORDER_LATENCY: Duration = Duration::from_millis(60);
@@ -157,6 +161,8 @@
     engines: BTreeMap<InstanceId, EngineSnapshot>,
     /// Number of engines in the roster, whether they have reported or not.
     listed: usize,
+    /// Heartbeats to engines that have not reported.
+    unanswered: UnansweredHeartbeats,
     /// Requests a second that an engine takes, for those that name a limit.
     limits: HashMap<InstanceId, EventRate>,
     store_concurrency: StoreConcurrency,
@@ -183,6 +189,19 @@
         self.listed = listed;
     }
 
+    /// Records a heartbeat that is sent to an engine in the roster. One that leaves several unanswered
+    /// is no longer waited for, though it is still listed.
+    pub fn record_heartbeat(&mut self, instance: &InstanceId, now: Instant) {
+        if !self.engines.contains_key(instance) {
+            self.unanswered.record_sent(instance, now);
+        }
+    }
+
+    /// Records that an engine answers heartbeats, though what it reports cannot be used yet.
+    pub fn record_answer(&mut self, instance: &InstanceId) {
+        self.unanswered.clear(instance);
+    }
+
     /// Sets the requests a second that each engine takes which names a limit.
     pub fn set_limits(&mut self, limits: HashMap<InstanceId, EventRate>) {
         self.limits = limits;
@@ -191,6 +210,7 @@
     /// Applies the reported state of an engine.
     pub fn update_engine(&mut self, snapshot: EngineSnapshot, now: Instant) {
         let instance = snapshot.instance.clone();
+        self.unanswered.clear(&instance);
         if let Some(pending) = self.pending.get(&instance) {
             let is_started = snapshot.loading.is_some() || snapshot.orders != pending.orders;
             if is_started {
@@ -231,6 +251,7 @@
     /// Removes an engine that left the roster, drains, or has stopped reporting.
     pub fn remove(&mut self, instance: &InstanceId) {
         let removed = self.engines.remove(instance);
+        self.unanswered.clear(instance);
         if let Some(ready_at) = removed.as_ref().and_then(store_load_end) {
             self.abandoned_loads.insert(instance.clone(), ready_at);
         }
@@ -239,6 +260,12 @@
         self.loaded_at.retain(|(engine, _), _| engine != instance);
     }
 
+    /// Whether most of the listed engines have reported, apart from those that do not answer.
+    fn has_most_reports(&self, now: Instant) -> bool {
+        let awaited = self.listed.saturating_sub(self.unanswered.silent_engines(now));
+        self.engines.len() as f64 >= awaited as f64 * MIN_REPORTED_SHARE
+    }
+
     /// Engines that have reported, in the order of their names.
     pub fn engines(&self) -> impl Iterator<Item = &EngineSnapshot> {
         self.engines.values()
--- a/crates/residency/src/planner/candidates.rs
+++ b/crates/residency/src/planner/candidates.rs
@@ -10,8 +10,6 @@
     pass::{BUSY_MIN_RATE, EXTRA_HOLDER_VALUE, LOSS_PER_RATE, MIN_RESIDENCY, PlanningPass},
 };
 
-/// Share of the listed engines that must have reported before the weight store is used.
-const MIN_REPORTED_SHARE: f64 = 0.75;
 /// Time within which the engines report after a start of this process.
 const FIRST_REPORT_TIME: Duration = Duration::from_millis(500);
 /// Expected time until the running requests of a model that is to be unloaded have ended; a stream
@@ -58,7 +56,7 @@
     /// if it would be the last load that the store serves at full speed, which is kept for waiting
     /// requests.
     pub(super) fn empty_engine_candidate(&self, model: &ModelId) -> Option<Candidate> {
-        if !self.leaves_store_load() || !self.has_most_reports() {
+        if !self.leaves_store_load() || !self.has_most_reports {
             return None;
         }
         let spec = self.spec.model(model)?;
@@ -75,20 +73,15 @@
         self.store_loads + 1 < self.planner.store_concurrency.limit()
     }
 
-    /// Whether most of the listed engines have reported.
-    pub(super) fn has_most_reports(&self) -> bool {
-        self.planner.engines.len() as f64 >= self.planner.listed as f64 * MIN_REPORTED_SHARE
-    }
-
     /// Whether another load may read from the weight store.
     fn may_use_store(&self) -> bool {
-        self.store_loads < self.planner.store_concurrency.limit() && self.has_most_reports()
+        self.store_loads < self.planner.store_concurrency.limit() && self.has_most_reports
     }
 
     /// When a model will be loaded if an engine that has not reported yet has a copy on its disk;
     /// `None` once most engines have reported.
     pub(super) fn estimate_before_reports(&self, model: &ModelId) -> Option<Instant> {
-        let spec = self.spec.model(model).filter(|_| !self.has_most_reports())?;
+        let spec = self.spec.model(model).filter(|_| !self.has_most_reports)?;
         Some(self.now + FIRST_REPORT_TIME + spec.disk_load)
     }
 
--- a/crates/residency/src/planner/pass.rs
+++ b/crates/residency/src/planner/pass.rs
@@ -127,6 +127,8 @@
     pub(super) store_loads: usize,
     /// Models in `unmet` per engine; the cost of one second of an engine's time.
     pub(super) pressure: f64,
+    /// Whether most of the engines that are listed and may still report have reported.
+    pub(super) has_most_reports: bool,
     pub(super) now: Instant,
 }
 
@@ -164,6 +166,7 @@
             planned: BTreeSet::new(),
             store_loads,
             pressure,
+            has_most_reports: planner.has_most_reports(now),
             now,
         }
     }
--- a/crates/residency/tests/planner.rs
+++ b/crates/residency/tests/planner.rs
@@ -217,6 +217,55 @@
     assert_eq!(changes(&later), ["i-2: - +d from disk"]);
 }
 
+/// After a loss of all VMs, half of the listed engines do not come back, and their entries stay.
+#[test]
+fn store_is_used_although_lost_engines_are_still_listed() {
+    let now = Instant::now();
+    let mut planner = planner(vec![engine("i-1", &[], &[]), engine("i-2", &[], &[])], now);
+    planner.set_listed(4);
+
+    let early = planner.plan(&tracker(vec![waiting("d", 3)], now), now);
+    for sent in (0..1_000).step_by(150) {
+        for lost in ["i-3", "i-4"] {
+            planner.record_heartbeat(&instance(lost), now + Duration::from_millis(sent));
+        }
+    }
+    let after = now + Duration::from_secs(1);
+    let later = planner.plan(&tracker(vec![waiting("d", 3)], after), after);
+
+    assert!(early.changes.is_empty(), "{:?}", changes(&early));
+    assert_eq!(changes(&later), ["i-1: - +d from store"]);
+}
+
+/// Heartbeats to one of two listed engines, and the time of the plan, in milliseconds.
+#[rstest]
+#[case::before_the_last_can_be_answered(&[0, 150, 300, 450, 600], 700, false)]
+#[case::answered_without_report(&[0, 150, 300, 450, 600], 750, true)]
+#[case::beside_events(&[0, 5, 10, 15, 20, 25], 750, false)]
+#[case::slow_planner(&[0, 900], 1_700, false)]
+#[case::paused_planner(&[0, 150, 300, 450, 2_000], 2_200, false)]
+#[case::no_longer_listed(&[0, 150, 300, 450, 600], 1_700, false)]
+fn engine_that_may_still_report_is_awaited(
+    #[case] heartbeats: &[u64],
+    #[case] planned: u64,
+    #[case] is_answered: bool,
+) {
+    let now = Instant::now();
+    let mut planner = planner(vec![engine("i-1", &[], &[])], now);
+    planner.set_listed(2);
+    for sent in heartbeats {
+        planner.record_heartbeat(&instance("i-2"), now + Duration::from_millis(*sent));
+    }
+    if is_answered {
+        planner.record_answer(&instance("i-2"));
+    }
+
+    let planned = now + Duration::from_millis(planned);
+    let outcome = planner.plan(&tracker(vec![waiting("d", 3)], planned), planned);
+
+    assert!(outcome.changes.is_empty(), "{:?}", changes(&outcome));
+}
+
 #[test]
 fn faster_load_is_planned_beside_slow_store_load() {
     let now = Instant::now();
