gateway: versions that the planner has not seen stay recorded

Callers whose streams a new version had begun got the rest of them from the old one, at an entry that had stood still while that version joined, began streams and left (ORDER).

Cause: an entry that becomes the planner lists the recorded software versions and deleted at once those that its own history did not hold. An entry that was out of step takes itself for the planner when it goes on, and its history lacks just the version that served meanwhile. With the record gone, only one version had served by the store.

Evidence: entries_out_of_step::streams_are_not_mixed_after_a_release_ came_and_went_while_an_entry_stood_still (real gateways; the entry is cut off from the store and stands still for 5 s, the others end).

Now the planner takes recorded versions that it has not recorded itself for ones that served just now, and deletes them a minute later, when their streams have ended. It lists the records once a minute, so that records of others do not stay for good.

A planner that was out of step deletes a record too early if it knew the version, the version had left, and came and went again meanwhile; that is not mended.

--- a/crates/gateway/src/fleet/versions.rs
+++ b/crates/gateway/src/fleet/versions.rs
@@ -2,19 +2,22 @@
 
 use std::collections::BTreeSet;
 
-use ::origins::{StreamOrigin, UnknownOrigin, VersionHistory};
+use ::origins::{MAX_STREAM_AGE, StreamOrigin, UnknownOrigin, VersionHistory};
 use base::prelude::*;
 use roster::SoftwareVersion;
 use tokio::time;
 
 use super::Fleet;
-use crate::version_archive::{ServedVersion, VersionArchive};
+use crate::version_archive::{ServedVersion, VersionArchive, VersionListing};
 
 /// Time between two updates of the history without a change of the roster.
 const UPDATE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after a restore of the store from a copy within which servers and entries have written what
 /// the copy lacks: two seconds, and the time until that is read.
 pub(super) const REWRITE_TIME: Duration = Duration::from_millis(2_200);
+/// Time between two listings of the stored versions by the entry that plans: others may have written
+/// or deleted some while it was out of step.
+const RELIST_INTERVAL: Duration = MAX_STREAM_AGE;
 
 /// The versions that have served lately, and those of them that the store has.
 #[derive(Debug)]
@@ -22,11 +25,25 @@
     history: VersionHistory,
     /// What the store has; none if that has to be listed again.
     stored: Option<BTreeSet<ServedVersion>>,
+    /// When the store's versions were listed last.
+    listed: Option<Instant>,
 }
 
 impl VersionBook {
     pub(super) fn new(now: Instant) -> Self {
-        Self { history: VersionHistory::new(now), stored: None }
+        Self { history: VersionHistory::new(now), stored: None, listed: None }
+    }
+
+    /// Takes a listing of the store. Versions of it that were not known to be stored may have served
+    /// until just now, while this entry was out of step.
+    fn record_listing(&mut self, listing: VersionListing, now: Instant) {
+        let known = self.stored.take().unwrap_or_default();
+        let listed = listing.versions.iter().filter(|version| !known.contains(version)).cloned();
+        self.history.restore(listed, self.history.complete_from(), now);
+        self.listed = Some(now);
+        // After a restore all are written again, so that they have the present era.
+        let stored = if listing.may_be_old { Vec::new() } else { listing.versions };
+        self.stored = Some(stored.into_iter().collect());
     }
 }
 
@@ -146,12 +163,14 @@
     }
 
     async fn store_versions(&self, archive: &VersionArchive) {
-        if self.lock().versions.stored.is_none() {
+        let is_listing_due = {
+            let state = self.lock();
+            let listed = state.versions.listed.filter(|_| state.versions.stored.is_some());
+            listed.is_none_or(|listed| listed.elapsed() >= RELIST_INTERVAL)
+        };
+        if is_listing_due {
             let listing = archive.list().await;
-            // After a restore all are written again, so that they have the present era.
-            let known = if listing.may_be_old { Vec::new() } else { listing.versions.clone() };
-            self.delete_ended(archive, &listing.versions.into_iter().collect()).await;
-            self.lock().versions.stored = Some(known.into_iter().collect());
+            self.lock().versions.record_listing(listing, Instant::now());
         }
         let (missing, stored) = {
             let mut state = self.lock();
--- a/crates/gateway/tests/support/gateway_process.rs
+++ b/crates/gateway/tests/support/gateway_process.rs
@@ -10,7 +10,11 @@
 use base::prelude::*;
 use events::{EventLog, LogLimits};
 use gateway::{GatewayHandle, GatewaySettings};
-use tokio::{runtime::Builder, sync::oneshot, time};
+use tokio::{
+    runtime::Builder,
+    sync::{mpsc, oneshot},
+    time,
+};
 
 /// Tasks that use up the time of a gateway in its stop, as on a VM whose core others use.
 #[derive(Debug, Clone, Copy, Default)]
@@ -48,6 +52,7 @@
 pub struct GatewayProcess {
     pub callers: SocketAddr,
     stop: oneshot::Sender<GatewayEnd>,
+    stalls: mpsc::UnboundedSender<Duration>,
     thread: thread::JoinHandle<()>,
     log: Arc<Mutex<Vec<u8>>>,
 }
@@ -55,10 +60,16 @@
 impl GatewayProcess {
     pub(super) fn start(settings: GatewaySettings, callers: SocketAddr) -> Self {
         let (stop, stopped) = oneshot::channel();
+        let (stalls, stalled) = mpsc::unbounded_channel();
         let log = SharedLog::default();
         let lines = Arc::clone(&log.0);
-        let thread = thread::spawn(move || run_gateway(settings, log, stopped));
-        Self { callers, stop, thread, log: lines }
+        let thread = thread::spawn(move || run_gateway(settings, log, stopped, stalled));
+        Self { callers, stop, stalls, thread, log: lines }
+    }
+
+    /// Makes the gateway stand still once, as a process that gets no time.
+    pub fn stand_still(&self, duration: Duration) {
+        self.stalls.send(duration).expect("the gateway runs");
     }
 
     /// Stops the gateway as planned; returns the lines of its decision log once it has ended.
@@ -90,12 +101,15 @@
     settings: GatewaySettings,
     output: SharedLog,
     stopped: oneshot::Receiver<GatewayEnd>,
+    mut stalled: mpsc::UnboundedReceiver<Duration>,
 ) {
     let vm = "entry".parse().expect("a valid name");
     let (log, writer) = EventLog::start(&vm, LogLimits::default(), output);
     let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
     runtime.block_on(async {
         let handle = GatewayHandle::start(settings, log.clone()).await;
+        // Blocks the only thread of the runtime.
+        tokio::spawn(async move { stalled.recv().await.map(thread::sleep) });
         if let Ok(GatewayEnd::Planned(load)) = stopped.await {
             tokio::spawn(load.run());
             handle.stop().await;
