gateway: three entries record the versions that the planner has not

Cause: only the entry that plans writes new software versions to the store. An entry that cannot reach the store but still sends heartbeats stays the planner for the others, so nobody recorded the version.

Evidence: entries_out_of_step::streams_are_not_mixed_after_a_release_came_ and_went_while_the_planner_lost_the_store.

Now the three entries that rank first for a version by rendezvous hashing list the records 0.2 s after they saw it, and write it if it is missing. So the cost of a release does not grow with the fleet.

A version that serves for less than 0.2 s while the planner is out of step may still not be recorded.

--- a/crates/gateway/src/fleet/versions.rs
+++ b/crates/gateway/src/fleet/versions.rs
@@ -8,7 +8,7 @@
 use tokio::time;
 
 use super::Fleet;
-use crate::version_archive::{ServedVersion, VersionArchive, VersionListing};
+use crate::version_archive::{self, ServedVersion, VersionArchive, VersionListing};
 
 /// Time between two updates of the history without a change of the roster.
 const UPDATE_INTERVAL: Duration = Duration::from_secs(1);
@@ -18,6 +18,10 @@
 /// Time between two listings of the stored versions by the entry that plans: others may have written
 /// or deleted some while it was out of step.
 const RELIST_INTERVAL: Duration = MAX_STREAM_AGE;
+/// Entries besides the one that plans that store a new version: that one may be out of step.
+const STORING_ENTRIES: usize = 3;
+/// Time that these leave to the entry that plans.
+const STORING_DELAY: Duration = Duration::from_millis(200);
 
 /// The versions that have served lately, and those of them that the store has.
 #[derive(Debug)]
@@ -122,7 +126,7 @@
     }
 
     /// Follows the versions in the roster, until the process ends. The entry that plans stores new
-    /// ones, and deletes those whose streams have ended.
+    /// ones, and deletes those whose streams have ended. Some others store what it does not.
     pub async fn follow_versions(self, archive: VersionArchive) {
         let mut was_planner = false;
         loop {
@@ -133,8 +137,9 @@
                 self.lock().versions.stored = None;
             }
             was_planner = is_planner;
-            if is_planner {
-                self.store_versions(&archive).await;
+            match is_planner {
+                true => self.store_versions(&archive).await,
+                false => self.store_missing_versions(&archive).await,
             }
             tokio::select! {
                 () = time::sleep(UPDATE_INTERVAL) => {}
@@ -180,7 +185,47 @@
             let missing: Vec<ServedVersion> = served.difference(stored).cloned().collect();
             (missing, stored.clone())
         };
-        for version in missing {
+        self.write_versions(archive, missing).await;
+        self.delete_ended(archive, &stored).await;
+    }
+
+    /// Stores the versions that the entry that plans has not stored, if this entry is among those that
+    /// see to it.
+    async fn store_missing_versions(&self, archive: &VersionArchive) {
+        if self.missing_versions().is_empty() {
+            return;
+        }
+        time::sleep(STORING_DELAY).await;
+        match archive.list_once().await {
+            Ok(listing) => {
+                let listed = listing.versions.into_iter().collect();
+                self.lock().versions.stored = Some(listed);
+                self.write_versions(archive, self.missing_versions()).await;
+            }
+            Err(error) => {
+                log::warn!("versions: cannot list the stored versions, retrying: {error}");
+            }
+        }
+    }
+
+    /// The versions that this entry has to store and that the store had not when it was listed.
+    fn missing_versions(&self) -> Vec<ServedVersion> {
+        let mut state = self.lock();
+        let current = state.versions.history.current_versions(Instant::now());
+        if let Some(stored) = &mut state.versions.stored {
+            // The entry that plans deletes what is not current any more.
+            stored.retain(|version| current.contains(version));
+        }
+        let stored = state.versions.stored.clone().unwrap_or_default();
+        let missing = current.difference(&stored).filter(|version| {
+            let hash = version_archive::version_hash(version);
+            state.peers.ranked_for(hash, STORING_ENTRIES).contains(&None)
+        });
+        missing.cloned().collect()
+    }
+
+    async fn write_versions(&self, archive: &VersionArchive, versions: Vec<ServedVersion>) {
+        for version in versions {
             match archive.write(&version).await {
                 Ok(()) => self.update_stored(|stored| stored.insert(version)),
                 Err(error) => log::warn!(
@@ -190,7 +235,6 @@
                 ),
             }
         }
-        self.delete_ended(archive, &stored).await;
     }
 
     /// Deletes those of the stored versions whose streams have ended.
--- a/crates/gateway/src/version_archive.rs
+++ b/crates/gateway/src/version_archive.rs
@@ -145,10 +145,15 @@
     }
 }
 
-/// Names in the store have a limited alphabet, and versions may be any text.
-fn object_name((service, software): &ServedVersion) -> String {
+/// Hash of a version of a service.
+pub fn version_hash((service, software): &ServedVersion) -> u64 {
     let seed = xxh3_64_with_seed(service.as_str().as_bytes(), 0);
-    format!("{:016x}", xxh3_64_with_seed(software.as_str().as_bytes(), seed))
+    xxh3_64_with_seed(software.as_str().as_bytes(), seed)
+}
+
+/// Names in the store have a limited alphabet, and versions may be any text.
+fn object_name(version: &ServedVersion) -> String {
+    format!("{:016x}", version_hash(version))
 }
 
 fn decode(contents: &str) -> Option<(ServedVersion, StoreEra)> {
--- a/crates/gateway/tests/entries_out_of_step.rs
+++ b/crates/gateway/tests/entries_out_of_step.rs
@@ -21,6 +21,8 @@
 const STREAMS: usize = 48;
 /// Index of an entry that sorts before the others, so that one of them plans.
 const FOLLOWING: usize = 1;
+/// Index of an entry that sorts behind the others, so that it plans.
+const PLANNING: usize = 8;
 /// Indexes of the other entries; so many that the one out of step keeps few origins for them.
 const OTHERS: [usize; 4] = [2, 3, 4, 5];
 
@@ -86,3 +88,17 @@
 
     scene.assert_unmixed(&streams).await;
 }
+
+/// The others take the entry for the one that records new versions.
+#[tokio::test]
+async fn streams_are_not_mixed_after_a_release_came_and_went_while_the_planner_lost_the_store() {
+    let mut scene = OutOfStep::start(PLANNING).await;
+    let streams = scene.release().await;
+    scene.withdraw().await;
+    scene.end_others().await;
+
+    scene.path.heal();
+    time::sleep(BACK_IN_STEP).await;
+
+    scene.assert_unmixed(&streams).await;
+}
--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -115,6 +115,18 @@
         expired
     }
 
+    /// The versions that were listed within the longest life of a stream.
+    pub fn current_versions(&self, now: Instant) -> BTreeSet<(ServiceName, SoftwareVersion)> {
+        let services = self.services.iter();
+        let pairs = services.flat_map(|(service, versions)| {
+            let current = versions
+                .iter()
+                .filter(|(_, listed)| now.saturating_duration_since(**listed) < MAX_STREAM_AGE);
+            current.map(|(software, _)| (service.clone(), software.clone()))
+        });
+        pairs.collect()
+    }
+
     /// All versions with their services.
     pub fn versions(&self) -> BTreeSet<(ServiceName, SoftwareVersion)> {
         let services = self.services.iter();
