gateway: take-ups wait after a restore of the store at running entries too

Callers whose streams a new version had begun got the rest of them from the old one, at an entry that went on after it had stood still while the version joined, as the store came back from a copy of before (ORDER).

Cause: an entry that starts takes records without the present era of the store for incomplete and lets take-ups of unknown origin wait for 2.2 s, until servers have registered again. A running entry read the servers and records of the restored store and took them for complete.

Evidence: entries_out_of_step::streams_are_not_mixed_after_a_restore_of_ the_store_while_an_entry_stood_still.

Now the history of versions is incomplete for 2.2 s from the moment that an answer of the store names a later era, be it the read for the take-up itself. Streams whose origin a process keeps do not wait.

If no server and no entry that knew the new version is left after the restore, nothing tells of it.

--- a/crates/gateway/src/fleet/versions.rs
+++ b/crates/gateway/src/fleet/versions.rs
@@ -4,7 +4,7 @@
 
 use ::origins::{MAX_STREAM_AGE, StreamOrigin, UnknownOrigin, VersionHistory};
 use base::prelude::*;
-use roster::SoftwareVersion;
+use roster::{SoftwareVersion, StoreEra};
 use tokio::time;
 
 use super::Fleet;
@@ -31,11 +31,21 @@
     stored: Option<BTreeSet<ServedVersion>>,
     /// When the store's versions were listed last.
     listed: Option<Instant>,
+    /// Latest era of the store; none before the first answer.
+    era: Option<StoreEra>,
 }
 
 impl VersionBook {
     pub(super) fn new(now: Instant) -> Self {
-        Self { history: VersionHistory::new(now), stored: None, listed: None }
+        Self { history: VersionHistory::new(now), stored: None, listed: None, era: None }
+    }
+
+    /// Takes the era that the store has named: after a restore the newest versions may be missing.
+    fn record_era(&mut self, era: StoreEra, now: Instant) {
+        if self.era.is_some_and(|known| known < era) {
+            self.history.record_restore(now + REWRITE_TIME);
+        }
+        self.era = self.era.max(Some(era));
     }
 
     /// Takes a listing of the store. Versions of it that were not known to be stored may have served
@@ -59,6 +69,7 @@
         // Servers and entries write again what a copy lacks.
         let complete_from = if listing.may_be_old { now + REWRITE_TIME } else { now };
         let mut state = self.lock();
+        state.versions.record_era(archive.era(), now);
         let versions = listing.versions;
         state.versions.history.restore(versions.iter().cloned(), complete_from, now);
         state.versions.stored = Some(versions.into_iter().collect());
@@ -96,9 +107,11 @@
             ),
             Ok((listed, recorded)) => {
                 *read_as_of = Some(sent);
+                let now = Instant::now();
                 let mut state = self.lock();
+                state.versions.record_era(self.versions.era(), now);
                 let history = &mut state.versions.history;
-                history.record_read(listed, recorded.versions, sent, Instant::now());
+                history.record_read(listed, recorded.versions, sent, now);
             }
             Err(error) => log::warn!(
                 "versions: cannot read which versions serve, streams of unknown origin are \
@@ -119,6 +132,11 @@
         versions.contains(&(origin.service.clone(), origin.software.clone()))
     }
 
+    /// Takes the era that the store has named.
+    pub fn record_store_era(&self, era: StoreEra) {
+        self.lock().versions.record_era(era, Instant::now());
+    }
+
     /// Writes the versions to the store again, which has lost them.
     pub fn store_versions_again(&self) {
         self.lock().versions.stored = None;
--- a/crates/gateway/src/restores.rs
+++ b/crates/gateway/src/restores.rs
@@ -37,6 +37,9 @@
         // Fails only if the client of the store is gone.
         while eras.changed().await.is_ok() {
             let era = *eras.borrow_and_update();
+            if let Some(era) = era {
+                self.fleet.record_store_era(era);
+            }
             // The first era that is seen says nothing of a restore.
             if let (Some(before), Some(era)) = (before, era) {
                 self.record(before, era);
--- a/crates/gateway/src/version_archive.rs
+++ b/crates/gateway/src/version_archive.rs
@@ -113,7 +113,8 @@
         Ok(distinct.into_iter().collect())
     }
 
-    fn era(&self) -> StoreEra {
+    /// The latest era of the store that an answer has named.
+    pub fn era(&self) -> StoreEra {
         self.store.era().borrow().unwrap_or_default()
     }
 
--- a/crates/gateway/tests/entries_out_of_step.rs
+++ b/crates/gateway/tests/entries_out_of_step.rs
@@ -17,6 +17,10 @@
 const STANDSTILL: Duration = Duration::from_secs(5);
 /// Time in which an entry that is in step again has taken up its duties.
 const BACK_IN_STEP: Duration = Duration::from_secs(5);
+/// Time in which the calls fail that an entry had open as it stood still.
+const AWAKE: Duration = Duration::from_millis(200);
+/// Time after a restore in which servers register again; the platform's take up to two seconds.
+const REGISTRATION_DELAY: Duration = Duration::from_millis(1_200);
 /// Streams of each test, of which some are known to no process that is left.
 const STREAMS: usize = 48;
 /// Index of an entry that sorts before the others, so that one of them plans.
@@ -102,3 +106,24 @@
 
     scene.assert_unmixed(&streams).await;
 }
+
+/// The copy is from before the release, and callers come before its servers have registered again.
+#[tokio::test]
+async fn streams_are_not_mixed_after_a_restore_of_the_store_while_an_entry_stood_still() {
+    let mut scene = OutOfStep::start(FOLLOWING).await;
+    scene.fleet.fleet.store.back_up();
+    let still = Instant::now();
+    scene.entry.stand_still(STANDSTILL);
+    let streams = scene.release().await;
+    scene.end_others().await;
+
+    time::sleep_until(still + STANDSTILL + AWAKE).await;
+    scene.fleet.fleet.store.restore();
+    scene.path.heal();
+    let registering = async {
+        time::sleep(REGISTRATION_DELAY).await;
+        scene.fleet.fleet.publish_engines();
+    };
+
+    tokio::join!(scene.assert_unmixed(&streams), registering);
+}
--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -64,6 +64,12 @@
         self.complete_from
     }
 
+    /// Holds the history for incomplete until `complete_from`: the store has come back from a copy, and
+    /// the newest versions are written again by then.
+    pub fn record_restore(&mut self, complete_from: Instant) {
+        self.complete_from = self.complete_from.max(complete_from);
+    }
+
     /// Records a read of the store that was sent at `sent`, with the versions of all servers that it
     /// lists and those that other processes have recorded. How long ago the latter served is not
     /// known; one that this process knows of is not taken for newer.
