--- a/crates/gateway/src/fleet/versions.rs
+++ b/crates/gateway/src/fleet/versions.rs
@@ -5,13 +5,13 @@
 use ::origins::{MAX_STREAM_AGE, StreamOrigin, UnknownOrigin, VersionHistory};
 use base::prelude::*;
 use platform::ListingGap;
-use roster::SoftwareVersion;
+use roster::{SoftwareVersion, StoreEra};
 use tokio::time;
 
 use super::Fleet;
 use crate::{
     relisting::RelistDelays,
-    version_archive::{ServedVersion, VersionArchive},
+    version_archive::{self, ServedVersion, VersionArchive, VersionListing},
 };
 
 /// Time between two updates of the history without a change of the roster.
@@ -19,6 +19,13 @@
 /// Time after a restore of the store from a copy within which servers and entries have written what
 /// the copy lacks: two seconds, and the time until that is read.
 pub(super) const REWRITE_TIME: Duration = Duration::from_millis(2_200);
+/// Time between two listings of the stored versions by the entry that plans: others may have written
+/// or deleted some while it was out of step.
+const RELIST_INTERVAL: Duration = MAX_STREAM_AGE;
+/// Entries besides the one that plans that store a new version: that one may be out of step.
+const STORING_ENTRIES: usize = 3;
+/// Time that these leave to the entry that plans.
+const STORING_DELAY: Duration = Duration::from_millis(200);
 
 /// The versions that have served lately, and those of them that the store has.
 #[derive(Debug)]
@@ -26,11 +33,35 @@
     history: VersionHistory,
     /// What the store has; none if that has to be listed again.
     stored: Option<BTreeSet<ServedVersion>>,
+    /// When the store's versions were listed last.
+    listed: Option<Instant>,
+    /// Latest era of the store; none before the first answer.
+    era: Option<StoreEra>,
 }
 
 impl VersionBook {
     pub(super) fn new(now: Instant) -> Self {
-        Self { history: VersionHistory::new(now), stored: None }
+        Self { history: VersionHistory::new(now), stored: None, listed: None, era: None }
+    }
+
+    /// Takes the era that the store has named: after a restore the newest versions may be missing.
+    fn record_era(&mut self, era: StoreEra, now: Instant) {
+        if self.era.is_some_and(|known| known < era) {
+            self.history.record_restore(now + REWRITE_TIME);
+        }
+        self.era = self.era.max(Some(era));
+    }
+
+    /// Takes a listing of the store. Versions of it that were not known to be stored may have served
+    /// until just now, while this entry was out of step.
+    fn record_listing(&mut self, listing: VersionListing, now: Instant) {
+        let known = self.stored.take().unwrap_or_default();
+        let listed = listing.versions.iter().filter(|version| !known.contains(version)).cloned();
+        self.history.restore(listed, self.history.complete_from(), now);
+        self.listed = Some(now);
+        // After a restore all are written again, so that they have the present era.
+        let stored = if listing.may_be_old { Vec::new() } else { listing.versions };
+        self.stored = Some(stored.into_iter().collect());
     }
 }
 
@@ -51,6 +82,7 @@
             (None, false) => now,
         };
         let mut state = self.lock();
+        state.versions.record_era(archive.era(), now);
         let versions = listing.versions;
         state.versions.history.restore(versions.iter().cloned(), complete_from, now);
         state.versions.stored = Some(versions.into_iter().collect());
@@ -89,9 +121,11 @@
             ),
             Ok((listed, recorded)) => {
                 *read_as_of = Some(sent);
+                let now = Instant::now();
                 let mut state = self.lock();
+                state.versions.record_era(self.versions.era(), now);
                 let history = &mut state.versions.history;
-                history.record_read(listed, recorded.versions, sent, Instant::now());
+                history.record_read(listed, recorded.versions, sent, now);
             }
             Err(error) => log::warn!(
                 "versions: cannot read which versions serve, streams of unknown origin are \
@@ -112,6 +146,11 @@
         versions.contains(&(origin.service.clone(), origin.software.clone()))
     }
 
+    /// Takes the era that the store has named.
+    pub fn record_store_era(&self, era: StoreEra) {
+        self.lock().versions.record_era(era, Instant::now());
+    }
+
     /// Writes the versions to the store again, which has lost them.
     pub fn store_versions_again(&self) {
         self.lock().versions.stored = None;
@@ -119,7 +158,7 @@
     }
 
     /// Follows the versions in the roster, until the process ends. The entry that plans stores new
-    /// ones, and deletes those whose streams have ended.
+    /// ones, and deletes those whose streams have ended. Some others store what it does not.
     pub async fn follow_versions(self, archive: VersionArchive) {
         let mut was_planner = false;
         loop {
@@ -130,8 +169,9 @@
                 self.lock().versions.stored = None;
             }
             was_planner = is_planner;
-            if is_planner {
-                self.store_versions(&archive).await;
+            match is_planner {
+                true => self.store_versions(&archive).await,
+                false => self.store_missing_versions(&archive).await,
             }
             tokio::select! {
                 () = time::sleep(UPDATE_INTERVAL) => {}
@@ -160,12 +200,14 @@
     }
 
     async fn store_versions(&self, archive: &VersionArchive) {
-        if self.lock().versions.stored.is_none() {
+        let is_listing_due = {
+            let state = self.lock();
+            let listed = state.versions.listed.filter(|_| state.versions.stored.is_some());
+            listed.is_none_or(|listed| listed.elapsed() >= RELIST_INTERVAL)
+        };
+        if is_listing_due {
             let listing = archive.list(&mut RelistDelays::default()).await;
-            // After a restore all are written again, so that they have the present era.
-            let known = if listing.may_be_old { Vec::new() } else { listing.versions.clone() };
-            self.delete_ended(archive, &listing.versions.into_iter().collect()).await;
-            self.lock().versions.stored = Some(known.into_iter().collect());
+            self.lock().versions.record_listing(listing, Instant::now());
         }
         let (missing, stored) = {
             let mut state = self.lock();
@@ -175,7 +217,47 @@
             let missing: Vec<ServedVersion> = served.difference(stored).cloned().collect();
             (missing, stored.clone())
         };
-        for version in missing {
+        self.write_versions(archive, missing).await;
+        self.delete_ended(archive, &stored).await;
+    }
+
+    /// Stores the versions that the entry that plans has not stored, if this entry is among those that
+    /// see to it.
+    async fn store_missing_versions(&self, archive: &VersionArchive) {
+        if self.missing_versions().is_empty() {
+            return;
+        }
+        time::sleep(STORING_DELAY).await;
+        match archive.list_once().await {
+            Ok(listing) => {
+                let listed = listing.versions.into_iter().collect();
+                self.lock().versions.stored = Some(listed);
+                self.write_versions(archive, self.missing_versions()).await;
+            }
+            Err(error) => {
+                log::warn!("versions: cannot list the stored versions, retrying: {error}");
+            }
+        }
+    }
+
+    /// The versions that this entry has to store and that the store had not when it was listed.
+    fn missing_versions(&self) -> Vec<ServedVersion> {
+        let mut state = self.lock();
+        let current = state.versions.history.current_versions(Instant::now());
+        if let Some(stored) = &mut state.versions.stored {
+            // The entry that plans deletes what is not current any more.
+            stored.retain(|version| current.contains(version));
+        }
+        let stored = state.versions.stored.clone().unwrap_or_default();
+        let missing = current.difference(&stored).filter(|version| {
+            let hash = version_archive::version_hash(version);
+            state.peers.ranked_for(hash, STORING_ENTRIES).contains(&None)
+        });
+        missing.cloned().collect()
+    }
+
+    async fn write_versions(&self, archive: &VersionArchive, versions: Vec<ServedVersion>) {
+        for version in versions {
             match archive.write(&version).await {
                 Ok(()) => self.update_stored(|stored| stored.insert(version)),
                 Err(error) => log::warn!(
@@ -185,7 +267,6 @@
                 ),
             }
         }
-        self.delete_ended(archive, &stored).await;
     }
 
     /// Deletes those of the stored versions whose streams have ended; none while the history may lack
