soak: odd_names checks the plain restart, and requests for unknown routes

What callers saw: gateways that served nothing between a plain restart and the next loss of power would have passed, as long as they served again after the return. So would a process that ended with a failure on SIGTERM, or that still ran after its grace. No caller asked for a route that is not in the configuration.

The restart goes through the same checks of exits as the end of the run. A gateway that is not ready comes with the time for which its process waited for a processor during the check.

--- a/crates/soak/src/deployed/lag.rs
+++ b/crates/soak/src/deployed/lag.rs
@@ -1,13 +1,19 @@
-//! How late the harness itself runs: callers that get no processor send less than planned.
+//! How late the harness and the processes run: those that get no processor send less than planned, or
+//! answer late.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    fs,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use base::prelude::*;
 use tokio::{task::JoinHandle, time};
 
+use super::DeployedVm;
+
 /// Time between two measurements.
 const MEASURING_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -43,3 +49,12 @@
         self.task.abort();
     }
 }
+
+impl DeployedVm {
+    /// Time that the main thread of the process has waited for a processor since its start.
+    pub(crate) fn processor_wait(&self) -> Option<Duration> {
+        let text = fs::read_to_string(format!("/proc/{}/schedstat", self.id()?)).ok()?;
+        let waited = text.split_whitespace().nth(1)?.parse().ok()?;
+        Some(Duration::from_nanos(waited))
+    }
+}
--- a/crates/soak/src/odd_names.rs
+++ b/crates/soak/src/odd_names.rs
@@ -2,29 +2,32 @@
 //! and the return.
 
 pub mod plan;
+mod unknown_routes;
 
-use std::{fmt::Write, io};
+use std::{fmt::Write, io, ops::Range};
 
 use base::prelude::*;
-use nix::sys::signal::Signal;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 use tokio::time;
 
-use self::plan::{OddNamesPlan, WritingTime};
+use self::{
+    plan::{OddNamesPlan, WritingTime},
+    unknown_routes::{UnknownCall, UnknownCallers},
+};
 use crate::{
-    callers::CallReport,
+    callers::{CALLER_TIMEOUT, CallOutcome, CallReport},
     checks::power_losses::{RECOVER_TIME, ServedCount},
     deployed::{
         DeployedFleet,
         lag::LagMeter,
         run::{
-            COUNTED_TIME, CallerLoad, GRACE, LossTimes, POLL_INTERVAL, RunReport, WARM_UP,
-            check_service, find_wrong, stop_all,
+            COUNTED_TIME, CallerLoad, LossTimes, POLL_INTERVAL, RunReport, WARM_UP, check_service,
+            find_wrong, stop_all,
         },
     },
-    injection::power_loss::is_ready,
+    injection::power_loss::{READY_LIMIT, is_ready},
 };
 
 /// Path of the readiness check.
@@ -40,6 +43,10 @@
 const CHECK_IN_TIME: Duration = Duration::from_millis(600);
 /// Id that no server ever has.
 const STRANGER: &str = "h3-never";
+/// Status of the refusal of an unknown route.
+const UNKNOWN_ROUTE: u16 = 404;
+/// Statuses of refusals while a gateway starts or stops.
+const UNAVAILABLE: u16 = 503;
 
 /// Runs `plan` on a fleet of which no process is started.
 ///
@@ -62,11 +69,19 @@
     let mut report = RunReport::default();
     check_ready(fleet, "the first start", &mut report).await;
     let load = CallerLoad::start(fleet, plan.seed);
+    let mut unknown_callers = UnknownCallers::start(fleet.caller_addresses());
     let lag = LagMeter::start();
+    let first_life = Instant::now();
     time::sleep(STEP_TIME).await;
     write_at(fleet, WritingTime::BeforeRestart);
-    restart_all(fleet, &mut random).await?;
-    time::sleep(STEP_TIME).await;
+    fleet.note_exits();
+    let stopped = Instant::now();
+    report.findings.extend(stop_all(fleet).await);
+    fleet.start_all(&mut random).await?;
+    let restarted = Instant::now();
+    await_ready(fleet, restarted + READY_LIMIT, &mut report).await;
+    let second_life = Instant::now();
+    time::sleep_until(restarted + STEP_TIME).await;
     disturb_entries(plan, fleet).await;
     time::sleep(STEP_TIME).await;
     write_at(fleet, WritingTime::BeforeLoss);
@@ -77,8 +92,11 @@
     let returned = Instant::now();
     fleet.publish_engines();
     fleet.start_all(&mut random).await?;
-    time::sleep_until(returned + RECOVER_TIME + COUNTED_TIME).await;
+    let third_life = returned + RECOVER_TIME..returned + RECOVER_TIME + COUNTED_TIME;
+    time::sleep_until(third_life.end).await;
     check_ready(fleet, "the return", &mut report).await;
+    let unknown_calls = unknown_callers.take();
+    drop(unknown_callers);
     let loss = LossTimes { began: lost, returned };
     let reports = load.finish().await;
     fleet.note_exits();
@@ -90,29 +108,15 @@
     let _ = write!(report.summary, "{:?}, pages of {}", plan.written, plan.page_size);
     let _ = write!(report.summary, "; harness late by {} ms at most", lag.longest().as_millis());
     check_service(&loss, &reports, &mut report);
-    check_gateways(&loss, &reports, &mut report);
+    check_gateways(second_life..lost, &reports, &mut report);
+    check_gateways(third_life.clone(), &reports, &mut report);
+    let lives = [first_life..stopped, second_life..lost, third_life];
+    check_unknown_routes(&lives, &unknown_calls, &reports, &mut report);
     check_servers(fleet, returned, &mut report);
     check_listings(fleet, began.elapsed(), &mut report);
     Ok(report)
 }
 
-/// Stops all processes at once and starts them when all have ended.
-async fn restart_all(fleet: &mut DeployedFleet, random: &mut ChaCha8Rng) -> io::Result<()> {
-    fleet.note_exits();
-    for vm in &mut fleet.vms {
-        vm.expect_exit();
-        vm.signal(Signal::SIGTERM);
-    }
-    let deadline = Instant::now() + GRACE;
-    while Instant::now() < deadline && fleet.vms.iter().any(|vm| vm.is_started()) {
-        for vm in &mut fleet.vms {
-            _ = vm.take_exit();
-        }
-        time::sleep(POLL_INTERVAL).await;
-    }
-    fleet.start_all(random).await
-}
-
 /// Writes odd entries among the servers during service, until those of servers are written anew.
 async fn disturb_entries(plan: &OddNamesPlan, fleet: &DeployedFleet) {
     let odd = json!({ "service": 3, "address": [] });
@@ -126,27 +130,83 @@
     fleet.publish_engines();
 }
 
+/// Waits until all gateways are ready, and records those that are not by `deadline`.
+async fn await_ready(fleet: &DeployedFleet, deadline: Instant, report: &mut RunReport) {
+    let mut gateways: Vec<_> = fleet.ready_addresses().into_iter().enumerate().collect();
+    while !gateways.is_empty() && Instant::now() < deadline {
+        let mut unready = Vec::new();
+        for (gateway, address) in gateways {
+            if !is_ready(address, READY_PATH).await {
+                unready.push((gateway, address));
+            }
+        }
+        gateways = unready;
+        time::sleep(POLL_INTERVAL).await;
+    }
+    let late = gateways.into_iter().map(|(gateway, _)| gateway);
+    report.findings.extend(
+        late.map(|late| format!("gateway {late} is not ready {READY_LIMIT:?} after the restart")),
+    );
+}
+
 async fn check_ready(fleet: &DeployedFleet, after: &str, report: &mut RunReport) {
     for (gateway, address) in fleet.ready_addresses().into_iter().enumerate() {
+        let waited = || fleet.vms[gateway].processor_wait().unwrap_or_default();
+        let before = waited();
         if !is_ready(address, READY_PATH).await {
-            report.findings.push(format!("gateway {gateway} is not ready after {after}"));
+            let wait = waited().saturating_sub(before);
+            report.findings.push(format!(
+                "gateway {gateway} is not ready after {after}, and waited {wait:?} for a processor"
+            ));
         }
     }
 }
 
-/// Checks that each gateway serves again.
-fn check_gateways(loss: &LossTimes, reports: &[CallReport], report: &mut RunReport) {
-    let from = loss.returned + RECOVER_TIME;
+/// Checks that each gateway serves requests that are sent within `range`.
+fn check_gateways(range: Range<Instant>, reports: &[CallReport], report: &mut RunReport) {
     let gateways = reports.iter().map(|call| call.gateway).max().map_or(0, |last| last + 1);
     for gateway in 0..gateways {
-        let own = reports.iter().filter(|call| call.gateway == gateway && call.sent >= from);
-        let count = ServedCount::of(own);
+        let is_own = |call: &&CallReport| call.gateway == gateway && range.contains(&call.sent);
+        let count = ServedCount::of(reports.iter().filter(is_own));
         if count.served == 0 {
             report.findings.push(format!("gateway {gateway} serves nothing: {count}"));
         }
     }
 }
 
+/// Checks that unknown routes are refused at once while the gateways serve, and no others with that status.
+fn check_unknown_routes(
+    lives: &[Range<Instant>],
+    calls: &[UnknownCall],
+    reports: &[CallReport],
+    report: &mut RunReport,
+) {
+    let is_within = |call: &UnknownCall| {
+        lives.iter().any(|life| life.contains(&call.sent) && call.sent + CALLER_TIMEOUT < life.end)
+    };
+    for call in calls {
+        let is_refused = match call.status {
+            Some(UNKNOWN_ROUTE) => true,
+            None | Some(UNAVAILABLE) => !is_within(call),
+            Some(_) => false,
+        };
+        if !is_refused {
+            let UnknownCall { gateway, status, .. } = call;
+            let finding = format!("gateway {gateway} answers an unknown route with {status:?}");
+            report.findings.push(finding);
+        }
+    }
+    let refused = calls.iter().filter(|call| call.status == Some(UNKNOWN_ROUTE));
+    let slowest = refused.clone().map(|call| call.duration).max().unwrap_or_default();
+    let (refused, sent) = (refused.count(), calls.len());
+    let _ =
+        write!(report.summary, "; {refused} of {sent} for unknown routes refused in {slowest:?}");
+    let unknown = reports
+        .iter()
+        .filter(|call| matches!(call.outcome, CallOutcome::Complete { status: UNKNOWN_ROUTE, .. }));
+    report.findings.extend(unknown.map(|call| format!("a known route is unknown: {call:?}")));
+}
+
 /// Checks that requests reach each server after the return.
 fn check_servers(fleet: &DeployedFleet, returned: Instant, report: &mut RunReport) {
     let is_reached = |arrivals: Vec<Instant>| arrivals.iter().any(|at| *at >= returned);
