--- a/crates/soak/src/odd_names.rs
+++ b/crates/soak/src/odd_names.rs
@@ -1,8 +1,10 @@
 //! Runs a deployed fleet beside objects of another writer, through a plain restart, a loss of power
 //! and the return.
 
+mod objects;
 pub mod plan;
 mod unknown_routes;
+mod wide;
 
 use std::{fmt::Write, io, ops::Range};
 
@@ -13,7 +15,7 @@
 use tokio::time;
 
 use self::{
-    plan::{OddNamesPlan, WritingTime},
+    plan::{OddEntry, OddNamesPlan, WritingTime},
     unknown_routes::{UnknownCall, UnknownCallers},
 };
 use crate::{
@@ -41,8 +43,12 @@
 const STEP_TIME: Duration = Duration::from_secs(2);
 /// Time until a server writes its entry again.
 const CHECK_IN_TIME: Duration = Duration::from_millis(600);
+/// Time from the return until odd entries change once more.
+const LATE_CHANGE_TIME: Duration = Duration::from_millis(600);
 /// Id that no server ever has.
 const STRANGER: &str = "h3-never";
+/// Id of a server that leaves.
+const FORMER: &str = "h3-former";
 /// Status of the refusal of an unknown route.
 const UNKNOWN_ROUTE: u16 = 404;
 /// Statuses of refusals while a gateway starts or stops.
@@ -59,8 +65,7 @@
     fleet.store.set_page_size(plan.page_size);
     let write_at = |fleet: &DeployedFleet, at: WritingTime| {
         if plan.written == at {
-            let objects = plan.objects.iter();
-            objects.for_each(|odd| fleet.store.write_raw(odd.kind, &odd.name, &odd.object));
+            write_objects(plan, fleet);
         }
     };
     write_at(fleet, WritingTime::BeforeStart);
@@ -77,7 +82,7 @@
     fleet.note_exits();
     let stopped = Instant::now();
     report.findings.extend(stop_all(fleet).await);
-    fleet.start_all(&mut random).await?;
+    start_again(plan, fleet, &mut random).await?;
     let restarted = Instant::now();
     await_ready(fleet, restarted + READY_LIMIT, &mut report).await;
     let second_life = Instant::now();
@@ -91,7 +96,11 @@
     write_at(fleet, WritingTime::WhileDown);
     let returned = Instant::now();
     fleet.publish_engines();
-    fleet.start_all(&mut random).await?;
+    start_again(plan, fleet, &mut random).await?;
+    if plan.has_late_change {
+        time::sleep_until(returned + LATE_CHANGE_TIME).await;
+        disturb_entries(plan, fleet).await;
+    }
     let third_life = returned + RECOVER_TIME..returned + RECOVER_TIME + COUNTED_TIME;
     time::sleep_until(third_life.end).await;
     check_ready(fleet, "the return", &mut report).await;
@@ -117,14 +126,46 @@
     Ok(report)
 }
 
+fn write_objects(plan: &OddNamesPlan, fleet: &DeployedFleet) {
+    let objects = plan.objects.iter();
+    objects.for_each(|odd| fleet.store.write_raw(odd.kind, &odd.name, &odd.object));
+}
+
+/// Starts all processes, which are stopped.
+async fn start_again(
+    plan: &OddNamesPlan,
+    fleet: &mut DeployedFleet,
+    random: &mut ChaCha8Rng,
+) -> io::Result<()> {
+    if plan.is_rewritten {
+        plan.objects.iter().for_each(|odd| fleet.store.remove(odd.kind, &odd.name));
+    }
+    fleet.start_all(random).await?;
+    if plan.is_rewritten {
+        write_objects(plan, fleet);
+    }
+    Ok(())
+}
+
 /// Writes odd entries among the servers during service, until those of servers are written anew.
 async fn disturb_entries(plan: &OddNamesPlan, fleet: &DeployedFleet) {
-    let odd = json!({ "service": 3, "address": [] });
-    if let Some(index) = plan.shadowed {
-        fleet.store.write("servers", &fleet.engines[index].instance(), &odd);
+    if plan.odd_entries.contains(&OddEntry::Former) {
+        let mut entry = fleet.store.read("servers", "s-0").unwrap_or_default();
+        entry["state"] = json!("draining");
+        fleet.store.write("servers", FORMER, &entry);
+        time::sleep(CHECK_IN_TIME).await;
+        fleet.store.remove("servers", FORMER);
+        time::sleep(CHECK_IN_TIME).await;
     }
-    if plan.has_stranger {
-        fleet.store.write("servers", STRANGER, &odd);
+    for entry in &plan.odd_entries {
+        let id = match entry {
+            OddEntry::Engine(index) => fleet.engines[*index].instance(),
+            OddEntry::Stranger => STRANGER.to_owned(),
+            OddEntry::Former => FORMER.to_owned(),
+        };
+        // Writing the same once more is no change.
+        let odd = json!({ "service": 3, "address": [], "sequence": fleet.store.revision() });
+        fleet.store.write("servers", &id, &odd);
     }
     time::sleep(CHECK_IN_TIME).await;
     fleet.publish_engines();
--- a/crates/soak/src/odd_names/plan.rs
+++ b/crates/soak/src/odd_names/plan.rs
@@ -1,34 +1,25 @@
 //! What a seed writes among the objects of the store, and when.
 
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
 
 use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
-use serde_json::{Value, json};
+use serde_json::json;
 
+use super::{
+    objects::{OddObject, draw_objects, metadata},
+    wide::draw_wide_objects,
+};
 use crate::deployed::LENDING_SIZE;
 
-/// Names of objects; some sort between those of the servers, some before or behind all of them.
-const NAMES: [&str; 16] = [
-    "a00%41",
-    "a01%",
-    "a01%zz",
-    "a02&b=",
-    "a03+",
-    "a04%C3%A9",
-    "a#b",
-    "a b",
-    "a?c",
-    "m%41",
-    "i%",
-    "\u{e9}t\u{e9}",
-    "i-4%",
-    "zz+",
-    "s-1 b",
-    ".",
-];
-/// Length of a long name.
-const LONG_NAME: usize = 2_000;
+/// Seeds that keep the narrow draw with which they once failed.
+const NARROW_SEEDS: RangeInclusive<u64> = 0..=20;
+/// Seeds that play the day of an incident, with its names.
+const INCIDENT_SEEDS: RangeInclusive<u64> = 1_000..=1_008;
+/// Numbers of objects on a page on these days.
+const INCIDENT_PAGE_SIZES: [usize; 3] = [1, 2, 50];
+/// Figures: one digit, two that stand for a character before the percent sign, and two for one behind it.
+const INCIDENT_FIGURES: [&str; 3] = ["7", "20", "41"];
 /// Kind of the backend servers.
 const SERVERS: &str = "servers";
 /// Kinds that the processes list, those of the servers aside.
@@ -36,21 +27,6 @@
     ["config", "fescuewalk-entries", "fescuewalk-blocks", "fescuewalk-versions"];
 /// Numbers of objects on a page.
 const PAGE_SIZES: [usize; 4] = [1, 2, 7, 50];
-/// Upper limit of the large objects of a kind.
-const MAX_LARGE: usize = 3;
-/// Size of the contents of a large object, in bytes.
-const LARGE_SIZES: std::ops::RangeInclusive<usize> = 200_000..=1_000_000;
-
-/// An object of another writer.
-#[derive(Debug, Clone, PartialEq)]
-pub struct OddObject {
-    /// Its kind.
-    pub kind: &'static str,
-    /// Its place among the objects of the kind.
-    pub name: String,
-    /// The object as a whole.
-    pub object: Value,
-}
 
 /// When the objects are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -65,6 +41,17 @@
     WhileDown,
 }
 
+/// Under whose id an odd entry appears among the servers during service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OddEntry {
+    /// Of an engine in service, until its next check-in.
+    Engine(usize),
+    /// Of no server that ever was.
+    Stranger,
+    /// Of a server that has left.
+    Former,
+}
+
 /// All that a seed decides.
 #[derive(Debug, Clone)]
 pub struct OddNamesPlan {
@@ -76,10 +63,12 @@
     pub objects: Vec<OddObject>,
     /// When it does so.
     pub written: WritingTime,
-    /// Engine under whose id an odd entry stands until its next check-in; `None` for none.
-    pub shadowed: Option<usize>,
-    /// Whether an odd entry appears, during service, under an id that no server ever had.
-    pub has_stranger: bool,
+    /// Whether they are deleted while the processes are stopped, and written again after their start.
+    pub is_rewritten: bool,
+    /// Odd entries that appear during service.
+    pub odd_entries: Vec<OddEntry>,
+    /// Whether these change once more after the return.
+    pub has_late_change: bool,
     /// Time without power.
     pub down: Duration,
 }
@@ -88,6 +77,10 @@
     /// The plan of `seed`.
     pub fn from_seed(seed: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
+        if INCIDENT_SEEDS.contains(&seed) {
+            return Self::of_incident(seed);
+        }
+        let is_narrow = NARROW_SEEDS.contains(&seed);
         let page_size = *PAGE_SIZES.choose(&mut random).expect("the list is not empty");
         let written = match random.random_range(0..4) {
             0 => WritingTime::BeforeStart,
@@ -95,64 +88,64 @@
             2 => WritingTime::BeforeLoss,
             _ => WritingTime::WhileDown,
         };
-        let mut objects = draw_objects(SERVERS, 4..=10, page_size, &mut random);
+        let draw = if is_narrow { draw_objects } else { draw_wide_objects };
+        let mut objects = draw(SERVERS, 4..=10, page_size, &mut random);
         for kind in OTHER_KINDS {
             if random.random_bool(0.5) {
-                objects.extend(draw_objects(kind, 1..=4, page_size, &mut random));
+                objects.extend(draw(kind, 1..=4, page_size, &mut random));
             }
         }
+        let engine = random.random_bool(0.5).then(|| random.random_range(0..LENDING_SIZE.engines));
+        let has_stranger = random.random_bool(0.5);
+        let down = Duration::from_millis(random.random_range(100..2_000));
+        let has_former = !is_narrow && random.random_bool(0.5);
+        let engines = engine.map(OddEntry::Engine).into_iter();
+        let strangers = has_stranger.then_some(OddEntry::Stranger);
+        let formers = has_former.then_some(OddEntry::Former);
         Self {
             seed,
             page_size,
             objects,
             written,
-            shadowed: random.random_bool(0.5).then(|| random.random_range(0..LENDING_SIZE.engines)),
-            has_stranger: random.random_bool(0.5),
-            down: Duration::from_millis(random.random_range(100..2_000)),
+            is_rewritten: !is_narrow && random.random_bool(0.3),
+            odd_entries: engines.chain(strangers).chain(formers).collect(),
+            has_late_change: !is_narrow && random.random_bool(0.5),
+            down,
         }
     }
-}
-
-fn draw_objects(
-    kind: &'static str,
-    count: std::ops::RangeInclusive<usize>,
-    page_size: usize,
-    random: &mut ChaCha8Rng,
-) -> Vec<OddObject> {
-    let mut names: Vec<String> = NAMES.map(str::to_owned).to_vec();
-    names.push("i-".to_owned() + &"n".repeat(LONG_NAME));
-    let count = random.random_range(count);
-    let names: Vec<String> = names.sample(random, count).cloned().collect();
-    // A page needs one object that has a name, or no reader could continue after it.
-    let nameless = (page_size > 1 && random.random_bool(0.3)).then(|| names.len() - 1);
-    let mut large_left = MAX_LARGE;
-    let draw = |(index, name): (usize, String)| {
-        let contents = draw_contents(&mut large_left, random);
-        let object = match (Some(index) == nameless, contents) {
-            (true, _) => json!({ "metadata": {}, "spec": [] }),
-            (false, Some(contents)) => json!({ "metadata": metadata(&name), "spec": contents }),
-            (false, None) => json!({ "metadata": metadata(&name) }),
-        };
-        OddObject { kind, name, object }
-    };
-    names.into_iter().enumerate().map(draw).collect()
-}
-
-fn metadata(name: &str) -> Value {
-    json!({ "name": name, "revision": 1, "created": 1, "finalizers": [], "deleting": false })
-}
 
-/// Contents that describe nothing of this system; `None` for none at all.
-fn draw_contents(large_left: &mut usize, random: &mut ChaCha8Rng) -> Option<Value> {
-    match random.random_range(0..6) {
-        0 => Some(json!([1, 2])),
-        1 => Some(json!(7)),
-        2 => Some(Value::Null),
-        3 => None,
-        4 if *large_left > 0 => {
-            *large_left -= 1;
-            Some(json!({ "text": "x".repeat(random.random_range(LARGE_SIZES)) }))
+    /// The day of the incident: names written during service, a plain restart, and a loss of power. The
+    /// days differ by the pages, the figures that were not kept, and the id of the odd entry.
+    fn of_incident(seed: u64) -> Self {
+        let number = usize::try_from(seed - INCIDENT_SEEDS.start()).unwrap_or(0);
+        let (page, figure) = (number / 3, number % 3);
+        let names = incident_names(INCIDENT_FIGURES[figure]);
+        let objects = names.map(|name| {
+            let object =
+                json!({ "metadata": metadata(&name), "spec": { "service": 3, "address": [] } });
+            OddObject { kind: SERVERS, name, object }
+        });
+        let entries = [OddEntry::Stranger, OddEntry::Engine(3), OddEntry::Former];
+        Self {
+            seed,
+            page_size: INCIDENT_PAGE_SIZES[page],
+            objects: objects.into(),
+            written: WritingTime::BeforeRestart,
+            is_rewritten: false,
+            odd_entries: vec![entries[(page + figure) % entries.len()]],
+            has_late_change: true,
+            down: Duration::from_secs(1),
         }
-        _ => Some(json!({ "service": 3, "address": [] })),
     }
 }
+
+/// Names of an incident, whose figures after the first two percent signs were not kept.
+fn incident_names(figure: &str) -> [String; 5] {
+    [
+        format!("a00%{figure}"),
+        format!("a01%{figure}"),
+        "a02&b=".to_owned(),
+        "a03+".to_owned(),
+        "a04%C3%A9".to_owned(),
+    ]
+}
--- a/crates/soak/tests/support/mod.rs
+++ b/crates/soak/tests/support/mod.rs
@@ -10,11 +10,14 @@
 use proof::binaries::ProgramPaths;
 use soak::deployed::run::RunReport;
 
+/// Option that keeps the logs of runs that passed.
+const KEEP_OPTION: &str = "--keep";
+
 /// A run of one seed.
 pub struct SeedRun {
     /// The seed.
     pub seed: u64,
-    /// Where its settings and logs are; kept if the run fails.
+    /// Where its settings and logs are; kept if the run fails, or with `--keep`.
     pub directory: PathBuf,
 }
 
@@ -22,20 +25,26 @@
     let number = |text: &str| text.parse::<u64>().map_err(|_| format!("{text:?} is not a number"));
     match arguments {
         [] => Ok(short.to_vec()),
-        [option, value] if option == "--seeds" => {
+        [option, value, ..] if option == "--seeds" && has_only_keep(&arguments[2..]) => {
             let (first, last) = value.split_once('-').unwrap_or((value, value));
             Ok((number(first)?..=number(last)?).collect())
         }
-        _ => Err("expected no arguments or --seeds FIRST-LAST".to_owned()),
+        _ => Err("expected no arguments or --seeds FIRST-LAST [--keep]".to_owned()),
     }
 }
 
-fn print_report(run: &SeedRun, report: &RunReport) {
+fn has_only_keep(rest: &[String]) -> bool {
+    rest.is_empty() || rest == [KEEP_OPTION]
+}
+
+fn print_report(run: &SeedRun, report: &RunReport, is_kept: bool) {
     let seed = run.seed;
     if report.findings.is_empty() {
         println!("seed {seed}: passed; {}", report.summary);
-        // The logs of a run that passed are of no use.
-        let _ = std::fs::remove_dir_all(&run.directory);
+        if !is_kept {
+            // The logs of a run that passed are of no use.
+            let _ = std::fs::remove_dir_all(&run.directory);
+        }
         return;
     }
     println!("seed {seed}: FAILED; {}; logs in {}", report.summary, run.directory.display());
@@ -60,6 +69,7 @@
             return ExitCode::from(2);
         }
     };
+    let is_kept = arguments.iter().any(|argument| argument == KEEP_OPTION);
     let programs = match ProgramPaths::build() {
         Ok(programs) => programs,
         Err(error) => {
@@ -82,7 +92,7 @@
     while let Some((run, outcome)) = runs.next().await {
         match outcome {
             Ok(report) => {
-                print_report(&run, &report);
+                print_report(&run, &report, is_kept);
                 match report.findings.is_empty() {
                     true => passed += 1,
                     false => failed += 1,
