gateway: an engine whose entry returns is asked for its state again

What callers saw: a loaded or empty engine of which nothing changed got no model any more after its entry had left the store for a moment; requests for models that are not loaded were refused or waited at the other engines.

Cause: an entry that goes, here because another writer left an odd object under the engine's id for 0.7 s, takes the engine from the planner. What the side process reports is known by a number, which stayed; so the gateway went on to say that it has this state, and the side process sent the load alone until the engine changed. A side that was silent for longer than 2.2 s was asked anew, an engine that came back sooner was not.

`gateway/tests/returned_engines.rs` failed twice of two on the code before: no answer 200 within 12 s.

Change: an engine that joins has no known state, so that the next heartbeat asks for all of it, at once.

Measured: the test passes twice of two, in 3.4 s.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -223,6 +223,14 @@
         }
     }
 
+    /// Asks for the complete state of an engine that joins: what was reported before is gone from
+    /// planning, and the side process sends no state again that it takes for known.
+    pub fn renew_engine(&self, engine: SocketAddr) {
+        if let Some(side) = self.lock().sides.get_mut(&engine) {
+            side.state_number = 0;
+        }
+    }
+
     async fn send_heartbeats(self) {
         let mut catalog = self.catalog.clone();
         loop {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -350,6 +350,13 @@
             }
             dispatcher.review_waiting(now);
         });
+        for update in updates {
+            if let RosterUpdate::Joined(id) = update
+                && let Some((server, _)) = roster.get(id)
+            {
+                self.fleet.renew_engine(server.address);
+            }
+        }
         self.fleet.contact_unknown_peers();
         for update in updates {
             if let RosterUpdate::Draining(id) | RosterUpdate::Removed(id) = update {
