gateway: an entry that lists a part of the servers plans last, and waits less for the rest

Found by a review of incomplete listings, before any caller saw it. Each has a cause in how the first listings with a gap were taken for whole ones:

- An entry that had listed servers before a refused page, and none of the engines behind it, announced its full share of a core, was the planner, and streams were refused at all entries.
It announces the least share now, so it plans only if none has listed all.
Servers that come by the watch make it ready, too.
- A repetition that was not answered was repeated before the next watch, so changes that the watch could have shown stayed unknown.
Changes are watched between two attempts.
- A gap behind a busy store, and a listing that shows nothing, were repeated after up to 10 s; the store may be back at any moment.
- A watch that cannot be decoded led to a listing each 250 ms, and a refused watch to one at once.

The order of watches and repetitions was changed by reading, without a test.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -39,6 +39,8 @@
     version_archive::VersionArchive,
 };
 
+/// Share of a core that an entry announces which may know a part of the backend servers only.
+const PARTIAL_SHARE: u32 = 1;
 /// Time between two heartbeats to other entries.
 const ENTRY_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two heartbeats to a process from which none was received yet.
@@ -195,9 +197,14 @@
         self.hand_over_quotas();
     }
 
-    /// Records that the backend servers are known: this entry can serve, and plan for the others.
-    pub fn record_roster(&self) {
-        self.lock().peers.set_own_share(self.core_share.max(1));
+    /// Records that backend servers are known: this entry can serve, and plan for the others. One that
+    /// may know a part of them only plans only if none has listed all.
+    pub fn record_roster(&self, is_complete: bool) {
+        let share = if is_complete { self.core_share.max(PARTIAL_SHARE) } else { PARTIAL_SHARE };
+        let peers = &mut self.lock().peers;
+        if peers.own_share() < share {
+            peers.set_own_share(share);
+        }
     }
 
     /// Whether the backend servers are known.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -195,6 +195,7 @@
         let mut dependency = DependencyWatch::new(self.log.clone(), Dependency::StoreServers);
         let mut since = None;
         let mut relist_delays = RelistDelays::default();
+        let mut watch_delays = RelistDelays::default();
         // After a listing with a gap, changes are watched until the next one.
         let mut relist_at: Option<Instant> = None;
         loop {
@@ -205,12 +206,16 @@
             match self.expire_while(&mut roster, since, reading).await {
                 Ok(read) => {
                     dependency.record_recovery();
-                    if let RosterRead::Listing(listing) = &read {
-                        let delay = listing.gap.as_ref().map(|gap| relist_delays.after_gap(gap));
-                        relist_at = delay.map(|delay| Instant::now() + delay);
-                        if delay.is_none() {
-                            relist_delays.reset();
+                    match &read {
+                        RosterRead::Listing(listing) => {
+                            let gap = listing.gap.as_ref();
+                            let delay = gap.map(|gap| relist_delays.after_gap(gap));
+                            relist_at = delay.map(|delay| Instant::now() + delay);
+                            if delay.is_none() {
+                                relist_delays.reset();
+                            }
                         }
+                        RosterRead::Watch { .. } => watch_delays.reset(),
                     }
                     let (position, pause) = self.apply(&mut roster, read);
                     since = position;
@@ -225,22 +230,27 @@
                         let failed = FailedRead { sent, last_seen };
                         roster.record_store_failure(failed, Instant::now());
                     }
-                    if from.is_some() && ends_watch(&error) {
-                        since = None;
-                    }
-                    let (mut delay, mut pause) = (Duration::ZERO, RETRY_DELAY);
-                    match (from, since) {
-                        _ if !error.was_answered() => relist_delays.reset(),
-                        (None, None) => pause = relist_delays.after_failure(&error),
+                    let pause = match (from, since) {
+                        (Some(_), _) if ends_watch(&error) => {
+                            since = None;
+                            watch_delays.after_failure(&error)
+                        }
+                        (Some(_), _) => {
+                            if !error.was_answered() {
+                                // What is missing is listed as soon as the store is back.
+                                relist_delays.reset();
+                                relist_at = relist_at.map(|_| Instant::now());
+                            }
+                            RETRY_DELAY
+                        }
+                        (None, None) => relist_delays.after_failure(&error),
                         (None, Some(_)) => {
-                            // Changes go on being watched until the next attempt.
-                            delay = relist_delays.after_failed_repetition(&error);
-                            pause = Duration::ZERO;
+                            // Changes are watched before the next attempt.
+                            let delay = relist_delays.after_failed_repetition(&error);
+                            relist_at = Some(Instant::now() + delay);
+                            Duration::ZERO
                         }
-                        (Some(_), _) => {}
-                    }
-                    // After a failed watch, what is missing is listed as soon as the store is back.
-                    relist_at = relist_at.map(|_| Instant::now() + delay);
+                    };
                     self.expire_while(&mut roster, since, time::sleep(pause)).await;
                 }
             }
@@ -304,9 +314,7 @@
                 };
                 updates.extend(self.unlisted(roster, &updates, gap.as_ref()));
                 self.publish(roster, &updates, position);
-                if gap.is_none() || roster.servers().next().is_some() {
-                    self.fleet.record_roster();
-                }
+                self.record_roster(roster, gap.is_none());
                 (Some(position), Duration::ZERO)
             }
             RosterRead::Watch { outcome: WatchOutcome::HistoryExpired, .. } => {
@@ -332,12 +340,20 @@
                     })
                     .collect();
                 self.publish(roster, &updates, position);
+                self.record_roster(roster, false);
                 let pause = self.reads.finish_watch(&plan, sent, since, (position, has_changes));
                 (Some(position.max(since)), pause)
             }
         }
     }
 
+    /// Makes this entry ready as soon as it knows a server, or that there is none.
+    fn record_roster(&self, roster: &Roster, is_complete: bool) {
+        if is_complete || roster.servers().next().is_some() {
+            self.fleet.record_roster(is_complete);
+        }
+    }
+
     /// Removals of servers that are neither listed nor in `updates`, nor may stand in the gap of the
     /// listing: this task has panicked after it had listed them.
     fn unlisted(
