planner: a restarted engine is not taken to hold what it lost

If an engine restarted and the platform's store did not list its new incarnation, as when the store is away, callers of a model that only this engine had held were refused for as long as that lasted, though other engines were free.

Loads that the engine had open in the weight store go on counting until their ends. An engine that had reported before it restarted still counts among those that have, so the weight store is used as before.

In tests/planner.rs the call that tells the planner of such an answer has a new name; what the case checks is the same.

--- a/crates/gateway/src/fleet/engines.rs
+++ b/crates/gateway/src/fleet/engines.rs
@@ -123,7 +123,7 @@
         });
         let Some((was_in_use, instance)) = found else { return };
         for planner in self.lock().planners.values_mut() {
-            planner.record_answer(&instance);
+            planner.mark_restarted(&instance);
         }
         if was_in_use {
             self.record_server_status(&instance, "restarted");
--- a/crates/gateway/tests/lost_engines.rs
+++ b/crates/gateway/tests/lost_engines.rs
@@ -34,3 +34,21 @@
 
     assert_eq!(call_until_served(&fleet, "m1").await, 200);
 }
+
+/// The store does not list the new incarnation, as when it is away.
+#[tokio::test]
+async fn model_that_a_restarted_engine_lost_is_loaded_at_another() {
+    let mut fleet = TestFleet::start().await;
+    let holder = EngineOptions { residents: vec!["m1".to_owned()], ..EngineOptions::new("i-0") };
+    for options in [holder, EngineOptions::new("i-1")] {
+        let engine = fleet.add_engine(options).await;
+        fleet.add_agent(engine).await;
+    }
+    fleet.add_gateway().await;
+    let before = fleet.call(stream("/chat/", "m1", "before")).await.status();
+
+    fleet.engines[0].crash(2);
+    let after = call_until_served(&fleet, "m1").await;
+
+    assert_eq!((before, after), (200, 200));
+}
--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -13,7 +13,7 @@
 mod streams;
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
 };
 
@@ -163,6 +163,8 @@
     listed: usize,
     /// Heartbeats to engines that have not reported.
     unanswered: UnansweredHeartbeats,
+    /// Engines that have reported and restarted since, until the roster lists their new incarnations.
+    restarted: HashSet<InstanceId>,
     /// Requests a second that an engine takes, for those that name a limit.
     limits: HashMap<InstanceId, EventRate>,
     store_concurrency: StoreConcurrency,
@@ -192,14 +194,19 @@
     /// Records a heartbeat that is sent to an engine in the roster. One that leaves several unanswered
     /// is no longer waited for, though it is still listed.
     pub fn record_heartbeat(&mut self, instance: &InstanceId, now: Instant) {
-        if !self.engines.contains_key(instance) {
+        if !self.has_reported(instance) {
             self.unanswered.record_sent(instance, now);
         }
     }
 
-    /// Records that an engine answers heartbeats, though what it reports cannot be used yet.
-    pub fn record_answer(&mut self, instance: &InstanceId) {
-        self.unanswered.clear(instance);
+    /// Forgets what an engine held that answers heartbeats as another incarnation than the roster
+    /// lists. If it had reported, the planner does not wait for it until its new incarnation is listed.
+    pub fn mark_restarted(&mut self, instance: &InstanceId) {
+        let had_reported = self.has_reported(instance);
+        self.remove(instance);
+        if had_reported {
+            self.restarted.insert(instance.clone());
+        }
     }
 
     /// Sets the requests a second that each engine takes which names a limit.
@@ -211,6 +218,7 @@
     pub fn update_engine(&mut self, snapshot: EngineSnapshot, now: Instant) {
         let instance = snapshot.instance.clone();
         self.unanswered.clear(&instance);
+        self.restarted.remove(&instance);
         if let Some(pending) = self.pending.get(&instance) {
             let is_started = snapshot.loading.is_some() || snapshot.orders != pending.orders;
             if is_started {
@@ -252,6 +260,7 @@
     pub fn remove(&mut self, instance: &InstanceId) {
         let removed = self.engines.remove(instance);
         self.unanswered.clear(instance);
+        self.restarted.remove(instance);
         if let Some(ready_at) = removed.as_ref().and_then(store_load_end) {
             self.abandoned_loads.insert(instance.clone(), ready_at);
         }
@@ -260,10 +269,16 @@
         self.loaded_at.retain(|(engine, _), _| engine != instance);
     }
 
+    /// Whether an engine has reported to this planner, be it before a restart.
+    fn has_reported(&self, instance: &InstanceId) -> bool {
+        self.engines.contains_key(instance) || self.restarted.contains(instance)
+    }
+
     /// Whether most of the listed engines have reported, apart from those that do not answer.
     fn has_most_reports(&self, now: Instant) -> bool {
         let awaited = self.listed.saturating_sub(self.unanswered.silent_engines(now));
-        self.engines.len() as f64 >= awaited as f64 * MIN_REPORTED_SHARE
+        let reported = self.engines.len() + self.restarted.len();
+        reported as f64 >= awaited as f64 * MIN_REPORTED_SHARE
     }
 
     /// Engines that have reported, in the order of their names.
--- a/crates/residency/tests/planner.rs
+++ b/crates/residency/tests/planner.rs
@@ -245,11 +245,7 @@
 #[case::slow_planner(&[0, 900], 1_700, false)]
 #[case::paused_planner(&[0, 150, 300, 450, 2_000], 2_200, false)]
 #[case::no_longer_listed(&[0, 150, 300, 450, 600], 1_700, false)]
-fn engine_that_may_still_report_is_awaited(
-    #[case] heartbeats: &[u64],
-    #[case] planned: u64,
-    #[case] is_answered: bool,
-) {
+fn engine_is_awaited(#[case] heartbeats: &[u64], #[case] planned: u64, #[case] is_answered: bool) {
     let now = Instant::now();
     let mut planner = planner(vec![engine("i-1", &[], &[])], now);
     planner.set_listed(2);
@@ -257,7 +253,7 @@
         planner.record_heartbeat(&instance("i-2"), now + Duration::from_millis(*sent));
     }
     if is_answered {
-        planner.record_answer(&instance("i-2"));
+        planner.mark_restarted(&instance("i-2"));
     }
 
     let planned = now + Duration::from_millis(planned);
