planner: requests wait for the first of engines that are all lost

Found by a review of the planner that waits no more for engines that are silent, before any caller saw it: with all of them silent, none of none had reported, so requests were refused as if no engine would load their model.

If no engine answers, the first is awaited as before.

--- a/crates/residency/src/planner.rs
+++ b/crates/residency/src/planner.rs
@@ -276,7 +276,9 @@
 
     /// Whether most of the listed engines have reported, apart from those that do not answer.
     fn has_most_reports(&self, now: Instant) -> bool {
-        let awaited = self.listed.saturating_sub(self.unanswered.silent_engines(now));
+        let answering = self.listed.saturating_sub(self.unanswered.silent_engines(now));
+        // If none answers, the first to return is awaited.
+        let awaited = answering.max(self.listed.min(1));
         let reported = self.engines.len() + self.restarted.len();
         reported as f64 >= awaited as f64 * MIN_REPORTED_SHARE
     }
--- a/crates/residency/tests/planner.rs
+++ b/crates/residency/tests/planner.rs
@@ -237,6 +237,25 @@
     assert_eq!(changes(&later), ["i-1: - +d from store"]);
 }
 
+/// Guards against callers who are refused while all engines return.
+#[test]
+fn requests_wait_for_the_first_of_the_engines_that_are_all_lost() {
+    let now = Instant::now();
+    let mut planner = planner(vec![], now);
+    planner.set_listed(2);
+    for sent in (0..1_000).step_by(150) {
+        for lost in ["i-1", "i-2"] {
+            planner.record_heartbeat(&instance(lost), now + Duration::from_millis(sent));
+        }
+    }
+
+    let after = now + Duration::from_secs(1);
+    let outcome = planner.plan(&tracker(vec![waiting("d", 3)], after), after);
+
+    let (_, load_estimate) = &outcome.load_estimates[0];
+    assert!(load_estimate.is_some_and(|at| at > after), "{load_estimate:?}");
+}
+
 /// Heartbeats to one of two listed engines, and the time of the plan, in milliseconds.
 #[rstest]
 #[case::before_the_last_can_be_answered(&[0, 150, 300, 450, 600], 700, false)]
