platform: an object beside the configuration does not hide it

What callers saw: nothing yet, found by a review. A gateway that started beside an object which makes the first page of the configurations undecodable or too large never had a configuration and was not ready; one that ran kept its own while such a change was in the answer of the watch, also if a key was withdrawn meanwhile.

Cause: the class of names sent unencoded, one object that ends the read of all, mended for servers only.

Change: if the page cannot be read, the configuration is read by its name, once a second, as it cannot be watched. A watch that cannot be decoded is followed by a read.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -18,6 +18,9 @@
     store_reads::StoreReads,
 };
 
+/// Time between two reads of a configuration that cannot be watched.
+const READ_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Records in the decision log when a dependency becomes unavailable and available again.
 struct DependencyWatch {
     log: EventLog,
@@ -85,7 +88,7 @@
                 Err(error) => {
                     dependency.record_loss(&error);
                     self.reads.record_failure();
-                    since = since.filter(|_| !needs_listing(&error));
+                    since = since.filter(|_| !ends_watch(&error));
                     time::sleep(RETRY_DELAY).await;
                 }
             }
@@ -95,8 +98,10 @@
     async fn read(&self, waits_until: Instant) -> Result<Option<StorePosition>, StoreError> {
         let sent = Instant::now();
         let (stored, position) = self.store.read_catalog(ReadMode::Latest).await?;
-        self.reads.record_listing(position, sent);
-        let Some(stored) = stored else { return Ok(Some(position)) };
+        if let Some(position) = position {
+            self.reads.record_listing(position, sent);
+        }
+        let Some(stored) = stored else { return Ok(self.pause_unless_watched(position).await) };
         let version = stored.catalog.version();
         let may_wait = self.holder.version().is_none() && Instant::now() < waits_until;
         if may_wait && self.fleet.has_newer_catalog(version).await {
@@ -108,7 +113,15 @@
             return Ok(None);
         }
         self.holder.adopt(stored, CatalogSource::Store);
-        Ok(Some(position))
+        Ok(self.pause_unless_watched(position).await)
+    }
+
+    /// Waits until the next read if there is no position from which to watch.
+    async fn pause_unless_watched(&self, position: Option<StorePosition>) -> Option<StorePosition> {
+        if position.is_none() {
+            time::sleep(READ_INTERVAL).await;
+        }
+        position
     }
 
     async fn watch(&self, since: StorePosition) -> Result<Option<StorePosition>, StoreError> {
@@ -138,8 +151,8 @@
     matches!(error, StoreError::TooLarge { .. } | StoreError::SlowAnswer)
 }
 
-/// Whether no watch of servers from the same position can succeed. A listing goes past a change that
-/// cannot be decoded, as it leaves out the page with its object.
+/// Whether no watch from the same position can succeed. A listing goes past a change that cannot be
+/// decoded, as it leaves out the page with its object; so does a read of the configuration by its name.
 fn ends_watch(error: &StoreError) -> bool {
     needs_listing(error) || matches!(error, StoreError::Format { .. })
 }
--- a/crates/gateway/tests/odd_objects.rs
+++ b/crates/gateway/tests/odd_objects.rs
@@ -117,6 +117,31 @@
     call_until(&fleet, "/read/a", |_| !fleet.services[1].records().is_empty()).await;
 }
 
+/// Guards against a gateway without a configuration, or with an old one, because of an object beside it.
+#[rstest]
+#[case::undecodable(true, "{\"items\":[\"")]
+#[case::too_large(true, &"a".repeat(9_000_000))]
+#[case::in_changes_alone(false, "{\"events\":[\"")]
+#[tokio::test]
+async fn gateway_follows_the_configuration_beside_an_object_that_it_cannot_read(
+    #[case] is_listed: bool,
+    #[case] broken: &str,
+) {
+    let mut fleet = start_fleet().await;
+    if is_listed {
+        fleet.store.break_page("config", "", 200, broken);
+    }
+    fleet.add_gateway().await;
+    call_until(&fleet, "/read/a", |status| status == 200).await;
+
+    fleet.store.write("config", "z-odd", &json!([]));
+    fleet.store.break_change("config", broken);
+    let route = platform_standin::RouteSpec::idempotent("/new/", PLAIN_SERVICE);
+    fleet.store.write("config", "main", &support::catalog().route(route).build(32));
+
+    call_until(&fleet, "/new/a", |status| status == 200).await;
+}
+
 /// Guards against gateways that read all pages of a listing without end again four times a second.
 #[tokio::test]
 async fn gateway_repeats_a_listing_that_fails_more_and_more_rarely() {
