logging: unread outputs keep no process of the own interface from ending

What operators saw: `fescuewalk entry` and `fescuewalk-side FILE` did not end after SIGTERM, and did not complete their start, where nobody read their standard output or standard error and the pipe was full.

Cause: the line with the addresses on standard output and each line of the log on standard error were written by the tasks of the process, which waited for the reader.

The line with the addresses has a thread of its own, too.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ids;
 pub mod ini;
 pub mod locks;
+pub mod log_output;
 pub mod logging;
 pub mod memory;
 pub mod metrics;
--- a/crates/base/src/logging.rs
+++ b/crates/base/src/logging.rs
@@ -1,12 +1,16 @@
 //! Settings of the `[log]` section and initialisation of the logger.
 
-use std::str::FromStr;
+use std::{
+    io::{self, Write},
+    str::FromStr,
+    thread,
+};
 
 use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
 use log::{LevelFilter, Record};
 use snafu::Snafu;
 
-use crate::ini::SectionReader;
+use crate::{ini::SectionReader, log_output::LogOutput};
 
 /// Format of log lines.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -60,17 +64,37 @@
         }
     }
 
-    /// Installs the logger, which writes to standard error until the handle is dropped.
+    /// Installs the logger, which writes to standard error until the returned log is dropped.
     ///
     /// # Errors
     ///
     /// Fails if a logger is already installed.
-    pub fn start(self) -> Result<LoggerHandle, FlexiLoggerError> {
+    pub fn start(self) -> Result<RunningLog, FlexiLoggerError> {
         let format = match self.format {
             LogFormat::Text => write_line,
             LogFormat::Json => flexi_logger::json_format,
         };
-        Logger::with(self.level).log_to_stderr().format(format).start()
+        let output = LogOutput::start(format, io::stderr());
+        let handle = Logger::with(self.level).log_to_writer(output.writer()).start()?;
+        Ok(RunningLog { _handle: handle, _output: output })
+    }
+}
+
+/// The log of a process, until it is dropped.
+pub struct RunningLog {
+    _handle: LoggerHandle,
+    _output: LogOutput,
+}
+
+/// Writes `line` to standard output from a thread of its own, because nobody may read it.
+pub fn announce(line: String) {
+    let write = move || {
+        if let Err(error) = writeln!(io::stdout(), "{line}") {
+            log::warn!("process: the addresses cannot be written to standard output: {error}");
+        }
+    };
+    if let Err(error) = thread::Builder::new().spawn(write) {
+        log::warn!("process: no thread writes the addresses to standard output: {error}");
     }
 }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -42,6 +42,8 @@
     pub platform_calls: IntCounterVec,
     /// Connections from peers whose handshake failed.
     pub refused_peers: IntCounter,
+    /// Log lines dropped since the start.
+    pub dropped_lines: IntGauge,
 }
 
 fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
@@ -103,6 +105,8 @@
             ),
             refused_peers: IntCounter::new("fescuewalk_refused_peers_total", "Peers refused.")
                 .expect("the name is valid"),
+            dropped_lines: IntGauge::new("fescuewalk_dropped_log_lines", "Log lines dropped.")
+                .expect("the name is valid"),
         };
         metrics.registry = metrics::registry(metrics.collectors());
         metrics
@@ -122,6 +126,7 @@
             Box::new(self.list_version.clone()),
             Box::new(self.platform_calls.clone()),
             Box::new(self.refused_peers.clone()),
+            Box::new(self.dropped_lines.clone()),
         ]
     }
 
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use base::prelude::*;
+use base::{log_output::dropped_lines, prelude::*};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper_util::{
@@ -265,6 +265,7 @@
     state.metrics.list_version.set(version as i64);
     state.metrics.body_bytes.set(i64::try_from(state.body_memory.used().0).unwrap_or(i64::MAX));
     state.metrics.set_platform_calls(state.store.counts());
+    state.metrics.dropped_lines.set(i64::try_from(dropped_lines()).unwrap_or(i64::MAX));
     Ok(Response::text(state.metrics.render()))
 }
 
--- a/crates/fescuewalk-side/src/cmd/side.rs
+++ b/crates/fescuewalk-side/src/cmd/side.rs
@@ -5,13 +5,9 @@
 //! fescuewalk-side [--check] FILE
 //! ```
 
-use std::{
-    fs,
-    io::{self, Write},
-    path::PathBuf,
-};
+use std::{fs, path::PathBuf};
 
-use base::signals::StopSignals;
+use base::{logging::announce, signals::StopSignals};
 use clap::ArgMatches;
 use side::{SideHandle, SideSettings};
 
@@ -41,9 +37,7 @@
         return Ok(());
     };
     let (peers, http) = (handle.peer_address(), handle.http_address());
-    if let Err(error) = writeln!(io::stdout(), "listening peers {peers} http {http}") {
-        log::warn!("process: the addresses cannot be written to standard output: {error}");
-    }
+    announce(format!("listening peers {peers} http {http}"));
     stop.requested().await;
     handle.stop().await;
     Ok(())
--- a/crates/fescuewalk/src/cmd/entry.rs
+++ b/crates/fescuewalk/src/cmd/entry.rs
@@ -4,9 +4,7 @@
 //! fescuewalk entry [--check] FILE
 //! ```
 
-use std::io::{self, Write};
-
-use base::signals::StopSignals;
+use base::{logging::announce, signals::StopSignals};
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use entry::{EntryHandle, EntrySettings};
 
@@ -69,9 +67,7 @@
         return Ok(());
     };
     let (peers, http) = (handle.peer_address(), handle.http_address());
-    if let Err(error) = writeln!(io::stdout(), "listening peers {peers} http {http}") {
-        log::warn!("process: the addresses cannot be written to standard output: {error}");
-    }
+    announce(format!("listening peers {peers} http {http}"));
     stop.requested().await;
     handle.stop().await;
     Ok(())
--- a/crates/side/src/admin.rs
+++ b/crates/side/src/admin.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use base::log_output::dropped_lines;
 use tokio::net::TcpListener;
 use viz::{Request, RequestExt, Response, ResponseExt, Router, StatusCode, types::State};
 
@@ -27,6 +28,7 @@
 async fn metrics(mut request: Request) -> viz::Result<Response> {
     let state = extract_state(&mut request).await?;
     state.metrics.reserved.set(i64::try_from(state.loads.reserved().0).unwrap_or(i64::MAX));
+    state.metrics.dropped_lines.set(i64::try_from(dropped_lines()).unwrap_or(i64::MAX));
     Ok(Response::text(state.metrics.render()))
 }
 
--- a/crates/side/src/metrics.rs
+++ b/crates/side/src/metrics.rs
@@ -17,6 +17,8 @@
     pub reserved: IntGauge,
     /// Peer connections whose handshake failed.
     pub refused_peers: IntCounter,
+    /// Log lines dropped since the start.
+    pub dropped_lines: IntGauge,
 }
 
 impl SideMetrics {
@@ -39,14 +41,18 @@
         let refused_peers =
             IntCounter::new("fescuewalk_side_refused_peers_total", "Peers refused.")
                 .expect("the name is valid");
+        let dropped_lines =
+            IntGauge::new("fescuewalk_side_dropped_log_lines", "Log lines dropped.")
+                .expect("the name is valid");
         let registry = metrics::registry(vec![
             Box::new(requests.clone()),
             Box::new(loads.clone()),
             Box::new(in_flight.clone()),
             Box::new(reserved.clone()),
             Box::new(refused_peers.clone()),
+            Box::new(dropped_lines.clone()),
         ]);
-        Self { registry, requests, loads, in_flight, reserved, refused_peers }
+        Self { registry, requests, loads, in_flight, reserved, refused_peers, dropped_lines }
     }
 
     /// Returns all metrics in Prometheus text format.
