startup: a stop is noticed although nobody reads standard error

What operators saw: a gateway or an agent that waits for its settings did not end after SIGTERM where nobody read its standard error and the pipe was full. Since stop signals are held back during the start it did not end at all; before, the signal ended it, not with status 0.

Cause: the thread that looks for a held signal also wrote what the process waits for, and waited for the reader.

Change: a thread of its own writes each such line; the next is left out as long as the one before has not been taken. A program that ends because of an error releases the signals before it writes that.

An error that nobody reads was not tried.

--- a/crates/base/src/startup.rs
+++ b/crates/base/src/startup.rs
@@ -8,6 +8,7 @@
 use std::{
     fmt::Display,
     io::{self, Write},
+    thread::{self, JoinHandle},
     time::Duration,
 };
 
@@ -56,33 +57,67 @@
     }
 }
 
-/// Writes a line on standard error, for what comes before the log.
-fn report(text: &str) {
-    // Standard error may be closed, which must not end the start.
-    let _ = writeln!(io::stderr(), "start: {text}");
+/// Longest wait at the end of a start for its last line on standard error.
+const LAST_LINE_TIME: Duration = Duration::from_millis(100);
+
+/// Lines on standard error, for what comes before the log. A thread writes each: nobody may read them, and
+/// a stop has to be noticed meanwhile.
+#[derive(Debug, Default)]
+struct StartLines {
+    writing: Option<JoinHandle<()>>,
+}
+
+impl StartLines {
+    fn is_writing(&self) -> bool {
+        self.writing.as_ref().is_some_and(|writing| !writing.is_finished())
+    }
+
+    /// Writes a line, unless the one before has not been taken yet or no thread can be started.
+    fn write(&mut self, text: String) {
+        if self.is_writing() {
+            return;
+        }
+        let write = move || {
+            // Standard error may be closed, which must not end the start.
+            let _ = writeln!(io::stderr(), "start: {text}");
+        };
+        self.writing = thread::Builder::new().spawn(write).ok();
+    }
+
+    /// Waits briefly until the last line is written.
+    fn finish(&self) {
+        let pause = LAST_LINE_TIME / 20;
+        let mut waited = Duration::ZERO;
+        while self.is_writing() && waited < LAST_LINE_TIME {
+            thread::sleep(pause);
+            waited += pause;
+        }
+    }
 }
 
 /// Calls `take` until it succeeds; blocks the thread. Reports failures on standard error, for causes
 /// that come before the log. `None` if a stop signal comes first, which is held back until then.
 pub fn take_when_possible<T, E: Display>(mut take: impl FnMut() -> Result<T, E>) -> Option<T> {
     let mut reports = FailureReports::default();
+    let mut lines = StartLines::default();
     loop {
         match take() {
             Ok(taken) => return Some(taken),
             Err(error) => {
                 let cause = error.to_string();
                 if reports.is_due(&cause) {
-                    report(&format!("{cause}\nstart: trying again every {RETRY_PAUSE:?}"));
+                    lines.write(format!("{cause}\nstart: trying again every {RETRY_PAUSE:?}"));
                 }
             }
         }
         match signals::stopped_before(RETRY_PAUSE) {
             Ok(false) => {}
             Ok(true) => {
-                report("a stop signal came first, the process ends");
+                lines.write("a stop signal came first, the process ends".to_owned());
+                lines.finish();
                 return None;
             }
-            Err(error) => report(&format!("the signal mask cannot be changed: {error}")),
+            Err(error) => lines.write(format!("the signal mask cannot be changed: {error}")),
         }
     }
 }
--- a/crates/fescuewalk/src/main.rs
+++ b/crates/fescuewalk/src/main.rs
@@ -78,7 +78,12 @@
     match masked.map_err(Into::into).and_then(|()| run(&matches)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
+            // Nobody may read the error; a signal then ends the process.
+            let released = release_signals();
             eprintln!("fescuewalk: {error}");
+            if let Err(error) = released {
+                eprintln!("fescuewalk: signals are still held back: {error}");
+            }
             error.exit_code()
         }
     }
--- a/crates/fescuewalk/tests/support/memory.rs
+++ b/crates/fescuewalk/tests/support/memory.rs
@@ -331,7 +331,8 @@
     }
 }
 
-async fn terminate(child: &mut Child) -> Option<ExitStatus> {
+/// Sends SIGTERM; returns the exit status, or `None` if the process runs 30 s later.
+pub async fn terminate(child: &mut Child) -> Option<ExitStatus> {
     let process = Pid::from_raw(child.id().try_into().expect("a process ID"));
     kill(process, Signal::SIGTERM).expect("it is a child");
     let end = Instant::now() + SAFETY_TIME;
--- a/crates/fescuewalk/tests/unread_log.rs
+++ b/crates/fescuewalk/tests/unread_log.rs
@@ -5,11 +5,16 @@
 
 use std::{
     io::{self, PipeReader, Write},
-    process::Stdio,
+    process::{Command, Stdio},
     thread,
+    time::Duration,
 };
 
-use support::memory::{AgentFixture, GatewayFixture, OrdinaryCall};
+use rstest::rstest;
+use support::{
+    fescuewalk, fescuewalk_side,
+    memory::{AgentFixture, GatewayFixture, OrdinaryCall, terminate},
+};
 
 /// A pipe that is full, and its end for reading.
 fn full_pipe() -> (PipeReader, Stdio) {
@@ -43,3 +48,26 @@
 
     assert_eq!(status.and_then(|status| status.code()), Some(0));
 }
+
+/// Guards against a process that a stop does not end while it waits for its settings, because nobody reads
+/// what it says of them.
+#[rstest]
+#[case::gateway(fescuewalk(), "gateway")]
+#[case::agent(fescuewalk_side(), "agent")]
+#[tokio::test]
+async fn process_without_settings_ends_although_its_errors_are_not_read(
+    #[case] mut program: Command,
+    #[case] command: &str,
+) {
+    let (_reader, output) = full_pipe();
+    let child = program.args([command, "no-such-file.ini"]).stderr(output).spawn();
+    let mut child = child.expect("the program starts");
+    thread::sleep(Duration::from_millis(300));
+
+    let status = terminate(&mut child).await;
+    // Both fail only if the process has ended.
+    let _ = child.kill();
+    let _ = child.wait();
+
+    assert_eq!(status.and_then(|status| status.code()), Some(0));
+}
