--- a/crates/fescuewalk-side/tests/early_signals.rs
+++ b/crates/fescuewalk-side/tests/early_signals.rs
@@ -3,24 +3,15 @@
 use std::{
     fs,
     io::{Write, pipe},
-    path::Path,
-    process::{Command, Output, Stdio},
+    process::{Command, Stdio},
     thread,
     time::Duration,
 };
 
-use nix::{
-    sys::signal::{Signal, kill},
-    unistd::Pid,
-};
-use rstest::rstest;
+use nix::sys::signal::Signal;
 
 /// Polls before the case gives up.
 const POLLS: usize = 200;
-/// Polls, 100 us apart at least, for the first step of a process.
-const START_POLLS: usize = 20_000;
-/// Polls within which a process that has not begun its work ends.
-const STOP_POLLS: usize = 20;
 /// Pause between two polls.
 const POLL_PAUSE: Duration = Duration::from_millis(50);
 /// What a pipe holds by default, in bytes.
@@ -58,55 +49,3 @@
 
     assert!(is_held, "a signal ends it while it reads its arguments");
 }
-
-/// Starts a process that cannot listen, sends SIGTERM `delay` after the first step of its `main`, and
-/// returns how it ended.
-fn stop_early(args: &[&str], settings: &Path, delay: Duration) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_fescuewalk-side"))
-        .args(args)
-        .arg(settings)
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program starts");
-    let is_held = (0..START_POLLS).any(|_| {
-        thread::sleep(Duration::from_micros(100));
-        holds_back(child.id(), &[Signal::SIGUSR1])
-    });
-    assert!(is_held, "it ended or holds no signals back");
-    thread::sleep(delay);
-    let id = i32::try_from(child.id()).expect("an id of a process");
-    kill(Pid::from_raw(id), Signal::SIGTERM).expect("it is a child");
-    for _ in 0..STOP_POLLS {
-        thread::sleep(POLL_PAUSE);
-        if child.try_wait().expect("it is a child").is_some() {
-            break;
-        }
-    }
-    // Fails only if the process has ended.
-    let _ = child.kill();
-    child.wait_with_output().expect("it is a child")
-}
-
-/// Guards against a process that a stop ends by its signal, or not at all, while it waits for its settings
-/// or for an address that its VM does not have yet.
-#[rstest]
-#[case::settings(&["agent"], "no-such-file.ini", 0)]
-#[case::agent_address(&["agent"], "agent.ini", 2)]
-#[case::side_address(&[], "side-vrbovka.ini", 1)]
-fn stop_during_the_start_is_a_planned_one(
-    #[case] args: &[&str],
-    #[case] settings: &str,
-    #[case] lines: usize,
-    #[values(0, 1, 3, 10, 30, 300)] delay_ms: u64,
-) {
-    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/slatina");
-
-    let output = stop_early(args, &examples.join(settings), Duration::from_millis(delay_ms));
-
-    assert!(output.status.success(), "{output:?}");
-    let log = [output.stdout, output.stderr].concat();
-    let log = String::from_utf8(log).expect("the log is text");
-    let stops = log.lines().filter(|line| line.contains("stopp")).count();
-    assert_eq!(stops, lines, "{log}");
-}
--- a/crates/fescuewalk/tests/early_signals.rs
+++ b/crates/fescuewalk/tests/early_signals.rs
@@ -5,8 +5,7 @@
 use std::{
     fs,
     io::{Write, pipe},
-    path::Path,
-    process::{Output, Stdio},
+    process::{Command, Output, Stdio},
     thread,
     time::Duration,
 };
@@ -16,7 +15,7 @@
     unistd::Pid,
 };
 use rstest::rstest;
-use support::fescuewalk;
+use support::{fescuewalk, fescuewalk_side};
 
 /// Polls before the case gives up.
 const POLLS: usize = 200;
@@ -64,14 +63,9 @@
 
 /// Starts a process that cannot listen, sends SIGTERM `delay` after the first step of its `main`, and
 /// returns how it ended.
-fn stop_early(command: &str, settings: &Path, delay: Duration) -> Output {
-    let mut child = fescuewalk()
-        .arg(command)
-        .arg(settings)
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program starts");
+fn stop_early(program: &mut Command, delay: Duration) -> Output {
+    let child = program.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn();
+    let mut child = child.expect("the program starts");
     let is_held = (0..START_POLLS).any(|_| {
         thread::sleep(Duration::from_micros(100));
         holds_back(child.id(), &[Signal::SIGUSR1])
@@ -80,12 +74,10 @@
     thread::sleep(delay);
     let id = i32::try_from(child.id()).expect("an id of a process");
     kill(Pid::from_raw(id), Signal::SIGTERM).expect("it is a child");
-    for _ in 0..STOP_POLLS {
+    let _has_ended = (0..STOP_POLLS).any(|_| {
         thread::sleep(POLL_PAUSE);
-        if child.try_wait().expect("it is a child").is_some() {
-            break;
-        }
-    }
+        child.try_wait().expect("it is a child").is_some()
+    });
     // Fails only if the process has ended.
     let _ = child.kill();
     child.wait_with_output().expect("it is a child")
@@ -94,22 +86,24 @@
 /// Guards against a process that a stop ends by its signal, or not at all, while it waits for its settings
 /// or for an address that its VM does not have yet.
 #[rstest]
-#[case::settings("gateway", "no-such-file.ini", 0)]
-#[case::gateway_address("gateway", "gateway.ini", 2)]
-#[case::entry_address("entry", "entry.ini", 1)]
+#[case::gateway_settings(fescuewalk(), "gateway no-such-file.ini", 0)]
+#[case::gateway_address(fescuewalk(), "gateway gateway.ini", 2)]
+#[case::entry_address(fescuewalk(), "entry entry.ini", 1)]
+#[case::agent_settings(fescuewalk_side(), "agent no-such-file.ini", 0)]
+#[case::agent_address(fescuewalk_side(), "agent agent.ini", 2)]
+#[case::side_address(fescuewalk_side(), "side-vrbovka.ini", 1)]
 fn stop_during_the_start_is_a_planned_one(
-    #[case] command: &str,
-    #[case] settings: &str,
+    #[case] mut program: Command,
+    #[case] args: &str,
     #[case] lines: usize,
     #[values(0, 1, 3, 10, 30, 300)] delay_ms: u64,
 ) {
-    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/slatina");
+    let examples = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/slatina");
+    program.args(args.split(' ')).current_dir(examples);
 
-    let output = stop_early(command, &examples.join(settings), Duration::from_millis(delay_ms));
+    let output = stop_early(&mut program, Duration::from_millis(delay_ms));
 
     assert!(output.status.success(), "{output:?}");
-    let log = [output.stdout, output.stderr].concat();
-    let log = String::from_utf8(log).expect("the log is text");
-    let stops = log.lines().filter(|line| line.contains("stopp")).count();
-    assert_eq!(stops, lines, "{log}");
+    let log = String::from_utf8([output.stdout, output.stderr].concat()).expect("it is text");
+    assert_eq!(log.lines().filter(|line| line.contains("stopp")).count(), lines, "{log}");
 }
--- a/crates/fescuewalk/tests/entry_outputs.rs
+++ b/crates/fescuewalk/tests/entry_outputs.rs
@@ -13,14 +13,18 @@
 };
 
 use rstest::rstest;
-use support::{WorkDir, fescuewalk, fescuewalk_side, memory::fetch_status};
+use support::{
+    WorkDir, fescuewalk, fescuewalk_side,
+    memory::{fetch_status, terminate},
+};
+use tokio::time;
 
 /// What a pipe holds by default, in bytes.
 const PIPE_CAPACITY: usize = 65_536;
 /// Time in which a process that ends by itself has ended.
 const END_TIME: Duration = Duration::from_secs(1);
-/// Polls, 50 ms apart, within which a stopped process without work ends.
-const STOP_POLLS: usize = 60;
+/// Time in which a stopped process without work ends.
+const STOP_TIME: Duration = Duration::from_secs(3);
 
 /// A program of the product's own interface.
 #[derive(Debug, Clone, Copy)]
@@ -58,20 +62,13 @@
     }
 }
 
-/// Whether the process ends with status 0 after SIGTERM; it is killed otherwise.
-fn ends_after_stop(mut child: Child) -> bool {
-    let id = child.id().to_string();
-    Command::new("kill").args(["-TERM", &id]).status().expect("kill is there");
-    for _ in 0..STOP_POLLS {
-        if let Some(status) = child.try_wait().expect("it is a child") {
-            return status.success();
-        }
-        thread::sleep(Duration::from_millis(50));
-    }
+async fn assert_ends(mut child: Child) {
+    let status = time::timeout(STOP_TIME, terminate(&mut child)).await;
     // Both fail only if the process has ended.
     let _ = child.kill();
     let _ = child.wait();
-    false
+    let code = status.ok().flatten().and_then(|status| status.code());
+    assert_eq!(code, Some(0), "it did not end in time with status 0");
 }
 
 /// Guards against a process that neither serves nor ends because nobody reads its outputs.
@@ -90,7 +87,7 @@
     let [_, http] = program.addresses(1);
     let status = fetch_status(http, "/healthz").await;
 
-    assert!(ends_after_stop(child), "it did not end in time with status 0");
+    assert_ends(child).await;
     assert_eq!(status.as_deref(), Some("200"));
 }
 
@@ -115,7 +112,7 @@
     drop(earlier);
     let status = fetch_status(addresses[1], "/healthz").await;
 
-    assert!(ends_after_stop(child), "it did not end in time with status 0");
+    assert_ends(child).await;
     assert_eq!(status.as_deref(), Some("200"));
     let address = addresses[taken].to_string();
     assert!(waiting.contains(&address) && waiting.contains("trying again"), "{waiting}");
