--- a/crates/fescuewalk/tests/sends_after_a_wait.rs
+++ b/crates/fescuewalk/tests/sends_after_a_wait.rs
@@ -35,35 +35,28 @@
     RequestQuarantined,
 }
 
-impl Change {
-    async fn apply(self, store: &PlatformClient, body: &[u8]) {
-        match self {
-            Change::KeyRemoved => {
-                let other = KeyHash::of_key("other-key").to_string();
-                let plans = plans().replace(&KeyHash::of_key("crew-key").to_string(), &other);
-                let order = EditOrder {
-                    texts: ListTexts { plans, rights: RIGHTS.to_owned() },
-                    read_at: ListVersion(1),
-                    operator: "tester".parse().unwrap(),
-                    note: "withdrawn".to_owned(),
-                };
-                apply_edit(store, &order).await.unwrap();
-            }
-            Change::RequestQuarantined => {
-                let customer = "crew".parse().unwrap();
-                let fingerprint = RequestFingerprint::of_request(&customer, "vrbovka//", body);
-                let crash = |number| CrashId { incarnation: ProcessIncarnation(7), number };
-                let record = CrashRecord {
-                    customer: "crew".to_owned(),
-                    model: "vrbovka".to_owned(),
-                    crashes: vec![crash(1), crash(2)],
-                    latest: base::clock::since_epoch(),
-                };
-                let key = record_key(fingerprint);
-                store.put(&key, record.encode(), WriteCondition::Absent).await.unwrap();
-            }
-        }
-    }
+async fn remove_key(store: &PlatformClient) {
+    let hash = |key| KeyHash::of_key(key).to_string();
+    let plans = plans().replace(&hash("crew-key"), &hash("other-key"));
+    let order = EditOrder {
+        texts: ListTexts { plans, rights: RIGHTS.to_owned() },
+        read_at: ListVersion(1),
+        operator: "tester".parse().unwrap(),
+        note: "withdrawn".to_owned(),
+    };
+    apply_edit(store, &order).await.unwrap();
+}
+
+async fn quarantine(store: &PlatformClient, body: &[u8]) {
+    let fingerprint = RequestFingerprint::of_request(&"crew".parse().unwrap(), "vrbovka//", body);
+    let crash = |number| CrashId { incarnation: ProcessIncarnation(7), number };
+    let record = CrashRecord {
+        customer: "crew".to_owned(),
+        model: "vrbovka".to_owned(),
+        crashes: vec![crash(1), crash(2)],
+        latest: base::clock::since_epoch(),
+    };
+    store.put(&record_key(fingerprint), record.encode(), WriteCondition::Absent).await.unwrap();
 }
 
 /// A service that reports each request that reaches it and answers once it is released.
@@ -111,11 +104,8 @@
 #[tokio::test]
 async fn request_is_checked_after_its_wait(#[case] change: Change, #[case] code: ResultCode) {
     let (service, mut arrivals, release) = held_service().await;
-    let setup = FleetSetup {
-        service: Some(service),
-        entry_settings: SETTINGS.to_owned(),
-        ..FleetSetup::default()
-    };
+    let entry_settings = SETTINGS.to_owned();
+    let setup = FleetSetup { service: Some(service), entry_settings, ..FleetSetup::default() };
     let fleet = start_fleet_with(&setup).await;
     let entry = fleet.addresses()[0];
     let long = Duration::from_secs(30);
@@ -125,7 +115,10 @@
     time::sleep(Duration::from_millis(100)).await;
 
     let store = PlatformClient::new(ClientSettings::new(fleet.platform()));
-    change.apply(&store, &[b'b'; BODY_BYTES]).await;
+    match change {
+        Change::KeyRemoved => remove_key(&store).await,
+        Change::RequestQuarantined => quarantine(&store, &[b'b'; BODY_BYTES]).await,
+    }
     let refused = u64::from(code.number());
     // The entry knows of the change once it refuses the same request as it arrives.
     while send(entry, vec![b'b'; BODY_BYTES], Duration::from_millis(60)).await != refused {}
