dispatch: a silent side process does not undo a restart

Callers that took streams up got the rest from another software version (ORDER): the entry was cut off from the store, engines had started again in place with a new version, and then the entry lost their side processes.

Cause: a side process that reports another incarnation than the roster lists takes the engine out of use.

Now the restart is kept apart and lasts until the roster lists the present incarnation, the side process reports the listed one, or the server is listed anew.

An entry that is cut off from the side processes before the engines start again does not learn of it; that is not mended.

--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -113,6 +113,7 @@
     pub calls: HashMap<u64, RunningCall>,
     listed_residents: Vec<ResidentModel>,
     is_down: bool,
+    is_restarted: bool,
     residents: BTreeMap<ModelId, BTreeSet<AdapterId>>,
     unloading: Option<ModelId>,
     loading: Option<LoadInProgress>,
@@ -147,6 +148,7 @@
             calls: HashMap::new(),
             listed_residents: Vec::new(),
             is_down: false,
+            is_restarted: false,
             residents: BTreeMap::new(),
             unloading: None,
             loading: None,
@@ -211,6 +213,7 @@
         self.loading = None;
         self.has_side_updates = false;
         self.is_down = false;
+        self.is_restarted = false;
     }
 
     /// Applies the state reported by the side process, which from then on takes precedence over the
@@ -218,6 +221,7 @@
     pub fn apply_engine_update(&mut self, update: &EngineUpdate, now: Instant) {
         self.has_side_updates = true;
         self.is_down = !update.is_reachable;
+        self.is_restarted = false;
         self.set_residents(&update.residents);
         self.unloading = update.unloading.clone();
         self.loading = update.loading.clone();
@@ -228,7 +232,7 @@
     /// Takes it out of use until the roster lists its present incarnation or its side process reports
     /// the listed one. Returns whether it was in use.
     pub fn mark_restarted(&mut self) -> bool {
-        !std::mem::replace(&mut self.is_down, true)
+        !std::mem::replace(&mut self.is_restarted, true)
     }
 
     /// Records the prompt tokens queued for prefill, as reported by the side process.
@@ -242,7 +246,8 @@
         self.has_side_updates
     }
 
-    /// Records that the side process is unreachable; the registration applies again.
+    /// Records that the side process is unreachable; the registration applies again, unless another
+    /// incarnation runs than it names.
     pub fn mark_side_unreachable(&mut self) {
         self.has_side_updates = false;
         self.is_down = false;
@@ -253,9 +258,10 @@
         self.listed_residents = listed_residents;
     }
 
-    /// Whether its side process reports that the engine does not respond.
+    /// Whether its side process reports that the engine does not respond, or has reported another
+    /// incarnation than the listed one.
     pub fn is_down(&self) -> bool {
-        self.is_down
+        self.is_down || self.is_restarted
     }
 
     /// Records the load reported in an answer.
--- a/crates/dispatch/tests/software_versions.rs
+++ b/crates/dispatch/tests/software_versions.rs
@@ -157,6 +157,19 @@
     assert_eq!(server_of(&after), "i-1");
 }
 
+/// Guards against an entry that forgets the restart when the side process falls silent.
+#[test]
+fn server_that_started_again_gets_nothing_while_its_side_process_is_silent() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher_with(&[engine("i-1", "v1", &["m"])], now);
+    dispatcher.mark_restarted(&instance("i-1"));
+
+    dispatcher.mark_side_unreachable(&instance("i-1"));
+    let (_, decision) = dispatcher.submit(resumable_request(now), now);
+
+    assert!(matches!(decision, DispatchDecision::Wait(..)), "{decision:?}");
+}
+
 /// An entry that has just started reads its configuration before its roster.
 #[test]
 fn stream_waits_before_the_first_server_is_known() {
