--- a/crates/base/src/log_output.rs
+++ b/crates/base/src/log_output.rs
@@ -34,7 +34,7 @@
 #[derive(Debug, Default)]
 struct WaitingLines {
     bytes: Vec<u8>,
-    /// Lines dropped since the last line that tells of them.
+    /// Lines dropped and not reported in the log yet.
     dropped: u64,
     is_closed: bool,
 }
--- a/crates/base/tests/log_output.rs
+++ b/crates/base/tests/log_output.rs
@@ -24,7 +24,7 @@
     }
 }
 
-/// Number of dropped lines that a line of the log tells of.
+/// Number of dropped lines that a line of the log reports.
 fn dropped_count(line: &str) -> Option<u64> {
     line.split_once("dropped ")?.1.split(' ').next()?.parse().ok()
 }
